--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,1 @@
+//! Which upstream a request goes to: subset, slots, connections and score.
--- /dev/null
+++ b/src/bench.rs
@@ -0,0 +1,1 @@
+//! Measurements that can be made again by one command, with small reports.
--- /dev/null
+++ b/src/claim.rs
@@ -0,0 +1,1 @@
+//! At-most-once ledger for keyed non-idempotent requests.
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,1 @@
+//! Numbered configuration: what was accepted and what is in force.
--- /dev/null
+++ b/src/directory.rs
@@ -0,0 +1,1 @@
+//! Which entries a caller should use, and for how long.
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,1 @@
+//! Membership between our processes: failure detection, dissemination and anti-entropy.
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,1 @@
+//! Detection and ejection of gray upstreams, never below the floor.
--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,1 @@
+//! Certificate authority and certificates of the VMs.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,35 @@
+//! A proxy fleet for upstreams with gray failures.
+//!
+//! Slices that decide are state machines without socket, clock, thread or
+//! randomness of their own; [`node`] carries their inputs and outputs.
+#![warn(clippy::unwrap_used)]
+
+pub mod admission;
+pub mod balance;
+pub mod bench;
+pub mod claim;
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod demo;
+pub mod directory;
+pub mod exchange;
+pub mod fake;
+pub mod fleet;
+pub mod health;
+pub mod id;
+pub mod keys;
+pub mod link;
+pub mod load;
+pub mod model;
+pub mod node;
+pub mod quorum;
+pub mod registry;
+pub mod replay;
+pub mod retry;
+pub mod rule;
+pub mod settings;
+pub mod storage;
+pub mod timeline;
+pub mod upstream;
+pub mod wire;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,1 @@
+//! Mutually authenticated QUIC links between our processes.
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator with figures free of coordinated omission.
--- /dev/null
+++ b/src/model.rs
@@ -0,0 +1,1 @@
+//! Model of upstreams and callers in virtual time, for experiments on decisions.
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,1 @@
+//! One process: its control thread, its traffic threads and what joins them.
--- /dev/null
+++ b/src/quorum.rs
@@ -0,0 +1,1 @@
+//! Replicated, durable log behind configuration and claims.
--- /dev/null
+++ b/src/registry.rs
@@ -0,0 +1,1 @@
+//! Announced upstreams: lease, drain and cold start.
--- /dev/null
+++ b/src/replay.rs
@@ -0,0 +1,1 @@
+//! Recorded inputs of decision modules, run again against stated outcomes.
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,1 @@
+//! What may be tried again, and the budget for it.
--- /dev/null
+++ b/src/rule.rs
@@ -0,0 +1,1 @@
+//! Ordered rules: conditions, actions and the first match.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! Checked settings of one process.
--- /dev/null
+++ b/src/timeline.rs
@@ -0,0 +1,1 @@
+//! Events of all processes, merged in causal order.
--- /dev/null
+++ b/src/upstream.rs
@@ -0,0 +1,1 @@
+//! Stand-in for an upstream, gray on demand.
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,1 @@
+//! Frames between our processes.
--- /dev/null
+++ b/tests/suite/fuzz.rs
@@ -0,0 +1,1 @@
+//! Tests of every decoder against arbitrary bytes.
--- /dev/null
+++ b/tests/suite/main.rs
@@ -0,0 +1,22 @@
+//! Tests of the slices in virtual time, and a few of real processes on loopback.
+
+mod admission;
+mod balance;
+mod claim;
+mod config;
+mod directory;
+mod exchange;
+mod fleet;
+mod fuzz;
+mod health;
+mod keys;
+mod link;
+mod process;
+mod quorum;
+mod registry;
+mod replay;
+mod retry;
+mod rule;
+mod settings;
+mod storage;
+mod timeline;
--- /dev/null
+++ b/tests/suite/process.rs
@@ -0,0 +1,1 @@
+//! Tests of separately started processes on loopback.
--- /dev/null
+++ b/tests/suite/registry.rs
@@ -0,0 +1,1 @@
+//! Tests of `hemlockfield::registry`.
