Carry one exchange whole or visibly failed

Cause: the HTTP library returns Ok for a response cut short of its declared length, an empty body for one that ends by close, a date value with a line end for one without a date, and loses bytes that it reads past a message. Its chunk decoder sleeps for ever when the last CRLF comes in two parts. Ruled out: a parser of our own (the library stays), trusting its end of file. Change: a tap that stops at each message's end and counts, a reader that fails short of the declared length, heads cleaned of line ends, connections used again only when the exchange ended at the exact byte. Before: tests library_alone_passes_on show the library's two faults. Conclusion: a close-delimited answer is refused, since its end can't be told from a cut.

--- /dev/null
+++ b/src/load/caller.rs
@@ -0,0 +1,203 @@
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use compact_str::CompactString;
+use http_types::Body;
+use http_types::Request;
+use http_types::Url;
+
+use crate::directory;
+use crate::exchange;
+use crate::exchange::Failure;
+use crate::exchange::Leg;
+use crate::exchange::Limits;
+use crate::exchange::Pool;
+use crate::upstream;
+
+use super::Kind;
+use super::Told;
+
+/// Longest until a connection to an entry is open.
+const CONNECT: Duration = Duration::from_millis(500);
+/// How much longer than its budget a caller waits for an answer, for the way back.
+const GRACE: Duration = Duration::from_millis(500);
+/// Times that a caller sends a request in all, where it may send it again.
+const SENDS: u32 = 3;
+/// Longest that a caller waits before it sends again.
+const WAIT_MAX: Duration = Duration::from_secs(1);
+
+/// One caller: its name, its connections and the entries it was told to use.
+pub(super) struct Caller {
+    client: Mutex<directory::Client>,
+    name: CompactString,
+    pool: Pool,
+    started: Instant,
+}
+
+/// One request as a caller sends it.
+pub(super) struct Ask<'a> {
+    pub(super) budget: Duration,
+    pub(super) identity: CompactString,
+    pub(super) kind: &'a Kind,
+    pub(super) resend: bool,
+    pub(super) upload: Vec<u8>,
+}
+
+/// What came of one sending.
+struct Heard {
+    after: Duration,
+    told: Told,
+}
+
+impl Caller {
+    pub(super) fn new(name: &str, entries: Vec<SocketAddr>, directory: bool) -> Self {
+        Self {
+            client: Mutex::new(directory::Client::new(name.into(), entries, directory)),
+            name: name.into(),
+            pool: Pool::default(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Sends a request, and again where that is safe; tells the end and the sendings.
+    pub(super) async fn send(&self, ask: &Ask<'_>) -> (Told, u32) {
+        let mut sends = 0;
+        loop {
+            sends += 1;
+            let heard = self.send_once(ask).await;
+            let keyed_and_lost =
+                ask.kind.keyed && matches!(heard.told, Told::Nothing | Told::Unknown | Told::Cut);
+            let again = matches!(heard.told, Told::NotRun | Told::Failed)
+                || (!ask.kind.keyed && heard.told == Told::Nothing)
+                || keyed_and_lost;
+            if !again || !ask.resend || sends >= SENDS {
+                return (heard.told, sends);
+            }
+            async_std::task::sleep(heard.after.min(WAIT_MAX)).await;
+        }
+    }
+
+    async fn send_once(&self, ask: &Ask<'_>) -> Heard {
+        let Some(entry) = self.entry().await else { return nothing() };
+        let Ok(request) = self.request(ask) else { return nothing() };
+        let limits =
+            Limits { connect: CONNECT, first_byte: ask.budget + GRACE, idle: ask.budget + GRACE };
+        let leg = match self.pool.take(entry).await {
+            Some(leg) => leg,
+            None => match Leg::dial(entry, CONNECT).await {
+                Ok(leg) => leg,
+                Err(_) => {
+                    self.client().failed(self.started.elapsed(), entry);
+                    return nothing();
+                }
+            },
+        };
+        match timeout(ask.budget + GRACE, self.exchange(leg, entry, request, limits, ask)).await {
+            Ok(heard) => heard,
+            Err(_) => {
+                self.client().failed(self.started.elapsed(), entry);
+                nothing()
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        leg: Leg,
+        entry: SocketAddr,
+        request: Request,
+        limits: Limits,
+        ask: &Ask<'_>,
+    ) -> Heard {
+        let mut answer = match leg.ask(request, limits).await {
+            Ok(answer) => answer,
+            Err(Failure::Cut(_)) => return Heard { after: Duration::ZERO, told: Told::Cut },
+            Err(_) => {
+                self.client().failed(self.started.elapsed(), entry);
+                return nothing();
+            }
+        };
+        let mut body = Vec::new();
+        let read = answer.response.take_body().read_to_end(&mut body).await;
+        let after = retry_after(&answer.response);
+        let told = match told_by(&answer.response) {
+            Some(told) => told,
+            None if read.is_err() => Told::Cut,
+            None if body == upstream::body_for(&ask.identity, &ask.upload, ask.kind.down) => {
+                Told::Answer
+            }
+            None => Told::Wrong,
+        };
+        if let Some(leg) = answer.release() {
+            self.pool.put(entry, leg);
+        }
+        Heard { after, told }
+    }
+
+    fn request(&self, ask: &Ask<'_>) -> http_types::Result<Request> {
+        let url = Url::parse(&format!("http://{}{}", ask.kind.host, ask.kind.path))?;
+        let mut request = Request::new(ask.kind.method, url);
+        request.insert_header(exchange::CALLER_HEADER, self.name.as_str());
+        request.insert_header(exchange::BUDGET_HEADER, ask.budget.as_millis().to_string());
+        request.insert_header(upstream::IDENTITY_HEADER, ask.identity.as_str());
+        request.insert_header(upstream::SIZE_HEADER, ask.kind.down.to_string());
+        if ask.kind.keyed {
+            request.insert_header(upstream::KEY_HEADER, ask.identity.as_str());
+        }
+        if !ask.upload.is_empty() {
+            request.set_body(Body::from_bytes(ask.upload.clone()));
+        }
+        Ok(request)
+    }
+
+    /// The entry to use, after asking one of them where the list has run out.
+    async fn entry(&self) -> Option<SocketAddr> {
+        let now = self.started.elapsed();
+        let ask = self.client().ask(now);
+        if let Some(entry) = ask {
+            match self.list(entry).await {
+                Some(answer) => self.client().answered(self.started.elapsed(), answer),
+                None => self.client().failed(self.started.elapsed(), entry),
+            }
+        }
+        self.client().entry(self.started.elapsed())
+    }
+
+    async fn list(&self, entry: SocketAddr) -> Option<directory::Answer> {
+        let path = crate::node::DIRECTORY_PATH;
+        let url = Url::parse(&format!("http://{entry}{path}?caller={}", self.name)).ok()?;
+        let limits = Limits { connect: CONNECT, first_byte: CONNECT, idle: CONNECT };
+        let leg = Leg::dial(entry, CONNECT).await.ok()?;
+        let mut answer = leg.ask(Request::new(http_types::Method::Get, url), limits).await.ok()?;
+        answer.response.body_json().await.ok()
+    }
+
+    fn client(&self) -> std::sync::MutexGuard<'_, directory::Client> {
+        self.client.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn nothing() -> Heard {
+    Heard { after: Duration::ZERO, told: Told::Nothing }
+}
+
+fn told_by(response: &http_types::Response) -> Option<Told> {
+    let outcome = response.header(exchange::OUTCOME_HEADER).map(|values| values.last().as_str());
+    match outcome {
+        Some("not-run") => Some(Told::NotRun),
+        Some("unknown") => Some(Told::Unknown),
+        Some(_) => Some(Told::Failed),
+        None if response.status().is_success() => None,
+        None => Some(Told::Failed),
+    }
+}
+
+fn retry_after(response: &http_types::Response) -> Duration {
+    let text = response.header(exchange::RETRY_AFTER_MS_HEADER).map(|values| values.last());
+    text.and_then(|text| text.as_str().parse().ok()).map_or(Duration::ZERO, Duration::from_millis)
+}
--- /dev/null
+++ b/src/upstream/announcer.rs
@@ -0,0 +1,80 @@
+//! Announces a stand-in to the entries it was told of, one at a time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use http_types::Body;
+use http_types::Method;
+use http_types::Request;
+use http_types::Url;
+
+use crate::exchange::Leg;
+use crate::exchange::Limits;
+use crate::registry::Announcement;
+use crate::registry::State;
+
+use super::stand::Inner;
+
+/// Parts of a lease after which it is renewed, so that two renewals may be lost.
+const RENEWALS: u32 = 3;
+/// How often a stand-in looks whether it is to drain.
+const LOOK: Duration = Duration::from_millis(100);
+/// Path of announcements at an entry's operators' address.
+pub const PATH: &str = "/v1/upstreams";
+
+pub(super) async fn run(inner: Arc<Inner>, address: SocketAddr) {
+    let mut turn = 0;
+    let mut told = None;
+    let mut due = std::time::Instant::now();
+    loop {
+        let draining = inner.is_draining();
+        let changed = told != Some(draining);
+        if !inner.setup.entries.is_empty() && (changed || due <= std::time::Instant::now()) {
+            let entry = inner.setup.entries[turn % inner.setup.entries.len()];
+            match announce(&inner, address, entry, draining).await {
+                Ok(()) => {
+                    told = Some(draining);
+                    due = std::time::Instant::now() + inner.setup.lease / RENEWALS;
+                }
+                Err(error) => {
+                    turn += 1;
+                    tracing::debug!(target: "upstream", "can't announce to `{entry}`: {error}");
+                }
+            }
+        }
+        task::sleep(LOOK).await;
+    }
+}
+
+async fn announce(
+    inner: &Inner,
+    address: SocketAddr,
+    entry: SocketAddr,
+    draining: bool,
+) -> http_types::Result<()> {
+    let setup = &inner.setup;
+    let announcement = Announcement {
+        address,
+        connections: 400,
+        domain: setup.domain.clone(),
+        incarnation: setup.incarnation,
+        lease: setup.lease,
+        service: setup.service.clone(),
+        slots: setup.slots as u32,
+        state: if draining { State::Draining } else { State::Ready },
+        upstream: setup.name.clone(),
+        warm_up: setup.warm_up,
+    };
+    let mut request = Request::new(Method::Post, Url::parse(&format!("http://{entry}{PATH}"))?);
+    request.set_body(Body::from_json(&announcement)?);
+    let limit = Duration::from_secs(1);
+    let limits = Limits { connect: limit, first_byte: limit, idle: limit };
+    let leg = Leg::dial(entry, limit).await?;
+    let answer = leg.ask(request, limits).await?;
+    let status = answer.response.status();
+    answer.release();
+    http_types::ensure!(status.is_success(), "status {}", status);
+    Ok(())
+}
--- a/tests/suite/exchange.rs
+++ b/tests/suite/exchange.rs
@@ -1,1 +1,6 @@
-//! Tests of `hemlockfield::exchange`.
+//! Tests of `hemlockfield::exchange`: the whole answer or a visible failure.
+
+mod callers;
+mod heads;
+mod script;
+mod upstreams;
--- /dev/null
+++ b/tests/suite/exchange/heads.rs
@@ -0,0 +1,73 @@
+//! Heads that a caller may not send.
+
+use async_std::io::ReadExt;
+use async_std::io::WriteExt;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use async_std::task::block_on;
+use hemlockfield::exchange::Inlet;
+use http_types::Response;
+use rstest::rstest;
+
+use super::script::LIMITS;
+
+/// What a caller that sends `bytes` and then closes its sending side reads.
+pub(super) async fn heard(bytes: &[u8]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        let (stream, peer) = listener.accept().await.unwrap();
+        let mut inlet = Inlet::new(stream, peer);
+        while let Some((mut request, mut outlet)) = inlet.next(LIMITS.idle).await {
+            let mut response = Response::new(200);
+            let body = request.body_string().await.unwrap_or_else(|_| "broken".to_owned());
+            response.set_body(format!("{} {body}", request.url().path()));
+            if outlet.send(response).await.is_err() || outlet.is_closing() {
+                break;
+            }
+        }
+        inlet.linger().await;
+    });
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut heard = String::new();
+    stream.read_to_string(&mut heard).await.ok();
+    heard
+}
+
+#[rstest]
+#[case::no_host("GET / HTTP/1.1\r\n\r\n", "400")]
+#[case::not_http("EHLO yard\r\n\r\n", "400")]
+#[case::two_hosts("GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", "400")]
+#[case::two_lengths(
+    "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+    "400"
+)]
+#[case::signed_length("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: +1\r\n\r\na", "400")]
+#[case::length_and_chunks(
+    "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "400"
+)]
+#[case::odd_coding(
+    "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "501"
+)]
+#[case::folded_header("GET / HTTP/1.1\r\nhost: a\r\nx: 1\r\n 2\r\n\r\n", "400")]
+#[case::space_before_colon("GET / HTTP/1.1\r\nhost: a\r\ncontent-length : 4\r\n\r\nabcd", "400")]
+#[case::byte_outside_ascii("GET / HTTP/1.1\r\nhost: a\r\nx-name: K\u{e4}the\r\n\r\n", "400")]
+#[case::connect("CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n", "501")]
+#[case::old_version("GET / HTTP/1.0\r\nhost: a\r\n\r\n", "400")]
+fn next_refused(#[case] bytes: &str, #[case] status: &str) {
+    let heard = block_on(heard(bytes.as_bytes()));
+    assert!(heard.starts_with(&format!("HTTP/1.1 {status} ")), "{heard}");
+    assert!(heard.contains("x-hemlockfield-outcome: not-run"), "{heard}");
+    assert_eq!(heard.matches("HTTP/1.1").count(), 1, "{heard}");
+}
+
+#[test]
+fn next_oversized_head() {
+    let bytes = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "a".repeat(9000));
+    let heard = block_on(heard(bytes.as_bytes()));
+    assert!(heard.starts_with("HTTP/1.1 431 "), "{heard}");
+}
--- /dev/null
+++ b/tests/suite/exchange/script.rs
@@ -0,0 +1,82 @@
+//! A peer that reads what comes and writes fixed bytes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::io::ReadExt;
+use async_std::io::WriteExt;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use hemlockfield::exchange::Answer;
+use hemlockfield::exchange::Failure;
+use hemlockfield::exchange::Leg;
+use hemlockfield::exchange::Limits;
+use http_types::Method;
+use http_types::Request;
+use http_types::Url;
+
+pub(super) const LIMITS: Limits = Limits {
+    connect: Duration::from_secs(5),
+    first_byte: Duration::from_millis(300),
+    idle: Duration::from_millis(300),
+};
+
+/// What the peer does, in order, on each connection.
+#[derive(Clone)]
+pub(super) enum Step {
+    /// Closes the connection.
+    Close,
+    /// Reads until a request's head has come.
+    Head,
+    /// Keeps the connection open and says nothing more.
+    Hold,
+    /// Lets the other end read what came so far.
+    Pause,
+    /// Writes these bytes.
+    Write(&'static str),
+}
+
+pub(super) async fn peer(steps: Vec<Step>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            task::spawn(play(stream, steps.clone()));
+        }
+    });
+    address
+}
+
+async fn play(mut stream: TcpStream, steps: Vec<Step>) {
+    for step in steps {
+        match step {
+            Step::Close => return,
+            Step::Head => read_head(&mut stream).await,
+            Step::Hold => futures::future::pending().await,
+            Step::Pause => task::sleep(Duration::from_millis(50)).await,
+            Step::Write(text) => drop(stream.write_all(text.as_bytes()).await),
+        }
+    }
+}
+
+async fn read_head(stream: &mut TcpStream) {
+    let mut seen = Vec::new();
+    let mut byte = [0];
+    while !seen.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte).await {
+            Ok(1) => seen.push(byte[0]),
+            _ => return,
+        }
+    }
+}
+
+pub(super) fn get(path: &str) -> Request {
+    Request::new(Method::Get, Url::parse(&format!("http://hull-register{path}")).unwrap())
+}
+
+pub(super) async fn ask(steps: Vec<Step>) -> Result<Answer, Failure> {
+    let address = peer(steps).await;
+    let leg = Leg::dial(address, LIMITS.connect).await.unwrap();
+    leg.ask(get("/hull/1"), LIMITS).await
+}
--- /dev/null
+++ b/tests/suite/exchange/upstreams.rs
@@ -0,0 +1,160 @@
+//! What an upstream may do to an answer.
+
+use async_std::io::ReadExt;
+use async_std::net::TcpStream;
+use async_std::task::block_on;
+use hemlockfield::exchange::Failure;
+use hemlockfield::exchange::Leg;
+use hemlockfield::exchange::Pool;
+use rstest::rstest;
+
+use super::script::LIMITS;
+use super::script::Step;
+use super::script::ask;
+use super::script::get;
+use super::script::peer;
+
+const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort";
+const BY_CLOSE: &str = "HTTP/1.1 200 OK\r\n\r\nwhole register page";
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+
+// What the library alone does, and why the exchange does not trust it: the caller would
+// get five bytes as a whole answer, and an empty page for one that ends by close.
+#[rstest]
+#[case::cut(CUT, "short")]
+#[case::by_close(BY_CLOSE, "")]
+fn library_alone_passes_on(#[case] answer: &'static str, #[case] body: &str) {
+    block_on(async {
+        let address = peer(vec![Step::Head, Step::Write(answer), Step::Close]).await;
+        let stream = TcpStream::connect(address).await.unwrap();
+        let mut response = async_h1::connect(stream, get("/hull/1")).await.unwrap();
+        assert_eq!(response.body_string().await.unwrap(), body);
+    });
+}
+
+#[test]
+fn ask_whole() {
+    block_on(async {
+        let steps = vec![Step::Head, Step::Write(WHOLE), Step::Hold];
+        let mut answer = ask(steps).await.unwrap();
+        assert_eq!(answer.response.body_string().await.unwrap(), "whole");
+        assert!(answer.is_complete());
+        assert!(answer.release().is_some());
+    });
+}
+
+// The caller sees a failure, never half an answer. The upstream breaks off at different
+// points: each is an error of the attempt, and the connection is not used again.
+#[rstest]
+#[case::cut_by_length(vec![Step::Head, Step::Write(CUT), Step::Close])]
+#[case::cut_in_head(vec![Step::Head, Step::Write("HTTP/1.1 200 OK\r\ncontent-le"), Step::Close])]
+#[case::closed_before_head(vec![Step::Head, Step::Close])]
+#[case::ends_by_close(vec![Step::Head, Step::Write(BY_CLOSE), Step::Close])]
+#[case::two_lengths(vec![
+    Step::Head,
+    Step::Write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 9\r\n\r\nwhole"),
+    Step::Hold,
+])]
+#[case::length_and_chunks(vec![
+    Step::Head,
+    Step::Write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n"),
+    Step::Hold,
+])]
+#[case::not_http(vec![Step::Head, Step::Write("220 mail ready\r\n\r\n"), Step::Hold])]
+#[case::silent(vec![Step::Head, Step::Hold])]
+#[case::silent_in_head(vec![Step::Head, Step::Write("HTTP/1.1 200 OK\r\n"), Step::Hold])]
+#[case::silent_in_body(vec![Step::Head, Step::Write(CUT), Step::Hold])]
+fn ask_broken(#[case] steps: Vec<Step>) {
+    block_on(async {
+        let failure = ask(steps).await.map(drop).unwrap_err();
+        assert!(!failure.is_not_run(), "{failure}");
+        assert!(failure.is_upstreams(), "{failure}");
+    });
+}
+
+// The answer breaks off after its head was passed on: reading its body is an error, so
+// that the caller's connection can be ended short of the declared length.
+#[rstest]
+#[case::cut_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n9\r\nsho")]
+#[case::no_last_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n")]
+#[case::cut_large("HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\nshort")]
+fn read_cut_after_head(#[case] text: &'static str) {
+    block_on(async {
+        let steps = vec![Step::Head, Step::Write(text), Step::Close];
+        let mut answer = ask(steps).await.unwrap();
+        let mut body = Vec::new();
+        let read = answer.response.take_body().read_to_end(&mut body).await;
+        assert!(read.is_err());
+        assert!(answer.release().is_none());
+    });
+}
+
+// The library's chunk decoder sleeps for ever when the last CRLF comes in two parts: the
+// caller would wait for its deadline with a whole answer in our buffers.
+#[test]
+fn read_last_crlf_in_parts() {
+    block_on(async {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r";
+        let steps = vec![Step::Head, Step::Write(head), Step::Pause, Step::Write("\n"), Step::Hold];
+        let mut answer = ask(steps).await.unwrap();
+        assert_eq!(answer.response.body_string().await.unwrap(), "whole");
+        assert!(answer.is_complete());
+    });
+}
+
+// An interim answer is passed over. Taken for the answer, it would go to the caller, and
+// the real one to the next request on the connection.
+#[test]
+fn ask_interim_first() {
+    block_on(async {
+        let steps =
+            vec![Step::Head, Step::Write("HTTP/1.1 100 Continue\r\n\r\n"), Step::Write(WHOLE)];
+        let mut answer = ask(steps).await.unwrap();
+        assert_eq!(answer.response.body_string().await.unwrap(), "whole");
+    });
+}
+
+// An answer without a date gets one from the library that ends in CRLF. Passed on, it
+// would end the head, and the caller would take headers for the body.
+#[test]
+fn clean_broken_date() {
+    block_on(async {
+        let mut answer = ask(vec![Step::Head, Step::Write(WHOLE)]).await.unwrap();
+        assert!(answer.response.header("date").is_none());
+        assert_eq!(answer.response.body_string().await.unwrap(), "whole");
+    });
+}
+
+// The upstream sends a second answer that nobody asked for, as one that was late would
+// be. The next caller must not get it: once it is there, the connection is closed (the
+// test waits for that, and would go on for ever if it were kept).
+#[rstest]
+#[case::with_the_first(vec![Step::Head, Step::Write(WHOLE), Step::Write(WHOLE), Step::Hold])]
+#[case::while_idle(vec![Step::Head, Step::Write(WHOLE), Step::Pause, Step::Write(WHOLE), Step::Hold])]
+fn take_answer_nobody_asked_for(#[case] steps: Vec<Step>) {
+    block_on(async {
+        let address = peer(steps).await;
+        let pool = Pool::default();
+        let leg = Leg::dial(address, LIMITS.connect).await.unwrap();
+        let answer = leg.ask(get("/hull/1"), LIMITS).await.unwrap();
+        if let Some(leg) = answer.release() {
+            pool.put(address, leg);
+        }
+        while let Some(leg) = pool.take(address).await {
+            pool.put(address, leg);
+            async_std::task::yield_now().await;
+        }
+    });
+}
+
+#[test]
+fn dial_nobody() {
+    block_on(async {
+        let listener = async_std::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let failure = Leg::dial(address, LIMITS.connect).await.map(drop).unwrap_err();
+        assert!(matches!(failure, Failure::Connect(_)));
+        assert!(failure.is_not_run());
+    });
+}
