--- /dev/null
+++ b/src/quorum/receive.rs
@@ -0,0 +1,81 @@
+//! Messages: whose term counts, and who takes them.
+
+use super::message::Body;
+use super::message::Message;
+use super::replica::Replica;
+use super::replica::Stance;
+use crate::id::NodeId;
+
+impl Replica {
+    pub(super) fn receive(&mut self, from: &NodeId, message: Message) {
+        if message.to != self.disk {
+            return;
+        }
+        if let Body::PreVote { last_index, last_term } = message.body {
+            return self.answer_pre_vote(from, &message, (last_term, last_index));
+        }
+        if matches!(message.body, Body::PreVoted { granted: true }) {
+            return self.count_pre_vote(from, &message);
+        }
+        if matches!(message.body, Body::Vote { .. }) && self.has_leader() {
+            return;
+        }
+        if message.term > self.term {
+            self.adopt(message.term);
+        }
+        if message.term < self.term {
+            return self.answer_stale(from, &message);
+        }
+        self.receive_current(from, message);
+    }
+
+    fn receive_current(&mut self, from: &NodeId, message: Message) {
+        let disk = message.disk;
+        match message.body {
+            Body::Append { commit, entries, prev_index, prev_term, round } => {
+                if self.hear_leader(from) {
+                    let matched = self.take_entries((prev_index, prev_term), entries);
+                    self.answer_append(from, disk, round, matched, commit);
+                }
+            }
+            Body::Chunk { bytes, index, index_term, membership, offset, round, total } => {
+                if self.hear_leader(from) {
+                    let header = (index, index_term, membership, total);
+                    self.take_chunk(from, disk, round, header, offset, &bytes);
+                }
+            }
+            Body::Appended { matched, round } => self.note_appended(from, disk, round, matched),
+            Body::Chunked { index, offset, round } => {
+                self.note_chunked(from, disk, round, index, offset);
+            }
+            Body::Mismatch { hint, round } => self.note_mismatch(from, disk, round, hint),
+            Body::Vote { last_index, last_term } => {
+                self.answer_vote(from, disk, (last_term, last_index));
+            }
+            Body::Voted { granted: true } => self.count_vote(from, disk),
+            Body::PreVote { .. } | Body::PreVoted { .. } | Body::Stale | Body::Voted { .. } => {}
+        }
+    }
+
+    /// Tells a leader or candidate of an older term that its term is over, so
+    /// that it doesn't wait for answers that never come.
+    fn answer_stale(&mut self, from: &NodeId, message: &Message) {
+        let asks =
+            matches!(message.body, Body::Append { .. } | Body::Chunk { .. } | Body::Vote { .. });
+        if asks {
+            self.send(from, message.disk, Body::Stale);
+        }
+    }
+
+    /// Whether `from` leads in the current term, as any append or chunk proves.
+    fn hear_leader(&mut self, from: &NodeId) -> bool {
+        if matches!(self.stance, Stance::Leader(_)) {
+            return false;
+        }
+        self.stance = Stance::Follower;
+        self.leader = Some(from.clone());
+        self.heard_leader = Some(self.now);
+        self.reset_deadline();
+        true
+    }
+}
--- /dev/null
+++ b/src/quorum/replica.rs
@@ -0,0 +1,262 @@
+//! One replica of the log.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::input::Input;
+use super::membership::DiskId;
+use super::membership::FOUNDER_DISK;
+use super::membership::Membership;
+use super::message::Body;
+use super::message::Message;
+use super::output::Output;
+use super::output::Reason;
+use super::progress::Lead;
+use super::record::Identity;
+use super::record::Record;
+use super::recovered::Recovered;
+use super::setup::Setup;
+use super::trail::Trail;
+use super::transfer::Incoming;
+use crate::clock::Moment;
+use crate::id::Index;
+use crate::id::NodeId;
+use crate::id::Term;
+
+/// What a replica does at present, with the state that goes with it.
+#[derive(Debug)]
+pub(super) enum Stance {
+    Candidate {
+        granted: BTreeSet<NodeId>,
+        /// Persist that holds the vote for itself.
+        own: u64,
+    },
+    Follower,
+    Leader(Box<Lead>),
+    PreCandidate {
+        granted: BTreeSet<NodeId>,
+    },
+}
+
+/// One replica of the log: Raft without socket, disk or clock.
+///
+/// The caller carries outputs out in their order and feeds back what comes of
+/// them. After an error of the disk it drops the replica and builds it anew from
+/// what the disk recovers: what was handed to `Persist` and not synced must not
+/// stay in memory.
+#[derive(Debug)]
+pub struct Replica {
+    pub(super) commit: Index,
+    pub(super) deadline: Option<Moment>,
+    pub(super) disk: DiskId,
+    /// Last own position that is synced.
+    pub(super) durable: Index,
+    pub(super) heard_leader: Option<Moment>,
+    /// Messages that wait until a persist with this number is synced.
+    held: VecDeque<(u64, NodeId, Message)>,
+    pub(super) incoming: Option<Incoming>,
+    /// Number of the newest persist.
+    pub(super) issued: u64,
+    pub(super) leader: Option<NodeId>,
+    /// Last position at the time of each persist that is not synced yet.
+    marks: VecDeque<(u64, Index)>,
+    /// Whether the identity of the folder is synced.
+    pub(super) named: bool,
+    pub(super) now: Moment,
+    pub(super) outputs: Vec<Output>,
+    random: ChaCha8Rng,
+    records: Vec<Record>,
+    sends: Vec<(NodeId, Message)>,
+    pub(super) setup: Setup,
+    pub(super) stance: Stance,
+    pub(super) synced: u64,
+    pub(super) term: Term,
+    pub(super) trail: Trail,
+    pub(super) vote: Option<NodeId>,
+}
+
+impl Replica {
+    /// Replica over what its data folder still knows. `seed` must come from the
+    /// operating system's randomness in a process: it also names a new folder.
+    pub fn new(setup: Setup, recovered: Recovered, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut records = Vec::new();
+        let named = recovered.identity.is_some();
+        let identity = recovered.identity.clone().unwrap_or_else(|| {
+            let identity = new_identity(setup.founders.clone(), &mut random);
+            records.push(Record::Identity(identity.clone()));
+            identity
+        });
+        let term = recovered.term;
+        let vote = recovered.vote.clone();
+        let commit = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let outputs = recovered.snapshot.iter().cloned().map(install).collect();
+        let trail = Trail::new(identity.founders, recovered);
+        Self {
+            commit,
+            deadline: None,
+            disk: identity.disk,
+            durable: trail.last(),
+            heard_leader: None,
+            held: VecDeque::new(),
+            incoming: None,
+            issued: 0,
+            leader: None,
+            marks: VecDeque::new(),
+            named,
+            now: Moment::ZERO,
+            outputs,
+            random,
+            records,
+            sends: Vec::new(),
+            setup,
+            stance: Stance::Follower,
+            synced: 0,
+            term,
+            trail,
+            vote,
+        }
+    }
+
+    /// Takes one input, and says what to do about it.
+    pub fn handle(&mut self, now: Moment, input: Input) -> Vec<Output> {
+        self.now = now;
+        if self.deadline.is_none() {
+            self.reset_deadline();
+        }
+        match input {
+            Input::Change { ticket, change } => self.change(ticket, &change),
+            Input::Propose { ticket, command } => self.propose(ticket, command),
+            Input::Read { ticket } => self.read(ticket),
+            Input::Receive { from, message } => self.receive(&from, message),
+            Input::Snapshot { index, bytes } => self.snapshot(index, bytes),
+            Input::Synced { number } => self.note_synced(number),
+            Input::Tick => self.tick(),
+        }
+        self.advance();
+        self.flush()
+    }
+
+    /// When the next [`Input::Tick`] is due; `None` before the first input.
+    pub fn wake(&self) -> Option<Moment> {
+        match &self.stance {
+            Stance::Leader(lead) => Some(lead.heartbeat_at),
+            _ => self.deadline,
+        }
+    }
+
+    /// Identity of the data folder.
+    pub fn disk(&self) -> DiskId {
+        self.disk
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        self.trail.membership().votes(&self.setup.me, self.disk)
+    }
+
+    pub(super) fn reset_deadline(&mut self) {
+        let election = self.setup.timing.election;
+        let wait = self.random.random_range(election..=election * 2);
+        self.deadline = Some(self.now + wait);
+    }
+
+    pub(super) fn record(&mut self, record: Record) {
+        self.records.push(record);
+    }
+
+    pub(super) fn record_ballot(&mut self) {
+        self.record(Record::Ballot { term: self.term, vote: self.vote.clone() });
+    }
+
+    /// Number that the persist of the current input will get.
+    pub(super) fn next_persist(&self) -> u64 {
+        self.issued + u64::from(!self.records.is_empty())
+    }
+
+    /// Own positions from `index` on are not what was persisted before.
+    pub(super) fn forget_from(&mut self, index: Index) {
+        let last = index.saturating_sub(1);
+        self.durable = self.durable.min(last);
+        for (_, mark) in &mut self.marks {
+            *mark = (*mark).min(last);
+        }
+    }
+
+    /// Sends a message that may only leave when all that was persisted so far,
+    /// by this input too, is synced: a vote or an acknowledgement that a crash
+    /// makes the replica forget would be counted by others for ever.
+    pub(super) fn send(&mut self, to: &NodeId, disk: DiskId, body: Body) {
+        let message = self.message(disk, body);
+        self.sends.push((to.clone(), message));
+    }
+
+    /// Sends a leader's message at once. Entries may leave before the leader has
+    /// synced them: its own copy counts only when it is synced, and its term was
+    /// synced before it could win.
+    pub(super) fn send_early(&mut self, to: &NodeId, disk: DiskId, body: Body) {
+        let message = self.message(disk, body);
+        self.outputs.push(Output::Send { to: to.clone(), message });
+    }
+
+    pub(super) fn message(&self, to: DiskId, body: Body) -> Message {
+        Message { body, disk: self.disk, term: self.term, to }
+    }
+
+    pub(super) fn push_message(&mut self, to: &NodeId, message: Message) {
+        self.sends.push((to.clone(), message));
+    }
+
+    pub(super) fn refuse(&mut self, ticket: u64, reason: Reason) {
+        let leader = self.leader.clone();
+        self.outputs.push(Output::Refused { ticket, reason, leader });
+    }
+
+    fn note_synced(&mut self, number: u64) {
+        self.synced = self.synced.max(number.min(self.issued));
+        self.named |= self.synced > 0;
+        while let Some((mark, index)) = self.marks.front().copied() {
+            if mark > self.synced {
+                break;
+            }
+            self.durable = self.durable.max(index);
+            self.marks.pop_front();
+        }
+    }
+
+    fn flush(&mut self) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        if !self.records.is_empty() {
+            self.issued += 1;
+            self.marks.push_back((self.issued, self.trail.last()));
+            let records = std::mem::take(&mut self.records);
+            outputs.push(Output::Persist { number: self.issued, records });
+        }
+        for (to, message) in std::mem::take(&mut self.sends) {
+            self.held.push_back((self.issued, to, message));
+        }
+        outputs.append(&mut self.outputs);
+        while self.held.front().is_some_and(|(number, _, _)| *number <= self.synced) {
+            let Some((_, to, message)) = self.held.pop_front() else { break };
+            outputs.push(Output::Send { to, message });
+        }
+        outputs
+    }
+}
+
+fn new_identity(founders: Option<Membership>, random: &mut ChaCha8Rng) -> Identity {
+    match founders {
+        Some(founders) => Identity { disk: FOUNDER_DISK, founders },
+        None => {
+            let disk = random.random_range(FOUNDER_DISK + 1..=DiskId::MAX);
+            Identity { disk, founders: Membership::default() }
+        }
+    }
+}
+
+fn install(snapshot: std::sync::Arc<super::snapshot::Snapshot>) -> Output {
+    Output::Install { snapshot }
+}
--- /dev/null
+++ b/src/quorum/transfer.rs
@@ -0,0 +1,110 @@
+//! Snapshots: taken from the application, sent and received in chunks.
+
+use std::sync::Arc;
+
+use super::membership::Membership;
+use super::message::Body;
+use super::output::Output;
+use super::progress::Lead;
+use super::progress::Transfer;
+use super::record::Record;
+use super::replica::Replica;
+use super::replica::Stance;
+use super::snapshot::Snapshot;
+use crate::id::Index;
+use crate::id::NodeId;
+use crate::id::Term;
+
+/// Snapshot on its way in.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    bytes: Vec<u8>,
+    index: Index,
+    term: Term,
+}
+
+impl Replica {
+    /// Shortens the log by the application's own snapshot. Entries that a
+    /// transfer under way will need after it stay.
+    pub(super) fn snapshot(&mut self, index: Index, bytes: Vec<u8>) {
+        let newest = self.trail.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        if index > self.commit || index <= newest {
+            return;
+        }
+        let Some(term) = self.trail.term(index) else { return };
+        let membership = self.trail.membership_at(index);
+        let snapshot = Arc::new(Snapshot { bytes, index, membership, term });
+        let keep = index.saturating_sub(self.setup.limits.kept);
+        let keep = self.first_transfer().map_or(keep, |first| keep.min(first));
+        self.trail.compact(Arc::clone(&snapshot), keep);
+        self.record(Record::Snapshot(snapshot));
+    }
+
+    fn first_transfer(&self) -> Option<Index> {
+        let Stance::Leader(lead) = &self.stance else { return None };
+        let heard = lead.members.values().filter(|progress| self.is_heard(progress.heard));
+        heard.filter_map(|progress| Some(progress.transfer.as_ref()?.snapshot.index)).min()
+    }
+
+    pub(super) fn send_chunk(&mut self, lead: &mut Lead, node: &NodeId) {
+        let Some(progress) = lead.members.get_mut(node) else { return };
+        let Some(snapshot) = self.trail.snapshot.clone() else { return };
+        let transfer =
+            progress.transfer.get_or_insert(Transfer { offset: 0, sent_at: self.now, snapshot });
+        transfer.sent_at = self.now;
+        let snapshot = &transfer.snapshot;
+        let total = snapshot.bytes.len();
+        let start = usize::try_from(transfer.offset).unwrap_or(total).min(total);
+        let end = total.min(start + self.setup.limits.chunk);
+        let body = Body::Chunk {
+            bytes: snapshot.bytes[start..end].to_vec(),
+            index: snapshot.index,
+            index_term: snapshot.term,
+            membership: snapshot.membership.clone(),
+            offset: start as u64,
+            round: lead.round,
+            total: total as u64,
+        };
+        self.send_early(node, progress.disk, body);
+    }
+
+    pub(super) fn take_chunk(
+        &mut self,
+        from: &NodeId,
+        disk: u64,
+        round: u64,
+        header: (Index, Term, Membership, u64),
+        offset: u64,
+        bytes: &[u8],
+    ) {
+        let (index, term, membership, total) = header;
+        if index <= self.commit {
+            return self.send(from, disk, Body::Appended { matched: index, round });
+        }
+        let mut incoming = self.incoming.take().unwrap_or(Incoming { bytes: vec![], index, term });
+        if (incoming.index, incoming.term) != (index, term) {
+            incoming = Incoming { bytes: Vec::new(), index, term };
+        }
+        if offset == incoming.bytes.len() as u64 {
+            incoming.bytes.extend_from_slice(bytes);
+        }
+        let next = incoming.bytes.len() as u64;
+        if next < total {
+            self.incoming = Some(incoming);
+            return self.send(from, disk, Body::Chunked { index, offset: next, round });
+        }
+        self.install(Snapshot { bytes: incoming.bytes, index, membership, term });
+        self.send(from, disk, Body::Appended { matched: index, round });
+    }
+
+    fn install(&mut self, snapshot: Snapshot) {
+        let snapshot = Arc::new(snapshot);
+        if self.trail.term(snapshot.index) != Some(snapshot.term) {
+            self.forget_from(snapshot.index);
+        }
+        self.commit = snapshot.index;
+        self.trail.install(Arc::clone(&snapshot));
+        self.record(Record::Snapshot(Arc::clone(&snapshot)));
+        self.outputs.push(Output::Install { snapshot });
+    }
+}
