--- /dev/null
+++ b/src/claim/limits.rs
@@ -0,0 +1,41 @@
+//! Bounds of the ledger.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Bounds of the ledger; part of the replicated state, so that all replicas
+/// decide alike.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Limits {
+    /// Bytes of kept answers; above it the oldest lose theirs, but not their
+    /// outcome.
+    pub answer_bytes: usize,
+    /// Keys remembered; above it new ones are refused, since to forget one early
+    /// would let it run twice.
+    pub claims: usize,
+    /// Keys that one caller may hold, so that a caller that makes up keys in a
+    /// loop crowds out itself only.
+    pub claims_per_caller: usize,
+    /// Time that an abandoned claim's id is remembered; far above the age of any
+    /// message between our processes.
+    pub tombstone_age: Duration,
+    /// Abandoned claims remembered.
+    pub tombstones: usize,
+    /// Time that a key is remembered after its request has come to an end.
+    pub window: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            answer_bytes: 16 << 20,
+            claims: 100_000,
+            claims_per_caller: 20_000,
+            tombstone_age: Duration::from_secs(3600),
+            tombstones: 20_000,
+            window: Duration::from_secs(24 * 3600),
+        }
+    }
+}
--- a/src/config/holder.rs
+++ b/src/config/holder.rs
@@ -1,11 +1,12 @@
 //! State machine of every process: the version held, and its spread.
 
+mod spread;
+mod start;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use rand::Rng;
-use rand::seq::IndexedRandom;
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 
@@ -22,15 +23,8 @@
 use super::Standing;
 use super::Version;
 use super::trail::Trail;
-use super::witness::Witness;
 use super::witness::Witnesses;
 
-/// Least time between two whole documents sent, so that a fleet that starts as a
-/// whole can't queue hundreds of megabytes at one process; who gets none asks
-/// another one, and there are twice as many after each second.
-const WHOLE_GAP: Duration = Duration::from_millis(250);
-/// Peers without a role in control that a starting process asks at a time.
-const ASKED: usize = 5;
 /// Known sources of a newer version that are remembered.
 const SOURCE_LIMIT: usize = 16;
 
@@ -185,7 +179,7 @@
         self.heard_at = now;
         match message {
             Message::Answer { ask, head, leads, standing } => {
-                self.take_answer(now, from, ask, Answer { head, leads, standing }, outputs);
+                self.take_answer(now, from, ask, start::Answer { head, leads, standing }, outputs);
             }
             Message::Ask(ask) => self.answer(from, ask, outputs),
             Message::Digest(head) => self.compare(now, from, head, outputs),
@@ -196,34 +190,6 @@
         }
     }
 
-    fn answer(&self, to: NodeId, ask: u64, outputs: &mut Vec<Output>) {
-        let message =
-            Message::Answer { ask, head: self.head, leads: self.leads, standing: self.standing };
-        outputs.push(Output::Send { message, to });
-    }
-
-    /// Notes an answer to this process's own question. The number of the question
-    /// keeps out an answer that was given before a restart, and may be older than
-    /// what the process held since.
-    fn take_answer(
-        &mut self,
-        now: Moment,
-        from: NodeId,
-        ask: u64,
-        answer: Answer,
-        outputs: &mut Vec<Output>,
-    ) {
-        if ask != self.ask {
-            return;
-        }
-        let domain = self.peers.get(&from).map(|peer| peer.domain.clone()).unwrap_or_default();
-        let Answer { head, leads, standing } = answer;
-        self.witnesses.insert(from.clone(), Witness { domain, head, leads, standing });
-        if let Some(head) = head {
-            self.consider(now, from, head, outputs);
-        }
-    }
-
     fn compare(
         &mut self,
         now: Moment,
@@ -352,35 +318,6 @@
         head.number > held.number
     }
 
-    /// Brings a peer up to date that was seen to be behind.
-    fn bring(&self, to: NodeId, base: Option<Head>, outputs: &mut Vec<Output>) {
-        let Some(head) = self.head else { return };
-        let patches = base.and_then(|base| self.trail.since(base));
-        let small = patches.filter(|patches| self.is_small(patches));
-        let message = small.map_or(Message::Offer(head), Message::Patches);
-        outputs.push(Output::Send { message, to });
-    }
-
-    fn is_small(&self, patches: &[Patch]) -> bool {
-        patches.iter().map(Patch::size).sum::<usize>() <= self.settings.push_bytes
-    }
-
-    fn serve(&mut self, now: Moment, to: NodeId, base: Option<Head>, outputs: &mut Vec<Output>) {
-        let Some(version) = &self.current else { return };
-        if base >= self.head {
-            return;
-        }
-        if let Some(patches) = base.and_then(|base| self.trail.since(base)) {
-            outputs.push(Output::Send { message: Message::Patches(patches), to });
-            return;
-        }
-        if now < self.whole_at {
-            return;
-        }
-        self.whole_at = now + WHOLE_GAP;
-        outputs.push(Output::Send { message: Message::Whole(version.clone()), to });
-    }
-
     fn run_timers(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         self.run_push(now, outputs);
         self.run_want(now, outputs);
@@ -390,21 +327,6 @@
         self.run_digest(now, outputs);
     }
 
-    fn run_push(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        let Some(mut push) = self.push.take_if(|push| push.at <= now) else { return };
-        let Some(head) = self.head else { return };
-        let count = push.left.min(self.settings.push_width);
-        let others = self.peers.keys().filter(|id| !push.known.contains(*id));
-        for to in others.cloned().choose_multiple(&mut self.random, count) {
-            push.known.insert(to.clone());
-            let last = self.trail.last().filter(|patch| patch.head == head);
-            self.bring(to, last.map(|patch| patch.base), outputs);
-        }
-        push.left -= count;
-        push.at = now + self.settings.push_gap;
-        self.push = Some(push).filter(|push| push.left > 0);
-    }
-
     /// Turns to another source when one does not answer.
     fn run_want(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let retry = self.settings.retry;
@@ -415,79 +337,4 @@
             self.request(now, outputs);
         }
     }
-
-    fn run_ask(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.ask_at > now || self.peers.is_empty() {
-            return;
-        }
-        self.ask_at = now + self.settings.retry;
-        let (control, others): (Vec<_>, Vec<_>) =
-            self.peers.values().partition(|peer| peer.control);
-        let others = others.choose_multiple(&mut self.random, ASKED).copied();
-        for peer in control.into_iter().chain(others) {
-            outputs.push(Output::Send { message: Message::Ask(self.ask), to: peer.id.clone() });
-        }
-    }
-
-    fn run_digest(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.digest_at > now {
-            return;
-        }
-        let period = self.settings.digest_period;
-        self.digest_at = now + period.mul_f64(self.random.random_range(0.5..1.5));
-        if let Some(to) = self.peers.keys().choose(&mut self.random) {
-            outputs.push(Output::Send { message: Message::Digest(self.head), to: to.clone() });
-        }
-    }
-
-    fn stand(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        let standing = self.judge(now);
-        if standing != self.standing {
-            self.standing = standing;
-            outputs.push(Output::Stand(standing));
-        }
-    }
-
-    fn judge(&self, now: Moment) -> Standing {
-        if self.standing == Standing::Starting && !self.is_confirmed(now) {
-            return Standing::Starting;
-        }
-        let silent = now.saturating_sub(self.heard_at) >= self.settings.alone_after;
-        if silent && !self.leads && !self.peers.is_empty() {
-            Standing::ServingAlone
-        } else {
-            Standing::Serving
-        }
-    }
-
-    /// Whether what is held can't be older than what this process held before it
-    /// started, as far as control or several peers can tell.
-    ///
-    /// Without it, an entry that restarts beside a stale replica would take callers
-    /// by a version that it had already left. The leader of control knows all that
-    /// was accepted. Peers know what reached more than this process, since a change
-    /// is everywhere within `control_wait`.
-    fn is_confirmed(&self, now: Moment) -> bool {
-        if self.leads {
-            return true;
-        }
-        if self.witnesses.is_empty() || self.witnesses.highest() > self.head {
-            return false;
-        }
-        if self.witnesses.has_leader() {
-            return true;
-        }
-        let waited = now.saturating_sub(self.started_at);
-        let known = self.head.is_some();
-        let by_peers =
-            waited >= self.settings.control_wait && self.witnesses.suffice(&self.settings);
-        known && (by_peers || waited >= self.settings.cold_wait)
-    }
-}
-
-/// What a peer answered.
-struct Answer {
-    head: Option<Head>,
-    leads: bool,
-    standing: Standing,
 }
