--- /dev/null
+++ b/src/balance/load.rs
@@ -0,0 +1,184 @@
+use std::time::Duration;
+
+use crate::balance::Finish;
+use crate::balance::Member;
+use crate::balance::Report;
+use crate::balance::Ticket;
+use crate::clock::Moment;
+use crate::health::Kind;
+use crate::id::DomainId;
+
+/// What this entry knows of the load of one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Load {
+    crowd: f64,
+    full_until: Moment,
+    health: f64,
+    is_near: bool,
+    latency: Option<f64>,
+    limit: f64,
+    long: usize,
+    member: Member,
+    number: u64,
+    rank: u64,
+    report: Option<(Moment, Report)>,
+    waiting: Vec<(u64, Moment)>,
+}
+
+impl Load {
+    /// Share of the newest answer in the mean latency: the last twenty or so.
+    const NEWEST: f64 = 0.05;
+    /// Factor on the limit at a refusal.
+    const BACK_OFF: f64 = 0.7;
+    /// Age at which a told load has lost two thirds of its weight.
+    const FADE: Duration = Duration::from_millis(250);
+
+    pub(crate) fn new(number: u64, rank: u64, is_near: bool, member: Member) -> Self {
+        Self {
+            crowd: 1.0,
+            full_until: Moment::ZERO,
+            health: 1.0,
+            is_near,
+            latency: None,
+            limit: f64::from(member.slots.max(1)),
+            long: 0,
+            member,
+            number,
+            rank,
+            report: None,
+            waiting: Vec::new(),
+        }
+    }
+
+    pub(crate) fn begin(&mut self, request: u64, now: Moment, is_long: bool) {
+        if is_long {
+            self.long += 1;
+        } else {
+            self.waiting.push((request, now));
+        }
+    }
+
+    /// Work it can do, in requests a second; `usual` stands in for a latency not
+    /// yet known.
+    pub(crate) fn capacity(&self, now: Moment, usual: f64) -> f64 {
+        let share = self.health * self.member.state.share(now);
+        let latency = self.latency.unwrap_or(usual).max(1e-6);
+        share * f64::from(self.member.slots.max(1)) / latency
+    }
+
+    pub(crate) fn connections(&self) -> u32 {
+        self.member.connections
+    }
+
+    /// Connections that this entry may hold, so that all entries together stay
+    /// below what the upstream accepts.
+    pub(crate) fn connection_cap(&self) -> u32 {
+        let cap = f64::from(self.member.connections) / self.crowd.max(1.0);
+        (cap as u32).max(1)
+    }
+
+    pub(crate) fn domain(&self) -> &DomainId {
+        &self.member.domain
+    }
+
+    pub(crate) fn finish(&mut self, now: Moment, ticket: Ticket, finish: Finish) {
+        let found = self.waiting.iter().position(|(request, _)| *request == ticket.request);
+        match found {
+            Some(place) => {
+                self.waiting.swap_remove(place);
+            }
+            None => self.long = self.long.saturating_sub(1),
+        }
+        self.report = finish.report.map(|report| (now, report)).or(self.report);
+        match finish.kind {
+            Kind::Refused => self.refused(now),
+            Kind::Success if found.is_some() => self.succeeded(finish.latency),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.waiting.len() + self.long
+    }
+
+    /// Whether it can take one more request from here.
+    pub(crate) fn is_open(&self, now: Moment) -> bool {
+        let cap = self.limit.min(f64::from(self.connection_cap()));
+        now >= self.full_until && (self.in_flight() as f64) < cap.max(1.0).floor()
+    }
+
+    /// Whether it may be given work at all.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.health > 0.0 && self.member.state != crate::balance::State::Draining
+    }
+
+    pub(crate) fn latency(&self) -> Option<f64> {
+        self.latency
+    }
+
+    pub(crate) fn member(&self) -> &Member {
+        &self.member
+    }
+
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Ages of requests that wait for longer than twice the mean.
+    pub(crate) fn overdue(&self, now: Moment) -> Vec<Duration> {
+        let bar = 2.0 * self.latency.unwrap_or(f64::INFINITY);
+        let ages = self.waiting.iter().map(|(_, since)| now.saturating_sub(*since));
+        ages.filter(|age| age.as_secs_f64() > bar).collect()
+    }
+
+    /// Load for comparing two candidates, relative to their capacity.
+    pub(crate) fn pressure(&self, now: Moment, uses_reports: bool, remote: f64) -> f64 {
+        let far = if self.is_near { 1.0 } else { remote };
+        let told = if uses_reports { self.told(now) } else { 0.0 };
+        (self.in_flight() as f64 + told) * far / f64::from(self.member.slots.max(1))
+    }
+
+    pub(crate) fn rank(&self) -> u64 {
+        self.rank
+    }
+
+    pub(crate) fn set_crowd(&mut self, crowd: f64) {
+        self.crowd = crowd;
+    }
+
+    /// Sets the share that health allows; true when it came to or from nought.
+    pub(crate) fn set_health(&mut self, weight: f64) -> bool {
+        let was_usable = self.health > 0.0;
+        self.health = weight;
+        was_usable != (weight > 0.0)
+    }
+
+    pub(crate) fn set_member(&mut self, member: Member) {
+        self.member = member;
+    }
+
+    /// A refusal means that it is full now: others get the next requests for
+    /// about the time in which one of its slots comes free.
+    fn refused(&mut self, now: Moment) {
+        self.limit = (self.limit * Self::BACK_OFF).max(1.0);
+        let per_slot = self.latency.unwrap_or(0.0) / f64::from(self.member.slots.max(1));
+        self.full_until = now + Duration::from_secs_f64(per_slot);
+    }
+
+    fn succeeded(&mut self, latency: Duration) {
+        let newest = latency.as_secs_f64();
+        let mean = self.latency.get_or_insert(newest);
+        *mean += Self::NEWEST * (newest - *mean);
+        let most = 2.0 * f64::from(self.member.slots.max(1));
+        self.limit = (self.limit + 1.0 / self.limit).min(most);
+    }
+
+    /// Load told on the last answer, fading as it grows old.
+    fn told(&self, now: Moment) -> f64 {
+        let Some((at, report)) = self.report else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        f64::from(report.in_flight) * (-age / Self::FADE.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/src/balance/picker.rs
@@ -0,0 +1,199 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::balance::Ask;
+use crate::balance::Finish;
+use crate::balance::Member;
+use crate::balance::Pick;
+use crate::balance::Setup;
+use crate::balance::Ticket;
+use crate::balance::Verdicts;
+use crate::balance::load::Load;
+use crate::balance::subset;
+use crate::balance::subset::Subset;
+use crate::clock::Moment;
+use crate::id::UpstreamId;
+
+/// Chooses upstreams of one service for one entry.
+///
+/// Shared by traffic threads behind one lock; a pick and its finish each hold it
+/// for less than a microsecond.
+#[derive(Clone, Debug)]
+pub struct Picker {
+    loads: Vec<Load>,
+    next_member: u64,
+    next_request: u64,
+    open: Vec<(usize, f64)>,
+    random: ChaCha8Rng,
+    setup: Setup,
+    subset: Subset,
+    usual: f64,
+}
+
+impl Picker {
+    /// Latency, in seconds, that is presumed while none is known.
+    const PRESUMED: f64 = 0.025;
+
+    /// A picker without upstreams.
+    #[must_use]
+    pub fn new(setup: Setup, random: ChaCha8Rng) -> Self {
+        Self {
+            loads: Vec::new(),
+            next_member: 0,
+            next_request: 0,
+            open: Vec::new(),
+            random,
+            setup,
+            subset: Subset::default(),
+            usual: Self::PRESUMED,
+        }
+    }
+
+    /// Connections that this entry may hold to an upstream; nought for one that
+    /// it doesn't use.
+    #[must_use]
+    pub fn connections(&self, upstream: &str) -> u32 {
+        let used = self.used().find(|load| load.member().upstream == upstream);
+        used.map_or(0, Load::connection_cap)
+    }
+
+    /// Ends a pick. Unknown tickets, of members that left, are ignored.
+    pub fn finish(&mut self, now: Moment, ticket: Ticket, finish: Finish) {
+        let found = self.loads.binary_search_by_key(&ticket.member, Load::number);
+        if let Ok(position) = found {
+            self.loads[position].finish(now, ticket, finish);
+        }
+    }
+
+    /// Requests in flight from here at an upstream.
+    #[must_use]
+    pub fn in_flight(&self, upstream: &str) -> usize {
+        let load = self.loads.iter().find(|load| load.member().upstream == upstream);
+        load.map_or(0, Load::in_flight)
+    }
+
+    /// Upstreams with requests that wait unusually long, for
+    /// [`crate::health::Input::Pending`].
+    #[must_use]
+    pub fn overdue(&self, now: Moment) -> Vec<(UpstreamId, Vec<Duration>)> {
+        let ages =
+            self.loads.iter().map(|load| (load.member().upstream.clone(), load.overdue(now)));
+        ages.filter(|(_, ages)| !ages.is_empty()).collect()
+    }
+
+    /// Chooses an upstream and counts the request as in flight there, or nothing
+    /// when all that may take it are full.
+    pub fn pick(&mut self, now: Moment, ask: &Ask<'_>) -> Option<Pick> {
+        let total = self.gather(now, ask);
+        let first = self.draw(total)?;
+        let second = self.draw(total)?;
+        let position =
+            if self.pressure(now, second) < self.pressure(now, first) { second } else { first };
+        let request = self.next_request;
+        self.next_request += 1;
+        let load = &mut self.loads[position];
+        load.begin(request, now, ask.is_long);
+        Some(Pick {
+            connections: load.connection_cap(),
+            ticket: Ticket { member: load.number(), request, since: now },
+            upstream: load.member().upstream.clone(),
+        })
+    }
+
+    /// Takes over what health holds. Due at each tick of the judge and after each
+    /// of its outputs that concern an upstream.
+    pub fn refresh(&mut self, verdicts: &dyn Verdicts) {
+        let mut is_changed = false;
+        for load in &mut self.loads {
+            let weight = verdicts.weight(&load.member().upstream);
+            is_changed |= load.set_health(weight);
+        }
+        if is_changed {
+            self.choose();
+        }
+        self.measure();
+    }
+
+    /// Takes over how many entries the fleet has.
+    pub fn set_entries(&mut self, entries: usize) {
+        if self.setup.entries != entries {
+            self.setup.entries = entries;
+            self.choose();
+        }
+    }
+
+    /// Takes over the announced upstreams: the whole list each time.
+    pub fn set_members(&mut self, members: &[Member]) {
+        let mut wanted: BTreeMap<&UpstreamId, &Member> =
+            members.iter().map(|member| (&member.upstream, member)).collect();
+        self.loads.retain_mut(|load| match wanted.remove(&load.member().upstream) {
+            Some(member) => {
+                load.set_member(member.clone());
+                true
+            }
+            None => false,
+        });
+        for (upstream, member) in wanted {
+            let rank = subset::rank(&self.setup.entry, upstream);
+            let is_near = member.domain == self.setup.domain;
+            self.loads.push(Load::new(self.next_member, rank, is_near, member.clone()));
+            self.next_member += 1;
+        }
+        self.choose();
+    }
+
+    /// Upstreams that this entry uses at the moment.
+    pub fn subset(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.used().map(|load| &load.member().upstream)
+    }
+
+    fn choose(&mut self) {
+        self.subset = Subset::choose(&mut self.loads, self.setup.entries, self.setup.most);
+    }
+
+    /// Draws one of the gathered candidates in proportion to its capacity.
+    fn draw(&mut self, total: f64) -> Option<usize> {
+        let mut left = self.random.random_range(0.0..1.0) * total;
+        for (position, capacity) in &self.open {
+            left -= capacity;
+            if left < 0.0 {
+                return Some(*position);
+            }
+        }
+        self.open.last().map(|(position, _)| *position)
+    }
+
+    /// Lists the candidates, and returns their whole capacity.
+    fn gather(&mut self, now: Moment, ask: &Ask<'_>) -> f64 {
+        self.open.clear();
+        let mut total = 0.0;
+        for position in &self.subset.positions {
+            let load = &self.loads[*position];
+            if load.is_open(now) && !ask.avoid.contains(&load.member().upstream) {
+                let capacity = load.capacity(now, self.usual);
+                total += capacity;
+                self.open.push((*position, capacity));
+            }
+        }
+        total
+    }
+
+    /// Takes the mean of the known latencies for those not known.
+    fn measure(&mut self) {
+        let known: Vec<f64> = self.used().filter_map(Load::latency).collect();
+        if !known.is_empty() {
+            self.usual = known.iter().sum::<f64>() / known.len() as f64;
+        }
+    }
+
+    fn pressure(&self, now: Moment, position: usize) -> f64 {
+        self.loads[position].pressure(now, self.setup.uses_reports, self.setup.remote)
+    }
+
+    fn used(&self) -> impl Iterator<Item = &Load> {
+        self.subset.positions.iter().map(|position| &self.loads[*position])
+    }
+}
--- /dev/null
+++ b/src/balance/setup.rs
@@ -0,0 +1,32 @@
+use crate::id::DomainId;
+use crate::id::NodeId;
+
+/// What a picker is told at its start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Failure domain of this entry.
+    pub domain: DomainId,
+    /// Entries in the fleet that share the upstreams.
+    pub entries: usize,
+    /// Name of this entry.
+    pub entry: NodeId,
+    /// Most upstreams to use at once.
+    pub most: usize,
+    /// Factor on the cost of an upstream in another failure domain: work goes
+    /// there when the near ones are this much more loaded.
+    pub remote: f64,
+    /// Whether loads told on answers count.
+    pub uses_reports: bool,
+}
+
+impl Setup {
+    /// Most upstreams to use at once, unless set: bounds idle connections and the
+    /// time of a pick.
+    pub const MOST: usize = 32;
+
+    /// The usual setup of an entry.
+    #[must_use]
+    pub fn new(entry: NodeId, domain: DomainId, entries: usize) -> Self {
+        Self { domain, entries, entry, most: Self::MOST, remote: 1.1, uses_reports: false }
+    }
+}
--- /dev/null
+++ b/src/health/evidence.rs
@@ -0,0 +1,81 @@
+use std::time::Duration;
+
+use crate::clock::Moment;
+
+/// Running evidence against one upstream in one respect (failing, or slow).
+///
+/// A CUSUM for this entry alone, and signed sums over a few windows, which add
+/// up over entries.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    buckets: [f64; Self::BUCKETS],
+    counts: [u32; Self::BUCKETS],
+    newest: u64,
+    sum: f64,
+}
+
+impl Evidence {
+    /// Buckets kept.
+    const BUCKETS: usize = 8;
+    /// Most that the CUSUM holds, in nats: lets an upstream that recovered under
+    /// the floor lose its evidence within a few dozen successes.
+    const CEILING: f64 = 60.0;
+    /// Length of a bucket.
+    const LENGTH: Duration = Duration::from_millis(250);
+    /// Windows, in buckets: the shortest finds a total failure at once, the
+    /// longest a partial one at a low rate.
+    pub const WINDOWS: [usize; 3] = [2, 4, 8];
+
+    /// Adds the log-likelihood ratio of one outcome.
+    pub fn add(&mut self, now: Moment, step: f64) {
+        self.roll(now);
+        self.sum = (self.sum + step).clamp(0.0, Self::CEILING);
+        let slot = Self::slot(self.newest);
+        self.buckets[slot] += step;
+        self.counts[slot] += 1;
+    }
+
+    /// Outcomes within the longest window.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        self.counts.iter().sum()
+    }
+
+    /// Forgets everything.
+    pub fn reset(&mut self) {
+        *self = Self { newest: self.newest, ..Self::default() };
+    }
+
+    /// Drops buckets that are too old.
+    pub fn roll(&mut self, now: Moment) {
+        let current = (now.as_millis() / Self::LENGTH.as_millis()) as u64;
+        let passed = current.saturating_sub(self.newest).min(Self::BUCKETS as u64);
+        for step in 1..=passed {
+            let slot = Self::slot(current - passed + step);
+            self.buckets[slot] = 0.0;
+            self.counts[slot] = 0;
+        }
+        self.newest = self.newest.max(current);
+    }
+
+    /// The CUSUM, in nats.
+    #[must_use]
+    pub fn sum(&self) -> f64 {
+        self.sum
+    }
+
+    /// Signed sums over [`Self::WINDOWS`].
+    #[must_use]
+    pub fn windows(&self) -> [f64; 3] {
+        Self::WINDOWS.map(|length| self.window(length))
+    }
+
+    fn slot(bucket: u64) -> usize {
+        (bucket % Self::BUCKETS as u64) as usize
+    }
+
+    fn window(&self, length: usize) -> f64 {
+        let oldest = (self.newest + 1).saturating_sub(length as u64);
+        (oldest..=self.newest).map(|bucket| self.buckets[Self::slot(bucket)]).sum()
+    }
+}
