Add rules, settings and their check

Rules and settings are read into a tree of spanned YAML values by serde-saphyr and then checked field by field. A derived decoder was ruled out: it stops at the first mistake, and its spans are lost in untagged enums. An index by host, path, team and caller gives the first match; a property test holds it against the plain scan.

--- /dev/null
+++ b/src/rule/explanation.rs
@@ -0,0 +1,82 @@
+use std::fmt;
+
+use super::Action;
+use super::Part;
+use super::Request;
+use super::Rule;
+use super::State;
+use crate::id::TeamId;
+
+/// A rule that did not hold.
+#[derive(Clone, Debug)]
+pub struct Passed<'a> {
+    /// The part that failed.
+    pub part: Part,
+    /// The rule.
+    pub rule: &'a Rule,
+}
+
+/// Which rule decides a request, and why those before it did not.
+#[derive(Clone, Debug)]
+pub struct Explanation<'a> {
+    /// The rule that decides; `None` when no rule holds.
+    pub decides: Option<&'a Rule>,
+    /// How many earlier rules are for another host or path.
+    pub elsewhere: usize,
+    /// Earlier rules for this host and path, with the part that failed.
+    pub passed: Vec<Passed<'a>>,
+    /// Team of the caller.
+    pub team: Option<TeamId>,
+}
+
+impl<'a> Explanation<'a> {
+    pub(super) fn new(
+        rules: &'a [Rule],
+        request: &Request,
+        team: Option<&TeamId>,
+        state: &dyn State,
+    ) -> Self {
+        let team_name = team.cloned();
+        let mut found = Self { decides: None, elsewhere: 0, passed: Vec::new(), team: team_name };
+        for rule in rules {
+            match rule.when.failing(request, team, state) {
+                None => {
+                    found.decides = Some(rule);
+                    break;
+                }
+                Some(Part::Host | Part::Path) => found.elsewhere += 1,
+                Some(part) => found.passed.push(Passed { part, rule }),
+            }
+        }
+        found
+    }
+}
+
+impl fmt::Display for Explanation<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        if let Some(team) = &self.team {
+            writeln!(formatter, "caller is in team `{team}`")?;
+        }
+        if self.elsewhere > 0 {
+            writeln!(formatter, "{} earlier rules are for another host or path", self.elsewhere)?;
+        }
+        for Passed { part, rule } in &self.passed {
+            writeln!(formatter, "line {}: `{}` passed: `{part}` fails", rule.line, rule.name)?;
+        }
+        let Some(rule) = self.decides else {
+            return write!(formatter, "no rule holds; the request is refused with 404, not run");
+        };
+        write!(formatter, "line {}: `{}` decides: ", rule.line, rule.name)?;
+        match &rule.then {
+            Action::Refuse { message, status } => {
+                write!(formatter, "refuse with {status}, `{message}`")
+            }
+            Action::Route { service, terms } => {
+                let kind = if terms.idempotent { "idempotent" } else { "non-idempotent" };
+                let class = &terms.class;
+                let deadline = terms.deadline;
+                write!(formatter, "route to `{service}`, class `{class}`, {kind}, {deadline:?}")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/rule/rule.rs
@@ -0,0 +1,41 @@
+use compact_str::CompactString;
+
+use super::Action;
+use super::Condition;
+use crate::id::ClassId;
+use crate::id::RuleId;
+use crate::settings::Fields;
+use crate::settings::Mistakes;
+use crate::settings::Tree;
+
+/// One rule: when the condition holds, then the action is done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Rule {
+    /// Line in the document, from 1.
+    pub line: u64,
+    /// Its name, unique in the document.
+    pub name: RuleId,
+    /// What is done.
+    pub then: Action,
+    /// When it holds.
+    pub when: Condition,
+}
+
+impl Rule {
+    pub(super) fn read(
+        tree: &Tree,
+        class: &ClassId,
+        classes: &[ClassId],
+        mistakes: &Mistakes,
+    ) -> Option<Self> {
+        let fields = Fields::open(tree, mistakes, &["name", "then", "when"])?;
+        let name = fields.required::<CompactString>("name");
+        let when = match fields.tree("when") {
+            Some(tree) => Condition::read(tree, mistakes),
+            None => Some(Condition::default()),
+        };
+        let then = fields.needed("then");
+        let then = then.and_then(|tree| Action::read(tree, class, classes, mistakes));
+        Some(Self { line: tree.line, name: name?, then: then?, when: when? })
+    }
+}
--- /dev/null
+++ b/src/rule/rules.rs
@@ -0,0 +1,211 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use super::Action;
+use super::Class;
+use super::Error;
+use super::Explanation;
+use super::Index;
+use super::Request;
+use super::Rule;
+use super::Service;
+use super::State;
+use crate::id::CallerId;
+use crate::id::ClassId;
+use crate::id::ServiceId;
+use crate::id::TeamId;
+use crate::settings::Content;
+use crate::settings::Fields;
+use crate::settings::Mistakes;
+use crate::settings::Tree;
+use crate::settings::scalar;
+
+/// Name of the document where no file is known.
+const DOCUMENT: &str = "rules";
+
+/// A checked document of rules with its index.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    classes: Vec<Class>,
+    index: Index,
+    rules: Vec<Rule>,
+    services: BTreeMap<ServiceId, Service>,
+    teams: HashMap<CallerId, TeamId>,
+}
+
+impl Rules {
+    /// Checks `text`; every mistake is told with its line.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        Self::parse_file(DOCUMENT, text)
+    }
+
+    /// Checks `text`; `file` names it in mistakes.
+    pub fn parse_file(file: &str, text: &str) -> Result<Self, Error> {
+        let tree = Tree::parse(file, text).map_err(|mistake| Error::Invalid(vec![mistake]))?;
+        let mistakes = Mistakes::new(file);
+        let rules = Self::read(&tree, &mistakes);
+        let mistakes = mistakes.into_sorted();
+        match rules {
+            Some(rules) if mistakes.is_empty() => Ok(rules),
+            _ => Err(Error::Invalid(mistakes)),
+        }
+    }
+
+    /// Classes in the order of their priority.
+    pub fn classes(&self) -> &[Class] {
+        &self.classes
+    }
+
+    /// First rule that holds for `request`.
+    pub fn decide(&self, request: &Request, state: &dyn State) -> Option<&Rule> {
+        let team = self.team(request.caller);
+        let mut candidates = self.index.candidates(request, team);
+        let holds = |rule: &&Rule| rule.when.failing(request, team, state).is_none();
+        std::iter::from_fn(|| candidates.next()).map(|place| &self.rules[place]).find(holds)
+    }
+
+    /// Which rule decides, and why those before it did not.
+    pub fn explain(&self, request: &Request, state: &dyn State) -> Explanation<'_> {
+        Explanation::new(&self.rules, request, self.team(request.caller), state)
+    }
+
+    /// Rules in the order of the document.
+    pub fn rules(&self) -> &[Rule] {
+        &self.rules
+    }
+
+    /// First rule that holds, found by trying one after the other: what
+    /// [`Self::decide`] must give, and the baseline that it is measured against.
+    pub fn scan(&self, request: &Request, state: &dyn State) -> Option<&Rule> {
+        let team = self.team(request.caller);
+        self.rules.iter().find(|rule| rule.when.failing(request, team, state).is_none())
+    }
+
+    /// What operators say about `service`.
+    pub fn service(&self, service: &str) -> Option<&Service> {
+        self.services.get(service)
+    }
+
+    /// Services by name.
+    pub fn services(&self) -> &BTreeMap<ServiceId, Service> {
+        &self.services
+    }
+
+    /// Team of `caller`.
+    pub fn team(&self, caller: &str) -> Option<&TeamId> {
+        self.teams.get(caller)
+    }
+
+    fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
+        let fields = Fields::open(tree, mistakes, &["classes", "rules", "services", "teams"])?;
+        let classes = classes(&fields);
+        let services = services(&fields);
+        let (teams, names) = teams(&fields);
+        let rules = rules(&fields, &classes);
+        for rule in &rules {
+            check(rule, &services, &names, mistakes);
+        }
+        if rules.is_empty() {
+            mistakes.add(fields.line_of("rules"), "`rules` is empty; write at least one rule");
+        }
+        let index = Index::new(&rules);
+        Some(Self { classes, index, rules, services, teams })
+    }
+}
+
+fn classes(fields: &Fields) -> Vec<Class> {
+    let mut classes: Vec<Class> = Vec::new();
+    for tree in fields.items("classes") {
+        let Some(class) = Class::read(tree, fields.mistakes()) else { continue };
+        if classes.iter().any(|other| other.name == class.name) {
+            let text = format!("class `{}` is named twice; names are unique", class.name);
+            fields.mistakes().add(tree.line, text);
+        }
+        classes.push(class);
+    }
+    if classes.is_empty() {
+        classes.push(Class::common());
+    }
+    classes
+}
+
+fn services(fields: &Fields) -> BTreeMap<ServiceId, Service> {
+    let mut services = BTreeMap::new();
+    for (_, name, tree) in fields.entries("services") {
+        if let Some(service) = Service::read(tree, fields.mistakes()) {
+            services.insert(name.clone(), service);
+        }
+    }
+    services
+}
+
+/// Team by caller, and the names of all teams.
+fn teams(fields: &Fields) -> (HashMap<CallerId, TeamId>, HashSet<TeamId>) {
+    let mistakes = fields.mistakes();
+    let mut teams = HashMap::new();
+    let mut names = HashSet::new();
+    for (_, team, tree) in fields.entries("teams") {
+        names.insert(team.clone());
+        for (line, caller) in callers(tree, mistakes) {
+            let Some(other) = teams.insert(caller.clone(), team.clone()) else { continue };
+            let text = format!("caller `{caller}` is in team `{other}` already; one team each");
+            mistakes.add(line, text);
+        }
+    }
+    (teams, names)
+}
+
+fn callers(tree: &Tree, mistakes: &Mistakes) -> Vec<(u64, CallerId)> {
+    let read = |tree: &Tree| Some((tree.line, scalar::<CallerId>(tree, mistakes)?));
+    match &tree.content {
+        Content::List(items) => items.iter().filter_map(read).collect(),
+        _ => read(tree).into_iter().collect(),
+    }
+}
+
+fn rules(fields: &Fields, classes: &[Class]) -> Vec<Rule> {
+    let names: Vec<ClassId> = classes.iter().map(|class| class.name.clone()).collect();
+    let Some(last) = names.last() else { return Vec::new() };
+    let mut seen = HashSet::new();
+    let mut rules = Vec::new();
+    for tree in fields.items("rules") {
+        let Some(rule) = Rule::read(tree, last, &names, fields.mistakes()) else { continue };
+        if !seen.insert(rule.name.clone()) {
+            let text = format!("rule `{}` is named twice; names are unique", rule.name);
+            fields.mistakes().add(rule.line, text);
+        }
+        rules.push(rule);
+    }
+    rules
+}
+
+/// Checks the names that a rule uses.
+fn check(
+    rule: &Rule,
+    services: &BTreeMap<ServiceId, Service>,
+    teams: &HashSet<TeamId>,
+    mistakes: &Mistakes,
+) {
+    let mut used: Vec<&ServiceId> = rule.when.states.iter().map(|state| &state.0).collect();
+    if let Action::Route { service, .. } = &rule.then {
+        used.push(service);
+    }
+    for service in used {
+        if !services.contains_key(service) {
+            let known: Vec<&str> = services.keys().map(ServiceId::as_str).collect();
+            let known = known.join("`, `");
+            let text = format!(
+                "rule `{}`: `{service}` is not a service; allowed are `{known}`",
+                rule.name
+            );
+            mistakes.add(rule.line, text);
+        }
+    }
+    for team in &rule.when.teams {
+        if !teams.contains(team) {
+            let text = format!("rule `{}`: `{team}` is not a team; add it to `teams`", rule.name);
+            mistakes.add(rule.line, text);
+        }
+    }
+}
--- /dev/null
+++ b/src/rule/state.rs
@@ -0,0 +1,55 @@
+use crate::settings::Scalar;
+
+/// State of a whole service, from the verdicts on its upstreams.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ServiceState {
+    /// Ejections have reached the floor; more upstreams may be bad.
+    AtFloor,
+    /// Some upstreams are ejected.
+    Degraded,
+    /// No upstream takes requests.
+    Down,
+    /// Every upstream takes requests.
+    #[default]
+    Healthy,
+}
+
+impl Scalar for ServiceState {
+    const KIND: &'static str = "a state of a service";
+    const ALLOWED: &'static str = "write `healthy`, `degraded`, `at_floor` or `down`";
+
+    fn read(text: &str) -> Option<Self> {
+        match text {
+            "at_floor" => Some(Self::AtFloor),
+            "degraded" => Some(Self::Degraded),
+            "down" => Some(Self::Down),
+            "healthy" => Some(Self::Healthy),
+            _ => None,
+        }
+    }
+
+    fn show(&self) -> String {
+        match self {
+            Self::AtFloor => "at_floor".into(),
+            Self::Degraded => "degraded".into(),
+            Self::Down => "down".into(),
+            Self::Healthy => "healthy".into(),
+        }
+    }
+}
+
+/// What rules may ask about the services.
+pub trait State {
+    /// State of `service` as this entry sees it.
+    fn state(&self, service: &str) -> ServiceState;
+}
+
+/// A state in which every service is healthy.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Calm;
+
+impl State for Calm {
+    fn state(&self, _: &str) -> ServiceState {
+        ServiceState::Healthy
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,1 +1,53 @@
 //! Checked settings of one process.
+//!
+//! A file is read into a tree that knows the line of every value, and is
+//! then checked field by field, so that one run reports every mistake. A
+//! derived decoder would stop at the first. Unknown fields are mistakes.
+
+mod directory;
+mod error;
+mod fields;
+mod fraction;
+mod keys;
+mod limits;
+mod listen;
+mod log;
+mod metrics;
+mod mistake;
+mod mistakes;
+mod node;
+mod peer;
+mod record;
+mod role;
+mod scalar;
+#[allow(clippy::module_inception)]
+mod settings;
+mod shutdown;
+mod size;
+mod traffic;
+mod tree;
+
+pub use directory::Directory;
+pub use error::Error;
+pub(crate) use fields::Fields;
+pub(crate) use fields::scalar;
+pub use fraction::Fraction;
+pub use keys::Keys;
+pub use limits::Limits;
+pub use listen::Listen;
+pub use log::Level;
+pub use log::Log;
+pub use metrics::Metrics;
+pub use mistake::Mistake;
+pub(crate) use mistakes::Mistakes;
+pub use node::Node;
+pub use peer::Peer;
+pub use record::Record;
+pub use role::Role;
+pub use scalar::Scalar;
+pub use settings::Settings;
+pub use shutdown::Shutdown;
+pub use size::Size;
+pub use traffic::Traffic;
+pub(crate) use tree::Content;
+pub(crate) use tree::Tree;
--- /dev/null
+++ b/src/settings/directory.rs
@@ -0,0 +1,31 @@
+use std::time::Duration;
+
+use super::Fields;
+use super::Mistakes;
+use super::Tree;
+
+/// Default for `lifetime`: callers ask again twice a minute, so 1,000 callers
+/// cost 33 requests a second, and a lost entry is off every list within 30 s.
+const LIFETIME: Duration = Duration::from_secs(30);
+
+/// What callers are told about the entries.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Directory {
+    /// How long a caller may keep an answer.
+    pub lifetime: Duration,
+}
+
+impl Default for Directory {
+    fn default() -> Self {
+        Self { lifetime: LIFETIME }
+    }
+}
+
+impl Directory {
+    pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
+        let fields = Fields::open(tree, mistakes, &["lifetime"])?;
+        let least = Duration::from_secs(1);
+        let most = Duration::from_secs(3600);
+        Some(Self { lifetime: fields.ranged("lifetime", LIFETIME, &least, &most) })
+    }
+}
--- /dev/null
+++ b/src/settings/fraction.rs
@@ -0,0 +1,23 @@
+use super::Scalar;
+use super::scalar::digits;
+
+/// A share between 0 and 1, written as `0.7` or `70%`.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Fraction(pub f64);
+
+impl Scalar for Fraction {
+    const KIND: &'static str = "a share";
+    const ALLOWED: &'static str = "write `0%` to `100%`, or `0.0` to `1.0`";
+
+    fn read(text: &str) -> Option<Self> {
+        let value = match text.strip_suffix('%') {
+            Some(percent) => digits(percent)? / 100.0,
+            None => digits(text)?,
+        };
+        (0.0..=1.0).contains(&value).then_some(Self(value))
+    }
+
+    fn show(&self) -> String {
+        format!("{}%", self.0 * 100.0)
+    }
+}
--- /dev/null
+++ b/src/settings/limits.rs
@@ -0,0 +1,91 @@
+use std::time::Duration;
+
+use super::Fields;
+use super::Mistakes;
+use super::Size;
+use super::Tree;
+
+/// Default for `body_buffer`: enough to keep a network round trip of 1 ms busy
+/// at 1 Gbit/s twice over, and 400 connections then hold 100 MiB at the worst.
+const BODY_BUFFER: Size = Size(256 * 1024);
+/// Default for `connections`: ten callers' connections for each of the 400 that
+/// one upstream takes today, at about 20 KiB each 80 MiB in the worst case.
+const CONNECTIONS: usize = 4_000;
+/// Default for `first_byte`: well above the 25 ms of a probe and the seconds
+/// that the old register may take; a connection that went silent ends by it.
+const FIRST_BYTE: Duration = Duration::from_secs(10);
+/// Default for `head`: 16 KiB, the common limit of HTTP servers; a larger head
+/// is a mistake or an attack, and the upstream would refuse it anyhow.
+const HEAD: Size = Size(16 * 1024);
+/// Default for `head_time`: a caller that sends its head slower than this holds
+/// a connection without work (the attack known as slowloris).
+const HEAD_TIME: Duration = Duration::from_secs(5);
+/// Default for `idle`: callers keep an entry for 30 s, so that a connection
+/// idle for a minute is no longer on anyone's list.
+const IDLE: Duration = Duration::from_secs(60);
+/// Default for `upstream_idle`: a path that lost track of a connection swallows
+/// bytes; a short age means few requests meet one, and a new connection to an
+/// upstream costs only about 1 ms.
+const UPSTREAM_IDLE: Duration = Duration::from_secs(5);
+
+const SHORTEST: Duration = Duration::from_millis(10);
+const LONGEST: Duration = Duration::from_secs(3600);
+
+/// What one process takes on at most.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Bytes of one body held in memory while it streams.
+    pub body_buffer: u64,
+    /// Callers' connections open at once.
+    pub connections: usize,
+    /// Wait for the first byte of an upstream's answer.
+    pub first_byte: Duration,
+    /// Bytes of a request's or an answer's head.
+    pub head: u64,
+    /// Time in which a caller's head must be there.
+    pub head_time: Duration,
+    /// Age at which an idle caller's connection is closed.
+    pub idle: Duration,
+    /// Age at which an idle upstream's connection is closed.
+    pub upstream_idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_buffer: BODY_BUFFER.0,
+            connections: CONNECTIONS,
+            first_byte: FIRST_BYTE,
+            head: HEAD.0,
+            head_time: HEAD_TIME,
+            idle: IDLE,
+            upstream_idle: UPSTREAM_IDLE,
+        }
+    }
+}
+
+impl Limits {
+    pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
+        let allowed = [
+            "body_buffer",
+            "connections",
+            "first_byte",
+            "head",
+            "head_time",
+            "idle",
+            "upstream_idle",
+        ];
+        let fields = Fields::open(tree, mistakes, &allowed)?;
+        let time = |name, default| fields.ranged(name, default, &SHORTEST, &LONGEST);
+        let least = Size(4 * 1024);
+        Some(Self {
+            body_buffer: fields.ranged("body_buffer", BODY_BUFFER, &least, &Size(1 << 24)).0,
+            connections: fields.ranged("connections", CONNECTIONS, &1, &1_000_000),
+            first_byte: time("first_byte", FIRST_BYTE),
+            head: fields.ranged("head", HEAD, &Size(1024), &Size(1 << 20)).0,
+            head_time: time("head_time", HEAD_TIME),
+            idle: time("idle", IDLE),
+            upstream_idle: time("upstream_idle", UPSTREAM_IDLE),
+        })
+    }
+}
--- /dev/null
+++ b/src/settings/log.rs
@@ -0,0 +1,110 @@
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+
+use super::Fields;
+use super::Mistakes;
+use super::Scalar;
+use super::Tree;
+use super::fields::scalar;
+
+/// Slices whose level can be set on its own.
+const SLICES: &[&str] = &[
+    "admission",
+    "balance",
+    "claim",
+    "config",
+    "directory",
+    "exchange",
+    "fleet",
+    "health",
+    "keys",
+    "link",
+    "node",
+    "quorum",
+    "registry",
+    "retry",
+    "rule",
+    "settings",
+    "storage",
+    "timeline",
+];
+
+/// Least severe events that are logged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Level {
+    /// What the process does inside.
+    Debug,
+    /// Failures that need a person.
+    Error,
+    /// What an operator wants to know.
+    Info,
+    /// Nothing.
+    Off,
+    /// Each message.
+    Trace,
+    /// Failures that were dealt with.
+    Warn,
+}
+
+impl Scalar for Level {
+    const KIND: &'static str = "a log level";
+    const ALLOWED: &'static str = "write `off`, `error`, `warn`, `info`, `debug` or `trace`";
+
+    fn read(text: &str) -> Option<Self> {
+        match text {
+            "debug" => Some(Self::Debug),
+            "error" => Some(Self::Error),
+            "info" => Some(Self::Info),
+            "off" => Some(Self::Off),
+            "trace" => Some(Self::Trace),
+            "warn" => Some(Self::Warn),
+            _ => None,
+        }
+    }
+
+    fn show(&self) -> String {
+        format!("{self:?}").to_lowercase()
+    }
+}
+
+/// What is logged.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Log {
+    /// For every slice without a level of its own.
+    pub level: Level,
+    /// Levels by slice.
+    pub slices: BTreeMap<CompactString, Level>,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { level: Level::Info, slices: BTreeMap::new() }
+    }
+}
+
+impl Log {
+    /// The filter as `tracing-subscriber` reads it.
+    pub fn filter(&self) -> String {
+        let mut parts = vec![self.level.show()];
+        for (slice, level) in &self.slices {
+            parts.push(format!("hemlockfield::{slice}={}", level.show()));
+        }
+        parts.join(",")
+    }
+
+    pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
+        let fields = Fields::open(tree, mistakes, &["level", "slices"])?;
+        let mut slices = BTreeMap::new();
+        for (line, slice, level) in fields.entries("slices") {
+            if !SLICES.contains(&slice.as_str()) {
+                let names = SLICES.join("`, `");
+                mistakes.add(*line, format!("`{slice}` is not a slice; allowed are `{names}`"));
+            }
+            if let Some(level) = scalar(level, mistakes) {
+                slices.insert(slice.clone(), level);
+            }
+        }
+        Some(Self { level: fields.or("level", Level::Info), slices })
+    }
+}
--- /dev/null
+++ b/src/settings/node.rs
@@ -0,0 +1,29 @@
+use compact_str::CompactString;
+
+use super::Fields;
+use super::Mistakes;
+use super::Tree;
+use crate::id::DomainId;
+use crate::id::NodeId;
+use crate::id::RegionId;
+
+/// Who this process is and where its VM stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Node {
+    /// Failure domain of the VM.
+    pub failure_domain: DomainId,
+    /// Name of the process, unique in the fleet.
+    pub id: NodeId,
+    /// Region of the failure domain.
+    pub region: RegionId,
+}
+
+impl Node {
+    pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
+        let fields = Fields::open(tree, mistakes, &["failure_domain", "id", "region"])?;
+        let failure_domain = fields.required::<CompactString>("failure_domain");
+        let id = fields.required::<CompactString>("id");
+        let region = fields.required::<CompactString>("region");
+        Some(Self { failure_domain: failure_domain?, id: id?, region: region? })
+    }
+}
--- /dev/null
+++ b/src/settings/peer.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+
+use super::Fields;
+use super::Mistakes;
+use super::Role;
+use super::Tree;
+use crate::id::DomainId;
+use crate::id::NodeId;
+use crate::id::RegionId;
+
+/// Another process that this one knows from its start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Callers' address, where the peer is an entry.
+    pub callers: Option<SocketAddr>,
+    /// Failure domain of its VM.
+    pub failure_domain: DomainId,
+    /// Its name, which its certificate must bear.
+    pub id: NodeId,
+    /// Its UDP address for links.
+    pub links: SocketAddr,
+    /// Region of its failure domain.
+    pub region: RegionId,
+    /// What it does.
+    pub roles: Vec<Role>,
+}
+
+impl Peer {
+    pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
+        let allowed = ["callers", "failure_domain", "id", "links", "region", "roles"];
+        let fields = Fields::open(tree, mistakes, &allowed)?;
+        let callers = fields.optional::<SocketAddr>("callers");
+        let failure_domain = fields.required::<CompactString>("failure_domain");
+        let id = fields.required::<CompactString>("id");
+        let links = fields.required::<SocketAddr>("links");
+        let region = fields.required::<CompactString>("region");
+        let roles = roles(&fields);
+        Some(Self {
+            callers,
+            failure_domain: failure_domain?,
+            id: id?,
+            links: links?,
+            region: region?,
+            roles,
+        })
+    }
+}
+
+/// Roles of a process: at least one, each once, in a settled order.
+pub(super) fn roles(fields: &Fields) -> Vec<Role> {
+    let mut roles = match fields.needed("roles") {
+        Some(_) => fields.several::<Role>("roles"),
+        None => Vec::new(),
+    };
+    roles.sort_unstable();
+    roles.dedup();
+    roles
+}
--- /dev/null
+++ b/src/settings/settings.rs
@@ -0,0 +1,181 @@
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use super::Directory;
+use super::Error;
+use super::Fields;
+use super::Keys;
+use super::Limits;
+use super::Listen;
+use super::Log;
+use super::Metrics;
+use super::Mistakes;
+use super::Node;
+use super::Peer;
+use super::Record;
+use super::Role;
+use super::Shutdown;
+use super::Traffic;
+use super::Tree;
+use super::peer::roles;
+
+/// Every top-level field.
+const ALLOWED: &[&str] = &[
+    "data",
+    "directory",
+    "keys",
+    "limits",
+    "listen",
+    "log",
+    "metrics",
+    "node",
+    "peers",
+    "record",
+    "roles",
+    "shutdown",
+    "timeline",
+    "traffic",
+];
+
+/// Settings of one process, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Folder for durable state; a control has one.
+    pub data: Option<PathBuf>,
+    /// What callers are told about the entries.
+    pub directory: Directory,
+    /// Keys for links; without them the process may only use loopback.
+    pub keys: Option<Keys>,
+    /// What the process takes on at most.
+    pub limits: Limits,
+    /// Addresses it listens on.
+    pub listen: Listen,
+    /// What is logged.
+    pub log: Log,
+    /// Where metrics go, if anywhere.
+    pub metrics: Option<Metrics>,
+    /// Who it is.
+    pub node: Node,
+    /// Processes known from the start, in the order of their names.
+    pub peers: Vec<Peer>,
+    /// Recording of decisions; off unless set.
+    pub record: Option<Record>,
+    /// What it does, in a settled order.
+    pub roles: Vec<Role>,
+    /// How it ends.
+    pub shutdown: Shutdown,
+    /// File of events for the time line.
+    pub timeline: Option<PathBuf>,
+    /// Threads for callers' requests.
+    pub traffic: Traffic,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path)
+            .map_err(|source| Error::Unreadable { path: path.into(), source })?;
+        Self::parse(&path.display().to_string(), &text)
+    }
+
+    /// Checks `text`; `file` names it in mistakes.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
+        let tree = Tree::parse(file, text).map_err(|mistake| Error::Invalid(vec![mistake]))?;
+        let mistakes = Mistakes::new(file);
+        let settings = Self::read(&tree, &mistakes);
+        let mistakes = mistakes.into_sorted();
+        match settings {
+            Some(settings) if mistakes.is_empty() => Ok(settings),
+            _ => Err(Error::Invalid(mistakes)),
+        }
+    }
+
+    /// Whether the process has `role`.
+    pub fn has(&self, role: Role) -> bool {
+        self.roles.contains(&role)
+    }
+
+    fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
+        let fields = Fields::open(tree, mistakes, ALLOWED)?;
+        let part = |name: &str| fields.tree(name);
+        let node = fields.needed("node").and_then(|tree| Node::read(tree, mistakes));
+        let listen = fields.needed("listen").and_then(|tree| Listen::read(tree, mistakes));
+        let settings = Self {
+            data: fields.optional("data"),
+            directory: part("directory")
+                .and_then(|tree| Directory::read(tree, mistakes))
+                .unwrap_or_default(),
+            keys: part("keys").and_then(|tree| Keys::read(tree, mistakes)),
+            limits: part("limits")
+                .and_then(|tree| Limits::read(tree, mistakes))
+                .unwrap_or_default(),
+            log: part("log").and_then(|tree| Log::read(tree, mistakes)).unwrap_or_default(),
+            metrics: part("metrics").and_then(|tree| Metrics::read(tree, mistakes)),
+            peers: peers(&fields),
+            record: part("record").and_then(|tree| Record::read(tree, mistakes)),
+            roles: roles(&fields),
+            shutdown: part("shutdown")
+                .and_then(|tree| Shutdown::read(tree, mistakes))
+                .unwrap_or_default(),
+            timeline: part("timeline").and_then(|tree| timeline(tree, mistakes)),
+            traffic: part("traffic")
+                .and_then(|tree| Traffic::read(tree, mistakes))
+                .unwrap_or_default(),
+            listen: listen?,
+            node: node?,
+        };
+        settings.check(&fields);
+        Some(settings)
+    }
+
+    /// Checks what no field can tell by itself.
+    fn check(&self, fields: &Fields) {
+        let mistakes = fields.mistakes();
+        let roles = fields.line_of("roles");
+        if self.has(Role::Control) && fields.tree("data").is_none() {
+            mistakes.add(roles, "role `control` needs `data`, the folder of its durable state");
+        }
+        if self.has(Role::Entry) && self.listen.callers.is_none() {
+            mistakes.add(roles, "role `entry` needs `listen.callers`, the address for callers");
+        }
+        self.check_loopback(fields);
+    }
+
+    /// Without keys anyone who reaches the port could join the fleet, so a
+    /// process without them stays on loopback, where only this VM reaches it.
+    fn check_loopback(&self, fields: &Fields) {
+        if self.keys.is_some() || self.listen.links.ip().is_loopback() {
+            return;
+        }
+        let address = self.listen.links;
+        let text = format!("`{address}` is not loopback; links need `keys` there");
+        fields.mistakes().add(fields.line_of("listen"), text);
+    }
+}
+
+/// Peers in the order of their names; a name or address given twice is a mistake.
+fn peers(fields: &Fields) -> Vec<Peer> {
+    let mistakes = fields.mistakes();
+    let mut names = BTreeSet::new();
+    let mut addresses = BTreeSet::new();
+    let mut peers = Vec::new();
+    for tree in fields.items("peers") {
+        let Some(peer) = Peer::read(tree, mistakes) else { continue };
+        if !names.insert(peer.id.clone()) {
+            mistakes.add(tree.line, format!("peer `{}` is named twice; names are unique", peer.id));
+        }
+        if !addresses.insert(peer.links) {
+            let text = format!("`{}` is the address of two peers; each has its own", peer.links);
+            mistakes.add(tree.line, text);
+        }
+        peers.push(peer);
+    }
+    peers.sort_by(|one, other| one.id.cmp(&other.id));
+    peers
+}
+
+fn timeline(tree: &Tree, mistakes: &Mistakes) -> Option<PathBuf> {
+    Fields::open(tree, mistakes, &["file"])?.required("file")
+}
--- /dev/null
+++ b/src/settings/tree.rs
@@ -0,0 +1,125 @@
+use std::fmt;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::MapAccess;
+use serde::de::SeqAccess;
+use serde::de::Visitor;
+use serde_saphyr::Spanned;
+
+use super::Mistake;
+
+/// Most YAML events of one document: 4,200 rules and 37,000 teams need
+/// about a million, and a hostile document still ends early.
+const EVENTS: usize = 8_000_000;
+/// Most bytes of all scalars of one document, for the same size.
+const BYTES: usize = 256 * 1024 * 1024;
+
+/// One YAML value with the line it stands on.
+#[derive(Clone, Debug)]
+pub(crate) struct Tree {
+    /// What the value holds.
+    pub(crate) content: Content,
+    /// Line in the file, from 1.
+    pub(crate) line: u64,
+}
+
+/// What a YAML value holds. Scalars stay text until a field gives them a type.
+#[derive(Clone, Debug)]
+pub(crate) enum Content {
+    /// Nothing, or `~`.
+    Empty,
+    /// A sequence.
+    List(Vec<Tree>),
+    /// A mapping, in the order of the file: line of the key, key, value.
+    Map(Vec<(u64, CompactString, Tree)>),
+    /// Text, a number or a truth value.
+    Text(CompactString),
+}
+
+impl Tree {
+    /// A mapping without fields, for one that the file leaves out.
+    pub(crate) fn empty() -> Self {
+        Self { content: Content::Map(Vec::new()), line: 0 }
+    }
+
+    /// Parses `text`; a syntax error is a mistake of the line where it was found.
+    pub(crate) fn parse(file: &str, text: &str) -> Result<Self, Mistake> {
+        let options = serde_saphyr::options! {
+            budget: serde_saphyr::budget! {
+                max_events: EVENTS,
+                max_nodes: EVENTS,
+                max_total_scalar_bytes: BYTES,
+            },
+            with_snippet: false,
+        };
+        serde_saphyr::from_str_with_options(text, options).map_err(|error| {
+            let line = error.location().map_or(1, |location| location.line());
+            Mistake { file: file.into(), line, text: format!("is not valid YAML: {error}") }
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for Tree {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let spanned = Spanned::<Content>::deserialize(deserializer)?;
+        Ok(Self { content: spanned.value, line: spanned.referenced.line() })
+    }
+}
+
+impl<'de> Deserialize<'de> for Content {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(Reader)
+    }
+}
+
+struct Reader;
+
+impl<'de> Visitor<'de> for Reader {
+    type Value = Content;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("a YAML value")
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Content, E> {
+        Ok(Content::Text(value.to_string().into()))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Content, E> {
+        Ok(Content::Text(value.to_string().into()))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Content, E> {
+        Ok(Content::Text(value.to_string().into()))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Content, A::Error> {
+        let mut fields = Vec::new();
+        while let Some(key) = access.next_key::<Spanned<CompactString>>()? {
+            fields.push((key.referenced.line(), key.value, access.next_value()?));
+        }
+        Ok(Content::Map(fields))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Content, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = access.next_element()? {
+            items.push(item);
+        }
+        Ok(Content::List(items))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Content, E> {
+        Ok(Content::Text(value.into()))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Content, E> {
+        Ok(Content::Text(value.to_string().into()))
+    }
+
+    fn visit_unit<E>(self) -> Result<Content, E> {
+        Ok(Content::Empty)
+    }
+}
--- a/tests/suite/rule.rs
+++ b/tests/suite/rule.rs
@@ -1,1 +1,199 @@
 //! Tests of `hemlockfield::rule`.
+
+use std::time::Duration;
+
+use hemlockfield::rule::Action;
+use hemlockfield::rule::Calm;
+use hemlockfield::rule::Part;
+use hemlockfield::rule::Request;
+use hemlockfield::rule::Rules;
+use hemlockfield::rule::ServiceState;
+use hemlockfield::rule::State;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use rstest::rstest;
+
+const DONAUWERFT: &str = include_str!("../../examples/donauwerft.yaml");
+const HORVAT: &str = include_str!("../../examples/horvat.yaml");
+
+/// Every service in the same state.
+struct All(ServiceState);
+
+impl State for All {
+    fn state(&self, _: &str) -> ServiceState {
+        self.0
+    }
+}
+
+fn request<'a>(method: &'a str, host: &'a str, path: &'a str, caller: &'a str) -> Request<'a> {
+    const NONE: &[(&str, &str); 0] = &[];
+    Request { caller, headers: NONE, host, method, path }
+}
+
+#[rstest]
+#[case("POST", "/findings/77", "surveyor-huber", Some("finding-sign-off"))]
+#[case("POST", "/findings/77", "auditor-wolf", Some("auditors-read-only"))]
+#[case("GET", "/hulls/DE-4711", "auditor-wolf", Some("hull-lookup"))]
+#[case("GET", "/hulls", "auditor-wolf", None)]
+#[case("PUT", "/gauging/4711/plate", "", Some("gauging-upload"))]
+#[case("POST", "/certificates/4711", "", Some("certificate-issue"))]
+fn decide_donauwerft(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] caller: &str,
+    #[case] expected: Option<&str>,
+) {
+    let rules = Rules::parse(DONAUWERFT).expect("sound");
+    let request = request(method, "survey.donauwerft.example", path, caller);
+    let found = rules.decide(&request, &Calm).map(|rule| rule.name.as_str());
+    assert_eq!(found, expected);
+}
+
+#[rstest]
+#[case(ServiceState::Healthy, "browse")]
+#[case(ServiceState::Degraded, "browse")]
+#[case(ServiceState::AtFloor, "samples-at-floor")]
+#[case(ServiceState::Down, "samples-at-floor")]
+fn decide_service_state(#[case] state: ServiceState, #[case] expected: &str) {
+    let rules = Rules::parse(HORVAT).expect("sound");
+    let request = request("GET", "shop.horvat.example", "/samples/3", "");
+    assert_eq!(rules.decide(&request, &All(state)).expect("sound").name, expected);
+}
+
+#[test]
+fn parse_terms() {
+    let rules = Rules::parse(DONAUWERFT).expect("sound");
+    let rule = rules.rules().iter().find(|rule| rule.name == "finding-sign-off").expect("sound");
+    let Action::Route { service, terms } = &rule.then else { panic!("not a route") };
+    assert_eq!(service, "hull-register");
+    assert_eq!(terms.key.as_deref(), Some("idempotency-key"));
+    assert_eq!(terms.deadline, Duration::from_secs(20));
+    assert!(!terms.idempotent);
+    let register = rules.service("hull-register").expect("sound");
+    assert_eq!(register.floor, 0.8);
+    assert!(register.not_run.proves(503, Some("true")));
+    assert!(!register.not_run.proves(503, None));
+}
+
+#[test]
+fn parse_every_mistake_at_once() {
+    // A broken submission is refused with all its mistakes, so that an operator
+    // in a hurry mends them in one go instead of one submission a mistake.
+    let text = "\
+services:
+  knjizara: {floor: 170%}
+teams:
+  a: [ana]
+  b: [ana]
+rules:
+  - name: one
+    when: {path: 'orders', methode: GET}
+    then: {route: {service: knjizra}, terms: {class: gold, hedge: true}}
+  - name: one
+    when: {team: c, service_state: {service: knjizara, is: bad}}
+    then: {refuse: {status: 200}, route: {service: knjizara}}
+";
+    let error = Rules::parse_file("rules.yaml", text).expect_err("mistakes");
+    let found: Vec<String> = error.mistakes().iter().map(ToString::to_string).collect();
+    let expected = [
+        "rules.yaml:2: `170%` is not a share; write `0%` to `100%`, or `0.0` to `1.0`",
+        "rules.yaml:5: caller `ana` is in team `a` already; one team each",
+        "rules.yaml:7: rule `one`: `knjizra` is not a service; allowed are `knjizara`",
+        "rules.yaml:8: `methode` is not a known field; allowed are `caller`, `header`, `host`, \
+         `method`, `path`, `service_state`, `team`",
+        "rules.yaml:8: `orders` is not a path; write `/hulls/list`, or `/hulls/*` for all \
+         below; `*` stands only after the last `/`",
+        "rules.yaml:9: `gold` is not a class; allowed are `common`",
+        "rules.yaml:9: `hedge` sends a second copy; it needs `idempotent: true`",
+        "rules.yaml:11: `bad` is not a state of a service; write `healthy`, `degraded`, \
+         `at_floor` or `down`",
+        "rules.yaml:12: a rule needs either `route` or `refuse` in `then`",
+    ];
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn explain_passed() {
+    let rules = Rules::parse(DONAUWERFT).expect("sound");
+    let request = request("GET", "survey.donauwerft.example", "/certificates/1", "auditor-wolf");
+    let found = rules.explain(&request, &Calm);
+    let passed: Vec<(&str, Part)> =
+        found.passed.iter().map(|passed| (passed.rule.name.as_str(), passed.part)).collect();
+    assert_eq!(found.decides.expect("sound").name, "certificate-lookup");
+    let expected = [("auditors-read-only", Part::Method), ("certificate-issue", Part::Method)];
+    assert_eq!(passed, expected);
+}
+
+/// One random condition over few names, so that rules overlap often.
+fn condition() -> impl Strategy<Value = String> {
+    let host = prop_oneof![
+        Just(""),
+        Just("host: a.x"),
+        Just("host: '*.x'"),
+        Just("host: [b.a.x, '*.a.x']")
+    ];
+    let path = prop_oneof![
+        Just(""),
+        Just("path: /"),
+        Just("path: /*"),
+        Just("path: /o/*"),
+        Just("path: [/o/p, /o/p/*]")
+    ];
+    let who = prop_oneof![
+        Just(""),
+        Just("team: t"),
+        Just("team: [t, u]"),
+        Just("caller: c"),
+        Just("caller: [c, d, c]")
+    ];
+    let rest = prop_oneof![
+        Just(""),
+        Just("method: GET"),
+        Just("header: {x-kind: '*'}"),
+        Just("header: {x-kind: one}"),
+        Just("service_state: {service: s, is: down}")
+    ];
+    (host, path, who, rest).prop_map(|(host, path, who, rest)| {
+        let parts: Vec<&str> =
+            [host, path, who, rest].into_iter().filter(|part| !part.is_empty()).collect();
+        format!("{{{}}}", parts.join(", "))
+    })
+}
+
+fn document(conditions: &[String]) -> String {
+    let mut text = "services: {s: {}}\nteams: {t: [c], u: [e]}\nrules:\n".to_string();
+    for (place, condition) in conditions.iter().enumerate() {
+        let then = "{route: {service: s}}";
+        text += &format!("  - {{name: r{place}, when: {condition}, then: {then}}}\n");
+    }
+    text
+}
+
+proptest! {
+    /// The index gives what the plain scan gives, for every request.
+    #[test]
+    fn decide_as_scan(
+        conditions in proptest::collection::vec(condition(), 1..24),
+        host in prop_oneof![Just("a.x"), Just("b.a.x"), Just("x"), Just("y")],
+        path in prop_oneof![Just("/"), Just("/o/"), Just("/o/p"), Just("/o/p/q"), Just("/z")],
+        caller in prop_oneof![Just("c"), Just("d"), Just("e"), Just("")],
+        header in prop_oneof![Just("one"), Just("two"), Just("")],
+        down in proptest::bool::ANY,
+    ) {
+        let rules = Rules::parse(&document(&conditions)).expect("sound");
+        let state = All(if down { ServiceState::Down } else { ServiceState::Healthy });
+        let headers: &[(&str, &str)] = &[("x-kind", header)];
+        let headers = headers[..usize::from(!header.is_empty())].iter();
+        let headers: Vec<(String, String)> =
+            headers.map(|(name, value)| (name.to_string(), value.to_string())).collect();
+        for method in ["GET", "POST"] {
+            let request = Request { caller, headers: &headers, host, method, path };
+            let found = rules.decide(&request, &state).map(|rule| &rule.name);
+            prop_assert_eq!(found, rules.scan(&request, &state).map(|rule| &rule.name));
+            prop_assert_eq!(found, rules.explain(&request, &state).decides.map(|rule| &rule.name));
+        }
+    }
+}
