--- /dev/null
+++ b/src/timeline/event.rs
@@ -0,0 +1,119 @@
+//! One line of a file of events.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::ConfigNumber;
+use crate::id::Incarnation;
+use crate::id::NodeId;
+use crate::id::RequestId;
+use crate::id::ServiceId;
+use crate::id::Term;
+use crate::id::UpstreamId;
+use crate::timeline::Kind;
+use crate::timeline::Stamp;
+
+/// What happened in one process, with the ids that tie it to other events.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Event {
+    /// Place in the causal order.
+    pub stamp: Stamp,
+    /// Process that recorded it.
+    pub vm: NodeId,
+    /// What it tells.
+    pub kind: Kind,
+    /// Configuration concerned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<ConfigNumber>,
+    /// Incarnation of the member or upstream concerned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<Incarnation>,
+    /// Other process concerned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<NodeId>,
+    /// Request concerned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<RequestId>,
+    /// Service concerned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceId>,
+    /// Election term concerned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub term: Option<Term>,
+    /// Upstream concerned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub upstream: Option<UpstreamId>,
+    /// Short texts besides.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub detail: BTreeMap<CompactString, CompactString>,
+}
+
+impl Event {
+    /// Event without ids or details.
+    pub fn new(stamp: Stamp, vm: NodeId, kind: Kind) -> Self {
+        Self {
+            stamp,
+            vm,
+            kind,
+            configuration: None,
+            incarnation: None,
+            peer: None,
+            request: None,
+            service: None,
+            term: None,
+            upstream: None,
+            detail: BTreeMap::new(),
+        }
+    }
+
+    /// Adds the configuration concerned.
+    pub fn configuration(mut self, number: ConfigNumber) -> Self {
+        self.configuration = Some(number);
+        self
+    }
+
+    /// Adds a short text.
+    pub fn detail(mut self, name: &str, text: impl AsRef<str>) -> Self {
+        self.detail.insert(name.into(), CompactString::new(text));
+        self
+    }
+
+    /// Adds the incarnation concerned.
+    pub fn incarnation(mut self, incarnation: Incarnation) -> Self {
+        self.incarnation = Some(incarnation);
+        self
+    }
+
+    /// Adds the other process concerned.
+    pub fn peer(mut self, peer: NodeId) -> Self {
+        self.peer = Some(peer);
+        self
+    }
+
+    /// Adds the request concerned.
+    pub fn request(mut self, request: RequestId) -> Self {
+        self.request = Some(request);
+        self
+    }
+
+    /// Adds the service concerned.
+    pub fn service(mut self, service: ServiceId) -> Self {
+        self.service = Some(service);
+        self
+    }
+
+    /// Adds the election term concerned.
+    pub fn term(mut self, term: Term) -> Self {
+        self.term = Some(term);
+        self
+    }
+
+    /// Adds the upstream concerned.
+    pub fn upstream(mut self, upstream: UpstreamId) -> Self {
+        self.upstream = Some(upstream);
+        self
+    }
+}
--- /dev/null
+++ b/src/timeline/file_recorder.rs
@@ -0,0 +1,105 @@
+//! Events as JSON lines in a file.
+
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::Read;
+use std::io::Seek;
+use std::io::SeekFrom;
+use std::io::Write;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread::JoinHandle;
+
+use crate::timeline::Error;
+use crate::timeline::Event;
+use crate::timeline::Kind;
+use crate::timeline::Recorder;
+
+/// Appends each event as one line, from a thread of its own.
+///
+/// A disk that stalls must not stall traffic: when the queue is full an event is
+/// dropped and counted, and the next line written says how many were lost.
+#[derive(Debug)]
+pub struct FileRecorder {
+    lost: Arc<AtomicU64>,
+    sender: Option<SyncSender<Event>>,
+    writer: Option<JoinHandle<()>>,
+}
+
+impl FileRecorder {
+    /// Events that may wait for the disk: about 2 MB at 250 bytes each.
+    pub const QUEUE_MAX: usize = 8192;
+
+    /// Appends to the file at `path`, which is created where it is missing.
+    ///
+    /// # Errors
+    /// When the file can't be opened or the writer's thread can't be started.
+    pub fn open(path: &Path) -> Result<Self, Error> {
+        let file = open(path).map_err(|source| Error::Open { path: path.into(), source })?;
+        let (sender, receiver) = sync_channel(Self::QUEUE_MAX);
+        let lost = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&lost);
+        let writer = std::thread::Builder::new()
+            .name("timeline".into())
+            .spawn(move || write_all(file, &receiver, &counter))
+            .map_err(|source| Error::Thread { path: path.into(), source })?;
+        Ok(Self { lost, sender: Some(sender), writer: Some(writer) })
+    }
+}
+
+impl Drop for FileRecorder {
+    fn drop(&mut self) {
+        drop(self.sender.take());
+        if let Some(writer) = self.writer.take() {
+            drop(writer.join());
+        }
+    }
+}
+
+impl Recorder for FileRecorder {
+    fn record(&self, event: Event) {
+        let Some(sender) = &self.sender else { return };
+        if sender.try_send(event).is_err() {
+            self.lost.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Opens for appending; ends a line that a crash left unfinished, which would
+/// otherwise swallow the first event of this run.
+fn open(path: &Path) -> std::io::Result<File> {
+    let mut file = OpenOptions::new().read(true).append(true).create(true).open(path)?;
+    if file.metadata()?.len() > 0 {
+        let mut last = [0];
+        file.seek(SeekFrom::End(-1))?;
+        file.read_exact(&mut last)?;
+        if last != *b"\n" {
+            file.write_all(b"\n")?;
+        }
+    }
+    Ok(file)
+}
+
+fn write_all(mut file: File, events: &Receiver<Event>, lost: &AtomicU64) {
+    for event in events {
+        let count = lost.swap(0, Ordering::Relaxed);
+        if count > 0 {
+            let notice = Event::new(event.stamp, event.vm.clone(), Kind::EventsLost);
+            write_line(&mut file, &notice.detail("count", count.to_string()), lost);
+        }
+        write_line(&mut file, &event, lost);
+    }
+}
+
+fn write_line(file: &mut File, event: &Event, lost: &AtomicU64) {
+    let Ok(mut line) = serde_json::to_vec(event) else { return };
+    line.push(b'\n');
+    if file.write_all(&line).is_err() {
+        lost.fetch_add(1, Ordering::Relaxed);
+    }
+}
