--- /dev/null
+++ b/src/storage/folder.rs
@@ -0,0 +1,103 @@
+//! A folder of the real file system.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::fs::File;
+use std::io::Result;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use super::disk::Disk;
+use super::error::Error;
+
+/// Name of the file whose lock keeps a second process out.
+const LOCK: &str = "lock";
+
+/// A folder of the real file system, locked against other processes. Two that
+/// wrote to one log would each void what the other had synced.
+#[derive(Debug)]
+pub struct Folder {
+    _lock: File,
+    open: BTreeMap<String, File>,
+    path: PathBuf,
+}
+
+impl Folder {
+    /// Opens the folder, and creates it where it doesn't exist.
+    pub fn open(path: &Path) -> std::result::Result<Self, Error> {
+        let shown = path.display().to_string();
+        let lock = create(path).map_err(|source| Error::of(&shown, source))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(fs::TryLockError::WouldBlock) => {
+                return Err(Error::Locked { folder: path.to_owned() });
+            }
+            Err(fs::TryLockError::Error(source)) => return Err(Error::of(&shown, source)),
+        }
+        Ok(Self { _lock: lock, open: BTreeMap::new(), path: path.to_owned() })
+    }
+
+    fn file(&mut self, name: &str) -> Result<&mut File> {
+        if !self.open.contains_key(name) {
+            let options = fs::OpenOptions::new().append(true).create(true).clone();
+            let file = options.open(self.path.join(name))?;
+            self.open.insert(name.to_owned(), file);
+        }
+        self.open.get_mut(name).ok_or_else(|| std::io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Disk for Folder {
+    fn append(&mut self, file: &str, bytes: &[u8]) -> Result<()> {
+        self.file(file)?.write_all(bytes)
+    }
+
+    fn list(&self) -> Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let name = entry?.file_name();
+            names.extend(name.into_string().ok().filter(|name| name != LOCK));
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&self, file: &str) -> Result<Vec<u8>> {
+        fs::read(self.path.join(file))
+    }
+
+    fn remove(&mut self, file: &str) -> Result<()> {
+        self.open.remove(file);
+        fs::remove_file(self.path.join(file))
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> Result<()> {
+        self.open.remove(from);
+        self.open.remove(to);
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn sync(&mut self, file: &str) -> Result<()> {
+        self.file(file)?.sync_data()
+    }
+
+    fn sync_names(&mut self) -> Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+
+    fn truncate(&mut self, file: &str, length: u64) -> Result<()> {
+        self.file(file)?.set_len(length)
+    }
+}
+
+/// Creates the folder, and syncs its name in the folder above.
+fn create(path: &Path) -> Result<File> {
+    if !path.exists() {
+        fs::create_dir_all(path)?;
+        if let Some(above) = path.parent().filter(|above| !above.as_os_str().is_empty()) {
+            File::open(above)?.sync_all()?;
+        }
+    }
+    fs::OpenOptions::new().create(true).truncate(false).write(true).open(path.join(LOCK))
+}
