Test configuration and claims under faults

Book, holder, ledger and agent on the fake network: racing and resent submissions, stale peers and control, restarts without a disk, control away for hours, an entry killed at each point, lost, late and doubled messages.

--- a/src/claim/agent.rs
+++ b/src/claim/agent.rs
@@ -1,5 +1,6 @@
 //! State machine of an entry: claims keys before dispatch.
 
+mod courier;
 mod pending;
 
 use std::collections::BTreeMap;
@@ -27,14 +28,6 @@
 /// Shortest time between two messages of fresh actions: under load it groups
 /// them, alone a request does not wait.
 const GROUP_GAP: Duration = Duration::from_millis(2);
-/// Time without a receipt after which an action goes to another replica; above a
-/// round trip between regions and a slow sync, below an election.
-const RETRY: Duration = Duration::from_millis(300);
-/// Shortest time between two redirects that are followed, so that two replicas
-/// that point at each other can't make a storm.
-const REDIRECT_GAP: Duration = Duration::from_millis(50);
-/// Actions in one message: about 50 KB without answers.
-const MESSAGE_LIMIT: usize = 256;
 /// Longest wait for a grant; an election takes less.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Requests that may wait for a grant at a time: 2 s of 1,000 a second, an
@@ -64,6 +57,7 @@
     incarnation: Incarnation,
     leader: usize,
     pending: BTreeMap<u64, Pending>,
+    redirected_at: Moment,
     sequence: u64,
     tickets: BTreeMap<Ticket, u64>,
     turned_at: Moment,
@@ -83,6 +77,7 @@
             incarnation,
             leader: 0,
             pending: BTreeMap::new(),
+            redirected_at: Moment::ZERO,
             sequence: START,
             tickets: BTreeMap::new(),
             turned_at: Moment::ZERO,
@@ -187,31 +182,6 @@
         }
     }
 
-    fn position(&self, id: &NodeId) -> Option<usize> {
-        self.controls.iter().position(|control| control == id)
-    }
-
-    /// Follows a hint of the replica that was asked; others are out of date.
-    fn redirect(&mut self, now: Moment, from: &NodeId, leader: Option<NodeId>) {
-        if self.controls.get(self.leader) != Some(from) {
-            return;
-        }
-        match leader.and_then(|id| self.position(&id)) {
-            Some(position) if now >= self.turned_at + REDIRECT_GAP => self.turn_to(now, position),
-            Some(_) => {}
-            None => self.leader = (self.leader + 1) % self.controls.len(),
-        }
-    }
-
-    /// Takes another replica for the leader and brings it all that waits.
-    fn turn_to(&mut self, now: Moment, position: usize) {
-        self.turned_at = now;
-        self.leader = position;
-        let waiting = self.pending.iter().filter(|(_, pending)| pending.stage != Stage::Held);
-        let waiting = waiting.map(|(sequence, _)| *sequence).collect::<Vec<_>>();
-        waiting.into_iter().for_each(|sequence| self.schedule(sequence, now));
-    }
-
     fn settle(&mut self, receipt: Receipt, outputs: &mut Vec<Output>) {
         let ClaimId { entry, incarnation, sequence } = receipt.claim;
         if entry != self.entry || incarnation != self.incarnation {
@@ -259,48 +229,6 @@
         }
     }
 
-    /// Sends what is due to the replica believed to lead.
-    fn flush(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.controls.is_empty() || self.due.first().is_none_or(|(at, _)| *at > now) {
-            return;
-        }
-        self.leave_silent(now);
-        let mut actions = Vec::new();
-        while let Some((at, sequence)) = self.due.first().copied() {
-            if at > now {
-                break;
-            }
-            self.due.pop_first();
-            let claim = self.claim(sequence);
-            let Some(pending) = self.pending.get_mut(&sequence) else { continue };
-            actions.extend(pending.action(claim));
-            pending.tries += 1;
-            let retry = pending.retry(RETRY);
-            self.schedule(sequence, now + retry);
-        }
-        self.flushed_at = now;
-        let Some(leader) = self.controls.get(self.leader) else { return };
-        for actions in actions.chunks(MESSAGE_LIMIT) {
-            let message = Message::Submit(actions.to_vec());
-            outputs.push(Output::Send { message, to: leader.clone() });
-        }
-    }
-
-    /// Turns to the next replica when a claim that is due had no receipt from this
-    /// one; one that does not lead, or is cut off, would hold it till its end.
-    fn leave_silent(&mut self, now: Moment) {
-        if now < self.turned_at + RETRY {
-            return;
-        }
-        let due = self.due.iter().take_while(|(at, _)| *at <= now);
-        let silent = due
-            .filter_map(|(_, sequence)| self.pending.get(sequence))
-            .any(|pending| pending.tries > 0);
-        if silent {
-            self.turn_to(now, (self.leader + 1) % self.controls.len());
-        }
-    }
-
     fn claim(&self, sequence: u64) -> ClaimId {
         ClaimId { entry: self.entry.clone(), incarnation: self.incarnation, sequence }
     }
--- a/tests/suite/claim.rs
+++ b/tests/suite/claim.rs
@@ -1,1 +1,7 @@
 //! Tests of `hemlockfield::claim`.
+#![allow(clippy::unwrap_used)]
+
+mod agent;
+mod killed;
+mod ledger;
+mod site;
--- /dev/null
+++ b/tests/suite/claim/ledger.rs
@@ -0,0 +1,198 @@
+//! The replicated state.
+
+use std::time::Duration;
+
+use hemlockfield::claim::Action;
+use hemlockfield::claim::ClaimId;
+use hemlockfield::claim::Command;
+use hemlockfield::claim::KeptAnswer;
+use hemlockfield::claim::Ledger;
+use hemlockfield::claim::Limits;
+use hemlockfield::claim::Outcome;
+use hemlockfield::claim::Reply;
+use hemlockfield::claim::Request;
+use hemlockfield::claim::Slot;
+use hemlockfield::clock::Epoch;
+use rstest::rstest;
+
+const START: Epoch = Duration::from_secs(1_000_000);
+const LIMIT: Duration = Duration::from_secs(30);
+const DAY: Duration = Duration::from_secs(24 * 3600);
+
+fn id(entry: &str, sequence: u64) -> ClaimId {
+    ClaimId { entry: entry.into(), incarnation: 1, sequence }
+}
+
+fn slot(caller: &str, key: &str) -> Slot {
+    Slot { caller: caller.into(), key: key.into(), service: "cert-office".into() }
+}
+
+fn claim(entry: &str, sequence: u64, key: &str) -> Action {
+    claim_of(entry, sequence, slot("yard", key), 7)
+}
+
+fn claim_of(entry: &str, sequence: u64, slot: Slot, digest: u128) -> Action {
+    Action::Claim { claim: id(entry, sequence), request: Request { digest, limit: LIMIT, slot } }
+}
+
+fn finish(entry: &str, sequence: u64, key: &str, body: usize) -> Action {
+    let answer = KeptAnswer { body: vec![1; body], headers: Vec::new() };
+    Action::Finish {
+        claim: id(entry, sequence),
+        outcome: Outcome::ran(200, Some(answer)),
+        slot: slot("yard", key),
+    }
+}
+
+fn abandon(entry: &str, sequence: u64, key: &str) -> Action {
+    Action::Abandon { claim: id(entry, sequence), slot: slot("yard", key) }
+}
+
+fn act(ledger: &mut Ledger, at: Epoch, action: Action) -> Reply {
+    ledger.apply(at, Command { actions: vec![action] }).remove(0)
+}
+
+fn unknown(by: &str) -> Reply {
+    Reply::Unknown { by: by.into(), since: START }
+}
+
+fn in_progress(by: &str) -> Reply {
+    Reply::InProgress { by: by.into(), since: START }
+}
+
+fn done(body: usize) -> Reply {
+    Reply::Done(Outcome::ran(200, Some(KeptAnswer { body: vec![1; body], headers: Vec::new() })))
+}
+
+#[test]
+fn apply_claim_to_outcome() {
+    let mut ledger = Ledger::new(Limits::default());
+    assert_eq!(act(&mut ledger, START, claim("a", 1, "k")), Reply::Granted);
+    assert_eq!(act(&mut ledger, START, claim("a", 1, "k")), Reply::Granted);
+    assert_eq!(act(&mut ledger, START, claim("b", 1, "k")), in_progress("a"));
+    assert_eq!(act(&mut ledger, START, finish("a", 1, "k", 9)), Reply::Finished);
+    assert_eq!(act(&mut ledger, START, finish("a", 1, "k", 3)), Reply::Finished);
+    assert_eq!(act(&mut ledger, START, claim("b", 1, "k")), done(9));
+    assert_eq!(act(&mut ledger, START, abandon("a", 1, "k")), Reply::Gone);
+    assert_eq!(act(&mut ledger, START, claim("b", 2, "k")), done(9));
+}
+
+#[rstest]
+#[case::other_caller(slot("dock", "k"), 7, Reply::Granted)]
+#[case::other_key(slot("yard", "l"), 7, Reply::Granted)]
+#[case::other_content(slot("yard", "k"), 8, Reply::Conflict)]
+fn apply_other_request(#[case] slot: Slot, #[case] digest: u128, #[case] reply: Reply) {
+    let mut ledger = Ledger::new(Limits::default());
+    act(&mut ledger, START, claim("a", 1, "k"));
+    assert_eq!(act(&mut ledger, START, claim_of("b", 1, slot, digest)), reply);
+}
+
+/// An entry gives up on a claim before it is committed; its abandon overtakes the
+/// claim. The late claim is not granted, so the caller's resend through another
+/// entry is, at once.
+#[test]
+fn apply_abandon_before_claim() {
+    let mut ledger = Ledger::new(Limits::default());
+    assert_eq!(act(&mut ledger, START, abandon("a", 1, "k")), Reply::Abandoned);
+    let mut ledger = Ledger::decode(&ledger.encode().unwrap()).unwrap();
+    assert_eq!(act(&mut ledger, START, claim("a", 1, "k")), Reply::Abandoned);
+    assert_eq!(act(&mut ledger, START, claim("b", 1, "k")), Reply::Granted);
+    assert_eq!(act(&mut ledger, START, abandon("a", 1, "k")), Reply::Abandoned);
+    assert_eq!(act(&mut ledger, START, claim("c", 1, "k")), in_progress("b"));
+}
+
+/// The entry that holds a key dies. Callers that resend get "in progress", then
+/// "unknown" once its limit is over, or at once when the entry starts anew; the
+/// key is not granted again before the window is over.
+#[rstest]
+#[case::limit(LIMIT + Duration::from_secs(1), None)]
+#[case::restart(Duration::ZERO, Some(2))]
+fn apply_claim_never_finished(#[case] later: Duration, #[case] restart: Option<u64>) {
+    let mut ledger = Ledger::new(Limits::default());
+    act(&mut ledger, START, claim("a", 1, "k"));
+    let restart = restart.map(|incarnation| ClaimId { incarnation, ..id("a", 0) });
+    restart.into_iter().for_each(|claim| {
+        assert_eq!(act(&mut ledger, START, Action::Start(claim)), Reply::Started);
+    });
+    assert_eq!(act(&mut ledger, START + later, claim("b", 1, "k")), unknown("a"));
+    assert_eq!(act(&mut ledger, START + DAY, claim("b", 2, "k")), unknown("a"));
+    assert_eq!(act(&mut ledger, START + LIMIT + DAY, claim("b", 3, "k")), Reply::Granted);
+}
+
+/// Control was away when the request ended, and the limit passed meanwhile. The
+/// late report still settles the key, so the caller gets the answer after all.
+#[test]
+fn apply_late_finish() {
+    let mut ledger = Ledger::new(Limits::default());
+    act(&mut ledger, START, claim("a", 1, "k"));
+    assert_eq!(act(&mut ledger, START + LIMIT * 2, claim("b", 1, "k")), unknown("a"));
+    assert_eq!(act(&mut ledger, START + LIMIT * 2, finish("a", 1, "k", 5)), Reply::Finished);
+    assert_eq!(act(&mut ledger, START + LIMIT * 2, claim("b", 1, "k")), done(5));
+}
+
+#[test]
+fn apply_start_of_own_incarnation() {
+    let mut ledger = Ledger::new(Limits::default());
+    act(&mut ledger, START, claim("a", 1, "k"));
+    act(&mut ledger, START, claim("ab", 1, "l"));
+    act(&mut ledger, START, Action::Start(id("a", 0)));
+    act(&mut ledger, START, Action::Start(ClaimId { incarnation: 9, ..id("aa", 0) }));
+    assert_eq!(act(&mut ledger, START, claim("b", 1, "k")), in_progress("a"));
+    assert_eq!(act(&mut ledger, START, claim("b", 2, "l")), in_progress("ab"));
+}
+
+/// A caller makes up keys in a loop. It is refused, as not run, at its share;
+/// other callers still get theirs, and no key is forgotten to make room.
+#[test]
+fn apply_hot_caller() {
+    let limits = Limits { claims: 100, claims_per_caller: 40, ..Limits::default() };
+    let mut ledger = Ledger::new(limits);
+    let keys = (0..60).map(|key| claim("a", key, &key.to_string()));
+    let granted =
+        keys.filter(|action| act(&mut ledger, START, action.clone()) == Reply::Granted).count();
+    assert_eq!(granted, 40);
+    assert_eq!(act(&mut ledger, START, claim_of("a", 99, slot("dock", "k"), 7)), Reply::Granted);
+    assert_eq!(act(&mut ledger, START, claim("b", 1, "0")), in_progress("a"));
+    let retry_after = Duration::from_secs(30);
+    assert_eq!(act(&mut ledger, START, claim("b", 2, "59")), Reply::Full { retry_after });
+    assert_eq!(act(&mut ledger, START + LIMIT + DAY, claim("b", 3, "59")), Reply::Granted);
+    assert_eq!(ledger.len(), 1);
+}
+
+#[test]
+fn apply_answer_bound() {
+    let limits = Limits { answer_bytes: 1000, ..Limits::default() };
+    let mut ledger = Ledger::new(limits);
+    for number in 0..20 {
+        let at = START + Duration::from_secs(number);
+        act(&mut ledger, at, claim("a", number, &number.to_string()));
+        act(&mut ledger, at, finish("a", number, &number.to_string(), 100));
+        assert!(ledger.answer_bytes() <= 1000);
+    }
+    let at = START + Duration::from_secs(20);
+    assert_eq!(act(&mut ledger, at, claim("b", 1, "0")), Reply::Done(Outcome::ran(200, None)));
+    assert_eq!(act(&mut ledger, at, claim("b", 2, "19")), done(100));
+}
+
+#[test]
+fn decode_snapshot() {
+    let mut ledger = Ledger::new(Limits { claims_per_caller: 3, ..Limits::default() });
+    for (number, key) in ["k", "l", "m"].into_iter().enumerate() {
+        act(&mut ledger, START, claim("a", number as u64, key));
+    }
+    act(&mut ledger, START, finish("a", 1, "l", 50));
+    let mut copy = Ledger::decode(&ledger.encode().unwrap()).unwrap();
+    assert_eq!(copy.encode(), ledger.encode());
+    assert_eq!(copy.answer_bytes(), 50);
+    for ledger in [&mut ledger, &mut copy] {
+        assert!(matches!(act(ledger, START, claim("b", 1, "n")), Reply::Full { .. }));
+        assert_eq!(act(ledger, START, claim("b", 2, "l")), done(50));
+    }
+    assert!(Ledger::decode(&[0xff; 40]).is_err());
+}
+
+#[test]
+fn ran_large_answer() {
+    let answer = KeptAnswer { body: vec![0; 4097], headers: Vec::new() };
+    assert_eq!(Outcome::ran(200, Some(answer)), Outcome::Ran { answer: None, status: 200 });
+}
--- /dev/null
+++ b/tests/suite/claim/site.rs
@@ -0,0 +1,205 @@
+//! Agents and control replicas on the fake network.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hemlockfield::claim::Agent;
+use hemlockfield::claim::Answer;
+use hemlockfield::claim::Desk;
+use hemlockfield::claim::Input;
+use hemlockfield::claim::Ledger;
+use hemlockfield::claim::Limits;
+use hemlockfield::claim::Message;
+use hemlockfield::claim::Outcome;
+use hemlockfield::claim::Output;
+use hemlockfield::claim::Request;
+use hemlockfield::claim::Slot;
+use hemlockfield::claim::Ticket;
+use hemlockfield::clock::Epoch;
+use hemlockfield::clock::Moment;
+use hemlockfield::fake::Net;
+use hemlockfield::fake::Weather;
+use hemlockfield::id::NodeId;
+
+pub(super) const LIMIT: Duration = Duration::from_secs(30);
+const EPOCH: Epoch = Duration::from_secs(1_000_000);
+const CONTROLS: [&str; 3] = ["c0", "c1", "c2"];
+
+pub(super) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// What an entry was told of a ticket.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Told {
+    Answer(Answer),
+    Granted,
+    Refused,
+}
+
+/// Agents and three replicas, which share one ledger: the log is not tested here.
+pub(super) struct Site {
+    pub(super) agents: BTreeMap<NodeId, Agent>,
+    pub(super) leader: Option<usize>,
+    pub(super) net: Net,
+    pub(super) now: Moment,
+    pub(super) told: BTreeMap<(NodeId, Ticket), Told>,
+    abandoned: BTreeSet<(NodeId, Ticket)>,
+    desk: Desk,
+    grants: BTreeMap<NodeId, Vec<(NodeId, Ticket)>>,
+    keys: BTreeMap<(NodeId, Ticket), NodeId>,
+    ledger: Ledger,
+    limit: Duration,
+}
+
+impl Site {
+    pub(super) fn new(seed: u64, weather: Weather) -> Self {
+        let mut site = Self {
+            abandoned: BTreeSet::new(),
+            agents: BTreeMap::new(),
+            desk: Desk::default(),
+            grants: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            leader: Some(0),
+            ledger: Ledger::new(Limits::default()),
+            limit: LIMIT,
+            net: Net::new(seed, weather),
+            now: ms(10),
+            told: BTreeMap::new(),
+        };
+        ["a", "b", "c"].into_iter().for_each(|entry| site.start(entry, 1));
+        site
+    }
+
+    /// Starts a process; one that ran under the name is gone with all it knew.
+    pub(super) fn start(&mut self, entry: &str, incarnation: u64) {
+        let agent = Agent::new(self.now, entry.into(), incarnation);
+        self.agents.insert(entry.into(), agent);
+        self.input(entry, Input::Controls(CONTROLS.map(NodeId::from).to_vec()));
+    }
+
+    pub(super) fn kill(&mut self, entry: &str) {
+        self.agents.remove(entry);
+    }
+
+    pub(super) fn begin(&mut self, entry: &str, ticket: Ticket, key: &str) {
+        self.begin_by(entry, ticket, key, self.now + ms(5_000));
+    }
+
+    pub(super) fn begin_by(&mut self, entry: &str, ticket: Ticket, key: &str, deadline: Moment) {
+        let slot = Slot { caller: "yard".into(), key: key.into(), service: "cert-office".into() };
+        let request = Request { digest: 7, limit: self.limit, slot };
+        self.keys.insert((entry.into(), ticket), key.into());
+        self.input(entry, Input::Begin { deadline, request, ticket });
+    }
+
+    pub(super) fn finish(&mut self, entry: &str, ticket: Ticket) {
+        self.input(entry, Input::Finish { outcome: Outcome::ran(201, None), ticket });
+    }
+
+    /// The dispatch was proved not to have happened.
+    pub(super) fn abandon(&mut self, entry: &str, ticket: Ticket) {
+        self.abandoned.insert((entry.into(), ticket));
+        self.input(entry, Input::Abandon(ticket));
+    }
+
+    pub(super) fn told(&self, entry: &str, ticket: Ticket) -> Option<&Told> {
+        self.told.get(&(entry.into(), ticket))
+    }
+
+    /// Outcome that a resend through an entry gets.
+    pub(super) fn resend(&mut self, entry: &str, ticket: Ticket, key: &str) -> Told {
+        self.begin(entry, ticket, key);
+        self.run(ms(3_000));
+        self.told(entry, ticket).unwrap().clone()
+    }
+
+    /// Cuts an entry's way to or from all of control.
+    pub(super) fn cut(&mut self, entry: &str, to: bool, from: bool) {
+        for control in CONTROLS {
+            if to {
+                self.net.cut(&entry.into(), &control.into());
+            }
+            if from {
+                self.net.cut(&control.into(), &entry.into());
+            }
+        }
+    }
+
+    pub(super) fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += ms(1);
+            while let Some(delivery) = self.net.receive(self.now) {
+                let message = postcard::from_bytes::<Message>(&delivery.bytes).unwrap();
+                self.deliver(delivery.from, delivery.to, message);
+            }
+            self.sync();
+            let ids = self.agents.keys().cloned().collect::<Vec<_>>();
+            ids.iter().for_each(|id| self.input(id, Input::Tick));
+        }
+    }
+
+    fn deliver(&mut self, from: NodeId, to: NodeId, message: Message) {
+        let Some(position) = CONTROLS.iter().position(|id| *id == to) else {
+            self.input(&to, Input::Receive { from, message });
+            return;
+        };
+        let Message::Submit(actions) = message else { return };
+        match self.leader {
+            Some(leader) if leader == position => self.desk.push(&from, actions),
+            Some(leader) => {
+                self.send(&to, &from, &Message::Redirect(Some(CONTROLS[leader].into())));
+            }
+            None => {}
+        }
+    }
+
+    /// Every 4 ms the leader's log commits what came in.
+    fn sync(&mut self) {
+        let Some(leader) = self.leader.filter(|_| self.now.as_millis().is_multiple_of(4)) else {
+            return;
+        };
+        while let Some(command) = self.desk.take() {
+            let replies = self.ledger.apply(EPOCH + self.now, command.clone());
+            for (to, message) in Desk::receipts(&command, replies) {
+                self.send(&CONTROLS[leader].into(), &to, &message);
+            }
+        }
+    }
+
+    fn send(&mut self, from: &NodeId, to: &NodeId, message: &Message) {
+        self.net.send(self.now, from, to, postcard::to_stdvec(message).unwrap());
+    }
+
+    fn input(&mut self, entry: &str, input: Input) {
+        let Some(agent) = self.agents.get_mut(entry) else { return };
+        for output in agent.handle(self.now, input) {
+            match output {
+                Output::Answer { answer, ticket } => self.tell(entry, ticket, Told::Answer(answer)),
+                Output::Granted(ticket) => self.grant(entry, ticket),
+                Output::Refused { ticket, .. } => self.tell(entry, ticket, Told::Refused),
+                Output::Send { message, to } => self.send(&entry.into(), &to, &message),
+            }
+        }
+    }
+
+    fn tell(&mut self, entry: &str, ticket: Ticket, told: Told) {
+        let before = self.told.insert((entry.into(), ticket), told);
+        assert_eq!(before, None, "ticket {ticket} of `{entry}` was told twice");
+    }
+
+    /// A key is granted once, unless each earlier holder said that it did not run.
+    fn grant(&mut self, entry: &str, ticket: Ticket) {
+        self.tell(entry, ticket, Told::Granted);
+        let holder = (entry.into(), ticket);
+        let holders = self.grants.entry(self.keys[&holder].clone()).or_default();
+        let abandoned = &self.abandoned;
+        assert!(
+            holders.iter().all(|holder| abandoned.contains(holder)),
+            "{holders:?}, then {holder:?}"
+        );
+        holders.push(holder);
+    }
+}
--- /dev/null
+++ b/tests/suite/config/site.rs
@@ -0,0 +1,154 @@
+//! Holders on the fake network.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hemlockfield::clock::Moment;
+use hemlockfield::config::Holder;
+use hemlockfield::config::Input;
+use hemlockfield::config::Message;
+use hemlockfield::config::Output;
+use hemlockfield::config::Peer;
+use hemlockfield::config::Settings;
+use hemlockfield::config::Standing;
+use hemlockfield::config::Version;
+use hemlockfield::fake::Net;
+use hemlockfield::fake::Weather;
+use hemlockfield::id::NodeId;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub(super) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub(super) fn version(number: u64) -> Version {
+    Version::new(number, format!("s{number}").into(), &format!("limit: 4\nnumber: {number}\n"))
+}
+
+/// Holders, of which the first is a control replica.
+pub(super) struct Site {
+    pub(super) holders: BTreeMap<NodeId, Holder>,
+    pub(super) net: Net,
+    pub(super) now: Moment,
+    count: usize,
+    seed: u64,
+    served: BTreeMap<NodeId, u64>,
+}
+
+impl Site {
+    /// `count` holders that serve version 1, or have not heard anything yet.
+    pub(super) fn new(seed: u64, count: usize, weather: Weather) -> Self {
+        let mut site = Self {
+            holders: BTreeMap::new(),
+            net: Net::new(seed, weather),
+            now: Duration::ZERO,
+            count,
+            seed,
+            served: BTreeMap::new(),
+        };
+        for index in 0..count {
+            site.start(index, None);
+        }
+        site.input(0, Input::Leads(true));
+        site.commit(1);
+        site.run(ms(5_000));
+        site
+    }
+
+    pub(super) fn id(index: usize) -> NodeId {
+        format!("n{index:03}").into()
+    }
+
+    fn peers(&self) -> Vec<Peer> {
+        let peer = |index| Peer {
+            control: index == 0,
+            domain: format!("d{}", index % 4).into(),
+            id: Self::id(index),
+        };
+        (0..self.count).map(peer).collect()
+    }
+
+    /// Starts or restarts a holder; `kept` is what its disk holds.
+    pub(super) fn start(&mut self, index: usize, kept: Option<Version>) {
+        self.seed += 1;
+        let random = ChaCha8Rng::seed_from_u64(self.seed);
+        let holder = Holder::new(self.now, Self::id(index), Settings::default(), kept, random);
+        self.holders.insert(Self::id(index), holder);
+        let peers = self.peers();
+        self.input(index, Input::Peers(peers));
+    }
+
+    pub(super) fn commit(&mut self, number: u64) {
+        self.input(0, Input::Committed(version(number)));
+    }
+
+    pub(super) fn input(&mut self, index: usize, input: Input) {
+        self.handle(&Self::id(index), input);
+    }
+
+    pub(super) fn number(&self, index: usize) -> Option<u64> {
+        self.holders[&Self::id(index)].head().map(|head| head.number)
+    }
+
+    pub(super) fn standing(&self, index: usize) -> Standing {
+        self.holders[&Self::id(index)].standing()
+    }
+
+    /// Whether all hold this number.
+    pub(super) fn all_hold(&self, number: u64) -> bool {
+        (0..self.count).all(|index| self.number(index) == Some(number))
+    }
+
+    /// Cuts a holder off from all others, both ways.
+    pub(super) fn isolate(&mut self, index: usize) {
+        for other in (0..self.count).filter(|other| *other != index) {
+            self.net.cut_both(&Self::id(index), &Self::id(other));
+        }
+    }
+
+    pub(super) fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += ms(50);
+            while let Some(delivery) = self.net.receive(self.now) {
+                let message = postcard::from_bytes::<Message>(&delivery.bytes).unwrap();
+                self.handle(&delivery.to, Input::Receive { from: delivery.from, message });
+            }
+            let ids = self.holders.keys().cloned().collect::<Vec<_>>();
+            ids.iter().for_each(|id| self.handle(id, Input::Tick));
+        }
+    }
+
+    fn handle(&mut self, id: &NodeId, input: Input) {
+        let Some(holder) = self.holders.get_mut(id) else { return };
+        let mut before = holder.head().map(|head| head.number);
+        for output in holder.handle(self.now, input) {
+            match output {
+                Output::Apply(version) => {
+                    assert!(before < Some(version.number), "`{id}` went back");
+                    before = Some(version.number);
+                }
+                Output::Send { message, to } => {
+                    let bytes = postcard::to_stdvec(&message).unwrap();
+                    self.net.send(self.now, id, &to, bytes);
+                }
+                Output::Stand(_) => {}
+            }
+        }
+        self.check(id);
+    }
+
+    /// A process that takes callers never does so by an older version than it, or
+    /// an earlier process of its name, did before.
+    fn check(&mut self, id: &NodeId) {
+        let holder = &self.holders[id];
+        if !holder.standing().serves() {
+            return;
+        }
+        let number = holder.head().map_or(0, |head| head.number);
+        let served = self.served.entry(id.clone()).or_default();
+        assert!(number >= *served, "`{id}` serves an older version");
+        *served = number;
+    }
+}
