--- a/tests/suite/claim/agent.rs
+++ b/tests/suite/claim/agent.rs
@@ -89,6 +89,22 @@
     assert_eq!(site.resend("b", 1, "k"), Told::Granted);
 }
 
+/// An entry restarts while a grant for its earlier process is under way. The new
+/// process has a claim of the same sequence for another key; the late grant is not
+/// taken for it, since it names the earlier incarnation.
+#[test]
+fn begin_grant_to_earlier_process() {
+    let slow = Weather { delay_min: ms(50), delay_max: ms(50), ..Weather::fair() };
+    let mut site = Site::new(8, slow);
+    site.begin("a", 1, "k");
+    site.run(ms(60));
+    site.leader = None;
+    site.start("a", 2);
+    site.begin("a", 2, "l");
+    site.run(ms(3_000));
+    assert_eq!(site.told("a", 2), Some(&Told::Refused));
+}
+
 /// Two hundred requests arrive at once. They share a few messages and syncs.
 #[test]
 fn begin_burst() {
