--- /dev/null
+++ b/src/fleet/member/receive.rs
@@ -0,0 +1,144 @@
+//! What a member does with messages.
+
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::fleet::Member;
+use crate::fleet::Message;
+use crate::fleet::Output;
+use crate::fleet::Repair;
+use crate::fleet::Rumour;
+use crate::fleet::Status;
+use crate::id::ConfigNumber;
+use crate::id::NodeId;
+
+/// Least time between two comparisons of digests that this process starts.
+const REPAIR_PERIOD: Duration = Duration::from_secs(2);
+
+/// How long the table must have been still before digests are compared: news under
+/// way makes them differ without need. After [`REPAIR_ANYWAY`] that is ignored.
+const REPAIR_QUIET: Duration = Duration::from_secs(1);
+
+/// Longest time that news under way puts off a comparison.
+const REPAIR_ANYWAY: Duration = Duration::from_secs(10);
+
+impl Member {
+    pub(super) fn receive(
+        &mut self,
+        now: Moment,
+        from: NodeId,
+        message: Message,
+        outputs: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Ack { config, root, sequence } => {
+                self.acknowledged(now, &from, sequence, outputs);
+                self.note(&from, config);
+                self.compare(now, &from, root, outputs);
+            }
+            Message::Join(record) => {
+                self.learn(now, &Rumour::Alive(record), None, outputs);
+                let mut rumours = self.roster.rumours(&from);
+                rumours.push(Rumour::Alive(self.me.clone()));
+                self.send(&from, Message::Rumours(rumours), outputs);
+            }
+            Message::Ping { about, config, root, sequence } => {
+                self.answer(now, &from, sequence, about, outputs);
+                self.note(&from, config);
+                self.compare(now, &from, root, outputs);
+            }
+            Message::Relay { sequence, target } => {
+                let number = self.prober.errand(now, from, sequence, target.clone());
+                self.ping(number, &target, outputs);
+            }
+            Message::Relayed { sequence, target } => self.prober.relayed(&target, sequence),
+            Message::Repair(step) => self.repair(&from, &step, outputs),
+            Message::Rumours(rumours) => {
+                for rumour in &rumours {
+                    self.learn(now, rumour, Some(&from), outputs);
+                }
+                self.greet(now, &from, outputs);
+            }
+        }
+    }
+
+    fn acknowledged(
+        &mut self,
+        now: Moment,
+        from: &NodeId,
+        sequence: u32,
+        outputs: &mut Vec<Output>,
+    ) {
+        if let Some((origin, sequence)) = self.prober.answered(now, from, sequence) {
+            let message = Message::Relayed { sequence, target: from.clone() };
+            self.send(&origin, message, outputs);
+        }
+        let me = self.me.id.clone();
+        if let Some(entry) = self.roster.get_mut(from) {
+            entry.accusers.remove(&me);
+        }
+    }
+
+    fn answer(
+        &mut self,
+        now: Moment,
+        from: &NodeId,
+        sequence: u32,
+        about: Option<Rumour>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let config = self.me.meta.config;
+        let root = self.roster.digest.root();
+        self.send(from, Message::Ack { config, root, sequence }, outputs);
+        if let Some(rumour) = about {
+            self.learn(now, &rumour, Some(from), outputs);
+            self.send(from, Message::Rumours(vec![Rumour::Alive(self.me.clone())]), outputs);
+        }
+        let gone = self.roster.get(from).is_some_and(|entry| entry.status >= Status::Failed);
+        if gone {
+            let rumours = self.roster.rumours(from);
+            self.send(from, Message::Rumours(rumours), outputs);
+        }
+    }
+
+    fn note(&mut self, from: &NodeId, config: ConfigNumber) {
+        if let Some(entry) = self.roster.get_mut(from) {
+            entry.record.meta.config = entry.record.meta.config.max(config);
+        }
+    }
+
+    /// Starts a comparison where a neighbour's table differs for no passing reason.
+    fn compare(&mut self, now: Moment, with: &NodeId, root: u32, outputs: &mut Vec<Output>) {
+        let quiet = now >= self.changed_at + REPAIR_QUIET && self.may_repair(now, REPAIR_PERIOD);
+        let due = quiet || self.may_repair(now, REPAIR_ANYWAY);
+        if root != self.roster.digest.root() && due {
+            self.ask(now, with, outputs);
+        }
+    }
+
+    /// Asks whom this process met first for the whole table.
+    fn greet(&mut self, now: Moment, from: &NodeId, outputs: &mut Vec<Output>) {
+        if self.live().count() == 2 && self.may_repair(now, REPAIR_PERIOD) {
+            self.ask(now, from, outputs);
+        }
+    }
+
+    fn may_repair(&self, now: Moment, period: Duration) -> bool {
+        self.repaired_at.is_none_or(|at| now >= at + period)
+    }
+
+    fn ask(&mut self, now: Moment, whom: &NodeId, outputs: &mut Vec<Output>) {
+        self.repaired_at = Some(now);
+        self.send(whom, Message::Repair(self.roster.digest.hashes()), outputs);
+    }
+
+    fn repair(&mut self, from: &NodeId, step: &Repair, outputs: &mut Vec<Output>) {
+        let answer = self.roster.digest.answer(step);
+        for repair in answer.repairs {
+            self.send(from, Message::Repair(repair), outputs);
+        }
+        for key in &answer.send {
+            self.spread.queue(from, key);
+        }
+    }
+}
--- a/tests/suite/fleet.rs
+++ b/tests/suite/fleet.rs
@@ -1,1 +1,176 @@
-//! Tests of `hemlockfield::fleet`.
+//! Membership in virtual time.
+
+use std::time::Duration;
+
+use hemlockfield::fake::Weather;
+use hemlockfield::fleet::Input;
+use hemlockfield::fleet::Output;
+use hemlockfield::fleet::State;
+use hemlockfield::fleet::Status;
+use hemlockfield::fleet::Trial;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settled(seed: u64, count: usize) -> Trial {
+    let mut trial = Trial::new(seed, count, Weather::fair());
+    trial.run(SECOND * 30);
+    assert!(trial.agrees(count));
+    trial.reset();
+    trial
+}
+
+fn failures(trial: &Trial) -> Vec<&Output> {
+    let failed = |output: &&Output| matches!(output, Output::Failed(_));
+    trial.events.iter().map(|(_, _, output)| output).filter(failed).collect()
+}
+
+#[test]
+fn member_all_start_at_once() {
+    let trial = settled(1, 44);
+    assert!(trial.longest <= 1100, "{}", trial.longest);
+}
+
+#[test]
+fn member_one_way_cut_convicts_nobody() {
+    // Two members: the first no longer reaches the second, everybody else does.
+    // The first asks others to ping on its behalf, they have answers, and so
+    // nobody is taken for failed although the cut lasts.
+    let mut trial = settled(2, 44);
+    let from = Trial::id(7);
+    let to = trial.members[&from].neighbours().iter().next().cloned().expect("neighbour");
+    trial.net.cut(&from, &to);
+    trial.run(SECOND * 60);
+    assert!(failures(&trial).is_empty());
+    assert!(trial.agrees(44));
+}
+
+#[test]
+fn member_deaf_process_accuses_nobody() {
+    // One process hears nobody, but everybody hears it. All its pings seem
+    // unanswered; if it accused its targets, sound members would have to refute.
+    // It alone is convicted, and comes back when it hears again.
+    let mut trial = settled(3, 44);
+    let deaf = Trial::id(9);
+    for other in trial.members.keys().filter(|id| **id != deaf).cloned().collect::<Vec<_>>() {
+        trial.net.cut(&other, &deaf);
+    }
+    trial.run(SECOND * 30);
+    assert!(failures(&trial).iter().all(|output| **output == Output::Failed(deaf.clone())));
+    assert_eq!(failures(&trial).len(), 43);
+    assert!(!trial.members[&deaf].in_touch(trial.now));
+    trial.net.heal_all();
+    trial.run(SECOND * 60);
+    assert!(trial.agrees(44));
+}
+
+#[test]
+fn member_killed_is_failed_everywhere_within_7_s() {
+    let mut trial = settled(4, 44);
+    let dead = Trial::id(11);
+    trial.kill(&dead);
+    trial.run(SECOND * 7);
+    assert_eq!(failures(&trial).len(), 43);
+    assert!(trial.agrees(43));
+}
+
+#[test]
+fn member_restart_with_new_incarnation() {
+    let mut trial = settled(5, 44);
+    trial.kill(&Trial::id(20));
+    trial.run(SECOND);
+    trial.start(20);
+    trial.run(SECOND * 30);
+    assert!(trial.agrees(44));
+    let (record, _) = trial.members[&Trial::id(1)].record(&Trial::id(20)).expect("record");
+    assert!(record.incarnation >= 45_000);
+}
+
+#[test]
+fn member_leave_and_update_spread_within_3_s() {
+    let mut trial = settled(6, 44);
+    let mut meta = trial.members[&Trial::id(5)].me().meta.clone();
+    meta.state = State::Leaving;
+    trial.input(&Trial::id(5), Input::Update(meta));
+    trial.run(SECOND * 3);
+    for member in trial.members.values() {
+        let (record, _) = member.record(&Trial::id(5)).expect("record");
+        assert_eq!(record.meta.state, State::Leaving);
+    }
+    trial.input(&Trial::id(5), Input::Leave);
+    trial.kill(&Trial::id(5));
+    trial.run(SECOND * 3);
+    let left = |status| status == Status::Left;
+    assert!(
+        trial
+            .members
+            .values()
+            .all(|member| { member.record(&Trial::id(5)).is_some_and(|(_, status)| left(status)) })
+    );
+}
+
+#[test]
+fn member_loss_of_one_message_in_twenty() {
+    // One message in twenty is lost and some come twice, for ten minutes. Repeated
+    // and indirect pings and refutations keep every member in.
+    let mut trial = settled(7, 44);
+    trial.net.weather.loss = 0.05;
+    trial.net.weather.duplication = 0.01;
+    trial.run(SECOND * 600);
+    assert!(failures(&trial).is_empty());
+    assert!(trial.agrees(44));
+}
+
+#[test]
+fn member_failure_domain_gone_and_back() {
+    // A failure domain loses its power; the rest take its VMs for failed, and only
+    // those. They start again at once, and everybody knows everybody.
+    let mut trial = settled(8, 44);
+    let domain = trial.domain(3);
+    domain.iter().for_each(|id| trial.kill(id));
+    trial.run(SECOND * 15);
+    assert!(trial.agrees(44 - domain.len()));
+    (0..44).filter(|index| index % 7 == 3).for_each(|index| trial.start(index));
+    trial.run(SECOND * 45);
+    assert!(trial.agrees(44));
+}
+
+#[test]
+fn member_region_cut_for_an_hour() {
+    // A region is cut off for an hour. Each side goes on with its own members; when
+    // the cut ends, no member is taken for failed on its own side, and all know all.
+    let mut trial = settled(9, 44);
+    let region = trial.region("r1");
+    trial.cut_off(&region);
+    trial.run(SECOND * 3600);
+    assert!(trial.members[&region[0]].in_touch(trial.now));
+    trial.net.heal_all();
+    trial.reset();
+    trial.run(SECOND * 120);
+    assert!(failures(&trial).is_empty());
+    assert!(trial.agrees(44));
+}
+
+#[test]
+fn member_paused_process_accuses_nobody() {
+    // A VM is paused for 10 s while its pings are under way. It finds them all
+    // overdue when it goes on, which proves nothing against their targets.
+    let mut trial = settled(10, 44);
+    let paused = trial.members.remove(&Trial::id(30)).expect("member");
+    trial.run(SECOND * 10);
+    trial.members.insert(Trial::id(30), paused);
+    trial.reset();
+    trial.run(SECOND * 60);
+    assert!(failures(&trial).is_empty());
+    assert!(trial.agrees(44));
+}
+
+#[test]
+fn member_520_lose_a_failure_domain() {
+    let mut trial = Trial::new(11, 520, Weather::fair());
+    trial.run(SECOND * 90);
+    assert!(trial.agrees(520));
+    let domain = trial.domain(0);
+    domain.iter().for_each(|id| trial.kill(id));
+    trial.run(SECOND * 30);
+    assert!(trial.agrees(520 - domain.len()));
+}
