--- a/src/storage/disk.rs
+++ b/src/storage/disk.rs
@@ -1,10 +1,11 @@
 //! What the log needs of a folder.
 
+use std::fmt::Debug;
 use std::io::Result;
 
 /// One flat folder of files. Nothing lasts until it is synced: contents by
 /// [`Disk::sync`], names by [`Disk::sync_names`].
-pub trait Disk: Send {
+pub trait Disk: Debug + Send {
     /// Appends to a file, which is created where it doesn't exist.
     fn append(&mut self, file: &str, bytes: &[u8]) -> Result<()>;
 
--- a/src/storage/log.rs
+++ b/src/storage/log.rs
@@ -25,6 +25,7 @@
 /// what is still needed; the old one is removed. After an error the log is
 /// closed: what a failed sync has kept, nobody can tell, and a second sync may
 /// say it is well. Opening the folder again reads what is really there.
+#[derive(Debug)]
 pub struct Log {
     closed: bool,
     disk: Box<dyn Disk>,
--- a/tests/suite/quorum.rs
+++ b/tests/suite/quorum.rs
@@ -1,1 +1,9 @@
 //! Tests of `hemlockfield::quorum`.
+
+mod checker;
+mod direct;
+mod model;
+mod mutant;
+mod repair;
+mod vm;
+mod world;
--- /dev/null
+++ b/tests/suite/quorum/checker.rs
@@ -0,0 +1,117 @@
+//! Safety of a whole group, checked on every output of every replica.
+
+use std::collections::BTreeMap;
+
+use hemlockfield::id::Index;
+use hemlockfield::id::NodeId;
+use hemlockfield::id::Term;
+use hemlockfield::quorum::Body;
+use hemlockfield::quorum::DiskId;
+use hemlockfield::quorum::Entry;
+use hemlockfield::quorum::Message;
+use hemlockfield::quorum::Payload;
+use hemlockfield::quorum::Recovered;
+
+pub(super) type Verdict = Result<(), String>;
+type Seat = (NodeId, DiskId);
+
+/// What was seen so far; each check says what it contradicts.
+#[derive(Debug, Default)]
+pub(super) struct Checker {
+    pub(super) accepted: BTreeMap<Index, Vec<u8>>,
+    chosen: BTreeMap<Index, (Term, Payload)>,
+    leaders: BTreeMap<Term, Seat>,
+    logged: BTreeMap<(Index, Term), (Payload, Term)>,
+    proposed: BTreeMap<u64, Vec<u8>>,
+    reads: BTreeMap<u64, Index>,
+    votes: BTreeMap<(Seat, Term), NodeId>,
+}
+
+impl Checker {
+    pub(super) fn last_accepted(&self) -> Index {
+        self.accepted.keys().next_back().copied().unwrap_or(0)
+    }
+
+    pub(super) fn leaders(&self) -> usize { self.leaders.len() }
+
+    pub(super) fn propose(&mut self, ticket: u64, command: Vec<u8>) {
+        self.proposed.insert(ticket, command);
+    }
+
+    pub(super) fn read(&mut self, ticket: u64) {
+        self.reads.insert(ticket, self.last_accepted());
+    }
+
+    /// A read sees all that was accepted before it was asked.
+    pub(super) fn readable(&self, ticket: u64, applied: Index) -> Verdict {
+        let wanted = self.reads.get(&ticket).copied().unwrap_or(0);
+        ensure(applied >= wanted, || format!("read {ticket} sees {applied}, not {wanted}"))
+    }
+
+    /// What was accepted is what was proposed, and is chosen.
+    pub(super) fn accept(&mut self, ticket: u64, index: Index) -> Verdict {
+        let Some(command) = self.proposed.get(&ticket) else { return Ok(()) };
+        let chosen = self.chosen.get(&index).map(|(_, payload)| payload);
+        let same = chosen == Some(&Payload::Command(command.clone()));
+        ensure(same, || format!("ticket {ticket} accepted at {index}, where {chosen:?} is chosen"))?;
+        self.accepted.insert(index, command.clone());
+        Ok(())
+    }
+
+    /// State machine safety: a position never holds two things.
+    pub(super) fn choose(&mut self, index: Index, term: Option<Term>, payload: &Payload) -> Verdict {
+        let first = (term.unwrap_or(0), payload.clone());
+        let (known, chosen) = self.chosen.entry(index).or_insert(first);
+        let same = chosen == payload && term.is_none_or(|term| term == *known);
+        ensure(same, || format!("{payload:?} committed at {index}, where {chosen:?} was"))
+    }
+
+    /// Log matching: an entry of one position and term has one payload and one
+    /// predecessor, in every log.
+    pub(super) fn log(&mut self, entry: &Entry, prev_term: Term) -> Verdict {
+        let key = (entry.index, entry.term);
+        let value = (entry.payload.clone(), prev_term);
+        let known = self.logged.entry(key).or_insert_with(|| value.clone());
+        ensure(*known == value, || format!("two entries at {key:?}: {known:?} and {value:?}"))
+    }
+
+    /// Election safety, and leader completeness.
+    pub(super) fn lead(&mut self, seat: &Seat, term: Term, log: &Recovered) -> Verdict {
+        let known = self.leaders.entry(term).or_insert_with(|| seat.clone());
+        ensure(known == seat, || format!("{known:?} and {seat:?} lead in term {term}"))?;
+        let base = log.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        for (index, (_, payload)) in self.chosen.range(base + 1..) {
+            let place = usize::try_from(index - base - 1).expect("small");
+            let own = log.entries.get(place).map(|entry| &entry.payload);
+            ensure(own == Some(payload), || {
+                format!("{seat:?} leads term {term} with {own:?} at {index}, not {payload:?}")
+            })?;
+        }
+        Ok(())
+    }
+
+    /// One vote a term; and no promise leaves before it is on disk.
+    pub(super) fn send(
+        &mut self,
+        from: &NodeId,
+        to: &NodeId,
+        message: &Message,
+        disk: &Recovered,
+    ) -> Verdict {
+        match message.body {
+            Body::Voted { granted: true } => {
+                let key = ((from.clone(), message.disk), message.term);
+                let vote = self.votes.entry(key).or_insert_with(|| to.clone());
+                ensure(vote == to, || format!("{from} votes twice in term {}", message.term))
+            }
+            Body::Appended { matched, .. } => ensure(disk.last() >= matched, || {
+                format!("{from} acknowledges {matched} with {} on disk", disk.last())
+            }),
+            _ => Ok(()),
+        }
+    }
+}
+
+pub(super) fn ensure(holds: bool, otherwise: impl FnOnce() -> String) -> Verdict {
+    if holds { Ok(()) } else { Err(otherwise()) }
+}
--- /dev/null
+++ b/tests/suite/quorum/world.rs
@@ -0,0 +1,325 @@
+//! VMs, a network and accidents, in virtual time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hemlockfield::clock::Moment;
+use hemlockfield::fake::Net;
+use hemlockfield::fake::Weather;
+use hemlockfield::id::NodeId;
+use hemlockfield::quorum::Body;
+use hemlockfield::quorum::Change;
+use hemlockfield::quorum::Entry;
+use hemlockfield::quorum::Input;
+use hemlockfield::quorum::Membership;
+use hemlockfield::quorum::Message;
+use hemlockfield::quorum::Output;
+use hemlockfield::quorum::Payload;
+use hemlockfield::quorum::Record;
+use hemlockfield::quorum::Recovered;
+use hemlockfield::quorum::Role;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::checker::Checker;
+use super::checker::Verdict;
+use super::checker::ensure;
+use super::mutant::Mutant;
+use super::vm::Memory;
+use super::vm::Vm;
+
+/// Step of virtual time at which replicas tick.
+pub(super) const TICK: Duration = Duration::from_millis(25);
+/// Commands after which the application hands in a snapshot.
+const SNAPSHOT_EVERY: usize = 10;
+
+#[derive(Debug)]
+pub(super) struct World {
+    pub(super) checker: Checker,
+    pub(super) mutant: Option<Mutant>,
+    pub(super) net: Net,
+    pub(super) now: Moment,
+    pub(super) random: ChaCha8Rng,
+    pub(super) tickets: u64,
+    pub(super) vms: BTreeMap<NodeId, Vm>,
+}
+
+impl World {
+    pub(super) fn new(seed: u64, size: usize, mutant: Option<Mutant>) -> Self {
+        let names: Vec<NodeId> = (1..=size).map(|n| format!("control-{n}").into()).collect();
+        let founders = Membership::founding(names.clone());
+        let vm = |name: NodeId| Vm::new(name.clone(), Some(founders.clone()), seed);
+        Self {
+            checker: Checker::default(),
+            mutant,
+            net: Net::new(seed, Weather::fair()),
+            now: Moment::ZERO,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            tickets: 0,
+            vms: names.into_iter().map(|name| (name.clone(), vm(name))).collect(),
+        }
+    }
+
+    pub(super) fn names(&self) -> Vec<NodeId> {
+        self.vms.keys().cloned().collect()
+    }
+
+    /// Leader of the highest term, as the replicas see themselves.
+    pub(super) fn leader(&self) -> Option<NodeId> {
+        let up = self.vms.values().filter_map(|vm| Some((vm, vm.memory.as_ref()?)));
+        let status = up.map(|(vm, memory)| (memory.replica.status(self.now), &vm.name));
+        let leaders = status.filter(|(status, _)| status.role == Role::Leader);
+        leaders.max_by_key(|(status, _)| status.term).map(|(_, name)| name.clone())
+    }
+
+    pub(super) fn memory(&self, name: &NodeId) -> Option<&Memory> {
+        self.vms[name].memory.as_ref()
+    }
+
+    /// Whether the leader gives the verdict "repaired".
+    pub(super) fn repaired(&self) -> bool {
+        let leader = self.leader().and_then(|name| self.memory(&name));
+        leader.is_some_and(|memory| memory.replica.repaired())
+    }
+
+    /// Whether the verdict is "repaired", and is about the disks that are there:
+    /// for an election timeout after a loss, the leader can't know of it.
+    pub(super) fn may_lose(&self) -> bool {
+        let Some(memory) = self.leader().and_then(|name| self.memory(&name)) else { return false };
+        let members = memory.replica.status(self.now).members;
+        let seated = self.vms.values().all(|vm| {
+            let seat = members.iter().find(|member| member.node == vm.name);
+            !vm.rotten && seat.is_some_and(|member| member.voter && member.disk == vm.seat.1)
+        });
+        seated && memory.replica.repaired()
+    }
+
+    /// Goes on by one tick: all messages and syncs due until then, one by one.
+    pub(super) fn step(&mut self) -> Verdict {
+        let end = self.now + TICK;
+        while let Some(at) = self.next_event().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.deliver()?;
+            self.sync_due()?;
+        }
+        self.now = end;
+        for name in self.names() {
+            if self.vms[&name].memory.is_none() && self.vms[&name].restart_at <= self.now {
+                self.start(&name);
+            }
+            self.input(&name, Input::Tick)?;
+        }
+        Ok(())
+    }
+
+    pub(super) fn run(&mut self, time: Duration) -> Verdict {
+        let end = self.now + time;
+        while self.now < end {
+            self.step()?;
+        }
+        Ok(())
+    }
+
+    /// Runs until `done`; a violation if it takes longer than `limit`.
+    pub(super) fn until(
+        &mut self,
+        what: &str,
+        limit: Duration,
+        done: impl Fn(&Self) -> bool,
+    ) -> Verdict {
+        let end = self.now + limit;
+        while !done(self) {
+            ensure(self.now < end, || format!("not within {limit:?}: {what}"))?;
+            self.step()?;
+        }
+        Ok(())
+    }
+
+    fn next_event(&self) -> Option<Moment> {
+        let syncs = self.vms.values().filter_map(|vm| vm.memory.as_ref()?.sync);
+        syncs.map(|(at, _)| at).chain(self.net.next_at()).min()
+    }
+
+    fn deliver(&mut self) -> Verdict {
+        while let Some(delivery) = self.net.receive(self.now) {
+            let message = postcard::from_bytes(&delivery.bytes).expect("decodes");
+            let input = Input::Receive { from: delivery.from, message };
+            self.input(&delivery.to, input)?;
+        }
+        Ok(())
+    }
+
+    fn sync_due(&mut self) -> Verdict {
+        for name in self.names() {
+            let now = self.now;
+            let Some(memory) = self.vms.get_mut(&name).and_then(|vm| vm.memory.as_mut()) else {
+                continue;
+            };
+            let Some((_, number)) = memory.sync.filter(|(at, _)| *at <= now) else { continue };
+            memory.sync = None;
+            memory.store.sync().expect("the fake disk has room");
+            for record in std::mem::take(&mut memory.unsynced) {
+                memory.synced.apply(record);
+            }
+            self.input(&name, Input::Synced { number })?;
+        }
+        Ok(())
+    }
+
+    /// Starts a VM; one with a damaged log gets an empty disk in its place.
+    pub(super) fn start(&mut self, name: &NodeId) {
+        let seed = self.random.random();
+        let mutant = self.mutant;
+        let vm = self.vms.get_mut(name).expect("known");
+        if vm.start(seed, mutant).is_err() {
+            vm.lose_disk(seed, mutant);
+            vm.start(seed, mutant).expect("an empty disk opens");
+        }
+    }
+
+    pub(super) fn propose(&mut self, name: &NodeId) -> Verdict {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let command = format!("command {ticket}").into_bytes();
+        self.checker.propose(ticket, command.clone());
+        self.input(name, Input::Propose { ticket, command })
+    }
+
+    pub(super) fn read(&mut self, name: &NodeId) -> Verdict {
+        self.tickets += 1;
+        self.checker.read(self.tickets);
+        self.input(name, Input::Read { ticket: self.tickets })
+    }
+
+    /// What an operator does next for members whose disk is gone.
+    pub(super) fn repair(&mut self) -> Verdict {
+        let Some(leader) = self.leader() else { return Ok(()) };
+        let Some(memory) = self.memory(&leader) else { return Ok(()) };
+        let status = memory.replica.status(self.now);
+        let change = self.vms.values().find_map(|vm| {
+            let (node, disk) = (vm.name.clone(), vm.memory.as_ref()?.replica.status(self.now).disk?);
+            match status.members.iter().find(|member| member.node == node) {
+                None => Some(Change::AddLearner { disk, node }),
+                Some(member) if member.disk != disk => Some(Change::Remove { node }),
+                Some(member) if !member.voter => Some(Change::Promote { node }),
+                Some(_) => None,
+            }
+        });
+        let Some(change) = change else { return Ok(()) };
+        self.tickets += 1;
+        self.input(&leader, Input::Change { ticket: self.tickets, change })
+    }
+
+    pub(super) fn input(&mut self, name: &NodeId, input: Input) -> Verdict {
+        let now = self.now;
+        let Some(memory) = self.vms.get_mut(name).and_then(|vm| vm.memory.as_mut()) else {
+            return Ok(());
+        };
+        let outputs = memory.replica.handle(now, input);
+        outputs.into_iter().try_for_each(|output| self.output(name, output))
+    }
+
+    fn output(&mut self, name: &NodeId, output: Output) -> Verdict {
+        let vm = self.vms.get_mut(name).expect("known");
+        let Some(memory) = vm.memory.as_mut() else { return Ok(()) };
+        match output {
+            Output::Accepted { ticket, index } => self.checker.accept(ticket, index),
+            Output::BecameLeader { term } => self.checker.lead(&vm.seat, term, &memory.log),
+            Output::Changed { index, membership } => {
+                memory.applied = index;
+                self.checker.choose(index, None, &Payload::Change(membership))
+            }
+            Output::Commit { index, term, command } => self.apply(name, index, term, command),
+            Output::Install { snapshot } => {
+                memory.applied = snapshot.index;
+                memory.commands = postcard::from_bytes(&snapshot.bytes).expect("decodes");
+                Ok(())
+            }
+            Output::Persist { number, records } => self.persist(name, number, records),
+            Output::Readable { ticket } => self.checker.readable(ticket, memory.applied),
+            Output::Send { to, message } => {
+                self.checker.send(name, &to, &message, &memory.synced)?;
+                let message = self.mutant.map_or(message.clone(), |it| it.rewrite(message));
+                let bytes = postcard::to_stdvec(&message).expect("encodes");
+                self.net.send(self.now, name, &to, bytes);
+                Ok(())
+            }
+            Output::Refused { .. } | Output::SteppedDown { .. } | Output::Uncertain { .. } => Ok(()),
+        }
+    }
+
+    fn apply(&mut self, name: &NodeId, index: u64, term: u64, command: Vec<u8>) -> Verdict {
+        self.checker.choose(index, Some(term), &Payload::Command(command.clone()))?;
+        let memory = self.vms.get_mut(name).and_then(|vm| vm.memory.as_mut()).expect("up");
+        memory.applied = index;
+        memory.commands.push(command);
+        if memory.commands.len() % SNAPSHOT_EVERY != 0 {
+            return Ok(());
+        }
+        let bytes = postcard::to_stdvec(&memory.commands).expect("encodes");
+        self.input(name, Input::Snapshot { index, bytes })
+    }
+
+    fn persist(&mut self, name: &NodeId, number: u64, mut records: Vec<Record>) -> Verdict {
+        let wait = Duration::from_micros(self.random.random_range(0..20_000));
+        let at = self.now + wait;
+        let memory = self.vms.get_mut(name).and_then(|vm| vm.memory.as_mut()).expect("up");
+        for record in &records {
+            if let Record::Entry(entry) = record {
+                let prev_term = prev_term(&memory.log, entry);
+                self.checker.log(entry, prev_term)?;
+            }
+            memory.log.apply(record.clone());
+        }
+        if let Some(mutant) = self.mutant {
+            mutant.tamper(&mut records);
+        }
+        memory.store.append(&records);
+        memory.unsynced.extend(records);
+        let at = memory.sync.map_or(at, |(earlier, _)| earlier);
+        memory.sync = Some((at, number));
+        if self.mutant == Some(Mutant::EarlySynced) {
+            return self.input(name, Input::Synced { number });
+        }
+        Ok(())
+    }
+
+    /// Whether every VM is up, a voter, and has applied all that was accepted.
+    pub(super) fn is_whole(&self) -> bool {
+        let last = self.checker.last_accepted();
+        let all = self.vms.values().all(|vm| {
+            vm.memory.as_ref().is_some_and(|memory| {
+                let role = memory.replica.status(self.now).role;
+                memory.applied >= last && matches!(role, Role::Leader | Role::Follower)
+            })
+        });
+        all && self.repaired()
+    }
+
+    /// Every accepted command is in the state of `name`, once and in order.
+    pub(super) fn check_accepted(&self, name: &NodeId) -> Verdict {
+        let Some(memory) = self.memory(name) else { return Ok(()) };
+        let mut own = memory.commands.iter();
+        let missing = self.checker.accepted.values().find(|command| !own.any(|it| it == *command));
+        ensure(missing.is_none(), || format!("{name} lacks {missing:?}, which was accepted"))
+    }
+}
+
+fn prev_term(log: &Recovered, entry: &Entry) -> u64 {
+    let index = entry.index - 1;
+    match &log.snapshot {
+        Some(snapshot) if snapshot.index == index => snapshot.term,
+        _ => log.entries.iter().find(|it| it.index == index).map_or(0, |it| it.term),
+    }
+}
+
+/// Vote requests that claim the longest of logs.
+pub(super) fn boast(message: &mut Message) {
+    if let Body::PreVote { last_index, last_term } | Body::Vote { last_index, last_term } =
+        &mut message.body
+    {
+        *last_index = u64::MAX;
+        *last_term = u64::MAX;
+    }
+}
