Link the processes by QUIC with mutual TLS

Ruled out: one name for all authorities. A peer of another fleet was refused for a bad signature, which sounds like damage; the name now carries a mark of the key and the reason is an unknown issuer.

--- a/src/keys.rs
+++ b/src/keys.rs
@@ -17,4 +17,5 @@
 pub use identity::Identity;
 pub use identity::certified_id;
 pub use identity::expiry;
+pub(crate) use identity::provider;
 pub use paths::Paths;
--- a/src/keys/authority.rs
+++ b/src/keys/authority.rs
@@ -12,6 +12,7 @@
 use rcgen::KeyPair;
 use rcgen::KeyUsagePurpose;
 use rcgen::date_time_ymd;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Epoch;
 
@@ -51,7 +52,7 @@
         let unusable = |error: rcgen::Error| unusable(&key_path, "key", &error);
         let key = KeyPair::generate().map_err(unusable)?;
         let mut params = CertificateParams::default();
-        params.distinguished_name.push(DnType::CommonName, "hemlockfield authority");
+        params.distinguished_name.push(DnType::CommonName, authority_name(&key));
         params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
         params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
         set_validity(&mut params, now, AUTHORITY_AGE);
@@ -128,6 +129,12 @@
     }
 }
 
+/// Name with a mark of the key: under equal names, a peer of another fleet would be
+/// refused for a bad signature, which sounds like damage.
+fn authority_name(key: &KeyPair) -> String {
+    format!("hemlockfield authority {:016x}", xxh3_64(key.public_key_raw()))
+}
+
 fn set_validity(params: &mut CertificateParams, now: Epoch, validity: Duration) {
     let epoch = date_time_ymd(1970, 1, 1);
     params.not_before = epoch + now.saturating_sub(BACKDATE);
--- /dev/null
+++ b/src/link/error.rs
@@ -0,0 +1,52 @@
+//! Errors of links.
+
+use std::io;
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+use crate::id::NodeId;
+use crate::keys;
+
+/// Why an endpoint can't start, or a link can't be made.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The peer's address is not known.
+    #[error("no address of `{0}` is known")]
+    Address(NodeId),
+    /// The handshake failed: wrong certificate, no answer, or another reason.
+    #[error("no link to `{peer}` at `{address}`: {reason}")]
+    Handshake {
+        /// Address that was dialled.
+        address: SocketAddr,
+        /// Reason as the library reported it.
+        reason: String,
+        /// Peer that was dialled.
+        peer: NodeId,
+    },
+    /// The certificate is not usable.
+    #[error(transparent)]
+    Keys(#[from] keys::Error),
+    /// The certificate was made for another process.
+    #[error("certificate says `{found}`, but this process is `{wanted}`")]
+    Name {
+        /// Name in the certificate.
+        found: NodeId,
+        /// Name in the settings.
+        wanted: NodeId,
+    },
+    /// The UDP socket can't be opened.
+    #[error("`{address}`: {source}")]
+    Socket {
+        /// Address to listen at.
+        address: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The TLS library refused the configuration.
+    #[error("tls: {reason}")]
+    Tls {
+        /// What it reported.
+        reason: String,
+    },
+}
