Pool evidence over entries and add a model of upstreams

Cause: one entry sees two or three outcomes a second of an upstream, too few for partial failures. Entries share signed sums of an upstream in question. Silence that may be the path's is followed only by entries that meet it too; a pause of the upstream is outlasted before slowness convicts.

--- /dev/null
+++ b/src/bench/health/score.rs
@@ -0,0 +1,98 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::detector::Ejection;
+use super::detector::Way;
+use crate::model::Fault;
+use crate::model::Gray;
+use crate::model::Plan;
+
+/// Detection times and false ejections over many runs.
+#[derive(Debug, Default)]
+pub(crate) struct Score {
+    /// By way and kind: a time for each entry that should detect, none if missed.
+    detected: BTreeMap<(Way, usize), Vec<Option<Duration>>>,
+    /// By way: false ejections of usual and of old upstreams.
+    wrong: BTreeMap<Way, (u64, u64)>,
+    /// Hours of sound upstreams, each entry counted.
+    hours: f64,
+}
+
+const WAYS: [Way; 3] = [Way::Judge, Way::Consecutive, Way::Threshold];
+
+impl Score {
+    pub(crate) fn add(&mut self, other: Self) {
+        for (key, times) in other.detected {
+            self.detected.entry(key).or_default().extend(times);
+        }
+        for (way, (usual, old)) in other.wrong {
+            let wrong = self.wrong.entry(way).or_default();
+            wrong.0 += usual;
+            wrong.1 += old;
+        }
+        self.hours += other.hours;
+    }
+
+    pub(crate) fn count(&mut self, plan: &Plan, kind: usize, fault: &Fault, log: &[Ejection]) {
+        let concerned = match fault.gray {
+            Gray::OneWay(deaf) => deaf.min(plan.entries),
+            _ => plan.entries,
+        };
+        for way in WAYS {
+            let mut first: BTreeMap<usize, Duration> = BTreeMap::new();
+            for ejection in log.iter().filter(|ejection| ejection.way == way) {
+                let is_right = ejection.upstream == fault.upstream
+                    && ejection.at >= fault.from
+                    && ejection.entry < concerned;
+                if is_right {
+                    first.entry(ejection.entry).or_insert(ejection.at - fault.from);
+                } else {
+                    let wrong = self.wrong.entry(way).or_default();
+                    let is_old = plan.slowness(ejection.upstream) > 1.0;
+                    wrong.0 += u64::from(!is_old);
+                    wrong.1 += u64::from(is_old);
+                }
+            }
+            let times = self.detected.entry((way, kind)).or_default();
+            times.extend((0..concerned).map(|entry| first.get(&entry).copied()));
+        }
+        let sound = plan.length.as_secs_f64() * (plan.upstreams - 1) as f64;
+        self.hours += sound * plan.entries as f64 / 3600.0;
+    }
+
+    pub(crate) fn table(&self, kinds: &[&str]) -> String {
+        let mut text =
+            String::from("kind                       way          p50 s  p95 s  max s  missed\n");
+        for way in WAYS {
+            for (kind, name) in kinds.iter().enumerate() {
+                let times = self.detected.get(&(way, kind)).cloned().unwrap_or_default();
+                text += &line(name, way, times);
+            }
+            let all = self.detected.iter().filter(|((of, _), _)| *of == way);
+            text += &line("all", way, all.flat_map(|(_, times)| times.clone()).collect());
+            let (usual, old) = self.wrong.get(&way).copied().unwrap_or_default();
+            let rate = (usual + old) as f64 / self.hours;
+            text += &format!(
+                "{way:?}: false ejections {usual} of usual, {old} of old; {rate:.4} an hour for each upstream and entry\n",
+            );
+        }
+        text += &format!("hours of upstreams and entries: {:.0}\n", self.hours);
+        text
+    }
+}
+
+fn line(name: &str, way: Way, mut times: Vec<Option<Duration>>) -> String {
+    let missed = times.iter().filter(|time| time.is_none()).count();
+    times.sort_by_key(|time| time.unwrap_or(Duration::MAX));
+    let at = |share: f64| {
+        let position = (share * times.len().saturating_sub(1) as f64).round() as usize;
+        match times.get(position) {
+            Some(Some(time)) => format!("{:.2}", time.as_secs_f64()),
+            _ => String::from("none"),
+        }
+    };
+    let all = times.len();
+    let way = format!("{way:?}");
+    let (middle, high, most) = (at(0.5), at(0.95), at(1.0));
+    format!("{name:26} {way:11} {middle:>6} {high:>6} {most:>6}  {missed}/{all}\n")
+}
--- /dev/null
+++ b/src/bench/health/watcher.rs
@@ -0,0 +1,111 @@
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use super::consecutive::Consecutive;
+use super::detector::Detector;
+use super::detector::Ejection;
+use super::detector::Way;
+use super::judged;
+use super::threshold::Threshold;
+use crate::balance::Ask;
+use crate::balance::Picker;
+use crate::balance::Ticket;
+use crate::clock::Moment;
+use crate::health::Digest;
+use crate::health::Input;
+use crate::health::Judge;
+use crate::health::Output;
+use crate::health::Setup;
+use crate::model::Agent;
+use crate::model::Answer;
+use crate::model::Choice;
+use crate::model::Plan;
+
+/// An entry whose detectors watch without a say in where work goes, so that all
+/// of them judge the same outcomes.
+pub(crate) struct Watcher<'a> {
+    entry: usize,
+    judge: Judge,
+    log: &'a RefCell<Vec<Ejection>>,
+    others: Vec<(Way, Box<dyn Detector>)>,
+    picker: Picker,
+    tickets: BTreeMap<u64, Ticket>,
+}
+
+impl<'a> Watcher<'a> {
+    pub(crate) fn new(
+        plan: &Plan,
+        entry: usize,
+        sensitivity: f64,
+        seed: u64,
+        log: &'a RefCell<Vec<Ejection>>,
+    ) -> Self {
+        let setup = Setup { floor_count: 2, floor_share: 0.6, sensitivity };
+        let others: Vec<(Way, Box<dyn Detector>)> = vec![
+            (Way::Consecutive, Box::new(Consecutive::new(plan.upstreams))),
+            (Way::Threshold, Box::new(Threshold::new(plan.upstreams))),
+        ];
+        Self {
+            entry,
+            judge: judged::judge(plan, entry, setup, seed),
+            log,
+            others,
+            picker: judged::picker(plan, entry, seed, |_| {}),
+            tickets: BTreeMap::new(),
+        }
+    }
+
+    fn note(&self, at: Moment, way: Way, upstream: usize) {
+        let ejection = Ejection { at, entry: self.entry, upstream, way };
+        self.log.borrow_mut().push(ejection);
+    }
+}
+
+impl Agent for Watcher<'_> {
+    fn finish(&mut self, now: Moment, choice: Choice, answer: &Answer) {
+        if let Some(ticket) = self.tickets.remove(&choice.token) {
+            self.picker.finish(now, ticket, judged::finish(answer));
+        }
+        let upstream = judged::upstream_name(choice.upstream);
+        let outcome = Input::Outcome { kind: answer.kind, latency: answer.latency, upstream };
+        self.judge.handle(now, outcome);
+        let mut ejecting = Vec::new();
+        for (way, detector) in &mut self.others {
+            if detector.ejects(now, choice.upstream, answer.kind, answer.latency) {
+                ejecting.push(*way);
+            }
+        }
+        for way in ejecting {
+            self.note(now, way, choice.upstream);
+        }
+    }
+
+    fn hear(&mut self, now: Moment, digest: &Digest) {
+        self.judge.handle(now, Input::Digest(digest.clone()));
+    }
+
+    fn pick(&mut self, now: Moment, avoid: &[usize]) -> Option<Choice> {
+        let avoid: Vec<_> = avoid.iter().map(|position| judged::upstream_name(*position)).collect();
+        let pick = self.picker.pick(now, &Ask { avoid: &avoid, is_long: false })?;
+        self.tickets.insert(pick.ticket.request, pick.ticket);
+        let upstream = judged::position(&pick.upstream);
+        Some(Choice { token: pick.ticket.request, upstream })
+    }
+
+    fn tick(&mut self, now: Moment) -> Option<Digest> {
+        for (upstream, ages) in self.picker.overdue(now) {
+            self.judge.handle(now, Input::Pending { ages, upstream });
+        }
+        let mut shared = None;
+        for output in self.judge.handle(now, Input::Tick) {
+            match output {
+                Output::Eject { upstream, .. } => {
+                    self.note(now, Way::Judge, judged::position(&upstream));
+                }
+                Output::Share(digest) => shared = Some(digest),
+                _ => {}
+            }
+        }
+        shared
+    }
+}
--- a/src/health.rs
+++ b/src/health.rs
@@ -14,7 +14,9 @@
 //! [`Digest`]s of a few bytes let entries convict together. Figures and the ways
 //! weighed stand in `docs/design/health.md`.
 
+mod aspect;
 mod baseline;
+mod case;
 mod digest;
 mod evidence;
 mod floor;
--- /dev/null
+++ b/src/health/case.rs
@@ -0,0 +1,187 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::health::Evidence;
+use crate::health::Item;
+use crate::health::Setup;
+use crate::health::aspect::Aspect;
+use crate::id::NodeId;
+use crate::id::UpstreamId;
+
+/// The case against one upstream: this entry's evidence and the others'.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Case {
+    aspects: [Evidence; 3],
+    /// What convicted it, told to the others for a while: they may lack the last
+    /// outcomes that this entry would have gone on to see.
+    convicted: Option<(Moment, [[i16; 4]; 3])>,
+    /// Evidence of requests that still wait.
+    pending: f64,
+    question_until: Moment,
+    remote: BTreeMap<NodeId, (Moment, Item)>,
+    reports_ill: bool,
+    /// By aspect, since when evidence is above its threshold.
+    since: [Option<Moment>; 3],
+}
+
+impl Case {
+    /// Age at which another entry's evidence is dropped: more than two intervals,
+    /// so that one lost message changes nothing.
+    const FRESH: Duration = Duration::from_millis(700);
+    /// How long an upstream stays in question after the last suspicion.
+    const QUESTION: Duration = Duration::from_secs(1);
+    /// Weight of the upstream's own word that it is ill, in nats: far below any
+    /// threshold, as the word lags or misleads. That it is well counts nothing.
+    const REPORT: f64 = 1.5;
+    /// Evidence at which the other entries are asked, in nats: two failures in a
+    /// row. A single failure is an everyday matter and is not worth messages.
+    const SHARE: f64 = 5.0;
+
+    pub(crate) fn add(&mut self, now: Moment, aspect: Aspect, step: f64) {
+        self.aspects[aspect as usize].add(now, step);
+    }
+
+    /// Closes the case with a conviction.
+    pub(crate) fn close(&mut self, now: Moment) {
+        let sums = self.sums();
+        self.clear();
+        self.convicted = Some((now + Self::QUESTION, sums));
+    }
+
+    /// Starts anew; the upstream's own word stands.
+    pub(crate) fn clear(&mut self) {
+        let reports_ill = self.reports_ill;
+        for evidence in &mut self.aspects {
+            evidence.reset();
+        }
+        let aspects = std::mem::take(&mut self.aspects);
+        *self = Self { aspects, reports_ill, ..Self::default() };
+    }
+
+    /// The aspect in which it stands convicted, for long enough.
+    pub(crate) fn conviction(&mut self, now: Moment, setup: &Setup, bar: f64) -> Option<Aspect> {
+        let mut convicted = None;
+        for aspect in Aspect::ALL {
+            let is_own = self.own(aspect) >= bar && self.windows(aspect)[0] >= 0.0;
+            let is_pooled = self.is_pooled(aspect, setup.pooled_threshold(aspect));
+            let since = &mut self.since[aspect as usize];
+            if !is_own && !is_pooled {
+                *since = None;
+                continue;
+            }
+            let since = *since.get_or_insert(now);
+            let is_lasting = now >= since + setup.persistence(aspect);
+            if is_lasting && (is_own || self.agrees(aspect)) {
+                convicted = convicted.or(Some(aspect));
+            }
+        }
+        convicted
+    }
+
+    /// Strongest evidence of this entry alone.
+    pub(crate) fn doubt(&self) -> f64 {
+        Aspect::ALL.iter().map(|aspect| self.own(*aspect)).fold(0.0, f64::max)
+    }
+
+    /// Takes another entry's evidence; true when it speaks against the upstream.
+    pub(crate) fn hear(&mut self, now: Moment, from: &NodeId, item: Item) -> bool {
+        let worst = item.sums.iter().flatten().copied().fold(0, i16::max);
+        let is_suspicious = f64::from(worst) >= Self::SHARE * Item::UNITS;
+        if is_suspicious {
+            self.question_until = now + Self::QUESTION;
+        }
+        self.remote.insert(from.clone(), (now, item));
+        is_suspicious
+    }
+
+    /// Evidence for the other entries, if the upstream is in question.
+    pub(crate) fn item(&self, now: Moment, upstream: &UpstreamId) -> Option<Item> {
+        if let Some((until, sums)) = self.convicted
+            && now < until
+        {
+            return Some(Item { sums, upstream: upstream.clone() });
+        }
+        let is_empty = self.pending <= 0.0 && self.aspects.iter().all(Evidence::is_empty);
+        if now >= self.question_until || is_empty {
+            return None;
+        }
+        Some(Item { sums: self.sums(), upstream: upstream.clone() })
+    }
+
+    pub(crate) fn report(&mut self, healthy: bool) {
+        self.reports_ill = !healthy;
+    }
+
+    /// Moves windows on and drops old words of other entries.
+    pub(crate) fn roll(&mut self, now: Moment) {
+        for evidence in &mut self.aspects {
+            evidence.roll(now);
+        }
+        self.remote.retain(|_, (at, _)| now.saturating_sub(*at) <= Self::FRESH);
+        if self.doubt() >= Self::SHARE {
+            self.question_until = now + Self::QUESTION;
+        }
+    }
+
+    pub(crate) fn set_pending(&mut self, pending: f64) {
+        self.pending = pending;
+    }
+
+    /// Whether this entry's own outcomes let it follow the others.
+    ///
+    /// Silence may be the path's fault, so an entry follows only when it meets
+    /// silence too, or next to nobody gets answers: entries with a path keep the
+    /// upstream. For what the upstream itself does it follows unless it sees the
+    /// contrary right now.
+    fn agrees(&self, aspect: Aspect) -> bool {
+        const SEEN_WELL: f64 = -3.0;
+        match aspect {
+            Aspect::Silent => self.own(aspect) > Self::REPORT || self.is_silent_to_all(),
+            Aspect::Failing | Aspect::Slow => self.windows(aspect)[0] > SEEN_WELL,
+        }
+    }
+
+    /// Whether, within a second, nine in ten of those who sent anything met
+    /// silence. Shorter windows hold too few answers of an old, slow upstream.
+    fn is_silent_to_all(&self) -> bool {
+        let newest = |item: &Item| item.sums[Aspect::Silent as usize][1];
+        let items = || self.remote.values().map(|(_, item)| newest(item));
+        let answered = items().filter(|sum| *sum < 0).count();
+        let unanswered = items().filter(|sum| *sum > 0).count();
+        unanswered > 9 * answered && self.windows(Aspect::Silent)[1] >= 0.0
+    }
+
+    /// Whether all entries together convict it. One entry's word is bounded to a
+    /// third of the threshold, so that a fault on its own path convicts nobody
+    /// elsewhere.
+    fn is_pooled(&self, aspect: Aspect, bar: f64) -> bool {
+        let cap = bar / 3.0;
+        let mut sums = self.windows(aspect).map(|sum| sum.clamp(-cap, cap));
+        for (_, item) in self.remote.values() {
+            for (sum, theirs) in sums.iter_mut().zip(item.sums[aspect as usize]) {
+                *sum += (f64::from(theirs) / Item::UNITS).clamp(-cap, cap);
+            }
+        }
+        let is_fresh = sums[..=aspect.shortest()].iter().all(|sum| *sum >= 0.0);
+        is_fresh && sums[aspect.shortest()..].iter().any(|sum| *sum >= bar)
+    }
+
+    fn own(&self, aspect: Aspect) -> f64 {
+        let word = if self.reports_ill { Self::REPORT } else { 0.0 };
+        self.aspects[aspect as usize].sum() + self.waiting(aspect) + word
+    }
+
+    fn sums(&self) -> [[i16; 4]; 3] {
+        Aspect::ALL.map(|aspect| self.windows(aspect).map(|sum| (sum * Item::UNITS).round() as i16))
+    }
+
+    fn waiting(&self, aspect: Aspect) -> f64 {
+        if aspect == Aspect::Silent { self.pending } else { 0.0 }
+    }
+
+    fn windows(&self, aspect: Aspect) -> [f64; 4] {
+        let waiting = self.waiting(aspect);
+        self.aspects[aspect as usize].windows().map(|sum| sum + waiting)
+    }
+}
--- a/src/health/digest.rs
+++ b/src/health/digest.rs
@@ -16,14 +16,18 @@
     pub items: Vec<Item>,
 }
 
-/// Evidence on one upstream, in nats; positive speaks against it. Arrays go over
-/// the windows of [`crate::health::Evidence::WINDOWS`], shortest first.
+/// Evidence on one upstream, in quarters of a nat, which travel as a byte or two
+/// each; positive speaks against it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Item {
-    /// Sums over failures and successes.
-    pub failing: [f32; 3],
-    /// Sums over latencies, with requests still waiting.
-    pub slow: [f32; 3],
+    /// Signed sums by aspect (failing, silent, slow) and by window, as in
+    /// [`crate::health::Evidence::WINDOWS`].
+    pub sums: [[i16; 4]; 3],
     /// Upstream.
     pub upstream: UpstreamId,
 }
+
+impl Item {
+    /// Units in a nat: fine enough that one success shows.
+    pub const UNITS: f64 = 4.0;
+}
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Moment;
 
-/// Running evidence against one upstream in one respect (failing, or slow).
+/// Running evidence against one upstream in one respect.
 ///
 /// A CUSUM for this entry alone, and signed sums over a few windows, which add
 /// up over entries.
@@ -16,7 +16,7 @@
 
 impl Evidence {
     /// Buckets kept.
-    const BUCKETS: usize = 8;
+    const BUCKETS: usize = 16;
     /// Most that the CUSUM holds, in nats: lets an upstream that recovered under
     /// the floor lose its evidence within a few dozen successes.
     const CEILING: f64 = 60.0;
@@ -24,7 +24,7 @@
     const LENGTH: Duration = Duration::from_millis(250);
     /// Windows, in buckets: the shortest finds a total failure at once, the
     /// longest a partial one at a low rate.
-    pub const WINDOWS: [usize; 3] = [2, 4, 8];
+    pub const WINDOWS: [usize; 4] = [2, 4, 8, 16];
 
     /// Adds the log-likelihood ratio of one outcome.
     pub fn add(&mut self, now: Moment, step: f64) {
@@ -35,10 +35,10 @@
         self.counts[slot] += 1;
     }
 
-    /// Outcomes within the longest window.
+    /// Whether no outcome lies within the longest window.
     #[must_use]
-    pub fn count(&self) -> u32 {
-        self.counts.iter().sum()
+    pub fn is_empty(&self) -> bool {
+        self.counts.iter().all(|count| *count == 0)
     }
 
     /// Forgets everything.
@@ -66,7 +66,7 @@
 
     /// Signed sums over [`Self::WINDOWS`].
     #[must_use]
-    pub fn windows(&self) -> [f64; 3] {
+    pub fn windows(&self) -> [f64; 4] {
         Self::WINDOWS.map(|length| self.window(length))
     }
 
--- a/src/health/floor.rs
+++ b/src/health/floor.rs
@@ -1,5 +1,4 @@
 use crate::health::Setup;
-use crate::health::Verdict;
 use crate::health::record::Record;
 
 /// Capacity in service against what the operator wants to keep there.
@@ -45,9 +44,3 @@
         self.serving_count >= self.needed_count && self.serving_slots >= self.needed_slots
     }
 }
-
-impl Record {
-    pub(crate) fn is_serving(&self) -> bool {
-        matches!(self.state(), Verdict::Sound | Verdict::Suspect)
-    }
-}
--- a/src/health/judge.rs
+++ b/src/health/judge.rs
@@ -31,8 +31,9 @@
     /// Badness by which an ejected upstream must be better to take the place of
     /// one in service; less would swap equals back and forth.
     const BETTER: f64 = 0.2;
-    /// Time between two digests: a quarter of the fastest detection aimed at.
-    const SHARE: Duration = Duration::from_millis(250);
+    /// Time between two digests while an upstream is in question, which is rare:
+    /// with ticks in between, detection would wait for both.
+    const SHARE: Duration = Setup::TICK;
     /// Share of bad upstreams from which the cause is taken to lie elsewhere.
     const SHARED: f64 = 0.6;
 
@@ -71,7 +72,7 @@
             }
             Input::Pending { ages, upstream } => {
                 if let Some(record) = self.records.get_mut(&upstream) {
-                    record.pending(&ages, self.peers);
+                    record.pending(&self.setup, &ages, self.peers);
                 }
             }
             Input::Report { healthy, upstream } => {
@@ -159,12 +160,7 @@
             if record.state() == Verdict::Ejected {
                 continue;
             }
-            let conviction = record.conviction(&self.setup);
-            let since = record.stand(now, conviction.is_some());
-            let is_lasting = since.is_some_and(|since| now >= since + self.setup.persistence());
-            if let Some(reason) = conviction
-                && is_lasting
-            {
+            if let Some(reason) = record.conviction(now, &self.setup) {
                 convicted.push((record.badness(), upstream.clone(), reason));
             }
         }
--- a/src/health/reason.rs
+++ b/src/health/reason.rs
@@ -10,6 +10,8 @@
     Floor,
     /// Most of its peers fail at the same time, so the cause lies elsewhere.
     Shared,
+    /// No answers or no connections, beyond its own past and its peers.
+    Silent,
     /// Answers slower than its own past, while its peers' are not.
     Slow,
     /// Its trial went well.
--- a/src/health/setup.rs
+++ b/src/health/setup.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::health::aspect::Aspect;
+
 /// What the operator sets for a service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Setup {
@@ -30,17 +32,30 @@
 
     /// Evidence of all entries together that convicts, in nats. Higher than for
     /// one entry because causes that entries share (a pause of the upstream, a
-    /// rise in load) make their evidence depend on each other.
-    #[must_use]
-    pub fn pooled_threshold(&self) -> f64 {
-        self.between(60.0, 24.0)
+    /// rise in load) make their evidence depend on each other; highest for
+    /// slowness, as one long job delays all that queue behind it.
+    pub(crate) fn pooled_threshold(&self, aspect: Aspect) -> f64 {
+        let threshold = self.between(50.0, 16.0);
+        match aspect {
+            Aspect::Failing | Aspect::Silent => threshold,
+            Aspect::Slow => threshold * 1.5,
+        }
     }
 
-    /// How long evidence must stay above its threshold: outlasts a pause such as
-    /// a garbage collection where false ejections cost more.
-    #[must_use]
-    pub fn persistence(&self) -> Duration {
-        Duration::from_secs_f64(self.between(1.0, 0.2))
+    /// How long evidence must stay above its threshold. Slowness takes longer,
+    /// as a pause of the upstream, such as a garbage collection, delays the
+    /// requests of all entries at once.
+    pub(crate) fn persistence(&self, aspect: Aspect) -> Duration {
+        let seconds = match aspect {
+            Aspect::Failing | Aspect::Silent => self.between(1.0, 0.2),
+            Aspect::Slow => self.between(1.0, 0.4),
+        };
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// Pause of a sound upstream that is not taken for silence.
+    pub(crate) fn pause(&self) -> Duration {
+        Duration::from_secs_f64(self.between(0.5, 0.25))
     }
 
     fn between(&self, careful: f64, fast: f64) -> f64 {
--- /dev/null
+++ b/src/model/agent.rs
@@ -0,0 +1,29 @@
+use crate::clock::Moment;
+use crate::health::Digest;
+use crate::model::Answer;
+
+/// An upstream that an agent chose, by position in the plan.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// What the agent wants back at the end, such as the number of a ticket.
+    pub token: u64,
+    /// Upstream.
+    pub upstream: usize,
+}
+
+/// The decisions of one entry.
+pub trait Agent {
+    /// A request ended.
+    fn finish(&mut self, now: Moment, choice: Choice, answer: &Answer);
+
+    /// Another entry's evidence.
+    fn hear(&mut self, _now: Moment, _digest: &Digest) {}
+
+    /// Chooses an upstream, none of `avoid`.
+    fn pick(&mut self, now: Moment, avoid: &[usize]) -> Option<Choice>;
+
+    /// Time went on by [`crate::health::Setup::TICK`]; returns evidence for others.
+    fn tick(&mut self, _now: Moment) -> Option<Digest> {
+        None
+    }
+}
