Judge admission and retry by what callers receive

A property test found a request that was started after its deadline; a queue that is found to stand is now cut in the same step, and nothing starts once its deadline is over.

Retry: a further try needs proof that the one before did not run, or an idempotent request, and a token from a share of the first tries.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -26,6 +26,12 @@
 /// Longest such time.
 const BACK_MOST: Duration = Duration::from_secs(30);
 
+/// By how much a request that was cut counts as longer than it ran. It would
+/// have taken longer, nobody knows how much; taken as it is, requests that
+/// waited and were then cut would make a slow upstream look fast enough for
+/// the next ones. Doubling passes any deadline within a few rounds.
+const CUT: u32 = 2;
+
 /// Decides for one service in one entry.
 #[derive(Clone, Debug)]
 pub struct Gate {
@@ -70,9 +76,10 @@
             Input::Finish { outcome, ticket } => self.finish(now, outcome, ticket),
             Input::Tick => {}
         }
-        self.judge(now);
         self.expire(now, &mut outputs);
         self.start(now, &mut outputs);
+        self.judge(now);
+        self.expire(now, &mut outputs);
         outputs
     }
 
@@ -148,16 +155,20 @@
         }
         let kind = self.kind_mut(arrival.long);
         kind.running.remove(&(since, ticket));
-        // An early failure tells nothing about how long the work takes, and
-        // would make a broken upstream look fast.
-        let tells =
-            outcome == Outcome::Served || outcome == Outcome::Failed && time >= kind.pace.mean();
-        if tells {
+        let tells = match outcome {
+            Outcome::Served => Some(time),
+            // An early failure tells nothing about how long the work takes, and
+            // would make a broken upstream look fast.
+            Outcome::Failed => (time >= kind.pace.mean()).then_some(time),
+            Outcome::Late => Some(time * CUT),
+            Outcome::Shed => None,
+        };
+        if let Some(time) = tells {
             kind.pace.note(time);
         }
         match outcome {
             Outcome::Shed => self.limit.shed(),
-            _ if tells && !arrival.long => self.limit.note(time, running),
+            _ if tells.is_some() && !arrival.long => self.limit.note(time, running),
             _ => {}
         }
     }
@@ -204,8 +215,9 @@
     fn start(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         while self.running.len() < self.limit.slots() {
             let Some(ticket) = self.next() else { return };
-            let late = self.latest(&self.waiting[&ticket].arrival) < now;
-            if late && !self.is_alone(ticket) {
+            let arrival = &self.waiting[&ticket].arrival;
+            let late = self.latest(arrival) < now;
+            if arrival.deadline <= now || late && !self.is_alone(ticket) {
                 // The pace has changed since it came.
                 self.give_up(now, ticket, outputs);
                 continue;
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -6,10 +6,10 @@
 const LEAST: f64 = 1.0;
 const MOST: f64 = 1024.0;
 /// Requests in a window at least: a median over fewer jumps with each of them.
-const WINDOW: usize = 16;
+const WINDOW: usize = 32;
 /// Latency, against the base, above which requests must be queueing inside the
 /// upstream. Much below 1.5 the noise of a window's median is taken for a queue:
-/// where service times vary by half, that of 16 requests varies by about 15%.
+/// where service times vary by half, that of 32 requests varies by about a tenth.
 const TOLERANCE: f64 = 1.5;
 /// Median, against the base, below which the upstream has become faster. The
 /// base is not simply the least median: the least of forty noisy ones lies so
@@ -17,10 +17,13 @@
 const FASTER: f64 = 0.6;
 /// Least that remains in one step down, so one bad window can't close the gate.
 const STEP: f64 = 0.7;
+/// Size of a window that measures the base, against the others: every later
+/// window is judged by it, so its noise weighs more.
+const CAREFUL: usize = 2;
 /// Windows between two measurements of the base.
-const WINDOWS: usize = 40;
+const WINDOWS: usize = 80;
 /// Share of the limit in the window that measures the base: with it, no more
-/// than 1.3% of the capacity is spent on measuring.
+/// than 2.5% of the capacity is spent on measuring.
 const DIP: f64 = 0.5;
 
 /// Requests that may run at once: given, or learned from latency.
@@ -86,7 +89,8 @@
         }
         self.times.push(time);
         self.used |= running >= self.slots();
-        if self.times.len() >= WINDOW.max(self.slots()) {
+        let careful = if self.windows == 0 { CAREFUL } else { 1 };
+        if self.times.len() >= WINDOW.max(self.slots()) * careful {
             self.close();
         }
     }
--- a/src/admission/trial.rs
+++ b/src/admission/trial.rs
@@ -197,7 +197,7 @@
         // The service accepts cancellation.
         self.inside.retain(|other| *other != place);
         self.release(now, place);
-        self.tell(now, Input::Finish { outcome: Outcome::Failed, ticket });
+        self.tell(now, Input::Finish { outcome: Outcome::Late, ticket });
     }
 
     fn end(&mut self, now: Moment, place: usize) {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -1,1 +1,37 @@
 //! What may be tried again, and the budget for it.
+//!
+//! A try is repeated only with proof that the one before did not run, or when
+//! the request is idempotent, and only from a budget that grows with first
+//! tries. The load pattern behind the budget is a failure domain that goes, or
+//! a service that refuses because it is full: three tries for each request
+//! then make up to three times the load, and the storm keeps down what it was
+//! meant to help. With the budget tries are at most 1.1 times the requests.
+//!
+//! Hedges (a second copy of an idempotent lookup that is late) come from the
+//! same budget and are suspended while they do not win.
+
+mod answer;
+mod attempt;
+mod budget;
+mod count;
+mod decide;
+mod decision;
+mod hedge;
+mod latency;
+mod outcome;
+mod policy;
+mod storm;
+
+pub use answer::Answer;
+pub use attempt::Attempt;
+pub use budget::Budget;
+pub use count::Count;
+pub use decide::Decide;
+pub use decision::Decision;
+pub use hedge::Hedge;
+pub use latency::Latency;
+pub use outcome::Outcome;
+pub use policy::Policy;
+pub use storm::Loss;
+pub use storm::Report;
+pub use storm::Storm;
--- /dev/null
+++ b/src/retry/budget.rs
@@ -0,0 +1,38 @@
+/// Tokens that one first try adds, and most tokens that are saved up. Over any
+/// 40 requests of an entry, about a second at 45 a second, tries so stay under
+/// 1 + 0.05 + 2/40 = 1.1 times the requests. Saved-up tokens are spent at the
+/// start of a failure by every entry at once; a hundred would be the storm.
+const FRACTION: f64 = 0.05;
+const MOST: f64 = 2.0;
+
+/// What an entry may spend on further tries at one service, as a share of the
+/// first tries. A number of tries for each request is no bound: when every
+/// request fails, it multiplies the load just when there is least room.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    tokens: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { tokens: MOST }
+    }
+}
+
+impl Budget {
+    /// Notes a first try.
+    pub fn first(&mut self) {
+        self.tokens = (self.tokens + FRACTION).min(MOST);
+    }
+
+    /// Takes the token for a further try and leaves at least `reserve`; `false`
+    /// when there are too few.
+    pub fn take(&mut self, reserve: u32) -> bool {
+        let left = self.tokens - 1.0;
+        let enough = left >= f64::from(reserve);
+        if enough {
+            self.tokens = left;
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/src/retry/policy.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::Attempt;
+use super::Budget;
+use super::Decide;
+use super::Decision;
+use super::Hedge;
+use super::Latency;
+
+/// Longest wait before the second try; doubles with each further one. Long
+/// against the 1 ms of a new connection, short against any deadline.
+const BACKOFF: Duration = Duration::from_millis(10);
+/// Most doublings.
+const DOUBLINGS: u32 = 4;
+/// Most tries of one request: one that meets three bad upstreams in a row is
+/// unlikely to be the upstreams' fault, and the budget belongs to everyone.
+const TRIES: u32 = 4;
+/// Tokens that a hedge leaves for tries after a failure.
+const RESERVE: u32 = 1;
+
+/// Decides about further tries at one service in one entry.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    budget: Budget,
+    hedge: Hedge,
+    latency: Latency,
+    rng: ChaCha8Rng,
+}
+
+impl Policy {
+    /// Makes a policy; `rng` jitters the waits.
+    pub fn new(rng: ChaCha8Rng) -> Self {
+        Self {
+            budget: Budget::default(),
+            hedge: Hedge::default(),
+            latency: Latency::default(),
+            rng,
+        }
+    }
+
+    /// Notes the first try of a request.
+    pub fn first(&mut self) {
+        self.budget.first();
+        self.hedge.first();
+    }
+
+    /// Decides what follows a try that went wrong.
+    pub fn decide(&mut self, attempt: &Attempt) -> Decision {
+        let stop = Decision::Stop { answer: attempt.answer() };
+        if !attempt.is_safe() || attempt.tries >= TRIES {
+            return stop;
+        }
+        let after = self.wait(attempt);
+        // A try that can't end in time is load without an answer.
+        let usual = self.latency.median().unwrap_or_default();
+        if attempt.remaining <= after + usual || !self.budget.take(0) {
+            return stop;
+        }
+        Decision::Again { after }
+    }
+
+    /// Notes that a whole answer took `time`, from the start of its try.
+    pub fn note(&mut self, time: Duration) {
+        self.latency.note(time);
+    }
+
+    /// When, after the start of the first try, a second copy of an idempotent
+    /// lookup may go out; `None` while hedges do not pay.
+    pub fn hedge_after(&self) -> Option<Duration> {
+        self.hedge.is_on().then(|| self.latency.tail()).flatten()
+    }
+
+    /// Whether the second copy goes out now, with `remaining` time left. With
+    /// `true` the budget has paid, and [`Self::hedged`] must follow.
+    pub fn hedge(&mut self, remaining: Duration) -> bool {
+        let usual = self.latency.median().unwrap_or_default();
+        self.hedge.is_on() && remaining > usual && self.budget.take(RESERVE)
+    }
+
+    /// Notes whether the second copy answered first.
+    pub fn hedged(&mut self, won: bool) {
+        self.hedge.note(won);
+    }
+
+    /// Nothing before the second try of what was not run: it met one upstream
+    /// that was full or gone, and another may be free. Else a random wait, so
+    /// that requests that failed together don't return together.
+    fn wait(&mut self, attempt: &Attempt) -> Duration {
+        if attempt.tries <= 1 && attempt.is_not_run() {
+            return Duration::ZERO;
+        }
+        let doublings = attempt.tries.saturating_sub(1).min(DOUBLINGS);
+        let most = BACKOFF * 2_u32.pow(doublings);
+        most.mul_f64(self.rng.random_range(0.0..1.0))
+    }
+}
+
+impl Decide for Policy {
+    fn decide(&mut self, attempt: &Attempt) -> Decision {
+        self.decide(attempt)
+    }
+
+    fn first(&mut self) {
+        self.first();
+    }
+}
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -1,1 +1,199 @@
 //! Tests of `hemlockfield::retry`.
+
+use std::time::Duration;
+
+use hemlockfield::retry::Answer;
+use hemlockfield::retry::Attempt;
+use hemlockfield::retry::Count;
+use hemlockfield::retry::Decision;
+use hemlockfield::retry::Loss;
+use hemlockfield::retry::Outcome;
+use hemlockfield::retry::Policy;
+use hemlockfield::retry::Storm;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const SEEDS: u64 = 10;
+
+fn policy(seed: u64) -> Policy {
+    Policy::new(ChaCha8Rng::seed_from_u64(seed))
+}
+
+fn attempt(idempotent: bool, sent: bool, outcome: Outcome) -> Attempt {
+    Attempt {
+        body_kept: true,
+        head_sent: false,
+        idempotent,
+        outcome,
+        remaining: Duration::from_secs(5),
+        sent,
+        tries: 1,
+    }
+}
+
+#[rstest]
+#[case(false, false, Outcome::ConnectFailed, None)]
+#[case(false, true, Outcome::RefusedNotRun, None)]
+#[case(false, true, Outcome::ConnectFailed, Some(Answer::Unknown))]
+#[case(false, true, Outcome::Cut, Some(Answer::Unknown))]
+#[case(false, true, Outcome::Silent, Some(Answer::Unknown))]
+#[case(false, true, Outcome::Deadline, Some(Answer::Unknown))]
+#[case(false, false, Outcome::Deadline, Some(Answer::NotRun))]
+#[case(false, true, Outcome::Failed { status: 503 }, Some(Answer::Failed))]
+#[case(true, true, Outcome::Failed { status: 503 }, None)]
+#[case(true, true, Outcome::Failed { status: 501 }, Some(Answer::Failed))]
+#[case(true, true, Outcome::Cut, None)]
+#[case(true, true, Outcome::Silent, None)]
+#[case(true, true, Outcome::Deadline, Some(Answer::Failed))]
+fn decide_cases(
+    #[case] idempotent: bool,
+    #[case] sent: bool,
+    #[case] outcome: Outcome,
+    #[case] stops: Option<Answer>,
+) {
+    let decision = policy(1).decide(&attempt(idempotent, sent, outcome));
+    match stops {
+        Some(answer) => assert_eq!(decision, Decision::Stop { answer }),
+        None => assert!(matches!(decision, Decision::Again { .. }), "{decision:?}"),
+    }
+}
+
+#[test]
+fn decide_body_gone() {
+    // An upload was refused by an upstream that was full, after part of it had
+    // streamed through. It can't be sent again from its start, so the caller is
+    // told at once, and truly, that it was not run.
+    let gone = Attempt { body_kept: false, ..attempt(false, true, Outcome::RefusedNotRun) };
+    assert_eq!(policy(1).decide(&gone), Decision::Stop { answer: Answer::NotRun });
+}
+
+#[test]
+fn decide_no_time_left() {
+    // Answers take 100 ms and 50 ms are left: another try can't end in time.
+    let mut policy = policy(1);
+    for _ in 0..64 {
+        policy.note(Duration::from_millis(100));
+    }
+    let remaining = Duration::from_millis(50);
+    let short = Attempt { remaining, ..attempt(true, true, Outcome::Cut) };
+    assert_eq!(policy.decide(&short), Decision::Stop { answer: Answer::Failed });
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        Just(Outcome::ConnectFailed),
+        Just(Outcome::Cut),
+        Just(Outcome::Deadline),
+        (500_u16..600).prop_map(|status| Outcome::Failed { status }),
+        Just(Outcome::RefusedNotRun),
+        Just(Outcome::Silent),
+    ]
+}
+
+proptest! {
+    /// Once a byte may have left, a non-idempotent request is neither tried
+    /// again nor told as not run, unless the upstream's refusal proves it.
+    #[test]
+    fn decide_never_doubles(
+        outcome in outcome(),
+        head_sent in any::<bool>(),
+        body_kept in any::<bool>(),
+        tries in 1_u32..5,
+        seed in any::<u64>(),
+    ) {
+        let sent = Attempt { body_kept, head_sent, tries, ..attempt(false, true, outcome) };
+        let decision = policy(seed).decide(&sent);
+        let proven = outcome == Outcome::RefusedNotRun && !head_sent;
+        if !proven {
+            let whole = matches!(outcome, Outcome::Failed { .. }) && !head_sent;
+            let answer = if whole { Answer::Failed } else { Answer::Unknown };
+            prop_assert_eq!(decision, Decision::Stop { answer });
+        }
+        if head_sent {
+            let stops = matches!(decision, Decision::Stop { .. });
+            prop_assert!(stops);
+        }
+    }
+}
+
+#[rstest]
+#[case(Loss::Domain, 1.3)]
+#[case(Loss::Everything, 2.9)]
+#[case(Loss::Silence, 1.3)]
+fn decide_storm(#[case] loss: Loss, #[case] counted: f64) {
+    // A failure domain goes, or everything refuses, and for ten seconds nothing
+    // turns away from what is lost. Tries stay under 1.1 times the requests in
+    // every second, because further tries are paid from a share of the first.
+    // Three tries for each request make a third more load, or three times as
+    // much when everything refuses.
+    for seed in 0..SEEDS {
+        let storm = Storm { avoid: false, idempotent: true, loss, seed };
+        let ours = storm.run(&|seed| Box::new(policy(seed)));
+        assert!(ours.worst <= 1.1, "{ours:?}");
+        assert_eq!(ours.unknown, 0);
+        let plain = storm.run(&|_| Box::new(Count(3)));
+        assert!(plain.amplification() > counted, "{plain:?}");
+    }
+}
+
+#[test]
+fn decide_storm_avoided() {
+    // The same loss while entries avoid an upstream that failed: nearly every
+    // caller is answered, and the rest is told that it was not run.
+    for seed in 0..SEEDS {
+        let storm = Storm { avoid: true, idempotent: false, loss: Loss::Domain, seed };
+        let ours = storm.run(&|seed| Box::new(policy(seed)));
+        assert!(ours.worst <= 1.1, "{ours:?}");
+        assert!(ours.answered * 100 >= ours.first * 98, "{ours:?}");
+        assert_eq!(ours.first, ours.answered + ours.not_run);
+    }
+}
+
+#[test]
+fn hedge_budget() {
+    // Every lookup is late and every hedge wins: hedges stay within a twentieth
+    // of the first tries, and leave a token for a try after a failure.
+    let mut policy = policy(1);
+    assert_eq!(policy.hedge_after(), None);
+    (0..64).for_each(|_| policy.note(Duration::from_millis(20)));
+    assert_eq!(policy.hedge_after(), Some(Duration::from_millis(20)));
+    let mut hedges = 0;
+    for _ in 0..1000 {
+        policy.first();
+        if policy.hedge(Duration::from_secs(5)) {
+            policy.hedged(true);
+            hedges += 1;
+        }
+    }
+    assert!((45..=52).contains(&hedges), "{hedges}");
+    let failed = attempt(true, true, Outcome::Cut);
+    assert!(matches!(policy.decide(&failed), Decision::Again { .. }));
+}
+
+#[test]
+fn hedge_suspended() {
+    // The whole service is slow, so that no hedge answers first. After sixteen
+    // the policy stops sending them, and looks again 500 requests later.
+    let mut policy = policy(1);
+    (0..64).for_each(|_| policy.note(Duration::from_millis(20)));
+    let mut hedges = 0;
+    while policy.hedge_after().is_some() {
+        policy.first();
+        if policy.hedge(Duration::from_secs(5)) {
+            policy.hedged(false);
+            hedges += 1;
+        }
+    }
+    assert_eq!(hedges, 16);
+    assert!(!policy.hedge(Duration::from_secs(5)));
+    (0..500).for_each(|_| policy.first());
+    assert!(policy.hedge_after().is_some());
+}
