--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -187,7 +187,7 @@
     /// targets, and each would have to refute. It accuses nobody unless another
     /// target answered since the ping left; its observers accuse it.
     fn accuse(&mut self, now: Moment, sent: Moment, target: NodeId, outputs: &mut Vec<Output>) {
-        let alone = self.live().count() <= 2;
+        let alone = self.roster.live() <= 2;
         if !alone && !self.prober.heard_other(&target, sent) {
             return;
         }
@@ -212,7 +212,7 @@
         if now < self.join_at {
             return;
         }
-        let alone = self.live().count() <= 1;
+        let alone = self.roster.live() <= 1;
         self.join_period =
             if alone { JOIN_PERIOD } else { JOIN_PERIOD_MAX.min(self.join_period * 2) };
         self.join_at = now + self.join_period;
--- a/src/fleet/member/receive.rs
+++ b/src/fleet/member/receive.rs
@@ -118,7 +118,7 @@
 
     /// Asks whom this process met first for the whole table.
     fn greet(&mut self, now: Moment, from: &NodeId, outputs: &mut Vec<Output>) {
-        if self.live().count() == 2 && self.may_repair(now, REPAIR_PERIOD) {
+        if self.roster.live() == 2 && self.may_repair(now, REPAIR_PERIOD) {
             self.ask(now, from, outputs);
         }
     }
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -68,6 +68,8 @@
 pub(crate) struct Roster {
     pub(crate) digest: Digest,
     entries: BTreeMap<NodeId, Entry>,
+    live: usize,
+    timed: BTreeSet<NodeId>,
 }
 
 impl Roster {
@@ -75,7 +77,8 @@
     const BUCKETS: usize = 64;
 
     pub(crate) fn new() -> Self {
-        Self { digest: Digest::new(Self::BUCKETS), entries: BTreeMap::new() }
+        let digest = Digest::new(Self::BUCKETS);
+        Self { digest, entries: BTreeMap::new(), live: 0, timed: BTreeSet::new() }
     }
 
     pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
@@ -136,7 +139,13 @@
             Status::Suspect => now >= entry.since + patience(entry, me),
             Status::Failed | Status::Left => false,
         };
-        self.entries.values().filter(overdue).map(|entry| entry.record.id.clone()).collect()
+        let timed = self.timed.iter().filter_map(|id| self.entries.get(id));
+        timed.filter(overdue).map(|entry| entry.record.id.clone()).collect()
+    }
+
+    /// Members that are alive or suspect, this process included.
+    pub(crate) fn live(&self) -> usize {
+        self.live
     }
 
     /// Takes a suspect for failed.
@@ -191,6 +200,7 @@
             return Effect::Nothing;
         }
         entry.contested = Some(now);
+        self.timed.insert(id.clone());
         Effect::Confirmed
     }
 
@@ -198,8 +208,15 @@
         let counted = status < Status::Failed;
         self.digest.set(&record.id, version(&record, status), counted);
         let id = record.id.clone();
+        if status == Status::Suspect {
+            self.timed.insert(id.clone());
+        } else {
+            self.timed.remove(&id);
+        }
         let entry = Entry { accusers, contested: None, record, since: now, status };
-        self.entries.insert(id, entry);
+        let old = self.entries.insert(id, entry);
+        let was_live = old.is_some_and(|entry| entry.status < Status::Failed);
+        self.live = self.live + usize::from(counted) - usize::from(was_live);
     }
 }
 
