--- /dev/null
+++ b/src/cli/client.rs
@@ -0,0 +1,50 @@
+//! Asks a process at its operators' address.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use http_types::Body;
+use http_types::Method;
+use http_types::Request;
+use http_types::Url;
+
+use crate::exchange::Leg;
+use crate::exchange::Limits;
+
+use super::Error;
+
+/// Longest that an operator waits for an answer: a submission during an election takes
+/// a few seconds.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Status and body of an answer.
+pub(super) struct Answer {
+    pub(super) body: String,
+    pub(super) status: u16,
+}
+
+pub(super) fn ask(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: String,
+) -> Result<Answer, Error> {
+    let failed = |reason: String| Error::Ask { address, reason };
+    let url = format!("http://{address}{path}");
+    let url = Url::parse(&url).map_err(|error| failed(error.to_string()))?;
+    let mut request = Request::new(method, url);
+    if !body.is_empty() {
+        request.set_body(Body::from_string(body));
+    }
+    let asked = async {
+        let limits = Limits { connect: PATIENCE, first_byte: PATIENCE, idle: PATIENCE };
+        let leg = Leg::dial(address, PATIENCE).await.map_err(|failure| failure.to_string())?;
+        let answer = leg.ask(request, limits).await.map_err(|failure| failure.to_string())?;
+        let mut response = answer.response;
+        let body = response.body_string().await.map_err(|error| error.to_string())?;
+        Ok(Answer { body, status: response.status().into() })
+    };
+    let answered = async_std::task::block_on(timeout(PATIENCE, asked));
+    answered.unwrap_or_else(|_| Err("no answer in time".to_owned())).map_err(failed)
+}
--- /dev/null
+++ b/src/cli/command.rs
@@ -0,0 +1,81 @@
+use std::process::ExitCode;
+
+use gumdrop::Options as _;
+
+use super::Error;
+use super::bench;
+use super::check;
+use super::demo;
+use super::drain;
+use super::keys;
+use super::load;
+use super::member;
+use super::run;
+use super::status;
+use super::submit;
+use super::upstream;
+
+/// Options before the command.
+#[derive(Debug, gumdrop::Options)]
+pub struct Options {
+    /// print this help
+    pub help: bool,
+    /// print the version
+    #[options(no_short)]
+    pub version: bool,
+    /// what to do
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// One subcommand with its options.
+#[derive(Debug, gumdrop::Options)]
+pub enum Command {
+    /// measure a slice and write a small report
+    Bench(bench::Options),
+    /// find mistakes in settings and rules; explain which rule decides
+    Check(check::Options),
+    /// run the whole system in one process, with a gray failure in the middle
+    Demo(demo::Options),
+    /// make an entry leave without cutting a request
+    Drain(drain::Options),
+    /// make the fleet's authority and the VMs' certificates
+    Keys(keys::Options),
+    /// send an open-loop load and tell what callers received
+    Load(load::Options),
+    /// add, replace or remove a control
+    Member(member::Options),
+    /// run one process of the fleet
+    Run(run::Options),
+    /// show what a process knows
+    Status(status::Options),
+    /// submit a numbered configuration
+    Submit(submit::Options),
+    /// run a stand-in for an upstream, gray on demand
+    Upstream(upstream::Options),
+}
+
+impl Command {
+    /// Usage of the command.
+    pub fn help(&self) -> String {
+        let name = self.command_name().unwrap_or_default();
+        format!("Usage: hemlockfield {name} [OPTIONS]\n\n{}", self.self_usage())
+    }
+
+    /// Runs it to its end.
+    pub(super) fn run(self) -> Result<ExitCode, Error> {
+        match self {
+            Self::Bench(options) => bench::run(&options),
+            Self::Check(options) => Ok(check::run(&options)),
+            Self::Demo(options) => demo::run(&options),
+            Self::Drain(options) => drain::run(&options),
+            Self::Keys(options) => keys::run(&options),
+            Self::Load(options) => load::run(options),
+            Self::Member(options) => member::run(&options),
+            Self::Run(options) => run::run(&options),
+            Self::Status(options) => status::run(&options),
+            Self::Submit(options) => submit::run(&options),
+            Self::Upstream(options) => upstream::run(options),
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/submit.rs
@@ -0,0 +1,51 @@
+//! `hemlockfield submit`: submits a numbered configuration.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use http_types::Method;
+
+use crate::rule::Rules;
+
+use super::Error;
+use super::FINDING;
+use super::client;
+
+/// Options of `submit`.
+#[derive(Debug, gumdrop::Options)]
+pub struct Options {
+    /// print this help
+    pub help: bool,
+    /// file of rules
+    #[options(free)]
+    pub file: Option<PathBuf>,
+    /// operators' address of a process
+    #[options(no_short)]
+    pub node: Option<SocketAddr>,
+    /// number of the configuration, above the one in force
+    #[options(no_short)]
+    pub number: Option<u64>,
+    /// id of this submission; the same id may be sent again until an answer comes
+    #[options(no_short)]
+    pub id: Option<String>,
+}
+
+/// Checks the rules, submits them, and says what became of them.
+pub(super) fn run(options: &Options) -> Result<ExitCode, Error> {
+    let file = options.file.clone().ok_or(Error::Missing("FILE"))?;
+    let node = options.node.ok_or(Error::Missing("--node"))?;
+    let number = options.number.ok_or(Error::Missing("--number"))?;
+    let id = options.id.clone().ok_or(Error::Missing("--id"))?;
+    let named = |source| Error::File { path: file.clone(), source };
+    let text = fs::read_to_string(&file).map_err(named)?;
+    if let Err(error) = Rules::parse_file(&file.display().to_string(), &text) {
+        eprintln!("{error}");
+        return Ok(ExitCode::from(FINDING));
+    }
+    let path = format!("/v1/configuration/{number}?submission={id}");
+    let answer = client::ask(node, Method::Put, &path, text)?;
+    println!("{}", answer.body.trim_end());
+    Ok(ExitCode::from(if answer.status == 200 { 0 } else { FINDING }))
+}
--- /dev/null
+++ b/src/demo/baseline.rs
@@ -0,0 +1,92 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use async_std::task::JoinHandle;
+use http_types::Request;
+
+use crate::exchange::Inlet;
+use crate::exchange::Leg;
+use crate::exchange::Limits;
+use crate::exchange::Outcome;
+use crate::exchange::Outlet;
+use crate::exchange::Payload;
+use crate::exchange::clean_request;
+use crate::exchange::refuse;
+
+use super::Error;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+const BODY_MAX: u64 = 1024 * 1024;
+
+/// A proxy that takes upstreams in turn and decides nothing else.
+pub(super) struct Baseline {
+    address: SocketAddr,
+    accept: JoinHandle<()>,
+}
+
+impl Baseline {
+    pub(super) async fn start(upstreams: Vec<SocketAddr>) -> Result<Self, Error> {
+        let failed = |source| Error::Io { what: "listen", source };
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let turn = Arc::new(AtomicUsize::new(0));
+        let accept = task::spawn(async move {
+            while let Ok((stream, peer)) = listener.accept().await {
+                task::spawn(connection(stream, peer, upstreams.clone(), Arc::clone(&turn)));
+            }
+        });
+        Ok(Self { address, accept })
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(super) async fn stop(self) {
+        self.accept.cancel().await;
+    }
+}
+
+async fn connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    upstreams: Vec<SocketAddr>,
+    turn: Arc<AtomicUsize>,
+) {
+    let mut inlet = Inlet::new(stream, peer);
+    while let Some((request, mut outlet)) = inlet.next(PATIENCE).await {
+        let at = turn.fetch_add(1, Ordering::Relaxed) % upstreams.len();
+        pass_on(request, &mut outlet, upstreams[at]).await;
+        if outlet.is_closing() {
+            return;
+        }
+    }
+}
+
+async fn pass_on(mut request: Request, outlet: &mut Outlet, upstream: SocketAddr) {
+    let Ok(mut payload) = Payload::take(&mut request, BODY_MAX, PATIENCE).await else {
+        outlet.close_after();
+        return;
+    };
+    clean_request(&mut request);
+    payload.put(&mut request);
+    let limits = Limits { connect: PATIENCE, first_byte: PATIENCE, idle: PATIENCE };
+    let answered = async { Leg::dial(upstream, PATIENCE).await?.ask(request, limits).await };
+    let response = match answered.await {
+        Ok(answer) => {
+            let mut answer = answer;
+            let body = answer.response.take_body();
+            let mut response = http_types::Response::new(answer.response.status());
+            response.set_body(body);
+            response
+        }
+        Err(failure) => refuse(502, Outcome::Unknown, &failure.to_string(), None),
+    };
+    outlet.send(response).await.ok();
+}
--- a/src/directory/machine.rs
+++ b/src/directory/machine.rs
@@ -34,12 +34,12 @@
     answers: u64,
     grants: Grants,
     leaving: Option<Moment>,
+    lifetime: Duration,
     region: RegionId,
 }
 
 impl Directory {
-    /// Longest time that a caller keeps an answer; the same at every entry, so that a
-    /// leaving one knows when the last answer that names it is over.
+    /// Usual time that a caller keeps an answer.
     pub const LIFETIME: Duration = Duration::from_secs(30);
 
     /// Entries in an answer. With four in different failure domains a caller has
@@ -50,9 +50,11 @@
     /// many; the rest is elsewhere, for the loss of the region.
     const NEAR: usize = 4;
 
-    /// Directory of an entry in `region`.
-    pub fn new(region: RegionId) -> Self {
-        Self { answers: 0, grants: Grants::default(), leaving: None, region }
+    /// Directory of an entry in `region`. `lifetime` is the longest time that a caller
+    /// keeps an answer; the same at every entry, so that a leaving one knows when the
+    /// last answer that names it is over.
+    pub fn new(region: RegionId, lifetime: Duration) -> Self {
+        Self { answers: 0, grants: Grants::default(), leaving: None, lifetime, region }
     }
 
     /// Decides an answer from the live entries.
@@ -91,7 +93,7 @@
 
     /// Whether every answer that may name this leaving entry is over.
     pub fn safe_to_stop(&self, now: Moment) -> bool {
-        self.leaving.is_some_and(|at| now >= at + NOTICE + Self::LIFETIME)
+        self.leaving.is_some_and(|at| now >= at + NOTICE + self.lifetime)
     }
 
     /// Entries worth naming, by a hash of the caller; suspects follow all others.
@@ -123,7 +125,7 @@
     fn lifetime(&self, caller: &str) -> Duration {
         let hash = xxh3_64_with_seed(caller.as_bytes(), self.answers);
         let part = (hash % 1000) as f64 / 1000.0;
-        Self::LIFETIME.mul_f64(1.0 - JITTER * part)
+        self.lifetime.mul_f64(1.0 - JITTER * part)
     }
 }
 
--- a/src/exchange/error.rs
+++ b/src/exchange/error.rs
@@ -11,6 +11,9 @@
         /// Bytes announced or seen.
         size: u64,
     },
+    /// More callers' connections than the process takes.
+    #[error("too many connections are open here; use another entry")]
+    Connections,
     /// Byte that no message head may hold.
     #[error("byte `{0:#04x}` in the head is not allowed: heads are ASCII text")]
     HeadByte(u8),
@@ -23,6 +26,9 @@
     /// Head that the HTTP library can't read.
     #[error("request head `{0}` can't be read")]
     Malformed(String),
+    /// Path that an upstream may read as another than the rules matched.
+    #[error("path `{0}` holds an escaped or backward slash")]
+    Path(String),
     /// Transfer coding other than chunked.
     #[error("transfer coding `{0}` is not supported: use `chunked`")]
     TransferCoding(String),
@@ -36,7 +42,8 @@
     pub fn status(&self) -> u16 {
         match self {
             Self::BodySize { .. } => 413,
-            Self::HeadByte(_) | Self::Length(_) | Self::Malformed(_) => 400,
+            Self::Connections => 503,
+            Self::HeadByte(_) | Self::Length(_) | Self::Malformed(_) | Self::Path(_) => 400,
             Self::HeadSize(_) => 431,
             Self::Method(_) | Self::TransferCoding(_) => 501,
         }
--- a/src/exchange/exact.rs
+++ b/src/exchange/exact.rs
@@ -28,6 +28,7 @@
 /// Without it a cut body ends like a whole one, and the caller takes half an answer for
 /// all of it.
 pub struct Exact {
+    broken: Arc<AtomicBool>,
     complete: Arc<AtomicBool>,
     idle: Duration,
     left: Option<u64>,
@@ -44,6 +45,7 @@
     /// `limit` bytes, with at most `idle` between two of them.
     pub fn new(source: Source, length: Option<u64>, limit: u64, idle: Duration) -> Self {
         Self {
+            broken: Arc::default(),
             complete: Arc::new(AtomicBool::new(length == Some(0))),
             idle,
             left: length,
@@ -54,6 +56,12 @@
         }
     }
 
+    /// Becomes true when the body broke off: the fault of whoever sent it, and not of
+    /// whoever it is passed on to.
+    pub fn broken(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.broken)
+    }
+
     /// Becomes true when the body has been read to its exact end.
     pub fn complete(&self) -> Arc<AtomicBool> {
         Arc::clone(&self.complete)
@@ -61,7 +69,7 @@
 
     fn count(&mut self, count: usize) -> io::Result<usize> {
         let count_bytes = count as u64;
-        self.limit = self.limit.checked_sub(count_bytes).ok_or_else(|| over_limit())?;
+        self.limit = self.limit.checked_sub(count_bytes).ok_or_else(over_limit)?;
         match &mut self.left {
             Some(left) if count == 0 && *left > 0 => return Err(cut(*left)),
             Some(left) => {
@@ -73,6 +81,28 @@
         Ok(count)
     }
 
+    fn poll_source(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        match Pin::new(&mut self.source).poll_read(context, buffer) {
+            Poll::Ready(Ok(count)) => {
+                self.patience = None;
+                self.nudge = None;
+                Poll::Ready(self.count(count))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending if self.is_expired(context) => Poll::Ready(Err(stalled(self.idle))),
+            Poll::Pending => {
+                if self.left.is_none() {
+                    self.arm_nudge(context);
+                }
+                Poll::Pending
+            }
+        }
+    }
+
     fn is_expired(&mut self, context: &mut Context<'_>) -> bool {
         let idle = self.idle;
         let patience = self.patience.get_or_insert_with(|| timer(idle));
@@ -98,21 +128,11 @@
         if exact.left == Some(0) || buffer.is_empty() {
             return Poll::Ready(Ok(0));
         }
-        match Pin::new(&mut exact.source).poll_read(context, buffer) {
-            Poll::Ready(Ok(count)) => {
-                exact.patience = None;
-                exact.nudge = None;
-                Poll::Ready(exact.count(count))
-            }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending if exact.is_expired(context) => Poll::Ready(Err(stalled(exact.idle))),
-            Poll::Pending => {
-                if exact.left.is_none() {
-                    exact.arm_nudge(context);
-                }
-                Poll::Pending
-            }
+        let polled = exact.poll_source(context, buffer);
+        if matches!(polled, Poll::Ready(Err(_))) {
+            exact.broken.store(true, Ordering::Release);
         }
+        polled
     }
 }
 
--- a/src/exchange/head.rs
+++ b/src/exchange/head.rs
@@ -51,6 +51,10 @@
     if request.header("host").is_some_and(|hosts| hosts.iter().count() != 1) {
         return Err(Error::Malformed("host".to_owned()));
     }
+    let path = request.url().path().to_ascii_lowercase();
+    if path.contains("%2f") || path.contains("%5c") || path.contains('\\') {
+        return Err(Error::Path(path));
+    }
     if matches!(request.method(), Method::Connect | Method::Trace) {
         return Err(Error::Method(request.method().to_string()));
     }
--- a/src/exchange/leg.rs
+++ b/src/exchange/leg.rs
@@ -1,4 +1,6 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -89,8 +91,8 @@
             }
         };
         match self.frame(response, method, limits).await {
-            Ok((response, complete, keep)) => {
-                Ok(Answer { response, complete, keep: keep && sent, leg: self })
+            Ok(Framed { broken, complete, keep, response }) => {
+                Ok(Answer { broken, complete, keep, leg: self, response, sent })
             }
             Err(failure) => {
                 self.close();
@@ -168,7 +170,7 @@
         mut response: Response,
         method: Method,
         limits: Limits,
-    ) -> Result<(Response, std::sync::Arc<std::sync::atomic::AtomicBool>, bool), Failure> {
+    ) -> Result<Framed, Failure> {
         let keep = !says_close(&response);
         let chunked = response.header(TRANSFER_ENCODING).is_some();
         let length = declared(&response)?;
@@ -182,7 +184,7 @@
             if method == Method::Head && shown.is_some() {
                 response.set_body(Body::from_reader(io::empty(), shown));
             }
-            return Ok((response, exact.complete(), keep));
+            return Ok(Framed::new(&exact, keep, response));
         }
         match length {
             Some(length) => self.tap.expect_body(length),
@@ -190,7 +192,8 @@
             None => return Err(Failure::Unbounded),
         }
         let mut exact = Exact::new(source, length, u64::MAX, limits.idle);
-        let complete = exact.complete();
+        let mut framed = Framed::new(&exact, keep, response);
+        let response = &mut framed.response;
         let kind = response.header("content-type").map(|values| values.last().as_str().to_owned());
         if let Some(length) = length.filter(|length| *length <= HELD_MAX) {
             let mut bytes = Vec::with_capacity(length as usize);
@@ -205,7 +208,21 @@
             Some(kind) => drop(response.insert_header("content-type", kind)),
             None => drop(response.remove_header("content-type")),
         }
-        Ok((response, complete, keep))
+        Ok(framed)
+    }
+}
+
+/// An answer whose body's end is known.
+struct Framed {
+    broken: Arc<AtomicBool>,
+    complete: Arc<AtomicBool>,
+    keep: bool,
+    response: Response,
+}
+
+impl Framed {
+    fn new(exact: &Exact, keep: bool, response: Response) -> Self {
+        Self { broken: exact.broken(), complete: exact.complete(), keep, response }
     }
 }
 
--- a/src/exchange/refusal.rs
+++ b/src/exchange/refusal.rs
@@ -12,8 +12,12 @@
 /// What became of a request that has no answer of its own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
+    /// It ran when it was sent before; its answer is not kept.
+    AlreadyRun,
     /// It ran and failed, or its answer was lost; being idempotent, it may be sent again.
     Failed,
+    /// It is being run, by an earlier sending.
+    InProgress,
     /// It reached no upstream, or the upstream documented that it did not run it.
     NotRun,
     /// It may or may not have run.
@@ -24,7 +28,9 @@
     /// Value of [`OUTCOME_HEADER`].
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::AlreadyRun => "already-run",
             Self::Failed => "failed",
+            Self::InProgress => "in-progress",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
         }
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -34,6 +34,7 @@
 /// One caller: its name, its connections and the entries it was told to use.
 pub(super) struct Caller {
     client: Mutex<directory::Client>,
+    directory: bool,
     name: CompactString,
     pool: Pool,
     started: Instant,
@@ -57,7 +58,8 @@
 impl Caller {
     pub(super) fn new(name: &str, entries: Vec<SocketAddr>, directory: bool) -> Self {
         Self {
-            client: Mutex::new(directory::Client::new(name.into(), entries, directory)),
+            client: Mutex::new(directory::Client::new(entries)),
+            directory,
             name: name.into(),
             pool: Pool::default(),
             started: Instant::now(),
@@ -158,14 +160,14 @@
     /// The entry to use, after asking one of them where the list has run out.
     async fn entry(&self) -> Option<SocketAddr> {
         let now = self.started.elapsed();
-        let ask = self.client().ask(now);
+        let ask = if self.directory { self.client().ask(now) } else { None };
         if let Some(entry) = ask {
             match self.list(entry).await {
-                Some(answer) => self.client().answered(self.started.elapsed(), answer),
-                None => self.client().failed(self.started.elapsed(), entry),
+                Some(answer) => self.client().learn(self.started.elapsed(), answer),
+                None => self.client().unanswered(self.started.elapsed()),
             }
         }
-        self.client().entry(self.started.elapsed())
+        self.client().entry()
     }
 
     async fn list(&self, entry: SocketAddr) -> Option<directory::Answer> {
@@ -190,7 +192,8 @@
     let outcome = response.header(exchange::OUTCOME_HEADER).map(|values| values.last().as_str());
     match outcome {
         Some("not-run") => Some(Told::NotRun),
-        Some("unknown") => Some(Told::Unknown),
+        Some("unknown" | "in-progress") => Some(Told::Unknown),
+        Some("already-run") => Some(Told::Answer),
         Some(_) => Some(Told::Failed),
         None if response.status().is_success() => None,
         None => Some(Told::Failed),
@@ -198,6 +201,8 @@
 }
 
 fn retry_after(response: &http_types::Response) -> Duration {
-    let text = response.header(exchange::RETRY_AFTER_MS_HEADER).map(|values| values.last());
+    let text = response
+        .header(exchange::RETRY_AFTER_MS_HEADER)
+        .map(http_types::headers::HeaderValues::last);
     text.and_then(|text| text.as_str().parse().ok()).map_or(Duration::ZERO, Duration::from_millis)
 }
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -41,15 +41,7 @@
                 latencies[sample.kind].saturating_record(micros(sample.latency));
             }
         }
-        Ok(Self {
-            doubled: 0,
-            kinds,
-            latencies,
-            phantom: 0,
-            ran_though_refused: 0,
-            samples,
-            told,
-        })
+        Ok(Self { doubled: 0, kinds, latencies, phantom: 0, ran_though_refused: 0, samples, told })
     }
 
     /// Requests that were told so, over all kinds.
--- /dev/null
+++ b/src/node/core/configuration.rs
@@ -0,0 +1,124 @@
+use std::sync::Arc;
+
+use crate::clock::Moment;
+use crate::config;
+use crate::config::Version;
+use crate::fleet;
+use crate::node::clerk;
+use crate::node::core::Core;
+use crate::node::core::Output;
+use crate::node::office;
+use crate::quorum;
+use crate::rule::Rules;
+use crate::timeline::Kind;
+use crate::wire::Frame;
+
+impl Core {
+    pub(super) fn tell_office(
+        &mut self,
+        now: Moment,
+        input: office::Input,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(office) = &mut self.office else { return };
+        for output in office.handle(now, self.wall, input) {
+            match output {
+                office::Output::Changed(ticket, result) => {
+                    outputs.push(Output::Changed(ticket, result));
+                }
+                office::Output::Committed(version) => {
+                    let number = version.number;
+                    let event = self.event(Kind::ConfigurationAccepted).configuration(number);
+                    outputs.push(Output::Event(event));
+                    self.tell_holder(now, config::Input::Committed(version), outputs);
+                }
+                office::Output::Leads(leads) => {
+                    self.tell_holder(now, config::Input::Leads(leads), outputs);
+                }
+                office::Output::Persist(number, records) => {
+                    outputs.push(Output::Persist(number, records));
+                }
+                office::Output::Send(to, frame) => self.send(now, to, frame, outputs),
+                office::Output::Term(role, term) => {
+                    let event = self.event(Kind::Election).term(term);
+                    outputs.push(Output::Event(event.detail("role", format!("{role:?}"))));
+                }
+            }
+        }
+    }
+
+    pub(super) fn change(
+        &mut self,
+        now: Moment,
+        ticket: u64,
+        change: quorum::Change,
+        outputs: &mut Vec<Output>,
+    ) {
+        if self.office.is_none() {
+            let text = "this process is no control; ask one".to_owned();
+            outputs.push(Output::Changed(ticket, Err(text)));
+            return;
+        }
+        self.tell_office(now, office::Input::Change(ticket, change), outputs);
+    }
+
+    pub(super) fn tell_holder(
+        &mut self,
+        now: Moment,
+        input: config::Input,
+        outputs: &mut Vec<Output>,
+    ) {
+        for output in self.holder.handle(now, input) {
+            match output {
+                config::Output::Apply(version) => self.apply(now, version, outputs),
+                config::Output::Send { message, to } => {
+                    self.send(now, to, Frame::Config(message), outputs);
+                }
+                config::Output::Stand(standing) => {
+                    self.dirty = true;
+                    self.describe(now, outputs);
+                    let event = self.event(Kind::Other("standing".into()));
+                    outputs.push(Output::Event(event.detail("is", format!("{standing:?}"))));
+                }
+            }
+        }
+    }
+
+    /// Puts a version in force here. It was checked before it was proposed; one that
+    /// this build can't read leaves the rules as they are and is told in the log.
+    fn apply(&mut self, now: Moment, version: Version, outputs: &mut Vec<Output>) {
+        let event = self.event(Kind::ConfigurationApplied).configuration(version.number);
+        outputs.push(Output::Event(event));
+        self.take_rules(&version);
+        self.tell_member(now, fleet::Input::Configuration(version.number), outputs);
+        self.set_judges(now, outputs);
+        outputs.push(Output::Apply(version));
+    }
+
+    pub(super) fn take_rules(&mut self, version: &Version) {
+        match Rules::parse(&version.document) {
+            Ok(rules) => self.rules = Some(Arc::new(rules)),
+            Err(error) => {
+                let number = version.number;
+                tracing::error!(target: "hemlockfield::config", number, "can't be read: {error}");
+            }
+        }
+        self.dirty = true;
+    }
+
+    pub(super) fn carry_out(
+        &mut self,
+        now: Moment,
+        done: Vec<clerk::Output>,
+        outputs: &mut Vec<Output>,
+    ) {
+        for output in done {
+            match output {
+                clerk::Output::Answer(ticket, verdict) => {
+                    outputs.push(Output::Verdict(ticket, verdict));
+                }
+                clerk::Output::Send(to, frame) => self.send(now, to, frame, outputs),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/core/quality.rs
@@ -0,0 +1,148 @@
+use std::time::Duration;
+
+use rand::RngCore;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::clock::Moment;
+use crate::health;
+use crate::health::Judge;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::node::core::Core;
+use crate::node::core::Output;
+use crate::registry;
+use crate::timeline::Event;
+use crate::timeline::Kind;
+use crate::wire::Frame;
+
+impl Core {
+    pub(super) fn outcome(
+        &mut self,
+        now: Moment,
+        service: ServiceId,
+        upstream: UpstreamId,
+        kind: health::Kind,
+        latency: Duration,
+        outputs: &mut Vec<Output>,
+    ) {
+        let input = health::Input::Outcome { kind, latency, upstream };
+        self.tell_judge(now, &service, input, outputs);
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        now: Moment,
+        service: ServiceId,
+        upstream: UpstreamId,
+        draining: Option<bool>,
+        healthy: bool,
+        outputs: &mut Vec<Output>,
+    ) {
+        if let Some(draining) = draining {
+            let incarnation = None;
+            let input =
+                registry::Input::Answered { draining, incarnation, upstream: upstream.clone() };
+            self.tell_registry(now, input, outputs);
+        }
+        let input = health::Input::Report { healthy, upstream };
+        self.tell_judge(now, &service, input, outputs);
+    }
+
+    pub(super) fn tell_judge(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        input: health::Input,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(judge) = self.judges.get_mut(service) else { return };
+        let done = judge.handle(now, input);
+        self.judged(now, service, done, outputs);
+    }
+
+    pub(super) fn tick_judges(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if now < self.judged_at + health::Setup::TICK {
+            return;
+        }
+        self.judged_at = now;
+        let services: Vec<ServiceId> = self.judges.keys().cloned().collect();
+        for service in services {
+            self.tell_judge(now, &service, health::Input::Tick, outputs);
+        }
+    }
+
+    /// Makes a judge for each service in force, and takes over what operators changed.
+    pub(super) fn set_judges(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        let Some(rules) = self.rules.clone() else { return };
+        self.judges.retain(|service, _| rules.service(service).is_some());
+        for (name, service) in rules.services() {
+            let setup = health::Setup {
+                floor_count: 1,
+                floor_share: service.floor,
+                sensitivity: service.sensitivity,
+            };
+            match self.judges.get_mut(name) {
+                Some(judge) => {
+                    let done = judge.set_setup(now, setup);
+                    self.judged(now, name, done, outputs);
+                }
+                None => {
+                    let random = ChaCha8Rng::seed_from_u64(self.random.next_u64());
+                    let judge = Judge::new(self.me.id.clone(), setup, random);
+                    self.judges.insert(name.clone(), judge);
+                    self.introduce(now, name, outputs);
+                }
+            }
+        }
+    }
+
+    pub(super) fn judged(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        done: Vec<health::Output>,
+        outputs: &mut Vec<Output>,
+    ) {
+        for output in done {
+            let (kind, upstream, why) = match output {
+                health::Output::Eject { reason, upstream } => {
+                    (Kind::Ejected, upstream, format!("{reason:?}"))
+                }
+                health::Output::Kept { reason, upstream } => {
+                    self.at_floor.insert(service.clone());
+                    (Kind::Other("kept".into()), upstream, format!("{reason:?}"))
+                }
+                health::Output::Readmit { reason, upstream } => {
+                    self.at_floor.remove(service);
+                    (Kind::Readmitted, upstream, format!("{reason:?}"))
+                }
+                health::Output::Share(digest) => {
+                    self.share(now, service, &digest, outputs);
+                    continue;
+                }
+                health::Output::Trial { upstream } => {
+                    (Kind::Other("trial".into()), upstream, String::new())
+                }
+            };
+            self.dirty = true;
+            let event: Event = self.event(kind).service(service.clone()).upstream(upstream);
+            outputs.push(Output::Event(event.detail("why", why)));
+        }
+    }
+
+    /// Sends evidence to the processes that this one holds links to anyway: eight or
+    /// so, at 520 entries as at 44, each of whom sees the upstream as often as this one.
+    fn share(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        digest: &health::Digest,
+        outputs: &mut Vec<Output>,
+    ) {
+        for neighbour in self.neighbours() {
+            let frame = Frame::Health { digest: digest.clone(), service: service.clone() };
+            self.send(now, neighbour, frame, outputs);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/input.rs
@@ -0,0 +1,73 @@
+use std::time::Duration;
+
+use async_std::channel::Sender;
+
+use crate::claim;
+use crate::config::Version;
+use crate::health;
+use crate::id::NodeId;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::quorum;
+use crate::registry;
+use crate::wire::Verdict;
+
+use super::Status;
+
+/// What the control thread of a process is told.
+#[derive(Debug)]
+pub enum Input {
+    /// An upstream announced itself here; the sender takes the answer.
+    Announce(registry::Announcement, Sender<Result<(), String>>),
+    /// A change of the controls' membership; the sender takes the answer.
+    Change(quorum::Change, Sender<Result<u64, String>>),
+    /// A request's claim; the sender takes the end of the question.
+    Claim(claim::Ticket, claim::Request, Duration, Sender<Claimed>),
+    /// What became of a granted claim; `None` where it is proved not to have run.
+    ClaimEnd(claim::Ticket, Option<claim::Outcome>),
+    /// Stop giving this process to callers; it ends when all is done.
+    Drain,
+    /// A frame of another process.
+    Frame(NodeId, Vec<u8>),
+    /// Requests that wait unusually long for an upstream's first byte.
+    Overdue(ServiceId, UpstreamId, Vec<Duration>),
+    /// A request to an upstream ended.
+    Outcome {
+        /// How it ended.
+        kind: health::Kind,
+        /// Until the first byte of its answer.
+        latency: Duration,
+        /// Service of the upstream.
+        service: ServiceId,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// An upstream's own report, asked of it by this process.
+    Probed {
+        /// Whether it says that it is leaving; `None` where it gave no answer.
+        draining: Option<bool>,
+        /// What it says of its health.
+        healthy: bool,
+        /// Service of the upstream.
+        service: ServiceId,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// What this process knows; for operators.
+    Status(Sender<Status>),
+    /// Serving is over: tell the others, and end the control thread.
+    Stop,
+    /// A configuration that an operator submitted here.
+    Submit(Version, Sender<Verdict>),
+}
+
+/// End of a question for a claim.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Claimed {
+    /// Not to be dispatched; the caller is told this.
+    Answer(claim::Answer),
+    /// To be dispatched.
+    Granted,
+    /// Not to be dispatched, and refused as not run.
+    Refused(Duration),
+}
--- /dev/null
+++ b/src/node/links/plain.rs
@@ -0,0 +1,69 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+
+use async_std::channel::Sender;
+
+use crate::id::NodeId;
+use crate::link;
+use crate::node::Carrier;
+use crate::node::Error;
+use crate::node::Input;
+use crate::settings::Settings;
+
+/// Largest frame that one datagram carries, in bytes.
+const DATAGRAM_MAX: usize = 65_000;
+
+/// Datagrams without keys, for trials on one VM: the settings allow them on loopback
+/// only, since whoever reaches the port could join.
+struct Plain {
+    me: NodeId,
+    peers: BTreeMap<NodeId, SocketAddr>,
+    socket: UdpSocket,
+}
+
+pub(super) fn start(
+    settings: &Settings,
+    control: Sender<Input>,
+) -> Result<Box<dyn Carrier>, Error> {
+    tracing::warn!(target: "hemlockfield::link", "no keys: links are for trials on loopback");
+    let address = settings.listen.links;
+    let listen = |source| Error::Listen { address, source };
+    let socket = UdpSocket::bind(address).map_err(listen)?;
+    let reader = socket.try_clone().map_err(listen)?;
+    std::thread::Builder::new()
+        .name("links".into())
+        .spawn(move || read(&reader, &control))
+        .map_err(Error::Thread)?;
+    let peers = settings.peers.iter().map(|peer| (peer.id.clone(), peer.links)).collect();
+    Ok(Box::new(Plain { me: settings.node.id.clone(), peers, socket }))
+}
+
+impl Carrier for Plain {
+    fn keep(&mut self, _: &[NodeId]) {}
+
+    fn send(&mut self, to: &NodeId, address: Option<SocketAddr>, bytes: Vec<u8>) {
+        let Some(address) = address.or_else(|| self.peers.get(to).copied()) else { return };
+        let Ok(packet) = postcard::to_stdvec(&(&self.me, bytes)) else { return };
+        if packet.len() > DATAGRAM_MAX {
+            tracing::warn!(target: "hemlockfield::link", peer = %to, "frame is too large");
+            return;
+        }
+        self.socket.send_to(&packet, address).ok();
+    }
+
+    fn status(&self) -> Option<link::Status> {
+        None
+    }
+}
+
+fn read(socket: &UdpSocket, control: &Sender<Input>) {
+    let mut buffer = vec![0; DATAGRAM_MAX + 1];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer) else { continue };
+        let Ok((from, bytes)) = postcard::from_bytes(&buffer[..length]) else { continue };
+        if control.send_blocking(Input::Frame(from, bytes)).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/node/links/quic.rs
@@ -0,0 +1,67 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use async_std::channel::Sender;
+use stop_token::StopSource;
+
+use crate::id::NodeId;
+use crate::keys::Paths;
+use crate::link;
+use crate::link::Endpoint;
+use crate::node::Carrier;
+use crate::node::Error;
+use crate::node::Input;
+use crate::settings::Keys;
+use crate::settings::Settings;
+
+/// Links with keys.
+struct Quic {
+    addresses: BTreeMap<NodeId, SocketAddr>,
+    endpoint: Endpoint,
+    _stop: StopSource,
+    wanted: BTreeSet<NodeId>,
+}
+
+pub(super) fn start(
+    settings: &Settings,
+    keys: &Keys,
+    control: Sender<Input>,
+) -> Result<Box<dyn Carrier>, Error> {
+    let paths = Paths { authority: keys.authority.clone(), identity: keys.identity.clone() };
+    let links = link::Settings::new(settings.node.id.clone(), settings.listen.links, paths);
+    let stop = StopSource::new();
+    // What control can't take now is dropped, as by a network: the slices send again.
+    let receive = move |from: &NodeId, bytes: Vec<u8>| {
+        control.try_send(Input::Frame(from.clone(), bytes)).ok();
+    };
+    let endpoint = Endpoint::start(links, Box::new(receive), stop.token())?;
+    let addresses: BTreeMap<NodeId, SocketAddr> =
+        settings.peers.iter().map(|peer| (peer.id.clone(), peer.links)).collect();
+    endpoint.set_addresses(addresses.clone());
+    Ok(Box::new(Quic { addresses, endpoint, _stop: stop, wanted: BTreeSet::new() }))
+}
+
+impl Carrier for Quic {
+    fn keep(&mut self, neighbours: &[NodeId]) {
+        let wanted: BTreeSet<NodeId> = neighbours.iter().cloned().collect();
+        if wanted != self.wanted {
+            self.endpoint.set_wanted(&wanted);
+            self.wanted = wanted;
+        }
+    }
+
+    fn send(&mut self, to: &NodeId, address: Option<SocketAddr>, bytes: Vec<u8>) {
+        if let Some(address) = address
+            && self.addresses.get(to) != Some(&address)
+        {
+            self.addresses.insert(to.clone(), address);
+            self.endpoint.set_addresses([(to.clone(), address)]);
+        }
+        self.endpoint.send(to, bytes);
+    }
+
+    fn status(&self) -> Option<link::Status> {
+        Some(self.endpoint.status())
+    }
+}
--- /dev/null
+++ b/src/node/office.rs
@@ -0,0 +1,388 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::claim;
+use crate::claim::Desk;
+use crate::claim::Ledger;
+use crate::clock::Epoch;
+use crate::clock::Moment;
+use crate::config;
+use crate::config::Book;
+use crate::config::Patch;
+use crate::config::Version;
+use crate::id::Index;
+use crate::id::NodeId;
+use crate::quorum;
+use crate::quorum::Record;
+use crate::quorum::Recovered;
+use crate::quorum::Replica;
+use crate::wire::Frame;
+use crate::wire::Verdict;
+
+use super::snapshot::Body;
+use super::snapshot::Command;
+use super::snapshot::Image;
+
+/// Applied entries after which the log is shortened: a restart replays at most these.
+const SNAPSHOT_AFTER: Index = 5_000;
+/// Groups of claims that may be on their way to the disks at a time: while one is
+/// synced, the next is sent.
+const GROUPS_MAX: usize = 2;
+/// Positions for which a reply waits to be asked for: those that an earlier leader
+/// proposed have nobody who asks.
+const REPLIES_MAX: Index = 1_000;
+/// How often a leader proves that it still leads, for those who ask what is in force.
+const PROOF_PERIOD: Duration = Duration::from_secs(1);
+
+/// A control's part: the quorum log and what it has brought about.
+#[derive(Debug)]
+pub struct Office {
+    applied: Index,
+    book: Book,
+    desk: Desk,
+    groups: usize,
+    leads: bool,
+    ledger: Ledger,
+    next_ticket: u64,
+    proof_at: Moment,
+    proposals: BTreeMap<u64, Proposal>,
+    replica: Replica,
+    replies: BTreeMap<Index, Verdict>,
+    snapshot_at: Index,
+}
+
+/// What an office is told.
+#[derive(Debug)]
+pub enum Input {
+    /// Change of the controls' membership, with the operator's ticket.
+    Change(u64, quorum::Change),
+    /// Claims of an entry.
+    Claims(NodeId, Vec<claim::Action>),
+    /// Message of another replica.
+    Receive(NodeId, quorum::Message),
+    /// Submission of an operator, by way of a process and its ticket.
+    Submit(NodeId, u64, Version),
+    /// Records up to this number are on disk.
+    Synced(u64),
+    /// Time has passed.
+    Tick,
+}
+
+/// What an office wants done, in this order.
+#[derive(Debug)]
+pub enum Output {
+    /// Answer to a change of the membership.
+    Changed(u64, Result<Index, String>),
+    /// A configuration is committed.
+    Committed(Version),
+    /// This replica has proved that it leads, or leads no more.
+    Leads(bool),
+    /// Records to write and sync.
+    Persist(u64, Vec<Record>),
+    /// Frame to send.
+    Send(NodeId, Frame),
+    /// This replica leads from this term on, or no more.
+    Term(quorum::Role, u64),
+}
+
+#[derive(Clone, Debug)]
+enum Proposal {
+    Change(u64),
+    Claims,
+    Proof,
+    Submit { from: NodeId, ticket: u64, version: Version },
+}
+
+impl Office {
+    /// Office over what its data folder still knows.
+    pub fn new(setup: quorum::Setup, recovered: Recovered, seed: u64) -> Self {
+        Self {
+            applied: 0,
+            book: Book::default(),
+            desk: Desk::default(),
+            groups: 0,
+            leads: false,
+            ledger: Ledger::new(claim::Limits::default()),
+            next_ticket: 0,
+            proof_at: Moment::ZERO,
+            proposals: BTreeMap::new(),
+            replica: Replica::new(setup, recovered, seed),
+            replies: BTreeMap::new(),
+            snapshot_at: 0,
+        }
+    }
+
+    /// Takes one input, and says what to do about it.
+    pub fn handle(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        match input {
+            Input::Change(ticket, change) => {
+                let ticket = self.note(Proposal::Change(ticket));
+                self.tell(now, quorum::Input::Change { ticket, change }, &mut outputs);
+            }
+            Input::Claims(from, actions) => self.claims(from, actions, &mut outputs),
+            Input::Receive(from, message) => {
+                self.tell(now, quorum::Input::Receive { from, message }, &mut outputs);
+            }
+            Input::Submit(from, ticket, version) => {
+                self.submit(now, wall, Proposal::Submit { from, ticket, version }, &mut outputs);
+            }
+            Input::Synced(number) => {
+                self.tell(now, quorum::Input::Synced { number }, &mut outputs);
+            }
+            Input::Tick => self.tick(now, &mut outputs),
+        }
+        self.propose_claims(now, wall, &mut outputs);
+        self.shorten(now, &mut outputs);
+        outputs
+    }
+
+    /// When the next [`Input::Tick`] is due.
+    pub fn wake(&self) -> Option<Moment> {
+        self.replica.wake()
+    }
+
+    /// What operators see of the log.
+    pub fn status(&self, now: Moment) -> quorum::Status {
+        self.replica.status(now)
+    }
+
+    /// What is in force as far as this replica has applied the log.
+    pub fn in_force(&self) -> Option<&Version> {
+        self.book.in_force()
+    }
+
+    /// Keys remembered.
+    pub fn claims_kept(&self) -> usize {
+        self.ledger.len()
+    }
+
+    fn tick(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        self.tell(now, quorum::Input::Tick, outputs);
+        if self.leads && self.proof_at <= now {
+            self.proof_at = now + PROOF_PERIOD;
+            let ticket = self.note(Proposal::Proof);
+            self.tell(now, quorum::Input::Read { ticket }, outputs);
+        }
+    }
+
+    fn claims(&mut self, from: NodeId, actions: Vec<claim::Action>, outputs: &mut Vec<Output>) {
+        if self.leads {
+            self.desk.push(&from, actions);
+            return;
+        }
+        let message = claim::Message::Redirect(self.leader());
+        outputs.push(Output::Send(from, Frame::Claim(message)));
+    }
+
+    fn leader(&self) -> Option<NodeId> {
+        self.replica.leader().cloned()
+    }
+
+    /// Proposes a configuration as a difference where that is smaller.
+    fn submit(&mut self, now: Moment, wall: Epoch, proposal: Proposal, outputs: &mut Vec<Output>) {
+        let Proposal::Submit { from, ticket, version } = &proposal else { return };
+        if !self.leads {
+            let verdict = Verdict::NotLeader(self.leader());
+            outputs.push(verdict_to(from, *ticket, verdict));
+            return;
+        }
+        let command = match self.book.in_force() {
+            Some(base) => smaller(Patch::between(base, version), version),
+            None => config::Command::Submit(version.clone()),
+        };
+        self.propose(now, wall, proposal, Body::Config(command), outputs);
+    }
+
+    fn propose_claims(&mut self, now: Moment, wall: Epoch, outputs: &mut Vec<Output>) {
+        while self.leads && self.groups < GROUPS_MAX {
+            let Some(command) = self.desk.take() else { return };
+            self.groups += 1;
+            self.propose(now, wall, Proposal::Claims, Body::Claims(command), outputs);
+        }
+    }
+
+    fn propose(
+        &mut self,
+        now: Moment,
+        wall: Epoch,
+        proposal: Proposal,
+        body: Body,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Ok(command) = postcard::to_stdvec(&Command { at: wall, body }) else { return };
+        let ticket = self.note(proposal);
+        self.tell(now, quorum::Input::Propose { ticket, command }, outputs);
+    }
+
+    fn note(&mut self, proposal: Proposal) -> u64 {
+        self.next_ticket += 1;
+        self.proposals.insert(self.next_ticket, proposal);
+        self.next_ticket
+    }
+
+    fn tell(&mut self, now: Moment, input: quorum::Input, outputs: &mut Vec<Output>) {
+        for output in self.replica.handle(now, input) {
+            self.carry_out(output, outputs);
+        }
+    }
+
+    fn carry_out(&mut self, output: quorum::Output, outputs: &mut Vec<Output>) {
+        match output {
+            quorum::Output::Accepted { ticket, index } => self.accepted(ticket, index, outputs),
+            quorum::Output::BecameLeader { term } => {
+                self.leads = true;
+                outputs.push(Output::Term(quorum::Role::Leader, term));
+            }
+            quorum::Output::Changed { .. } => (),
+            quorum::Output::Commit { index, command, .. } => self.apply(index, &command, outputs),
+            quorum::Output::Install { snapshot } => self.install(&snapshot, outputs),
+            quorum::Output::Persist { number, records } => {
+                outputs.push(Output::Persist(number, records));
+            }
+            quorum::Output::Readable { ticket } => {
+                self.proposals.remove(&ticket);
+                outputs.push(Output::Leads(self.leads));
+            }
+            quorum::Output::Refused { ticket, reason, leader } => {
+                self.refused(ticket, reason, leader, outputs);
+            }
+            quorum::Output::Send { to, message } => {
+                outputs.push(Output::Send(to, Frame::Quorum(message)));
+            }
+            quorum::Output::SteppedDown { term } => {
+                self.leads = false;
+                self.groups = 0;
+                self.desk.clear();
+                outputs.push(Output::Leads(false));
+                outputs.push(Output::Term(quorum::Role::Follower, term));
+            }
+            quorum::Output::Uncertain { ticket } => self.uncertain(ticket, outputs),
+        }
+    }
+
+    /// Applies a committed command; every replica does this alike.
+    fn apply(&mut self, index: Index, command: &[u8], outputs: &mut Vec<Output>) {
+        self.applied = index;
+        let Ok(command) = postcard::from_bytes::<Command>(command) else { return };
+        match command.body {
+            Body::Claims(claims) => {
+                let replies = self.ledger.apply(command.at, claims.clone());
+                if self.leads {
+                    let receipts = Desk::receipts(&claims, replies).into_iter();
+                    let frames = receipts.map(|(to, message)| (to, Frame::Claim(message)));
+                    outputs.extend(frames.map(|(to, frame)| Output::Send(to, frame)));
+                }
+            }
+            Body::Config(change) => {
+                let before = self.book.in_force().map(|version| version.number);
+                let reply = self.book.apply(command.at, change);
+                let now = self.book.in_force().filter(|version| Some(version.number) != before);
+                outputs.extend(now.cloned().map(Output::Committed));
+                if self.leads {
+                    self.replies.insert(index, verdict(reply, before));
+                    self.replies.retain(|at, _| index - at < REPLIES_MAX);
+                }
+            }
+        }
+    }
+
+    fn accepted(&mut self, ticket: u64, index: Index, outputs: &mut Vec<Output>) {
+        let verdict = self.replies.remove(&index);
+        match self.proposals.remove(&ticket) {
+            Some(Proposal::Change(ticket)) => outputs.push(Output::Changed(ticket, Ok(index))),
+            Some(Proposal::Claims) => self.groups = self.groups.saturating_sub(1),
+            Some(Proposal::Submit { from, ticket, .. }) => {
+                let verdict = verdict.unwrap_or(Verdict::Unconfirmed);
+                outputs.push(verdict_to(&from, ticket, verdict));
+            }
+            Some(Proposal::Proof) | None => (),
+        }
+    }
+
+    fn refused(
+        &mut self,
+        ticket: u64,
+        reason: quorum::Reason,
+        leader: Option<NodeId>,
+        outputs: &mut Vec<Output>,
+    ) {
+        match self.proposals.remove(&ticket) {
+            Some(Proposal::Change(ticket)) => {
+                let text = match leader {
+                    Some(leader) => format!("{reason:?}; `{leader}` leads"),
+                    None => format!("{reason:?}"),
+                };
+                outputs.push(Output::Changed(ticket, Err(text)));
+            }
+            Some(Proposal::Claims) => self.groups = self.groups.saturating_sub(1),
+            Some(Proposal::Proof) => outputs.push(Output::Leads(false)),
+            Some(Proposal::Submit { from, ticket, .. }) => {
+                outputs.push(verdict_to(&from, ticket, Verdict::NotLeader(leader)));
+            }
+            None => (),
+        }
+    }
+
+    /// The process that asked sends again; its submission id makes that safe.
+    fn uncertain(&mut self, ticket: u64, outputs: &mut Vec<Output>) {
+        match self.proposals.remove(&ticket) {
+            Some(Proposal::Submit { from, ticket, .. }) => {
+                let verdict = Verdict::NotLeader(self.leader());
+                outputs.push(verdict_to(&from, ticket, verdict));
+            }
+            Some(Proposal::Change(ticket)) => {
+                let text = "leadership was lost; look at the status and ask again".to_owned();
+                outputs.push(Output::Changed(ticket, Err(text)));
+            }
+            Some(Proposal::Claims) => self.groups = self.groups.saturating_sub(1),
+            Some(Proposal::Proof) | None => (),
+        }
+    }
+
+    fn install(&mut self, snapshot: &quorum::Snapshot, outputs: &mut Vec<Output>) {
+        let Some((book, ledger)) = Image::decode(&snapshot.bytes) else {
+            tracing::error!(target: "hemlockfield::quorum", "snapshot can't be read");
+            return;
+        };
+        self.book = book;
+        self.ledger = ledger;
+        self.applied = snapshot.index;
+        self.snapshot_at = snapshot.index;
+        outputs.extend(self.book.in_force().cloned().map(Output::Committed));
+    }
+
+    fn shorten(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if self.applied < self.snapshot_at + SNAPSHOT_AFTER {
+            return;
+        }
+        self.snapshot_at = self.applied;
+        let Some(bytes) = Image::encode(&self.book, &self.ledger) else { return };
+        let index = self.applied;
+        self.tell(now, quorum::Input::Snapshot { index, bytes }, outputs);
+    }
+}
+
+fn smaller(patch: Patch, version: &Version) -> config::Command {
+    let size = postcard::to_stdvec(&patch).map_or(usize::MAX, |bytes| bytes.len());
+    if size < version.document.len() {
+        return config::Command::Amend(patch);
+    }
+    config::Command::Submit(version.clone())
+}
+
+fn verdict(reply: config::Reply, before: Option<u64>) -> Verdict {
+    match reply {
+        config::Reply::Accepted(head) if Some(head.number) <= before => {
+            Verdict::AlreadyAccepted(head.number)
+        }
+        config::Reply::Accepted(head) => Verdict::Accepted(head.number),
+        config::Reply::Rebase => Verdict::NotLeader(None),
+        config::Reply::Refused { number, submission } => Verdict::Refused { number, submission },
+        config::Reply::Reused(head) => Verdict::Reused(head.number),
+    }
+}
+
+fn verdict_to(to: &NodeId, ticket: u64, verdict: Verdict) -> Output {
+    Output::Send(to.clone(), Frame::Verdict { ticket, verdict })
+}
--- /dev/null
+++ b/src/node/thread.rs
@@ -0,0 +1,299 @@
+//! The control thread: carries inputs to the core, and its outputs to disk and network.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use async_std::channel::Receiver;
+use async_std::channel::Sender;
+use async_std::future::timeout;
+use async_std::task;
+
+use crate::clock::Epoch;
+use crate::clock::Moment;
+use crate::fleet;
+use crate::quorum::Record;
+use crate::storage::Log;
+use crate::timeline::Event;
+use crate::timeline::Journal;
+use crate::timeline::Kind;
+use crate::wire::Envelope;
+use crate::wire::Verdict;
+
+use super::Core;
+use super::Input;
+use super::Status;
+use super::carrier::Carrier;
+use super::core;
+use super::held::Held;
+use super::input::Claimed;
+use super::probe::probe;
+use super::traffic::Shared;
+
+/// Inputs that are taken before the disk is synced once for all of them.
+const BATCH: usize = 512;
+/// Shortest time between two ticks: bounds what ticks cost.
+const TICK_MIN: Duration = Duration::from_millis(2);
+/// Shortest time between two views: a burst of changes makes one.
+const VIEW_MIN: Duration = Duration::from_millis(20);
+
+/// State of the control thread.
+pub(super) struct Thread {
+    pub(super) carrier: Box<dyn Carrier>,
+    /// For what asks an upstream on this thread's behalf.
+    pub(super) control: Sender<Input>,
+    pub(super) core: Core,
+    pub(super) held: Option<Held>,
+    pub(super) inbox: Receiver<Input>,
+    pub(super) journal: Arc<Journal>,
+    pub(super) log: Option<Log>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) started: Instant,
+    pub(super) tickets: Tickets,
+}
+
+/// Who waits for an answer, by ticket.
+#[derive(Default)]
+pub(super) struct Tickets {
+    announced: BTreeMap<u64, Sender<Result<(), String>>>,
+    changed: BTreeMap<u64, Sender<Result<u64, String>>>,
+    claimed: BTreeMap<u64, Sender<Claimed>>,
+    next: u64,
+    verdicts: BTreeMap<u64, Sender<Verdict>>,
+}
+
+impl Thread {
+    /// Runs until [`Input::Stop`], or until nobody can send an input any more.
+    pub(super) async fn run(mut self) {
+        let mut tick_at = Moment::ZERO;
+        let mut view_at = Moment::ZERO;
+        loop {
+            let now = self.now();
+            let wait = tick_at.saturating_sub(now).max(Duration::from_micros(100));
+            let mut batch = Batch::default();
+            match timeout(wait, self.inbox.recv()).await {
+                Ok(Ok(input)) => {
+                    if self.take_all(input, &mut batch) {
+                        self.flush(batch);
+                        return;
+                    }
+                }
+                Ok(Err(_)) => return,
+                Err(_) => (),
+            }
+            let now = self.now();
+            if now >= tick_at {
+                self.step(core::Input::Tick, &mut batch);
+                tick_at = self.core.wake().clamp(now + TICK_MIN, now + fleet::Member::TICK);
+            }
+            self.flush(batch);
+            tick_at = tick_at.min(self.core.wake().max(now + TICK_MIN));
+            if now >= view_at {
+                view_at = now + VIEW_MIN;
+                self.publish(now);
+            }
+        }
+    }
+
+    /// Takes an input and what else has come; tells whether the process is to stop.
+    fn take_all(&mut self, first: Input, batch: &mut Batch) -> bool {
+        let mut next = Some(first);
+        let mut count = 0;
+        while let Some(input) = next {
+            let stops = matches!(input, Input::Stop);
+            self.take(input, batch);
+            if stops {
+                return true;
+            }
+            count += 1;
+            next = if count < BATCH { self.inbox.try_recv().ok() } else { None };
+        }
+        false
+    }
+
+    fn take(&mut self, input: Input, batch: &mut Batch) {
+        let input = match input {
+            Input::Announce(announcement, sender) => {
+                let ticket = self.tickets.next();
+                self.tickets.announced.insert(ticket, sender);
+                core::Input::Announce(ticket, announcement)
+            }
+            Input::Change(change, sender) => {
+                let ticket = self.tickets.next();
+                self.tickets.changed.insert(ticket, sender);
+                core::Input::Change(ticket, change)
+            }
+            Input::Claim(ticket, request, budget, sender) => {
+                self.tickets.claimed.insert(ticket, sender);
+                core::Input::Claim(ticket, request, self.now() + budget)
+            }
+            Input::ClaimEnd(ticket, outcome) => core::Input::ClaimEnd(ticket, outcome),
+            Input::Drain => core::Input::Drain,
+            Input::Frame(from, bytes) => match Envelope::decode(&bytes) {
+                Ok(envelope) => {
+                    self.journal.observe(envelope.stamp, wall());
+                    core::Input::Frame(from, envelope.frame)
+                }
+                Err(error) => {
+                    tracing::warn!(target: "hemlockfield::link", peer = %from, "{error}");
+                    return;
+                }
+            },
+            Input::Outcome { kind, latency, service, upstream } => {
+                core::Input::Outcome(service, upstream, kind, latency)
+            }
+            Input::Overdue(service, upstream, ages) => {
+                core::Input::Overdue(service, upstream, ages)
+            }
+            Input::Probed { draining, healthy, service, upstream } => {
+                core::Input::Probed(service, upstream, draining, healthy)
+            }
+            Input::Status(sender) => {
+                sender.try_send(self.status()).ok();
+                return;
+            }
+            Input::Stop => core::Input::Stop,
+            Input::Submit(version, sender) => {
+                let ticket = self.tickets.next();
+                self.tickets.verdicts.insert(ticket, sender);
+                core::Input::Submit(ticket, version)
+            }
+        };
+        self.step(input, batch);
+    }
+
+    fn step(&mut self, input: core::Input, batch: &mut Batch) {
+        let now = self.now();
+        let outputs = self.core.handle(now, wall(), input);
+        for output in outputs {
+            self.carry_out(output, batch);
+        }
+    }
+
+    fn carry_out(&mut self, output: core::Output, batch: &mut Batch) {
+        match output {
+            core::Output::Announced(ticket, result) => {
+                answer(self.tickets.announced.remove(&ticket), result);
+            }
+            core::Output::Apply(version) => {
+                if let Some(held) = &mut self.held {
+                    held.keep(&version);
+                }
+            }
+            core::Output::Changed(ticket, result) => {
+                answer(self.tickets.changed.remove(&ticket), result);
+            }
+            core::Output::Claimed(ticket, claimed) => {
+                answer(self.tickets.claimed.remove(&ticket), claimed);
+            }
+            core::Output::Event(event) => self.record(event),
+            core::Output::Persist(number, records) => batch.persist(number, records),
+            core::Output::Probe { address, path, service, upstream } => {
+                let control = self.control.clone();
+                task::spawn(probe(control, address, path, service, upstream));
+            }
+            core::Output::Send(to, address, frame) => {
+                let stamp = self.journal.stamp(wall());
+                match (Envelope { frame, stamp }).encode() {
+                    Ok(bytes) => self.carrier.send(&to, address, bytes),
+                    Err(error) => tracing::error!(target: "hemlockfield::link", "{error}"),
+                }
+            }
+            core::Output::Verdict(ticket, verdict) => {
+                answer(self.tickets.verdicts.remove(&ticket), verdict);
+            }
+        }
+    }
+
+    /// Syncs what the batch wants on disk, and goes on with what that allows.
+    fn flush(&mut self, mut batch: Batch) {
+        while let Some(number) = batch.number.take() {
+            let records = std::mem::take(&mut batch.records);
+            let Some(log) = &mut self.log else { return };
+            log.append(&records);
+            if let Err(error) = log.sync() {
+                self.lose_disk(&error);
+                return;
+            }
+            self.step(core::Input::Synced(number), &mut batch);
+        }
+    }
+
+    /// Stops control's part: what a failed sync has kept, nobody can tell, so that
+    /// nothing may be voted or acknowledged on it. Callers are still served.
+    fn lose_disk(&mut self, error: &crate::storage::Error) {
+        tracing::error!(target: "hemlockfield::storage", "control stops here: {error}");
+        self.log = None;
+        self.core.close_office(error.to_string());
+    }
+
+    fn record(&self, event: Event) {
+        log_event(&event);
+        let Event { vm: _, kind, .. } = event.clone();
+        self.journal.record(wall(), kind, |stamped| Event { stamp: stamped.stamp, ..event });
+    }
+
+    fn publish(&mut self, now: Moment) {
+        if let Some(view) = self.core.view(now, &self.shared.view.load()) {
+            self.shared.view.store(Arc::new(view));
+        }
+        self.shared.open_claims.store(self.core.open_claims(), Ordering::Release);
+        self.carrier.keep(&self.core.neighbours());
+    }
+
+    fn status(&self) -> Status {
+        Status::of(self.now(), &self.core, &self.shared, self.carrier.as_ref())
+    }
+
+    fn now(&self) -> Moment {
+        self.started.elapsed()
+    }
+}
+
+impl Tickets {
+    fn next(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+}
+
+#[derive(Default)]
+struct Batch {
+    number: Option<u64>,
+    records: Vec<Record>,
+}
+
+impl Batch {
+    fn persist(&mut self, number: u64, records: Vec<Record>) {
+        self.number = Some(number);
+        self.records.extend(records);
+    }
+}
+
+/// Time since the Unix epoch, by this VM's clock.
+pub(super) fn wall() -> Epoch {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+fn answer<T>(sender: Option<Sender<T>>, value: T) {
+    if let Some(sender) = sender {
+        sender.try_send(value).ok();
+    }
+}
+
+fn log_event(event: &Event) {
+    let kind = event.kind.name();
+    let upstream = event.upstream.as_deref().unwrap_or_default();
+    let peer = event.peer.as_deref().unwrap_or_default();
+    let detail = format!("{:?}", event.detail);
+    match event.kind {
+        Kind::Ejected | Kind::MemberFailed => {
+            tracing::warn!(target: "hemlockfield::node", kind, upstream, peer, detail, "event");
+        }
+        _ => tracing::info!(target: "hemlockfield::node", kind, upstream, peer, detail, "event"),
+    }
+}
--- /dev/null
+++ b/src/node/traffic.rs
@@ -0,0 +1,20 @@
+//! The traffic threads' side: accepts callers, and carries each request to its end.
+
+mod attempt;
+mod claims;
+mod dispatch;
+mod job;
+mod listener;
+mod place;
+mod queue;
+mod serve;
+mod service;
+mod shared;
+mod tried;
+
+pub(super) use listener::listen;
+pub(super) use queue::tick;
+pub(super) use shared::Shared;
+
+/// Where callers ask, at any entry, which entries to use.
+pub const DIRECTORY_PATH: &str = "/.well-known/hemlockfield/entries";
--- /dev/null
+++ b/src/node/traffic/attempt.rs
@@ -0,0 +1,70 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::future::timeout;
+use http_types::Request;
+
+use crate::exchange::Answer;
+use crate::exchange::Failure;
+use crate::exchange::Leg;
+use crate::exchange::Limits;
+
+use super::Shared;
+
+/// Longest until a connection to an upstream is open: about 1 ms at the sizes of today,
+/// and one lost packet costs a second.
+const CONNECT: Duration = Duration::from_millis(1500);
+/// Longest between two bytes of a body.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// How one attempt at an upstream went.
+pub(super) struct Attempt {
+    pub(super) answered: Result<Answer, Failure>,
+    /// Until the head of the answer, or until it was given up.
+    pub(super) latency: Duration,
+}
+
+impl Attempt {
+    /// Sends a request to the upstream at `address`, with `left` time for all of it. When
+    /// dropped, it closes the connection, which cancels the work.
+    pub(super) async fn make(
+        shared: &Shared,
+        request: Request,
+        address: SocketAddr,
+        idempotent: bool,
+        left: Duration,
+    ) -> Self {
+        let started = Instant::now();
+        let sent = send(shared, request, address, idempotent, left);
+        let answered = timeout(left, sent).await.unwrap_or(Err(Failure::Expired(left)));
+        Self { answered, latency: started.elapsed() }
+    }
+}
+
+async fn send(
+    shared: &Shared,
+    request: Request,
+    address: SocketAddr,
+    idempotent: bool,
+    left: Duration,
+) -> Result<Answer, Failure> {
+    let leg = leg(shared, address, idempotent, left).await?;
+    let first_byte = shared.settings.limits.first_byte.min(left);
+    leg.ask(request, Limits { connect: CONNECT, first_byte, idle: IDLE }).await
+}
+
+/// A connection: an idle one for what may be sent twice, a new one for all else. Something
+/// on the way may have lost track of an idle connection; what is sent on it then is gone,
+/// and nobody can tell whether it ran.
+async fn leg(
+    shared: &Shared,
+    address: SocketAddr,
+    idempotent: bool,
+    left: Duration,
+) -> Result<Leg, Failure> {
+    if idempotent && let Some(leg) = shared.pool.take(address).await {
+        return Ok(leg);
+    }
+    Leg::dial(address, CONNECT.min(left)).await
+}
--- /dev/null
+++ b/src/node/traffic/listener.rs
@@ -0,0 +1,110 @@
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use futures::FutureExt;
+use futures::pin_mut;
+use futures::select;
+
+use crate::exchange::Error;
+use crate::exchange::Inlet;
+
+use super::Shared;
+use super::serve;
+
+/// Pause after a failed accept, as when file descriptors have run out.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts callers until the process may stop serving.
+pub(in crate::node) async fn listen(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let accepted = {
+            let accept = listener.accept().fuse();
+            let done = shared.done.recv().fuse();
+            pin_mut!(accept, done);
+            select! {
+                accepted = accept => accepted,
+                _ = done => return,
+            }
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                task::spawn(guarded(stream, peer, Arc::clone(&shared)));
+            }
+            Err(error) => {
+                tracing::warn!(target: "hemlockfield::exchange", "can't accept: {error}");
+                task::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection. A fault of ours in one must not take others with it.
+async fn guarded(stream: TcpStream, peer: SocketAddr, shared: Arc<Shared>) {
+    let open = shared.connections.fetch_add(1, Ordering::AcqRel);
+    let inlet = Inlet::new(stream, peer);
+    let served = if open < shared.settings.limits.connections {
+        AssertUnwindSafe(connection(inlet, &shared)).catch_unwind().await
+    } else {
+        AssertUnwindSafe(too_many(inlet)).catch_unwind().await
+    };
+    if served.is_err() {
+        shared.metrics.count("exchange.panicked");
+        tracing::error!(target: "hemlockfield::exchange", "connection of `{peer}` panicked");
+    }
+    shared.connections.fetch_sub(1, Ordering::AcqRel);
+}
+
+async fn too_many(mut inlet: Inlet) {
+    inlet.reject(&Error::Connections).await;
+}
+
+async fn connection(mut inlet: Inlet, shared: &Arc<Shared>) {
+    let limits = &shared.settings.limits;
+    loop {
+        let readable = {
+            let readable = timeout(limits.idle, inlet.readable()).fuse();
+            let closing = shared.closed().fuse();
+            pin_mut!(readable, closing);
+            select! {
+                readable = readable => readable.is_ok(),
+                () = closing => false,
+            }
+        };
+        if !readable {
+            return;
+        }
+        let _in_flight = InFlight::new(shared);
+        let Some((request, mut outlet)) = inlet.next(limits.head_time).await else { return };
+        if shared.closing.load(Ordering::Acquire) {
+            outlet.close_after();
+        }
+        serve::serve(shared, request, &mut outlet, inlet.peer()).await;
+        if outlet.is_closing() {
+            inlet.linger().await;
+            return;
+        }
+    }
+}
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight<'a>(&'a Shared);
+
+impl<'a> InFlight<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::AcqRel);
+        Self(shared)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/node/traffic/place.rs
@@ -0,0 +1,72 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::balance::Finish;
+use crate::balance::Ticket;
+use crate::health;
+use crate::id::UpstreamId;
+use crate::node::Input;
+use crate::node::view;
+
+use super::Shared;
+use super::service::Service;
+
+/// A request's place at an upstream; given back, at the latest when it is dropped.
+pub(super) struct Place<'a> {
+    pub(super) address: SocketAddr,
+    ended: bool,
+    service: &'a Service,
+    shared: &'a Shared,
+    ticket: Ticket,
+    pub(super) upstream: UpstreamId,
+}
+
+impl<'a> Place<'a> {
+    /// Takes a place at an upstream that can serve, if one is free.
+    pub(super) fn take(
+        shared: &'a Shared,
+        service: &'a Service,
+        view: &view::Service,
+        avoid: &[UpstreamId],
+        long: bool,
+    ) -> Option<Self> {
+        let pick = service.pick(shared.now(), view, avoid, long)?;
+        let address = view.addresses.get(&pick.upstream).copied();
+        let place = Self {
+            address: address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))),
+            ended: false,
+            service,
+            shared,
+            ticket: pick.ticket,
+            upstream: pick.upstream,
+        };
+        address.map(|_| place)
+    }
+
+    /// Gives the place back, and tells the judge what it showed of the upstream. A job
+    /// whose length is the caller's doing shows nothing by its latency.
+    pub(super) fn end(mut self, kind: health::Kind, latency: Duration, long: bool) {
+        self.give_back(kind, latency);
+        if kind == health::Kind::Success && long {
+            return;
+        }
+        let service = self.service.name.clone();
+        let upstream = self.upstream.clone();
+        self.shared.tell(Input::Outcome { kind, latency, service, upstream });
+    }
+
+    fn give_back(&mut self, kind: health::Kind, latency: Duration) {
+        if !self.ended {
+            self.ended = true;
+            let finish = Finish { kind, latency, report: None };
+            self.service.finish(self.shared.now(), self.ticket, finish);
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    /// What was given up midway says nothing about the upstream.
+    fn drop(&mut self) {
+        self.give_back(health::Kind::Timeout, Duration::ZERO);
+    }
+}
--- /dev/null
+++ b/src/node/traffic/queue.rs
@@ -0,0 +1,196 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_std::channel::Sender;
+use async_std::channel::bounded;
+use async_std::task;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::admission::Arrival;
+use crate::admission::Gate;
+use crate::admission::Input;
+use crate::admission::Outcome;
+use crate::admission::Output;
+use crate::admission::Reason;
+use crate::clock::Moment;
+use crate::health;
+use crate::node;
+use crate::rule::Class;
+
+use super::Shared;
+
+/// Time between two looks at the queues: the least wait that a gate tells apart.
+const TICK: Duration = Duration::from_millis(5);
+/// Looks between two reports of gauges: once a second.
+const GAUGES_EVERY: u32 = 200;
+/// Looks between two reports of what waits unusually long.
+const OVERDUE_EVERY: u32 = 20;
+
+/// The gate of one service, and those that wait before it.
+pub(in crate::node) struct Queue {
+    seed: u64,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    classes: Vec<Class>,
+    gate: Option<Gate>,
+    waiting: BTreeMap<u64, (Arrival, Sender<Turn>)>,
+}
+
+/// What became of a request that wanted its turn.
+#[derive(Clone, Debug)]
+pub(super) enum Turn {
+    /// Answer it now, as not run.
+    Refuse(Reason, Duration),
+    /// Send it to an upstream now.
+    Run,
+}
+
+/// A turn in use; it ends as failed where nobody says otherwise.
+pub(super) struct Permit<'a> {
+    ended: bool,
+    queue: &'a Queue,
+    shared: &'a Shared,
+    ticket: u64,
+}
+
+impl Queue {
+    pub(super) fn new(seed: u64) -> Self {
+        Self { seed, state: Mutex::default() }
+    }
+
+    /// Requests that wait.
+    pub(in crate::node) fn len(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
+    /// Waits for a turn. Given up by its caller, the request leaves the queue.
+    pub(super) async fn enter<'a>(
+        &'a self,
+        shared: &'a Shared,
+        classes: &[Class],
+        arrival: Arrival,
+    ) -> (Turn, Permit<'a>) {
+        let (sender, receiver) = bounded(1);
+        let permit = Permit { ended: false, queue: self, shared, ticket: arrival.ticket };
+        {
+            let mut state = self.lock();
+            let now = shared.now();
+            state.use_classes(now, classes, self.seed);
+            state.waiting.insert(arrival.ticket, (arrival.clone(), sender));
+            state.handle(now, Input::Arrive(arrival));
+        }
+        let turn = receiver.recv().await;
+        let closed = Turn::Refuse(Reason::Overload, Duration::from_secs(1));
+        (turn.unwrap_or(closed), permit)
+    }
+
+    fn tick(&self, now: Moment) {
+        let mut state = self.lock();
+        let due = state.gate.as_ref().and_then(Gate::wake).is_some_and(|wake| wake <= now);
+        if due {
+            state.handle(now, Input::Tick);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Takes over changed classes: who waits is moved to the new gate. What runs under
+    /// the old one ends unnoticed there, and the new one learns its slots anew.
+    fn use_classes(&mut self, now: Moment, classes: &[Class], seed: u64) {
+        if self.gate.is_some() && self.classes == classes {
+            return;
+        }
+        self.classes = classes.to_vec();
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        self.gate = Some(Gate::new(classes, random, now));
+        let waiting: Vec<Arrival> =
+            self.waiting.values().map(|(arrival, _)| arrival.clone()).collect();
+        for arrival in waiting {
+            self.handle(now, Input::Arrive(arrival));
+        }
+    }
+
+    fn handle(&mut self, now: Moment, input: Input) {
+        let Some(gate) = &mut self.gate else { return };
+        for output in gate.handle(now, input) {
+            let (ticket, turn) = match output {
+                Output::Refuse { reason, retry_after, ticket } => {
+                    (ticket, Turn::Refuse(reason, retry_after))
+                }
+                Output::Run { ticket } => (ticket, Turn::Run),
+            };
+            if let Some((_, sender)) = self.waiting.remove(&ticket) {
+                sender.try_send(turn).ok();
+            }
+        }
+    }
+}
+
+impl Permit<'_> {
+    /// Ends the turn.
+    pub(super) fn finish(mut self, outcome: Outcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let mut state = self.queue.lock();
+        let now = self.shared.now();
+        let ticket = self.ticket;
+        let input = match state.waiting.remove(&ticket) {
+            Some(_) => Input::Cancel { ticket },
+            None => Input::Finish { outcome, ticket },
+        };
+        state.handle(now, input);
+    }
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        self.end(Outcome::Failed);
+    }
+}
+
+/// Looks at all queues for as long as the process serves, and tells control what waits
+/// unusually long at an upstream.
+pub(in crate::node) async fn tick(shared: Arc<Shared>) {
+    let mut look = 0;
+    while !shared.done.is_closed() {
+        task::sleep(TICK).await;
+        look += 1;
+        let now = shared.now();
+        if look % GAUGES_EVERY == 0 {
+            let in_flight = shared.in_flight.load(Ordering::Relaxed);
+            shared.metrics.gauge("request.in_flight", in_flight as u64);
+        }
+        for service in shared.services() {
+            service.queue.tick(now);
+            if look % OVERDUE_EVERY == 0 {
+                tell_overdue(&shared, &service);
+            }
+        }
+    }
+}
+
+fn tell_overdue(shared: &Shared, service: &super::service::Service) {
+    debug_assert!(health::Setup::TICK >= TICK * OVERDUE_EVERY);
+    for (upstream, ages) in service.overdue(shared.now()) {
+        shared.tell(node::Input::Overdue(service.name.clone(), upstream, ages));
+    }
+}
--- /dev/null
+++ b/src/node/traffic/shared.rs
@@ -0,0 +1,185 @@
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use async_std::channel::Receiver;
+use async_std::channel::Sender;
+use async_std::channel::bounded;
+use async_std::task;
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use compact_str::format_compact;
+
+use crate::clock::Moment;
+use crate::directory::Answer;
+use crate::directory::Directory;
+use crate::exchange::Pool;
+use crate::id::RequestId;
+use crate::id::ServiceId;
+use crate::node::Input;
+use crate::node::View;
+use crate::node::metrics::Metrics;
+use crate::settings::Settings;
+
+use super::service::Service;
+
+/// What the traffic threads of a process share.
+pub(in crate::node) struct Shared {
+    pub(in crate::node) connections: AtomicUsize,
+    closed: (Sender<()>, Receiver<()>),
+    control: Sender<Input>,
+    pub(in crate::node) directory: Mutex<Directory>,
+    /// Closed when the process may stop serving.
+    pub(in crate::node) done: Receiver<()>,
+    drain: (Sender<()>, Receiver<()>),
+    pub(in crate::node) in_flight: AtomicUsize,
+    pub(in crate::node) open_claims: AtomicUsize,
+    /// Whether connections end with the exchange that they carry.
+    pub(in crate::node) closing: AtomicBool,
+    lost_outcomes: AtomicU64,
+    pub(in crate::node) metrics: Metrics,
+    next_request: AtomicU64,
+    pub(super) pool: Pool,
+    services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
+    pub(super) settings: Settings,
+    started: Instant,
+    pub(in crate::node) view: ArcSwap<View>,
+}
+
+impl Shared {
+    pub(in crate::node) fn new(
+        settings: Settings,
+        started: Instant,
+        control: Sender<Input>,
+        done: Receiver<()>,
+        directory: Directory,
+        metrics: Metrics,
+    ) -> Self {
+        Self {
+            closed: bounded(1),
+            closing: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
+            control,
+            directory: Mutex::new(directory),
+            done,
+            drain: bounded(1),
+            in_flight: AtomicUsize::new(0),
+            lost_outcomes: AtomicU64::new(0),
+            metrics,
+            open_claims: AtomicUsize::new(0),
+            next_request: AtomicU64::new(crate::node::incarnation()),
+            pool: Pool::default(),
+            services: Mutex::default(),
+            settings,
+            started,
+            view: ArcSwap::from_pointee(View::default()),
+        }
+    }
+
+    /// Time since the process started, as control counts it.
+    pub(in crate::node) fn now(&self) -> Moment {
+        self.started.elapsed()
+    }
+
+    /// Tells the control thread; what it can't take now is dropped and counted, since
+    /// traffic never waits for control.
+    pub(in crate::node) fn tell(&self, input: Input) {
+        if self.control.try_send(input).is_err() {
+            self.lost_outcomes.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Inputs that control could not take.
+    pub(in crate::node) fn lost(&self) -> u64 {
+        self.lost_outcomes.load(Ordering::Relaxed)
+    }
+
+    /// A service's queue and picker, made at its first request.
+    pub(super) fn service(&self, name: &ServiceId) -> Arc<Service> {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(service) = services.get(name) {
+            return Arc::clone(service);
+        }
+        let service = Arc::new(Service::new(name.clone(), &self.settings));
+        services.insert(name.clone(), Arc::clone(&service));
+        service
+    }
+
+    /// All services that had a request.
+    pub(in crate::node) fn services(&self) -> Vec<Arc<Service>> {
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        services.values().cloned().collect()
+    }
+
+    /// Entries for a caller to use.
+    pub(in crate::node) fn entries(&self, caller: &str) -> Answer {
+        let view = self.view.load();
+        let mut directory = self.directory.lock().unwrap_or_else(PoisonError::into_inner);
+        directory.answer(self.now(), caller, &view.entries)
+    }
+
+    /// Longest that leaving may take.
+    pub(in crate::node) fn limit(&self) -> Duration {
+        self.settings.shutdown.limit
+    }
+
+    /// Asks the process to leave.
+    pub(in crate::node) fn request_drain(&self) {
+        self.drain.0.close();
+    }
+
+    /// Waits until the process is asked to leave.
+    pub(in crate::node) async fn drain_requested(&self) {
+        self.drain.1.recv().await.ok();
+    }
+
+    /// Waits until connections may end.
+    pub(super) async fn closed(&self) {
+        self.closed.1.recv().await.ok();
+    }
+
+    /// Waits until no caller may come any more, then until nothing is in flight, and the
+    /// outcomes of claims are with control.
+    pub(in crate::node) async fn drained(&self) {
+        while !self.is_forgotten() {
+            task::sleep(Self::LOOK).await;
+        }
+        self.closing.store(true, Ordering::Release);
+        self.closed.0.close();
+        while self.in_flight.load(Ordering::Acquire) > 0 {
+            task::sleep(Self::LOOK).await;
+        }
+        while self.open_claims.load(Ordering::Acquire) > 0 {
+            task::sleep(Self::LOOK).await;
+        }
+    }
+
+    /// Whether no list that callers were given may still name this entry.
+    fn is_forgotten(&self) -> bool {
+        let directory = self.directory.lock().unwrap_or_else(PoisonError::into_inner);
+        self.settings.listen.callers.is_none() || directory.safe_to_stop(self.now())
+    }
+
+    /// Number and name of a new request.
+    pub(super) fn next_request(&self) -> (u64, RequestId) {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        (number, format_compact!("{}-{number:x}", self.settings.node.id))
+    }
+
+    /// How a caller without a name is counted.
+    pub(super) fn caller_at(&self, peer: IpAddr) -> CompactString {
+        peer.to_compact_string()
+    }
+
+    /// Pause between two looks at what is still in flight.
+    pub(in crate::node) const LOOK: Duration = Duration::from_millis(10);
+}
--- /dev/null
+++ b/src/node/view.rs
@@ -0,0 +1,73 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::balance;
+use crate::config::Standing;
+use crate::directory;
+use crate::id::ConfigNumber;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::rule;
+use crate::rule::Rules;
+use crate::rule::ServiceState;
+
+/// What traffic threads know of control state, at one moment.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Entries that callers may be told of.
+    pub entries: Arc<Vec<directory::Entry>>,
+    /// Whether this entry is leaving, and off the callers' lists.
+    pub leaving: bool,
+    /// Configuration in force.
+    pub number: Option<ConfigNumber>,
+    /// Rules in force.
+    pub rules: Option<Arc<Rules>>,
+    /// Upstreams by service.
+    pub services: BTreeMap<ServiceId, Arc<Service>>,
+    /// What this process may do with callers.
+    pub standing: Standing,
+}
+
+/// The upstreams of one service, at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    /// Addresses of its upstreams.
+    pub addresses: HashMap<UpstreamId, SocketAddr>,
+    /// Entries that share the upstreams.
+    pub entries: usize,
+    /// The upstreams as the balance sees them.
+    pub members: Vec<balance::Member>,
+    /// State that rules may ask for.
+    pub state: ServiceState,
+    /// Counts changes of this service.
+    pub version: u64,
+    /// Share of its usual work that each upstream should get, where that isn't all.
+    pub weights: HashMap<UpstreamId, f64>,
+}
+
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            entries: Arc::default(),
+            leaving: false,
+            number: None,
+            rules: None,
+            services: BTreeMap::new(),
+            standing: Standing::Starting,
+        }
+    }
+}
+
+impl rule::State for View {
+    fn state(&self, service: &str) -> ServiceState {
+        self.services.get(service).map_or(ServiceState::Down, |service| service.state)
+    }
+}
+
+impl balance::Verdicts for Service {
+    fn weight(&self, upstream: &str) -> f64 {
+        self.weights.get(upstream).copied().unwrap_or(1.0)
+    }
+}
--- a/src/quorum/replica.rs
+++ b/src/quorum/replica.rs
@@ -154,6 +154,14 @@
         self.disk
     }
 
+    /// Who leads, where known.
+    pub fn leader(&self) -> Option<&NodeId> {
+        match self.stance {
+            Stance::Leader(_) => Some(&self.setup.me),
+            _ => self.leader.as_ref(),
+        }
+    }
+
     pub(super) fn is_voter(&self) -> bool {
         self.trail.membership().votes(&self.setup.me, self.disk)
     }
--- a/src/registry/upstream.rs
+++ b/src/registry/upstream.rs
@@ -51,6 +51,12 @@
         self.born.age + now.saturating_sub(self.born.at)
     }
 
+    /// When its incarnation was first announced; the start of this process where that
+    /// was earlier.
+    pub fn born_at(&self) -> Moment {
+        self.born.at.saturating_sub(self.born.age)
+    }
+
     /// Share of its full work that it may get, from [`Upstream::WARM_UP_START`] at
     /// its start to 1 after its warm-up, in a straight line.
     pub fn share(&self, now: Moment) -> f64 {
--- a/src/settings/keys.rs
+++ b/src/settings/keys.rs
@@ -9,18 +9,16 @@
 pub struct Keys {
     /// Certificate of the fleet's authority.
     pub authority: PathBuf,
-    /// Certificate of this process.
-    pub certificate: PathBuf,
-    /// Private key of this process.
-    pub key: PathBuf,
+    /// Certificate and private key of this process, in one file so that a renewal
+    /// replaces both at once.
+    pub identity: PathBuf,
 }
 
 impl Keys {
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
-        let fields = Fields::open(tree, mistakes, &["authority", "certificate", "key"])?;
+        let fields = Fields::open(tree, mistakes, &["authority", "identity"])?;
         let authority = fields.required::<PathBuf>("authority");
-        let certificate = fields.required::<PathBuf>("certificate");
-        let key = fields.required::<PathBuf>("key");
-        Some(Self { authority: authority?, certificate: certificate?, key: key? })
+        let identity = fields.required::<PathBuf>("identity");
+        Some(Self { authority: authority?, identity: identity? })
     }
 }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -22,6 +22,8 @@
 
 /// On a refusal: documents that the request was not run.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
+/// On any answer: says that the upstream is leaving.
+pub const DRAINING_HEADER: &str = "x-draining";
 /// Caller's key of a non-idempotent request.
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Load reported on answers: requests in work or waiting, per slot.
--- a/src/upstream/announcer.rs
+++ b/src/upstream/announcer.rs
@@ -22,7 +22,7 @@
 /// How often a stand-in looks whether it is to drain.
 const LOOK: Duration = Duration::from_millis(100);
 /// Path of announcements at an entry's operators' address.
-pub const PATH: &str = "/v1/upstreams";
+const PATH: &str = "/v1/upstreams";
 
 pub(super) async fn run(inner: Arc<Inner>, address: SocketAddr) {
     let mut turn = 0;
--- a/src/upstream/stand.rs
+++ b/src/upstream/stand.rs
@@ -26,6 +26,7 @@
 use crate::exchange::Inlet;
 use crate::exchange::Outlet;
 
+use super::DRAINING_HEADER;
 use super::Error;
 use super::Gray;
 use super::IDENTITY_HEADER;
@@ -157,6 +158,7 @@
     async fn serve(&self, mut request: Request, mut outlet: Outlet, stream: &TcpStream) -> bool {
         let path = request.url().path().to_owned();
         if let Some(response) = self.own(&path, &mut request).await {
+            let response = self.sign(response);
             return outlet.send(response).await.is_ok() && !outlet.is_closing();
         }
         let gray = self.gray();
@@ -199,16 +201,25 @@
         let mut response = Response::new(StatusCode::Ok);
         response.insert_header(LOAD_HEADER, format!("{:.2}", self.work.load()));
         response.insert_header("x-upstream", self.setup.name.as_str());
+        let mut response = self.sign(response);
         response.set_body(Body::from_bytes(body));
         outlet.send(response).await.is_ok() && !outlet.is_closing()
     }
 
+    /// Says on an answer whether the stand-in is leaving.
+    fn sign(&self, mut response: Response) -> Response {
+        if self.is_draining() {
+            response.insert_header(DRAINING_HEADER, "true");
+        }
+        response
+    }
+
     /// Answers what is about the stand-in itself. The health report lies: it says `ok`
     /// whatever the gray mode is.
     async fn own(&self, path: &str, request: &mut Request) -> Option<Response> {
         let mut response = Response::new(StatusCode::Ok);
         match path {
-            "/_health" => response.set_body("ok\n"),
+            "/health" => response.set_body("ok\n"),
             "/_load" => response.set_body(format!("{:.2}\n", self.work.load())),
             "/_runs" => response.set_body(Body::from_json(&*self.work.counts()).ok()?),
             "/_drain" => self.draining.store(true, Ordering::Release),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,1 +1,10 @@
 //! Frames between our processes.
+
+mod envelope;
+mod error;
+mod frame;
+
+pub use envelope::Envelope;
+pub use error::Error;
+pub use frame::Frame;
+pub use frame::Verdict;
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,73 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::claim;
+use crate::config;
+use crate::config::Version;
+use crate::fleet;
+use crate::health;
+use crate::id::ConfigNumber;
+use crate::id::NodeId;
+use crate::id::ServiceId;
+use crate::id::SubmissionId;
+use crate::quorum;
+use crate::registry;
+
+/// What one process says to another, by slice.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Frame {
+    /// Claims of keys and their receipts.
+    Claim(claim::Message),
+    /// Spread of the configuration.
+    Config(config::Message),
+    /// Membership.
+    Fleet(fleet::Message),
+    /// Evidence on the upstreams of a service.
+    Health {
+        /// What one entry saw.
+        digest: health::Digest,
+        /// The service.
+        service: ServiceId,
+    },
+    /// The replicated log.
+    Quorum(quorum::Message),
+    /// Announced upstreams.
+    Registry(registry::Message),
+    /// An operator's submission on its way to the leader; safe to send again.
+    Submit {
+        /// Sender's number for it.
+        ticket: u64,
+        /// What is submitted.
+        version: Version,
+    },
+    /// What became of a submission.
+    Verdict {
+        /// Number that the submission came with.
+        ticket: u64,
+        /// What became of it.
+        verdict: Verdict,
+    },
+}
+
+/// What became of a submission.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Verdict {
+    /// Committed and synced by a majority of the controls.
+    Accepted(ConfigNumber),
+    /// The same submission was accepted before.
+    AlreadyAccepted(ConfigNumber),
+    /// This process does not lead; it may know who does.
+    NotLeader(Option<NodeId>),
+    /// The number is not above the one in force.
+    Refused {
+        /// Number in force.
+        number: ConfigNumber,
+        /// Submission that brought it.
+        submission: SubmissionId,
+    },
+    /// The submission id was used for another number or document.
+    Reused(ConfigNumber),
+    /// Nobody could confirm it in time: it may be accepted yet. The same submission
+    /// sent again is safe.
+    Unconfirmed,
+}
--- a/tests/suite/exchange/heads.rs
+++ b/tests/suite/exchange/heads.rs
@@ -56,6 +56,7 @@
 #[case::folded_header("GET / HTTP/1.1\r\nhost: a\r\nx: 1\r\n 2\r\n\r\n", "400")]
 #[case::space_before_colon("GET / HTTP/1.1\r\nhost: a\r\ncontent-length : 4\r\n\r\nabcd", "400")]
 #[case::byte_outside_ascii("GET / HTTP/1.1\r\nhost: a\r\nx-name: K\u{e4}the\r\n\r\n", "400")]
+#[case::escaped_slash("GET /hulls%2f..%2fcerts HTTP/1.1\r\nhost: a\r\n\r\n", "400")]
 #[case::connect("CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n", "501")]
 #[case::old_version("GET / HTTP/1.0\r\nhost: a\r\n\r\n", "400")]
 fn next_refused(#[case] bytes: &str, #[case] status: &str) {
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -1,1 +1,5 @@
 //! Tests of separately started processes on loopback.
+
+mod fleet;
+mod kill;
+mod path;
--- /dev/null
+++ b/tests/suite/process/fleet.rs
@@ -0,0 +1,247 @@
+//! Real processes on loopback, built like the command line.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use tempfile::TempDir;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_hemlockfield");
+/// Far above what any event takes: a test that reaches it hangs, and is not just slow.
+const HANG: Duration = Duration::from_secs(60);
+const DOMAINS: [&str; 4] = ["halle-nord", "halle-sued", "keller-alt", "werft-ost"];
+
+/// One process and where it listens.
+pub(super) struct Process {
+    pub(super) callers: SocketAddr,
+    pub(super) child: Option<Child>,
+    pub(super) id: String,
+    pub(super) links: SocketAddr,
+    pub(super) operators: SocketAddr,
+    settings: PathBuf,
+}
+
+/// Controls, entries and upstreams, killed when dropped.
+pub(super) struct Fleet {
+    pub(super) controls: Vec<Process>,
+    pub(super) entries: Vec<Process>,
+    pub(super) folder: TempDir,
+    pub(super) upstreams: Vec<Process>,
+}
+
+impl Fleet {
+    /// Starts `controls` and `entries`; the controls are founded.
+    pub(super) fn start(controls: usize, entries: usize) -> Self {
+        let folder = TempDir::new().unwrap();
+        let make = |role: &str, count: usize| -> Vec<Process> {
+            (1..=count).map(|at| process(&folder, &format!("{role}-{at}"))).collect()
+        };
+        let controls = make("control", controls);
+        let entries = make("entry", entries);
+        let mut fleet = Self { controls, entries, folder, upstreams: Vec::new() };
+        fleet.make_keys();
+        fleet.write_settings();
+        for at in 0..fleet.controls.len() {
+            fleet.controls[at].run(&["--found"]);
+        }
+        for at in 0..fleet.entries.len() {
+            fleet.entries[at].run(&[]);
+        }
+        fleet
+    }
+
+    fn make_keys(&self) {
+        let keys = self.folder.path().join("keys");
+        let folder = keys.display().to_string();
+        let done = hemlockfield(&["keys", "--folder", &folder, "--authority"]);
+        assert!(done.status.success(), "{}", text(&done));
+        for process in self.controls.iter().chain(&self.entries) {
+            let done = hemlockfield(&["keys", "--folder", &folder, "--node", &process.id]);
+            assert!(done.status.success(), "{}", text(&done));
+        }
+    }
+
+    fn write_settings(&self) {
+        let all: Vec<&Process> = self.controls.iter().chain(&self.entries).collect();
+        for process in &all {
+            let peers: Vec<String> =
+                all.iter().filter(|peer| peer.id != process.id).map(|peer| peer.line()).collect();
+            fs::write(&process.settings, process.settings(&self.folder, &peers.join("\n")))
+                .unwrap();
+        }
+    }
+
+    /// Submits rules until a control leads, and waits until they are in force everywhere.
+    pub(super) fn submit(&self, number: u64, rules: &str) {
+        let file = self.folder.path().join(format!("rules-{number}.yaml"));
+        fs::write(&file, rules).unwrap();
+        let (file, number_text) = (file.display().to_string(), number.to_string());
+        let node = self.entries[0].operators.to_string();
+        let id = format!("submission-{number}");
+        wait_for("the submission to be accepted", || {
+            let arguments =
+                ["submit", "--node", &node, "--number", &number_text, "--id", &id, &file];
+            hemlockfield(&arguments).status.success()
+        });
+        for entry in &self.entries {
+            entry.wait_for_configuration(number);
+        }
+    }
+
+    /// Starts an upstream that announces itself, and waits until every entry may use it.
+    pub(super) fn add_upstream(&mut self, name: &str, service: &str, options: &[&str]) {
+        let mut process = process(&self.folder, name);
+        let listen = process.callers.to_string();
+        let mut arguments =
+            vec!["upstream", "--name", name, "--service", service, "--listen", &listen];
+        let entries: Vec<String> =
+            self.entries.iter().map(|entry| entry.operators.to_string()).collect();
+        for entry in &entries {
+            arguments.extend(["--entry", entry]);
+        }
+        arguments.extend(options);
+        process.child = Some(spawn(&arguments));
+        self.upstreams.push(process);
+        for entry in &self.entries {
+            wait_for("the upstream to be usable", || entry.uses(service, name));
+        }
+    }
+}
+
+impl Process {
+    pub(super) fn run(&mut self, options: &[&str]) {
+        let settings = self.settings.display().to_string();
+        let mut arguments = vec!["run", &settings];
+        arguments.extend(options);
+        self.child = Some(spawn(&arguments));
+    }
+
+    /// SIGKILL, as when its VM is lost.
+    pub(super) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    pub(super) fn status(&self) -> Option<Value> {
+        let done = hemlockfield(&["status", "--node", &self.operators.to_string()]);
+        serde_json::from_slice(&done.stdout).ok()
+    }
+
+    /// Whether the process leads control.
+    pub(super) fn leads(&self) -> bool {
+        self.status().is_some_and(|status| status["control"]["log"]["role"] == "Leader")
+    }
+
+    pub(super) fn uses(&self, service: &str, upstream: &str) -> bool {
+        let Some(status) = self.status() else { return false };
+        let Some(list) = status["services"][service].as_array() else { return false };
+        list.iter().any(|each| each["upstream"] == upstream && each["usable"] == true)
+    }
+
+    pub(super) fn wait_for_configuration(&self, number: u64) {
+        wait_for("the configuration to be in force", || {
+            self.status().is_some_and(|status| status["configuration"]["number"] == number)
+        });
+    }
+
+    fn line(&self) -> String {
+        let role = if self.id.starts_with("control") { "control" } else { "entry" };
+        format!(
+            "  - {{id: {}, region: regensburg, failure_domain: {}, roles: [{role}], links: {}}}",
+            self.id,
+            self.domain(),
+            self.links
+        )
+    }
+
+    fn domain(&self) -> &'static str {
+        let number: usize = self.id.rsplit('-').next().unwrap().parse().unwrap();
+        DOMAINS[number % DOMAINS.len()]
+    }
+
+    fn settings(&self, folder: &TempDir, peers: &str) -> String {
+        let role = if self.id.starts_with("control") { "control" } else { "entry" };
+        let path = folder.path().display();
+        let id = &self.id;
+        format!(
+            "node: {{id: {id}, region: regensburg, failure_domain: {}}}\n\
+             roles: [{role}]\n\
+             listen: {{callers: {}, operators: {}, links: {}}}\n\
+             data: {path}/{id}\n\
+             keys: {{authority: {path}/keys/{id}/authority.pem, \
+             identity: {path}/keys/{id}/identity.pem}}\n\
+             timeline: {{file: {path}/{id}.jsonl}}\n\
+             directory: {{lifetime: 1s}}\n\
+             shutdown: {{limit: 30s}}\n\
+             log: {{level: warn}}\n\
+             peers:\n{peers}\n",
+            self.domain(),
+            self.callers,
+            self.operators,
+            self.links,
+        )
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().ok();
+            child.wait().ok();
+        }
+    }
+}
+
+/// Runs a command to its end.
+pub(super) fn hemlockfield(arguments: &[&str]) -> Output {
+    Command::new(BINARY).args(arguments).output().unwrap()
+}
+
+pub(super) fn text(output: &Output) -> String {
+    let out = String::from_utf8_lossy(&output.stdout);
+    let error = String::from_utf8_lossy(&output.stderr);
+    format!("{out}{error}")
+}
+
+/// Waits for an event, however long it takes short of a hang.
+pub(super) fn wait_for(what: &str, mut happened: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !happened() {
+        assert!(started.elapsed() < HANG, "hung: waiting for {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn spawn(arguments: &[&str]) -> Child {
+    Command::new(BINARY).args(arguments).stdout(Stdio::null()).spawn().unwrap()
+}
+
+fn process(folder: &TempDir, id: &str) -> Process {
+    Process {
+        callers: free_tcp(),
+        child: None,
+        id: id.to_owned(),
+        links: free_udp(),
+        operators: free_tcp(),
+        settings: folder.path().join(format!("{id}.yaml")),
+    }
+}
+
+fn free_tcp() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn free_udp() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
--- a/tests/suite/quorum/model.rs
+++ b/tests/suite/quorum/model.rs
@@ -134,7 +134,8 @@
         let mut world = World::new(seed, 5, None);
         let (mut lost, mut crashed) = (0, 0);
         while world.now < CHAOS {
-            let before: Vec<_> = world.vms.values().map(|v| (v.seat.1, v.memory.is_some())).collect();
+            let before: Vec<_> =
+                world.vms.values().map(|v| (v.seat.1, v.memory.is_some())).collect();
             accident(&mut world);
             work(&mut world).unwrap();
             world.step().unwrap();
@@ -143,6 +144,11 @@
                 crashed += usize::from(b.1 && vm.memory.is_none());
             }
         }
-        println!("{seed} tickets {} accepted {} leaders {} lost {lost} crashed {crashed}", world.tickets, world.checker.accepted.len(), world.checker.leaders());
+        println!(
+            "{seed} tickets {} accepted {} leaders {} lost {lost} crashed {crashed}",
+            world.tickets,
+            world.checker.accepted.len(),
+            world.checker.leaders()
+        );
     }
 }
--- a/tests/suite/quorum/vm.rs
+++ b/tests/suite/quorum/vm.rs
@@ -72,7 +72,11 @@
     }
 
     /// Starts the process; an error of the disk stays with the caller.
-    pub(super) fn start(&mut self, seed: u64, mutant: Option<Mutant>) -> Result<(), storage::Error> {
+    pub(super) fn start(
+        &mut self,
+        seed: u64,
+        mutant: Option<Mutant>,
+    ) -> Result<(), storage::Error> {
         let (store, mut recovered) = storage::Log::open(Box::new(self.disk.clone()))?;
         if mutant == Some(Mutant::SnapshotLosesTail) && recovered.snapshot.is_some() {
             recovered.entries.clear();
--- a/tests/suite/quorum/world.rs
+++ b/tests/suite/quorum/world.rs
@@ -198,7 +198,8 @@
         let Some(memory) = self.memory(&leader) else { return Ok(()) };
         let status = memory.replica.status(self.now);
         let change = self.vms.values().find_map(|vm| {
-            let (node, disk) = (vm.name.clone(), vm.memory.as_ref()?.replica.status(self.now).disk?);
+            let (node, disk) =
+                (vm.name.clone(), vm.memory.as_ref()?.replica.status(self.now).disk?);
             match status.members.iter().find(|member| member.node == node) {
                 None => Some(Change::AddLearner { disk, node }),
                 Some(member) if member.disk != disk => Some(Change::Remove { node }),
@@ -245,7 +246,9 @@
                 self.net.send(self.now, name, &to, bytes);
                 Ok(())
             }
-            Output::Refused { .. } | Output::SteppedDown { .. } | Output::Uncertain { .. } => Ok(()),
+            Output::Refused { .. } | Output::SteppedDown { .. } | Output::Uncertain { .. } => {
+                Ok(())
+            }
         }
     }
 
