Hold the floor, trials and shared causes by tests

Cause: failing tests showed three faults. Evidence from before a shared cause was recognised convicted later; it now has to be recent, and the peers' median counts as well as the number of suspects.

--- a/src/health/case.rs
+++ b/src/health/case.rs
@@ -63,7 +63,7 @@
     pub(crate) fn conviction(&mut self, now: Moment, setup: &Setup, bar: f64) -> Option<Aspect> {
         let mut convicted = None;
         for aspect in Aspect::ALL {
-            let is_own = self.own(aspect) >= bar && self.windows(aspect)[0] >= 0.0;
+            let is_own = self.own(aspect) >= bar && self.is_recent(aspect);
             let is_pooled = self.is_pooled(aspect, setup.pooled_threshold(aspect));
             let since = &mut self.since[aspect as usize];
             if !is_own && !is_pooled {
@@ -95,6 +95,15 @@
         is_suspicious
     }
 
+    /// Whether evidence, this entry's or all entries', has reached half of what
+    /// convicts.
+    pub(crate) fn is_half_way(&self, setup: &Setup) -> bool {
+        let is_pooled = |aspect: &Aspect| {
+            self.agrees(*aspect) && self.is_pooled(*aspect, setup.pooled_threshold(*aspect) / 2.0)
+        };
+        self.doubt() >= setup.own_threshold() / 2.0 || Aspect::ALL.iter().any(is_pooled)
+    }
+
     /// Evidence for the other entries, if the upstream is in question.
     pub(crate) fn item(&self, now: Moment, upstream: &UpstreamId) -> Option<Item> {
         if let Some((until, sums)) = self.convicted
@@ -167,6 +176,13 @@
         is_fresh && sums[aspect.shortest()..].iter().any(|sum| *sum >= bar)
     }
 
+    /// Whether the newest outcomes still speak against it: evidence from before a
+    /// recovery, or before its peers turned out to fare the same, is no ground.
+    fn is_recent(&self, aspect: Aspect) -> bool {
+        let [newest, _, seconds, _] = self.windows(aspect);
+        newest >= 0.0 && seconds > 0.0
+    }
+
     fn own(&self, aspect: Aspect) -> f64 {
         let word = if self.reports_ill { Self::REPORT } else { 0.0 };
         self.aspects[aspect as usize].sum() + self.waiting(aspect) + word
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -19,7 +19,7 @@
     const BUCKETS: usize = 16;
     /// Most that the CUSUM holds, in nats: lets an upstream that recovered under
     /// the floor lose its evidence within a few dozen successes.
-    const CEILING: f64 = 60.0;
+    const CEILING: f64 = 30.0;
     /// Length of a bucket.
     const LENGTH: Duration = Duration::from_millis(250);
     /// Windows, in buckets: the shortest finds a total failure at once, the
--- a/src/health/judge.rs
+++ b/src/health/judge.rs
@@ -30,7 +30,7 @@
 impl Judge {
     /// Badness by which an ejected upstream must be better to take the place of
     /// one in service; less would swap equals back and forth.
-    const BETTER: f64 = 0.2;
+    const BETTER: f64 = 0.4;
     /// Time between two digests while an upstream is in question, which is rare:
     /// with ticks in between, detection would wait for both.
     const SHARE: Duration = Setup::TICK;
@@ -177,7 +177,7 @@
     ) -> Option<Reason> {
         let record = self.records.get(upstream)?;
         let is_serving = record.is_serving();
-        if is_serving && self.is_shared() {
+        if is_serving && (self.peers.share(reason) || self.is_shared()) {
             return Some(Reason::Shared);
         }
         let floor = Floor::of(&self.setup, self.records.values());
--- a/src/health/peers.rs
+++ b/src/health/peers.rs
@@ -1,3 +1,4 @@
+use crate::health::Reason;
 use crate::health::record::Record;
 
 /// What most upstreams of the service do at the moment.
@@ -17,6 +18,20 @@
     /// Recent outcomes that an upstream needs to be counted.
     const LEAST: f64 = 0.5;
 
+    /// Failure rate of the median from which failures are no single one's doing:
+    /// what counts as gray.
+    const BAD_RATE: f64 = 0.3;
+    /// Shift from which slowness is no single one's doing: twice as slow.
+    const BAD_SHIFT: f64 = std::f64::consts::LN_2;
+
+    /// Whether most are bad in the respect that one is accused of.
+    pub(crate) fn share(&self, reason: Reason) -> bool {
+        match reason {
+            Reason::Slow => self.shift >= Self::BAD_SHIFT,
+            _ => self.failure_rate >= Self::BAD_RATE,
+        }
+    }
+
     pub(crate) fn of<'a>(records: impl Iterator<Item = &'a Record>) -> Self {
         let mut rates = Vec::new();
         let mut shifts = Vec::new();
--- a/src/health/record.rs
+++ b/src/health/record.rs
@@ -34,6 +34,9 @@
 }
 
 impl Record {
+    /// Share of the newest outcome in the badness: four failures in a row, which
+    /// convict, show as such.
+    const NEWEST: f64 = 0.3;
     /// Slowness alone that returns after this many holds is taken as usual:
     /// slow and sound is better than lost, and the balance gives it less.
     const RELEARN: u32 = 3;
@@ -57,7 +60,8 @@
         }
     }
 
-    /// How bad it is, from 0 (sound) to 2, for choosing whom to keep at the floor.
+    /// How bad it is, from 0 (sound) to 1 (every request fails, or takes ten times
+    /// as long), for choosing whom to keep at the floor.
     pub(crate) fn badness(&self) -> f64 {
         self.badness
     }
@@ -102,7 +106,7 @@
 
     /// Whether evidence has reached half of what convicts.
     pub(crate) fn is_suspect(&self, setup: &Setup) -> bool {
-        self.case.doubt() >= setup.own_threshold() / 2.0
+        self.case.is_half_way(setup)
     }
 
     /// Evidence for the other entries, if the upstream is in question.
@@ -144,7 +148,7 @@
         }
         self.recent.add(now, failure.is_some(), excess);
         self.trial_outcomes += 1;
-        self.badness = self.recent_badness(peers);
+        self.rate(failure.is_some(), excess, peers);
     }
 
     /// Takes ages of requests that still wait for their first byte.
@@ -213,8 +217,10 @@
         self.trial_outcomes = 0;
     }
 
-    fn recent_badness(&self, peers: Peers) -> f64 {
-        let slower = (self.recent.excess() - peers.shift) / std::f64::consts::LN_10;
-        self.recent.failure_rate() + slower.clamp(0.0, 1.0)
+    /// Moves the badness towards that of one outcome.
+    fn rate(&mut self, is_failure: bool, excess: Option<f64>, peers: Peers) {
+        let slower = (excess.unwrap_or_default() - peers.shift) / std::f64::consts::LN_10;
+        let score = if is_failure { 1.0 } else { slower.clamp(0.0, 1.0) };
+        self.badness += Self::NEWEST * (score - self.badness);
     }
 }
--- a/tests/suite/health.rs
+++ b/tests/suite/health.rs
@@ -1,1 +1,8 @@
 //! Tests of `hemlockfield::health`.
+
+mod floor;
+mod gray;
+mod report;
+mod scene;
+mod sound;
+mod trial;
