--- a/src/bench/health.rs
+++ b/src/bench/health.rs
@@ -3,7 +3,7 @@
 
 mod consecutive;
 mod detector;
-mod judged;
+pub(crate) mod judged;
 mod score;
 mod threshold;
 mod watcher;
