Weigh latency in the balance and cap connections by size

Cause: pressure alone gave old upstreams a tenth of the work at half load; their answers are the p99.

--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -3,6 +3,7 @@
 use crate::balance::Finish;
 use crate::balance::Member;
 use crate::balance::Report;
+use crate::balance::Setup;
 use crate::balance::Ticket;
 use crate::clock::Moment;
 use crate::health::Kind;
@@ -15,7 +16,8 @@
     full_until: Moment,
     health: f64,
     is_near: bool,
-    latency: Option<f64>,
+    /// Mean latency in seconds, and when it was last measured.
+    latency: Option<(f64, Moment)>,
     limit: f64,
     long: usize,
     member: Member,
@@ -28,6 +30,10 @@
 impl Load {
     /// Share of the newest answer in the mean latency: the last twenty or so.
     const NEWEST: f64 = 0.05;
+    /// Time after which a mean latency without new answers has lost two thirds of
+    /// its weight. Without it a slow upstream that recovered would lose every
+    /// comparison, get no work, and so never be measured again.
+    const MEMORY: Duration = Duration::from_secs(30);
     /// Factor on the limit at a refusal.
     const BACK_OFF: f64 = 0.7;
     /// Age at which a told load has lost two thirds of its weight.
@@ -62,7 +68,7 @@
     /// yet known.
     pub(crate) fn capacity(&self, now: Moment, usual: f64) -> f64 {
         let share = self.health * self.member.state.share(now);
-        let latency = self.latency.unwrap_or(usual).max(1e-6);
+        let latency = self.expected(now, usual);
         share * f64::from(self.member.slots.max(1)) / latency
     }
 
@@ -92,7 +98,7 @@
         self.report = finish.report.map(|report| (now, report)).or(self.report);
         match finish.kind {
             Kind::Refused => self.refused(now),
-            Kind::Success if found.is_some() => self.succeeded(finish.latency),
+            Kind::Success if found.is_some() => self.succeeded(now, finish.latency),
             _ => {}
         }
     }
@@ -113,7 +119,7 @@
     }
 
     pub(crate) fn latency(&self) -> Option<f64> {
-        self.latency
+        self.latency.map(|(mean, _)| mean)
     }
 
     pub(crate) fn member(&self) -> &Member {
@@ -126,16 +132,22 @@
 
     /// Ages of requests that wait for longer than twice the mean.
     pub(crate) fn overdue(&self, now: Moment) -> Vec<Duration> {
-        let bar = 2.0 * self.latency.unwrap_or(f64::INFINITY);
+        let bar = 2.0 * self.latency().unwrap_or(f64::INFINITY);
         let ages = self.waiting.iter().map(|(_, since)| now.saturating_sub(*since));
         ages.filter(|age| age.as_secs_f64() > bar).collect()
     }
 
-    /// Load for comparing two candidates, relative to their capacity.
-    pub(crate) fn pressure(&self, now: Moment, uses_reports: bool, remote: f64) -> f64 {
-        let far = if self.is_near { 1.0 } else { remote };
-        let told = if uses_reports { self.told(now) } else { 0.0 };
-        (self.in_flight() as f64 + told) * far / f64::from(self.member.slots.max(1))
+    /// What a request would cost here, for comparing two candidates.
+    ///
+    /// The latency counts by its root: an old, slow upstream loses most
+    /// comparisons while there is room elsewhere, and gets its full share when
+    /// the queues of the others have made them as slow.
+    pub(crate) fn cost(&self, now: Moment, usual: f64, setup: &Setup) -> f64 {
+        let far = if self.is_near { 1.0 } else { setup.remote };
+        let told = if setup.uses_reports { self.told(now) } else { 0.0 };
+        let slots = f64::from(self.member.slots.max(1));
+        let busy = (self.in_flight() as f64 + told) / slots;
+        (1.0 + busy) * far * self.expected(now, usual).sqrt()
     }
 
     pub(crate) fn rank(&self) -> u64 {
@@ -157,18 +169,33 @@
         self.member = member;
     }
 
+    /// Latency to expect, in seconds: the mean, fading to the `usual` one.
+    fn expected(&self, now: Moment, usual: f64) -> f64 {
+        let Some((mean, at)) = self.latency else {
+            return usual;
+        };
+        (usual + (mean - usual) * Self::kept(now, at)).max(1e-6)
+    }
+
+    /// Share of a mean from `at` that still counts.
+    fn kept(now: Moment, at: Moment) -> f64 {
+        let age = now.saturating_sub(at).as_secs_f64();
+        (-age / Self::MEMORY.as_secs_f64()).exp()
+    }
+
     /// A refusal means that it is full now: others get the next requests for
     /// about the time in which one of its slots comes free.
     fn refused(&mut self, now: Moment) {
         self.limit = (self.limit * Self::BACK_OFF).max(1.0);
-        let per_slot = self.latency.unwrap_or(0.0) / f64::from(self.member.slots.max(1));
+        let per_slot = self.latency().unwrap_or(0.0) / f64::from(self.member.slots.max(1));
         self.full_until = now + Duration::from_secs_f64(per_slot);
     }
 
-    fn succeeded(&mut self, latency: Duration) {
+    fn succeeded(&mut self, now: Moment, latency: Duration) {
         let newest = latency.as_secs_f64();
-        let mean = self.latency.get_or_insert(newest);
-        *mean += Self::NEWEST * (newest - *mean);
+        let (mean, at) = self.latency.unwrap_or((newest, now));
+        let share = (1.0 - Self::kept(now, at)).max(Self::NEWEST);
+        self.latency = Some((mean + share * (newest - mean), now));
         let most = 2.0 * f64::from(self.member.slots.max(1));
         self.limit = (self.limit + 1.0 / self.limit).min(most);
     }
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -34,6 +34,10 @@
 }
 
 impl Picker {
+    /// Part of the first candidate's cost that the second must stay below. Less
+    /// than that is the noise of the means, and whoever is lowest by noise would
+    /// draw the work of all.
+    const CLEARLY: f64 = 0.9;
     /// Latency, in seconds, that is presumed while none is known.
     const PRESUMED: f64 = 0.025;
 
@@ -90,8 +94,8 @@
         let total = self.gather(now, ask);
         let first = self.draw(total)?;
         let second = self.draw(total)?;
-        let position =
-            if self.pressure(now, second) < self.pressure(now, first) { second } else { first };
+        let is_cheaper = self.cost(now, second) < Self::CLEARLY * self.cost(now, first);
+        let position = if is_cheaper { second } else { first };
         let request = self.next_request;
         self.next_request += 1;
         let load = &mut self.loads[position];
@@ -189,8 +193,8 @@
         }
     }
 
-    fn pressure(&self, now: Moment, position: usize) -> f64 {
-        self.loads[position].pressure(now, self.setup.uses_reports, self.setup.remote)
+    fn cost(&self, now: Moment, position: usize) -> f64 {
+        self.loads[position].cost(now, self.usual, &self.setup)
     }
 
     fn used(&self) -> impl Iterator<Item = &Load> {
--- a/src/balance/setup.rs
+++ b/src/balance/setup.rs
@@ -20,13 +20,14 @@
 }
 
 impl Setup {
-    /// Most upstreams to use at once, unless set: bounds idle connections and the
-    /// time of a pick.
-    pub const MOST: usize = 32;
+    /// Most upstreams to use at once, unless set. An entry knows more of each when
+    /// they are fewer: at 44 entries and 30 upstreams, twelve gave a lower p99
+    /// than all thirty, and six a higher one, as hashing then loads some more.
+    pub const MOST: usize = 12;
 
     /// The usual setup of an entry.
     #[must_use]
     pub fn new(entry: NodeId, domain: DomainId, entries: usize) -> Self {
-        Self { domain, entries, entry, most: Self::MOST, remote: 1.1, uses_reports: false }
+        Self { domain, entries, entry, most: Self::MOST, remote: 1.2, uses_reports: false }
     }
 }
--- a/src/balance/subset.rs
+++ b/src/balance/subset.rs
@@ -16,9 +16,9 @@
 const WANTED: f64 = 4.0;
 /// Fewest upstreams an entry uses: one is down, one is full, one serves.
 const FEWEST: usize = 3;
-/// Room for uneven hashing: the fullest upstream gets three standard deviations
-/// more entries than the mean, which is a third at a mean of eighty.
-const UNEVEN: f64 = 1.35;
+/// Standard deviations of room for uneven hashing: one upstream in thirty
+/// thousand gets more entries than that.
+const UNEVEN: f64 = 4.0;
 
 /// Upstreams chosen, as positions, and how many connections each allows.
 #[derive(Clone, Debug, Default)]
@@ -53,8 +53,10 @@
         if quota >= members {
             return entries as f64;
         }
-        let mean = entries as f64 * quota as f64 / members as f64;
-        (mean * UNEVEN).min(entries as f64)
+        let share = quota as f64 / members as f64;
+        let mean = entries as f64 * share;
+        let deviation = (mean * (1.0 - share)).sqrt();
+        (mean + UNEVEN * deviation).min(entries as f64)
     }
 
     /// Fills up from other domains when one can't give its quota.
--- a/src/bench/balance.rs
+++ b/src/bench/balance.rs
@@ -33,7 +33,7 @@
     ("picker", Way::Picker(|_| {})),
     ("picker, reports", Way::Picker(|setup| setup.uses_reports = true)),
     ("picker, no near", Way::Picker(|setup| setup.remote = 1.0)),
-    ("picker, most 12", Way::Picker(|setup| setup.most = 12)),
+    ("picker, most 32", Way::Picker(|setup| setup.most = 32)),
     ("picker, most 6", Way::Picker(|setup| setup.most = 6)),
 ];
 
--- a/src/bench/health.rs
+++ b/src/bench/health.rs
@@ -83,6 +83,9 @@
     let upstream = random.random_range(0..plan.upstreams);
     let mut plan = Plan { length: LENGTH, ..plan.clone() };
     plan.faults = vec![Fault { from: FROM, gray: KINDS[kind].1, until: plan.length, upstream }];
+    let name = judged::upstream_name(upstream);
+    let uses = |entry: &usize| judged::picker(&plan, *entry, seed, |_| {}).connections(&name) > 0;
+    let users: Vec<usize> = (0..plan.entries).filter(uses).collect();
     let log = RefCell::new(Vec::new());
     let agents = (0..plan.entries)
         .map(|entry| {
@@ -90,5 +93,5 @@
         })
         .collect();
     let _ = World::new(plan.clone(), agents, seed).run();
-    score.count(&plan, kind, &plan.faults[0], &log.into_inner());
+    score.count(&plan, kind, &users, &log.into_inner());
 }
--- a/src/bench/health/score.rs
+++ b/src/bench/health/score.rs
@@ -3,7 +3,6 @@
 
 use super::detector::Ejection;
 use super::detector::Way;
-use crate::model::Fault;
 use crate::model::Gray;
 use crate::model::Plan;
 
@@ -33,17 +32,21 @@
         self.hours += other.hours;
     }
 
-    pub(crate) fn count(&mut self, plan: &Plan, kind: usize, fault: &Fault, log: &[Ejection]) {
-        let concerned = match fault.gray {
-            Gray::OneWay(deaf) => deaf.min(plan.entries),
-            _ => plan.entries,
+    /// Counts one run; `users` are the entries that use the failing upstream.
+    pub(crate) fn count(&mut self, plan: &Plan, kind: usize, users: &[usize], log: &[Ejection]) {
+        let fault = plan.faults[0];
+        let meets = |entry: usize| match fault.gray {
+            Gray::OneWay(deaf) => entry < deaf,
+            _ => true,
         };
+        let concerned = users.iter().copied().filter(|entry| meets(*entry));
+        let concerned: Vec<usize> = concerned.collect();
         for way in WAYS {
             let mut first: BTreeMap<usize, Duration> = BTreeMap::new();
             for ejection in log.iter().filter(|ejection| ejection.way == way) {
                 let is_right = ejection.upstream == fault.upstream
                     && ejection.at >= fault.from
-                    && ejection.entry < concerned;
+                    && meets(ejection.entry);
                 if is_right {
                     first.entry(ejection.entry).or_insert(ejection.at - fault.from);
                 } else {
@@ -54,7 +57,7 @@
                 }
             }
             let times = self.detected.entry((way, kind)).or_default();
-            times.extend((0..concerned).map(|entry| first.get(&entry).copied()));
+            times.extend(concerned.iter().map(|entry| first.get(entry).copied()));
         }
         let sound = plan.length.as_secs_f64() * (plan.upstreams - 1) as f64;
         self.hours += sound * plan.entries as f64 / 3600.0;
