Keep the spelling of values that look like numbers

A header value `1.10` was read as `1.1`, because the decoder guesses the type of plain scalars. Their text is now taken from the source by span.

--- a/src/settings/tree.rs
+++ b/src/settings/tree.rs
@@ -6,6 +6,7 @@
 use serde::de::MapAccess;
 use serde::de::SeqAccess;
 use serde::de::Visitor;
+use serde_saphyr::Location;
 use serde_saphyr::Spanned;
 
 use super::Mistake;
@@ -54,21 +55,66 @@
             },
             with_snippet: false,
         };
-        serde_saphyr::from_str_with_options(text, options).map_err(|error| {
+        let raw: Raw = serde_saphyr::from_str_with_options(text, options).map_err(|error| {
             let line = error.location().map_or(1, |location| location.line());
             Mistake { file: file.into(), line, text: format!("is not valid YAML: {error}") }
-        })
+        })?;
+        Ok(raw.settle(text))
     }
 }
 
-impl<'de> Deserialize<'de> for Tree {
+/// A value as the decoder gives it: what looks like a number has lost its
+/// spelling, so that version `1.10` would become `1.1`.
+struct Raw {
+    content: RawContent,
+    location: Location,
+}
+
+enum RawContent {
+    Empty,
+    List(Vec<Raw>),
+    Map(Vec<(u64, CompactString, Raw)>),
+    Number(CompactString),
+    Text(CompactString),
+}
+
+impl Raw {
+    /// Takes the spelling of numbers from the `source`.
+    fn settle(self, source: &str) -> Tree {
+        let line = self.location.line();
+        let content = match self.content {
+            RawContent::Empty => Content::Empty,
+            RawContent::List(items) => {
+                Content::List(items.into_iter().map(|item| item.settle(source)).collect())
+            }
+            RawContent::Map(entries) => {
+                let settle = |(line, key, value): (u64, _, Raw)| (line, key, value.settle(source));
+                Content::Map(entries.into_iter().map(settle).collect())
+            }
+            RawContent::Number(value) => {
+                Content::Text(spelling(source, &self.location).unwrap_or(value))
+            }
+            RawContent::Text(text) => Content::Text(text),
+        };
+        Tree { content, line }
+    }
+}
+
+fn spelling(source: &str, location: &Location) -> Option<CompactString> {
+    let span = location.span();
+    let start = span.byte_offset()? as usize;
+    let end = start + span.byte_len()? as usize;
+    source.get(start..end).map(|text| text.trim().into())
+}
+
+impl<'de> Deserialize<'de> for Raw {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let spanned = Spanned::<Content>::deserialize(deserializer)?;
-        Ok(Self { content: spanned.value, line: spanned.referenced.line() })
+        let spanned = Spanned::<RawContent>::deserialize(deserializer)?;
+        Ok(Self { content: spanned.value, location: spanned.defined })
     }
 }
 
-impl<'de> Deserialize<'de> for Content {
+impl<'de> Deserialize<'de> for RawContent {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         deserializer.deserialize_any(Reader)
     }
@@ -77,49 +123,49 @@
 struct Reader;
 
 impl<'de> Visitor<'de> for Reader {
-    type Value = Content;
+    type Value = RawContent;
 
     fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
         formatter.write_str("a YAML value")
     }
 
-    fn visit_bool<E>(self, value: bool) -> Result<Content, E> {
-        Ok(Content::Text(value.to_string().into()))
+    fn visit_bool<E>(self, value: bool) -> Result<RawContent, E> {
+        Ok(RawContent::Number(value.to_string().into()))
     }
 
-    fn visit_f64<E>(self, value: f64) -> Result<Content, E> {
-        Ok(Content::Text(value.to_string().into()))
+    fn visit_f64<E>(self, value: f64) -> Result<RawContent, E> {
+        Ok(RawContent::Number(value.to_string().into()))
     }
 
-    fn visit_i64<E>(self, value: i64) -> Result<Content, E> {
-        Ok(Content::Text(value.to_string().into()))
+    fn visit_i64<E>(self, value: i64) -> Result<RawContent, E> {
+        Ok(RawContent::Number(value.to_string().into()))
     }
 
-    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Content, A::Error> {
+    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<RawContent, A::Error> {
         let mut fields = Vec::new();
         while let Some(key) = access.next_key::<Spanned<CompactString>>()? {
             fields.push((key.referenced.line(), key.value, access.next_value()?));
         }
-        Ok(Content::Map(fields))
+        Ok(RawContent::Map(fields))
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Content, A::Error> {
+    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<RawContent, A::Error> {
         let mut items = Vec::new();
         while let Some(item) = access.next_element()? {
             items.push(item);
         }
-        Ok(Content::List(items))
+        Ok(RawContent::List(items))
     }
 
-    fn visit_str<E>(self, value: &str) -> Result<Content, E> {
-        Ok(Content::Text(value.into()))
+    fn visit_str<E>(self, value: &str) -> Result<RawContent, E> {
+        Ok(RawContent::Text(value.into()))
     }
 
-    fn visit_u64<E>(self, value: u64) -> Result<Content, E> {
-        Ok(Content::Text(value.to_string().into()))
+    fn visit_u64<E>(self, value: u64) -> Result<RawContent, E> {
+        Ok(RawContent::Number(value.to_string().into()))
     }
 
-    fn visit_unit<E>(self) -> Result<Content, E> {
-        Ok(Content::Empty)
+    fn visit_unit<E>(self) -> Result<RawContent, E> {
+        Ok(RawContent::Empty)
     }
 }
--- a/tests/suite/settings.rs
+++ b/tests/suite/settings.rs
@@ -8,6 +8,8 @@
 use hemlockfield::settings::Scalar;
 use hemlockfield::settings::Settings;
 use hemlockfield::settings::Size;
+use proptest::prop_assert;
+use proptest::proptest;
 use rstest::rstest;
 
 const SOUND: &str = "\
@@ -98,6 +100,35 @@
     assert!(found[0].contains(expected), "{found:?}");
 }
 
+#[rstest]
+#[case("1.10")]
+#[case("007")]
+#[case("0x10")]
+#[case("1_000")]
+#[case("1e3")]
+#[case("yes")]
+#[case("True")]
+#[case("'1.10'")]
+fn parse_keeps_spelling(#[case] id: &str) {
+    // A process whose name looks like a number goes by the name as written.
+    let text = SOUND.replace("entry-1", id);
+    let settings = Settings::parse("settings.yaml", &text).expect("sound");
+    assert_eq!(settings.node.id, id.trim_matches('\''));
+}
+
+proptest! {
+    /// Whatever is in a file, it is refused with lines, or taken.
+    #[test]
+    fn parse_any(place in 0_usize..200, junk in "[-a-z0-9:{}\\[\\], \\n'\"&*!|>%~#]{0,12}") {
+        let mut text = SOUND.to_string();
+        text.insert_str(place.min(text.len()), &junk);
+        if let Err(Error::Invalid(list)) = Settings::parse("settings.yaml", &text) {
+            prop_assert!(!list.is_empty());
+            prop_assert!(list.iter().all(|mistake| mistake.line > 0));
+        }
+    }
+}
+
 #[rstest]
 #[case("250ms", Some(Duration::from_millis(250)))]
 #[case("1.5s", Some(Duration::from_millis(1500)))]
