--- a/src/admission.rs
+++ b/src/admission.rs
@@ -18,6 +18,7 @@
 mod fifo;
 mod gate;
 mod input;
+mod keys;
 mod kind;
 mod limit;
 mod line;
--- a/src/admission/estimate.rs
+++ b/src/admission/estimate.rs
@@ -9,9 +9,9 @@
 /// Share of the slots that long jobs may hold: lookups keep the other half,
 /// and uploads, of which there are few, still get several slots at once.
 const LONG_SHARE: usize = 2;
-/// The same where slots are learned: they may exceed those there are by half,
-/// and half of the excess would be three quarters of what there is.
-const LONG_SHARE_LEARNED: usize = 3;
+/// The same where slots are learned: they may be twice those there are while
+/// they are being found, and half of that would be all there is.
+const LONG_SHARE_LEARNED: usize = 4;
 /// Share of the slots that requests about one key may hold, for the same
 /// reason: behind a locked record they would fill every slot.
 const KEY_SHARE: usize = 2;
@@ -43,8 +43,14 @@
             // Whoever waits now may not hold the slot that is free.
             return None;
         }
+        if self.keys.waiting(arrival.key.as_ref()) >= self.key_room() {
+            // They wait for each other and not for a slot, and would make the
+            // queue of everyone else look as if it stood.
+            return Some(Reason::Full);
+        }
         let wait = self.forecast(now, arrival, line);
-        if self.lines[line].standing.stands() && wait > self.target(line) {
+        let stands = self.lines[line].standing.stands();
+        if stands && self.lines[line].len() >= self.kept(line) && wait > self.target(line) {
             return Some(Reason::Overload);
         }
         let full = self.waiting.len() >= MOST_WAITING || now + wait > until;
@@ -88,10 +94,15 @@
     /// Whether a slot is free that `arrival` may hold.
     pub(super) fn has_room(&self, arrival: &Arrival) -> bool {
         let slots = self.limit.slots();
-        let key = arrival.key.as_ref().and_then(|key| self.keys.get(key)).copied().unwrap_or(0);
+        let key = self.keys.running(arrival.key.as_ref());
         self.running.len() < slots
             && self.kind(arrival.long).running.len() < self.room(arrival.long)
-            && key < (slots / KEY_SHARE).max(1)
+            && key < self.key_room()
+    }
+
+    /// Slots that requests about one key may hold together; as many may wait.
+    fn key_room(&self) -> usize {
+        (self.limit.slots() / KEY_SHARE).max(1)
     }
 
     /// Slots that requests of the kind may hold together.
@@ -107,6 +118,21 @@
         TARGET.max(self.leader(line).pace.mean())
     }
 
+    /// Requests that wait in a class and are kept although its queue stands: one
+    /// for each slot. By time alone, one long request before a single slot would
+    /// have everyone refused, and the slot would then wait for the next arrival.
+    pub(super) fn kept(&self, line: usize) -> usize {
+        let oldest = self.lines[line].oldest().and_then(|oldest| self.waiting.get(&oldest.1));
+        self.room(oldest.is_some_and(|waiter| waiter.arrival.long))
+    }
+
+    /// Request that has waited longest, where it is one too many.
+    pub(super) fn excess(&self, line: usize) -> Option<(Moment, u64)> {
+        let this = &self.lines[line];
+        let excess = this.standing.stands() && this.len() > self.kept(line);
+        excess.then(|| this.oldest()).flatten()
+    }
+
     /// Time that the requests of a class can be expected to take.
     pub(super) fn service(&self, now: Moment, line: usize) -> Duration {
         self.leader(line).service(now)
--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -12,12 +12,12 @@
 use super::Output;
 use super::Queue;
 use super::Reason;
+use super::keys::Keys;
 use super::kind::Kind;
 use super::line::Line;
 use super::waiter::Running;
 use super::waiter::Waiter;
 use crate::clock::Moment;
-use crate::id::Key;
 use crate::rule::Class;
 
 /// Shortest time after which a refused caller is asked back: long against a
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug)]
 pub struct Gate {
     ends: BTreeSet<(Moment, u64)>,
-    pub(super) keys: BTreeMap<Key, usize>,
+    pub(super) keys: Keys,
     pub(super) limit: Limit,
     pub(super) lines: Vec<Line>,
     pub(super) long: Kind,
@@ -54,7 +54,7 @@
     pub fn new(classes: &[Class], rng: ChaCha8Rng, now: Moment) -> Self {
         Self {
             ends: BTreeSet::new(),
-            keys: BTreeMap::new(),
+            keys: Keys::default(),
             limit: Limit::default(),
             lines: classes.iter().map(|class| Line::new(class.clone(), now)).collect(),
             long: Kind::default(),
@@ -86,10 +86,8 @@
     /// When [`Input::Tick`] is due next; `None` when nothing waits.
     pub fn wake(&self) -> Option<Moment> {
         let ends = self.ends.first().map(|end| end.0);
-        let standing = (0..self.lines.len()).filter(|line| self.lines[*line].standing.stands());
-        let oldest =
-            standing.filter_map(|line| Some(self.lines[line].oldest()?.0 + self.target(line)));
-        let oldest = oldest.min();
+        let excess = |line| Some(self.excess(line)?.0 + self.target(line));
+        let oldest = (0..self.lines.len()).filter_map(excess).min();
         ends.into_iter().chain(oldest).min()
     }
 
@@ -133,6 +131,7 @@
         let ticket = waiter.arrival.ticket;
         line.push(waiter.arrived, ticket, &waiter.arrival.caller);
         self.ends.insert((waiter.until, ticket));
+        self.keys.enter(waiter.arrival.key.as_ref());
         self.kind_mut(waiter.arrival.long).waiting += 1;
         self.waiting.insert(ticket, waiter);
     }
@@ -140,6 +139,7 @@
     fn leave(&mut self, ticket: u64) -> Option<Waiter> {
         let waiter = self.waiting.remove(&ticket)?;
         self.ends.remove(&(waiter.until, ticket));
+        self.keys.leave(waiter.arrival.key.as_ref());
         self.lines[waiter.line].remove(waiter.arrived, ticket, &waiter.arrival.caller);
         self.kind_mut(waiter.arrival.long).waiting -= 1;
         Some(waiter)
@@ -150,9 +150,7 @@
         let time = now.saturating_sub(since);
         let running = self.running.len() + 1;
         self.lines[line].finish(&arrival.caller);
-        if let Some(key) = &arrival.key {
-            release(&mut self.keys, key);
-        }
+        self.keys.finish(arrival.key.as_ref());
         let kind = self.kind_mut(arrival.long);
         kind.running.remove(&(since, ticket));
         let tells = match outcome {
@@ -176,9 +174,10 @@
     fn judge(&mut self, now: Moment) {
         for line in 0..self.lines.len() {
             let service = self.service(now, line);
+            let slots = self.kept(line);
             let line = &mut self.lines[line];
             let waiting = line.len();
-            line.standing.judge(now, waiting, service);
+            line.standing.judge(now, waiting, service, slots);
         }
     }
 
@@ -192,9 +191,8 @@
             self.give_up(now, ticket, outputs);
         }
         for line in 0..self.lines.len() {
-            let target = self.target(line);
-            while let Some((arrived, ticket)) = self.lines[line].oldest() {
-                if !self.lines[line].standing.stands() || arrived + target > now {
+            while let Some((arrived, ticket)) = self.excess(line) {
+                if arrived + self.target(line) > now {
                     break;
                 }
                 if let Some(waiter) = self.leave(ticket) {
@@ -244,9 +242,7 @@
         self.lines[line].charge(cost);
         self.lines[line].start(&arrival.caller);
         self.lines[line].standing.start();
-        if let Some(key) = &arrival.key {
-            *self.keys.entry(key.clone()).or_default() += 1;
-        }
+        self.keys.start(arrival.key.as_ref());
         self.running.insert(arrival.ticket, Running { arrival, line, since: now });
     }
 
@@ -275,11 +271,3 @@
         self.wake()
     }
 }
-
-fn release(keys: &mut BTreeMap<Key, usize>, key: &Key) {
-    let Some(count) = keys.get_mut(key) else { return };
-    *count -= 1;
-    if *count == 0 {
-        keys.remove(key);
-    }
-}
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -11,34 +11,39 @@
 /// upstream. Much below 1.5 the noise of a window's median is taken for a queue:
 /// where service times vary by half, that of 32 requests varies by about a tenth.
 const TOLERANCE: f64 = 1.5;
-/// Median, against the base, below which the upstream has become faster. The
-/// base is not simply the least median: the least of forty noisy ones lies so
-/// low that an ordinary one seems to show a queue, and the limit starves.
+/// Median, against the base, below which the upstream seems to have become
+/// faster, and windows in a row that must say so. By one window, or by the
+/// least median, noise would take the base down until an ordinary median
+/// seemed to show a queue, and the limit would starve.
 const FASTER: f64 = 0.6;
+const AGREE: usize = 3;
 /// Least that remains in one step down, so one bad window can't close the gate.
 const STEP: f64 = 0.7;
 /// Size of a window that measures the base, against the others: every later
 /// window is judged by it, so its noise weighs more.
 const CAREFUL: usize = 2;
 /// Windows between two measurements of the base.
-const WINDOWS: usize = 80;
-/// Share of the limit in the window that measures the base: with it, no more
-/// than 2.5% of the capacity is spent on measuring.
-const DIP: f64 = 0.5;
+const WINDOWS: usize = 120;
+/// Share of the limit in the window that measures the base: low enough to be
+/// under the slots even where the limit is three times as high, and with it no
+/// more than 5% of the capacity is spent on measuring.
+const DIP: f64 = 0.25;
 
 /// Requests that may run at once: given, or learned from latency.
 ///
 /// With more requests than an upstream has slots, the rest wait inside it and
-/// latency grows with them, but not the throughput. So the limit grows by one
-/// a window while it is used up and latency stays near the base, and shrinks
-/// with the ratio when it does not. The base is measured anew in a window at
-/// half the limit, after what was started before has ended; a base that only
+/// latency grows with them, but not the throughput. So the limit grows while it
+/// is used up and latency stays near the base, twofold a window until it first
+/// was too high and then by one, and shrinks with the ratio when it does not. The base is measured anew in a window at
+/// a quarter of the limit, after what was started before has ended; a base that only
 /// ever sank would take an upstream that has become slower for one that is
 /// full, for good. A window counts by its median: a few requests about a locked
 /// record would drag a mean up and close the gate for everyone.
 #[derive(Clone, Debug)]
 pub struct Limit {
     base: Option<f64>,
+    faster: usize,
+    found: bool,
     given: Option<usize>,
     learned: f64,
     /// Requests still to pass before a measurement counts.
@@ -52,6 +57,8 @@
     fn default() -> Self {
         Self {
             base: None,
+            faster: 0,
+            found: false,
             given: None,
             learned: FIRST,
             settle: 0,
@@ -122,13 +129,19 @@
     }
 
     fn adapt(&mut self, median: f64) {
-        let base = self.base.filter(|base| median > base * FASTER).unwrap_or(median);
-        self.base = Some(base);
+        let base = self.base.unwrap_or(median);
+        self.faster = if median < base * FASTER { self.faster + 1 } else { 0 };
+        if self.faster >= AGREE {
+            self.base = Some(median);
+            self.faster = 0;
+        }
         if median > base * TOLERANCE {
             let ratio = base * TOLERANCE / median;
             self.learned = (self.learned * ratio.max(STEP)).max(LEAST);
+            self.found = true;
         } else if self.used {
-            self.learned = (self.learned + 1.0).min(MOST);
+            let step = if self.found { 1.0 } else { self.learned };
+            self.learned = (self.learned + step).min(MOST);
         }
     }
 }
--- a/src/admission/pattern.rs
+++ b/src/admission/pattern.rs
@@ -62,6 +62,15 @@
         vec![class("lookup", 3, second), class("upload", 1, second * 5)]
     }
 
+    /// Ten seconds of an even load, as a share of what `slots` can serve.
+    pub fn even(slots: usize, load: f64, seed: u64) -> Trial {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut trial = Trial { slots, ..Trial::default() };
+        let rate = slots as f64 / SERVICE.as_secs_f64() * load;
+        trial.add(&mut rng, rate, Duration::ZERO, Duration::from_secs(10), &lookup);
+        trial
+    }
+
     /// The pattern with its random parts from `seed`.
     pub fn trial(self, seed: u64) -> Trial {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/src/bench/admission.rs
+++ b/src/bench/admission.rs
@@ -47,9 +47,38 @@
             let _ = writeln!(table, "{}", row(pattern, kind, seeds));
         }
     }
+    table += "\nslots  load  queue    answered  of what fits  p50      p99\n";
+    for slots in [1, 2, 3, 30] {
+        for load in [0.9, 3.0] {
+            for kind in [Kind::Given, Kind::Learned, Kind::Fifo] {
+                let _ = writeln!(table, "{}", even(slots, load, kind, seeds));
+            }
+        }
+    }
     table
 }
 
+/// An even load on few or many slots, whose times vary by half.
+fn even(slots: usize, load: f64, kind: Kind, seeds: u64) -> String {
+    let mut received = Received::default();
+    for seed in 0..seeds {
+        let trial = Pattern::even(slots, load, seed);
+        let fates = trial.run(queue(kind, seed, slots).as_mut());
+        fates.into_iter().for_each(|fate| received.add(fate));
+    }
+    received.answered.sort_unstable();
+    let answered = received.answered.len() as f64 * 100.0;
+    let fits = received.callers as f64 / load.max(1.0);
+    format!(
+        "{slots:<6} {load:<5} {:<8} {:<9} {:<13} {:<8} {}",
+        format!("{kind:?}"),
+        format!("{:.1}%", answered / received.callers as f64),
+        format!("{:.1}%", answered / fits),
+        at(&received.answered, 50),
+        at(&received.answered, 99),
+    )
+}
+
 fn row(pattern: Pattern, kind: Kind, seeds: u64) -> String {
     let mut received = Received::default();
     let mut inputs = 0;
