--- a/src/rule/condition.rs
+++ b/src/rule/condition.rs
@@ -12,6 +12,7 @@
 use crate::settings::Content;
 use crate::settings::Fields;
 use crate::settings::Mistakes;
+use crate::settings::Scalar;
 use crate::settings::Tree;
 use crate::settings::scalar;
 
@@ -76,6 +77,20 @@
         None
     }
 
+    /// What `part` wants, for a person.
+    pub fn wanted(&self, part: Part) -> String {
+        let words: Vec<String> = match part {
+            Part::Caller => self.callers.iter().map(ToString::to_string).collect(),
+            Part::Header => self.headers.iter().map(show_header).collect(),
+            Part::Host => self.hosts.iter().map(Scalar::show).collect(),
+            Part::Method => self.methods.iter().map(ToString::to_string).collect(),
+            Part::Path => self.paths.iter().map(Scalar::show).collect(),
+            Part::ServiceState => self.states.iter().map(show_state).collect(),
+            Part::Team => self.teams.iter().map(ToString::to_string).collect(),
+        };
+        format!("`{}`", words.join("`, `"))
+    }
+
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
         let allowed = ["caller", "header", "host", "method", "path", "service_state", "team"];
         let fields = Fields::open(tree, mistakes, &allowed)?;
@@ -95,6 +110,15 @@
     }
 }
 
+fn show_header((name, value): &(CompactString, Option<CompactString>)) -> String {
+    format!("{name}: {}", value.as_deref().unwrap_or(PRESENT))
+}
+
+fn show_state((service, states): &(ServiceId, Vec<ServiceState>)) -> String {
+    let states: Vec<String> = states.iter().map(Scalar::show).collect();
+    format!("{service} is {}", states.join(" or "))
+}
+
 fn check_method(method: &CompactString, fields: &Fields) {
     if method.chars().all(|symbol| symbol.is_ascii_alphabetic()) {
         return;
--- a/src/rule/explanation.rs
+++ b/src/rule/explanation.rs
@@ -61,7 +61,9 @@
             writeln!(formatter, "{} earlier rules are for another host or path", self.elsewhere)?;
         }
         for Passed { part, rule } in &self.passed {
-            writeln!(formatter, "line {}: `{}` passed: `{part}` fails", rule.line, rule.name)?;
+            let wanted = rule.when.wanted(*part);
+            let place = format!("line {}: `{}`", rule.line, rule.name);
+            writeln!(formatter, "{place} passed over: `{part}` fails, it wants {wanted}")?;
         }
         let Some(rule) = self.decides else {
             return write!(formatter, "no rule holds; the request is refused with 404, not run");
--- a/tests/suite/rule.rs
+++ b/tests/suite/rule.rs
@@ -125,6 +125,11 @@
     assert_eq!(found.decides.expect("sound").name, "certificate-lookup");
     let expected = [("auditors-read-only", Part::Method), ("certificate-issue", Part::Method)];
     assert_eq!(passed, expected);
+    let text = found.to_string();
+    let wanted =
+        "`auditors-read-only` passed over: `method` fails, it wants `POST`, `PUT`, `DELETE`";
+    assert!(text.contains(wanted), "{text}");
+    assert!(text.ends_with("route to `cert-office`, class `lookup`, idempotent, 5s"), "{text}");
 }
 
 /// One random condition over few names, so that rules overlap often.
