--- a/tests/suite/admission/any.rs
+++ b/tests/suite/admission/any.rs
@@ -11,11 +11,19 @@
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
 
 use super::gate;
 use super::millis;
 
 proptest! {
+    // The same cases every run, so that the verdict is the same.
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
     /// Whatever comes, each request is run once or refused once or cancelled,
     /// never both; no more run than there are slots; a request is decided by
     /// its deadline; and the same inputs give the same outputs.
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -17,6 +17,8 @@
 use proptest::prop_assert_eq;
 use proptest::prop_oneof;
 use proptest::proptest;
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -99,6 +101,12 @@
 }
 
 proptest! {
+    // The same cases every run, so that the verdict is the same.
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
     /// Once a byte may have left, a non-idempotent request is neither tried
     /// again nor told as not run, unless the upstream's refusal proves it.
     #[test]
--- a/tests/suite/rule.rs
+++ b/tests/suite/rule.rs
@@ -14,6 +14,8 @@
 use proptest::prop_assert_eq;
 use proptest::prop_oneof;
 use proptest::proptest;
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 const DONAUWERFT: &str = include_str!("../../examples/donauwerft.yaml");
@@ -178,6 +180,12 @@
 }
 
 proptest! {
+    // The same cases every run, so that the verdict is the same.
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
     /// The index gives what the plain scan gives, for every request.
     #[test]
     fn decide_as_scan(
--- a/tests/suite/settings.rs
+++ b/tests/suite/settings.rs
@@ -10,6 +10,8 @@
 use hemlockfield::settings::Size;
 use proptest::prop_assert;
 use proptest::proptest;
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 const SOUND: &str = "\
@@ -117,6 +119,12 @@
 }
 
 proptest! {
+    // The same cases every run, so that the verdict is the same.
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
     /// Whatever is in a file, it is refused with lines, or taken.
     #[test]
     fn parse_any(place in 0_usize..200, junk in "[-a-z0-9:{}\\[\\], \\n'\"&*!|>%~#]{0,12}") {
