--- a/src/registry.rs
+++ b/src/registry.rs
@@ -15,6 +15,7 @@
 mod machine;
 mod message;
 mod output;
+mod trial;
 mod upstream;
 
 pub use announcement::Announcement;
@@ -26,4 +27,5 @@
 pub use message::Message;
 pub use output::Output;
 pub use output::Refusal;
+pub use trial::Trial;
 pub use upstream::Upstream;
