Merge event files in causal order into text and a page

Tests: clocks 7 s behind and 15 s ahead, truncated last line, damaged line between runs, missing process and file, clock set back over a restart, filters. The page has not been looked at yet.

--- a/src/timeline/file_recorder.rs
+++ b/src/timeline/file_recorder.rs
@@ -19,6 +19,11 @@
 use crate::timeline::Event;
 use crate::timeline::Kind;
 use crate::timeline::Recorder;
+use crate::timeline::Stamp;
+
+/// Bytes at the end of a file in which a whole event is looked for; events are
+/// some hundred bytes long.
+const TAIL: u64 = 65_536;
 
 /// Appends each event as one line, from a thread of its own.
 ///
@@ -26,6 +31,7 @@
 /// dropped and counted, and the next line written says how many were lost.
 #[derive(Debug)]
 pub struct FileRecorder {
+    last: Option<Stamp>,
     lost: Arc<AtomicU64>,
     sender: Option<SyncSender<Event>>,
     writer: Option<JoinHandle<()>>,
@@ -40,7 +46,9 @@
     /// # Errors
     /// When the file can't be opened or the writer's thread can't be started.
     pub fn open(path: &Path) -> Result<Self, Error> {
-        let file = open(path).map_err(|source| Error::Open { path: path.into(), source })?;
+        let wrong = |source| Error::Open { path: path.into(), source };
+        let mut file = open(path).map_err(wrong)?;
+        let last = last_stamp(&mut file).map_err(wrong)?;
         let (sender, receiver) = sync_channel(Self::QUEUE_MAX);
         let lost = Arc::new(AtomicU64::new(0));
         let counter = Arc::clone(&lost);
@@ -48,7 +56,15 @@
             .name("timeline".into())
             .spawn(move || write_all(file, &receiver, &counter))
             .map_err(|source| Error::Thread { path: path.into(), source })?;
-        Ok(Self { lost, sender: Some(sender), writer: Some(writer) })
+        Ok(Self { last, lost, sender: Some(sender), writer: Some(writer) })
+    }
+
+    /// Stamp of the last event that an earlier run wrote.
+    ///
+    /// The clock has to observe it before it hands out stamps: where the VM's clock
+    /// was set back between two runs, the later run would else sort before the earlier.
+    pub fn last(&self) -> Option<Stamp> {
+        self.last
     }
 }
 
@@ -85,6 +101,17 @@
     Ok(file)
 }
 
+/// Reads the stamp of the last whole event, searching the last [`TAIL`] bytes.
+fn last_stamp(file: &mut File) -> std::io::Result<Option<Stamp>> {
+    let length = file.metadata()?.len();
+    file.seek(SeekFrom::Start(length.saturating_sub(TAIL)))?;
+    let mut tail = Vec::new();
+    file.read_to_end(&mut tail)?;
+    let text = String::from_utf8_lossy(&tail);
+    let event = |line: &str| serde_json::from_str::<Event>(line).ok();
+    Ok(text.lines().rev().find_map(event).map(|event| event.stamp))
+}
+
 fn write_all(mut file: File, events: &Receiver<Event>, lost: &AtomicU64) {
     for event in events {
         let count = lost.swap(0, Ordering::Relaxed);
--- a/tests/suite/timeline.rs
+++ b/tests/suite/timeline.rs
@@ -1,13 +1,21 @@
 //! Time line: clock, files and merge.
 
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hemlockfield::timeline::Clock;
 use hemlockfield::timeline::Event;
 use hemlockfield::timeline::FileRecorder;
+use hemlockfield::timeline::Filter;
+use hemlockfield::timeline::Journal;
 use hemlockfield::timeline::Kind;
+use hemlockfield::timeline::Merge;
+use hemlockfield::timeline::Note;
 use hemlockfield::timeline::Recorder;
 use hemlockfield::timeline::Stamp;
+use rstest::rstest;
 
 #[test]
 fn clock_receiver_behind_sender() {
@@ -51,3 +59,152 @@
     assert_eq!(kind.name(), "of-a-later-version");
     assert_eq!(Kind::MemberFailed.name(), "member-failed");
 }
+
+/// Writes one file of events a process into a folder.
+fn write(folder: &Path, vm: &str, events: &[Event]) -> PathBuf {
+    let path = folder.join(vm);
+    let recorder = FileRecorder::open(&path).expect("recorder");
+    events.iter().for_each(|event| recorder.record(event.clone()));
+    drop(recorder);
+    path
+}
+
+fn event(micros: u64, vm: &str, kind: Kind) -> Event {
+    Event::new(Stamp { micros, counter: 0 }, vm.into(), kind)
+}
+
+/// A request that crosses three processes whose clocks differ by seconds.
+fn request_over_three(folder: &Path) -> Vec<PathBuf> {
+    let walls = [Duration::from_secs(100), Duration::from_secs(93), Duration::from_secs(108)];
+    let kinds = [Kind::RequestAccepted, Kind::Claim, Kind::RequestFinished];
+    let mut received = Stamp::default();
+    let mut paths = Vec::new();
+    for (index, kind) in kinds.into_iter().enumerate() {
+        let mut clock = Clock::new();
+        clock.observe(received, walls[index]);
+        let stamp = clock.tick(walls[index]);
+        received = clock.tick(walls[index]);
+        let vm = format!("vm-{index}");
+        let event = Event::new(stamp, vm.as_str().into(), kind).request("request-7".into());
+        paths.push(write(folder, &vm, &[event]));
+    }
+    paths
+}
+
+#[test]
+fn merge_clocks_that_differ_by_seconds() {
+    // A request is accepted, claimed and finished on three VMs. The second one's
+    // clock is 7 s behind the first, the third 15 s ahead of the second. The order is
+    // that of cause and effect all the same.
+    let folder = tempfile::tempdir().expect("folder");
+    let mut paths = request_over_three(folder.path());
+    paths.reverse();
+    let report = Merge::read(&paths, &Filter::default());
+    let kinds: Vec<Kind> = report.events().iter().map(|event| event.kind.clone()).collect();
+    assert_eq!(kinds, [Kind::RequestAccepted, Kind::Claim, Kind::RequestFinished]);
+    assert!(report.notes().is_empty());
+}
+
+#[test]
+fn merge_truncated_last_line() {
+    let folder = tempfile::tempdir().expect("folder");
+    let path = write(folder.path(), "vm-1", &[event(1, "vm-1", Kind::ProcessStarted)]);
+    let mut text = std::fs::read_to_string(&path).expect("text");
+    text.push_str("{\"stamp\":{\"micros\":2,\"cou");
+    std::fs::write(&path, text).expect("torn");
+    let report = Merge::read(std::slice::from_ref(&path), &Filter::default());
+    assert_eq!(report.events().len(), 1);
+    assert_eq!(report.notes(), [Note::Truncated { path }]);
+    assert!(report.text().starts_with("note: last line of `"));
+}
+
+#[test]
+fn merge_damaged_line_between_two_runs() {
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("vm-1");
+    std::fs::write(&path, "{\"stamp\":{\"mic").expect("torn");
+    let path = write(folder.path(), "vm-1", &[event(1, "vm-1", Kind::ProcessStarted)]);
+    let report = Merge::read(std::slice::from_ref(&path), &Filter::default());
+    assert_eq!(report.events().len(), 1);
+    assert_eq!(report.notes(), [Note::Damaged { line: 1, path }]);
+}
+
+#[test]
+fn merge_missing_process_and_missing_file() {
+    let folder = tempfile::tempdir().expect("folder");
+    let failed = event(1, "vm-1", Kind::MemberFailed).peer("vm-2".into());
+    let path = write(folder.path(), "vm-1", &[failed]);
+    let absent = folder.path().join("vm-3");
+    let report = Merge::read(&[path, absent.clone()], &Filter::default());
+    assert_eq!(report.events().len(), 1);
+    assert!(matches!(&report.notes()[0], Note::Unreadable { path, .. } if *path == absent));
+    assert_eq!(report.notes()[1], Note::Missing { events: 1, vm: "vm-2".into() });
+}
+
+#[test]
+fn merge_clock_set_back_between_two_runs() {
+    // A VM's clock is set back by an hour over a restart. The new run goes on from
+    // the last stamp in the file, so its events sort after those of the old run.
+    let folder = tempfile::tempdir().expect("folder");
+    let path = write(folder.path(), "vm-1", &[event(7_200_000_000, "vm-1", Kind::ProcessStopping)]);
+    let recorder = Arc::new(FileRecorder::open(&path).expect("recorder"));
+    let wall = Duration::from_secs(3600);
+    let last = recorder.last().expect("stamp");
+    let journal = Journal::new("vm-1".into(), recorder);
+    assert!(journal.observe(last, wall));
+    journal.record(wall, Kind::ProcessStarted, |event| event.detail("version", "1"));
+    drop(journal);
+    let report = Merge::read(&[path], &Filter::default());
+    assert_eq!(report.events()[1].kind, Kind::ProcessStarted);
+    assert!(report.notes().is_empty());
+}
+
+#[test]
+fn merge_stamps_that_go_back_are_noted() {
+    let folder = tempfile::tempdir().expect("folder");
+    let events =
+        [event(9_000_000, "vm-1", Kind::ProcessStarted), event(2_000_000, "vm-1", Kind::Claim)];
+    let path = write(folder.path(), "vm-1", &events);
+    let report = Merge::read(std::slice::from_ref(&path), &Filter::default());
+    assert_eq!(report.events()[1].kind, Kind::Claim);
+    assert_eq!(report.notes(), [Note::Backwards { by: Duration::from_secs(7), line: 2, path }]);
+}
+
+#[rstest]
+#[case::configuration(Filter { configuration: Some(4), ..Filter::default() }, 1)]
+#[case::request(Filter { request: Some("request-1".into()), ..Filter::default() }, 1)]
+#[case::upstream(Filter { upstream: Some("upstream-1".into()), ..Filter::default() }, 2)]
+#[case::vm(Filter { vm: Some("vm-2".into()), ..Filter::default() }, 3)]
+#[case::all(Filter::default(), 5)]
+fn merge_filters_by(#[case] filter: Filter, #[case] count: usize) {
+    let folder = tempfile::tempdir().expect("folder");
+    let first = [
+        event(1, "vm-1", Kind::ConfigurationApplied).configuration(4),
+        event(2, "vm-1", Kind::RequestAccepted).request("request-1".into()),
+        event(3, "vm-1", Kind::MemberSuspected).peer("vm-2".into()),
+    ];
+    let upstream = |event: Event| event.upstream("upstream-1".into());
+    let second = [
+        upstream(event(4, "vm-2", Kind::UpstreamAnnounced)),
+        upstream(event(5, "vm-2", Kind::Ejected)),
+    ];
+    let paths = [write(folder.path(), "vm-1", &first), write(folder.path(), "vm-2", &second)];
+    assert_eq!(Merge::read(&paths, &filter).events().len(), count);
+}
+
+#[test]
+fn report_text_and_page() {
+    let folder = tempfile::tempdir().expect("folder");
+    let micros = 1_709_210_096_000_007;
+    let event = event(micros, "vm-1", Kind::RequestFinished)
+        .request("request-1".into())
+        .detail("outcome", "cut </script> short");
+    let path = write(folder.path(), "vm-1", &[event]);
+    let report = Merge::read(&[path], &Filter::default());
+    let line = "2024-02-29 12:34:56.000007+0  vm-1  request-finished        request=request-1  \
+                outcome=\"cut </script> short\"\n";
+    assert_eq!(report.text(), line);
+    let page = report.html();
+    assert!(page.contains("cut \\u003c/script> short"));
+    assert_eq!(page.matches("</script>").count(), 2);
+}
