--- a/src/cli.rs
+++ b/src/cli.rs
@@ -13,6 +13,7 @@
 pub mod run;
 pub mod status;
 pub mod submit;
+pub mod timeline;
 pub mod upstream;
 
 mod client;
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -13,6 +13,7 @@
 use super::run;
 use super::status;
 use super::submit;
+use super::timeline;
 use super::upstream;
 
 /// Options before the command.
@@ -51,6 +52,8 @@
     Status(status::Options),
     /// submit a numbered configuration
     Submit(submit::Options),
+    /// merge files of events into one time line
+    Timeline(timeline::Options),
     /// run a stand-in for an upstream, gray on demand
     Upstream(upstream::Options),
 }
@@ -75,6 +78,7 @@
             Self::Run(options) => run::run(&options),
             Self::Status(options) => status::run(&options),
             Self::Submit(options) => submit::run(&options),
+            Self::Timeline(options) => timeline::run(&options),
             Self::Upstream(options) => upstream::run(options),
         }
     }
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -10,6 +10,7 @@
 use crate::load;
 use crate::load::Plan;
 use crate::load::Report;
+use crate::timeline;
 use crate::upstream::Gray;
 use crate::upstream::Stand;
 
@@ -47,7 +48,7 @@
     stop(stands).await;
     let events = site.events.clone();
     site.stop().await;
-    let timeline = tell(&events)?;
+    let timeline = tell(&events);
     let stands = site::stands(UPSTREAMS, &[]).await?;
     let addresses = stands.iter().map(Stand::address).collect();
     let proxy = Baseline::start(addresses).await?;
@@ -107,15 +108,12 @@
     }
 }
 
-fn tell(events: &[std::path::PathBuf]) -> Result<String, Error> {
-    let mut text = String::new();
-    for path in events {
-        text += &fs::read_to_string(path).unwrap_or_default();
-    }
+fn tell(events: &[std::path::PathBuf]) -> String {
+    let text = timeline::Merge::read(events, &timeline::Filter::default()).text();
     let telling = |line: &&str| {
         let parts = ["configuration", "eject", "readmit", "trial", "election"];
         parts.iter().any(|part| line.contains(part))
     };
     let lines: Vec<&str> = text.lines().filter(telling).take(LINES).collect();
-    Ok(lines.join("\n"))
+    lines.join("\n")
 }
--- a/tests/suite/directory.rs
+++ b/tests/suite/directory.rs
@@ -31,7 +31,7 @@
 }
 
 fn directory() -> Directory {
-    Directory::new("r0".into())
+    Directory::new("r0".into(), Directory::LIFETIME)
 }
 
 #[test]
