Give each entry its share of the slots, and time out half-way

Hedged requests were cancelled without a word, so the silent upstream was only found when the first unhedged one ran out of time. Ruled out: a longer queue (those who wait miss their deadline all the same). Change: turns are twice the even share of the sound upstreams' slots, plus one for each request that is stuck; an attempt that may be repeated waits half of the time left; an overtaken upstream's wait is told to the judge as latency.

--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -20,10 +20,10 @@
 use super::site::Site;
 
 const UPSTREAMS: usize = 8;
-const LOAD: Duration = Duration::from_secs(8);
-const RATE: f64 = 150.0;
+const LOAD: Duration = Duration::from_secs(9);
+const RATE: f64 = 300.0;
 /// When the first upstream turns gray, and for how long.
-const GRAY_FROM: Duration = Duration::from_secs(2);
+const GRAY_FROM: Duration = Duration::from_secs(3);
 const GRAY_FOR: Duration = Duration::from_secs(4);
 /// Lines of the time line that are printed.
 const LINES: usize = 40;
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -46,7 +46,7 @@
     when: {path: /hulls/*}
     then:
       route: {service: hull-register}
-      terms: {class: lookup, deadline: 5s, idempotent: true}
+      terms: {class: lookup, deadline: 5s, idempotent: true, hedge: true}
 ";
 
 struct Plan {
--- a/src/node/traffic/attempt.rs
+++ b/src/node/traffic/attempt.rs
@@ -15,6 +15,9 @@
 /// Longest until a connection to an upstream is open: about 1 ms at the sizes of today,
 /// and one lost packet costs a second.
 const CONNECT: Duration = Duration::from_millis(1500);
+/// Share of the time left for which the first byte of an answer is waited for, where the
+/// request may be sent to another upstream after that.
+const PATIENCE: f64 = 0.5;
 /// Longest between two bytes of a body.
 const IDLE: Duration = Duration::from_secs(30);
 
@@ -50,7 +53,8 @@
     left: Duration,
 ) -> Result<Answer, Failure> {
     let leg = leg(shared, address, idempotent, left).await?;
-    let first_byte = shared.settings.limits.first_byte.min(left);
+    let patience = if idempotent { left.mul_f64(PATIENCE) } else { left };
+    let first_byte = shared.settings.limits.first_byte.min(patience);
     leg.ask(request, Limits { connect: CONNECT, first_byte, idle: IDLE }).await
 }
 
--- a/src/node/traffic/dispatch.rs
+++ b/src/node/traffic/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::exchange::Outlet;
 use crate::exchange::refuse;
 use crate::health;
+use crate::id::UpstreamId;
 use crate::node::Input;
 use crate::node::View;
 use crate::node::probe::is_draining;
@@ -53,6 +54,7 @@
         decline(&job, outlet, refuse(503, exchange::Outcome::NotRun, &text, Some(ABSENT))).await;
         return;
     }
+    service.catch_up(shared.now(), &upstreams);
     let held = match Held::ask(shared, &job).await {
         Ok(held) => held,
         Err(response) => return decline(&job, outlet, *response).await,
@@ -199,9 +201,11 @@
     place: Place<'a>,
 ) -> Tried<'a> {
     let now = shared.now();
+    let started = now;
     let hedge = job.terms.hedge && job.is_idempotent() && !job.payload.is_stream();
     let after = if hedge { service.policy().hedge_after() } else { None };
     let request = job.request(now);
+    let overtaken = place.upstream.clone();
     let first = Tried::make(shared, request, place, job.is_idempotent(), job.left(now));
     let Some(after) = after else { return first.await };
     let first = first.fuse();
@@ -228,12 +232,25 @@
         tried = second => (tried, true),
     };
     service.policy().hedged(won && tried.is_answered());
+    if won && tried.is_answered() {
+        tell_overtaken(shared, job, overtaken, shared.now().saturating_sub(started));
+    }
     if tried.is_answered() {
         return tried;
     }
     if won { first.await } else { second.await }
 }
 
+/// Tells the judge that an upstream had not answered after `waited`, when another one had.
+/// Cancelled without a word, a silent upstream would never be found by what is hedged. Its
+/// latency is at least that long, and it is not called a failure, since one request in
+/// twenty is late at any upstream.
+fn tell_overtaken(shared: &Shared, job: &Job, upstream: UpstreamId, waited: Duration) {
+    let service = job.service.clone();
+    let kind = health::Kind::Success;
+    shared.tell(Input::Outcome { kind, latency: waited, service, upstream });
+}
+
 /// Passes an answer on. Only when all of it has gone through does the upstream count as
 /// having served, and its connection as fit for another request.
 async fn pass_on(
--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -42,6 +42,7 @@
 struct State {
     classes: Vec<Class>,
     gate: Option<Gate>,
+    slots: Option<usize>,
     waiting: BTreeMap<u64, (Arrival, Sender<Turn>)>,
 }
 
@@ -93,6 +94,13 @@
         (turn.unwrap_or(closed), permit)
     }
 
+    /// Sets how many requests may run at a time.
+    pub(super) fn set_slots(&self, now: Moment, slots: usize) {
+        let mut state = self.lock();
+        state.slots = Some(slots);
+        state.handle(now, Input::Capacity { slots: Some(slots) });
+    }
+
     fn tick(&self, now: Moment) {
         let mut state = self.lock();
         let due = state.gate.as_ref().and_then(Gate::wake).is_some_and(|wake| wake <= now);
@@ -116,6 +124,7 @@
         self.classes = classes.to_vec();
         let random = ChaCha8Rng::seed_from_u64(seed);
         self.gate = Some(Gate::new(classes, random, now));
+        self.handle(now, Input::Capacity { slots: self.slots });
         let waiting: Vec<Arrival> =
             self.waiting.values().map(|(arrival, _)| arrival.clone()).collect();
         for arrival in waiting {
@@ -190,7 +199,10 @@
 
 fn tell_overdue(shared: &Shared, service: &super::service::Service) {
     debug_assert!(health::Setup::TICK >= TICK * OVERDUE_EVERY);
-    for (upstream, ages) in service.overdue(shared.now()) {
+    let overdue = service.overdue(shared.now());
+    let stuck = overdue.iter().map(|(_, ages)| ages.len()).sum();
+    service.make_up_for(shared.now(), stuck);
+    for (upstream, ages) in overdue {
         shared.tell(node::Input::Overdue(service.name.clone(), upstream, ages));
     }
 }
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -12,6 +12,7 @@
 use crate::balance::Pick;
 use crate::balance::Picker;
 use crate::balance::Ticket;
+use crate::balance::Verdicts;
 use crate::clock::Moment;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -21,10 +22,18 @@
 
 use super::queue::Queue;
 
+/// Turns of all entries together, over the slots of all upstreams. Callers spread over the
+/// entries unevenly by chance; at twice its even share an entry seldom refuses what the
+/// others have room for, and when all are full, one request for each slot waits at its
+/// upstream, which an upstream's own queue takes.
+const OVERCOMMIT: f64 = 2.0;
+/// Least turns of an entry: with fewer, one long request holds up all others.
+const SLOTS_MIN: usize = 4;
+
 /// One service, as the traffic threads of this process share it.
 pub(in crate::node) struct Service {
     pub(in crate::node) name: ServiceId,
-    picker: Mutex<(u64, Picker)>,
+    picker: Mutex<Choice>,
     policy: Mutex<Policy>,
     pub(in crate::node) queue: Queue,
 }
@@ -37,7 +46,12 @@
         let policy = Policy::new(random.clone());
         let picker = Picker::new(setup, random);
         let queue = Queue::new(crate::node::incarnation());
-        Self { name, picker: Mutex::new((0, picker)), policy: Mutex::new(policy), queue }
+        Self {
+            name,
+            picker: Mutex::new(Choice { picker, slots: 0, version: 0 }),
+            policy: Mutex::new(policy),
+            queue,
+        }
     }
 
     pub(super) fn pick(
@@ -47,11 +61,11 @@
         avoid: &[UpstreamId],
         is_long: bool,
     ) -> Option<Pick> {
-        self.picker(view).1.pick(now, &Ask { avoid, is_long })
+        self.choice(now, view).picker.pick(now, &Ask { avoid, is_long })
     }
 
     pub(super) fn finish(&self, now: Moment, ticket: Ticket, finish: Finish) {
-        self.lock().1.finish(now, ticket, finish);
+        self.lock().picker.finish(now, ticket, finish);
     }
 
     /// What may be tried again, and the budget for it.
@@ -61,22 +75,55 @@
 
     /// Requests that wait unusually long for an upstream's first byte.
     pub(in crate::node) fn overdue(&self, now: Moment) -> Vec<(UpstreamId, Vec<Duration>)> {
-        self.lock().1.overdue(now)
+        self.lock().picker.overdue(now)
     }
 
-    /// The picker, brought up to the newest view by whichever request comes first.
-    fn picker(&self, view: &view::Service) -> MutexGuard<'_, (u64, Picker)> {
-        let mut guard = self.lock();
-        if guard.0 < view.version {
-            guard.0 = view.version;
-            guard.1.set_entries(view.entries);
-            guard.1.set_members(&view.members);
-            guard.1.refresh(view);
+    /// Lets others run in place of `stuck` requests, which hold an upstream's slot but
+    /// will not give it back soon: without that, one silent upstream fills all turns of
+    /// the service, and callers are refused while the other upstreams idle.
+    pub(super) fn make_up_for(&self, now: Moment, stuck: usize) {
+        let slots = self.lock().slots;
+        if slots > 0 {
+            self.queue.set_slots(now, slots + stuck.min(slots));
         }
-        guard
     }
 
-    fn lock(&self) -> MutexGuard<'_, (u64, Picker)> {
+    /// Brings queue and picker up to a newer view; whichever request comes first does.
+    pub(super) fn catch_up(&self, now: Moment, view: &view::Service) {
+        drop(self.choice(now, view));
+    }
+
+    fn choice(&self, now: Moment, view: &view::Service) -> MutexGuard<'_, Choice> {
+        let mut choice = self.lock();
+        if choice.version < view.version {
+            choice.version = view.version;
+            choice.picker.set_entries(view.entries);
+            choice.picker.set_members(&view.members);
+            choice.picker.refresh(view);
+            choice.slots = slots(view);
+            self.queue.set_slots(now, choice.slots);
+        }
+        choice
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Choice> {
         self.picker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// The picker as of one view.
+struct Choice {
+    picker: Picker,
+    /// Turns of this entry.
+    slots: usize,
+    /// Version of the view.
+    version: u64,
+}
+
+/// This entry's share of the slots of all upstreams that health lets work.
+fn slots(view: &view::Service) -> usize {
+    let sound = |member: &&balance::Member| view.weight(&member.upstream) > 0.0;
+    let all: u32 = view.members.iter().filter(sound).map(|member| member.slots).sum();
+    let share = f64::from(all) * OVERCOMMIT / view.entries.max(1) as f64;
+    (share.ceil() as usize).clamp(SLOTS_MIN, SLOTS_MIN.max(all as usize))
+}
