Tell a torn seal from damage

Ruled out: syncing seals, which doubles the syncs. Each frame now says how many bytes were synced when it was written, and only that proves damage.

--- a/src/fake/disk.rs
+++ b/src/fake/disk.rs
@@ -31,11 +31,12 @@
     synced: Vec<u8>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct State {
     capacity: u64,
     contents: BTreeMap<u64, Content>,
-    fail_sync: bool,
+    /// Syncs that still succeed.
+    good_syncs: u64,
     names: BTreeMap<String, u64>,
     namings: Vec<Naming>,
     next: u64,
@@ -56,7 +57,7 @@
         let state = State {
             capacity: u64::MAX,
             contents: BTreeMap::new(),
-            fail_sync: false,
+            good_syncs: u64::MAX,
             names: BTreeMap::new(),
             namings: Vec::new(),
             next: 0,
@@ -74,7 +75,18 @@
 
     /// Makes every sync fail, or succeed again.
     pub fn set_fail_sync(&self, fail: bool) {
-        self.lock().fail_sync = fail;
+        self.set_fail_sync_after(if fail { 0 } else { u64::MAX });
+    }
+
+    /// Lets `good` more syncs of contents or names succeed, and no others.
+    pub fn set_fail_sync_after(&self, good: u64) {
+        self.lock().good_syncs = good;
+    }
+
+    /// Another disk with the same contents.
+    pub fn copy(&self) -> Self {
+        let state = self.lock().clone();
+        Self { state: Arc::new(Mutex::new(state)) }
     }
 
     /// Syncs of contents so far.
@@ -152,7 +164,15 @@
         for content in self.contents.values_mut() {
             content.crash(&mut self.random);
         }
-        self.fail_sync = false;
+        self.good_syncs = u64::MAX;
+    }
+
+    fn try_sync(&mut self) -> Result<()> {
+        if self.good_syncs == 0 {
+            return Err(Error::other("the disk fails"));
+        }
+        self.good_syncs -= 1;
+        Ok(())
     }
 
     fn write_back(&mut self) {
@@ -223,9 +243,7 @@
 
     fn sync(&mut self, file: &str) -> Result<()> {
         let mut state = self.lock();
-        if state.fail_sync {
-            return Err(Error::other("the disk fails"));
-        }
+        state.try_sync()?;
         state.syncs += 1;
         let content = state.content(file);
         content.synced = content.cached.clone();
@@ -234,9 +252,7 @@
 
     fn sync_names(&mut self) -> Result<()> {
         let mut state = self.lock();
-        if state.fail_sync {
-            return Err(Error::other("the disk fails"));
-        }
+        state.try_sync()?;
         state.namings.clear();
         state.synced_names = state.names.clone();
         Ok(())
--- a/src/storage/frame.rs
+++ b/src/storage/frame.rs
@@ -1,8 +1,8 @@
 //! Frames: length, checksum and the records of one sync.
 //!
-//! A frame is written only after the one before it was synced. So a whole frame
-//! after a broken one proves that the broken one was synced once: that is damage.
-//! A broken frame with nothing whole after it was under way in a crash: a torn
+//! Each frame says how much of the file was synced when it was written. So a whole
+//! frame after a broken one can prove that the broken one was synced once: that
+//! is damage. Without such a proof the broken one was under way in a crash: a torn
 //! tail.
 
 use std::io::ErrorKind;
@@ -31,6 +31,8 @@
     pub(super) records: Vec<Record>,
     /// In the first frame, the snapshot that the log continues.
     pub(super) snapshot: Option<(Index, Term)>,
+    /// Bytes of the file that were synced when the frame was written.
+    pub(super) synced: u64,
 }
 
 /// What a scan of a log file finds.
@@ -83,16 +85,21 @@
         frames.push(frame);
         end += HEADER + payload.len();
     }
-    if has_whole_frame(&bytes[end..]) {
+    if was_synced(end as u64, &bytes[end..]) {
         return Err(Error::Damaged { file: file.to_owned(), offset: end as u64 });
     }
     Ok(Scan { end: end as u64, frames })
 }
 
-fn has_whole_frame(bytes: &[u8]) -> bool {
-    let starts = bytes.windows(MAGIC.len()).enumerate();
-    let mut starts = starts.filter(|(_, window)| *window == MAGIC);
-    starts.any(|(start, _)| payload(&bytes[start..]).is_some())
+/// Whether a frame in `rest` proves that more than `end` bytes were synced.
+fn was_synced(end: u64, rest: &[u8]) -> bool {
+    let starts = rest.windows(MAGIC.len()).enumerate();
+    let starts = starts.filter(|(_, window)| *window == MAGIC);
+    let mut payloads = starts.filter_map(|(start, _)| payload(&rest[start..]));
+    payloads.any(|payload| {
+        let frame: Result<Frame, _> = postcard::from_bytes(payload);
+        frame.map_or(true, |frame| frame.synced > end)
+    })
 }
 
 /// Payload of the frame at the start of `bytes`, if it is whole.
--- a/src/storage/log.rs
+++ b/src/storage/log.rs
@@ -34,6 +34,7 @@
     length: u64,
     next: u64,
     pending: Vec<Record>,
+    synced: u64,
 }
 
 impl Log {
@@ -64,7 +65,14 @@
         let mut recovered = replay(scan.frames);
         recovered.snapshot =
             snapshot.map(|named| read_snapshot(disk.as_ref(), named)).transpose()?;
-        let mut log = Self { file, generation, length: scan.end, next, ..Self::blank(disk) };
+        let mut log = Self {
+            file,
+            generation,
+            length: scan.end,
+            next,
+            synced: scan.end,
+            ..Self::blank(disk)
+        };
         log.sweep(snapshot)?;
         Ok((log, recovered))
     }
@@ -110,6 +118,7 @@
             length: 0,
             next: 0,
             pending: Vec::new(),
+            synced: 0,
         }
     }
 
@@ -118,8 +127,9 @@
             return Ok(());
         }
         let first = self.next == 0;
-        self.write(&Frame { number: self.next, records, snapshot: None })?;
+        self.write(records)?;
         self.disk.sync(&self.file).map_err(|source| Error::of(&self.file, source))?;
+        self.synced = self.length;
         if first {
             self.disk.sync_names().map_err(|source| Error::of(&self.file, source))?;
         }
@@ -130,11 +140,12 @@
     /// written it back, damage to the last records of an idle log is told from a
     /// torn tail.
     fn seal(&mut self) -> Result<(), Error> {
-        self.write(&Frame { number: self.next, records: Vec::new(), snapshot: None })
+        self.write(Vec::new())
     }
 
-    fn write(&mut self, frame: &Frame) -> Result<(), Error> {
-        let bytes = frame::encode(&self.file, frame)?;
+    fn write(&mut self, records: Vec<Record>) -> Result<(), Error> {
+        let frame = Frame { number: self.next, records, snapshot: None, synced: self.synced };
+        let bytes = frame::encode(&self.file, &frame)?;
         if let Err(source) = self.disk.append(&self.file, &bytes) {
             // A part that stays is cut as a torn tail when the folder is opened.
             let _ = self.disk.truncate(&self.file, self.length);
@@ -155,11 +166,13 @@
         recovered.apply(Record::Snapshot(snapshot));
         let records = records_of(recovered);
         let file = log_name(self.generation + 1);
-        let bytes = frame::encode(&file, &Frame { number: 0, records, snapshot: Some(named) })?;
+        let bytes =
+            frame::encode(&file, &Frame { number: 0, records, snapshot: Some(named), synced: 0 })?;
         self.write_whole(&file, &bytes)?;
         self.file = file;
         self.generation += 1;
         self.length = bytes.len() as u64;
+        self.synced = self.length;
         self.next = 1;
         self.seal()?;
         self.sweep(Some(named))
--- a/tests/suite/quorum/world.rs
+++ b/tests/suite/quorum/world.rs
@@ -273,7 +273,7 @@
         let memory = self.vms.get_mut(name).and_then(|vm| vm.memory.as_mut()).expect("up");
         memory.applied = index;
         memory.commands.push(command);
-        if memory.commands.len() % SNAPSHOT_EVERY != 0 {
+        if !memory.commands.len().is_multiple_of(SNAPSHOT_EVERY) {
             return Ok(());
         }
         let bytes = postcard::to_stdvec(&memory.commands).expect("encodes");
