--- a/src/quorum/election.rs
+++ b/src/quorum/election.rs
@@ -74,13 +74,13 @@
             Body::PreVote { last_index: self.trail.last(), last_term: self.trail.last_term() };
         for (node, disk) in self.other_voters() {
             let mut message = self.message(disk, body.clone());
-            message.term += 1;
+            message.term = message.term.saturating_add(1);
             self.push_message(&node, message);
         }
     }
 
     fn ask_votes(&mut self) {
-        self.term += 1;
+        self.term = self.term.saturating_add(1);
         self.vote = Some(self.setup.me.clone());
         self.incoming = None;
         self.record_ballot();
@@ -122,7 +122,7 @@
     }
 
     pub(super) fn count_pre_vote(&mut self, from: &NodeId, message: &Message) {
-        if message.term != self.term + 1 {
+        if message.term != self.term.saturating_add(1) {
             return;
         }
         let counts = self.trail.membership().votes(from, message.disk);
--- a/src/quorum/lead.rs
+++ b/src/quorum/lead.rs
@@ -151,6 +151,9 @@
     }
 
     pub(super) fn note_appended(&mut self, from: &NodeId, disk: u64, round: u64, matched: Index) {
+        if matched > self.trail.last() {
+            return;
+        }
         self.note_answer(from, disk, round, |progress| {
             progress.matched = progress.matched.max(matched);
             progress.probing = false;
@@ -176,7 +179,7 @@
     ) {
         let mut wanted = false;
         self.note_answer(from, disk, round, |progress| {
-            let next = hint.max(progress.matched) + 1;
+            let next = hint.max(progress.matched).saturating_add(1);
             let current = progress.matched < prev_index && prev_index < progress.next;
             wanted = current && next < progress.next;
             if wanted {
--- a/src/quorum/replica.rs
+++ b/src/quorum/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -20,6 +21,7 @@
 use super::record::Record;
 use super::recovered::Recovered;
 use super::setup::Setup;
+use super::snapshot::Snapshot;
 use super::trail::Trail;
 use super::transfer::Incoming;
 use crate::clock::Moment;
@@ -122,7 +124,9 @@
         }
     }
 
-    /// Takes one input, and says what to do about it.
+    /// Takes one input, and says what to do about it. The first outputs after a
+    /// restart install the snapshot; the commands after it come as commits, once
+    /// a leader knows that they are committed.
     pub fn handle(&mut self, now: Moment, input: Input) -> Vec<Output> {
         self.now = now;
         if self.deadline.is_none() {
@@ -257,6 +261,6 @@
     }
 }
 
-fn install(snapshot: std::sync::Arc<super::snapshot::Snapshot>) -> Output {
+fn install(snapshot: Arc<Snapshot>) -> Output {
     Output::Install { snapshot }
 }
--- a/tests/suite/quorum.rs
+++ b/tests/suite/quorum.rs
@@ -5,5 +5,6 @@
 mod model;
 mod mutant;
 mod repair;
+mod view;
 mod vm;
 mod world;
--- a/tests/suite/quorum/direct.rs
+++ b/tests/suite/quorum/direct.rs
@@ -5,8 +5,16 @@
 use hemlockfield::fake::Weather;
 use hemlockfield::id::Index;
 use hemlockfield::id::NodeId;
+use hemlockfield::quorum::Body;
+use hemlockfield::quorum::Entry;
 use hemlockfield::quorum::Fault;
+use hemlockfield::quorum::Input;
+use hemlockfield::quorum::Message;
+use hemlockfield::quorum::Output;
+use hemlockfield::quorum::Payload;
+use hemlockfield::quorum::Reason;
 use hemlockfield::quorum::Role;
+use rstest::rstest;
 
 use super::checker::Verdict;
 use super::checker::ensure;
@@ -32,7 +40,7 @@
 }
 
 fn role(world: &World, name: &NodeId) -> Role {
-    world.memory(name).expect("up").replica.status(world.now).role
+    world.status(name).role
 }
 
 fn last(world: &World, name: &NodeId) -> Index {
@@ -68,7 +76,7 @@
 
     // Among the rest one is elected, and nobody hears of its first entry.
     isolate(&mut world, rest);
-    let term = world.memory(&first).expect("up").replica.status(world.now).term;
+    let term = world.status(&first).term;
     let stands = |world: &World| {
         rest.iter().find(|name| world.memory(name).expect("up").log.term > term).copied()
     };
@@ -109,3 +117,119 @@
     let mut mutants = (0..SEEDS).filter_map(|seed| old_term(seed, Some(mutant)).err());
     assert!(mutants.any(|it| it.contains("leads term")), "not found");
 }
+
+/// A whole group of `size` with some commands, and its leader.
+fn whole(seed: u64, size: usize) -> (World, NodeId) {
+    let mut world = World::new(seed, size, None);
+    world.until("a whole group", LIMIT, World::repaired).expect("safe");
+    let leader = world.leader().expect("a leader");
+    world.propose(&leader).expect("safe");
+    world.run(Duration::from_secs(1)).expect("safe");
+    (world, leader)
+}
+
+/// How a replica is cut off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Cut {
+    Both,
+    Inbound,
+    Outbound,
+}
+
+fn cut(world: &mut World, name: &NodeId, cut: Cut) {
+    for other in world.names() {
+        if cut != Cut::Outbound {
+            world.net.cut(&other, name);
+        }
+        if cut != Cut::Inbound {
+            world.net.cut(name, &other);
+        }
+    }
+}
+
+// A follower is cut off for a minute, one way or both, and comes back. Operators
+// see it silent; nobody loses a leader over it, then or on its return, since the
+// others still hear the leader and refuse the pre-vote, and no term is raised.
+#[rstest]
+fn follower_cut(#[values(Cut::Both, Cut::Inbound, Cut::Outbound)] way: Cut) {
+    for seed in 0..10 {
+        let (mut world, leader) = whole(seed, 3);
+        let term = world.status(&leader).term;
+        let follower = world.names().into_iter().find(|name| *name != leader).expect("one");
+        cut(&mut world, &follower, way);
+        world.run(Duration::from_secs(60)).expect("safe");
+        let status = world.status(&leader);
+        let member = status.members.iter().find(|member| member.node == follower);
+        assert!(member.is_some_and(|member| member.silent), "seed {seed}: {status:?}");
+        assert!(!status.tolerates_one_more_loss);
+        world.net.heal_all();
+        world.until("a whole group", LIMIT, World::is_whole).expect("safe");
+        let after = world.status(&leader);
+        assert_eq!((after.role, after.term), (Role::Leader, term), "seed {seed}");
+    }
+}
+
+// A leader is cut off, one way or both. Callers are refused or uncertain for two
+// election timeouts at most, then another leader accepts. One that is not heard
+// is voted out; one that hears nobody steps down by itself, and falls silent.
+#[rstest]
+fn leader_cut(#[values(Cut::Both, Cut::Inbound, Cut::Outbound)] way: Cut) {
+    for seed in 0..10 {
+        let (mut world, leader) = whole(seed, 3);
+        cut(&mut world, &leader, way);
+        let limit = Duration::from_secs(3);
+        let accepts = |world: &World| world.leader().is_some_and(|name| name != leader);
+        world.until("another leader", limit, accepts).expect("in time");
+        let second = world.leader().expect("a leader");
+        let before = world.checker.accepted.len();
+        world.propose(&second).expect("safe");
+        world.until("a command", limit, |it| it.checker.accepted.len() > before).expect("in time");
+        world
+            .until("the old one steps down", limit, |it| role(it, &leader) != Role::Leader)
+            .expect("in time");
+    }
+}
+
+// A wire message of nonsense, from a member whose certificate is good. The
+// replica neither panics nor commits anything for it.
+#[test]
+fn receive_extremes() {
+    let (mut world, leader) = whole(1, 3);
+    let follower = world.names().into_iter().find(|name| *name != leader).expect("one");
+    let commit = world.status(&leader).commit;
+    let (most, round) = (u64::MAX, u64::MAX);
+    let entries = vec![Entry { index: most, term: most, payload: Payload::Blank }];
+    let bodies = [
+        Body::Append { commit: most, entries, prev_index: most, prev_term: 1, round },
+        Body::Appended { matched: most, round },
+        Body::Chunked { index: most, offset: most, round },
+        Body::Mismatch { hint: most, prev_index: most, round },
+        Body::PreVote { last_index: most, last_term: most },
+        Body::PreVoted { granted: true },
+        Body::Vote { last_index: most, last_term: most },
+    ];
+    for body in bodies {
+        for (from, to) in [(&leader, &follower), (&follower, &leader)] {
+            let term = world.status(to).term;
+            let message = Message { body: body.clone(), disk: 0, term, to: 0 };
+            world.input(to, Input::Receive { from: from.clone(), message }).expect("safe");
+            assert_eq!(world.status(to).commit, commit, "{body:?}");
+        }
+    }
+}
+
+// A burst while no majority answers: callers are refused at once when the limit
+// is reached, marked as not run, and the leader's memory stays bounded.
+#[test]
+fn propose_full() {
+    let (mut world, leader) = whole(1, 3);
+    cut(&mut world, &leader, Cut::Both);
+    let now = world.now;
+    let memory = world.vms.get_mut(&leader).and_then(|vm| vm.memory.as_mut()).expect("up");
+    let full = (0..100).find(|ticket| {
+        let command = vec![0; 500];
+        let outputs = memory.replica.handle(now, Input::Propose { ticket: *ticket, command });
+        outputs.iter().any(|it| matches!(it, Output::Refused { reason: Reason::Full, .. }))
+    });
+    assert_eq!(full, Some(8), "4096 bytes hold 8 commands of 500");
+}
