Bound what a claim's record may do to the ledger

A limit of any length overflowed the window's end and would have stopped every replica at each replay. Saturate it, bound answers again when they are applied, drop over-long keys at the desk, and refuse a peer with this process's name.

--- a/src/claim/command.rs
+++ b/src/claim/command.rs
@@ -5,9 +5,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::id::Incarnation;
-use crate::id::NodeId;
-
 use super::ClaimId;
 use super::Outcome;
 use super::Slot;
@@ -67,10 +64,13 @@
         }
     }
 
-    /// Entry and incarnation that it speaks for.
-    pub fn origin(&self) -> (&NodeId, Incarnation) {
-        let claim = self.claim();
-        (&claim.entry, claim.incarnation)
+    /// Slot that it is about, if any.
+    pub fn slot(&self) -> Option<&Slot> {
+        match self {
+            Self::Abandon { slot, .. } | Self::Finish { slot, .. } => Some(slot),
+            Self::Claim { request, .. } => Some(&request.slot),
+            Self::Start(_) => None,
+        }
     }
 }
 
--- a/src/claim/desk.rs
+++ b/src/claim/desk.rs
@@ -9,6 +9,7 @@
 use super::Message;
 use super::Receipt;
 use super::Reply;
+use super::Slot;
 
 /// Actions in one record: enough that a sync of a few milliseconds carries
 /// 40,000 a second, few enough that a record stays below 100 KB without answers.
@@ -25,11 +26,13 @@
 
 impl Desk {
     /// Takes an agent's actions. Those that speak for another process than their
-    /// sender are dropped: an abandon must come from the entry that claimed.
+    /// sender are dropped: an abandon must come from the entry that claimed. So are
+    /// those with texts beyond the ledger's bound.
     pub fn push(&mut self, from: &NodeId, actions: Vec<Action>) {
         let room = QUEUE_LIMIT.saturating_sub(self.waiting.len());
         let own = actions.into_iter().filter(|action| action.claim().entry == *from);
-        self.waiting.extend(own.take(room));
+        let valid = own.filter(|action| action.slot().is_none_or(Slot::is_valid));
+        self.waiting.extend(valid.take(room));
     }
 
     /// The next record to propose, if anything waits; to be called when none of
--- a/src/claim/id.rs
+++ b/src/claim/id.rs
@@ -9,6 +9,10 @@
 use crate::id::NodeId;
 use crate::id::ServiceId;
 
+/// Longest text in a slot; with 60,000 keys, the ledger stays within its memory
+/// also when a caller's keys are long.
+const TEXT_LIMIT: usize = 200;
+
 /// Number that the exchange gives a request at its entry.
 pub type Ticket = u64;
 
@@ -34,3 +38,11 @@
     /// Service that the request is for.
     pub service: ServiceId,
 }
+
+impl Slot {
+    /// Whether the ledger takes it; a request with a longer key is the caller's
+    /// mistake, and is refused before it is claimed.
+    pub fn is_valid(&self) -> bool {
+        [&self.caller, &self.key, &self.service].iter().all(|text| text.len() <= TEXT_LIMIT)
+    }
+}
--- a/src/claim/ledger.rs
+++ b/src/claim/ledger.rs
@@ -153,7 +153,7 @@
         self.insert(Record {
             claim,
             digest: request.digest,
-            expires: self.clock + request.limit + self.limits.window,
+            expires: self.clock.saturating_add(request.limit).saturating_add(self.limits.window),
             limit: request.limit,
             since: self.clock,
             slot: Arc::new(request.slot),
@@ -174,8 +174,8 @@
             return Reply::Finished;
         }
         let Some(mut record) = self.remove(slot) else { return Reply::Gone };
-        record.state = State::Settled(outcome);
-        record.expires = self.clock + self.limits.window;
+        record.state = State::Settled(outcome.bounded());
+        record.expires = self.clock.saturating_add(self.limits.window);
         self.insert(record);
         self.trim_answers();
         Reply::Finished
--- a/src/claim/outcome.rs
+++ b/src/claim/outcome.rs
@@ -42,7 +42,15 @@
 impl Outcome {
     /// Outcome of an answered request; an answer above 4 KiB is not kept.
     pub fn ran(status: u16, answer: Option<KeptAnswer>) -> Self {
-        Self::Ran { answer: answer.filter(|answer| answer.size() <= KEPT_LIMIT), status }
+        Self::Ran { answer, status }.bounded()
+    }
+
+    /// The same outcome, without its answer if that is too large.
+    pub(super) fn bounded(mut self) -> Self {
+        if self.kept_size() > KEPT_LIMIT {
+            self.forget_answer();
+        }
+        self
     }
 
     /// Bytes of the kept answer.
--- a/src/link/courier.rs
+++ b/src/link/courier.rs
@@ -18,6 +18,7 @@
 use super::endpoint::Shared;
 use super::endpoint::open;
 use super::live::Live;
+use super::live::Reason;
 use super::peer::Peer;
 use super::queue::Queue;
 
@@ -126,6 +127,10 @@
     };
     match timeout(shared.settings.dial_limit, connecting).await {
         Ok(Ok(connection)) => match Live::new(connection, false, None) {
+            Some((id, live)) if id == shared.settings.me => {
+                live.close(Reason::Refused);
+                refuse("certificate has the name of this process".into());
+            }
             Some((id, live)) => adopt(&shared, &shared.peer(&id), live),
             None => refuse("certificate has no name".into()),
         },
--- a/src/link/live.rs
+++ b/src/link/live.rs
@@ -23,6 +23,8 @@
 pub(super) enum Reason {
     /// The peer's certificate has expired.
     Expired,
+    /// The peer is not who it may be.
+    Refused,
     /// The path is silent; the peer won't hear of it.
     Silent,
     /// Another connection to the same peer took over.
--- a/tests/suite/claim/ledger.rs
+++ b/tests/suite/claim/ledger.rs
@@ -5,6 +5,7 @@
 use hemlockfield::claim::Action;
 use hemlockfield::claim::ClaimId;
 use hemlockfield::claim::Command;
+use hemlockfield::claim::Desk;
 use hemlockfield::claim::KeptAnswer;
 use hemlockfield::claim::Ledger;
 use hemlockfield::claim::Limits;
@@ -196,3 +197,30 @@
     let answer = KeptAnswer { body: vec![0; 4097], headers: Vec::new() };
     assert_eq!(Outcome::ran(200, Some(answer)), Outcome::Ran { answer: None, status: 200 });
 }
+
+/// A record of the log can't be undone: what an entry with a fault sent must not
+/// stop every replica, at each start anew.
+#[test]
+fn apply_extreme_figures() {
+    let mut ledger = Ledger::new(Limits::default());
+    let request = Request { digest: 7, limit: Duration::MAX, slot: slot("yard", "k") };
+    let action = Action::Claim { claim: id("a", 1), request };
+    assert_eq!(act(&mut ledger, START, action), Reply::Granted);
+    assert_eq!(act(&mut ledger, START, claim("b", 1, "l")), Reply::Granted);
+    let answer = KeptAnswer { body: vec![0; 1 << 20], headers: Vec::new() };
+    let outcome = Outcome::Ran { answer: Some(answer), status: 200 };
+    let action = Action::Finish { claim: id("b", 1), outcome, slot: slot("yard", "l") };
+    assert_eq!(act(&mut ledger, START, action), Reply::Finished);
+    assert_eq!(ledger.answer_bytes(), 0);
+    assert_eq!(act(&mut ledger, Duration::MAX, claim("b", 2, "m")), Reply::Granted);
+}
+
+#[rstest]
+#[case::own(claim("a", 1, "k"), 1)]
+#[case::of_another_entry(claim("b", 1, "k"), 0)]
+#[case::long_key(claim("a", 1, &"k".repeat(201)), 0)]
+fn push_to_desk(#[case] action: Action, #[case] count: usize) {
+    let mut desk = Desk::default();
+    desk.push(&"a".into(), vec![action]);
+    assert_eq!(desk.take().map_or(0, |command| command.actions.len()), count);
+}
