Tell single failures to an upstream's home entry

Single failures now meet at one entry, which puts the upstream in question to all. The longest window is sixteen seconds.

--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -23,6 +23,8 @@
     member: Member,
     number: u64,
     rank: u64,
+    /// Share of the last answers that were refusals, and when the last was.
+    refusals: (f64, Moment),
     report: Option<(Moment, Report)>,
     waiting: Vec<(u64, Moment)>,
 }
@@ -36,6 +38,11 @@
     const MEMORY: Duration = Duration::from_secs(30);
     /// Factor on the limit at a refusal.
     const BACK_OFF: f64 = 0.7;
+    /// Cost of refusals: one in five doubles it, so that slower upstreams with
+    /// room are used before callers are refused.
+    const FULL: f64 = 5.0;
+    /// Age at which a refusal has lost two thirds of its weight: a burst is over.
+    const FULL_FADE: Duration = Duration::from_secs(5);
     /// Age at which a told load has lost two thirds of its weight.
     const FADE: Duration = Duration::from_millis(250);
 
@@ -51,6 +58,7 @@
             member,
             number,
             rank,
+            refusals: (0.0, Moment::ZERO),
             report: None,
             waiting: Vec::new(),
         }
@@ -147,7 +155,8 @@
         let told = if setup.uses_reports { self.told(now) } else { 0.0 };
         let slots = f64::from(self.member.slots.max(1));
         let busy = (self.in_flight() as f64 + told) / slots;
-        (1.0 + busy) * far * self.expected(now, usual).sqrt()
+        let full = 1.0 + Self::FULL * self.refusing(now);
+        (1.0 + busy) * far * full * self.expected(now, usual).sqrt()
     }
 
     pub(crate) fn rank(&self) -> u64 {
@@ -174,27 +183,29 @@
         let Some((mean, at)) = self.latency else {
             return usual;
         };
-        (usual + (mean - usual) * Self::kept(now, at)).max(1e-6)
+        (usual + (mean - usual) * kept(now, at, Self::MEMORY)).max(1e-6)
     }
 
-    /// Share of a mean from `at` that still counts.
-    fn kept(now: Moment, at: Moment) -> f64 {
-        let age = now.saturating_sub(at).as_secs_f64();
-        (-age / Self::MEMORY.as_secs_f64()).exp()
+    fn refusing(&self, now: Moment) -> f64 {
+        let (share, at) = self.refusals;
+        share * kept(now, at, Self::FULL_FADE)
     }
 
     /// A refusal means that it is full now: others get the next requests for
     /// about the time in which one of its slots comes free.
     fn refused(&mut self, now: Moment) {
+        let share = self.refusing(now);
+        self.refusals = (share + Self::NEWEST * (1.0 - share), now);
         self.limit = (self.limit * Self::BACK_OFF).max(1.0);
         let per_slot = self.latency().unwrap_or(0.0) / f64::from(self.member.slots.max(1));
         self.full_until = now + Duration::from_secs_f64(per_slot);
     }
 
     fn succeeded(&mut self, now: Moment, latency: Duration) {
+        self.refusals.0 -= Self::NEWEST * self.refusals.0;
         let newest = latency.as_secs_f64();
         let (mean, at) = self.latency.unwrap_or((newest, now));
-        let share = (1.0 - Self::kept(now, at)).max(Self::NEWEST);
+        let share = (1.0 - kept(now, at, Self::MEMORY)).max(Self::NEWEST);
         self.latency = Some((mean + share * (newest - mean), now));
         let most = 2.0 * f64::from(self.member.slots.max(1));
         self.limit = (self.limit + 1.0 / self.limit).min(most);
@@ -205,7 +216,12 @@
         let Some((at, report)) = self.report else {
             return 0.0;
         };
-        let age = now.saturating_sub(at).as_secs_f64();
-        f64::from(report.in_flight) * (-age / Self::FADE.as_secs_f64()).exp()
+        f64::from(report.in_flight) * kept(now, at, Self::FADE)
     }
 }
+
+/// Share of what was measured `at` a moment that still counts.
+fn kept(now: Moment, at: Moment, memory: Duration) -> f64 {
+    let age = now.saturating_sub(at).as_secs_f64();
+    (-age / memory.as_secs_f64()).exp()
+}
--- a/src/bench/balance/picked.rs
+++ b/src/bench/balance/picked.rs
@@ -6,6 +6,7 @@
 use crate::balance::Verdicts;
 use crate::bench::health::judged;
 use crate::clock::Moment;
+use crate::health::Digest;
 use crate::model::Agent;
 use crate::model::Answer;
 use crate::model::Choice;
@@ -45,8 +46,8 @@
         Some(Choice { token: pick.ticket.request, upstream })
     }
 
-    fn tick(&mut self, _now: Moment) -> Option<crate::health::Digest> {
+    fn tick(&mut self, _now: Moment) -> Vec<(Option<usize>, Digest)> {
         self.picker.refresh(&AllSound);
-        None
+        Vec::new()
     }
 }
--- a/src/bench/health/watcher.rs
+++ b/src/bench/health/watcher.rs
@@ -24,6 +24,7 @@
 /// An entry whose detectors watch without a say in where work goes, so that all
 /// of them judge the same outcomes.
 pub(crate) struct Watcher<'a> {
+    entries: usize,
     entry: usize,
     judge: Judge,
     log: &'a RefCell<Vec<Ejection>>,
@@ -46,6 +47,7 @@
             (Way::Threshold, Box::new(Threshold::new(plan.upstreams))),
         ];
         Self {
+            entries: plan.entries,
             entry,
             judge: judged::judge(plan, entry, setup, seed),
             log,
@@ -92,17 +94,21 @@
         Some(Choice { token: pick.ticket.request, upstream })
     }
 
-    fn tick(&mut self, now: Moment) -> Option<Digest> {
+    fn tick(&mut self, now: Moment) -> Vec<(Option<usize>, Digest)> {
         for (upstream, ages) in self.picker.overdue(now) {
             self.judge.handle(now, Input::Pending { ages, upstream });
         }
-        let mut shared = None;
+        let mut shared = Vec::new();
         for output in self.judge.handle(now, Input::Tick) {
             match output {
                 Output::Eject { upstream, .. } => {
                     self.note(now, Way::Judge, judged::position(&upstream));
                 }
-                Output::Share(digest) => shared = Some(digest),
+                Output::Share(digest) => shared.push((None, digest)),
+                Output::Tell { digest, upstream } => {
+                    let home = judged::position(&upstream) % self.entries;
+                    shared.push((Some(home), digest));
+                }
                 _ => {}
             }
         }
--- a/src/health/case.rs
+++ b/src/health/case.rs
@@ -26,16 +26,19 @@
 }
 
 impl Case {
-    /// Age at which another entry's evidence is dropped: more than two intervals,
-    /// so that one lost message changes nothing.
-    const FRESH: Duration = Duration::from_millis(700);
+    /// Evidence that is told to the upstream's home, in nats: one failure.
+    const TELL: f64 = 3.0;
+    /// Age at which another entry's evidence is dropped: longer than the interval
+    /// of [`crate::health::Output::Tell`].
+    const FRESH: Duration = Duration::from_millis(1_200);
     /// How long an upstream stays in question after the last suspicion.
     const QUESTION: Duration = Duration::from_secs(1);
     /// Weight of the upstream's own word that it is ill, in nats: far below any
     /// threshold, as the word lags or misleads. That it is well counts nothing.
     const REPORT: f64 = 1.5;
-    /// Evidence at which the other entries are asked, in nats: two failures in a
-    /// row. A single failure is an everyday matter and is not worth messages.
+    /// Evidence at which all entries are asked, in nats: two failures in a row, at
+    /// one entry or told by two. A single one is an everyday matter, and not
+    /// worth messages to all.
     const SHARE: f64 = 5.0;
 
     pub(crate) fn add(&mut self, now: Moment, aspect: Aspect, step: f64) {
@@ -118,6 +121,12 @@
         Some(Item { sums: self.sums(), upstream: upstream.clone() })
     }
 
+    /// Evidence for the upstream's home, when it is too little for all.
+    pub(crate) fn told(&self, now: Moment, upstream: &UpstreamId) -> Option<Item> {
+        let is_little = now >= self.question_until && self.doubt() >= Self::TELL;
+        is_little.then(|| Item { sums: self.sums(), upstream: upstream.clone() })
+    }
+
     pub(crate) fn report(&mut self, healthy: bool) {
         self.reports_ill = !healthy;
     }
@@ -128,7 +137,7 @@
             evidence.roll(now);
         }
         self.remote.retain(|_, (at, _)| now.saturating_sub(*at) <= Self::FRESH);
-        if self.doubt() >= Self::SHARE {
+        if self.doubt() >= Self::SHARE || self.is_told() {
             self.question_until = now + Self::QUESTION;
         }
     }
@@ -188,6 +197,11 @@
         self.aspects[aspect as usize].sum() + self.waiting(aspect) + word
     }
 
+    /// Whether what others told amounts to a question to all.
+    fn is_told(&self) -> bool {
+        Aspect::ALL.iter().any(|aspect| self.is_pooled(*aspect, Self::SHARE))
+    }
+
     fn sums(&self) -> [[i16; 4]; 3] {
         Aspect::ALL.map(|aspect| self.windows(aspect).map(|sum| (sum * Item::UNITS).round() as i16))
     }
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -6,17 +6,18 @@
 ///
 /// A CUSUM for this entry alone, and signed sums over a few windows, which add
 /// up over entries.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Evidence {
-    buckets: [f64; Self::BUCKETS],
-    counts: [u32; Self::BUCKETS],
+    buckets: [f32; Self::BUCKETS],
+    /// Bucket of the last outcome, if any.
+    last: Option<u64>,
     newest: u64,
     sum: f64,
 }
 
 impl Evidence {
     /// Buckets kept.
-    const BUCKETS: usize = 16;
+    const BUCKETS: usize = 64;
     /// Most that the CUSUM holds, in nats: lets an upstream that recovered under
     /// the floor lose its evidence within a few dozen successes.
     const CEILING: f64 = 30.0;
@@ -24,21 +25,21 @@
     const LENGTH: Duration = Duration::from_millis(250);
     /// Windows, in buckets: the shortest finds a total failure at once, the
     /// longest a partial one at a low rate.
-    pub const WINDOWS: [usize; 4] = [2, 4, 8, 16];
+    pub const WINDOWS: [usize; 4] = [2, 4, 16, 64];
 
     /// Adds the log-likelihood ratio of one outcome.
     pub fn add(&mut self, now: Moment, step: f64) {
         self.roll(now);
         self.sum = (self.sum + step).clamp(0.0, Self::CEILING);
         let slot = Self::slot(self.newest);
-        self.buckets[slot] += step;
-        self.counts[slot] += 1;
+        self.buckets[slot] += step as f32;
+        self.last = Some(self.newest);
     }
 
     /// Whether no outcome lies within the longest window.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.counts.iter().all(|count| *count == 0)
+        self.last.is_none_or(|last| last + Self::BUCKETS as u64 <= self.newest)
     }
 
     /// Forgets everything.
@@ -53,7 +54,6 @@
         for step in 1..=passed {
             let slot = Self::slot(current - passed + step);
             self.buckets[slot] = 0.0;
-            self.counts[slot] = 0;
         }
         self.newest = self.newest.max(current);
     }
@@ -76,6 +76,12 @@
 
     fn window(&self, length: usize) -> f64 {
         let oldest = (self.newest + 1).saturating_sub(length as u64);
-        (oldest..=self.newest).map(|bucket| self.buckets[Self::slot(bucket)]).sum()
+        (oldest..=self.newest).map(|bucket| f64::from(self.buckets[Self::slot(bucket)])).sum()
+    }
+}
+
+impl Default for Evidence {
+    fn default() -> Self {
+        Self { buckets: [0.0; Self::BUCKETS], last: None, newest: 0, sum: 0.0 }
     }
 }
--- a/src/health/judge.rs
+++ b/src/health/judge.rs
@@ -25,6 +25,7 @@
     records: BTreeMap<UpstreamId, Record>,
     setup: Setup,
     share_at: Moment,
+    tell_at: Moment,
 }
 
 impl Judge {
@@ -34,6 +35,8 @@
     /// Time between two digests while an upstream is in question, which is rare:
     /// with ticks in between, detection would wait for both.
     const SHARE: Duration = Setup::TICK;
+    /// Time between two words to an upstream's home.
+    const TELL: Duration = Duration::from_secs(1);
     /// Share of bad upstreams from which the cause is taken to lie elsewhere.
     const SHARED: f64 = 0.6;
 
@@ -47,6 +50,7 @@
             records: BTreeMap::new(),
             setup,
             share_at: Moment::ZERO,
+            tell_at: Moment::ZERO,
         }
     }
 
@@ -137,6 +141,7 @@
         self.start_trials(now, outputs);
         self.restore(now, outputs);
         self.share(now, outputs);
+        self.tell(now, outputs);
     }
 
     /// Ejects those convicted for long enough, the worst first.
@@ -278,4 +283,17 @@
             outputs.push(Output::Share(Digest { from: self.name.clone(), items }));
         }
     }
+
+    fn tell(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if now < self.tell_at {
+            return;
+        }
+        for (upstream, record) in &self.records {
+            if let Some(item) = record.told(now, upstream) {
+                let digest = Digest { from: self.name.clone(), items: vec![item] };
+                outputs.push(Output::Tell { digest, upstream: upstream.clone() });
+                self.tell_at = now + Self::TELL;
+            }
+        }
+    }
 }
--- a/src/health/output.rs
+++ b/src/health/output.rs
@@ -29,8 +29,17 @@
         /// Upstream.
         upstream: UpstreamId,
     },
-    /// Evidence for the other entries that use this service.
+    /// Evidence for all other entries that use an upstream in question.
     Share(Digest),
+    /// A single failure, told only to the upstream's home entry, where those of
+    /// all entries meet. At thousands of upstreams an entry sees each so seldom
+    /// that two failures in a row would take it most of a minute.
+    Tell {
+        /// Evidence on this upstream.
+        digest: Digest,
+        /// Upstream.
+        upstream: UpstreamId,
+    },
     /// Takes a small share of real load.
     Trial {
         /// Upstream.
--- a/src/health/record.rs
+++ b/src/health/record.rs
@@ -202,6 +202,11 @@
         self.state
     }
 
+    /// Evidence for the upstream's home.
+    pub(crate) fn told(&self, now: Moment, upstream: &UpstreamId) -> Option<Item> {
+        self.case.told(now, upstream)
+    }
+
     pub(crate) fn trial_passed(&self) -> bool {
         self.trial_outcomes >= Self::TRIAL && self.case.doubt() < Self::TRIAL_DOUBT
     }
--- a/src/model/plan.rs
+++ b/src/model/plan.rs
@@ -17,10 +17,12 @@
     pub errors: f64,
     /// What goes wrong.
     pub faults: Vec<Fault>,
-    /// One way between entry and upstream.
+    /// One way between entry and upstream in different failure domains.
     pub hop: Duration,
     /// Length of the run.
     pub length: Moment,
+    /// One way between entry and upstream in the same failure domain.
+    pub near_hop: Duration,
     /// Every so many upstreams, one is old: slower by [`Plan::OLD`] for good.
     /// Nought for none.
     pub old_each: usize,
@@ -73,6 +75,7 @@
             faults: Vec::new(),
             hop: Duration::from_millis(1),
             length: Duration::from_secs(30),
+            near_hop: Duration::from_micros(100),
             old_each: 4,
             pause_each: Duration::from_secs(60),
             queue: 8,
@@ -122,6 +125,12 @@
         &self.domains[position % self.domains.len()]
     }
 
+    /// One way between an entry and an upstream.
+    #[must_use]
+    pub fn hop_between(&self, entry: usize, upstream: usize) -> Duration {
+        if self.domain(entry) == self.domain(upstream) { self.near_hop } else { self.hop }
+    }
+
     /// Factor on the time of work of an upstream, for good.
     #[must_use]
     pub fn slowness(&self, upstream: usize) -> f64 {
--- a/src/model/world.rs
+++ b/src/model/world.rs
@@ -136,8 +136,9 @@
         self.used[pair] += 1;
         let is_new = self.used[pair] > self.opened[pair];
         self.opened[pair] = self.opened[pair].max(self.used[pair]);
-        let connect = if is_new { self.plan.hop * 2 } else { Duration::ZERO };
-        self.at(now + connect + self.plan.hop, Event::Reach(request));
+        let hop = self.plan.hop_between(at.entry, choice.upstream);
+        let connect = if is_new { hop * 2 } else { Duration::ZERO };
+        self.at(now + connect + hop, Event::Reach(request));
         self.at(now + self.plan.timeout, Event::GiveUp(request));
     }
 
@@ -208,7 +209,8 @@
         let upstream = self.requests[request].choice.upstream;
         self.requests[request].kind = kind;
         self.requests[request].load = self.upstreams[upstream].in_flight() as u32;
-        self.at(now + self.plan.hop, Event::Answer(request));
+        let hop = self.plan.hop_between(self.requests[request].entry, upstream);
+        self.at(now + hop, Event::Answer(request));
     }
 
     fn answer(&mut self, now: Moment, request: usize) {
@@ -255,10 +257,13 @@
 
     fn tick(&mut self, now: Moment) {
         self.at(now + Setup::TICK, Event::Tick);
-        let digests: Vec<_> = self.agents.iter_mut().filter_map(|agent| agent.tick(now)).collect();
-        for digest in &digests {
-            for agent in &mut self.agents {
-                agent.hear(now, digest);
+        let ticks = self.agents.iter_mut().flat_map(|agent| agent.tick(now));
+        let digests: Vec<_> = ticks.collect();
+        for (to, digest) in &digests {
+            for (entry, agent) in self.agents.iter_mut().enumerate() {
+                if to.is_none_or(|to| to == entry) {
+                    agent.hear(now, digest);
+                }
             }
         }
         let chance = Setup::TICK.as_secs_f64() / self.plan.pause_each.as_secs_f64();
