--- a/src/bench/health.rs
+++ b/src/bench/health.rs
@@ -26,10 +26,8 @@
 
 /// Threads that share the seeds.
 const THREADS: u64 = 4;
-/// When the fault starts: the past is known by then.
-const FROM: Duration = Duration::from_secs(30);
-/// How long each run lasts.
-const LENGTH: Duration = Duration::from_secs(45);
+/// How long the fault lasts, to the end of the run.
+const FAULT: Duration = Duration::from_secs(15);
 
 /// Kinds of failure, taken by turns over the seeds.
 const KINDS: [(&str, Gray); 8] = [
@@ -46,13 +44,34 @@
 /// Runs `seeds` seeds of both models at both ends of the knob, and prints a table.
 #[must_use]
 pub fn run(seeds: u64) -> String {
+    let length = Duration::from_secs(45);
     let mut text = String::new();
     for (name, plan) in [("hull-register", Plan::hull_register()), ("knjizara", Plan::knjizara())] {
-        for sensitivity in [0.0, 1.0] {
-            let score = measure(&plan, sensitivity, seeds);
-            text += &format!("\n{name}, sensitivity {sensitivity}, {seeds} seeds\n");
-            text += &score.table(&KINDS.map(|(kind, _)| kind));
-        }
+        text += &both_ends(name, &Plan { length, ..plan }, seeds);
+    }
+    text
+}
+
+/// The same at the size to come: 520 entries, and an upstream that gets 6.5
+/// requests a second of all of them, so that learning its past takes minutes.
+#[must_use]
+pub fn run_large(seeds: u64) -> String {
+    let plan = Plan {
+        entries: 520,
+        length: Duration::from_secs(615),
+        rate: 364.0,
+        upstreams: 56,
+        ..Plan::hull_register()
+    };
+    both_ends("520 entries", &plan, seeds)
+}
+
+fn both_ends(name: &str, plan: &Plan, seeds: u64) -> String {
+    let mut text = String::new();
+    for sensitivity in [0.0, 1.0] {
+        let score = measure(plan, sensitivity, seeds);
+        text += &format!("\n{name}, sensitivity {sensitivity}, {seeds} seeds\n");
+        text += &score.table(&KINDS.map(|(kind, _)| kind));
     }
     text
 }
@@ -81,8 +100,9 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let kind = (seed % KINDS.len() as u64) as usize;
     let upstream = random.random_range(0..plan.upstreams);
-    let mut plan = Plan { length: LENGTH, ..plan.clone() };
-    plan.faults = vec![Fault { from: FROM, gray: KINDS[kind].1, until: plan.length, upstream }];
+    let mut plan = plan.clone();
+    let from = plan.length - FAULT;
+    plan.faults = vec![Fault { from, gray: KINDS[kind].1, until: plan.length, upstream }];
     let name = judged::upstream_name(upstream);
     let uses = |entry: &usize| judged::picker(&plan, *entry, seed, |_| {}).connections(&name) > 0;
     let users: Vec<usize> = (0..plan.entries).filter(uses).collect();
--- a/src/bench/health/score.rs
+++ b/src/bench/health/score.rs
@@ -9,8 +9,9 @@
 /// Detection times and false ejections over many runs.
 #[derive(Debug, Default)]
 pub(crate) struct Score {
-    /// By way and kind: a time for each entry that should detect, none if missed.
-    detected: BTreeMap<(Way, usize), Vec<Option<Duration>>>,
+    /// By way, kind and whether the upstream is old: a time for each entry that
+    /// should detect, none if missed.
+    detected: BTreeMap<(Way, usize, bool), Vec<Option<Duration>>>,
     /// By way: false ejections of usual and of old upstreams.
     wrong: BTreeMap<Way, (u64, u64)>,
     /// Hours of sound upstreams, each entry counted.
@@ -56,7 +57,8 @@
                     wrong.1 += u64::from(is_old);
                 }
             }
-            let times = self.detected.entry((way, kind)).or_default();
+            let is_old = plan.slowness(fault.upstream) > 1.0;
+            let times = self.detected.entry((way, kind, is_old)).or_default();
             times.extend(concerned.iter().map(|entry| first.get(entry).copied()));
         }
         let sound = plan.length.as_secs_f64() * (plan.upstreams - 1) as f64;
@@ -68,11 +70,11 @@
             String::from("kind                       way          p50 s  p95 s  max s  missed\n");
         for way in WAYS {
             for (kind, name) in kinds.iter().enumerate() {
-                let times = self.detected.get(&(way, kind)).cloned().unwrap_or_default();
-                text += &line(name, way, times);
+                text += &line(name, way, self.times(|key| key == (way, kind, false)));
             }
-            let all = self.detected.iter().filter(|((of, _), _)| *of == way);
-            text += &line("all", way, all.flat_map(|(_, times)| times.clone()).collect());
+            text += &line("all, usual", way, self.times(|key| key.0 == way && !key.2));
+            text += &line("all, old", way, self.times(|key| key.0 == way && key.2));
+            text += &line("all", way, self.times(|key| key.0 == way));
             let (usual, old) = self.wrong.get(&way).copied().unwrap_or_default();
             let rate = (usual + old) as f64 / self.hours;
             text += &format!(
@@ -82,6 +84,11 @@
         text += &format!("hours of upstreams and entries: {:.0}\n", self.hours);
         text
     }
+
+    fn times(&self, is_meant: impl Fn((Way, usize, bool)) -> bool) -> Vec<Option<Duration>> {
+        let meant = self.detected.iter().filter(|(key, _)| is_meant(**key));
+        meant.flat_map(|(_, times)| times.clone()).collect()
+    }
 }
 
 fn line(name: &str, way: Way, mut times: Vec<Option<Duration>>) -> String {
--- a/src/health/case.rs
+++ b/src/health/case.rs
@@ -15,7 +15,7 @@
     aspects: [Evidence; 3],
     /// What convicted it, told to the others for a while: they may lack the last
     /// outcomes that this entry would have gone on to see.
-    convicted: Option<(Moment, [[i16; 4]; 3])>,
+    convicted: Option<(Moment, [[i16; 5]; 3])>,
     /// Evidence of requests that still wait.
     pending: f64,
     question_until: Moment,
@@ -160,14 +160,22 @@
         }
     }
 
-    /// Whether, within a second, nine in ten of those who sent anything met
-    /// silence. Shorter windows hold too few answers of an old, slow upstream.
+    /// Whether next to all entries that sent anything within a second met
+    /// silence, and most of those within four: an upstream with little work gets
+    /// too few answers in a second to tell.
     fn is_silent_to_all(&self) -> bool {
-        let newest = |item: &Item| item.sums[Aspect::Silent as usize][1];
-        let items = || self.remote.values().map(|(_, item)| newest(item));
-        let answered = items().filter(|sum| *sum < 0).count();
-        let unanswered = items().filter(|sum| *sum > 0).count();
-        unanswered > 9 * answered && self.windows(Aspect::Silent)[1] >= 0.0
+        const LEAST: usize = 5;
+        let (unanswered, answered) = self.silences(1);
+        let is_now = unanswered >= LEAST && unanswered > 9 * answered;
+        let (unanswered, answered) = self.silences(3);
+        is_now && unanswered > 2 * answered && self.windows(Aspect::Silent)[1] >= 0.0
+    }
+
+    /// Other entries that met silence in a window, and those that got answers.
+    fn silences(&self, window: usize) -> (usize, usize) {
+        let sum = |item: &Item| item.sums[Aspect::Silent as usize][window];
+        let sums = || self.remote.values().map(|(_, item)| sum(item));
+        (sums().filter(|sum| *sum > 0).count(), sums().filter(|sum| *sum < 0).count())
     }
 
     /// Whether all entries together convict it. One entry's word is bounded to a
@@ -188,7 +196,7 @@
     /// Whether the newest outcomes still speak against it: evidence from before a
     /// recovery, or before its peers turned out to fare the same, is no ground.
     fn is_recent(&self, aspect: Aspect) -> bool {
-        let [newest, _, seconds, _] = self.windows(aspect);
+        let [newest, _, seconds, ..] = self.windows(aspect);
         newest >= 0.0 && seconds > 0.0
     }
 
@@ -202,7 +210,7 @@
         Aspect::ALL.iter().any(|aspect| self.is_pooled(*aspect, Self::SHARE))
     }
 
-    fn sums(&self) -> [[i16; 4]; 3] {
+    fn sums(&self) -> [[i16; 5]; 3] {
         Aspect::ALL.map(|aspect| self.windows(aspect).map(|sum| (sum * Item::UNITS).round() as i16))
     }
 
@@ -210,7 +218,7 @@
         if aspect == Aspect::Silent { self.pending } else { 0.0 }
     }
 
-    fn windows(&self, aspect: Aspect) -> [f64; 4] {
+    fn windows(&self, aspect: Aspect) -> [f64; 5] {
         let waiting = self.waiting(aspect);
         self.aspects[aspect as usize].windows().map(|sum| sum + waiting)
     }
--- a/src/health/digest.rs
+++ b/src/health/digest.rs
@@ -22,7 +22,7 @@
 pub struct Item {
     /// Signed sums by aspect (failing, silent, slow) and by window, as in
     /// [`crate::health::Evidence::WINDOWS`].
-    pub sums: [[i16; 4]; 3],
+    pub sums: [[i16; 5]; 3],
     /// Upstream.
     pub upstream: UpstreamId,
 }
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -25,7 +25,7 @@
     const LENGTH: Duration = Duration::from_millis(250);
     /// Windows, in buckets: the shortest finds a total failure at once, the
     /// longest a partial one at a low rate.
-    pub const WINDOWS: [usize; 4] = [2, 4, 16, 64];
+    pub const WINDOWS: [usize; 5] = [2, 4, 8, 16, 64];
 
     /// Adds the log-likelihood ratio of one outcome.
     pub fn add(&mut self, now: Moment, step: f64) {
@@ -66,7 +66,7 @@
 
     /// Signed sums over [`Self::WINDOWS`].
     #[must_use]
-    pub fn windows(&self) -> [f64; 4] {
+    pub fn windows(&self) -> [f64; 5] {
         Self::WINDOWS.map(|length| self.window(length))
     }
 
