--- a/src/health/case.rs
+++ b/src/health/case.rs
@@ -15,7 +15,7 @@
     aspects: [Evidence; 3],
     /// What convicted it, told to the others for a while: they may lack the last
     /// outcomes that this entry would have gone on to see.
-    convicted: Option<(Moment, [[i16; 4]; 3])>,
+    convicted: Option<(Moment, [[i16; 5]; 3])>,
     /// Evidence of requests that still wait.
     pending: f64,
     question_until: Moment,
@@ -26,16 +26,19 @@
 }
 
 impl Case {
-    /// Age at which another entry's evidence is dropped: more than two intervals,
-    /// so that one lost message changes nothing.
-    const FRESH: Duration = Duration::from_millis(700);
+    /// Evidence that is told to the upstream's home, in nats: one failure.
+    const TELL: f64 = 3.0;
+    /// Age at which another entry's evidence is dropped: longer than the interval
+    /// of [`crate::health::Output::Tell`].
+    const FRESH: Duration = Duration::from_millis(1_200);
     /// How long an upstream stays in question after the last suspicion.
     const QUESTION: Duration = Duration::from_secs(1);
     /// Weight of the upstream's own word that it is ill, in nats: far below any
     /// threshold, as the word lags or misleads. That it is well counts nothing.
     const REPORT: f64 = 1.5;
-    /// Evidence at which the other entries are asked, in nats: two failures in a
-    /// row. A single failure is an everyday matter and is not worth messages.
+    /// Evidence at which all entries are asked, in nats: two failures in a row, at
+    /// one entry or told by two. A single one is an everyday matter, and not
+    /// worth messages to all.
     const SHARE: f64 = 5.0;
 
     pub(crate) fn add(&mut self, now: Moment, aspect: Aspect, step: f64) {
@@ -118,6 +121,12 @@
         Some(Item { sums: self.sums(), upstream: upstream.clone() })
     }
 
+    /// Evidence for the upstream's home, when it is too little for all.
+    pub(crate) fn told(&self, now: Moment, upstream: &UpstreamId) -> Option<Item> {
+        let is_little = now >= self.question_until && self.doubt() >= Self::TELL;
+        is_little.then(|| Item { sums: self.sums(), upstream: upstream.clone() })
+    }
+
     pub(crate) fn report(&mut self, healthy: bool) {
         self.reports_ill = !healthy;
     }
@@ -128,7 +137,7 @@
             evidence.roll(now);
         }
         self.remote.retain(|_, (at, _)| now.saturating_sub(*at) <= Self::FRESH);
-        if self.doubt() >= Self::SHARE {
+        if self.doubt() >= Self::SHARE || self.is_told() {
             self.question_until = now + Self::QUESTION;
         }
     }
@@ -151,14 +160,22 @@
         }
     }
 
-    /// Whether, within a second, nine in ten of those who sent anything met
-    /// silence. Shorter windows hold too few answers of an old, slow upstream.
+    /// Whether next to all entries that sent anything within a second met
+    /// silence, and most of those within four: an upstream with little work gets
+    /// too few answers in a second to tell.
     fn is_silent_to_all(&self) -> bool {
-        let newest = |item: &Item| item.sums[Aspect::Silent as usize][1];
-        let items = || self.remote.values().map(|(_, item)| newest(item));
-        let answered = items().filter(|sum| *sum < 0).count();
-        let unanswered = items().filter(|sum| *sum > 0).count();
-        unanswered > 9 * answered && self.windows(Aspect::Silent)[1] >= 0.0
+        const LEAST: usize = 5;
+        let (unanswered, answered) = self.silences(1);
+        let is_now = unanswered >= LEAST && unanswered > 9 * answered;
+        let (unanswered, answered) = self.silences(3);
+        is_now && unanswered > 2 * answered && self.windows(Aspect::Silent)[1] >= 0.0
+    }
+
+    /// Other entries that met silence in a window, and those that got answers.
+    fn silences(&self, window: usize) -> (usize, usize) {
+        let sum = |item: &Item| item.sums[Aspect::Silent as usize][window];
+        let sums = || self.remote.values().map(|(_, item)| sum(item));
+        (sums().filter(|sum| *sum > 0).count(), sums().filter(|sum| *sum < 0).count())
     }
 
     /// Whether all entries together convict it. One entry's word is bounded to a
@@ -179,7 +196,7 @@
     /// Whether the newest outcomes still speak against it: evidence from before a
     /// recovery, or before its peers turned out to fare the same, is no ground.
     fn is_recent(&self, aspect: Aspect) -> bool {
-        let [newest, _, seconds, _] = self.windows(aspect);
+        let [newest, _, seconds, ..] = self.windows(aspect);
         newest >= 0.0 && seconds > 0.0
     }
 
@@ -188,7 +205,12 @@
         self.aspects[aspect as usize].sum() + self.waiting(aspect) + word
     }
 
-    fn sums(&self) -> [[i16; 4]; 3] {
+    /// Whether what others told amounts to a question to all.
+    fn is_told(&self) -> bool {
+        Aspect::ALL.iter().any(|aspect| self.is_pooled(*aspect, Self::SHARE))
+    }
+
+    fn sums(&self) -> [[i16; 5]; 3] {
         Aspect::ALL.map(|aspect| self.windows(aspect).map(|sum| (sum * Item::UNITS).round() as i16))
     }
 
@@ -196,7 +218,7 @@
         if aspect == Aspect::Silent { self.pending } else { 0.0 }
     }
 
-    fn windows(&self, aspect: Aspect) -> [f64; 4] {
+    fn windows(&self, aspect: Aspect) -> [f64; 5] {
         let waiting = self.waiting(aspect);
         self.aspects[aspect as usize].windows().map(|sum| sum + waiting)
     }
