Give verdicts and refutations an allowance of their own

Cause: in a bulk of joins a refutation would wait behind the joins and come after the verdict. Joins and repairs are bulk, all else passes them.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -36,7 +36,9 @@
 /// Bytes a second for news; probes need about 0.9 KB a second beside it.
 const SPREAD_RATE: u64 = 1000;
 
-/// Bytes of news at once: the whole table of 520 members, for one that joins.
+/// Bytes of news at once: the whole table of 520 members, for one that joins. The
+/// same again is for suspicions, refutations and verdicts, so that a refutation does
+/// not come too late because a failure domain joins at the same time.
 const SPREAD_BURST: u64 = 40_000;
 
 /// How often a process that knows nobody asks a seed.
@@ -73,6 +75,7 @@
     seeds: Vec<Seed>,
     spread: Spread,
     ticked_at: Moment,
+    urgent: Spread,
 }
 
 impl Member {
@@ -104,6 +107,7 @@
             seeds,
             spread: Spread::new(Allowance::new(SPREAD_RATE, SPREAD_BURST)),
             ticked_at: now,
+            urgent: Spread::new(Allowance::new(SPREAD_RATE, SPREAD_BURST)),
         }
     }
 
@@ -201,7 +205,7 @@
     fn convict(&mut self, now: Moment, id: &NodeId, outputs: &mut Vec<Output>) {
         self.roster.convict(now, id);
         self.settle(now, id, outputs);
-        self.queue(id, None);
+        self.queue(id, None, true);
     }
 
     /// Asks a seed that is not among the live members.
@@ -262,17 +266,14 @@
         self.roster.apply(now, &Rumour::Alive(self.me.clone()));
         self.changed_at = now;
         let me = self.me.id.clone();
-        self.queue(&me, None);
+        self.queue(&me, None, true);
     }
 
-    fn queue(&mut self, id: &NodeId, except: Option<&NodeId>) {
-        for neighbour in &self.neighbours {
-            if Some(neighbour) != except && neighbour != id {
-                self.spread.queue(neighbour, id);
-            }
-        }
-        if *id != self.me.id && self.neighbours.contains(id) && except != Some(id) {
-            self.spread.queue(id, id);
+    /// Lets news of `id` wait for all neighbours; also for itself, to refute it.
+    fn queue(&mut self, id: &NodeId, except: Option<&NodeId>, urgent: bool) {
+        let spread = if urgent { &mut self.urgent } else { &mut self.spread };
+        for neighbour in self.neighbours.iter().filter(|neighbour| Some(*neighbour) != except) {
+            spread.queue(neighbour, id);
         }
     }
 
@@ -280,7 +281,9 @@
         let first = self.random.random_range(0..64);
         let roster = &self.roster;
         let size = |id: &NodeId| roster.rumours(id).iter().map(size_of).sum();
-        for (peer, ids) in self.spread.take(now, first, size) {
+        let mut batches = self.urgent.take(now, first, size);
+        batches.extend(self.spread.take(now, first, size));
+        for (peer, ids) in batches {
             let rumours = ids.iter().flat_map(|id| self.roster.rumours(id)).collect();
             self.send(&peer, Message::Rumours(rumours), outputs);
         }
--- a/src/fleet/member/learn.rs
+++ b/src/fleet/member/learn.rs
@@ -31,21 +31,21 @@
             return;
         }
         let before = self.roster.get(&id).map(|entry| entry.status);
-        match self.roster.apply(now, rumour) {
-            Effect::Changed | Effect::Joined => {
-                let after = self.roster.get(&id).map(|entry| entry.status);
-                if after != before || after == Some(Status::Alive) {
-                    self.settle(now, &id, outputs);
-                }
-                self.queue(&id, from);
+        let effect = self.roster.apply(now, rumour);
+        if matches!(effect, Effect::Changed | Effect::Joined) {
+            let after = self.roster.get(&id).map(|entry| entry.status);
+            if after != before || after == Some(Status::Alive) {
+                self.settle(now, &id, outputs);
             }
-            Effect::Confirmed => self.queue(&id, from),
-            Effect::Nothing => {}
+        }
+        if effect != Effect::Nothing {
+            self.queue(&id, from, effect != Effect::Joined);
         }
         if let Some(from) = from
             && self.is_current(rumour)
         {
             self.spread.saw(from, &id);
+            self.urgent.saw(from, &id);
         }
     }
 
@@ -87,6 +87,7 @@
                 let left = entry.status == Status::Left;
                 self.rings.remove(&id);
                 self.spread.retain(|peer| *peer != id);
+                self.urgent.retain(|peer| *peer != id);
                 if known {
                     self.rewatch(now);
                 }
