--- a/src/bench/directory.rs
+++ b/src/bench/directory.rs
@@ -62,7 +62,8 @@
             (Client::new(seeds), rate(index, hot))
         };
         let callers = (0..CALLERS).map(caller).collect();
-        let directories = (0..ENTRIES).map(|_| Directory::new("r0".into())).collect();
+        let directories =
+            (0..ENTRIES).map(|_| Directory::new("r0".into(), Directory::LIFETIME)).collect();
         Self { callers, directories, entries, random, told }
     }
 
--- a/src/node/core/quality.rs
+++ b/src/node/core/quality.rs
@@ -121,6 +121,10 @@
                     self.share(now, service, &digest, outputs);
                     continue;
                 }
+                health::Output::Tell { digest, upstream } => {
+                    self.tell_home(now, service, digest, &upstream, outputs);
+                    continue;
+                }
                 health::Output::Trial { upstream } => {
                     (Kind::Other("trial".into()), upstream, String::new())
                 }
@@ -131,6 +135,21 @@
         }
     }
 
+    /// Tells an upstream's home entry of a single failure there; those of all entries meet.
+    fn tell_home(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        digest: health::Digest,
+        upstream: &UpstreamId,
+        outputs: &mut Vec<Output>,
+    ) {
+        let home = self.registry.get(upstream).and_then(|found| found.home.clone());
+        if let Some(home) = home.filter(|home| *home != self.me.id) {
+            self.send(now, home, Frame::Health { digest, service: service.clone() }, outputs);
+        }
+    }
+
     /// Sends evidence to the processes that this one holds links to anyway: eight or
     /// so, at 520 entries as at 44, each of whom sees the upstream as often as this one.
     fn share(
