--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -248,7 +248,11 @@
 
 fn journal(settings: &Settings) -> Result<Journal, Error> {
     let recorder: Arc<dyn Recorder> = match &settings.timeline {
-        Some(path) => Arc::new(FileRecorder::open(path)?),
+        Some(path) => {
+            // Opening the file says what is wrong where the folder can't be made.
+            path.parent().and_then(|folder| std::fs::create_dir_all(folder).ok());
+            Arc::new(FileRecorder::open(path)?)
+        }
         None => Arc::new(Nowhere),
     };
     Ok(Journal::new(settings.node.id.clone(), recorder))
