--- a/tests/suite/quorum/model.rs
+++ b/tests/suite/quorum/model.rs
@@ -9,12 +9,14 @@
 use rstest::rstest;
 
 use super::checker::Verdict;
+use super::checker::ensure;
 use super::mutant::Mutant;
 use super::world::World;
 
 /// Virtual time under accidents, and the longest time to be whole after them.
 const CHAOS: Duration = Duration::from_secs(15);
 const RECOVERY: Duration = Duration::from_secs(30);
+const RESEND: Duration = Duration::from_millis(500);
 
 /// One run: accidents, then fair weather, then every replica must be whole.
 pub(super) fn chaos(seed: u64, size: usize, mutant: Option<Mutant>) -> Verdict {
@@ -39,10 +41,15 @@
         world.step()?;
     }
     let before = world.checker.accepted.len();
-    world.until("a leader", RECOVERY, |world| world.leader().is_some())?;
-    let leader = world.leader().ok_or("no leader")?;
-    world.propose(&leader)?;
-    world.until("a new command", RECOVERY, |it| it.checker.accepted.len() > before)?;
+    let end = world.now + RECOVERY;
+    while world.checker.accepted.len() == before {
+        // As a caller does whose command was refused, or became uncertain.
+        ensure(world.now < end, || "no new command accepted".to_owned())?;
+        if let Some(leader) = world.leader() {
+            world.propose(&leader)?;
+        }
+        world.run(RESEND)?;
+    }
     world.until("every replica whole", RECOVERY, World::is_whole)?;
     world.names().iter().try_for_each(|name| world.check_accepted(name))
 }
