--- a/tests/suite/quorum/direct.rs
+++ b/tests/suite/quorum/direct.rs
@@ -9,11 +9,15 @@
 use hemlockfield::quorum::Entry;
 use hemlockfield::quorum::Fault;
 use hemlockfield::quorum::Input;
+use hemlockfield::quorum::Membership;
 use hemlockfield::quorum::Message;
 use hemlockfield::quorum::Output;
 use hemlockfield::quorum::Payload;
 use hemlockfield::quorum::Reason;
+use hemlockfield::quorum::Recovered;
+use hemlockfield::quorum::Replica;
 use hemlockfield::quorum::Role;
+use hemlockfield::quorum::Setup;
 use rstest::rstest;
 
 use super::checker::Verdict;
@@ -232,3 +236,56 @@
     });
     assert_eq!(full, Some(8), "4096 bytes hold 8 commands of 500");
 }
+
+// A leader writes commands while cut off, is deposed, drops them, and leads again.
+// Callers get nothing accepted on the strength of the dropped copies: the checker
+// wants each accepted command synced by a majority.
+#[test]
+fn deposed_leader_returns() {
+    let mut returned = 0;
+    for seed in 0..20 {
+        let (mut world, first) = whole(seed, 3);
+        cut(&mut world, &first, Cut::Both);
+        (0..30).for_each(|_| world.propose(&first).expect("safe"));
+        let other = |it: &World| it.leader().is_some_and(|name| name != first);
+        world.until("another leader", LIMIT, other).expect("in time");
+        world.net.heal_all();
+        world.until("a whole group", LIMIT, World::is_whole).expect("safe");
+        let second = world.leader().expect("a leader");
+        cut(&mut world, &second, Cut::Both);
+        let third = |it: &World| it.leader().is_some_and(|name| name != second);
+        world.until("a third leader", LIMIT, third).expect("in time");
+        let third = world.leader().expect("a leader");
+        returned += u32::from(third == first);
+        for _ in 0..40 {
+            world.propose(&third).expect("safe");
+            world.step().expect("safe");
+        }
+    }
+    assert!(returned > 0, "the first leader never led again");
+}
+
+// A group of one, as on a developer's machine: it leads, though not before its
+// own vote is synced, and accepts.
+#[test]
+fn single_leads() {
+    let mut world = World::new(1, 1, None);
+    world.until("a leader", LIMIT, |world| world.leader().is_some()).expect("in time");
+    let leader = world.leader().expect("a leader");
+    world.propose(&leader).expect("safe");
+    world.until("a command", LIMIT, |it| !it.checker.accepted.is_empty()).expect("in time");
+    assert!(!world.repaired(), "one disk tolerates no loss");
+}
+
+// The same on a disk that takes long to sync: it waits.
+#[test]
+fn single_waits_for_sync() {
+    let mut setup = Setup::new("control-1".into());
+    setup.founders = Some(Membership::founding(["control-1".into()]));
+    let mut replica = Replica::new(setup, Recovered::default(), 1);
+    let mut leads = (0..100).flat_map(|second| {
+        let outputs = replica.handle(Duration::from_secs(second), Input::Tick);
+        outputs.into_iter().filter(|it| matches!(it, Output::BecameLeader { .. }))
+    });
+    assert_eq!(leads.next(), None);
+}
