--- a/src/config/holder.rs
+++ b/src/config/holder.rs
@@ -1,5 +1,6 @@
 //! State machine of every process: the version held, and its spread.
 
+mod fetch;
 mod spread;
 mod start;
 
@@ -7,7 +8,6 @@
 use std::collections::BTreeSet;
 
 use rand::Rng;
-use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::Moment;
@@ -25,9 +25,6 @@
 use super::trail::Trail;
 use super::witness::Witnesses;
 
-/// Known sources of a newer version that are remembered.
-const SOURCE_LIMIT: usize = 16;
-
 /// Push of the version held.
 #[derive(Clone, Debug)]
 struct Push {
@@ -190,103 +187,6 @@
         }
     }
 
-    fn compare(
-        &mut self,
-        now: Moment,
-        from: NodeId,
-        theirs: Option<Head>,
-        outputs: &mut Vec<Output>,
-    ) {
-        if let Some(head) = theirs {
-            self.consider(now, from.clone(), head, outputs);
-        }
-        if theirs < self.head {
-            self.bring(from, theirs, outputs);
-        }
-    }
-
-    /// Notes what a peer holds, and asks for it if it is newer.
-    fn consider(&mut self, now: Moment, from: NodeId, head: Head, outputs: &mut Vec<Output>) {
-        if Some(head) >= self.head {
-            self.note_known(&from);
-        }
-        if !self.is_newer(head) {
-            return;
-        }
-        if self.sources.len() < SOURCE_LIMIT {
-            self.sources.insert(from, head);
-        }
-        if self.want.is_none() {
-            self.request(now, outputs);
-        }
-    }
-
-    fn note_known(&mut self, peer: &NodeId) {
-        if let Some(push) = &mut self.push {
-            push.known.insert(peer.clone());
-        }
-    }
-
-    fn request(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        let Some((from, _)) = self.sources.iter().choose(&mut self.random) else { return };
-        let to = from.clone();
-        let base = if self.want_whole { None } else { self.head };
-        outputs.push(Output::Send { message: Message::Want(base), to: to.clone() });
-        self.want = Some(Want { at: now, from: to });
-    }
-
-    fn take_patches(
-        &mut self,
-        now: Moment,
-        from: NodeId,
-        patches: &[Patch],
-        outputs: &mut Vec<Output>,
-    ) {
-        let Some(last) = patches.last() else { return };
-        if !self.is_newer(last.head) {
-            self.note_known(&from);
-            return;
-        }
-        match self.patched(patches) {
-            Some(version) => {
-                let newer = patches.iter().filter(|patch| Some(patch.head) > self.head);
-                newer.for_each(|patch| self.trail.push(patch.clone()));
-                self.hold(now, version, Some(from), outputs);
-            }
-            None => self.consider(now, from, last.head, outputs),
-        }
-    }
-
-    fn patched(&mut self, patches: &[Patch]) -> Option<Version> {
-        let mut version = self.current.clone()?;
-        for patch in patches.iter().filter(|patch| Some(patch.head) > self.head) {
-            if patch.base.number != version.number {
-                return None;
-            }
-            match patch.apply(&version) {
-                Ok(next) => version = next,
-                Err(_) => {
-                    self.want_whole = true;
-                    return None;
-                }
-            }
-        }
-        Some(version)
-    }
-
-    fn take_whole(
-        &mut self,
-        now: Moment,
-        from: NodeId,
-        version: Version,
-        outputs: &mut Vec<Output>,
-    ) {
-        if self.is_newer(version.head()) {
-            self.trail.clear();
-            self.hold(now, version, Some(from), outputs);
-        }
-    }
-
     /// The only place where the version held changes, and only upwards.
     fn hold(
         &mut self,
@@ -326,15 +226,4 @@
         }
         self.run_digest(now, outputs);
     }
-
-    /// Turns to another source when one does not answer.
-    fn run_want(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        let retry = self.settings.retry;
-        if let Some(want) = self.want.take_if(|want| want.at + retry <= now) {
-            if self.sources.len() > 1 {
-                self.sources.remove(&want.from);
-            }
-            self.request(now, outputs);
-        }
-    }
 }
