--- a/tests/suite/claim.rs
+++ b/tests/suite/claim.rs
@@ -4,4 +4,5 @@
 mod agent;
 mod killed;
 mod ledger;
+mod replicated;
 mod site;
