--- a/src/health/case.rs
+++ b/src/health/case.rs
@@ -64,6 +64,10 @@
 
     /// The aspect in which it stands convicted, for long enough.
     pub(crate) fn conviction(&mut self, now: Moment, setup: &Setup, bar: f64) -> Option<Aspect> {
+        if self.is_quiet() {
+            self.since = [None; 3];
+            return None;
+        }
         let mut convicted = None;
         for aspect in Aspect::ALL {
             let is_own = self.own(aspect) >= bar && self.is_recent(aspect);
@@ -101,6 +105,9 @@
     /// Whether evidence, this entry's or all entries', has reached half of what
     /// convicts.
     pub(crate) fn is_half_way(&self, setup: &Setup) -> bool {
+        if self.is_quiet() {
+            return false;
+        }
         let is_pooled = |aspect: &Aspect| {
             self.agrees(*aspect) && self.is_pooled(*aspect, setup.pooled_threshold(*aspect) / 2.0)
         };
@@ -137,7 +144,7 @@
             evidence.roll(now);
         }
         self.remote.retain(|_, (at, _)| now.saturating_sub(*at) <= Self::FRESH);
-        if self.doubt() >= Self::SHARE || self.is_told() {
+        if !self.is_quiet() && (self.doubt() >= Self::SHARE || self.is_told()) {
             self.question_until = now + Self::QUESTION;
         }
     }
@@ -171,6 +178,11 @@
         is_now && unanswered > 2 * answered && self.windows(Aspect::Silent)[1] >= 0.0
     }
 
+    /// Whether nobody says anything against it; spares most upstreams the sums.
+    fn is_quiet(&self) -> bool {
+        self.remote.is_empty() && self.doubt() < Self::TELL
+    }
+
     /// Other entries that met silence in a window, and those that got answers.
     fn silences(&self, window: usize) -> (usize, usize) {
         let sum = |item: &Item| item.sums[Aspect::Silent as usize][window];
