--- a/src/bench/health.rs
+++ b/src/bench/health.rs
@@ -1,6 +1,7 @@
 //! Detection time and false ejections of [`crate::health`], against consecutive
 //! errors and a fixed latency threshold on the same streams of outcomes.
 
+mod acting;
 mod consecutive;
 mod detector;
 pub(crate) mod judged;
@@ -23,8 +24,11 @@
 use crate::model::Agent;
 use crate::model::Fault;
 use crate::model::Gray;
+use crate::model::Outcome;
 use crate::model::Plan;
 use crate::model::World;
+use acting::Acting;
+use detector::Way;
 use score::Score;
 use watcher::Watcher;
 
@@ -71,6 +75,65 @@
     both_ends("520 entries", &plan, seeds) + &cost()
 }
 
+/// What callers receive when each way of detecting decides where work goes: one
+/// upstream fails for the last quarter minute, in each of the kinds by turns.
+#[must_use]
+pub fn run_acting(seeds: u64) -> String {
+    let ways = [
+        ("none", None, 0.0),
+        ("consecutive", Some(Way::Consecutive), 0.0),
+        ("threshold", Some(Way::Threshold), 0.0),
+        ("judge, 0.0", Some(Way::Judge), 0.0),
+        ("judge, 1.0", Some(Way::Judge), 1.0),
+    ];
+    let length = Duration::from_secs(45);
+    let mut text =
+        String::from("way           failed a run  refused a run  p50 ms  p99 ms  p99.9 ms\n");
+    for (name, plan) in [("hull-register", Plan::hull_register()), ("knjizara", Plan::knjizara())] {
+        text += &format!("{name}, {seeds} seeds\n");
+        for (way_name, way, sensitivity) in ways {
+            let plan = Plan { length, ..plan.clone() };
+            text += &format!("{way_name:12} {}\n", received(&plan, way, sensitivity, seeds));
+        }
+    }
+    text
+}
+
+fn received(plan: &Plan, way: Option<Way>, sensitivity: f64, seeds: u64) -> String {
+    let mut whole = Outcome::default();
+    for seed in 0..seeds {
+        let (plan, _) = failing(plan, seed);
+        let setup = Setup { floor_count: 2, floor_share: 0.6, sensitivity };
+        let agent = |entry| Acting::new(&plan, entry, way, setup.clone(), seed);
+        let agents = (0..plan.entries).map(|entry| Box::new(agent(entry)) as Box<dyn Agent>);
+        let outcome = World::new(plan.clone(), agents.collect(), seed).run();
+        whole.failed += outcome.failed;
+        whole.refused += outcome.refused;
+        whole.latencies.extend(outcome.latencies);
+    }
+    whole.latencies.sort_unstable();
+    let at = |share| whole.quantile(share).as_secs_f64() * 1000.0;
+    let each = |count: u64| count as f64 / seeds as f64;
+    format!(
+        "{:12.1} {:14.1} {:7.1} {:7.1} {:9.1}",
+        each(whole.failed),
+        each(whole.refused),
+        at(0.5),
+        at(0.99),
+        at(0.999),
+    )
+}
+
+/// The plan with the fault of a seed, and the kind of it.
+fn failing(plan: &Plan, seed: u64) -> (Plan, usize) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let kind = (seed % KINDS.len() as u64) as usize;
+    let upstream = random.random_range(0..plan.upstreams);
+    let from = plan.length - FAULT;
+    let fault = Fault { from, gray: KINDS[kind].1, until: plan.length, upstream };
+    (Plan { faults: vec![fault], ..plan.clone() }, kind)
+}
+
 /// Time of a tick without suspicion.
 fn cost() -> String {
     const TICKS: u32 = 5_000;
@@ -119,12 +182,8 @@
 }
 
 fn one(plan: &Plan, sensitivity: f64, seed: u64, score: &mut Score) {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let kind = (seed % KINDS.len() as u64) as usize;
-    let upstream = random.random_range(0..plan.upstreams);
-    let mut plan = plan.clone();
-    let from = plan.length - FAULT;
-    plan.faults = vec![Fault { from, gray: KINDS[kind].1, until: plan.length, upstream }];
+    let (plan, kind) = failing(plan, seed);
+    let upstream = plan.faults[0].upstream;
     let name = judged::upstream_name(upstream);
     let uses = |entry: &usize| judged::picker(&plan, *entry, seed, |_| {}).connections(&name) > 0;
     let users: Vec<usize> = (0..plan.entries).filter(uses).collect();
--- /dev/null
+++ b/src/bench/health/acting.rs
@@ -0,0 +1,143 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::consecutive::Consecutive;
+use super::detector::Detector;
+use super::detector::OUT;
+use super::detector::Way;
+use super::judged;
+use super::threshold::Threshold;
+use crate::balance::Ask;
+use crate::balance::Picker;
+use crate::balance::Ticket;
+use crate::balance::Verdicts;
+use crate::clock::Moment;
+use crate::health::Digest;
+use crate::health::Input;
+use crate::health::Judge;
+use crate::health::Output;
+use crate::health::Setup;
+use crate::model::Agent;
+use crate::model::Answer;
+use crate::model::Choice;
+use crate::model::Plan;
+
+/// An entry that sends work where one way of detecting allows it.
+pub(crate) struct Acting {
+    entries: usize,
+    means: Means,
+    picker: Picker,
+    tickets: BTreeMap<u64, Ticket>,
+}
+
+/// The way of detecting; none for comparison.
+enum Means {
+    Judge(Box<Judge>),
+    None,
+    Simple { detector: Box<dyn Detector>, out: Out },
+}
+
+/// When a simple detector lets each upstream return.
+struct Out {
+    now: Moment,
+    until: BTreeMap<usize, Moment>,
+}
+
+impl Verdicts for Out {
+    fn weight(&self, upstream: &str) -> f64 {
+        let until = self.until.get(&judged::position(upstream));
+        if until.is_some_and(|until| self.now < *until) { 0.0 } else { 1.0 }
+    }
+}
+
+impl Acting {
+    pub(crate) fn new(
+        plan: &Plan,
+        entry: usize,
+        way: Option<Way>,
+        setup: Setup,
+        seed: u64,
+    ) -> Self {
+        let simple = |detector: Box<dyn Detector>| Means::Simple {
+            detector,
+            out: Out { now: Moment::ZERO, until: BTreeMap::new() },
+        };
+        let means = match way {
+            None => Means::None,
+            Some(Way::Consecutive) => simple(Box::new(Consecutive::new(plan.upstreams))),
+            Some(Way::Judge) => Means::Judge(Box::new(judged::judge(plan, entry, setup, seed))),
+            Some(Way::Threshold) => simple(Box::new(Threshold::new(plan.upstreams))),
+        };
+        let picker = judged::picker(plan, entry, seed, |_| {});
+        Self { entries: plan.entries, means, picker, tickets: BTreeMap::new() }
+    }
+
+    fn route(&self, outputs: Vec<Output>) -> Vec<(Option<usize>, Digest)> {
+        let mut routed = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Share(digest) => routed.push((None, digest)),
+                Output::Tell { digest, upstream } => {
+                    routed.push((Some(judged::position(&upstream) % self.entries), digest));
+                }
+                _ => {}
+            }
+        }
+        routed
+    }
+}
+
+impl Agent for Acting {
+    fn finish(&mut self, now: Moment, choice: Choice, answer: &Answer) {
+        if let Some(ticket) = self.tickets.remove(&choice.token) {
+            self.picker.finish(now, ticket, judged::finish(answer));
+        }
+        let (kind, latency) = (answer.kind, answer.latency);
+        match &mut self.means {
+            Means::Judge(judge) => {
+                let upstream = judged::upstream_name(choice.upstream);
+                judge.handle(now, Input::Outcome { kind, latency, upstream });
+            }
+            Means::None => {}
+            Means::Simple { detector, out } => {
+                if detector.ejects(now, choice.upstream, kind, latency) {
+                    out.until.insert(choice.upstream, now + OUT);
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, now: Moment, digest: &Digest) {
+        if let Means::Judge(judge) = &mut self.means {
+            judge.handle(now, Input::Digest(digest.clone()));
+        }
+    }
+
+    fn pick(&mut self, now: Moment, avoid: &[usize]) -> Option<Choice> {
+        let avoid: Vec<_> = avoid.iter().map(|position| judged::upstream_name(*position)).collect();
+        let pick = self.picker.pick(now, &Ask { avoid: &avoid, is_long: false })?;
+        self.tickets.insert(pick.ticket.request, pick.ticket);
+        let upstream = judged::position(&pick.upstream);
+        Some(Choice { token: pick.ticket.request, upstream })
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<(Option<usize>, Digest)> {
+        let overdue: Vec<(_, Vec<Duration>)> = self.picker.overdue(now);
+        match &mut self.means {
+            Means::Judge(judge) => {
+                for (upstream, ages) in overdue {
+                    judge.handle(now, Input::Pending { ages, upstream });
+                }
+                let outputs = judge.handle(now, Input::Tick);
+                self.picker.refresh(judge.as_ref());
+                self.route(outputs)
+            }
+            Means::None => Vec::new(),
+            Means::Simple { out, .. } => {
+                out.now = now;
+                self.picker.refresh(out);
+                Vec::new()
+            }
+        }
+    }
+}
