--- a/src/model.rs
+++ b/src/model.rs
@@ -11,6 +11,7 @@
 mod fault;
 mod outcome;
 mod plan;
+mod request;
 mod upstream;
 mod world;
 
--- a/src/model/world.rs
+++ b/src/model/world.rs
@@ -11,13 +11,13 @@
 use crate::health::Setup;
 use crate::model::Agent;
 use crate::model::Answer;
-use crate::model::Choice;
 use crate::model::Gray;
 use crate::model::Outcome;
 use crate::model::Plan;
 use crate::model::Upstream;
 use crate::model::event::Due;
 use crate::model::event::Event;
+use crate::model::request::Request;
 
 /// One run of a plan.
 pub struct World<'a> {
@@ -37,19 +37,6 @@
     wasted: f64,
 }
 
-/// A caller's request on its way.
-#[derive(Clone, Debug)]
-struct Request {
-    asked_at: Moment,
-    choice: Choice,
-    entry: usize,
-    is_over: bool,
-    sent_at: Moment,
-    tried: Vec<usize>,
-    kind: Kind,
-    load: u32,
-}
-
 impl<'a> World<'a> {
     /// A run of `plan` with one agent for each entry.
     #[must_use]
@@ -108,16 +95,7 @@
         let gap = self.exponential(1.0 / self.plan.rate);
         self.at(now + gap, Event::Ask);
         let entry = self.random.random_range(0..self.plan.entries);
-        self.requests.push(Request {
-            asked_at: now,
-            choice: Choice { token: 0, upstream: 0 },
-            entry,
-            is_over: false,
-            sent_at: now,
-            tried: Vec::new(),
-            kind: Kind::Success,
-            load: 0,
-        });
+        self.requests.push(Request::new(now, entry));
         self.send(now, self.requests.len() - 1);
     }
 
--- a/tests/suite/health.rs
+++ b/tests/suite/health.rs
@@ -1,5 +1,6 @@
 //! Tests of `hemlockfield::health`.
 
+mod digest;
 mod floor;
 mod gray;
 mod report;
