--- a/src/health/case.rs
+++ b/src/health/case.rs
@@ -156,8 +156,8 @@
     /// Whether this entry's own outcomes let it follow the others.
     ///
     /// Silence may be the path's fault, so an entry follows only when it meets
-    /// silence too, or next to nobody gets answers: entries with a path keep the
-    /// upstream. For what the upstream itself does it follows unless it sees the
+    /// silence too, or has had no answer for the longest window and next to nobody
+    /// else gets one: entries with a path keep the upstream. For what the upstream itself does it follows unless it sees the
     /// contrary right now.
     fn agrees(&self, aspect: Aspect) -> bool {
         const SEEN_WELL: f64 = -3.0;
@@ -175,7 +175,7 @@
         let (unanswered, answered) = self.silences(1);
         let is_now = unanswered >= LEAST && unanswered > 9 * answered;
         let (unanswered, answered) = self.silences(3);
-        is_now && unanswered > 2 * answered && self.windows(Aspect::Silent)[1] >= 0.0
+        is_now && unanswered > 2 * answered && self.windows(Aspect::Silent)[4] >= 0.0
     }
 
     /// Whether nobody says anything against it; spares most upstreams the sums.
