--- a/src/health/case.rs
+++ b/src/health/case.rs
@@ -64,6 +64,10 @@
 
     /// The aspect in which it stands convicted, for long enough.
     pub(crate) fn conviction(&mut self, now: Moment, setup: &Setup, bar: f64) -> Option<Aspect> {
+        if self.is_quiet() {
+            self.since = [None; 3];
+            return None;
+        }
         let mut convicted = None;
         for aspect in Aspect::ALL {
             let is_own = self.own(aspect) >= bar && self.is_recent(aspect);
@@ -101,6 +105,9 @@
     /// Whether evidence, this entry's or all entries', has reached half of what
     /// convicts.
     pub(crate) fn is_half_way(&self, setup: &Setup) -> bool {
+        if self.is_quiet() {
+            return false;
+        }
         let is_pooled = |aspect: &Aspect| {
             self.agrees(*aspect) && self.is_pooled(*aspect, setup.pooled_threshold(*aspect) / 2.0)
         };
@@ -137,7 +144,7 @@
             evidence.roll(now);
         }
         self.remote.retain(|_, (at, _)| now.saturating_sub(*at) <= Self::FRESH);
-        if self.doubt() >= Self::SHARE || self.is_told() {
+        if !self.is_quiet() && (self.doubt() >= Self::SHARE || self.is_told()) {
             self.question_until = now + Self::QUESTION;
         }
     }
@@ -149,8 +156,8 @@
     /// Whether this entry's own outcomes let it follow the others.
     ///
     /// Silence may be the path's fault, so an entry follows only when it meets
-    /// silence too, or next to nobody gets answers: entries with a path keep the
-    /// upstream. For what the upstream itself does it follows unless it sees the
+    /// silence too, or has had no answer for the longest window and next to nobody
+    /// else gets one: entries with a path keep the upstream. For what the upstream itself does it follows unless it sees the
     /// contrary right now.
     fn agrees(&self, aspect: Aspect) -> bool {
         const SEEN_WELL: f64 = -3.0;
@@ -168,7 +175,12 @@
         let (unanswered, answered) = self.silences(1);
         let is_now = unanswered >= LEAST && unanswered > 9 * answered;
         let (unanswered, answered) = self.silences(3);
-        is_now && unanswered > 2 * answered && self.windows(Aspect::Silent)[1] >= 0.0
+        is_now && unanswered > 2 * answered && self.windows(Aspect::Silent)[4] >= 0.0
+    }
+
+    /// Whether nobody says anything against it; spares most upstreams the sums.
+    fn is_quiet(&self) -> bool {
+        self.remote.is_empty() && self.doubt() < Self::TELL
     }
 
     /// Other entries that met silence in a window, and those that got answers.
