--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -55,6 +55,7 @@
     let _ = writeln!(report, "  memory: {memory} B a node, with its share of the fake network");
     steady(&mut trial, size, report);
     detection(&mut trial, size, report);
+    churn(&mut trial, size, report);
     domain(&mut trial, report);
     let long = size <= 260;
     region(&mut trial, if long { 3600 } else { 600 }, report);
@@ -101,6 +102,24 @@
     );
 }
 
+/// Restarts one member every 20 s; 843 failures and restarts a day are one in 102 s.
+fn churn(trial: &mut Trial, size: usize, report: &mut String) {
+    trial.reset();
+    for restart in 0..10 {
+        let index = 4 + restart * (size - 4) / 10;
+        trial.kill(&Trial::id(index));
+        trial.run(SECOND * 10);
+        trial.start(index);
+        trial.run(SECOND * 10);
+    }
+    let peak = worst(trial);
+    let _ = writeln!(
+        report,
+        "  one restart in 20 s (five times the daily rate at 520): {:.0} B/s, worst second {peak} messages",
+        rate(trial, 200)
+    );
+}
+
 fn domain(trial: &mut Trial, report: &mut String) {
     let gone = trial.domain(3);
     let rest = trial.members.len() - gone.len();
--- a/tests/suite/fleet.rs
+++ b/tests/suite/fleet.rs
@@ -1,13 +1,23 @@
 //! Membership in virtual time.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use compact_str::CompactString;
+use compact_str::format_compact;
 use hemlockfield::fake::Weather;
+use hemlockfield::fleet::Allowance;
+use hemlockfield::fleet::Digest;
 use hemlockfield::fleet::Input;
 use hemlockfield::fleet::Output;
+use hemlockfield::fleet::Spread;
 use hemlockfield::fleet::State;
 use hemlockfield::fleet::Status;
 use hemlockfield::fleet::Trial;
+use proptest::collection::btree_map;
+use proptest::prop_assert_eq;
+use proptest::proptest;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -174,3 +184,91 @@
     trial.run(SECOND * 30);
     assert!(trial.agrees(520 - domain.len()));
 }
+
+#[test]
+fn member_mute_process_is_convicted_alone() {
+    // One process hears everybody but nobody hears it. Its pings get no answers, and
+    // it must not take that for the failure of its targets.
+    let mut trial = settled(12, 44);
+    let mute = Trial::id(9);
+    for other in trial.members.keys().filter(|id| **id != mute).cloned().collect::<Vec<_>>() {
+        trial.net.cut(&mute, &other);
+    }
+    trial.run(SECOND * 30);
+    assert!(failures(&trial).iter().all(|output| **output == Output::Failed(mute.clone())));
+    assert_eq!(failures(&trial).len(), 43);
+}
+
+#[test]
+fn allowance_refills_at_its_rate() {
+    let mut allowance = Allowance::new(1000, 5000);
+    allowance.take(6000);
+    assert!(!allowance.is_open(Duration::ZERO));
+    assert!(allowance.is_open(Duration::from_millis(10)));
+    allowance.take(10);
+    assert!(!allowance.is_open(Duration::from_millis(10)));
+}
+
+#[test]
+fn spread_sends_no_more_than_the_allowance() {
+    // A thousand records wait for two neighbours. What leaves at once is bounded by
+    // the burst, one message over; what a neighbour sent itself is not sent to it.
+    let mut spread = Spread::new(Allowance::new(1000, 5000));
+    for index in 0..1000 {
+        let key = format!("key-{index}").as_str().into();
+        spread.queue(&"vm-1".into(), &key);
+        spread.queue(&"vm-2".into(), &key);
+        spread.saw(&"vm-2".into(), &key);
+    }
+    let batches = spread.take(Duration::ZERO, 0, |_| 100);
+    assert!(batches.iter().all(|(peer, _)| peer == "vm-1"));
+    let bytes: usize = batches.iter().map(|(_, keys)| keys.len() * 100 + Spread::OVERHEAD).sum();
+    assert!((5000..=5000 + Spread::MESSAGE_MAX + Spread::OVERHEAD).contains(&bytes));
+    assert!(spread.take(Duration::ZERO, 0, |_| 100).is_empty());
+}
+
+proptest! {
+    /// Two nodes hold any two sets of versions: three steps find what differs and
+    /// nothing else, on both sides.
+    #[test]
+    fn digest_finds_every_difference(
+        left in btree_map(0_u16..200, 0_u32..3, 0..60),
+        right in btree_map(0_u16..200, 0_u32..3, 0..60),
+    ) {
+        let here = digest(&left);
+        let there = digest(&right);
+        prop_assert_eq!(here.root() == there.root(), left == right);
+        let mut sent = BTreeSet::new();
+        let mut wanted = BTreeSet::new();
+        for versions in there.answer(&here.hashes()).repairs {
+            let answer = here.answer(&versions);
+            sent.extend(answer.send);
+            for want in answer.repairs {
+                wanted.extend(there.answer(&want).send);
+            }
+        }
+        prop_assert_eq!(sent, differing(&left, &right));
+        prop_assert_eq!(wanted, differing(&right, &left));
+    }
+}
+
+fn key(index: u16) -> CompactString {
+    format_compact!("key-{index}")
+}
+
+fn digest(versions: &BTreeMap<u16, u32>) -> Digest {
+    let mut digest = Digest::new(8);
+    for (index, version) in versions {
+        digest.set(&key(*index), 7, true);
+        digest.set(&key(*index), *version, true);
+    }
+    digest.set(&key(999), 1, true);
+    digest.remove(&key(999));
+    digest
+}
+
+/// Keys of `left` that `right` lacks or has in another version.
+fn differing(left: &BTreeMap<u16, u32>, right: &BTreeMap<u16, u32>) -> BTreeSet<CompactString> {
+    let differs = left.iter().filter(|(index, version)| right.get(index) != Some(version));
+    differs.map(|(index, _)| key(*index)).collect()
+}
--- a/tests/suite/timeline.rs
+++ b/tests/suite/timeline.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::format_compact;
 use hemlockfield::timeline::Clock;
 use hemlockfield::timeline::Event;
 use hemlockfield::timeline::FileRecorder;
@@ -15,6 +16,9 @@
 use hemlockfield::timeline::Note;
 use hemlockfield::timeline::Recorder;
 use hemlockfield::timeline::Stamp;
+use proptest::collection::vec;
+use proptest::prop_assert;
+use proptest::proptest;
 use rstest::rstest;
 
 #[test]
@@ -209,3 +213,47 @@
     assert!(page.contains("cut \\u003c/script> short"));
     assert_eq!(page.matches("</script>").count(), 2);
 }
+
+proptest! {
+    /// Processes whose clocks differ by up to 10 s send each other messages. However
+    /// they do it, the merged order never shows a receipt before its sending.
+    #[test]
+    fn merge_keeps_cause_before_effect(
+        skews in vec(0_u64..10_000, 4),
+        messages in vec((0_usize..4, 0_usize..4, 0_u64..50), 1..60),
+    ) {
+        let folder = tempfile::tempdir().expect("folder");
+        let mut clocks = vec![Clock::new(); 4];
+        let mut files = vec![Vec::new(); 4];
+        let mut time = 0;
+        for (number, (from, to, pause)) in messages.iter().enumerate() {
+            time += pause;
+            let wall = |vm: usize| Duration::from_millis(100_000 + time + skews[vm]);
+            let request = format_compact!("request-{number}");
+            let sent = clocks[*from].tick(wall(*from));
+            let event = |stamp, vm: usize, kind| {
+                Event::new(stamp, format_compact!("vm-{vm}"), kind).request(request.clone())
+            };
+            files[*from].push(event(sent, *from, Kind::RequestDispatched));
+            clocks[*to].observe(sent, wall(*to));
+            let received = clocks[*to].tick(wall(*to));
+            files[*to].push(event(received, *to, Kind::RequestAccepted));
+        }
+        let paths: Vec<PathBuf> = files
+            .iter()
+            .enumerate()
+            .map(|(vm, events)| write(folder.path(), &format!("vm-{vm}"), events))
+            .collect();
+        let report = Merge::read(&paths, &Filter::default());
+        prop_assert!(report.notes().is_empty());
+        let place = |number: usize, kind: Kind| {
+            let request = Some(format_compact!("request-{number}"));
+            report.events().iter().position(|event| event.request == request && event.kind == kind)
+        };
+        for number in 0..messages.len() {
+            let sent = place(number, Kind::RequestDispatched);
+            prop_assert!(sent < place(number, Kind::RequestAccepted));
+            prop_assert!(sent.is_some());
+        }
+    }
+}
