Keep upstreams in use by their answers when a lease runs out

Now the end of a lease counts after one renewal's time and 5 s, in which answers decide. A late announcement no longer brings back an upstream whose lease ran out while it drained.

--- a/src/bench/registry.rs
+++ b/src/bench/registry.rs
@@ -71,10 +71,8 @@
     let drained: Vec<usize> = (0..upstreams).step_by(10).collect();
     drained.iter().for_each(|index| drain(trial, *index));
     let done = |trial: &Trial| {
-        let gone = |registry: &Registry| {
-            let ready = registry.usable(trial.now()).filter(|upstream| upstream.is_ready());
-            ready.count() == upstreams - drained.len()
-        };
+        let gone =
+            |registry: &Registry| registry.usable(trial.now()).count() == upstreams - drained.len();
         trial.registries.values().all(gone)
     };
     let span = settle(trial, done);
--- a/src/registry/machine.rs
+++ b/src/registry/machine.rs
@@ -66,6 +66,7 @@
 pub struct Registry {
     changed_at: Moment,
     compared_at: Option<Moment>,
+    contested_until: Moment,
     digest: Digest,
     homes: Homes,
     in_touch: bool,
@@ -89,6 +90,7 @@
         Self {
             changed_at: now,
             compared_at: None,
+            contested_until: now,
             digest: Digest::new(BUCKETS),
             homes: Homes::default(),
             in_touch: true,
@@ -139,7 +141,7 @@
 
     /// Whether one upstream may get new work now.
     pub fn is_usable(&self, now: Moment, upstream: &Upstream) -> bool {
-        upstream.is_ready() && (self.is_vouched(upstream) || upstream.is_proven(now))
+        upstream.is_ready(now) && (self.is_vouched(upstream) || upstream.is_proven(now))
     }
 
     /// Every upstream whose lease has not run out, usable or not.
@@ -160,7 +162,8 @@
 
     fn is_vouched(&self, upstream: &Upstream) -> bool {
         let sound = |home: &NodeId| *home == self.me || self.homes.is_sound(home);
-        self.in_touch && upstream.home.as_ref().is_some_and(sound)
+        let here = upstream.announcement.state != State::Gone;
+        here && self.in_touch && upstream.home.as_ref().is_some_and(sound)
     }
 
     fn replace(&mut self, now: Moment, entries: Vec<Entry>, outputs: &mut Vec<Output>) {
--- a/src/registry/machine/announce.rs
+++ b/src/registry/machine/announce.rs
@@ -77,7 +77,8 @@
         if old.state != State::Gone && announcement.address != old.address {
             return Err(Refusal::Duplicate { address: old.address, upstream });
         }
-        if old.state == State::Draining && announcement.state == State::Ready {
+        let drained = old.state == State::Draining || (old.state == State::Gone && known.draining);
+        if drained && announcement.state == State::Ready {
             return Err(Refusal::Draining { upstream });
         }
         Ok(())
--- a/src/registry/machine/learn.rs
+++ b/src/registry/machine/learn.rs
@@ -1,5 +1,7 @@
 //! What a registry makes of changes.
 
+use std::time::Duration;
+
 use crate::clock::Moment;
 use crate::id::NodeId;
 use crate::registry::Change;
@@ -9,6 +11,10 @@
 use crate::registry::Upstream;
 use crate::registry::upstream::Born;
 
+/// How much longer than the time between renewals an upstream whose lease ran out
+/// may have to prove that it is there.
+const CONTEST: Duration = Duration::from_secs(5);
+
 impl Registry {
     /// Takes in a change, unless what is known outweighs it; tells it on.
     pub(super) fn learn(
@@ -48,6 +54,13 @@
         outputs.push(Output::Changed { incarnation, state, upstream });
     }
 
+    /// Replaces what is known of an upstream.
+    ///
+    /// The end of a lease is not taken at its word for the time of one renewal. When
+    /// two regions meet again, each has let the leases of the other's upstreams run
+    /// out; they would all be without work until they renew. Meanwhile an answer to
+    /// this entry, or to its probe, is proof enough; the first probe has as long as an
+    /// answer is good for.
     fn put(&mut self, now: Moment, change: Change) {
         let id = change.announcement.upstream.clone();
         let old = self.upstreams.remove(&id);
@@ -57,10 +70,19 @@
             None => self.homes.pick(&id),
         };
         let old = old.filter(same);
+        let before = old.as_ref().map(|old| old.announcement.state);
+        let lost = change.announcement.state == State::Gone && before == Some(State::Ready);
+        let drained = before == Some(State::Draining);
+        let renewal = change.announcement.lease / 3;
+        let answered = old.as_ref().and_then(|old| old.answered);
+        if lost {
+            self.contested_until = self.contested_until.max(now + renewal + CONTEST);
+        }
         let upstream = Upstream {
-            answered: old.as_ref().and_then(|old| old.answered),
+            answered: if lost { Some(now) } else { answered },
             born: old.as_ref().map_or(Born { age: change.age, at: now }, |old| old.born),
-            draining: old.as_ref().is_some_and(|old| old.draining),
+            contested: lost.then_some(now + renewal + CONTEST),
+            draining: old.as_ref().is_some_and(|old| old.draining) || drained,
             home,
             probed: old.as_ref().and_then(|old| old.probed),
             renewed: now,
--- a/src/registry/trial.rs
+++ b/src/registry/trial.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Mends every cut.
+    pub fn heal(&mut self) {
+        self.fleet.net.heal_all();
+        self.net.heal_all();
+    }
+
     /// Stops an entry without a word.
     pub fn kill(&mut self, id: &NodeId) {
         self.fleet.kill(id);
--- a/src/registry/upstream.rs
+++ b/src/registry/upstream.rs
@@ -26,6 +26,8 @@
     /// When its incarnation was first announced, as this process's clock has it;
     /// negative times (before the start of the process) are kept as an age.
     pub(crate) born: Born,
+    /// Until when answers to this entry count for more than the end of its lease.
+    pub(crate) contested: Option<Moment>,
     /// When a probe was last asked for.
     pub(crate) probed: Option<Moment>,
     /// When the home heard a renewal last, or when this entry became the home.
@@ -68,8 +70,14 @@
     }
 
     /// Whether nothing known says that it takes no new work.
-    pub fn is_ready(&self) -> bool {
-        self.announcement.state == State::Ready && !self.draining
+    pub fn is_ready(&self, now: Moment) -> bool {
+        let here = self.announcement.state == State::Ready || self.is_contested(now);
+        here && !self.draining
+    }
+
+    /// Whether its lease ran out a moment ago while it was ready.
+    pub fn is_contested(&self, now: Moment) -> bool {
+        self.contested.is_some_and(|until| now < until)
     }
 
     pub(crate) fn change(&self, now: Moment) -> Change {
--- a/tests/suite/registry.rs
+++ b/tests/suite/registry.rs
@@ -164,6 +164,46 @@
     assert_eq!(trial.users(&upstream).len(), 44);
 }
 
+#[test]
+fn region_back_keeps_the_upstreams_in_use() {
+    // A region loses the others and their upstreams for five minutes, and lets those
+    // leases run out. When the sides meet, its verdicts spread to the others; the
+    // upstreams are in use all the same, by their answers, until they have renewed.
+    let mut trial = settled(15);
+    let region = trial.fleet.region("r1");
+    trial.cut_off(&region);
+    trial.apart = region.iter().cloned().collect();
+    trial.run(SECOND * 300);
+    trial.apart.clear();
+    trial.heal();
+    let expired = |trial: &Trial| {
+        let gone = |output: &Output| matches!(output, Output::Changed { state: State::Gone, .. });
+        trial.events.iter().filter(|(_, _, output)| gone(output)).count()
+    };
+    assert!(expired(&trial) > 0);
+    for _ in 0..300 {
+        trial.run(SECOND / 10);
+        for index in 0..30 {
+            let users = trial.users(&Trial::announcement(index).upstream);
+            let others = users.iter().filter(|id| !region.contains(id)).count();
+            assert!(others >= 30, "{index}: {others} at {:?}", trial.now());
+        }
+    }
+    let upstream = |index| Trial::announcement(index).upstream;
+    assert!((0..30).all(|index| trial.users(&upstream(index)).len() == 44));
+}
+
+#[test]
+fn late_announcement_after_a_drained_lease_ran_out() {
+    let mut trial = settled(16);
+    drain(&mut trial, 4, 17);
+    let upstream = Trial::announcement(4).upstream;
+    trial.announced.remove(&upstream);
+    trial.run(SECOND * 20);
+    trial.input(&fleet::Trial::id(40), Input::Announce(Trial::announcement(4)));
+    assert_eq!(refusals(&trial), vec![Refusal::Draining { upstream }]);
+}
+
 #[test]
 fn restart_at_another_address_and_a_late_announcement() {
     // An upstream restarts at another address. Then an announcement of its former
