Hold the byte allowance exactly, and send drains as states only

Now the allowance goes into debt and has a long run and a pace; a drain is told in a quarter of the bytes; a suspected home vouches for 1 s more, while its upstreams are probed.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -33,13 +33,16 @@
 /// of them be lost or cut off and two still confirm each other.
 const RINGS: usize = 4;
 
-/// Bytes a second for news; probes need about 0.9 KB a second beside it.
-const SPREAD_RATE: u64 = 1000;
+/// Bytes a second for joins and repairs in the long run, and the same for suspicions,
+/// refutations and verdicts, so that a refutation does not come too late because a
+/// failure domain joins at the same time. Probes need about 0.43 KB a second beside.
+const SPREAD_RATE: u64 = 500;
 
-/// Bytes of news at once: the whole table of 520 members, for one that joins. The
-/// same again is for suspicions, refutations and verdicts, so that a refutation does
-/// not come too late because a failure domain joins at the same time.
-const SPREAD_BURST: u64 = 40_000;
+/// Bytes of news that may pass now and then: the table of 520 members five times.
+const SPREAD_BURST: u64 = 200_000;
+
+/// Bytes of news a second while there are many: the table in four seconds.
+const SPREAD_PACE: u64 = 10_000;
 
 /// How often a process that knows nobody asks a seed.
 const JOIN_PERIOD: Duration = Duration::from_secs(1);
@@ -84,6 +87,7 @@
 
     /// Member `me`, which joins through `seeds`; itself among them does no harm.
     pub fn new(now: Moment, me: Record, seeds: Vec<Seed>, mut random: ChaCha8Rng) -> Self {
+        let allowance = Allowance::new(SPREAD_RATE, SPREAD_BURST, SPREAD_PACE);
         let mut rings = Rings::new(RINGS);
         rings.insert(&me.id);
         let mut roster = Roster::new();
@@ -105,9 +109,9 @@
             rings,
             roster,
             seeds,
-            spread: Spread::new(Allowance::new(SPREAD_RATE, SPREAD_BURST)),
+            spread: Spread::new(allowance.clone()),
             ticked_at: now,
-            urgent: Spread::new(Allowance::new(SPREAD_RATE, SPREAD_BURST)),
+            urgent: Spread::new(allowance.clone()),
         }
     }
 
--- a/src/registry/change.rs
+++ b/src/registry/change.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::id::Incarnation;
+use crate::id::UpstreamId;
 use crate::registry::Announcement;
 use crate::registry::State;
 
@@ -36,3 +38,16 @@
         xxh3_64(&bytes) as u32
     }
 }
+
+/// State of an upstream that the receiver knows already: a quarter of a [`Change`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Standing {
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Revision, as in [`Change`].
+    pub revision: u32,
+    /// Its state.
+    pub state: State,
+    /// The upstream.
+    pub upstream: UpstreamId,
+}
--- a/src/registry/homes.rs
+++ b/src/registry/homes.rs
@@ -3,27 +3,41 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::clock::Moment;
 use crate::id::NodeId;
 use crate::registry::Entry;
 
+/// How long a suspected home still vouches. Meanwhile its upstreams are probed; without
+/// this they would be out of use until the first probes are answered.
+const GRACE: Duration = Duration::from_secs(1);
+
 /// Live entries, from which rendezvous hashing picks a home.
 #[derive(Debug, Default)]
 pub(crate) struct Homes {
+    suspected: BTreeMap<NodeId, Moment>,
     entries: BTreeMap<NodeId, (u64, Entry)>,
 }
 
 impl Homes {
     /// Replaces the entries; tells which came and which went.
-    pub(crate) fn replace(&mut self, entries: Vec<Entry>) -> (Vec<NodeId>, Vec<NodeId>) {
+    pub(crate) fn replace(
+        &mut self,
+        now: Moment,
+        entries: Vec<Entry>,
+    ) -> (Vec<NodeId>, Vec<NodeId>) {
         let place = |entry: Entry| (entry.id.clone(), (xxh3_64(entry.id.as_bytes()), entry));
         let fresh: BTreeMap<NodeId, (u64, Entry)> = entries.into_iter().map(place).collect();
         let before = eligible(&self.entries);
         let after = eligible(&fresh);
         self.entries = fresh;
+        let suspects = self.entries.iter().filter(|(_, (_, entry))| entry.suspect);
+        let since = |id: &NodeId| self.suspected.get(id).copied().unwrap_or(now);
+        self.suspected = suspects.map(|(id, _)| (id.clone(), since(id))).collect();
         let came = after.difference(&before).cloned().collect();
         (came, before.difference(&after).cloned().collect())
     }
@@ -56,6 +70,12 @@
         self.entries.get(id).is_some_and(|(_, entry)| !entry.suspect)
     }
 
+    /// Whether an entry is alive and not suspected for longer than [`GRACE`].
+    pub(crate) fn vouches(&self, now: Moment, id: &NodeId) -> bool {
+        let fresh = self.suspected.get(id).is_some_and(|since| now < *since + GRACE);
+        self.is_sound(id) || fresh
+    }
+
     /// Whether no entry is suspected.
     pub(crate) fn are_sound(&self) -> bool {
         self.entries.values().all(|(_, entry)| !entry.suspect)
--- a/src/registry/machine.rs
+++ b/src/registry/machine.rs
@@ -24,6 +24,7 @@
 use crate::registry::Input;
 use crate::registry::Message;
 use crate::registry::Output;
+use crate::registry::Standing;
 use crate::registry::State;
 use crate::registry::Upstream;
 use crate::registry::homes::Homes;
@@ -31,18 +32,28 @@
 /// Hash buckets: 6,200 upstreams give 24 to a bucket, and all hashes fit two messages.
 const BUCKETS: usize = 160;
 
-/// Bytes a second for changes.
+/// Bytes a second for changes in the long run.
 const SPREAD_RATE: u64 = 1000;
 
-/// Bytes of changes at once: about a thousand upstreams that drain together.
-const SPREAD_BURST: u64 = 100_000;
+/// Bytes of changes that may pass now and then: 6,200 upstreams that all start.
+const SPREAD_BURST: u64 = 2_000_000;
 
-/// Bytes a second for drains, which do not wait behind other changes: when a thousand
-/// upstreams are announced at once, a drain has 3 s all the same.
-const URGENT_RATE: u64 = 1000;
+/// Bytes of changes a second while there are many.
+const SPREAD_PACE: u64 = 10_000;
 
-/// Bytes of drains at once: about a thousand, one copy a link.
-const URGENT_BURST: u64 = 100_000;
+/// Bytes a second for drains in the long run. They do not wait behind other changes:
+/// when a thousand upstreams are announced at once, a drain has 3 s all the same.
+const URGENT_RATE: u64 = 500;
+
+/// Bytes of drains that may pass now and then: 6,200 drains, one copy a link.
+const URGENT_BURST: u64 = 1_500_000;
+
+/// Bytes of drains a second while there are many, and four times that at once: a
+/// tenth of 6,200 upstreams within the 3 s.
+const URGENT_PACE: u64 = 25_000;
+
+/// Encoded bytes of a [`Standing`] whose upstream has a name of 20 letters.
+const STANDING_MAX: usize = 32;
 
 /// How often a digest is sent to one neighbour. A change that the flood lost
 /// reaches everybody all the same, one link in this time.
@@ -96,11 +107,11 @@
             in_touch: true,
             me,
             random,
-            spread: Spread::new(Allowance::new(SPREAD_RATE, SPREAD_BURST)),
+            spread: Spread::new(Allowance::new(SPREAD_RATE, SPREAD_BURST, SPREAD_PACE)),
             summary_at: now + phase,
             sweep_at: now,
             upstreams: BTreeMap::new(),
-            urgent: Spread::new(Allowance::new(URGENT_RATE, URGENT_BURST)),
+            urgent: Spread::new(Allowance::new(URGENT_RATE, URGENT_BURST, URGENT_PACE)),
             watch: None,
         }
     }
@@ -141,7 +152,7 @@
 
     /// Whether one upstream may get new work now.
     pub fn is_usable(&self, now: Moment, upstream: &Upstream) -> bool {
-        upstream.is_ready(now) && (self.is_vouched(upstream) || upstream.is_proven(now))
+        upstream.is_ready(now) && (self.is_vouched(now, upstream) || upstream.is_proven(now))
     }
 
     /// Every upstream whose lease has not run out, usable or not.
@@ -160,14 +171,18 @@
         self.digest.root()
     }
 
-    fn is_vouched(&self, upstream: &Upstream) -> bool {
-        let sound = |home: &NodeId| *home == self.me || self.homes.is_sound(home);
+    fn is_vouched(&self, now: Moment, upstream: &Upstream) -> bool {
+        self.has_home(upstream, |home| self.homes.vouches(now, home))
+    }
+
+    fn has_home(&self, upstream: &Upstream, sound: impl Fn(&NodeId) -> bool) -> bool {
         let here = upstream.announcement.state != State::Gone;
+        let sound = |home: &NodeId| *home == self.me || sound(home);
         here && self.in_touch && upstream.home.as_ref().is_some_and(sound)
     }
 
     fn replace(&mut self, now: Moment, entries: Vec<Entry>, outputs: &mut Vec<Output>) {
-        let (came, went) = self.homes.replace(entries);
+        let (came, went) = self.homes.replace(now, entries);
         let linked: BTreeSet<NodeId> = self.homes.neighbours().cloned().collect();
         self.spread.retain(|peer| linked.contains(peer));
         self.urgent.retain(|peer| linked.contains(peer));
@@ -244,10 +259,14 @@
 
     fn flush(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let first = self.random.random_range(0..64);
+        let size = |_: &UpstreamId| STANDING_MAX;
+        for (to, ids) in self.urgent.take(now, first, size) {
+            let known = ids.iter().filter_map(|id| self.upstreams.get(id));
+            let standings = known.map(Upstream::standing).collect();
+            outputs.push(Output::Send { to, message: Message::Standings(standings) });
+        }
         let size = |id: &UpstreamId| self.upstreams.get(id).map_or(0, |known| size_of(now, known));
-        let mut batches = self.urgent.take(now, first, size);
-        batches.extend(self.spread.take(now, first, size));
-        for (to, ids) in batches {
+        for (to, ids) in self.spread.take(now, first, size) {
             let known = ids.iter().filter_map(|id| self.upstreams.get(id));
             let changes = known.map(|upstream| upstream.change(now)).collect();
             outputs.push(Output::Send { to, message: Message::Changes(changes) });
--- a/src/registry/machine/answered.rs
+++ b/src/registry/machine/answered.rs
@@ -59,7 +59,7 @@
         }
         let due = |upstream: &Upstream| {
             upstream.is_ready(now)
-                && !self.is_vouched(upstream)
+                && !self.has_home(upstream, |home| self.homes.is_sound(home))
                 && upstream.answered.is_none_or(|at| now >= at + PROBE_PERIOD)
                 && upstream.probed.is_none_or(|at| now >= at + PROBE_PERIOD)
         };
--- a/src/registry/machine/receive.rs
+++ b/src/registry/machine/receive.rs
@@ -3,9 +3,11 @@
 use crate::clock::Moment;
 use crate::fleet::Repair;
 use crate::id::NodeId;
+use crate::registry::Change;
 use crate::registry::Message;
 use crate::registry::Output;
 use crate::registry::Registry;
+use crate::registry::Standing;
 use crate::registry::State;
 use crate::registry::machine::COMPARE_ANYWAY;
 use crate::registry::machine::QUIET;
@@ -41,10 +43,31 @@
                 }
             }
             Message::Repair(step) => self.repair(&from, &step, outputs),
+            Message::Standings(standings) => {
+                for standing in standings {
+                    self.stand(now, &from, standing, outputs);
+                }
+            }
             Message::Summary(root) => self.compare(now, from, root, outputs),
         }
     }
 
+    /// Takes in a state, or asks for the whole record where this one lacks it.
+    fn stand(&mut self, now: Moment, from: &NodeId, standing: Standing, outputs: &mut Vec<Output>) {
+        let known = self.upstreams.get(&standing.upstream).map(|known| known.change(now));
+        let told = (standing.incarnation, standing.revision);
+        let place = |known: &Change| (known.announcement.incarnation, known.revision);
+        let Some(mut change) = known.filter(|known| place(known) >= told) else {
+            let message = Message::Missing(standing.upstream);
+            outputs.push(Output::Send { to: from.clone(), message });
+            return;
+        };
+        if place(&change) == told {
+            change.announcement.state = standing.state;
+            self.learn(now, change, Some(from), outputs);
+        }
+    }
+
     /// Starts a comparison where a neighbour's table differs for no passing reason.
     ///
     /// Where it does not differ, nothing waits for that neighbour any more: after a
--- a/src/registry/message.rs
+++ b/src/registry/message.rs
@@ -7,6 +7,7 @@
 use crate::id::Incarnation;
 use crate::id::UpstreamId;
 use crate::registry::Change;
+use crate::registry::Standing;
 
 /// One message; encoded, it fits a datagram of 1,100 bytes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -24,6 +25,8 @@
     },
     /// Step of a comparison of digests.
     Repair(Repair),
+    /// States of upstreams that the receiver should know.
+    Standings(Vec<Standing>),
     /// Digest of all that the sender knows.
     Summary(u32),
 }
--- a/src/registry/upstream.rs
+++ b/src/registry/upstream.rs
@@ -6,6 +6,7 @@
 use crate::id::NodeId;
 use crate::registry::Announcement;
 use crate::registry::Change;
+use crate::registry::Standing;
 use crate::registry::State;
 
 /// How long an answer proves that an upstream does not drain: with the probe's
@@ -84,4 +85,13 @@
         let age = Duration::from_secs(self.age(now).as_secs());
         Change { age, announcement: self.announcement.clone(), revision: self.revision }
     }
+
+    pub(crate) fn standing(&self) -> Standing {
+        Standing {
+            incarnation: self.announcement.incarnation,
+            revision: self.revision,
+            state: self.announcement.state,
+            upstream: self.announcement.upstream.clone(),
+        }
+    }
 }
--- a/tests/suite/fleet.rs
+++ b/tests/suite/fleet.rs
@@ -201,19 +201,27 @@
 
 #[test]
 fn allowance_refills_at_its_rate() {
-    let mut allowance = Allowance::new(1000, 5000);
-    allowance.take(6000);
-    assert!(!allowance.is_open(Duration::ZERO));
-    assert!(allowance.is_open(Duration::from_millis(10)));
-    allowance.take(10);
-    assert!(!allowance.is_open(Duration::from_millis(10)));
+    // A message of a kilobyte leaves every time that the allowance is open. However
+    // often that is asked, no more leaves than the rate and the burst give.
+    let mut allowance = Allowance::new(1000, 50_000, 10_000);
+    let mut sent = [0; 100];
+    for tenth in 0..1000_u32 {
+        while allowance.is_open(Duration::from_millis(100) * tenth) {
+            allowance.take(1000);
+            sent[tenth as usize / 10] += 1000;
+        }
+    }
+    assert!((40_000..=51_000).contains(&sent[0]), "{}", sent[0]);
+    assert!(sent[1..].iter().all(|second| *second <= 11_000));
+    let all: u32 = sent.iter().sum();
+    assert!((145_000..=151_000).contains(&all), "{all}");
 }
 
 #[test]
 fn spread_sends_no_more_than_the_allowance() {
     // A thousand records wait for two neighbours. What leaves at once is bounded by
     // the burst, one message over; what a neighbour sent itself is not sent to it.
-    let mut spread = Spread::new(Allowance::new(1000, 5000));
+    let mut spread = Spread::new(Allowance::new(1000, 5000, 5000));
     for index in 0..1000 {
         let key = format!("key-{index}").as_str().into();
         spread.queue(&"vm-1".into(), &key);
