--- /dev/null
+++ b/src/node/traffic/service.rs
@@ -0,0 +1,129 @@
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::balance;
+use crate::balance::Ask;
+use crate::balance::Finish;
+use crate::balance::Pick;
+use crate::balance::Picker;
+use crate::balance::Ticket;
+use crate::balance::Verdicts;
+use crate::clock::Moment;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::node::view;
+use crate::retry::Policy;
+use crate::settings::Settings;
+
+use super::queue::Queue;
+
+/// Turns of all entries together, over the slots of all upstreams. Callers spread over the
+/// entries unevenly by chance; at twice its even share an entry seldom refuses what the
+/// others have room for, and when all are full, one request for each slot waits at its
+/// upstream, which an upstream's own queue takes.
+const OVERCOMMIT: f64 = 2.0;
+/// Least turns of an entry: with fewer, one long request holds up all others.
+const SLOTS_MIN: usize = 4;
+
+/// One service, as the traffic threads of this process share it.
+pub(in crate::node) struct Service {
+    pub(in crate::node) name: ServiceId,
+    picker: Mutex<Choice>,
+    policy: Mutex<Policy>,
+    pub(in crate::node) queue: Queue,
+}
+
+impl Service {
+    pub(super) fn new(name: ServiceId, settings: &Settings) -> Self {
+        let node = &settings.node;
+        let setup = balance::Setup::new(node.id.clone(), node.failure_domain.clone(), 1);
+        let random = ChaCha8Rng::seed_from_u64(crate::node::incarnation());
+        let policy = Policy::new(random.clone());
+        let picker = Picker::new(setup, random);
+        let queue = Queue::new(crate::node::incarnation());
+        Self {
+            name,
+            picker: Mutex::new(Choice { picker, slots: 0, version: 0 }),
+            policy: Mutex::new(policy),
+            queue,
+        }
+    }
+
+    pub(super) fn pick(
+        &self,
+        now: Moment,
+        view: &view::Service,
+        avoid: &[UpstreamId],
+        is_long: bool,
+    ) -> Option<Pick> {
+        self.choice(now, view).picker.pick(now, &Ask { avoid, is_long })
+    }
+
+    pub(super) fn finish(&self, now: Moment, ticket: Ticket, finish: Finish) {
+        self.lock().picker.finish(now, ticket, finish);
+    }
+
+    /// What may be tried again, and the budget for it.
+    pub(super) fn policy(&self) -> MutexGuard<'_, Policy> {
+        self.policy.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Requests that wait unusually long for an upstream's first byte.
+    pub(in crate::node) fn overdue(&self, now: Moment) -> Vec<(UpstreamId, Vec<Duration>)> {
+        self.lock().picker.overdue(now)
+    }
+
+    /// Lets others run in place of `stuck` requests, which hold an upstream's slot but
+    /// will not give it back soon: without that, one silent upstream fills all turns of
+    /// the service, and callers are refused while the other upstreams idle.
+    pub(super) fn make_up_for(&self, now: Moment, stuck: usize) {
+        let slots = self.lock().slots;
+        if slots > 0 {
+            self.queue.set_slots(now, slots + stuck.min(slots));
+        }
+    }
+
+    /// Brings queue and picker up to a newer view; whichever request comes first does.
+    pub(super) fn catch_up(&self, now: Moment, view: &view::Service) {
+        drop(self.choice(now, view));
+    }
+
+    fn choice(&self, now: Moment, view: &view::Service) -> MutexGuard<'_, Choice> {
+        let mut choice = self.lock();
+        if choice.version < view.version {
+            choice.version = view.version;
+            choice.picker.set_entries(view.entries);
+            choice.picker.set_members(&view.members);
+            choice.picker.refresh(view);
+            choice.slots = slots(view);
+            self.queue.set_slots(now, choice.slots);
+        }
+        choice
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Choice> {
+        self.picker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The picker as of one view.
+struct Choice {
+    picker: Picker,
+    /// Turns of this entry.
+    slots: usize,
+    /// Version of the view.
+    version: u64,
+}
+
+/// This entry's share of the slots of all upstreams that health lets work.
+fn slots(view: &view::Service) -> usize {
+    let sound = |member: &&balance::Member| view.weight(&member.upstream) > 0.0;
+    let all: u32 = view.members.iter().filter(sound).map(|member| member.slots).sum();
+    let share = f64::from(all) * OVERCOMMIT / view.entries.max(1) as f64;
+    (share.ceil() as usize).clamp(SLOTS_MIN, SLOTS_MIN.max(all as usize))
+}
