Tell the fleet that an entry serves once it has rules

Cause: an entry said what it does with callers only when its standing changed; the only entry of a fleet may serve before the first configuration came, and then said starting for ever, so that it was home to no upstream. Ruled out: the registry (it gave the home to nobody, as told). Change: described anew when a configuration is applied. The queues are looked at when something waits, not every 5 ms; the report's columns are aligned. Before: service has no upstream with one entry; after: it serves (process::path::request_served_by_only_entry).

--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -83,8 +83,22 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let columns = "kind           sent     ok  not-run unknown failed    cut nothing  wrong";
-        writeln!(formatter, "{columns}      p50      p99    p99.9")?;
+        writeln!(
+            formatter,
+            "{:<12} {:>6} {:>6} {:>8} {:>7} {:>6} {:>6} {:>7} {:>6} {:>8} {:>8} {:>8}",
+            "kind",
+            "sent",
+            "ok",
+            "not-run",
+            "unknown",
+            "failed",
+            "cut",
+            "nothing",
+            "wrong",
+            "p50",
+            "p99",
+            "p99.9",
+        )?;
         for (at, kind) in self.kinds.iter().enumerate() {
             let count = |told| self.told.get(&(at, told)).copied().unwrap_or_default();
             let sent: usize =
--- a/src/node/core/configuration.rs
+++ b/src/node/core/configuration.rs
@@ -90,6 +90,7 @@
         let event = self.event(Kind::ConfigurationApplied).configuration(version.number);
         outputs.push(Output::Event(event));
         self.take_rules(&version);
+        self.describe(now, outputs);
         self.tell_member(now, fleet::Input::Configuration(version.number), outputs);
         self.set_judges(now, outputs);
         outputs.push(Output::Apply(version));
--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -27,10 +27,11 @@
 
 /// Time between two looks at the queues: the least wait that a gate tells apart.
 const TICK: Duration = Duration::from_millis(5);
-/// Looks between two reports of gauges: once a second.
-const GAUGES_EVERY: u32 = 200;
-/// Looks between two reports of what waits unusually long.
-const OVERDUE_EVERY: u32 = 20;
+/// Time between two reports of gauges.
+const GAUGES: Duration = Duration::from_secs(1);
+/// Longest time between two looks, where nothing waits: as often as a judge looks, and a
+/// fiftieth of what a look every 5 ms costs an idle process.
+const IDLE: Duration = health::Setup::TICK;
 
 /// The gate of one service, and those that wait before it.
 pub(in crate::node) struct Queue {
@@ -88,6 +89,9 @@
             state.use_classes(now, classes, self.seed);
             state.waiting.insert(arrival.ticket, (arrival.clone(), sender));
             state.handle(now, Input::Arrive(arrival));
+            if !state.waiting.is_empty() {
+                shared.look_soon();
+            }
         }
         let turn = receiver.recv().await;
         let closed = Turn::Refuse(Reason::Overload, Duration::from_secs(1));
@@ -179,26 +183,30 @@
 /// Looks at all queues for as long as the process serves, and tells control what waits
 /// unusually long at an upstream.
 pub(in crate::node) async fn tick(shared: Arc<Shared>) {
-    let mut look = 0;
+    let mut overdue_at = Moment::ZERO;
+    let mut gauges_at = Moment::ZERO;
     while !shared.done.is_closed() {
-        task::sleep(TICK).await;
-        look += 1;
+        shared.wait_for_look(IDLE).await;
+        let services = shared.services();
+        if services.iter().any(|service| service.queue.len() > 0) {
+            task::sleep(TICK).await;
+            shared.look_soon();
+        }
         let now = shared.now();
-        if look % GAUGES_EVERY == 0 {
+        services.iter().for_each(|service| service.queue.tick(now));
+        if now >= overdue_at {
+            overdue_at = now + health::Setup::TICK;
+            services.iter().for_each(|service| tell_overdue(&shared, service));
+        }
+        if now >= gauges_at {
+            gauges_at = now + GAUGES;
             let in_flight = shared.in_flight.load(Ordering::Relaxed);
             shared.metrics.gauge("request.in_flight", in_flight as u64);
         }
-        for service in shared.services() {
-            service.queue.tick(now);
-            if look % OVERDUE_EVERY == 0 {
-                tell_overdue(&shared, &service);
-            }
-        }
     }
 }
 
 fn tell_overdue(shared: &Shared, service: &super::service::Service) {
-    debug_assert!(health::Setup::TICK >= TICK * OVERDUE_EVERY);
     let overdue = service.overdue(shared.now());
     let stuck = overdue.iter().map(|(_, ages)| ages.len()).sum();
     service.make_up_for(shared.now(), stuck);
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -14,6 +14,7 @@
 use async_std::channel::Receiver;
 use async_std::channel::Sender;
 use async_std::channel::bounded;
+use async_std::future::timeout;
 use async_std::task;
 use compact_str::CompactString;
 use compact_str::ToCompactString;
@@ -45,6 +46,7 @@
     pub(in crate::node) open_claims: AtomicUsize,
     /// Whether connections end with the exchange that they carry.
     pub(in crate::node) closing: AtomicBool,
+    look: (Sender<()>, Receiver<()>),
     lost_outcomes: AtomicU64,
     pub(in crate::node) metrics: Metrics,
     next_request: AtomicU64,
@@ -73,6 +75,7 @@
             done,
             drain: bounded(1),
             in_flight: AtomicUsize::new(0),
+            look: bounded(1),
             lost_outcomes: AtomicU64::new(0),
             metrics,
             open_claims: AtomicUsize::new(0),
@@ -137,6 +140,16 @@
         self.drain.0.close();
     }
 
+    /// Has the queues looked at before long.
+    pub(super) fn look_soon(&self) {
+        self.look.0.try_send(()).ok();
+    }
+
+    /// Waits until the queues are to be looked at, at most for `longest`.
+    pub(super) async fn wait_for_look(&self, longest: Duration) {
+        timeout(longest, self.look.1.recv()).await.ok();
+    }
+
     /// Waits until the process is asked to leave.
     pub(in crate::node) async fn drain_requested(&self) {
         self.drain.1.recv().await.ok();
--- a/tests/suite/process/path.rs
+++ b/tests/suite/process/path.rs
@@ -44,6 +44,16 @@
     println!("{}", text(&done));
 }
 
+// The only entry of a fleet learns that it may serve before it learns the first
+// configuration. It said `starting` to the others for ever after, was home to no upstream,
+// and callers were told that the service has none.
+#[test]
+fn request_served_by_only_entry() {
+    let mut fleet = Fleet::start(3, 1);
+    fleet.submit(1, RULES);
+    fleet.add_upstream("hull-1", "hull-register", &["--work", "5"]);
+}
+
 #[test]
 fn submission_accepted() {
     let fleet = Fleet::start(3, 3);
