Tell that an upstream is gone when its answers no longer count

Cause: who follows changes took an upstream whose lease ran out for gone at once, though answers decide for a while.

--- a/src/registry.rs
+++ b/src/registry.rs
@@ -21,6 +21,7 @@
 pub use announcement::Announcement;
 pub use announcement::State;
 pub use change::Change;
+pub use change::Standing;
 pub use entry::Entry;
 pub use input::Input;
 pub use machine::Registry;
--- a/src/registry/machine.rs
+++ b/src/registry/machine.rs
@@ -24,7 +24,6 @@
 use crate::registry::Input;
 use crate::registry::Message;
 use crate::registry::Output;
-use crate::registry::Standing;
 use crate::registry::State;
 use crate::registry::Upstream;
 use crate::registry::homes::Homes;
@@ -52,7 +51,7 @@
 /// tenth of 6,200 upstreams within the 3 s.
 const URGENT_PACE: u64 = 25_000;
 
-/// Encoded bytes of a [`Standing`] whose upstream has a name of 20 letters.
+/// Encoded bytes of a [`crate::registry::Standing`] whose upstream has a name of 20 letters.
 const STANDING_MAX: usize = 32;
 
 /// How often a digest is sent to one neighbour. A change that the flood lost
@@ -77,7 +76,7 @@
 pub struct Registry {
     changed_at: Moment,
     compared_at: Option<Moment>,
-    contested_until: Moment,
+    contested: BTreeSet<UpstreamId>,
     digest: Digest,
     homes: Homes,
     in_touch: bool,
@@ -101,7 +100,7 @@
         Self {
             changed_at: now,
             compared_at: None,
-            contested_until: now,
+            contested: BTreeSet::new(),
             digest: Digest::new(BUCKETS),
             homes: Homes::default(),
             in_touch: true,
@@ -152,13 +151,12 @@
 
     /// Whether one upstream may get new work now.
     pub fn is_usable(&self, now: Moment, upstream: &Upstream) -> bool {
-        upstream.is_ready(now) && (self.is_vouched(now, upstream) || upstream.is_proven(now))
+        upstream.is_ready() && (self.is_vouched(now, upstream) || upstream.is_proven(now))
     }
 
     /// Every upstream whose lease has not run out, usable or not.
     pub fn view(&self) -> impl Iterator<Item = &Upstream> {
-        let here = |upstream: &&Upstream| upstream.announcement.state != State::Gone;
-        self.upstreams.values().filter(here)
+        self.upstreams.values().filter(|upstream| upstream.is_here())
     }
 
     /// Services that have any upstream.
@@ -224,6 +222,7 @@
             return;
         }
         self.sweep_at = now + SWEEP;
+        self.give_up(now, outputs);
         let mut expired = Vec::new();
         let mut forgotten = Vec::new();
         for (id, upstream) in &self.upstreams {
--- a/src/registry/machine/answered.rs
+++ b/src/registry/machine/answered.rs
@@ -54,11 +54,11 @@
     /// Without them an entry that is cut off from the others, but not from the
     /// upstreams, would either go on giving work to one that drains or stop serving.
     pub(super) fn probe(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.in_touch && self.homes.are_sound() && now >= self.contested_until {
+        if self.in_touch && self.homes.are_sound() && self.contested.is_empty() {
             return;
         }
         let due = |upstream: &Upstream| {
-            upstream.is_ready(now)
+            upstream.is_ready()
                 && !self.has_home(upstream, |home| self.homes.is_sound(home))
                 && upstream.answered.is_none_or(|at| now >= at + PROBE_PERIOD)
                 && upstream.probed.is_none_or(|at| now >= at + PROBE_PERIOD)
--- a/src/registry/machine/learn.rs
+++ b/src/registry/machine/learn.rs
@@ -51,7 +51,23 @@
             let spread = if urgent { &mut self.urgent } else { &mut self.spread };
             spread.queue(peer, &upstream);
         }
-        outputs.push(Output::Changed { incarnation, state, upstream });
+        if !self.contested.contains(&upstream) {
+            outputs.push(Output::Changed { incarnation, state, upstream });
+        }
+    }
+
+    /// Ends the time in which answers decide, and tells that these upstreams are gone.
+    pub(super) fn give_up(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        for id in std::mem::take(&mut self.contested) {
+            let Some(known) = self.upstreams.get_mut(&id) else { continue };
+            if known.contested.is_some_and(|until| now < until) {
+                self.contested.insert(id);
+                continue;
+            }
+            known.contested = None;
+            let incarnation = known.announcement.incarnation;
+            outputs.push(Output::Changed { incarnation, state: State::Gone, upstream: id });
+        }
     }
 
     /// Replaces what is known of an upstream.
@@ -76,7 +92,9 @@
         let renewal = change.announcement.lease / 3;
         let answered = old.as_ref().and_then(|old| old.answered);
         if lost {
-            self.contested_until = self.contested_until.max(now + renewal + CONTEST);
+            self.contested.insert(id.clone());
+        } else {
+            self.contested.remove(&id);
         }
         let upstream = Upstream {
             answered: if lost { Some(now) } else { answered },
--- a/src/registry/upstream.rs
+++ b/src/registry/upstream.rs
@@ -27,7 +27,8 @@
     /// When its incarnation was first announced, as this process's clock has it;
     /// negative times (before the start of the process) are kept as an age.
     pub(crate) born: Born,
-    /// Until when answers to this entry count for more than the end of its lease.
+    /// Until when answers to this entry count for more than the end of its lease; the
+    /// registry clears it when that is over.
     pub(crate) contested: Option<Moment>,
     /// When a probe was last asked for.
     pub(crate) probed: Option<Moment>,
@@ -76,15 +77,15 @@
         self.answered.is_some_and(|at| now < at + PROOF)
     }
 
-    /// Whether nothing known says that it takes no new work.
-    pub fn is_ready(&self, now: Moment) -> bool {
-        let here = self.announcement.state == State::Ready || self.is_contested(now);
-        here && !self.draining
+    /// Whether its lease runs, or ran out a moment ago while it was ready.
+    pub fn is_here(&self) -> bool {
+        self.announcement.state != State::Gone || self.contested.is_some()
     }
 
-    /// Whether its lease ran out a moment ago while it was ready.
-    pub fn is_contested(&self, now: Moment) -> bool {
-        self.contested.is_some_and(|until| now < until)
+    /// Whether nothing known says that it takes no new work.
+    pub fn is_ready(&self) -> bool {
+        let here = self.announcement.state == State::Ready || self.contested.is_some();
+        here && !self.draining
     }
 
     pub(crate) fn change(&self, now: Moment) -> Change {
