Refuse sooner while control is known to be silent

A keyed request waited 2 s for control also when earlier ones had waited in vain. Now 0.5 s, until control is heard again.

--- a/src/claim/agent.rs
+++ b/src/claim/agent.rs
@@ -11,7 +11,6 @@
 use crate::id::Incarnation;
 use crate::id::NodeId;
 
-use super::Answer;
 use super::ClaimId;
 use super::Input;
 use super::Message;
@@ -30,6 +29,9 @@
 const GROUP_GAP: Duration = Duration::from_millis(2);
 /// Longest wait for a grant; an election takes less.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Longest wait while control is known to be silent: two replicas are tried, and
+/// callers are not kept for an answer that earlier ones waited for in vain.
+const PROBE: Duration = Duration::from_millis(500);
 /// Requests that may wait for a grant at a time: 2 s of 1,000 a second, an
 /// entry's share of the peak many times over.
 const ASKING_LIMIT: usize = 2048;
@@ -54,11 +56,13 @@
     ends: BTreeSet<(Moment, u64)>,
     entry: NodeId,
     flushed_at: Moment,
+    heard_at: Moment,
     incarnation: Incarnation,
     leader: usize,
     pending: BTreeMap<u64, Pending>,
     redirected_at: Moment,
     sequence: u64,
+    silent: bool,
     tickets: BTreeMap<Ticket, u64>,
     turned_at: Moment,
 }
@@ -74,11 +78,13 @@
             ends: BTreeSet::new(),
             entry,
             flushed_at: Moment::ZERO,
+            heard_at: now,
             incarnation,
             leader: 0,
             pending: BTreeMap::new(),
             redirected_at: Moment::ZERO,
             sequence: START,
+            silent: false,
             tickets: BTreeMap::new(),
             turned_at: Moment::ZERO,
         };
@@ -137,7 +143,8 @@
         self.sequence += 1;
         self.asking += 1;
         self.tickets.insert(ticket, self.sequence);
-        let until = deadline.min(now + PATIENCE);
+        let patience = if self.silent { PROBE } else { PATIENCE };
+        let until = deadline.min(now + patience);
         let slot = request.slot.clone();
         let stage = Stage::Asking(request);
         let pending = Pending { due: now, ends: Some(until), slot, stage, ticket, tries: 0 };
@@ -174,6 +181,8 @@
     fn receive(&mut self, now: Moment, from: &NodeId, message: Message, outputs: &mut Vec<Output>) {
         match message {
             Message::Receipts(receipts) => {
+                self.silent = false;
+                self.heard_at = now;
                 self.leader = self.position(from).unwrap_or(self.leader);
                 receipts.into_iter().for_each(|receipt| self.settle(now, receipt, outputs));
             }
@@ -195,7 +204,7 @@
                 outputs.push(Output::Granted(ticket));
             }
             (Stage::Asking(_), reply) => {
-                if let Some(output) = answer(ticket, reply) {
+                if let Some(output) = Output::of_reply(ticket, reply) {
                     self.leave(now, sequence, pending.tries > 1);
                     outputs.push(output);
                 }
@@ -218,6 +227,7 @@
                 self.close(sequence);
                 continue;
             }
+            self.silent |= now >= self.heard_at + PATIENCE;
             outputs.push(Output::Refused { retry_after: RETRY_AFTER, ticket });
             self.leave(now, sequence, sent);
         }
@@ -273,17 +283,3 @@
         }
     }
 }
-
-fn answer(ticket: Ticket, reply: Reply) -> Option<Output> {
-    let answer = match reply {
-        Reply::Conflict => Answer::Conflict,
-        Reply::Done(outcome) => Answer::Done(outcome),
-        Reply::Full { retry_after } => return Some(Output::Refused { retry_after, ticket }),
-        Reply::InProgress { by, since } => Answer::InProgress { by, since },
-        Reply::Unknown { .. } => Answer::Unknown,
-        Reply::Abandoned | Reply::Finished | Reply::Gone | Reply::Granted | Reply::Started => {
-            return None;
-        }
-    };
-    Some(Output::Answer { answer, ticket })
-}
--- a/src/claim/output.rs
+++ b/src/claim/output.rs
@@ -6,6 +6,7 @@
 
 use super::Answer;
 use super::Message;
+use super::Reply;
 use super::Ticket;
 
 /// Effect that the driver carries out.
@@ -36,3 +37,21 @@
         to: NodeId,
     },
 }
+
+impl Output {
+    /// What the ledger's reply to a claim means for its request; `None` for a
+    /// reply that does not answer a claim.
+    pub(super) fn of_reply(ticket: Ticket, reply: Reply) -> Option<Self> {
+        let answer = match reply {
+            Reply::Conflict => Answer::Conflict,
+            Reply::Done(outcome) => Answer::Done(outcome),
+            Reply::Full { retry_after } => return Some(Self::Refused { retry_after, ticket }),
+            Reply::InProgress { by, since } => Answer::InProgress { by, since },
+            Reply::Unknown { .. } => Answer::Unknown,
+            Reply::Abandoned | Reply::Finished | Reply::Gone | Reply::Granted | Reply::Started => {
+                return None;
+            }
+        };
+        Some(Self::Answer { answer, ticket })
+    }
+}
--- a/tests/suite/claim/agent.rs
+++ b/tests/suite/claim/agent.rs
@@ -49,8 +49,9 @@
     assert_eq!(site.resend("b", 1, "k"), Told::Granted);
 }
 
-/// Control is unreachable for hours: each keyed request is refused as not run
-/// after 2 s, and what ended before is reported once control is back.
+/// Control is unreachable for hours: a keyed request is refused as not run after
+/// 2 s, and the next ones after half a second, since nothing has answered. What
+/// ended before is reported once control is back, and requests are granted again.
 #[test]
 fn begin_control_away() {
     let mut site = Site::new(3, Weather::fair());
@@ -61,6 +62,9 @@
     site.begin_by("a", 2, "l", site.now + Duration::from_secs(60));
     site.run(ms(2_001));
     assert_eq!(site.told("a", 2), Some(&Told::Refused));
+    site.begin("a", 3, "m");
+    site.run(ms(501));
+    assert_eq!(site.told("a", 3), Some(&Told::Refused));
     site.now += Duration::from_secs(3 * 3600);
     site.leader = Some(2);
     site.run(ms(20_000));
