Serve from a fleet of one, and say why a lookup failed

Cause: a process that meets no other never learned of itself: its claims and submissions had no control to go to. A lookup whose only upstream fell silent was told that none is free, with 503. Ruled out: the holder (it stood as serving). Change: the slices are told who there is at the first tick; a lookup tries the same upstream once more where no other is left, and is told the last failure.

--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -143,6 +143,8 @@
     controls: Vec<NodeId>,
     dirty: bool,
     holder: Holder,
+    /// Whether the slices know who there is.
+    introduced: bool,
     judges: BTreeMap<ServiceId, Judge>,
     judged_at: Moment,
     leaving: bool,
@@ -178,6 +180,7 @@
             controls: setup.controls,
             dirty: true,
             holder,
+            introduced: false,
             judges: BTreeMap::new(),
             judged_at: now,
             leaving: false,
@@ -290,6 +293,11 @@
     }
 
     fn tick(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if !self.introduced {
+            // A process that never meets another one still knows itself, and its controls.
+            self.introduced = true;
+            self.members_moved(now, outputs);
+        }
         self.tell_member(now, fleet::Input::Tick, outputs);
         self.tell_office(now, office::Input::Tick, outputs);
         self.tell_holder(now, config::Input::Tick, outputs);
--- a/src/node/traffic/dispatch.rs
+++ b/src/node/traffic/dispatch.rs
@@ -127,14 +127,20 @@
     outlet: &Outlet,
 ) -> End<'a> {
     let mut avoid = Vec::new();
+    let mut last = None;
     let mut ran = false;
     let mut tries = 0;
     service.policy().first();
     loop {
-        let Some(place) = Place::take(shared, service, upstreams, &avoid, job.terms.long) else {
+        // Where all others are taken or tried, the same one once more is better than none.
+        let long = job.terms.long;
+        let place = Place::take(shared, service, upstreams, &avoid, long)
+            .or_else(|| Place::take(shared, service, upstreams, &[], long));
+        let Some(place) = place else {
             let answer = not_run_unless(ran, job);
-            let reason = format!("no upstream of `{}` is free", job.service);
-            return End::Told { answer, reason, status: 503 };
+            let none = || (format!("no upstream of `{}` is free", job.service), 503);
+            let (reason, status) = last.take().unwrap_or_else(none);
+            return End::Told { answer, reason, status };
         };
         tries += 1;
         let streams = job.payload.is_stream();
@@ -172,6 +178,7 @@
         match decision {
             Decision::Again { after } => {
                 avoid.push(tried.upstream());
+                last = Some((tried.reason(), status_of(outcome)));
                 tried.end(outcome, job.terms.long);
                 task::sleep(after).await;
             }
--- /dev/null
+++ b/tests/suite/entry.rs
@@ -0,0 +1,6 @@
+//! One process that is control and entry, with scripted upstreams behind it.
+
+mod answers;
+mod refusals;
+mod single;
+mod uploads;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod claim;
 mod config;
 mod directory;
+mod entry;
 mod exchange;
 mod fleet;
 mod fuzz;
