--- a/src/bench/health.rs
+++ b/src/bench/health.rs
@@ -49,13 +49,15 @@
     ("slow, 5 times", Gray::Slow(5.0)),
 ];
 
-/// Runs `seeds` seeds of both models at both ends of the knob, and prints a table.
+/// Runs `seeds` seeds of both models at both ends of the knob, at a share of what
+/// the upstreams can do, and prints a table.
 #[must_use]
-pub fn run(seeds: u64) -> String {
+pub fn run(seeds: u64, load: f64) -> String {
     let length = Duration::from_secs(45);
     let mut text = String::new();
     for (name, plan) in [("hull-register", Plan::hull_register()), ("knjizara", Plan::knjizara())] {
-        text += &both_ends(name, &Plan { length, ..plan }, seeds);
+        let plan = Plan { length, ..plan }.at_load(load);
+        text += &both_ends(&format!("{name}, load {load}"), &plan, seeds);
     }
     text
 }
