Let the home entry ask for what others saw

Cause: a failing test showed that a home entry which doesn't use an upstream never passed on what it was told, as it had no evidence of its own to share.

--- a/src/health/case.rs
+++ b/src/health/case.rs
@@ -12,6 +12,8 @@
 /// The case against one upstream: this entry's evidence and the others'.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Case {
+    /// Whether this entry puts the upstream in question.
+    asks: bool,
     aspects: [Evidence; 3],
     /// What convicted it, told to the others for a while: they may lack the last
     /// outcomes that this entry would have gone on to see.
@@ -91,15 +93,14 @@
         Aspect::ALL.iter().map(|aspect| self.own(*aspect)).fold(0.0, f64::max)
     }
 
-    /// Takes another entry's evidence; true when it speaks against the upstream.
+    /// Takes another entry's evidence; true when that puts the upstream in question.
     pub(crate) fn hear(&mut self, now: Moment, from: &NodeId, item: Item) -> bool {
-        let worst = item.sums.iter().flatten().copied().fold(0, i16::max);
-        let is_suspicious = f64::from(worst) >= Self::SHARE * Item::UNITS;
-        if is_suspicious {
+        let is_asked = item.asks;
+        if is_asked {
             self.question_until = now + Self::QUESTION;
         }
         self.remote.insert(from.clone(), (now, item));
-        is_suspicious
+        is_asked
     }
 
     /// Whether evidence, this entry's or all entries', has reached half of what
@@ -119,19 +120,19 @@
         if let Some((until, sums)) = self.convicted
             && now < until
         {
-            return Some(Item { sums, upstream: upstream.clone() });
+            return Some(Item { asks: true, sums, upstream: upstream.clone() });
         }
         let is_empty = self.pending <= 0.0 && self.aspects.iter().all(Evidence::is_empty);
-        if now >= self.question_until || is_empty {
+        if now >= self.question_until || (is_empty && !self.asks) {
             return None;
         }
-        Some(Item { sums: self.sums(), upstream: upstream.clone() })
+        Some(Item { asks: self.asks, sums: self.sums(), upstream: upstream.clone() })
     }
 
     /// Evidence for the upstream's home, when it is too little for all.
     pub(crate) fn told(&self, now: Moment, upstream: &UpstreamId) -> Option<Item> {
         let is_little = now >= self.question_until && self.doubt() >= Self::TELL;
-        is_little.then(|| Item { sums: self.sums(), upstream: upstream.clone() })
+        is_little.then(|| Item { asks: false, sums: self.sums(), upstream: upstream.clone() })
     }
 
     pub(crate) fn report(&mut self, healthy: bool) {
@@ -144,7 +145,8 @@
             evidence.roll(now);
         }
         self.remote.retain(|_, (at, _)| now.saturating_sub(*at) <= Self::FRESH);
-        if !self.is_quiet() && (self.doubt() >= Self::SHARE || self.is_told()) {
+        self.asks = !self.is_quiet() && (self.doubt() >= Self::SHARE || self.is_told());
+        if self.asks {
             self.question_until = now + Self::QUESTION;
         }
     }
@@ -194,7 +196,11 @@
     /// third of the threshold, so that a fault on its own path convicts nobody
     /// elsewhere.
     fn is_pooled(&self, aspect: Aspect, bar: f64) -> bool {
-        let cap = bar / 3.0;
+        self.is_above(aspect, bar, bar / 3.0)
+    }
+
+    /// Whether the sums of all entries, each one's bounded by `cap`, reach `bar`.
+    fn is_above(&self, aspect: Aspect, bar: f64, cap: f64) -> bool {
         let mut sums = self.windows(aspect).map(|sum| sum.clamp(-cap, cap));
         for (_, item) in self.remote.values() {
             for (sum, theirs) in sums.iter_mut().zip(item.sums[aspect as usize]) {
@@ -217,9 +223,11 @@
         self.aspects[aspect as usize].sum() + self.waiting(aspect) + word
     }
 
-    /// Whether what others told amounts to a question to all.
+    /// Whether what others told amounts to a question to all: two failures, of
+    /// more than one entry.
     fn is_told(&self) -> bool {
-        Aspect::ALL.iter().any(|aspect| self.is_pooled(*aspect, Self::SHARE))
+        const CAP: f64 = Case::SHARE * 0.7;
+        Aspect::ALL.iter().any(|aspect| self.is_above(*aspect, Self::SHARE, CAP))
     }
 
     fn sums(&self) -> [[i16; 5]; 3] {
--- a/src/health/digest.rs
+++ b/src/health/digest.rs
@@ -20,6 +20,9 @@
 /// each; positive speaks against it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Item {
+    /// Whether the sender puts the upstream in question, which asks the others for
+    /// theirs. The home entry may do so without having seen the upstream itself.
+    pub asks: bool,
     /// Signed sums by aspect (failing, silent, slow) and by window, as in
     /// [`crate::health::Evidence::WINDOWS`].
     pub sums: [[i16; 5]; 3],
--- a/tests/suite/health/sound.rs
+++ b/tests/suite/health/sound.rs
@@ -57,7 +57,7 @@
 fn handle_one_accuser() {
     let mut scene = Scene::new(2, 8, &setup(1.0), 2);
     scene.run(seconds(30), 3.0, &|_, _, _| Act::SOUND);
-    let item = Item { sums: [[i16::MAX; 5]; 3], upstream: name(3) };
+    let item = Item { asks: true, sums: [[i16::MAX; 5]; 3], upstream: name(3) };
     for _ in 0..100 {
         let digest = Digest { from: "e9".into(), items: vec![item.clone()] };
         scene.judges[0].handle(scene.now, Input::Digest(digest));
