Answer pings of members that are not known yet

Now a ping carries the sender's address. Not whole yet: at 520 a restarted member may still not get its table.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -38,8 +38,8 @@
 /// failure domain joins at the same time. Probes need about 0.43 KB a second beside.
 const SPREAD_RATE: u64 = 500;
 
-/// Bytes of news that may pass now and then: the table of 520 members five times.
-const SPREAD_BURST: u64 = 200_000;
+/// Bytes of news that may pass now and then: 520 members that all start, some times.
+const SPREAD_BURST: u64 = 1_000_000;
 
 /// Bytes of news a second while there are many: the table in four seconds.
 const SPREAD_PACE: u64 = 10_000;
@@ -299,9 +299,10 @@
         let accused = |entry: &&Entry| entry.status != Status::Alive;
         let entry = self.roster.get(target).filter(accused);
         let about = entry.and_then(|entry| self.roster.rumours(&entry.record.id).pop());
+        let address = self.me.meta.links;
         let config = self.me.meta.config;
         let root = self.roster.digest.root();
-        self.send(target, Message::Ping { about, config, root, sequence }, outputs);
+        self.send(target, Message::Ping { about, address, config, root, sequence }, outputs);
     }
 
     fn send(&self, to: &NodeId, message: Message, outputs: &mut Vec<Output>) {
--- a/src/fleet/member/receive.rs
+++ b/src/fleet/member/receive.rs
@@ -46,8 +46,10 @@
                 rumours.push(Rumour::Alive(self.me.clone()));
                 self.send(&from, Message::Rumours(rumours), outputs);
             }
-            Message::Ping { about, config, root, sequence } => {
-                self.answer(now, &from, sequence, about, outputs);
+            Message::Ping { about, address, config, root, sequence } => {
+                let message = Box::new(self.ack(sequence));
+                outputs.push(Output::Send { to: from.clone(), address, message });
+                self.answer(now, &from, about, outputs);
                 self.note(&from, config);
                 self.compare(now, &from, root, outputs);
             }
@@ -83,17 +85,19 @@
         }
     }
 
+    fn ack(&self, sequence: u32) -> Message {
+        let config = self.me.meta.config;
+        Message::Ack { config, root: self.roster.digest.root(), sequence }
+    }
+
+    /// Tells a sender that it is not trusted here, or that this process is sound.
     fn answer(
         &mut self,
         now: Moment,
         from: &NodeId,
-        sequence: u32,
         about: Option<Rumour>,
         outputs: &mut Vec<Output>,
     ) {
-        let config = self.me.meta.config;
-        let root = self.roster.digest.root();
-        self.send(from, Message::Ack { config, root, sequence }, outputs);
         if let Some(rumour) = about {
             self.learn(now, &rumour, Some(from), outputs);
             self.send(from, Message::Rumours(vec![Rumour::Alive(self.me.clone())]), outputs);
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -1,5 +1,7 @@
 //! What members send each other.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -27,6 +29,9 @@
     Ping {
         /// What the sender holds against the receiver, for the receiver to refute.
         about: Option<Rumour>,
+        /// Where the sender listens for links: a receiver that has just started may not
+        /// know the sender yet, and would be suspected for not answering.
+        address: SocketAddr,
         /// Configuration in force at the sender.
         config: ConfigNumber,
         /// Digest of the sender's members.
