Join whole cores in virtual time, and judge health after a restart

Cause: a process that restarted over its data folder made no judges until the next change of configuration, so that it picked failing upstreams for hours; seen red by core_fleet::configuration::start_control_stopped (0 judges, 1 wanted). Change: the core resumes the kept version as a whole: rules, judges, its number in membership. Tests of lost entries, races, resends, restarts, one-way cuts, replaced controls, drains and the floor run whole cores over the fake network.

--- a/src/node.rs
+++ b/src/node.rs
@@ -6,7 +6,7 @@
 
 mod carrier;
 mod clerk;
-mod core;
+pub mod core;
 mod error;
 mod held;
 mod input;
@@ -31,6 +31,7 @@
 pub use self::core::Setup;
 pub use carrier::Carrier;
 pub use error::Error;
+pub use input::Claimed;
 pub use input::Input;
 pub use logs::start_logs;
 pub use logs::start_threads;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -193,7 +193,7 @@
             random,
         };
         if let Some(version) = core.holder.current().cloned() {
-            core.take_rules(&version);
+            core.resume(now, &version);
         }
         core
     }
--- a/src/node/core/configuration.rs
+++ b/src/node/core/configuration.rs
@@ -95,7 +95,17 @@
         outputs.push(Output::Apply(version));
     }
 
-    pub(super) fn take_rules(&mut self, version: &Version) {
+    /// Goes on by the version that the disk holds. Without the judges, a restarted entry
+    /// would pick failing upstreams until the next change of configuration, perhaps for
+    /// hours. There is nobody to tell of anything yet, so that outputs are left out.
+    pub(super) fn resume(&mut self, now: Moment, version: &Version) {
+        let mut unheard = Vec::new();
+        self.take_rules(version);
+        self.tell_member(now, fleet::Input::Configuration(version.number), &mut unheard);
+        self.set_judges(now, &mut unheard);
+    }
+
+    fn take_rules(&mut self, version: &Version) {
         match Rules::parse(&version.document) {
             Ok(rules) => self.rules = Some(Arc::new(rules)),
             Err(error) => {
--- /dev/null
+++ b/tests/suite/core_fleet/site.rs
@@ -0,0 +1,497 @@
+//! Several cores on the fake network: clock, disks and calls are the test's own.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hemlockfield::claim;
+use hemlockfield::claim::Answer;
+use hemlockfield::claim::Outcome;
+use hemlockfield::claim::Slot;
+use hemlockfield::clock::Epoch;
+use hemlockfield::clock::Moment;
+use hemlockfield::config::Version;
+use hemlockfield::fake::Disk;
+use hemlockfield::fake::Net;
+use hemlockfield::fake::Weather;
+use hemlockfield::fleet;
+use hemlockfield::fleet::Member;
+use hemlockfield::id::ConfigNumber;
+use hemlockfield::id::NodeId;
+use hemlockfield::id::UpstreamId;
+use hemlockfield::node::Claimed;
+use hemlockfield::node::Core;
+use hemlockfield::node::Office;
+use hemlockfield::node::Output;
+use hemlockfield::node::Setup;
+use hemlockfield::node::View;
+use hemlockfield::node::core::Input;
+use hemlockfield::quorum;
+use hemlockfield::quorum::Membership;
+use hemlockfield::quorum::Record;
+use hemlockfield::quorum::Role;
+use hemlockfield::registry::Announcement;
+use hemlockfield::registry::State;
+use hemlockfield::storage::Log;
+use hemlockfield::timeline::Stamp;
+use hemlockfield::wire::Envelope;
+use hemlockfield::wire::Verdict;
+
+pub(super) const SERVICE: &str = "hull-register";
+/// Deadline of a request and grace, after which its unfinished claim is unknown.
+pub(super) const LIMIT: Duration = Duration::from_secs(10);
+/// Far above what any event takes in virtual time.
+const HANG: Duration = Duration::from_secs(300);
+const EPOCH: Epoch = Duration::from_secs(1_700_000_000);
+const DOMAINS: [&str; 4] = ["halle-nord", "halle-sued", "keller-alt", "werft-ost"];
+
+pub(super) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub(super) fn id(name: &str) -> NodeId {
+    name.into()
+}
+
+/// Rules with a floor of 70%, which differ by number.
+pub(super) fn rules(number: u64) -> String {
+    format!(
+        "services:\n  {SERVICE}: {{floor: 70%, sensitivity: 0.5}}\n\
+         rules:\n  - name: lookup-{number}\n    when: {{path: /hulls/*}}\n    \
+         then:\n      route: {{service: {SERVICE}}}\n      terms: {{idempotent: true}}\n"
+    )
+}
+
+/// What a process keeps while it does not run.
+#[derive(Default)]
+pub(super) struct Folder {
+    pub(super) held: Option<Version>,
+    pub(super) log: Option<Disk>,
+}
+
+struct Running {
+    core: Core,
+    log: Option<Log>,
+    tick_at: Moment,
+    view: View,
+}
+
+/// Controls `c1..`, entries `e1..` and upstreams that announce themselves.
+pub(super) struct Site {
+    /// Numbers that each process put in force, over all its starts.
+    pub(super) applied: BTreeMap<NodeId, Vec<ConfigNumber>>,
+    pub(super) claimed: BTreeMap<(NodeId, u64), Claimed>,
+    pub(super) changed: BTreeMap<(NodeId, u64), Result<u64, String>>,
+    pub(super) folders: BTreeMap<NodeId, Folder>,
+    pub(super) net: Net,
+    pub(super) now: Moment,
+    /// What each upstream says of itself, and the entry that it says it to.
+    pub(super) upstreams: BTreeMap<UpstreamId, (Announcement, NodeId)>,
+    pub(super) verdicts: BTreeMap<(NodeId, u64), Verdict>,
+    /// Entries that no upstream answers.
+    pub(super) apart: BTreeSet<NodeId>,
+    announce_at: Moment,
+    controls: Vec<NodeId>,
+    entries: Vec<NodeId>,
+    running: BTreeMap<NodeId, Running>,
+    seed: u64,
+    stopped: BTreeSet<NodeId>,
+    ticket: u64,
+}
+
+impl Site {
+    /// Starts controls, founded, and entries.
+    pub(super) fn new(seed: u64, controls: usize, entries: usize) -> Self {
+        let named = |prefix: &str, count: usize| -> Vec<NodeId> {
+            (1..=count).map(|at| format!("{prefix}{at}").into()).collect()
+        };
+        let mut site = Self {
+            announce_at: Moment::ZERO,
+            apart: BTreeSet::new(),
+            applied: BTreeMap::new(),
+            changed: BTreeMap::new(),
+            claimed: BTreeMap::new(),
+            controls: named("c", controls),
+            entries: named("e", entries),
+            folders: BTreeMap::new(),
+            net: Net::new(seed, Weather::fair()),
+            now: ms(10),
+            running: BTreeMap::new(),
+            seed,
+            stopped: BTreeSet::new(),
+            ticket: 0,
+            upstreams: BTreeMap::new(),
+            verdicts: BTreeMap::new(),
+        };
+        site.controls.clone().iter().for_each(|control| site.start(control, true));
+        site.entries.clone().iter().for_each(|entry| site.start(entry, false));
+        site
+    }
+
+    /// A settled fleet that has configuration 1 in force everywhere.
+    pub(super) fn settled(seed: u64, controls: usize, entries: usize) -> Self {
+        let mut site = Self::new(seed, controls, entries);
+        assert_eq!(site.submit("e1", 1, "first"), Verdict::Accepted(1));
+        site.run_until("configuration 1 everywhere", |site| site.all_at(1));
+        site
+    }
+
+    pub(super) fn controls(&self) -> Vec<NodeId> {
+        self.controls.clone()
+    }
+
+    pub(super) fn entries(&self) -> Vec<NodeId> {
+        self.entries.clone()
+    }
+
+    /// Starts a process over what its folder holds; it may be one that ran before.
+    pub(super) fn start(&mut self, id: &NodeId, found: bool) {
+        self.seed += 1;
+        let folder = self.folders.entry(id.clone()).or_default();
+        let (office, log) = if id.starts_with('c') {
+            let disk = folder.log.get_or_insert_with(|| Disk::new(self.seed)).clone();
+            let (log, recovered) = Log::open(Box::new(disk)).unwrap();
+            let mut setup = quorum::Setup::new(id.clone());
+            if found {
+                setup.founders = Some(Membership::founding(self.controls.clone()));
+            }
+            (Some(Office::new(setup, recovered, self.seed)), Some(log))
+        } else {
+            (None, None)
+        };
+        let kept = folder.held.clone();
+        let setup = Setup {
+            controls: self.controls.clone(),
+            kept,
+            me: self.record(id),
+            office,
+            seeds: self.seeds(id),
+            seed: self.seed,
+        };
+        let core = Core::new(self.now, setup);
+        let running = Running { core, log, tick_at: self.now, view: View::default() };
+        self.running.insert(id.clone(), running);
+    }
+
+    /// A new control that was in no settings before.
+    pub(super) fn start_new_control(&mut self, id: &NodeId) {
+        self.controls.push(id.clone());
+        self.start(id, false);
+    }
+
+    /// The process is gone, as by SIGKILL; what its disk had not synced is gone too.
+    pub(super) fn kill(&mut self, id: &NodeId) {
+        self.running.remove(id);
+        self.stopped.remove(id);
+        if let Some(disk) = &self.folders[id].log {
+            disk.crash();
+        }
+    }
+
+    /// The process is gone with its data folder.
+    pub(super) fn lose(&mut self, id: &NodeId) {
+        self.kill(id);
+        self.folders.insert(id.clone(), Folder::default());
+    }
+
+    /// The process does nothing, as by SIGSTOP; what is sent to it is lost.
+    pub(super) fn stop(&mut self, id: &NodeId) {
+        self.stopped.insert(id.clone());
+    }
+
+    pub(super) fn go_on(&mut self, id: &NodeId) {
+        self.stopped.remove(id);
+    }
+
+    pub(super) fn core(&self, id: &NodeId) -> &Core {
+        &self.running[id].core
+    }
+
+    pub(super) fn view(&self, id: &NodeId) -> &View {
+        &self.running[id].view
+    }
+
+    pub(super) fn number(&self, id: &NodeId) -> Option<ConfigNumber> {
+        self.core(id).version().map(|version| version.number)
+    }
+
+    /// Whether all that run have this configuration in force.
+    pub(super) fn all_at(&self, number: ConfigNumber) -> bool {
+        let active = self.running.keys().filter(|id| !self.stopped.contains(*id));
+        active.into_iter().all(|id| self.number(id) == Some(number))
+    }
+
+    pub(super) fn quorum(&self, id: &NodeId) -> quorum::Status {
+        self.core(id).office().unwrap().status(self.now)
+    }
+
+    /// Controls that run and count as leaders.
+    pub(super) fn leaders(&self) -> Vec<NodeId> {
+        let running = self.controls.iter().filter(|id| self.running.contains_key(*id));
+        running.filter(|id| self.quorum(id).role == Role::Leader).cloned().collect()
+    }
+
+    /// The one control that leads.
+    pub(super) fn leader(&mut self) -> NodeId {
+        self.run_until("one leader", |site| site.leaders().len() == 1);
+        self.leaders().remove(0)
+    }
+
+    /// Submits, and waits for the answer.
+    pub(super) fn submit(&mut self, at: &str, number: u64, submission: &str) -> Verdict {
+        let ticket = self.begin_submit(at, number, submission);
+        let key = (id(at), ticket);
+        self.run_until("the verdict", |site| site.verdicts.contains_key(&key));
+        self.verdicts[&key].clone()
+    }
+
+    pub(super) fn begin_submit(&mut self, at: &str, number: u64, submission: &str) -> u64 {
+        let version = Version::new(number, submission.into(), &rules(number));
+        let ticket = self.next_ticket();
+        self.input(&id(at), Input::Submit(ticket, version));
+        ticket
+    }
+
+    /// Asks for a claim of `key`, and gives its ticket.
+    pub(super) fn begin_claim(&mut self, at: &str, key: &str) -> u64 {
+        let slot = Slot { caller: "yard".into(), key: key.into(), service: SERVICE.into() };
+        let request = claim::Request { digest: 7, limit: LIMIT, slot };
+        let ticket = self.next_ticket();
+        self.input(&id(at), Input::Claim(ticket, request, self.now + ms(5_000)));
+        ticket
+    }
+
+    /// What a claim comes to.
+    pub(super) fn claim(&mut self, at: &str, key: &str) -> (u64, Claimed) {
+        let ticket = self.begin_claim(at, key);
+        let place = (id(at), ticket);
+        self.run_until("the claim's end", |site| site.claimed.contains_key(&place));
+        (ticket, self.claimed[&place].clone())
+    }
+
+    pub(super) fn finish(&mut self, at: &str, ticket: u64) {
+        let outcome = Some(Outcome::ran(201, None));
+        self.input(&id(at), Input::ClaimEnd(ticket, outcome));
+    }
+
+    /// Changes the controls' membership at `at`.
+    pub(super) fn change(&mut self, at: &NodeId, change: quorum::Change) -> Result<u64, String> {
+        let ticket = self.next_ticket();
+        self.input(at, Input::Change(ticket, change));
+        let key = (at.clone(), ticket);
+        self.run_until("the change's answer", |site| site.changed.contains_key(&key));
+        self.changed[&key].clone()
+    }
+
+    /// An upstream announces itself to `entry`, and renews from then on.
+    pub(super) fn announce(&mut self, name: &str, entry: &str, state: State) {
+        let number = self.upstreams.len() as u16;
+        let announcement = Announcement {
+            address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
+            connections: 400,
+            domain: DOMAINS[usize::from(number) % DOMAINS.len()].into(),
+            incarnation: 1,
+            lease: Duration::from_secs(15),
+            service: SERVICE.into(),
+            slots: 4,
+            state,
+            upstream: name.into(),
+            warm_up: Duration::ZERO,
+        };
+        self.upstreams.insert(name.into(), (announcement, id(entry)));
+        self.announce_at = self.now;
+    }
+
+    /// An upstream says that it is leaving.
+    pub(super) fn drain_upstream(&mut self, name: &str) {
+        self.upstreams.get_mut(name).unwrap().0.state = State::Draining;
+        self.announce_at = self.now;
+    }
+
+    /// Entries that would give the upstream new work.
+    pub(super) fn users(&self, upstream: &str) -> Vec<NodeId> {
+        let uses = |running: &Running| {
+            let service = running.view.services.get(SERVICE);
+            service.is_some_and(|service| service.addresses.contains_key(upstream))
+        };
+        let entries = self.entries.iter().filter(|id| self.running.contains_key(*id));
+        entries.filter(|id| uses(&self.running[*id])).cloned().collect()
+    }
+
+    /// Cuts a process off from all others, in one direction or both.
+    pub(super) fn cut_off(&mut self, id: &NodeId, hears: bool, is_heard: bool) {
+        let others: Vec<NodeId> = self.controls.iter().chain(&self.entries).cloned().collect();
+        for other in others.iter().filter(|other| *other != id) {
+            if !hears {
+                self.net.cut(other, id);
+            }
+            if !is_heard {
+                self.net.cut(id, other);
+            }
+        }
+    }
+
+    pub(super) fn input(&mut self, id: &NodeId, input: Input) {
+        let Some(running) = self.running.get_mut(id) else { return };
+        let mut outputs = running.core.handle(self.now, EPOCH + self.now, input);
+        loop {
+            let synced = self.carry_out(id, outputs);
+            let Some(number) = synced else { break };
+            let Some(running) = self.running.get_mut(id) else { break };
+            outputs = running.core.handle(self.now, EPOCH + self.now, Input::Synced(number));
+        }
+        let Some(running) = self.running.get_mut(id) else { return };
+        if let Some(view) = running.core.view(self.now, &running.view) {
+            running.view = view;
+        }
+    }
+
+    /// Lets `span` pass.
+    pub(super) fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets time pass until something has happened.
+    pub(super) fn run_until(&mut self, what: &str, happened: impl Fn(&Self) -> bool) {
+        let end = self.now + HANG;
+        while !happened(self) {
+            assert!(self.now < end, "hung: waiting for {what}");
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += ms(5);
+        while let Some(delivery) = self.net.receive(self.now) {
+            if self.stopped.contains(&delivery.to) {
+                continue;
+            }
+            let envelope = Envelope::decode(&delivery.bytes).unwrap();
+            self.input(&delivery.to, Input::Frame(delivery.from, envelope.frame));
+        }
+        let now = self.now;
+        let is_due = |(id, it): &(&NodeId, &Running)| {
+            let due = it.tick_at <= now || it.core.wake() <= now;
+            due && !self.stopped.contains(*id)
+        };
+        let due: Vec<NodeId> =
+            self.running.iter().filter(is_due).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.input(&id, Input::Tick);
+            if let Some(running) = self.running.get_mut(&id) {
+                running.tick_at = now + Member::TICK;
+            }
+        }
+        if self.announce_at <= now {
+            self.announce_at = now + Duration::from_secs(5);
+            self.renew();
+        }
+    }
+
+    fn renew(&mut self) {
+        for (announcement, entry) in self.upstreams.clone().into_values() {
+            let ticket = self.next_ticket();
+            self.input(&entry, Input::Announce(ticket, announcement));
+        }
+    }
+
+    /// Carries out what a core wants; gives the number of what was synced.
+    fn carry_out(&mut self, from: &NodeId, outputs: Vec<Output>) -> Option<u64> {
+        let mut synced = None;
+        let mut probed = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Announced(..) | Output::Event(_) => (),
+                Output::Apply(version) => self.apply(from, version),
+                Output::Changed(ticket, result) => {
+                    self.changed.insert((from.clone(), ticket), result);
+                }
+                Output::Claimed(ticket, claimed) => {
+                    let before = self.claimed.insert((from.clone(), ticket), claimed);
+                    assert_eq!(before, None, "`{from}` was told twice of {ticket}");
+                }
+                Output::Persist(number, records) => {
+                    synced = Some(self.persist(from, number, &records))
+                }
+                Output::Probe { service, upstream, .. } => probed.push((service, upstream)),
+                Output::Send(to, _, frame) => {
+                    let bytes = Envelope { frame, stamp: Stamp::default() }.encode().unwrap();
+                    self.net.send(self.now, from, &to, bytes);
+                }
+                Output::Verdict(ticket, verdict) => {
+                    self.verdicts.insert((from.clone(), ticket), verdict);
+                }
+            }
+        }
+        for (service, upstream) in probed {
+            let Some((said, _)) = self.upstreams.get(&upstream) else { continue };
+            let answers = !self.apart.contains(from);
+            let draining = answers.then_some(said.state == State::Draining);
+            self.input(from, Input::Probed(service, upstream, draining, answers));
+        }
+        synced
+    }
+
+    fn persist(&mut self, id: &NodeId, number: u64, records: &[Record]) -> u64 {
+        let log = self.running.get_mut(id).and_then(|running| running.log.as_mut()).unwrap();
+        log.append(records);
+        log.sync().unwrap();
+        number
+    }
+
+    /// Keeps a version as the driver does; a process never goes back.
+    fn apply(&mut self, id: &NodeId, version: Version) {
+        let numbers = self.applied.entry(id.clone()).or_default();
+        let before = numbers.last().copied().unwrap_or(0);
+        assert!(version.number >= before, "`{id}` went back from {before} to {}", version.number);
+        numbers.push(version.number);
+        self.folders.get_mut(id).unwrap().held = Some(version);
+    }
+
+    fn next_ticket(&mut self) -> u64 {
+        self.ticket += 1;
+        self.ticket
+    }
+
+    fn record(&self, id: &NodeId) -> fleet::Record {
+        let control = id.starts_with('c');
+        let role = if control { fleet::Role::Control } else { fleet::Role::Entry };
+        fleet::Record {
+            id: id.clone(),
+            incarnation: (EPOCH + self.now).as_micros() as u64,
+            meta: fleet::Meta {
+                callers: address(id, 0),
+                config: 0,
+                domain: DOMAINS[number_of(id) % DOMAINS.len()].into(),
+                links: address(id, 1),
+                region: "regensburg".into(),
+                roles: [role].into(),
+                state: fleet::State::Starting,
+            },
+        }
+    }
+
+    fn seeds(&self, me: &NodeId) -> Vec<fleet::Seed> {
+        let others = self.controls.iter().chain(&self.entries).filter(|id| *id != me);
+        others.map(|id| fleet::Seed { address: address(id, 1), id: id.clone() }).collect()
+    }
+}
+
+/// Whether a resend was told that it may have run, or is being run.
+pub(super) fn is_never_again(claimed: &Claimed) -> bool {
+    let Claimed::Answer(answer) = claimed else { return false };
+    matches!(answer, Answer::InProgress { .. } | Answer::Unknown | Answer::Done(_))
+}
+
+fn number_of(id: &NodeId) -> usize {
+    id[1..].parse().unwrap()
+}
+
+fn address(id: &NodeId, port: u16) -> SocketAddr {
+    let group = if id.starts_with('c') { 1 } else { 2 };
+    SocketAddr::from(([127, 1, group, number_of(id) as u8], 7_000 + port))
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod balance;
 mod claim;
 mod config;
+mod core_fleet;
 mod directory;
 mod exchange;
 mod fleet;
