--- a/tests/suite/core_fleet/floor.rs
+++ b/tests/suite/core_fleet/floor.rs
@@ -9,6 +9,7 @@
 use proptest::prelude::any;
 use proptest::prop_assert;
 use proptest::proptest;
+use proptest::test_runner::RngSeed;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -25,7 +26,12 @@
 const FLOOR: f64 = 0.7;
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 12, ..ProptestConfig::default() })]
+    // The same cases every run, so that the verdict is the same.
+    #![proptest_config(ProptestConfig {
+        cases: 12,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     /// One upstream after the other fails its callers for 5 s, most of them at the same
     /// time, and others leave meanwhile. After
