--- a/tests/suite/core_fleet/floor.rs
+++ b/tests/suite/core_fleet/floor.rs
@@ -55,8 +55,8 @@
         let mut ejected = 0;
         for step in 0..STEPS {
             site.run(ms(20));
-            for at in 0..UPSTREAMS {
-                let fails = step >= starts[at];
+            for (at, start) in starts.iter().enumerate() {
+                let fails = step >= *start;
                 let kind = if fails { Kind::ServerError } else { Kind::Success };
                 let latency = Duration::from_millis(random.random_range(5..15));
                 let upstream = format!("hull-{at}").into();
--- a/tests/suite/core_fleet/site.rs
+++ b/tests/suite/core_fleet/site.rs
@@ -200,10 +200,6 @@
         self.stopped.insert(id.clone());
     }
 
-    pub(super) fn go_on(&mut self, id: &NodeId) {
-        self.stopped.remove(id);
-    }
-
     pub(super) fn core(&self, id: &NodeId) -> &Core {
         &self.running[id].core
     }
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -1,5 +1,10 @@
 //! Tests of separately started processes on loopback.
 
+mod claim;
+mod configuration;
 mod fleet;
 mod kill;
+mod leave;
+mod member;
 mod path;
+mod refusal;
--- a/tests/suite/process/fleet.rs
+++ b/tests/suite/process/fleet.rs
@@ -1,8 +1,11 @@
 //! Real processes on loopback, built like the command line.
 
 use std::fs;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::process::Child;
@@ -59,17 +62,38 @@
         fleet
     }
 
+    /// Makes a control that no process has in its settings, and starts it on an empty
+    /// folder.
+    pub(super) fn add_control(&mut self, id: &str) {
+        let mut control = process(&self.folder, id);
+        self.make_key(id);
+        let peers: Vec<String> =
+            self.controls.iter().chain(&self.entries).map(Process::line).collect();
+        fs::write(&control.settings, control.settings(&self.folder, &peers.join("\n"))).unwrap();
+        control.run(&[]);
+        self.controls.push(control);
+    }
+
+    /// Removes all that a process had on its disk.
+    pub(super) fn lose_folder(&self, id: &str) {
+        fs::remove_dir_all(self.folder.path().join(id)).unwrap();
+    }
+
     fn make_keys(&self) {
-        let keys = self.folder.path().join("keys");
-        let folder = keys.display().to_string();
+        let folder = self.folder.path().join("keys").display().to_string();
         let done = hemlockfield(&["keys", "--folder", &folder, "--authority"]);
         assert!(done.status.success(), "{}", text(&done));
         for process in self.controls.iter().chain(&self.entries) {
-            let done = hemlockfield(&["keys", "--folder", &folder, "--node", &process.id]);
-            assert!(done.status.success(), "{}", text(&done));
+            self.make_key(&process.id);
         }
     }
 
+    fn make_key(&self, id: &str) {
+        let folder = self.folder.path().join("keys").display().to_string();
+        let done = hemlockfield(&["keys", "--folder", &folder, "--node", id]);
+        assert!(done.status.success(), "{}", text(&done));
+    }
+
     fn write_settings(&self) {
         let all: Vec<&Process> = self.controls.iter().chain(&self.entries).collect();
         for process in &all {
@@ -133,6 +157,28 @@
         }
     }
 
+    /// Sends a signal such as `TERM`, by the process's id.
+    pub(super) fn signal(&self, name: &str) {
+        let id = self.child.as_ref().unwrap().id().to_string();
+        let done = Command::new("kill").args([&format!("-{name}"), &id]).status().unwrap();
+        assert!(done.success());
+    }
+
+    /// Waits until the process has ended by itself, and gives its exit code.
+    pub(super) fn wait(&mut self) -> Option<i32> {
+        let child = self.child.as_mut().unwrap();
+        wait_for("the process to end", || child.try_wait().unwrap().is_some());
+        let status = self.child.take().unwrap().wait().unwrap();
+        status.code()
+    }
+
+    /// Whether the process answers operators and may take callers.
+    pub(super) fn serves(&self, number: u64) -> bool {
+        self.status().is_some_and(|status| {
+            status["standing"] != "Starting" && status["configuration"]["number"] == number
+        })
+    }
+
     pub(super) fn status(&self) -> Option<Value> {
         let done = hemlockfield(&["status", "--node", &self.operators.to_string()]);
         serde_json::from_slice(&done.stdout).ok()
@@ -203,6 +249,43 @@
     }
 }
 
+/// Arguments of a load with lookups and sign-offs, reconciled with what the upstreams ran.
+pub(super) fn load(fleet: &Fleet, seconds: &str) -> Vec<String> {
+    let kinds = ["lookup:3:GET:register/hulls/1:0:2000", "sign-off:1:POST:register/findings/1:300"];
+    let mut arguments: Vec<String> =
+        ["load", "--rate", "60", "--seconds", seconds, "--resend"].map(Into::into).into();
+    for kind in kinds {
+        arguments.extend(["--kind".to_owned(), kind.to_owned()]);
+    }
+    for entry in &fleet.entries {
+        arguments.extend(["--entry".to_owned(), entry.callers.to_string()]);
+    }
+    for upstream in &fleet.upstreams {
+        arguments.extend(["--upstream".to_owned(), upstream.callers.to_string()]);
+    }
+    arguments
+}
+
+/// Sends one request and gives the whole answer, its head included; empty if there is none.
+pub(super) fn ask(address: SocketAddr, line: &str, headers: &str) -> String {
+    let mut answer = Vec::new();
+    let asked = TcpStream::connect(address).and_then(|mut stream| {
+        let text =
+            format!("{line} HTTP/1.1\r\nhost: register\r\nconnection: close\r\n{headers}\r\n");
+        stream.write_all(text.as_bytes())?;
+        stream.read_to_end(&mut answer)
+    });
+    drop(asked);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Counts of a stand-in: requests begun, and runs by key.
+pub(super) fn runs(upstream: &Process) -> Value {
+    let answer = ask(upstream.callers, "GET /_runs", "");
+    let body = answer.split("\r\n\r\n").nth(1).unwrap_or_default();
+    serde_json::from_str(body).unwrap()
+}
+
 /// Runs a command to its end.
 pub(super) fn hemlockfield(arguments: &[&str]) -> Output {
     Command::new(BINARY).args(arguments).output().unwrap()
