--- a/src/storage/log.rs
+++ b/src/storage/log.rs
@@ -34,38 +34,39 @@
     length: u64,
     next: u64,
     pending: Vec<Record>,
+    synced: u64,
 }
 
 impl Log {
     /// Opens the log, cuts a torn tail, and gives what the folder knows.
-    pub fn open(mut disk: Box<dyn Disk>) -> Result<(Self, Recovered), Error> {
+    pub fn open(disk: Box<dyn Disk>) -> Result<(Self, Recovered), Error> {
         let names = disk.list().map_err(|source| Error::of("the data folder", source))?;
-        let newest = names.iter().filter_map(|name| generation(name)).max();
-        let Some(generation) = newest else {
-            let lost = names.iter().any(|name| name.starts_with(SNAPSHOT));
-            if lost {
-                return Err(Error::Missing { file: log_name(0) });
-            }
-            return Ok((Self::blank(disk), Recovered::default()));
-        };
+        if let Some(newest) = names.iter().filter_map(|name| generation(name)).max() {
+            return Self::reopen(disk, newest);
+        }
+        if names.iter().any(|name| name.starts_with(SNAPSHOT)) {
+            return Err(Error::Missing { file: log_name(0) });
+        }
+        Ok((Self::blank(disk), Recovered::default()))
+    }
+
+    fn reopen(mut disk: Box<dyn Disk>, generation: u64) -> Result<(Self, Recovered), Error> {
         let file = log_name(generation);
         let bytes = disk.read(&file).map_err(|source| Error::of(&file, source))?;
         let scan = frame::scan(&file, &bytes)?;
+        // Each later log was renamed only when its first frame was synced.
         if generation > 0 && scan.frames.is_empty() {
             return Err(Error::Damaged { file, offset: 0 });
         }
-        if scan.end < bytes.len() as u64 {
-            disk.truncate(&file, scan.end).map_err(|source| Error::of(&file, source))?;
-        }
-        disk.sync(&file).map_err(|source| Error::of(&file, source))?;
-        disk.sync_names().map_err(|source| Error::of(&file, source))?;
+        let torn = scan.end < bytes.len() as u64;
+        settle(disk.as_mut(), &file, torn.then_some(scan.end))?;
         let next = scan.frames.len() as u64;
-        let snapshot = scan.frames.first().and_then(|frame| frame.snapshot);
+        let named = scan.frames.first().and_then(|frame| frame.snapshot);
         let mut recovered = replay(scan.frames);
-        recovered.snapshot =
-            snapshot.map(|named| read_snapshot(disk.as_ref(), named)).transpose()?;
-        let mut log = Self { file, generation, length: scan.end, next, ..Self::blank(disk) };
-        log.sweep(snapshot)?;
+        recovered.snapshot = named.map(|it| read_snapshot(disk.as_ref(), it)).transpose()?;
+        let (length, synced) = (scan.end, scan.end);
+        let mut log = Self { file, generation, length, next, synced, ..Self::blank(disk) };
+        log.sweep(named)?;
         Ok((log, recovered))
     }
 
@@ -110,6 +111,7 @@
             length: 0,
             next: 0,
             pending: Vec::new(),
+            synced: 0,
         }
     }
 
@@ -118,8 +120,9 @@
             return Ok(());
         }
         let first = self.next == 0;
-        self.write(&Frame { number: self.next, records, snapshot: None })?;
+        self.write(records)?;
         self.disk.sync(&self.file).map_err(|source| Error::of(&self.file, source))?;
+        self.synced = self.length;
         if first {
             self.disk.sync_names().map_err(|source| Error::of(&self.file, source))?;
         }
@@ -130,11 +133,12 @@
     /// written it back, damage to the last records of an idle log is told from a
     /// torn tail.
     fn seal(&mut self) -> Result<(), Error> {
-        self.write(&Frame { number: self.next, records: Vec::new(), snapshot: None })
+        self.write(Vec::new())
     }
 
-    fn write(&mut self, frame: &Frame) -> Result<(), Error> {
-        let bytes = frame::encode(&self.file, frame)?;
+    fn write(&mut self, records: Vec<Record>) -> Result<(), Error> {
+        let frame = Frame { number: self.next, records, snapshot: None, synced: self.synced };
+        let bytes = frame::encode(&self.file, &frame)?;
         if let Err(source) = self.disk.append(&self.file, &bytes) {
             // A part that stays is cut as a torn tail when the folder is opened.
             let _ = self.disk.truncate(&self.file, self.length);
@@ -155,13 +159,14 @@
         recovered.apply(Record::Snapshot(snapshot));
         let records = records_of(recovered);
         let file = log_name(self.generation + 1);
-        let bytes = frame::encode(&file, &Frame { number: 0, records, snapshot: Some(named) })?;
+        let bytes =
+            frame::encode(&file, &Frame { number: 0, records, snapshot: Some(named), synced: 0 })?;
         self.write_whole(&file, &bytes)?;
         self.file = file;
         self.generation += 1;
         self.length = bytes.len() as u64;
+        self.synced = self.length;
         self.next = 1;
-        self.seal()?;
         self.sweep(Some(named))
     }
 
@@ -203,6 +208,15 @@
     }
 }
 
+/// Cuts a torn tail, and makes what a crash may have left unsynced last.
+fn settle(disk: &mut dyn Disk, file: &str, cut: Option<u64>) -> Result<(), Error> {
+    let settled = cut
+        .map_or(Ok(()), |length| disk.truncate(file, length))
+        .and_then(|()| disk.sync(file))
+        .and_then(|()| disk.sync_names());
+    settled.map_err(|source| Error::of(file, source))
+}
+
 fn replay(frames: Vec<Frame>) -> Recovered {
     let mut recovered = Recovered::default();
     for record in frames.into_iter().flat_map(|frame| frame.records) {
