--- a/tests/suite/core_fleet/oneway.rs
+++ b/tests/suite/core_fleet/oneway.rs
@@ -44,7 +44,7 @@
     site.net.heal_all();
     site.run_until("the cut-off one to catch up", |site| site.all_at(3));
     site.run(ms(10_000));
-    assert_eq!(site.leaders(), [leader.clone()]);
+    assert_eq!(site.leaders(), std::slice::from_ref(&leader));
     assert_eq!(site.quorum(&leader).term, term, "nobody was deposed");
 }
 
@@ -71,7 +71,7 @@
     site.net.heal_all();
     site.run_until("the cut-off one to catch up", |site| site.all_at(5));
     site.run(ms(10_000));
-    assert_eq!(site.leaders(), [leader.clone()]);
+    assert_eq!(site.leaders(), std::slice::from_ref(&leader));
     assert_eq!(site.quorum(&leader).term, term, "nobody was deposed");
 }
 
@@ -93,7 +93,7 @@
         );
         site.run_until("the change everywhere", |site| site.all_at(number));
         site.run(ms(900_000));
-        assert_eq!(site.leaders(), [leader.clone()]);
+        assert_eq!(site.leaders(), std::slice::from_ref(&leader));
         assert_eq!(site.quorum(&leader).term, term, "nobody was deposed");
     }
     site.net.heal_all();
--- a/tests/suite/core_fleet/site.rs
+++ b/tests/suite/core_fleet/site.rs
@@ -411,7 +411,7 @@
                     assert_eq!(before, None, "`{from}` was told twice of {ticket}");
                 }
                 Output::Persist(number, records) => {
-                    synced = Some(self.persist(from, number, &records))
+                    synced = Some(self.persist(from, number, &records));
                 }
                 Output::Probe { service, upstream, .. } => probed.push((service, upstream)),
                 Output::Send(to, _, frame) => {
