Tell the fleet that an entry serves once its first configuration comes

Cause: an entry that control had confirmed before the first configuration was accepted stayed Starting in membership: off the callers' lists and home of no upstream, until its next restart. Seen red by core_fleet::configuration::submit_first_late. Change: putting a configuration in force tells membership whether the process serves.

--- a/src/node/core/configuration.rs
+++ b/src/node/core/configuration.rs
@@ -86,12 +86,17 @@
 
     /// Puts a version in force here. It was checked before it was proposed; one that
     /// this build can't read leaves the rules as they are and is told in the log.
+    ///
+    /// The others are told that this process serves, if it does now: an entry that was
+    /// confirmed before the first configuration came would else stay off the callers'
+    /// lists, and be home of no upstream, until its next restart.
     fn apply(&mut self, now: Moment, version: Version, outputs: &mut Vec<Output>) {
         let event = self.event(Kind::ConfigurationApplied).configuration(version.number);
         outputs.push(Output::Event(event));
         self.take_rules(&version);
         self.tell_member(now, fleet::Input::Configuration(version.number), outputs);
         self.set_judges(now, outputs);
+        self.describe(now, outputs);
         outputs.push(Output::Apply(version));
     }
 
--- a/tests/suite/core_fleet/configuration.rs
+++ b/tests/suite/core_fleet/configuration.rs
@@ -1,6 +1,7 @@
 //! What operators had accepted stays in force.
 
 use hemlockfield::config::Standing;
+use hemlockfield::fleet::State;
 use hemlockfield::wire::Verdict;
 use rstest::rstest;
 
@@ -63,6 +64,24 @@
     }
 }
 
+// A new fleet stands for a minute before its operator submits the first configuration. The
+// entries then serve and tell callers of each other: each had confirmed long before that
+// nothing was in force, so that it is the configuration that makes it ready.
+#[test]
+fn submit_first_late() {
+    let mut site = Site::new(26, 3, 4);
+    site.run(ms(60_000));
+    assert_eq!(site.submit("e1", 1, "first"), Verdict::Accepted(1));
+    site.run_until("configuration 1", |site| site.all_at(1));
+    site.run(ms(5_000));
+    for entry in site.entries() {
+        let members = site.core(&entry).member().members();
+        let serving = members.filter(|(record, _)| record.meta.state == State::Serving);
+        assert!(serving.count() >= 4, "`{entry}` knows of too few that serve");
+        assert_eq!(site.view(&entry).entries.len(), 4, "`{entry}` lists too few");
+    }
+}
+
 // An entry with an old configuration in its folder comes back while control is stopped:
 // it was away while number 2 was accepted. It takes no caller before its peers told it.
 #[test]
