--- a/tests/suite/process/leave.rs
+++ b/tests/suite/process/leave.rs
@@ -15,6 +15,8 @@
 use super::fleet::wait_for;
 use super::path::RULES;
 
+const KEY: &str = "idempotency-key: sign-off-7\r\ncontent-length: 0\r\n";
+
 fn served(entries: usize) -> Fleet {
     let mut fleet = Fleet::start(3, entries);
     fleet.submit(1, RULES);
@@ -90,7 +92,30 @@
     }
 }
 
-// A request takes 10 s when its entry is told to leave. The entry waits for it. The
+// A sign-off takes longer than the lists that name its entry live, and the entry gets
+// SIGTERM in the midst of it. The entry waits: the caller gets its whole answer, control
+// learns the outcome, and the process ends with 0. The same key sent through another entry
+// gets the answer that was kept; the upstream ran it once.
+#[test]
+fn signal_during_sign_off() {
+    let mut fleet = Fleet::start(3, 3);
+    fleet.submit(1, RULES);
+    fleet.add_upstream("hull-1", "hull-register", &["--work", "4000"]);
+    let sign_off = |entry| ask(entry, "POST /findings/1", KEY);
+    let first = fleet.entries[0].callers;
+    let running = thread::spawn(move || sign_off(first));
+    wait_for("the request to run", || begun(&fleet, 0) > 0);
+    fleet.entries[0].signal("TERM");
+    assert_eq!(fleet.entries[0].wait(), Some(0));
+    let answer = running.join().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let again = sign_off(fleet.entries[1].callers).to_lowercase();
+    assert!(again.starts_with("http/1.1 200"), "{again}");
+    assert!(again.contains("x-hemlockfield-replayed: true"), "{again}");
+    assert_eq!(runs(&fleet.upstreams[0])["runs"]["sign-off-7"], 1);
+}
+
+// A request takes seconds when its entry is told to leave. The entry waits for it. The
 // operator can't wait and sends a second SIGTERM: the process ends at once, and says by
 // its exit code 1 that it cut something.
 #[test]
