--- a/src/node/core/configuration.rs
+++ b/src/node/core/configuration.rs
@@ -86,6 +86,10 @@
 
     /// Puts a version in force here. It was checked before it was proposed; one that
     /// this build can't read leaves the rules as they are and is told in the log.
+    ///
+    /// The others are told that this process serves, if it does now: an entry that was
+    /// confirmed before the first configuration came would else stay off the callers'
+    /// lists, and be home of no upstream, until its next restart.
     fn apply(&mut self, now: Moment, version: Version, outputs: &mut Vec<Output>) {
         let event = self.event(Kind::ConfigurationApplied).configuration(version.number);
         outputs.push(Output::Event(event));
@@ -93,10 +97,21 @@
         self.describe(now, outputs);
         self.tell_member(now, fleet::Input::Configuration(version.number), outputs);
         self.set_judges(now, outputs);
+        self.describe(now, outputs);
         outputs.push(Output::Apply(version));
     }
 
-    pub(super) fn take_rules(&mut self, version: &Version) {
+    /// Goes on by the version that the disk holds. Without the judges, a restarted entry
+    /// would pick failing upstreams until the next change of configuration, perhaps for
+    /// hours. There is nobody to tell of anything yet, so that outputs are left out.
+    pub(super) fn resume(&mut self, now: Moment, version: &Version) {
+        let mut unheard = Vec::new();
+        self.take_rules(version);
+        self.tell_member(now, fleet::Input::Configuration(version.number), &mut unheard);
+        self.set_judges(now, &mut unheard);
+    }
+
+    fn take_rules(&mut self, version: &Version) {
         match Rules::parse(&version.document) {
             Ok(rules) => self.rules = Some(Arc::new(rules)),
             Err(error) => {
