--- a/src/cli.rs
+++ b/src/cli.rs
@@ -10,6 +10,7 @@
 pub mod keys;
 pub mod load;
 pub mod member;
+pub mod replay;
 pub mod run;
 pub mod status;
 pub mod submit;
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -10,6 +10,7 @@
 use super::keys;
 use super::load;
 use super::member;
+use super::replay;
 use super::run;
 use super::status;
 use super::submit;
@@ -46,6 +47,8 @@
     Load(load::Options),
     /// add, replace or remove a control
     Member(member::Options),
+    /// run recorded traces against stated outcomes
+    Replay(replay::Options),
     /// run one process of the fleet
     Run(run::Options),
     /// show what a process knows
@@ -75,6 +78,7 @@
             Self::Keys(options) => keys::run(&options),
             Self::Load(options) => load::run(options),
             Self::Member(options) => member::run(&options),
+            Self::Replay(options) => replay::run(&options),
             Self::Run(options) => run::run(&options),
             Self::Status(options) => status::run(&options),
             Self::Submit(options) => submit::run(&options),
--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -37,6 +37,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Trace that can't be read.
+    #[error(transparent)]
+    Replay(#[from] crate::replay::Error),
     /// Settings with mistakes.
     #[error("{0}")]
     Settings(#[from] crate::settings::Error),
--- /dev/null
+++ b/src/replay/policy.rs
@@ -0,0 +1,68 @@
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::Input;
+use super::Machine;
+use super::Retry;
+use super::Tape;
+use crate::clock::Moment;
+use crate::retry;
+use crate::retry::Attempt;
+use crate::retry::Decision;
+
+/// A [`retry::Policy`] whose inputs are recorded. It has no use for the time, and its
+/// lines all stand at moment 0.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    policy: retry::Policy,
+    tape: Tape,
+}
+
+impl Policy {
+    /// Makes the policy.
+    pub fn new(seed: u64, tape: Tape) -> Self {
+        tape.machine(Moment::ZERO, || Machine::Policy { seed });
+        Self { policy: retry::Policy::new(ChaCha8Rng::seed_from_u64(seed)), tape }
+    }
+
+    /// As [`retry::Policy::decide`].
+    pub fn decide(&mut self, attempt: &Attempt) -> Decision {
+        self.note_down(|| Retry::Decide(*attempt));
+        self.policy.decide(attempt)
+    }
+
+    /// As [`retry::Policy::first`].
+    pub fn first(&mut self) {
+        self.note_down(|| Retry::First);
+        self.policy.first();
+    }
+
+    /// As [`retry::Policy::hedge`].
+    pub fn hedge(&mut self, remaining: Duration) -> bool {
+        self.note_down(|| Retry::Hedge { remaining });
+        self.policy.hedge(remaining)
+    }
+
+    /// As [`retry::Policy::hedge_after`].
+    pub fn hedge_after(&self) -> Option<Duration> {
+        self.policy.hedge_after()
+    }
+
+    /// As [`retry::Policy::hedged`].
+    pub fn hedged(&mut self, won: bool) {
+        self.note_down(|| Retry::Hedged { won });
+        self.policy.hedged(won);
+    }
+
+    /// As [`retry::Policy::note`].
+    pub fn note(&mut self, time: Duration) {
+        self.note_down(|| Retry::Note { time });
+        self.policy.note(time);
+    }
+
+    fn note_down(&self, input: impl FnOnce() -> Retry) {
+        self.tape.input(Moment::ZERO, || Input::Policy(input()));
+    }
+}
--- /dev/null
+++ b/src/replay/recorder.rs
@@ -0,0 +1,145 @@
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::Read;
+use std::io::Seek;
+use std::io::SeekFrom;
+use std::io::Write;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread::JoinHandle;
+
+use super::Error;
+use super::Line;
+use crate::settings;
+
+/// Bytes at the end of a recording in which the last whole line is looked for.
+const TAIL: u64 = 65_536;
+
+/// Writes the inputs of a process's machines to a file; off unless set.
+///
+/// A disk that stalls must not stall traffic, so lines go through a bounded queue to a
+/// thread of their own. Where it is full a line is dropped and counted, and the next
+/// one written says how many are missing, as a replay may then differ. A full disk
+/// would take the place of state that must survive; so recording ends at a limit.
+#[derive(Clone, Debug, Default)]
+pub struct Recorder {
+    writer: Option<Arc<Writer>>,
+}
+
+#[derive(Debug)]
+struct Writer {
+    full: Arc<AtomicBool>,
+    lost: Arc<AtomicU64>,
+    sender: Option<SyncSender<Line>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Recorder {
+    /// Lines that may wait for the disk: about 2 MB at 250 bytes each.
+    pub const QUEUE_MAX: usize = 8192;
+
+    /// Appends to the file that the settings name, if they do. A line that a crash left
+    /// unfinished is cut.
+    ///
+    /// # Errors
+    /// When the file can't be opened or the writer's thread can't be started.
+    pub fn open(record: Option<&settings::Record>) -> Result<Self, Error> {
+        let Some(record) = record else { return Ok(Self::default()) };
+        let path = &record.file;
+        let wrong = |source| Error::Open { path: path.clone(), source };
+        let (file, length) = open(path).map_err(wrong)?;
+        let (sender, receiver) = sync_channel(Self::QUEUE_MAX);
+        let (full, lost) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let pen = Pen {
+            file,
+            full: Arc::clone(&full),
+            limit: record.limit,
+            lost: Arc::clone(&lost),
+            length,
+        };
+        let thread = std::thread::Builder::new().name("record".into());
+        let thread = thread.spawn(move || pen.write_all(&receiver)).map_err(wrong)?;
+        let writer = Writer { full, lost, sender: Some(sender), thread: Some(thread) };
+        Ok(Self { writer: Some(Arc::new(writer)) })
+    }
+
+    /// Whether lines are written.
+    pub fn is_on(&self) -> bool {
+        self.writer.as_ref().is_some_and(|writer| !writer.full.load(Ordering::Relaxed))
+    }
+
+    /// Writes a line soon, or drops it; never waits.
+    pub fn record(&self, line: Line) {
+        let Some(writer) = &self.writer else { return };
+        let Some(sender) = &writer.sender else { return };
+        if sender.try_send(line).is_err() {
+            writer.lost.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        drop(self.sender.take());
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+/// The writer's side.
+struct Pen {
+    file: File,
+    full: Arc<AtomicBool>,
+    length: u64,
+    limit: u64,
+    lost: Arc<AtomicU64>,
+}
+
+impl Pen {
+    fn write_all(mut self, lines: &Receiver<Line>) {
+        for line in lines {
+            let count = self.lost.swap(0, Ordering::Relaxed);
+            if count > 0 {
+                let notice = Line { at_us: line.at_us, lost: Some(count), ..Line::default() };
+                self.write(&notice);
+            }
+            self.write(&line);
+        }
+    }
+
+    /// Writes a whole line, or ends the recording: nothing may follow a gap unseen.
+    fn write(&mut self, line: &Line) {
+        if self.full.load(Ordering::Relaxed) {
+            return;
+        }
+        let Ok(mut bytes) = serde_json::to_vec(line) else { return };
+        bytes.push(b'\n');
+        let length = self.length + bytes.len() as u64;
+        if length > self.limit || self.file.write_all(&bytes).is_err() {
+            self.file.set_len(self.length).ok();
+            self.full.store(true, Ordering::Relaxed);
+            return;
+        }
+        self.length = length;
+    }
+}
+
+fn open(path: &Path) -> std::io::Result<(File, u64)> {
+    let mut file = OpenOptions::new().read(true).append(true).create(true).open(path)?;
+    let length = file.metadata()?.len();
+    let start = length.saturating_sub(TAIL);
+    file.seek(SeekFrom::Start(start))?;
+    let mut tail = Vec::new();
+    file.read_to_end(&mut tail)?;
+    let whole = tail.iter().rposition(|byte| *byte == b'\n').map_or(0, |place| place + 1);
+    let length = start + whole as u64;
+    file.set_len(length)?;
+    Ok((file, length))
+}
--- /dev/null
+++ b/src/replay/tape.rs
@@ -0,0 +1,46 @@
+use compact_str::CompactString;
+
+use super::Input;
+use super::Line;
+use super::Machine;
+use super::Micros;
+use super::Recorder;
+use crate::clock::Moment;
+
+/// The part of a [`Recorder`] that belongs to one machine.
+#[derive(Clone, Debug, Default)]
+pub struct Tape {
+    of: CompactString,
+    recorder: Recorder,
+}
+
+impl Tape {
+    /// The tape of the machine `of`, such as `gate/shop`.
+    pub fn new(recorder: &Recorder, of: CompactString) -> Self {
+        Self { of, recorder: recorder.clone() }
+    }
+
+    /// Notes that the machine was made.
+    pub fn machine(&self, now: Moment, machine: impl FnOnce() -> Machine) {
+        if self.recorder.is_on() {
+            let machine = Some(machine());
+            self.record(Line { machine, ..self.line(now) });
+        }
+    }
+
+    /// Notes an input, which is made only where it is recorded.
+    pub fn input(&self, now: Moment, input: impl FnOnce() -> Input) {
+        if self.recorder.is_on() {
+            let input = Some(input());
+            self.record(Line { input, ..self.line(now) });
+        }
+    }
+
+    fn line(&self, now: Moment) -> Line {
+        Line { at_us: Micros(now), of: self.of.clone(), ..Line::default() }
+    }
+
+    fn record(&self, line: Line) {
+        self.recorder.record(line);
+    }
+}
--- a/src/rule/class.rs
+++ b/src/rule/class.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::id::ClassId;
 use crate::settings::Fields;
@@ -14,7 +16,7 @@
 const WAIT: Duration = Duration::from_secs(1);
 
 /// A class of service. Classes stand in the order of their priority.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Class {
     /// Name that rules use.
     pub name: ClassId,
