--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -39,6 +39,7 @@
 use crate::quorum::Record;
 use crate::registry;
 use crate::registry::Registry;
+use crate::replay::Recorder;
 use crate::rule::Rules;
 use crate::timeline::Event;
 use crate::timeline::Kind;
@@ -62,6 +63,8 @@
     pub me: fleet::Record,
     /// Control's part, where the process has one.
     pub office: Option<Office>,
+    /// Recording of the judges' inputs.
+    pub recorder: Recorder,
     /// Processes to ask for membership.
     pub seeds: Vec<Seed>,
     /// Seed of every random choice.
@@ -152,6 +155,7 @@
     /// When this process last asked an upstream for its own report.
     probed_at: BTreeMap<UpstreamId, Moment>,
     random: ChaCha8Rng,
+    recorder: Recorder,
     registry: Registry,
     rules: Option<Arc<Rules>>,
     /// Why control stopped here, if it did.
@@ -185,6 +189,7 @@
             member,
             office: setup.office,
             probed_at: BTreeMap::new(),
+            recorder: setup.recorder,
             registry,
             rules: None,
             stopped: None,
--- a/src/node/core/quality.rs
+++ b/src/node/core/quality.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use compact_str::format_compact;
 use rand::RngCore;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -12,6 +13,9 @@
 use crate::node::core::Core;
 use crate::node::core::Output;
 use crate::registry;
+use crate::replay;
+use crate::replay::Recorder;
+use crate::replay::Tape;
 use crate::timeline::Event;
 use crate::timeline::Kind;
 use crate::wire::Frame;
@@ -57,6 +61,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let Some(judge) = self.judges.get_mut(service) else { return };
+        tape(&self.recorder, service).input(now, || replay::Input::Judge(input.clone()));
         let done = judge.handle(now, input);
         self.judged(now, service, done, outputs);
     }
@@ -84,12 +89,18 @@
             };
             match self.judges.get_mut(name) {
                 Some(judge) => {
+                    let input = || replay::Input::Setup(setup.clone());
+                    tape(&self.recorder, name).input(now, input);
                     let done = judge.set_setup(now, setup);
                     self.judged(now, name, done, outputs);
                 }
                 None => {
-                    let random = ChaCha8Rng::seed_from_u64(self.random.next_u64());
-                    let judge = Judge::new(self.me.id.clone(), setup, random);
+                    let seed = self.random.next_u64();
+                    let me = self.me.id.clone();
+                    let random = ChaCha8Rng::seed_from_u64(seed);
+                    let judge = Judge::new(me.clone(), setup.clone(), random);
+                    let made = || replay::Machine::Judge { name: me, seed, setup };
+                    tape(&self.recorder, name).machine(now, made);
                     self.judges.insert(name.clone(), judge);
                     self.introduce(now, name, outputs);
                 }
@@ -165,3 +176,7 @@
         }
     }
 }
+
+fn tape(recorder: &Recorder, service: &ServiceId) -> Tape {
+    Tape::new(recorder, format_compact!("judge/{service}"))
+}
--- a/src/node/error.rs
+++ b/src/node/error.rs
@@ -31,6 +31,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Recording that can't be written.
+    #[error(transparent)]
+    Replay(#[from] crate::replay::Error),
     /// Data folder that can't be used.
     #[error("data folder: {0}")]
     Storage(#[from] crate::storage::Error),
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -20,6 +20,7 @@
 use crate::id::NodeId;
 use crate::quorum;
 use crate::quorum::Membership;
+use crate::replay;
 use crate::settings::Role;
 use crate::settings::Settings;
 use crate::storage::Folder;
@@ -87,6 +88,7 @@
         let callers_at = callers.as_ref().map(address_of).transpose()?;
         let directory = Directory::new(settings.node.region.clone(), settings.directory.lifetime);
         let metrics = Metrics::new(settings.metrics.as_ref().map(|metrics| metrics.statsd))?;
+        let recorder = replay::Recorder::open(settings.record.as_ref())?;
         let shared = Arc::new(Shared::new(
             settings.clone(),
             started,
@@ -94,6 +96,7 @@
             done,
             directory,
             metrics,
+            recorder.clone(),
         ));
         let journal = Arc::new(journal(&settings)?);
         let event = |event: crate::timeline::Event| event.detail("started", "now");
@@ -108,6 +111,7 @@
                 kept,
                 me,
                 office,
+                recorder,
                 seeds: seeds(&settings),
                 seed: rand::random(),
             },
--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -21,6 +21,8 @@
 use crate::clock::Moment;
 use crate::health;
 use crate::node;
+use crate::replay;
+use crate::replay::Tape;
 use crate::rule::Class;
 
 use super::Shared;
@@ -44,6 +46,7 @@
     classes: Vec<Class>,
     gate: Option<Gate>,
     slots: Option<usize>,
+    tape: Tape,
     waiting: BTreeMap<u64, (Arrival, Sender<Turn>)>,
 }
 
@@ -65,8 +68,8 @@
 }
 
 impl Queue {
-    pub(super) fn new(seed: u64) -> Self {
-        Self { seed, state: Mutex::default() }
+    pub(super) fn new(seed: u64, tape: Tape) -> Self {
+        Self { seed, state: Mutex::new(State { tape, ..State::default() }) }
     }
 
     /// Requests that wait.
@@ -128,6 +131,8 @@
         self.classes = classes.to_vec();
         let random = ChaCha8Rng::seed_from_u64(seed);
         self.gate = Some(Gate::new(classes, random, now));
+        let made = || replay::Machine::Gate { classes: classes.to_vec(), seed };
+        self.tape.machine(now, made);
         self.handle(now, Input::Capacity { slots: self.slots });
         let waiting: Vec<Arrival> =
             self.waiting.values().map(|(arrival, _)| arrival.clone()).collect();
@@ -138,6 +143,7 @@
 
     fn handle(&mut self, now: Moment, input: Input) {
         let Some(gate) = &mut self.gate else { return };
+        self.tape.input(now, || replay::Input::Gate(input.clone()));
         for output in gate.handle(now, input) {
             let (ticket, turn) = match output {
                 Output::Refuse { reason, retry_after, ticket } => {
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -3,6 +3,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use compact_str::format_compact;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -17,7 +18,9 @@
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::node::view;
-use crate::retry::Policy;
+use crate::replay::Policy;
+use crate::replay::Recorder;
+use crate::replay::Tape;
 use crate::settings::Settings;
 
 use super::queue::Queue;
@@ -39,13 +42,14 @@
 }
 
 impl Service {
-    pub(super) fn new(name: ServiceId, settings: &Settings) -> Self {
+    pub(super) fn new(name: ServiceId, settings: &Settings, recorder: &Recorder) -> Self {
         let node = &settings.node;
         let setup = balance::Setup::new(node.id.clone(), node.failure_domain.clone(), 1);
-        let random = ChaCha8Rng::seed_from_u64(crate::node::incarnation());
-        let policy = Policy::new(random.clone());
-        let picker = Picker::new(setup, random);
-        let queue = Queue::new(crate::node::incarnation());
+        let seed = crate::node::incarnation();
+        let tape = |kind: &str| Tape::new(recorder, format_compact!("{kind}/{name}"));
+        let policy = Policy::new(seed, tape("policy"));
+        let picker = Picker::new(setup, ChaCha8Rng::seed_from_u64(seed));
+        let queue = Queue::new(seed, tape("gate"));
         Self {
             name,
             picker: Mutex::new(Choice { picker, slots: 0, version: 0 }),
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -29,6 +29,7 @@
 use crate::node::Input;
 use crate::node::View;
 use crate::node::metrics::Metrics;
+use crate::replay::Recorder;
 use crate::settings::Settings;
 
 use super::service::Service;
@@ -51,6 +52,7 @@
     pub(in crate::node) metrics: Metrics,
     next_request: AtomicU64,
     pub(super) pool: Pool,
+    recorder: Recorder,
     services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
     pub(super) settings: Settings,
     started: Instant,
@@ -65,6 +67,7 @@
         done: Receiver<()>,
         directory: Directory,
         metrics: Metrics,
+        recorder: Recorder,
     ) -> Self {
         Self {
             closed: bounded(1),
@@ -81,6 +84,7 @@
             open_claims: AtomicUsize::new(0),
             next_request: AtomicU64::new(crate::node::incarnation()),
             pool: Pool::default(),
+            recorder,
             services: Mutex::default(),
             settings,
             started,
@@ -112,7 +116,7 @@
         if let Some(service) = services.get(name) {
             return Arc::clone(service);
         }
-        let service = Arc::new(Service::new(name.clone(), &self.settings));
+        let service = Arc::new(Service::new(name.clone(), &self.settings, &self.recorder));
         services.insert(name.clone(), Arc::clone(&service));
         service
     }
