--- a/src/replay/recorder.rs
+++ b/src/replay/recorder.rs
@@ -16,6 +16,7 @@
 
 use super::Error;
 use super::Line;
+use super::Micros;
 use crate::settings;
 
 /// Bytes at the end of a recording in which the last whole line is looked for.
@@ -104,14 +105,20 @@
 
 impl Pen {
     fn write_all(mut self, lines: &Receiver<Line>) {
+        let mut last = Micros::default();
         for line in lines {
-            let count = self.lost.swap(0, Ordering::Relaxed);
-            if count > 0 {
-                let notice = Line { at_us: line.at_us, lost: Some(count), ..Line::default() };
-                self.write(&notice);
-            }
+            last = line.at_us;
+            self.tell_lost(last);
             self.write(&line);
         }
+        self.tell_lost(last);
+    }
+
+    fn tell_lost(&mut self, at_us: Micros) {
+        let count = self.lost.swap(0, Ordering::Relaxed);
+        if count > 0 {
+            self.write(&Line { at_us, lost: Some(count), ..Line::default() });
+        }
     }
 
     /// Writes a whole line, or ends the recording: nothing may follow a gap unseen.
--- /dev/null
+++ b/tests/suite/replay/record.rs
@@ -0,0 +1,143 @@
+//! Recordings of machines driven here.
+
+use std::path::Path;
+use std::time::Duration;
+
+use hemlockfield::admission::Pattern;
+use hemlockfield::clock::Moment;
+use hemlockfield::health;
+use hemlockfield::health::Judge;
+use hemlockfield::replay::Input;
+use hemlockfield::replay::Line;
+use hemlockfield::replay::Machine;
+use hemlockfield::replay::Output;
+use hemlockfield::replay::Policy;
+use hemlockfield::replay::Recorder;
+use hemlockfield::replay::Report;
+use hemlockfield::replay::Retry;
+use hemlockfield::replay::Tape;
+use hemlockfield::replay::Trace;
+use hemlockfield::settings::Record;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::gate::Taped;
+use super::judge;
+use super::policy::attempt;
+
+const LIMIT: u64 = 1 << 26;
+
+fn recorder(path: &Path, limit: u64) -> Recorder {
+    Recorder::open(Some(&Record { file: path.into(), limit })).expect("recorder")
+}
+
+fn of(report: &Report, name: &str) -> Vec<(Moment, Output)> {
+    let outputs = report.outputs.iter().filter(|placed| placed.of == name);
+    outputs.map(|placed| (placed.at, placed.output.clone())).collect()
+}
+
+#[test]
+fn record_all() {
+    // An operator records an entry and replays the file elsewhere: gate, judge and policy
+    // must decide exactly as they did, to the nanosecond and the jitter, or a replay
+    // would prove nothing. The lines of the machines are mixed, as threads write them.
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("entry.jsonl");
+    let recorder = recorder(&path, LIMIT);
+    let mut taped = Taped::new();
+    let mut trial = Pattern::Burst.trial(3);
+    trial.jobs.truncate(120);
+    trial.run(&mut taped);
+    let gate = Tape::new(&recorder, "gate/shop".into());
+    for line in &taped.lines {
+        line.machine.iter().for_each(|machine| gate.machine(line.at_us.0, || machine.clone()));
+        line.input.iter().for_each(|input| gate.input(line.at_us.0, || input.clone()));
+    }
+    let judged = run_judge(&Tape::new(&recorder, "judge/shop".into()));
+    let advised = run_policy(Tape::new(&recorder, "policy/shop".into()));
+    drop((gate, recorder));
+    let report = Trace::read(&path).expect("trace").run();
+    let gated = taped.outputs.into_iter().map(|(at, output)| (at, Output::Gate(output)));
+    assert_eq!(of(&report, "gate/shop"), gated.collect::<Vec<_>>());
+    assert_eq!(of(&report, "judge/shop"), judged);
+    assert_eq!(of(&report, "policy/shop"), advised);
+    assert!(!judged.is_empty() && report.lost == 0);
+}
+
+fn run_judge(tape: &Tape) -> Vec<(Moment, Output)> {
+    let (seed, setup) = (9, health::Setup::default());
+    let mut judge = Judge::new("e00".into(), setup.clone(), ChaCha8Rng::seed_from_u64(seed));
+    tape.machine(Moment::ZERO, || Machine::Judge { name: "e00".into(), seed, setup });
+    let mut outputs = Vec::new();
+    for (at, input) in judge::some() {
+        let at = at + Duration::from_nanos(7);
+        for input in [input, health::Input::Tick] {
+            tape.input(at, || Input::Judge(input.clone()));
+            let done = judge.handle(at, input).into_iter();
+            outputs.extend(done.map(|output| (at, Output::Judge(output))));
+        }
+    }
+    outputs
+}
+
+fn run_policy(tape: Tape) -> Vec<(Moment, Output)> {
+    let mut policy = Policy::new(4, tape);
+    let mut outputs = Vec::new();
+    for tries in (1..=3).cycle().take(90) {
+        policy.first();
+        policy.note(Duration::from_nanos(25_000_001));
+        let decision = policy.decide(&hemlockfield::retry::Attempt { tries, ..attempt() });
+        outputs.push((Moment::ZERO, Output::Policy(decision)));
+        let hedge = policy.hedge(Duration::from_secs(1));
+        outputs.push((Moment::ZERO, Output::Hedge(hedge)));
+        if hedge {
+            policy.hedged(tries == 1);
+        }
+    }
+    outputs
+}
+
+#[test]
+fn record_full_queue() {
+    // The disk is slower than the traffic, which must not wait. What did not fit is
+    // counted in the file, so that a replay tells that it may differ.
+    const SENT: u64 = 40_000;
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("entry.jsonl");
+    let recorder = recorder(&path, LIMIT);
+    let tape = Tape::new(&recorder, "policy/shop".into());
+    tape.machine(Moment::ZERO, || Machine::Policy { seed: 1 });
+    (1..SENT).for_each(|_| tape.input(Moment::ZERO, || Input::Policy(Retry::First)));
+    drop((tape, recorder));
+    let text = std::fs::read_to_string(&path).expect("file");
+    let written: Vec<Line> =
+        text.lines().map(|line| serde_json::from_str(line).expect("line")).collect();
+    let lost: u64 = written.iter().filter_map(|line| line.lost).sum();
+    let whole = written.iter().filter(|line| line.lost.is_none()).count() as u64;
+    assert_eq!(whole + lost, SENT);
+}
+
+#[test]
+fn record_limit() {
+    // A forgotten recording must not fill the disk that the fleet's state needs: it ends
+    // at its limit, with a whole line. A crash in a line costs only that line.
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("entry.jsonl");
+    for _ in 0..2 {
+        let recorder = recorder(&path, 1024);
+        let mut policy = Policy::new(4, Tape::new(&recorder, "policy/shop".into()));
+        (0..100).for_each(|_| policy.first());
+        drop((policy, recorder));
+        let length = std::fs::metadata(&path).expect("file").len();
+        assert!(length <= 1024 && length > 900, "{length}");
+        Trace::read(&path).expect("trace");
+        let text = std::fs::read_to_string(&path).expect("file");
+        std::fs::write(&path, &text[..text.len() - 5]).expect("file");
+    }
+}
+
+#[test]
+fn record_off() {
+    let tape = Tape::new(&Recorder::open(None).expect("recorder"), "policy/shop".into());
+    tape.input(Moment::ZERO, || panic!("nobody records"));
+}
