--- a/tests/suite/replay.rs
+++ b/tests/suite/replay.rs
@@ -41,6 +41,7 @@
 #[case("hot_caller")]
 #[case("overload")]
 #[case("own_report")]
+#[case("recovered")]
 #[case("retry_storm")]
 #[case("silent")]
 #[case("slow")]
--- a/tests/suite/replay/judge.rs
+++ b/tests/suite/replay/judge.rs
@@ -42,8 +42,8 @@
 }
 
 impl Scene {
-    fn new(sensitivity: f64) -> Self {
-        let setup = Setup { floor_count: 2, floor_share: 0.5, sensitivity };
+    fn new(sensitivity: f64, floor_share: f64) -> Self {
+        let setup = Setup { floor_count: 2, floor_share, sensitivity };
         let random = ChaCha8Rng::seed_from_u64(SEED);
         let judge = Judge::new("e00".into(), setup.clone(), random.clone());
         let machine = Some(Machine::Judge { name: "e00".into(), seed: SEED, setup });
@@ -127,6 +127,7 @@
         ("flapping", flapping()),
         ("floor", floor()),
         ("own_report", gray(0.0, CAREFUL, Kind::ServerError, 25, true)),
+        ("recovered", recovered()),
         ("silent", silent()),
         ("slow", gray(1.0, FAST, Kind::Success, 250, false)),
         ("slow_but_sound", slow_but_sound()),
@@ -135,7 +136,7 @@
 
 fn gray(sensitivity: f64, within: u64, kind: Kind, latency: u64, report: bool) -> Vec<Line> {
     let end = START + within + 500;
-    let mut scene = Scene::new(sensitivity);
+    let mut scene = Scene::new(sensitivity, 0.5);
     if report {
         let input = Input::Report { healthy: true, upstream: name(3) };
         scene.repeat(500, 1000, end, input);
@@ -149,7 +150,7 @@
 /// Nothing comes back: what waits is evidence before the first one gives up after 1 s.
 fn silent() -> Vec<Line> {
     let end = START + FAST + 500;
-    let mut scene = Scene::new(1.0).sound(end, &all(end, &[3]));
+    let mut scene = Scene::new(1.0, 0.5).sound(end, &all(end, &[3]));
     for step in 1..=(FAST / 100) {
         let at = START + step * 100;
         scene.advance(at - 1);
@@ -166,7 +167,7 @@
 /// Three seconds bad and three good by turns.
 fn flapping() -> Vec<Line> {
     let end = START + 18_000;
-    let mut scene = Scene::new(1.0).sound(end, &all(end, &[3]));
+    let mut scene = Scene::new(1.0, 0.5).sound(end, &all(end, &[3]));
     let mut expects = Vec::new();
     for turn in 0..3 {
         let from = START + turn * 6_000;
@@ -178,11 +179,13 @@
     scene.end(end, &[3], expects)
 }
 
-/// Five of eight fail, one after the other, with a floor of half; then one leaves.
+/// Three of eight fail, one after the other, with a floor of three quarters; then a
+/// sound one leaves, and six of seven must serve.
 fn floor() -> Vec<Line> {
     let end = START + 8_000;
-    let bad = [1, 2, 3, 4, 5];
-    let mut scene = Scene::new(1.0).sound(end, &all(end, &bad));
+    let bad = [1, 2, 3];
+    let leaves = START + 6_000;
+    let mut scene = Scene::new(1.0, 0.75).sound(end, &all(end, &bad));
     for at in (START..end).step_by(200) {
         scene.advance(at + 50);
         for upstream in bad {
@@ -192,16 +195,33 @@
                 scene.tell(at + 50, outcome(upstream, kind, millis(25)));
             }
         }
-        if at == START + 6_000 {
+        if at == leaves {
             scene.tell(at + 50, Input::Gone { upstream: name(7) });
         }
     }
-    let at = (START..end).step_by(500).skip(1);
+    let at = (START..end).step_by(500).skip(1).chain([leaves + 50]);
     let why = "healthy capacity never falls below the floor";
-    let expects = at.map(|at| expect(at, Expect::InService { least: 4 }, why)).collect();
+    let mut expects: Vec<Line> =
+        at.map(|at| expect(at, Expect::InService { least: 6 }, why)).collect();
+    let like = json!({"judge": {"Eject": {}}});
+    let why = "as many are left as the floor allows";
+    expects.push(expect(leaves - 1, count(0, like, Some(2), None), why));
     scene.end(end, &bad, expects)
 }
 
+/// Bad for three seconds, then good: its capacity is needed again.
+fn recovered() -> Vec<Line> {
+    let end = START + 30_000;
+    let mut scene = Scene::new(1.0, 0.5).sound(end, &all(end, &[3]));
+    scene.gray(3, START, START + 3_000, Kind::ServerError, 25);
+    scene.gray(3, START + 3_000, end, Kind::Success, 25);
+    let expects = vec![
+        expect(START + FAST, is(3, &[Verdict::Ejected]), "callers are moved off it"),
+        expect(end, is(3, &[Verdict::Sound]), "it serves again in half a minute"),
+    ];
+    scene.end(end, &[3], expects)
+}
+
 /// The old register is four times slower, pauses, and gets slower when all do.
 fn slow_but_sound() -> Vec<Line> {
     let end = 90_000;
@@ -209,7 +229,7 @@
     for upstream in 1..UPSTREAMS {
         of.extend([(upstream, 0, 45_000, 1), (upstream, 45_000, end, 2)]);
     }
-    let mut scene = Scene::new(0.0).sound(end, &of);
+    let mut scene = Scene::new(0.0, 0.5).sound(end, &of);
     for pause in [20_000, 40_000, 60_000, 80_000] {
         let ages = vec![millis(350), millis(250), millis(150)];
         scene.tell(pause, Input::Pending { ages, upstream: name(0) });
