--- /dev/null
+++ b/tests/suite/fuzz/bomb.rs
@@ -0,0 +1,28 @@
+//! Small texts that grow: nesting and aliases.
+
+use hemlockfield::rule::Rules;
+use hemlockfield::settings::Settings;
+use rstest::rstest;
+
+/// Lists of `width` aliases of the list before, `levels` deep.
+fn aliases(levels: usize, width: usize) -> String {
+    let mut text = String::from("a0: &a0 [x]\n");
+    for level in 1..levels {
+        let list = vec![format!("*a{}", level - 1); width].join(", ");
+        text += &format!("a{level}: &a{level} [{list}]\n");
+    }
+    text
+}
+
+#[rstest]
+#[case::aliases(aliases(9, 10))]
+#[case::lists("[".repeat(100_000))]
+#[case::closed_lists("[".repeat(3_000) + &"]".repeat(3_000))]
+#[case::mappings("{a: ".repeat(100_000))]
+#[case::indents((0..2_000).map(|depth| " ".repeat(depth) + "a:\n").collect())]
+fn parse_bomb(#[case] text: String) {
+    // A document of some kilobytes must not fill the memory or the stack of the control
+    // that checks it, where every operator's next change would meet the same.
+    assert!(Settings::parse("settings.yaml", &text).is_err());
+    assert!(Rules::parse(&text).is_err());
+}
