--- a/src/bench.rs
+++ b/src/bench.rs
@@ -25,6 +25,9 @@
 /// Entries and upstreams, likewise.
 const REGISTRIES: [(usize, usize); 4] = [(44, 64), (130, 1550), (260, 3100), (520, 6200)];
 
+/// Share of what the upstreams can do, in the model of health: a working day.
+const HEALTH_LOAD: f64 = 0.5;
+
 /// Every measurement by name, with the seeds that its figures in the docs were made with.
 pub const ALL: &[(&str, u64, Bench)] = &[
     ("admission", 20, admission::run),
@@ -32,7 +35,8 @@
     ("claims", 1, |_| in_folder("claims", |folder| told(claims::run(folder)))),
     ("directory", 1, directory::run),
     ("fleet", 1, |seed| fleet::run(seed, &FLEETS)),
-    ("health", 200, health::run),
+    ("health", 200, |seeds| health::run(seeds, HEALTH_LOAD)),
+    ("health-acting", 40, health::run_acting),
     ("health-large", 20, health::run_large),
     ("link", 1, |_| told(link::run())),
     ("quorum", 1, |_| in_folder("quorum", |folder| told(quorum::run(folder)))),
--- a/src/node/clerk.rs
+++ b/src/node/clerk.rs
@@ -38,7 +38,7 @@
     /// Answer to the operator with this ticket.
     Answer(u64, Verdict),
     /// Frame to a control.
-    Send(NodeId, Frame),
+    Send(NodeId, Box<Frame>),
 }
 
 impl Clerk {
@@ -101,7 +101,7 @@
             pending.due = now + RETRY;
             sent = true;
             let frame = Frame::Submit { ticket: *ticket, version: pending.version.clone() };
-            outputs.push(Output::Send(control.clone(), frame));
+            outputs.push(Output::Send(control.clone(), Box::new(frame)));
         }
         if sent {
             self.leader = (self.leader + 1) % self.controls.len().max(1);
--- a/src/node/core/configuration.rs
+++ b/src/node/core/configuration.rs
@@ -38,7 +38,7 @@
                 office::Output::Persist(number, records) => {
                     outputs.push(Output::Persist(number, records));
                 }
-                office::Output::Send(to, frame) => self.send(now, to, frame, outputs),
+                office::Output::Send(to, frame) => self.send(now, to, *frame, outputs),
                 office::Output::Term(role, term) => {
                     let event = self.event(Kind::Election).term(term);
                     outputs.push(Output::Event(event.detail("role", format!("{role:?}"))));
@@ -133,7 +133,7 @@
                 clerk::Output::Answer(ticket, verdict) => {
                     outputs.push(Output::Verdict(ticket, verdict));
                 }
-                clerk::Output::Send(to, frame) => self.send(now, to, frame, outputs),
+                clerk::Output::Send(to, frame) => self.send(now, to, *frame, outputs),
             }
         }
     }
--- a/src/node/office.rs
+++ b/src/node/office.rs
@@ -80,7 +80,7 @@
     /// Records to write and sync.
     Persist(u64, Vec<Record>),
     /// Frame to send.
-    Send(NodeId, Frame),
+    Send(NodeId, Box<Frame>),
     /// This replica leads from this term on, or no more.
     Term(quorum::Role, u64),
 }
@@ -172,7 +172,7 @@
             return;
         }
         let message = claim::Message::Redirect(self.leader());
-        outputs.push(Output::Send(from, Frame::Claim(message)));
+        outputs.push(Output::Send(from, Box::new(Frame::Claim(message))));
     }
 
     fn leader(&self) -> Option<NodeId> {
@@ -248,7 +248,7 @@
                 self.refused(ticket, reason, leader, outputs);
             }
             quorum::Output::Send { to, message } => {
-                outputs.push(Output::Send(to, Frame::Quorum(message)));
+                outputs.push(Output::Send(to, Box::new(Frame::Quorum(message))));
             }
             quorum::Output::SteppedDown { term } => {
                 self.leads = false;
@@ -271,7 +271,7 @@
                 if self.leads {
                     let receipts = Desk::receipts(&claims, replies).into_iter();
                     let frames = receipts.map(|(to, message)| (to, Frame::Claim(message)));
-                    outputs.extend(frames.map(|(to, frame)| Output::Send(to, frame)));
+                    outputs.extend(frames.map(|(to, frame)| Output::Send(to, Box::new(frame))));
                 }
             }
             Body::Config(change) => {
@@ -384,5 +384,5 @@
 }
 
 fn verdict_to(to: &NodeId, ticket: u64, verdict: Verdict) -> Output {
-    Output::Send(to.clone(), Frame::Verdict { ticket, verdict })
+    Output::Send(to.clone(), Box::new(Frame::Verdict { ticket, verdict }))
 }
--- a/tests/suite/core_fleet/site.rs
+++ b/tests/suite/core_fleet/site.rs
@@ -33,6 +33,7 @@
 use hemlockfield::quorum::Role;
 use hemlockfield::registry::Announcement;
 use hemlockfield::registry::State;
+use hemlockfield::replay::Recorder;
 use hemlockfield::storage::Log;
 use hemlockfield::timeline::Stamp;
 use hemlockfield::wire::Envelope;
@@ -166,6 +167,7 @@
             kept,
             me: self.record(id),
             office,
+            recorder: Recorder::open(None).unwrap(),
             seeds: self.seeds(id),
             seed: self.seed,
         };
--- a/tests/suite/fuzz/corpus.rs
+++ b/tests/suite/fuzz/corpus.rs
@@ -148,7 +148,7 @@
 fn frames() -> Vec<Frame> {
     let [old, new] = versions();
     let patch = Patch::between(&old, &new);
-    let item = health::Item { sums: [[1, -2, 300, 0, 5]; 3], upstream: "u1".into() };
+    let item = health::Item { asks: true, sums: [[1, -2, 300, 0, 5]; 3], upstream: "u1".into() };
     let digest = health::Digest { from: "e1".into(), items: vec![item] };
     vec![
         Frame::Config(config::Message::Patches(vec![patch])),
