End a leaving entry when nothing needs it, not at the limit

Cause: nobody told the directory that the entry leaves, so that its handed-out lists never counted as over: every SIGTERM and drain waited for the whole shutdown limit (30 s in the tests, 33 s each measured). Seen red by process::leave::drain_entry with a limit of 600 s: hung in both cases. Change: the process starts that time when it is asked to leave.

--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -193,10 +193,19 @@
         }
     }
 
+    /// Starts the time after which no list that callers were given names this entry.
+    /// Without it, leaving would end at the settings' limit only, however idle the entry.
+    fn leave(&self) {
+        let mut directory =
+            self.shared.directory.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        directory.leave(self.shared.now());
+    }
+
     /// Waits until the process has left; gives the requests that were cut.
     pub async fn stopped(mut self) -> usize {
         let limit = self.shared.limit();
         self.shared.drain_requested().await;
+        self.leave();
         let left = async_std::future::timeout(limit, self.shared.drained());
         let ended = self.shared.done.recv();
         futures::pin_mut!(left, ended);
--- a/tests/suite/process/fleet.rs
+++ b/tests/suite/process/fleet.rs
@@ -229,7 +229,7 @@
              identity: {path}/keys/{id}/identity.pem}}\n\
              timeline: {{file: {path}/{id}.jsonl}}\n\
              directory: {{lifetime: 1s}}\n\
-             shutdown: {{limit: 30s}}\n\
+             shutdown: {{limit: 600s}}\n\
              log: {{level: warn}}\n\
              peers:\n{peers}\n",
             self.domain(),
