Refuse a configuration that aliases grow without bound

Found by tests/suite/fuzz/bomb.rs. Ruled out: nesting (100,000 brackets, 2,000 indents), which the library's own depth limit refuses. Change: at most 100,000 events from aliases.

--- a/src/settings/tree.rs
+++ b/src/settings/tree.rs
@@ -11,6 +11,10 @@
 
 use super::Mistake;
 
+/// Most YAML events that aliases may repeat. Lists of aliases of lists grow a text of 300
+/// bytes to a million values, which took 230 MB where a control may use 128 MB; 4,200
+/// rules that each repeat a list of 20 values need 92,400, about a tenth of that.
+const ALIASED: usize = 100_000;
 /// Most YAML events of one document: 4,200 rules and 37,000 teams need
 /// about a million, and a hostile document still ends early.
 const EVENTS: usize = 8_000_000;
@@ -53,6 +57,7 @@
                 max_nodes: EVENTS,
                 max_total_scalar_bytes: BYTES,
             },
+            alias_limits: serde_saphyr::alias_limits! { max_total_replayed_events: ALIASED },
             with_snippet: false,
         };
         let raw: Raw = serde_saphyr::from_str_with_options(text, options).map_err(|error| {
--- a/tests/suite/fuzz/bomb.rs
+++ b/tests/suite/fuzz/bomb.rs
@@ -26,3 +26,14 @@
     assert!(Settings::parse("settings.yaml", &text).is_err());
     assert!(Rules::parse(&text).is_err());
 }
+
+#[rstest]
+#[case::below(4, 10, true)]
+#[case::above(6, 10, false)]
+fn parse_aliases(#[case] levels: usize, #[case] width: usize, #[case] sound: bool) {
+    // Rules may repeat a list by an alias; but a text that aliases grow to a million
+    // values took 230 MB, more than the whole of a control VM's share. It is refused
+    // while it grows, and says so.
+    let error = Settings::parse("settings.yaml", &aliases(levels, width)).expect_err("mistakes");
+    assert_eq!(error.to_string().contains("not valid YAML"), !sound, "{error}");
+}
