--- a/tests/suite/registry.rs
+++ b/tests/suite/registry.rs
@@ -73,6 +73,7 @@
 #[rstest]
 #[case::alone(1)]
 #[case::four_together(4)]
+#[case::twelve_together(12)]
 fn drain_reaches_entries_cut_off_from_the_rest(#[case] group: usize) {
     // Entries lose the fleet but not the upstreams. An upstream drains at another
     // entry in the same moment, so nobody can tell those cut off. Their neighbours
