Hear of suspicions, and start after the last run's stamps

Cause: the registry was not told of suspected homes, which went on vouching; a VM's clock set back over a restart put the new run before the last.

--- a/src/bench.rs
+++ b/src/bench.rs
@@ -20,11 +20,6 @@
 /// its report.
 pub type Bench = fn(u64) -> String;
 
-/// Sizes of the fleet, from today's to that of two years from now.
-const FLEETS: [usize; 4] = [44, 130, 260, 520];
-/// Entries and upstreams, likewise.
-const REGISTRIES: [(usize, usize); 4] = [(44, 64), (130, 1550), (260, 3100), (520, 6200)];
-
 /// Share of what the upstreams can do, in the model of health: a working day.
 const HEALTH_LOAD: f64 = 0.5;
 
@@ -34,13 +29,13 @@
     ("balance", 5, balance::run),
     ("claims", 1, |_| in_folder("claims", |folder| told(claims::run(folder)))),
     ("directory", 1, directory::run),
-    ("fleet", 1, |seed| fleet::run(seed, &FLEETS)),
+    ("fleet", 1, |seed| fleet::run(seed, &fleet::SIZES)),
     ("health", 200, |seeds| health::run(seeds, HEALTH_LOAD)),
     ("health-acting", 40, health::run_acting),
     ("health-large", 20, health::run_large),
     ("link", 1, |_| told(link::run())),
     ("quorum", 1, |_| in_folder("quorum", |folder| told(quorum::run(folder)))),
-    ("registry", 1, |seed| registry::run(seed, &REGISTRIES)),
+    ("registry", 1, |seed| registry::run(seed, &registry::SIZES)),
     ("retry", 10, retry::run),
     ("rule", 1, |seed| told(rule::run(seed))),
     ("spread", 1, spread::run),
--- a/src/node/core/membership.rs
+++ b/src/node/core/membership.rs
@@ -30,7 +30,8 @@
                 fleet::Output::Left(id) => (Kind::MemberLeft, id),
                 fleet::Output::Suspected(id) => (Kind::MemberSuspected, id),
             };
-            moved |= kind != Kind::MemberSuspected;
+            // Also on suspicion: a home that is suspected vouches for no upstream.
+            moved = true;
             outputs.push(Output::Event(self.event(kind).peer(id)));
         }
         if moved {
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -28,7 +28,6 @@
 use crate::timeline::FileRecorder;
 use crate::timeline::Journal;
 use crate::timeline::Kind;
-use crate::timeline::Recorder;
 use crate::wire::Verdict;
 
 use super::Core;
@@ -260,15 +259,18 @@
 }
 
 fn journal(settings: &Settings) -> Result<Journal, Error> {
-    let recorder: Arc<dyn Recorder> = match &settings.timeline {
-        Some(path) => {
-            // Opening the file says what is wrong where the folder can't be made.
-            path.parent().and_then(|folder| std::fs::create_dir_all(folder).ok());
-            Arc::new(FileRecorder::open(path)?)
-        }
-        None => Arc::new(Nowhere),
-    };
-    Ok(Journal::new(settings.node.id.clone(), recorder))
+    let id = settings.node.id.clone();
+    let Some(path) = &settings.timeline else { return Ok(Journal::new(id, Arc::new(Nowhere))) };
+    // Opening the file says what is wrong where the folder can't be made.
+    path.parent().and_then(|folder| std::fs::create_dir_all(folder).ok());
+    let recorder = FileRecorder::open(path)?;
+    let last = recorder.last();
+    let journal = Journal::new(id, Arc::new(recorder));
+    // A VM's clock that was set back over a restart must not put this run before the last.
+    if let Some(last) = last {
+        journal.observe(last, wall());
+    }
+    Ok(journal)
 }
 
 fn me(settings: &Settings, callers: Option<SocketAddr>) -> fleet::Record {
