--- a/tests/suite/process/leave.rs
+++ b/tests/suite/process/leave.rs
@@ -115,6 +115,21 @@
     assert_eq!(runs(&fleet.upstreams[0])["runs"]["sign-off-7"], 1);
 }
 
+// The same with a lookup, for which control waits for nothing: the entry waits all the same.
+#[test]
+fn signal_during_lookup() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.submit(1, &RULES.replace("deadline: 5s", "deadline: 30s"));
+    fleet.add_upstream("hull-1", "hull-register", &["--work", "9500"]);
+    let first = fleet.entries[0].callers;
+    let running = thread::spawn(move || ask(first, "GET /hulls/1", ""));
+    wait_for("the request to run", || begun(&fleet, 0) > 0);
+    fleet.entries[0].signal("TERM");
+    assert_eq!(fleet.entries[0].wait(), Some(0));
+    let answer = running.join().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 // A request takes seconds when its entry is told to leave. The entry waits for it. The
 // operator can't wait and sends a second SIGTERM: the process ends at once, and says by
 // its exit code 1 that it cut something.
