--- a/tests/suite/core_fleet/site.rs
+++ b/tests/suite/core_fleet/site.rs
@@ -1,14 +1,14 @@
 //! Several cores on the fake network: clock, disks and calls are the test's own.
 
+mod ask;
+mod look;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hemlockfield::claim;
 use hemlockfield::claim::Answer;
-use hemlockfield::claim::Outcome;
-use hemlockfield::claim::Slot;
 use hemlockfield::clock::Epoch;
 use hemlockfield::clock::Moment;
 use hemlockfield::config::Version;
@@ -30,7 +30,6 @@
 use hemlockfield::quorum;
 use hemlockfield::quorum::Membership;
 use hemlockfield::quorum::Record;
-use hemlockfield::quorum::Role;
 use hemlockfield::registry::Announcement;
 use hemlockfield::registry::State;
 use hemlockfield::replay::Recorder;
@@ -202,121 +201,6 @@
         self.stopped.insert(id.clone());
     }
 
-    pub(super) fn core(&self, id: &NodeId) -> &Core {
-        &self.running[id].core
-    }
-
-    pub(super) fn view(&self, id: &NodeId) -> &View {
-        &self.running[id].view
-    }
-
-    pub(super) fn number(&self, id: &NodeId) -> Option<ConfigNumber> {
-        self.core(id).version().map(|version| version.number)
-    }
-
-    /// Whether all that run have this configuration in force.
-    pub(super) fn all_at(&self, number: ConfigNumber) -> bool {
-        let active = self.running.keys().filter(|id| !self.stopped.contains(*id));
-        active.into_iter().all(|id| self.number(id) == Some(number))
-    }
-
-    pub(super) fn quorum(&self, id: &NodeId) -> quorum::Status {
-        self.core(id).office().unwrap().status(self.now)
-    }
-
-    /// Controls that run and count as leaders.
-    pub(super) fn leaders(&self) -> Vec<NodeId> {
-        let running = self.controls.iter().filter(|id| self.running.contains_key(*id));
-        running.filter(|id| self.quorum(id).role == Role::Leader).cloned().collect()
-    }
-
-    /// The one control that leads.
-    pub(super) fn leader(&mut self) -> NodeId {
-        self.run_until("one leader", |site| site.leaders().len() == 1);
-        self.leaders().remove(0)
-    }
-
-    /// Submits, and waits for the answer.
-    pub(super) fn submit(&mut self, at: &str, number: u64, submission: &str) -> Verdict {
-        let ticket = self.begin_submit(at, number, submission);
-        let key = (id(at), ticket);
-        self.run_until("the verdict", |site| site.verdicts.contains_key(&key));
-        self.verdicts[&key].clone()
-    }
-
-    pub(super) fn begin_submit(&mut self, at: &str, number: u64, submission: &str) -> u64 {
-        let version = Version::new(number, submission.into(), &rules(number));
-        let ticket = self.next_ticket();
-        self.input(&id(at), Input::Submit(ticket, version));
-        ticket
-    }
-
-    /// Asks for a claim of `key`, and gives its ticket.
-    pub(super) fn begin_claim(&mut self, at: &str, key: &str) -> u64 {
-        let slot = Slot { caller: "yard".into(), key: key.into(), service: SERVICE.into() };
-        let request = claim::Request { digest: 7, limit: LIMIT, slot };
-        let ticket = self.next_ticket();
-        self.input(&id(at), Input::Claim(ticket, request, self.now + ms(5_000)));
-        ticket
-    }
-
-    /// What a claim comes to.
-    pub(super) fn claim(&mut self, at: &str, key: &str) -> (u64, Claimed) {
-        let ticket = self.begin_claim(at, key);
-        let place = (id(at), ticket);
-        self.run_until("the claim's end", |site| site.claimed.contains_key(&place));
-        (ticket, self.claimed[&place].clone())
-    }
-
-    pub(super) fn finish(&mut self, at: &str, ticket: u64) {
-        let outcome = Some(Outcome::ran(201, None));
-        self.input(&id(at), Input::ClaimEnd(ticket, outcome));
-    }
-
-    /// Changes the controls' membership at `at`.
-    pub(super) fn change(&mut self, at: &NodeId, change: quorum::Change) -> Result<u64, String> {
-        let ticket = self.next_ticket();
-        self.input(at, Input::Change(ticket, change));
-        let key = (at.clone(), ticket);
-        self.run_until("the change's answer", |site| site.changed.contains_key(&key));
-        self.changed[&key].clone()
-    }
-
-    /// An upstream announces itself to `entry`, and renews from then on.
-    pub(super) fn announce(&mut self, name: &str, entry: &str, state: State) {
-        let number = self.upstreams.len() as u16;
-        let announcement = Announcement {
-            address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
-            connections: 400,
-            domain: DOMAINS[usize::from(number) % DOMAINS.len()].into(),
-            incarnation: 1,
-            lease: Duration::from_secs(15),
-            service: SERVICE.into(),
-            slots: 4,
-            state,
-            upstream: name.into(),
-            warm_up: Duration::ZERO,
-        };
-        self.upstreams.insert(name.into(), (announcement, id(entry)));
-        self.announce_at = self.now;
-    }
-
-    /// An upstream says that it is leaving.
-    pub(super) fn drain_upstream(&mut self, name: &str) {
-        self.upstreams.get_mut(name).unwrap().0.state = State::Draining;
-        self.announce_at = self.now;
-    }
-
-    /// Entries that would give the upstream new work.
-    pub(super) fn users(&self, upstream: &str) -> Vec<NodeId> {
-        let uses = |running: &Running| {
-            let service = running.view.services.get(SERVICE);
-            service.is_some_and(|service| service.addresses.contains_key(upstream))
-        };
-        let entries = self.entries.iter().filter(|id| self.running.contains_key(*id));
-        entries.filter(|id| uses(&self.running[*id])).cloned().collect()
-    }
-
     /// Cuts a process off from all others, in one direction or both.
     pub(super) fn cut_off(&mut self, id: &NodeId, hears: bool, is_heard: bool) {
         let others: Vec<NodeId> = self.controls.iter().chain(&self.entries).cloned().collect();
--- /dev/null
+++ b/tests/suite/core_fleet/site/look.rs
@@ -0,0 +1,58 @@
+//! What the processes know.
+
+use hemlockfield::id::ConfigNumber;
+use hemlockfield::id::NodeId;
+use hemlockfield::node::Core;
+use hemlockfield::node::View;
+use hemlockfield::quorum;
+use hemlockfield::quorum::Role;
+
+use super::Running;
+use super::SERVICE;
+use super::Site;
+
+impl Site {
+    pub(in crate::core_fleet) fn core(&self, id: &NodeId) -> &Core {
+        &self.running[id].core
+    }
+
+    pub(in crate::core_fleet) fn view(&self, id: &NodeId) -> &View {
+        &self.running[id].view
+    }
+
+    pub(in crate::core_fleet) fn number(&self, id: &NodeId) -> Option<ConfigNumber> {
+        self.core(id).version().map(|version| version.number)
+    }
+
+    /// Whether all that run have this configuration in force.
+    pub(in crate::core_fleet) fn all_at(&self, number: ConfigNumber) -> bool {
+        let active = self.running.keys().filter(|id| !self.stopped.contains(*id));
+        active.into_iter().all(|id| self.number(id) == Some(number))
+    }
+
+    pub(in crate::core_fleet) fn quorum(&self, id: &NodeId) -> quorum::Status {
+        self.core(id).office().unwrap().status(self.now)
+    }
+
+    /// Controls that run and count as leaders.
+    pub(in crate::core_fleet) fn leaders(&self) -> Vec<NodeId> {
+        let running = self.controls.iter().filter(|id| self.running.contains_key(*id));
+        running.filter(|id| self.quorum(id).role == Role::Leader).cloned().collect()
+    }
+
+    /// The one control that leads.
+    pub(in crate::core_fleet) fn leader(&mut self) -> NodeId {
+        self.run_until("one leader", |site| site.leaders().len() == 1);
+        self.leaders().remove(0)
+    }
+
+    /// Entries that would give the upstream new work.
+    pub(in crate::core_fleet) fn users(&self, upstream: &str) -> Vec<NodeId> {
+        let uses = |running: &Running| {
+            let service = running.view.services.get(SERVICE);
+            service.is_some_and(|service| service.addresses.contains_key(upstream))
+        };
+        let entries = self.entries.iter().filter(|id| self.running.contains_key(*id));
+        entries.filter(|id| uses(&self.running[*id])).cloned().collect()
+    }
+}
