Bound what a hostile configuration takes of a control

Cause: 8 MB of `x,` under `rules` are four million values and as many mistakes, each kept and told. Found while measuring the fuzzed decoders. Change: two million YAML events (the largest foreseen needs about one million), and a thousand mistakes told one by one, then their number.

--- a/src/settings/tree.rs
+++ b/src/settings/tree.rs
@@ -16,8 +16,9 @@
 /// rules that each repeat a list of 20 values need 92,400, about a tenth of that.
 const ALIASED: usize = 100_000;
 /// Most YAML events of one document: 4,200 rules and 37,000 teams need
-/// about a million, and a hostile document still ends early.
-const EVENTS: usize = 8_000_000;
+/// about a million, and a hostile document still ends early: each takes some 200 bytes
+/// until the document is read.
+const EVENTS: usize = 2_000_000;
 /// Most bytes of all scalars of one document, for the same size.
 const BYTES: usize = 256 * 1024 * 1024;
 
--- a/tests/suite/fuzz/bomb.rs
+++ b/tests/suite/fuzz/bomb.rs
@@ -37,3 +37,22 @@
     let error = Settings::parse("settings.yaml", &aliases(levels, width)).expect_err("mistakes");
     assert_eq!(error.to_string().contains("not valid YAML"), !sound, "{error}");
 }
+
+#[test]
+fn parse_many_mistakes() {
+    // A file of nothing but mistakes is refused with as many as a person can read, and
+    // the number of the others; told one by one they took a gigabyte.
+    let text = format!("rules: [{}]", "x, ".repeat(5_000));
+    let error = Rules::parse(&text).expect_err("mistakes").to_string();
+    assert_eq!(error.lines().count(), 1_001);
+    assert!(error.ends_with("more mistakes are not told"), "{error}");
+}
+
+#[test]
+fn parse_many_values() {
+    // Twice the values of the largest configuration foreseen are refused while they are
+    // read, before they fill the memory of the control.
+    let text = format!("rules: [{}]", "x,".repeat(2_100_000));
+    let error = Rules::parse(&text).expect_err("mistakes").to_string();
+    assert!(error.contains("not valid YAML"), "{}", error.len());
+}
