--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -3,3 +3,4 @@
 mod fleet;
 mod kill;
 mod path;
+mod record;
--- a/tests/suite/process/fleet.rs
+++ b/tests/suite/process/fleet.rs
@@ -125,6 +125,11 @@
         self.child = Some(spawn(&arguments));
     }
 
+    /// Recorded inputs of its machines.
+    pub(super) fn recording(&self) -> PathBuf {
+        self.settings.with_extension("record")
+    }
+
     /// SIGKILL, as when its VM is lost.
     pub(super) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -182,6 +187,7 @@
              keys: {{authority: {path}/keys/{id}/authority.pem, \
              identity: {path}/keys/{id}/identity.pem}}\n\
              timeline: {{file: {path}/{id}.jsonl}}\n\
+             record: {{file: {path}/{id}.record}}\n\
              directory: {{lifetime: 1s}}\n\
              shutdown: {{limit: 30s}}\n\
              log: {{level: warn}}\n\
