Live through announcements with endless times and slots

Cause: an upstream that announces a lease of `Duration::MAX` makes every entry's registry add it to a moment, which panics, in release builds too, and ends the control thread; its warm-up did the same where views are made. Found by hostile figures in traces (tests/suite/replay/hostile.rs).

--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -97,7 +97,7 @@
         self.times.push(time);
         self.used |= running >= self.slots();
         let careful = if self.windows == 0 { CAREFUL } else { 1 };
-        if self.times.len() >= WINDOW.max(self.slots()) * careful {
+        if self.times.len() >= WINDOW.max(self.slots()).saturating_mul(careful) {
             self.close();
         }
     }
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -147,7 +147,7 @@
         return balance::State::Ready;
     }
     let since = found.born_at();
-    balance::State::Warm { since, until: since + warm_up }
+    balance::State::Warm { since, until: since.saturating_add(warm_up) }
 }
 
 fn state(service: &view::Service, at_floor: bool) -> ServiceState {
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -127,7 +127,8 @@
 /// This entry's share of the slots of all upstreams that health lets work.
 fn slots(view: &view::Service) -> usize {
     let sound = |member: &&balance::Member| view.weight(&member.upstream) > 0.0;
-    let all: u32 = view.members.iter().filter(sound).map(|member| member.slots).sum();
-    let share = f64::from(all) * OVERCOMMIT / view.entries.max(1) as f64;
+    let slots = view.members.iter().filter(sound).map(|member| u64::from(member.slots));
+    let all: u64 = slots.sum();
+    let share = all as f64 * OVERCOMMIT / view.entries.max(1) as f64;
     (share.ceil() as usize).clamp(SLOTS_MIN, SLOTS_MIN.max(all as usize))
 }
--- a/src/registry/machine.rs
+++ b/src/registry/machine.rs
@@ -231,7 +231,7 @@
                     forgotten.push(id.clone());
                 }
             } else if upstream.home.as_ref() == Some(&self.me)
-                && now >= upstream.renewed + upstream.announcement.lease
+                && now >= upstream.renewed.saturating_add(upstream.announcement.lease)
             {
                 expired.push(upstream.change(now));
             }
--- a/src/replay/machine.rs
+++ b/src/replay/machine.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -7,6 +9,10 @@
 use crate::id::NodeId;
 use crate::rule::Class;
 
+/// Longest wait of a class: far above what rules allow, far below what a sum of times
+/// could not hold.
+const WAIT: Duration = Duration::from_secs(86_400);
+
 /// A machine as it was made.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -43,7 +49,12 @@
             }
             Self::Gate { classes, .. } => match classes.iter().find(|class| class.weight == 0) {
                 Some(class) => Err(format!("class `{}` has the weight `0`", class.name)),
-                None => Ok(()),
+                None => match classes.iter().find(|class| class.wait > WAIT) {
+                    Some(class) => {
+                        Err(format!("class `{}` waits more than `{WAIT:?}`", class.name))
+                    }
+                    None => Ok(()),
+                },
             },
             _ => Ok(()),
         }
--- a/tests/suite/registry.rs
+++ b/tests/suite/registry.rs
@@ -296,3 +296,20 @@
     trial.input(&fleet::Trial::id(0), Input::Announce(announcement));
     assert_eq!(refusals(&trial), vec![Refusal::Wrong { field, upstream }]);
 }
+
+#[test]
+fn announce_endless_lease() {
+    // One upstream announces the longest lease and warm-up that can be written. Every
+    // entry reckons when they end, and the control thread of each must live through it:
+    // the other upstreams are used as before.
+    let mut trial = settled(1);
+    let endless = Announcement {
+        lease: Duration::MAX,
+        slots: u32::MAX,
+        warm_up: Duration::MAX,
+        ..Trial::announcement(30)
+    };
+    trial.announce(3, endless);
+    trial.run(SECOND * 10);
+    assert_eq!(trial.users(&Trial::announcement(4).upstream).len(), 44);
+}
--- a/tests/suite/replay.rs
+++ b/tests/suite/replay.rs
@@ -2,6 +2,7 @@
 //! recordings that replay into the same decisions.
 
 mod gate;
+mod hostile;
 mod judge;
 mod make;
 mod policy;
