--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -7,4 +7,5 @@
 mod leave;
 mod member;
 mod path;
+mod record;
 mod refusal;
