Choose ports that outgoing connections can't take

Ruled out: elections and links (the log says address in use each time). Change: ports below that range, each given to one test only; the demo likewise.

--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -12,6 +12,7 @@
 use std::time::UNIX_EPOCH;
 
 use async_std::task;
+use rand::Rng;
 
 use crate::keys::Authority;
 use crate::node::Node;
@@ -26,6 +27,9 @@
 const READY: Duration = Duration::from_secs(10);
 /// How long the demo's certificates hold.
 const VALID: Duration = Duration::from_secs(3600);
+/// Where the demo's processes listen, and how often a port is drawn before giving up.
+const PORTS: std::ops::Range<u16> = 10_000..30_000;
+const PORT_TRIES: usize = 100;
 const CONTROLS: usize = 3;
 const ENTRIES: usize = 3;
 
@@ -148,7 +152,7 @@
 impl Plan {
     fn new(role: &'static str, at: usize) -> Result<Self, Error> {
         let id = format!("{role}-{at}");
-        let (callers, operators, links) = (free_tcp()?, free_tcp()?, free_udp()?);
+        let (callers, operators, links) = (free_port()?, free_port()?, free_port()?);
         Ok(Self { callers, id, links, operators, role })
     }
 
@@ -205,14 +209,17 @@
     Ok(())
 }
 
-fn free_tcp() -> Result<SocketAddr, Error> {
-    let failed = |source| Error::Io { what: "find a free port", source };
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(failed)?;
-    listener.local_addr().map_err(failed)
-}
-
-fn free_udp() -> Result<SocketAddr, Error> {
-    let failed = |source| Error::Io { what: "find a free port", source };
-    let socket = UdpSocket::bind("127.0.0.1:0").map_err(failed)?;
-    socket.local_addr().map_err(failed)
+/// A port that nobody has, for TCP and UDP alike. It lies below those that the system gives
+/// to outgoing connections, which could take it before a process of the demo listens.
+fn free_port() -> Result<SocketAddr, Error> {
+    let mut last = std::io::ErrorKind::AddrInUse.into();
+    for _ in 0..PORT_TRIES {
+        let port = rand::rng().random_range(PORTS);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        match TcpListener::bind(address).and_then(|_| UdpSocket::bind(address)) {
+            Ok(_) => return Ok(address),
+            Err(error) => last = error,
+        }
+    }
+    Err(Error::Io { what: "find a free port", source: last })
 }
--- a/tests/suite/entry/single.rs
+++ b/tests/suite/entry/single.rs
@@ -81,11 +81,10 @@
     /// Starts the process and an upstream for each script.
     pub(super) async fn start(scripts: &[Script]) -> Self {
         let folder = TempDir::new().unwrap();
-        let links = std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         let text = format!(
             "node: {{id: only, region: regensburg, failure_domain: halle-nord}}\n\
              roles: [control, entry]\n\
-             listen: {{callers: '127.0.0.1:1', operators: '127.0.0.1:2', links: '{links}'}}\n\
+             listen: {{callers: '127.0.0.1:1', operators: '127.0.0.1:2', links: '127.0.0.1:3'}}\n\
              data: {}\n",
             folder.path().join("data").display()
         );
@@ -93,6 +92,7 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         settings.listen.callers = Some(any);
         settings.listen.operators = any;
+        settings.listen.links = any;
         let node = Node::start(settings, true).await.unwrap();
         while !node.submit(Version::new(1, "first".into(), RULES)).await {}
         let seen = Arc::new(Mutex::new(Seen::default()));
--- a/tests/suite/process/fleet.rs
+++ b/tests/suite/process/fleet.rs
@@ -12,6 +12,8 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -318,19 +320,30 @@
 
 fn process(folder: &TempDir, id: &str) -> Process {
     Process {
-        callers: free_tcp(),
+        callers: free_port(),
         child: None,
         id: id.to_owned(),
-        links: free_udp(),
-        operators: free_tcp(),
+        links: free_port(),
+        operators: free_port(),
         settings: folder.path().join(format!("{id}.yaml")),
     }
 }
 
-fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Ports below those that the system gives to outgoing connections. One of these, free a
+/// moment ago, may be somebody's connection by the time that a process wants to listen.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u16 = 20_000;
+
+/// A port that nobody has, for TCP and UDP alike, and that no other test gets.
+fn free_port() -> SocketAddr {
+    let offset = u16::try_from(std::process::id() % 100).unwrap() * 200;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (offset + next) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
