Show operators what is in force for callers

Cause: the status told what the control thread knew; traffic threads got it up to a view later, and a view that took long to make put off the next one by fifty times that. Ruled out: the registry and the configuration (both were told right). Change: a status publishes first; views rest for fifty times what the making of one took, 20 to 300 ms; ends of claims are never dropped; a second signal is not lost; the dispatch is split by duty.

--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -36,12 +36,14 @@
     crate::node::start_logs(&settings);
     crate::node::start_threads(&settings);
     task::block_on(async {
+        // Listened for from before the first one: a second signal must not be lost.
+        let mut signals = listen_for_signals();
         let node = Node::start(settings, found).await?;
         let leaving = node.leaving();
         let signals = task::spawn(async move {
-            wait_for_signal().await;
+            next_signal(&mut signals).await;
             leaving.drain();
-            wait_for_signal().await;
+            next_signal(&mut signals).await;
             leaving.end_now();
         });
         let cut = node.stopped().await;
@@ -50,13 +52,19 @@
     })
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub(super) async fn wait_for_signal() {
-    match Signals::new([Signal::Term, Signal::Int]) {
-        Ok(mut signals) => drop(signals.next().await),
-        Err(error) => {
-            tracing::error!(target: "hemlockfield::node", "can't listen for signals: {error}");
-            futures::future::pending::<()>().await;
-        }
+/// Listens for SIGTERM and SIGINT from now on.
+pub(super) fn listen_for_signals() -> Option<Signals> {
+    let listening = Signals::new([Signal::Term, Signal::Int]);
+    let log = |error: &std::io::Error| {
+        tracing::error!(target: "hemlockfield::node", "can't listen for signals: {error}");
+    };
+    listening.inspect_err(log).ok()
+}
+
+/// Waits for the next signal; for ever where none can be listened for.
+pub(super) async fn next_signal(signals: &mut Option<Signals>) {
+    match signals {
+        Some(signals) => drop(signals.next().await),
+        None => futures::future::pending::<()>().await,
     }
 }
--- a/src/cli/upstream.rs
+++ b/src/cli/upstream.rs
@@ -9,7 +9,8 @@
 use crate::upstream::Stand;
 
 use super::Error;
-use super::run::wait_for_signal;
+use super::run::listen_for_signals;
+use super::run::next_signal;
 
 /// Options of `upstream`.
 #[derive(Debug, gumdrop::Options)]
@@ -73,11 +74,12 @@
     setup.cold = options.cold;
     setup.lease = Duration::from_secs(options.lease.max(1));
     async_std::task::block_on(async {
+        let mut signals = listen_for_signals();
         let stand = Stand::start(setup).await?;
         println!("listening on {}", stand.address());
-        wait_for_signal().await;
+        next_signal(&mut signals).await;
         stand.drain();
-        wait_for_signal().await;
+        next_signal(&mut signals).await;
         stand.stop().await;
         Ok(ExitCode::SUCCESS)
     })
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -38,6 +38,12 @@
 const BATCH: usize = 512;
 /// Shortest time between two ticks: bounds what ticks cost.
 const TICK_MIN: Duration = Duration::from_millis(2);
+/// Times that a view's making must be followed by, as rest: at thousands of upstreams one
+/// takes milliseconds, and views may cost no more than a fiftieth of a core.
+const VIEW_SHARE: u32 = 50;
+/// Longest time between two views: a tenth of the 3 s after which an upstream that leaves
+/// must get no new work.
+const VIEW_MAX: Duration = Duration::from_millis(300);
 /// Shortest time between two views: a burst of changes makes one.
 const VIEW_MIN: Duration = Duration::from_millis(20);
 
@@ -93,8 +99,8 @@
             self.flush(batch);
             tick_at = tick_at.min(self.core.wake().max(now + TICK_MIN));
             if now >= view_at {
-                view_at = now + VIEW_MIN;
-                self.publish(now);
+                let cost = self.publish(now);
+                view_at = now + (cost * VIEW_SHARE).clamp(VIEW_MIN, VIEW_MAX);
             }
         }
     }
@@ -153,6 +159,8 @@
                 core::Input::Probed(service, upstream, draining, healthy)
             }
             Input::Status(sender) => {
+                // What operators read as in force is so for callers too.
+                self.publish(self.now());
                 sender.try_send(self.status()).ok();
                 return;
             }
@@ -237,12 +245,16 @@
         self.journal.record(wall(), kind, |stamped| Event { stamp: stamped.stamp, ..event });
     }
 
-    fn publish(&mut self, now: Moment) {
+    /// Gives the traffic threads a new view where something has changed; tells what the
+    /// making of it took.
+    fn publish(&mut self, now: Moment) -> Duration {
         if let Some(view) = self.core.view(now, &self.shared.view.load()) {
             self.shared.view.store(Arc::new(view));
         }
+        let cost = self.now().saturating_sub(now);
         self.shared.open_claims.store(self.core.open_claims(), Ordering::Release);
         self.carrier.keep(&self.core.neighbours());
+        cost
     }
 
     fn status(&self) -> Status {
--- a/src/node/traffic.rs
+++ b/src/node/traffic.rs
@@ -3,14 +3,17 @@
 mod attempt;
 mod claims;
 mod dispatch;
+mod hedge;
 mod job;
 mod listener;
 mod place;
 mod queue;
+mod relay;
 mod serve;
 mod service;
 mod shared;
 mod tried;
+mod tries;
 
 pub(super) use listener::listen;
 pub(super) use queue::tick;
--- a/src/node/traffic/claims.rs
+++ b/src/node/traffic/claims.rs
@@ -73,13 +73,13 @@
     /// The request ran, or may have run.
     pub(super) fn end(mut self, outcome: Outcome) {
         self.ended = true;
-        self.shared.tell(Input::ClaimEnd(self.ticket, Some(outcome)));
+        self.shared.tell_surely(Input::ClaimEnd(self.ticket, Some(outcome)));
     }
 
     /// The request is proved not to have run: its key is free again.
     pub(super) fn abandon(mut self) {
         self.ended = true;
-        self.shared.tell(Input::ClaimEnd(self.ticket, None));
+        self.shared.tell_surely(Input::ClaimEnd(self.ticket, None));
     }
 
     fn forget(mut self) {
@@ -91,7 +91,7 @@
     /// A job that is dropped midway, as when its task panics, leaves its key unknown.
     fn drop(&mut self) {
         if !self.ended {
-            self.shared.tell(Input::ClaimEnd(self.ticket, Some(Outcome::Unknown)));
+            self.shared.tell_surely(Input::ClaimEnd(self.ticket, Some(Outcome::Unknown)));
         }
     }
 }
--- /dev/null
+++ b/src/node/traffic/hedge.rs
@@ -0,0 +1,79 @@
+//! One attempt at a job, with a second copy where the first is late.
+
+use std::time::Duration;
+
+use async_std::task;
+use futures::FutureExt;
+use futures::pin_mut;
+use futures::select;
+
+use crate::health;
+use crate::id::UpstreamId;
+use crate::node::Input;
+use crate::node::view;
+
+use super::Shared;
+use super::job::Job;
+use super::place::Place;
+use super::service::Service;
+use super::tried::Tried;
+
+/// One attempt, with a second copy at another upstream where the first is late, the rule
+/// wants that, and it pays. Whichever answers first counts; the other is cancelled.
+pub(super) async fn attempt<'a>(
+    shared: &'a Shared,
+    service: &'a Service,
+    upstreams: &view::Service,
+    job: &mut Job,
+    place: Place<'a>,
+) -> Tried<'a> {
+    let now = shared.now();
+    let started = now;
+    let hedge = job.terms.hedge && job.is_idempotent() && !job.payload.is_stream();
+    let after = if hedge { service.policy().hedge_after() } else { None };
+    let request = job.request(now);
+    let overtaken = place.upstream.clone();
+    let first = Tried::make(shared, request, place, job.is_idempotent(), job.left(now));
+    let Some(after) = after else { return first.await };
+    let first = first.fuse();
+    pin_mut!(first);
+    let late = task::sleep(after).fuse();
+    pin_mut!(late);
+    select! {
+        tried = first => return tried,
+        () = late => (),
+    }
+    let now = shared.now();
+    let left = job.left(now);
+    if !service.policy().hedge(left) {
+        return first.await;
+    }
+    let Some(place) = Place::take(shared, service, upstreams, &[], false) else {
+        service.policy().hedged(false);
+        return first.await;
+    };
+    let second = Tried::make(shared, job.request(now), place, true, left).fuse();
+    pin_mut!(second);
+    let (tried, won) = select! {
+        tried = first => (tried, false),
+        tried = second => (tried, true),
+    };
+    service.policy().hedged(won && tried.is_answered());
+    if won && tried.is_answered() {
+        tell_overtaken(shared, job, overtaken, shared.now().saturating_sub(started));
+    }
+    if tried.is_answered() {
+        return tried;
+    }
+    if won { first.await } else { second.await }
+}
+
+/// Tells the judge that an upstream had not answered after `waited`, when another one had.
+/// Cancelled without a word, a silent upstream would never be found by what is hedged. Its
+/// latency is at least that long, and it is not called a failure, since one request in
+/// twenty is late at any upstream.
+fn tell_overtaken(shared: &Shared, job: &Job, upstream: UpstreamId, waited: Duration) {
+    let service = job.service.clone();
+    let kind = health::Kind::Success;
+    shared.tell(Input::Outcome { kind, latency: waited, service, upstream });
+}
--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -74,6 +74,7 @@
             return Some(key.clone());
         }
         let reads = matches!(self.head.method(), Method::Get | Method::Head);
-        reads.then(|| self.head.url().path().into())
+        let url = self.head.url();
+        reads.then(|| url[http_types::url::Position::BeforePath..].into())
     }
 }
--- /dev/null
+++ b/src/node/traffic/relay.rs
@@ -0,0 +1,67 @@
+//! Passes an upstream's answer on to the caller.
+
+use http_types::Body;
+use http_types::Response;
+
+use crate::claim;
+use crate::exchange::Answer;
+use crate::exchange::Outlet;
+use crate::health;
+use crate::node::Input;
+use crate::node::probe::is_draining;
+
+use super::Shared;
+use super::claims;
+use super::claims::Held;
+use super::job::Job;
+use super::tried::Tried;
+
+/// Passes an answer on. Only when all of it has gone through does the upstream count as
+/// having served, and its connection as fit for another request.
+pub(super) async fn pass_on(
+    shared: &Shared,
+    job: &Job,
+    tried: Tried<'_>,
+    mut answer: Answer,
+    held: Option<Held<'_>>,
+    outlet: &mut Outlet,
+) {
+    let mut response = std::mem::replace(&mut answer.response, Response::new(200));
+    if let Some(held) = held {
+        held.end(record(&mut response).await);
+    }
+    if job.payload.is_stream() && answer.is_early() {
+        outlet.close_after();
+    }
+    if is_draining(&response) {
+        let (service, upstream) = (job.service.clone(), tried.upstream());
+        shared.tell(Input::Probed { draining: Some(true), healthy: true, service, upstream });
+    }
+    let failed = u16::from(response.status()) >= 500;
+    outlet.send(response).await.ok();
+    let kind = match failed {
+        _ if answer.is_broken() => health::Kind::Cut,
+        true => health::Kind::ServerError,
+        false => health::Kind::Success,
+    };
+    let address = tried.address();
+    tried.finish(kind, job.terms.long);
+    if let Some(leg) = answer.release() {
+        shared.pool.put(address, leg);
+    }
+}
+
+/// What the ledger is told of an answer; a small one whole, for a caller that loses it.
+async fn record(response: &mut Response) -> claim::Outcome {
+    if response.len().is_none_or(|length| length > claims::KEPT_MAX) {
+        return claims::keep(response, None);
+    }
+    let kind = response.header("content-type").cloned();
+    let bytes = response.take_body().into_bytes().await.unwrap_or_default();
+    response.set_body(Body::from_bytes(bytes.clone()));
+    match kind {
+        Some(kind) => drop(response.insert_header("content-type", &kind)),
+        None => drop(response.remove_header("content-type")),
+    }
+    claims::keep(response, Some(&bytes))
+}
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -13,6 +13,7 @@
 use arc_swap::ArcSwap;
 use async_std::channel::Receiver;
 use async_std::channel::Sender;
+use async_std::channel::TrySendError;
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::task;
@@ -105,6 +106,16 @@
         }
     }
 
+    /// Tells the control thread what it must not miss: where it can't take it now, a task
+    /// waits with it. Without the end of a claim the key would stay in progress until its
+    /// limit, and a leaving process would wait for it. As many wait at most as there are
+    /// keyed requests in flight.
+    pub(super) fn tell_surely(&self, input: Input) {
+        let Err(TrySendError::Full(input)) = self.control.try_send(input) else { return };
+        let control = self.control.clone();
+        task::spawn(async move { control.send(input).await.ok() });
+    }
+
     /// Inputs that control could not take.
     pub(in crate::node) fn lost(&self) -> u64 {
         self.lost_outcomes.load(Ordering::Relaxed)
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -9,3 +9,4 @@
 mod path;
 mod record;
 mod refusal;
+mod upload;
--- a/tests/suite/process/path.rs
+++ b/tests/suite/process/path.rs
@@ -11,6 +11,11 @@
   - {name: signing, weight: 4, wait: 2s}
   - {name: lookup, weight: 3, wait: 1s}
 rules:
+  - name: upload
+    when: {path: /gauging/*, method: POST}
+    then:
+      route: {service: hull-register}
+      terms: {class: signing, deadline: 60s, idempotent: false, long: true, body: 1GiB}
   - name: sign-off
     when: {path: /findings/*, method: POST}
     then:
