Share turns by key among keyed requests only

Cause: the gate gives requests about one key half of the turns; the entry told it a lookup's address as its key, so that callers of one page were refused while slots idled. Ruled out: too few turns (four, at 36% of what the upstream can do). Change: the key is the idempotency key; a lookup has none.

--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -1,7 +1,6 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use http_types::Method;
 use http_types::Request;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -68,13 +67,10 @@
         hash.digest128()
     }
 
-    /// What many requests may be about at the same time: the key, or a lookup's path.
+    /// What many requests may be about at the same time: the key of one that must not run
+    /// twice. Not the address of a lookup: a page that everybody wants is no fault, and a
+    /// share of the turns for each address refused it while slots idled.
     pub(super) fn subject(&self) -> Option<CompactString> {
-        if let Some(key) = &self.key {
-            return Some(key.clone());
-        }
-        let reads = matches!(self.head.method(), Method::Get | Method::Head);
-        let url = self.head.url();
-        reads.then(|| url[http_types::url::Position::BeforePath..].into())
+        self.key.clone()
     }
 }
--- a/tests/suite/entry/answers.rs
+++ b/tests/suite/entry/answers.rs
@@ -113,6 +113,21 @@
     });
 }
 
+// Three callers want the same page at the same time, and the upstream has four slots. All
+// are at work at once: a share of the turns for each address made the third one wait, and
+// refused callers while slots idled.
+#[test]
+fn get_same_page() {
+    block_on(async {
+        let single = Single::start(&[Script::Together(3)]).await;
+        let path = "/hulls/1";
+        let heard = futures::join!(single.get(path), single.get(path), single.get(path));
+        for heard in [heard.0, heard.1, heard.2] {
+            assert!(heard.starts_with("HTTP/1.1 200 "), "{heard}");
+        }
+    });
+}
+
 // A silent upstream holds a lookup until its time is up: the caller is told at its
 // deadline, with the outcome, and the entry is free for others at once.
 #[test]
--- a/tests/suite/entry/single.rs
+++ b/tests/suite/entry/single.rs
@@ -56,6 +56,8 @@
     HangUp,
     /// Reads a request's head and says nothing more; notes when the caller is gone.
     Hold,
+    /// Answers once so many requests are there at the same time.
+    Together(usize),
     /// Reads a request's head, then writes this and closes.
     Write(&'static str),
 }
@@ -197,6 +199,12 @@
             while matches!(stream.read(&mut byte).await, Ok(1)) {}
             seen.lock().unwrap().closed += 1;
         }
+        Script::Together(count) => {
+            while seen.lock().unwrap().heads.len() < count {
+                task::sleep(Duration::from_millis(2)).await;
+            }
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.ok();
+        }
         Script::Write(text) => drop(stream.write_all(text.as_bytes()).await),
     }
 }
