--- /dev/null
+++ b/src/boundary.rs
@@ -0,0 +1,58 @@
+//! How the world outside speaks to a process: which headers, paths and documents mean what.
+//!
+//! The product decides on typed calls, announcements and orders. What they look like on the
+//! wire is the business of one [`Boundary`]: [`Own`] is the product's own interface.
+
+mod answered;
+mod call;
+mod order;
+mod own;
+mod sending;
+
+pub use answered::Answered;
+pub use call::Call;
+pub use order::Done;
+pub use order::Order;
+pub use own::Own;
+pub use sending::Sending;
+
+use std::fmt::Debug;
+use std::net::IpAddr;
+
+use crate::exchange::Refusal;
+use crate::exchange::Request;
+use crate::exchange::Response;
+use crate::rule;
+use crate::rule::Rules;
+
+/// One way to speak to callers, upstreams and operators.
+pub trait Boundary: Debug + Send + Sync {
+    /// What a caller's request says about itself, beside host, method and path.
+    fn call(&self, request: &Request, peer: IpAddr) -> Call;
+
+    /// Puts on a request what an upstream needs to know.
+    fn address(&self, request: &mut Request, sending: &Sending<'_>);
+
+    /// What an upstream's answer is worth, by its head.
+    fn judge(&self, service: Option<&rule::Service>, response: &Response) -> Answered;
+
+    /// An answer of our own.
+    fn refuse(&self, refusal: &Refusal) -> Response;
+
+    /// Compiles a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with it.
+    fn rules(&self, document: &str) -> Result<Rules, String>;
+
+    /// What a request to a control or to an entry's side doors asks for.
+    ///
+    /// # Errors
+    ///
+    /// The refusal to answer with.
+    fn order(&self, request: &Request, body: &[u8]) -> Result<Order, Refusal>;
+
+    /// The answer to an order.
+    fn done(&self, done: Done) -> Response;
+}
--- /dev/null
+++ b/src/boundary/order.rs
@@ -0,0 +1,45 @@
+//! What a process is asked for beside traffic, and what came of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::catalog;
+use crate::config::Version;
+use crate::id::DomainId;
+use crate::id::UpstreamId;
+
+/// What somebody outside asks of a process, beside traffic.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// An upstream says how it is.
+    Announce(Box<catalog::Change>),
+    /// A caller in a failure domain asks which entries to use.
+    List(DomainId),
+    /// An upstream says that it is gone.
+    Leave(UpstreamId),
+    /// An operator asks for the newest configuration.
+    Read,
+    /// Somebody asks whether this process takes traffic.
+    Ready,
+    /// An operator submits a configuration.
+    Submit(Version),
+}
+
+/// What came of an order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Done {
+    /// The announcement counts; later ones may go to the address, if there is one.
+    Announced(Option<SocketAddr>),
+    /// It could not be confirmed in time; ask again, perhaps elsewhere.
+    Busy(CompactString),
+    /// The newest configuration; `None` where there is none yet.
+    Configuration(Option<Version>),
+    /// Entries to use, and for how long.
+    Entries(Vec<SocketAddr>, Duration),
+    /// Whether this process takes traffic.
+    Readiness(bool),
+    /// The configuration was accepted, or overtaken by a higher one.
+    Submitted,
+}
--- /dev/null
+++ b/src/boundary/own.rs
@@ -0,0 +1,72 @@
+//! The product's own interface.
+
+use std::net::IpAddr;
+
+use compact_str::ToCompactString;
+use http::HeaderName;
+
+use super::Answered;
+use super::Boundary;
+use super::Call;
+use super::Done;
+use super::Order;
+use super::Sending;
+use crate::exchange;
+use crate::exchange::Outcome;
+use crate::exchange::Refusal;
+use crate::exchange::Request;
+use crate::exchange::Response;
+use crate::rule;
+use crate::rule::Rules;
+
+const REQUEST_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+const BUDGET_HEADER: HeaderName = HeaderName::from_static(exchange::BUDGET_HEADER);
+
+/// The product's own interface: `x-` headers, rules in YAML, operators under `/v1`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Own;
+
+impl Boundary for Own {
+    fn call(&self, request: &Request, peer: IpAddr) -> Call {
+        let named = request.header(exchange::CALLER_HEADER);
+        Call {
+            budget: exchange::budget_of(request),
+            caller: named.map_or_else(|| peer.to_compact_string(), Into::into),
+            id: None,
+        }
+    }
+
+    fn address(&self, request: &mut Request, sending: &Sending<'_>) {
+        request.set_header(REQUEST_HEADER, sending.id);
+        request.set_header(BUDGET_HEADER, sending.left.as_millis().to_string());
+    }
+
+    fn judge(&self, service: Option<&rule::Service>, response: &Response) -> Answered {
+        let not_run = service.map(|service| &service.not_run).is_some_and(|refusal| {
+            refusal.proves(response.status, response.header(refusal.header.as_str()))
+        });
+        match response.status {
+            _ if not_run => Answered::NotRun,
+            500.. => Answered::Failed,
+            _ => Answered::Served,
+        }
+    }
+
+    fn refuse(&self, refusal: &Refusal) -> Response {
+        let Refusal { outcome, reason, retry_after, status } = refusal;
+        exchange::refuse(*status, *outcome, reason, *retry_after)
+    }
+
+    fn rules(&self, document: &str) -> Result<Rules, String> {
+        Rules::parse(document).map_err(|error| error.to_string())
+    }
+
+    fn order(&self, request: &Request, _: &[u8]) -> Result<Order, Refusal> {
+        let text = format!("`{}` is not served here", request.path());
+        Err(Refusal::new(404, Outcome::NotRun, text))
+    }
+
+    fn done(&self, _: Done) -> Response {
+        Response::new(204)
+    }
+}
--- /dev/null
+++ b/src/boundary/sending.rs
@@ -0,0 +1,14 @@
+//! What an upstream is told with a request.
+
+use std::time::Duration;
+
+/// One sending of a request to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending<'a> {
+    /// The request's name.
+    pub id: &'a str,
+    /// Time that the upstream has.
+    pub left: Duration,
+    /// The upstream that is meant.
+    pub upstream: &'a str,
+}
--- /dev/null
+++ b/src/catalog/table.rs
@@ -0,0 +1,108 @@
+//! The table and its rules of precedence.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Action;
+use super::Change;
+use super::Delta;
+use crate::id::Index;
+use crate::id::UpstreamId;
+use crate::registry::Announcement;
+use crate::registry::State;
+
+/// Upstreams that are gone and still remembered, so that a late announcement does not bring
+/// them back: days of restarts at the size planned for.
+const GONE_MAX: usize = 10_000;
+
+/// All upstreams that have announced themselves, as of one index of the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Catalog {
+    floor: Index,
+    gone: BTreeMap<UpstreamId, Index>,
+    upstreams: BTreeMap<UpstreamId, Entry>,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Entry {
+    change: Change,
+    changed: Index,
+}
+
+impl Catalog {
+    /// Takes an entry of the log; whether it changed anything.
+    pub fn apply(&mut self, index: Index, action: &Action) -> bool {
+        if !self.is_news(action) {
+            return false;
+        }
+        match action {
+            Action::Announce(change) => {
+                let id = change.announcement.upstream.clone();
+                let entry = Entry { change: change.clone(), changed: index };
+                self.upstreams.insert(id, entry);
+            }
+            Action::Leave(id) => {
+                self.upstreams.remove(id);
+                self.gone.insert(id.clone(), index);
+                self.forget();
+            }
+        }
+        true
+    }
+
+    /// Whether an action says anything that the table doesn't. Late announcements don't: one
+    /// of an upstream that is gone or draining would send it work that it can't finish.
+    pub fn is_news(&self, action: &Action) -> bool {
+        match action {
+            Action::Announce(change) => self.is_newer(change),
+            Action::Leave(id) => !self.gone.contains_key(id),
+        }
+    }
+
+    /// What changed after `base`.
+    pub fn since(&self, base: Index) -> Delta {
+        let whole = base < self.floor;
+        let changed = self.upstreams.values().filter(|entry| whole || entry.changed > base);
+        let gone = self.gone.iter().filter(|(_, index)| !whole && **index > base);
+        Delta {
+            gone: gone.map(|(id, _)| id.clone()).collect(),
+            upstreams: changed.map(|entry| entry.change.announcement.clone()).collect(),
+            whole,
+        }
+    }
+
+    /// An upstream that is not gone.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Announcement> {
+        self.upstreams.get(id).map(|entry| &entry.change.announcement)
+    }
+
+    /// Upstreams that are not gone.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Announcement> {
+        self.upstreams.values().map(|entry| &entry.change.announcement)
+    }
+
+    fn is_newer(&self, change: &Change) -> bool {
+        let said = &change.announcement;
+        if self.gone.contains_key(&said.upstream) {
+            return false;
+        }
+        let Some(known) = self.upstreams.get(&said.upstream) else { return true };
+        let old = &known.change.announcement;
+        if change.sequence <= known.change.sequence || old.state == State::Draining {
+            return false;
+        }
+        let same = Announcement { lease: old.lease, warm_up: old.warm_up, ..said.clone() } == *old;
+        !same
+    }
+
+    fn forget(&mut self) {
+        while self.gone.len() > GONE_MAX {
+            let oldest = self.gone.iter().min_by_key(|(_, index)| **index);
+            let Some((id, index)) = oldest.map(|(id, index)| (id.clone(), *index)) else { return };
+            self.gone.remove(&id);
+            self.floor = self.floor.max(index);
+        }
+    }
+}
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use http_types::Body;
-use http_types::Method;
-use http_types::Request;
-use http_types::Url;
+use http::Method;
+use http::header;
 
 use crate::exchange::Leg;
 use crate::exchange::Limits;
+use crate::exchange::Request;
 
 use super::Error;
 
@@ -31,19 +30,18 @@
     body: String,
 ) -> Result<Answer, Error> {
     let failed = |reason: String| Error::Ask { address, reason };
-    let url = format!("http://{address}{path}");
-    let url = Url::parse(&url).map_err(|error| failed(error.to_string()))?;
-    let mut request = Request::new(method, url);
+    let mut request = Request::new(method, path);
+    request.set_header(header::HOST, address.to_string());
     if !body.is_empty() {
-        request.set_body(Body::from_string(body));
+        request.body = body.into();
     }
     let asked = async {
         let limits = Limits { connect: PATIENCE, first_byte: PATIENCE, idle: PATIENCE };
         let leg = Leg::dial(address, PATIENCE).await.map_err(|failure| failure.to_string())?;
         let answer = leg.ask(request, limits).await.map_err(|failure| failure.to_string())?;
         let mut response = answer.response;
-        let body = response.body_string().await.map_err(|error| error.to_string())?;
-        Ok(Answer { body, status: response.status().into() })
+        let body = response.body_text().await.map_err(|error| error.to_string())?;
+        Ok(Answer { body, status: response.status })
     };
     let answered = async_std::task::block_on(timeout(PATIENCE, asked));
     answered.unwrap_or_else(|_| Err("no answer in time".to_owned())).map_err(failed)
--- a/src/cli/drain.rs
+++ b/src/cli/drain.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use http_types::Method;
+use http::Method;
 
 use super::Error;
 use super::FINDING;
@@ -22,7 +22,7 @@
 /// Asks the entry to leave; it ends by itself when nothing is in flight any more.
 pub(super) fn run(options: &Options) -> Result<ExitCode, Error> {
     let node = options.node.ok_or(Error::Missing("--node"))?;
-    let answer = client::ask(node, Method::Post, "/v1/drain", String::new())?;
+    let answer = client::ask(node, Method::POST, "/v1/drain", String::new())?;
     println!("{}", answer.body.trim_end());
     Ok(ExitCode::from(if answer.status == 200 { 0 } else { FINDING }))
 }
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use http_types::Method;
+use http::Method;
 use indicatif::ProgressBar;
 use indicatif::ProgressStyle;
 
@@ -94,7 +94,7 @@
 }
 
 fn add_runs(address: SocketAddr, runs: &mut BTreeMap<CompactString, u32>) -> Result<(), Error> {
-    let answer = client::ask(address, Method::Get, "/_runs", String::new())?;
+    let answer = client::ask(address, Method::GET, "/_runs", String::new())?;
     let failed = |error: serde_json::Error| Error::Ask { address, reason: error.to_string() };
     let counts: serde_json::Value = serde_json::from_str(&answer.body).map_err(failed)?;
     let found: BTreeMap<CompactString, u32> =
--- a/src/cli/member.rs
+++ b/src/cli/member.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use http_types::Method;
+use http::Method;
 use serde::Deserialize;
 
 use crate::id::NodeId;
@@ -113,7 +113,7 @@
     match next(&status, newcomer.as_ref(), options.remove.as_ref()) {
         Step::Change(query) => {
             let path = format!("/v1/members?{query}");
-            let answer = client::ask(leader, Method::Post, &path, String::new())?;
+            let answer = client::ask(leader, Method::POST, &path, String::new())?;
             Ok(Some(format!("{query}: {}", answer.body.trim_end())))
         }
         Step::Repaired => Ok(None),
@@ -173,7 +173,7 @@
 }
 
 fn read(address: SocketAddr) -> Result<Told, Error> {
-    let answer = client::ask(address, Method::Get, "/v1/status", String::new())?;
+    let answer = client::ask(address, Method::GET, "/v1/status", String::new())?;
     let failed = |error: serde_json::Error| Error::Ask { address, reason: error.to_string() };
     serde_json::from_str(&answer.body).map_err(failed)
 }
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -5,10 +5,11 @@
 
 use async_signal::Signal;
 use async_signal::Signals;
-use async_std::task;
 use futures::StreamExt;
+use futures::executor::block_on;
 
 use crate::node::Node;
+use crate::runtime;
 use crate::settings::Settings;
 
 use super::Error;
@@ -35,19 +36,18 @@
     let settings = Settings::load(&path)?;
     crate::node::start_logs(&settings);
     crate::node::start_threads(&settings);
-    task::block_on(async {
+    block_on(async {
         // Listened for from before the first one: a second signal must not be lost.
         let mut signals = listen_for_signals();
         let node = Node::start(settings, found).await?;
         let leaving = node.leaving();
-        let signals = task::spawn(async move {
+        runtime::spawn(async move {
             next_signal(&mut signals).await;
             leaving.drain();
             next_signal(&mut signals).await;
             leaving.end_now();
         });
         let cut = node.stopped().await;
-        drop(signals);
         Ok(ExitCode::from(if cut == 0 { 0 } else { FINDING }))
     })
 }
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use http_types::Method;
+use http::Method;
 
 use super::Error;
 use super::FINDING;
@@ -22,7 +22,7 @@
 /// Prints the status as JSON.
 pub(super) fn run(options: &Options) -> Result<ExitCode, Error> {
     let node = options.node.ok_or(Error::Missing("--node"))?;
-    let answer = client::ask(node, Method::Get, "/v1/status", String::new())?;
+    let answer = client::ask(node, Method::GET, "/v1/status", String::new())?;
     println!("{}", answer.body);
     Ok(ExitCode::from(if answer.status == 200 { 0 } else { FINDING }))
 }
--- a/src/cli/submit.rs
+++ b/src/cli/submit.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use http_types::Method;
+use http::Method;
 
 use crate::rule::Rules;
 
@@ -45,7 +45,7 @@
         return Ok(ExitCode::from(FINDING));
     }
     let path = format!("/v1/configuration/{number}?submission={id}");
-    let answer = client::ask(node, Method::Put, &path, text)?;
+    let answer = client::ask(node, Method::PUT, &path, text)?;
     println!("{}", answer.body.trim_end());
     Ok(ExitCode::from(if answer.status == 200 { 0 } else { FINDING }))
 }
--- a/src/demo/baseline.rs
+++ b/src/demo/baseline.rs
@@ -8,7 +8,6 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use async_std::task::JoinHandle;
-use http_types::Request;
 
 use crate::exchange::Inlet;
 use crate::exchange::Leg;
@@ -16,6 +15,8 @@
 use crate::exchange::Outcome;
 use crate::exchange::Outlet;
 use crate::exchange::Payload;
+use crate::exchange::Request;
+use crate::exchange::Response;
 use crate::exchange::clean_request;
 use crate::exchange::refuse;
 
@@ -70,7 +71,7 @@
 }
 
 async fn pass_on(mut request: Request, outlet: &mut Outlet, upstream: SocketAddr) {
-    let Ok(mut payload) = Payload::take(&mut request, BODY_MAX, PATIENCE).await else {
+    let Ok(mut payload) = Payload::take(&mut request, BODY_MAX, BODY_MAX, PATIENCE).await else {
         outlet.close_after();
         return;
     };
@@ -81,9 +82,8 @@
     let response = match answered.await {
         Ok(answer) => {
             let mut answer = answer;
-            let body = answer.response.take_body();
-            let mut response = http_types::Response::new(answer.response.status());
-            response.set_body(body);
+            let mut response = Response::new(answer.response.status);
+            response.body = std::mem::take(&mut answer.response.body);
             response
         }
         Err(failure) => refuse(502, Outcome::Unknown, &failure.to_string(), None),
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -12,8 +12,10 @@
 mod entry;
 mod grants;
 mod machine;
+mod nearby;
 
 pub use answer::Answer;
 pub use client::Client;
 pub use entry::Entry;
 pub use machine::Directory;
+pub use nearby::nearby;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,11 +1,13 @@
 //! One request from caller to upstream and back, whole or visibly failed.
 //!
-//! The HTTP library returns `Ok` for bodies that were cut, reads a body that is
-//! delimited by close as empty, and buffers past the end of a message. Both legs
-//! therefore run through a [`Tap`], which stops reading at each message's end, and
-//! an [`Exact`] reader, which turns a short body into an error.
+//! Heads are read by a library; where a message ends, and what belongs to it, is decided
+//! here: a [`Tap`] keeps the bytes behind a message for the next one, and an [`Exact`]
+//! reader ends at the exact byte or with an error. A connection carries one exchange at a
+//! time and is used again only if the last one ended cleanly at both ends.
 
 mod answer;
+mod body;
+mod body_error;
 mod error;
 mod exact;
 mod failure;
@@ -16,11 +18,16 @@
 mod payload;
 mod pool;
 mod refusal;
+mod request;
+mod response;
 mod tap;
 
 pub use answer::Answer;
+pub use body::Body;
+pub use body_error::BodyError;
 pub use error::Error;
 pub use exact::Exact;
+pub use exact::Framing;
 pub use failure::Failure;
 pub use head::BUDGET_HEADER;
 pub use head::CALLER_HEADER;
@@ -28,6 +35,7 @@
 pub use head::check_request;
 pub use head::clean_request;
 pub use head::clean_response;
+pub use inlet::HEAD_MAX;
 pub use inlet::Inlet;
 pub use leg::Leg;
 pub use leg::Limits;
@@ -37,5 +45,8 @@
 pub use refusal::OUTCOME_HEADER;
 pub use refusal::Outcome;
 pub use refusal::RETRY_AFTER_MS_HEADER;
+pub use refusal::Refusal;
 pub use refusal::refuse;
+pub use request::Request;
+pub use response::Response;
 pub use tap::Tap;
--- a/src/exchange/error.rs
+++ b/src/exchange/error.rs
@@ -17,6 +17,9 @@
     /// Byte that no message head may hold.
     #[error("byte `{0:#04x}` in the head is not allowed: heads are ASCII text")]
     HeadByte(u8),
+    /// More headers than are read.
+    #[error("head has more than `{0}` headers")]
+    HeaderCount(usize),
     /// Head larger than the bound, in bytes.
     #[error("head is longer than `{0}` bytes")]
     HeadSize(usize),
@@ -44,7 +47,7 @@
             Self::BodySize { .. } => 413,
             Self::Connections => 503,
             Self::HeadByte(_) | Self::Length(_) | Self::Malformed(_) | Self::Path(_) => 400,
-            Self::HeadSize(_) => 431,
+            Self::HeadSize(_) | Self::HeaderCount(_) => 431,
             Self::Method(_) | Self::TransferCoding(_) => 501,
         }
     }
--- a/src/exchange/failure.rs
+++ b/src/exchange/failure.rs
@@ -29,9 +29,6 @@
     /// No byte of an answer within its time limit.
     #[error("no answer within `{} ms`", .0.as_millis())]
     Silent(Duration),
-    /// Answer that ends with its connection, so that a cut can't be told from its end.
-    #[error("answer states no length")]
-    Unbounded,
     /// The caller's upload ended short or broke its limit: the caller's own fault.
     #[error("upload failed: `{0}`")]
     Upload(String),
--- a/src/exchange/head.rs
+++ b/src/exchange/head.rs
@@ -1,110 +1,216 @@
-//! Checks and cleaning of message heads.
+//! Heads of messages: reading, writing, and which are refused.
 
 use std::time::Duration;
 
-use http_types::Headers;
-use http_types::Method;
-use http_types::Request;
-use http_types::Response;
-use http_types::headers::CONNECTION;
-use http_types::headers::CONTENT_LENGTH;
-use http_types::headers::EXPECT;
-use http_types::headers::HeaderName;
-use http_types::headers::TRANSFER_ENCODING;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::header;
 
 use super::Error;
+use super::Failure;
+use super::Framing;
+use super::Request;
+use super::Response;
 
-/// Time that a request has left, in milliseconds; from callers, and to upstreams.
+/// Header with the milliseconds that a caller is prepared to wait, and that an upstream
+/// has for its answer.
 pub const BUDGET_HEADER: &str = "x-request-timeout-ms";
-/// Name by which a caller wants to be counted; the peer's address where it is absent.
+/// Header with the caller's name.
 pub const CALLER_HEADER: &str = "x-caller";
 
-/// Headers that belong to one connection and are not passed on (RFC 9110, 7.6.1).
-const HOP_BY_HOP: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
+/// Most headers of a message: browsers and gateways send some dozens.
+pub(super) const HEADERS_MAX: usize = 128;
+pub(super) const CHUNKED: &[u8] = b"transfer-encoding: chunked\r\n";
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
 ];
+const KEEP_ALIVE: &str = "keep-alive";
+const PROXY_CONNECTION: &str = "proxy-connection";
 
-/// Checks what the HTTP library lets through: doubled or odd lengths and codings, by
-/// which one request smuggles another past us to an upstream that reads them otherwise.
+/// Refuses heads that two readers could take for different requests.
+///
+/// # Errors
+///
+/// Says what is wrong with it.
 pub fn check_request(request: &Request) -> Result<(), Error> {
-    if let Some(lengths) = request.header(CONTENT_LENGTH) {
-        let text = lengths.last().as_str();
-        let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
-        if lengths.iter().count() != 1 || !digits {
-            return Err(Error::Length("content-length"));
-        }
+    let headers = &request.headers;
+    let lengths: Vec<_> = headers.get_all(header::CONTENT_LENGTH).iter().collect();
+    let digits = |value: &&HeaderValue| {
+        !value.is_empty() && value.as_bytes().iter().all(u8::is_ascii_digit)
+    };
+    if lengths.len() > 1 || !lengths.iter().all(digits) {
+        return Err(Error::Length("content-length"));
     }
-    if let Some(codings) = request.header(TRANSFER_ENCODING) {
-        let text = codings.last().as_str();
-        if codings.iter().count() != 1 || !text.eq_ignore_ascii_case("chunked") {
-            return Err(Error::TransferCoding(text.to_owned()));
+    let codings: Vec<_> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    if let Some(coding) = codings.first() {
+        if codings.len() > 1 || !coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+            return Err(Error::TransferCoding(String::from_utf8_lossy(coding.as_bytes()).into()));
+        }
+        if !lengths.is_empty() {
+            return Err(Error::Length("transfer-encoding"));
         }
     }
-    if request.header("host").is_some_and(|hosts| hosts.iter().count() != 1) {
+    if headers.get_all(header::HOST).iter().count() != 1 {
         return Err(Error::Malformed("host".to_owned()));
     }
-    let path = request.url().path().to_ascii_lowercase();
+    check_target(request)
+}
+
+fn check_target(request: &Request) -> Result<(), Error> {
+    let path = request.path().to_ascii_lowercase();
     if path.contains("%2f") || path.contains("%5c") || path.contains('\\') {
         return Err(Error::Path(path));
     }
-    if matches!(request.method(), Method::Connect | Method::Trace) {
-        return Err(Error::Method(request.method().to_string()));
+    if matches!(request.method, Method::CONNECT | Method::TRACE) {
+        return Err(Error::Method(request.method.to_string()));
+    }
+    if !path.starts_with('/') && path != "*" {
+        return Err(Error::Malformed(path));
     }
     Ok(())
 }
 
-/// Takes off what belongs to the caller's connection alone.
+/// Removes from a request what concerns the caller's connection.
 pub fn clean_request(request: &mut Request) {
-    let headers: &mut Headers = request.as_mut();
-    clean(headers);
-    headers.remove(EXPECT);
-    headers.remove(CONTENT_LENGTH);
+    clean(&mut request.headers);
+    request.headers.remove(header::EXPECT);
+    request.headers.remove(header::CONTENT_LENGTH);
 }
 
-/// Takes off what belongs to the upstream's connection alone, and values with line ends.
-///
-/// The HTTP library puts a `date` value that ends in CRLF on answers without one; passed
-/// on, it would end the head early and turn the other headers into body.
+/// Removes from an answer what concerns the upstream's connection.
 pub fn clean_response(response: &mut Response) {
-    let headers: &mut Headers = response.as_mut();
-    clean(headers);
-    let broken: Vec<HeaderName> = headers
-        .iter()
-        .filter(|(_, values)| values.iter().any(|value| value.as_str().contains(['\r', '\n'])))
-        .map(|(name, _)| name.clone())
-        .collect();
-    for name in broken {
-        headers.remove(name);
-    }
+    clean(&mut response.headers);
+    response.headers.remove(header::CONTENT_LENGTH);
 }
 
-/// Time that the request says it has left.
+/// How long the caller is prepared to wait, where it says so.
 pub fn budget_of(request: &Request) -> Option<Duration> {
-    let text = request.header(BUDGET_HEADER)?.last().as_str();
-    text.parse().ok().map(Duration::from_millis)
+    request.header(BUDGET_HEADER)?.parse().ok().map(Duration::from_millis)
+}
+
+/// How a request's body ends; `None` where it has none.
+pub(super) fn request_framing(request: &Request) -> Option<Framing> {
+    if request.headers.contains_key(header::TRANSFER_ENCODING) {
+        return Some(Framing::Chunked);
+    }
+    let length = request.header(header::CONTENT_LENGTH.as_str())?.parse().ok()?;
+    (length > 0).then_some(Framing::Length(length))
+}
+
+/// How an answer's body ends, were it to have one.
+pub(super) fn response_framing(response: &Response) -> Result<Framing, Failure> {
+    let headers = &response.headers;
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let length = lengths.next();
+    let malformed = |what: &HeaderValue| {
+        Failure::Malformed(String::from_utf8_lossy(what.as_bytes()).into_owned())
+    };
+    if let Some(coding) = headers.get(header::TRANSFER_ENCODING) {
+        let chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        return if chunked && length.is_none() {
+            Ok(Framing::Chunked)
+        } else {
+            Err(malformed(coding))
+        };
+    }
+    let Some(length) = length else { return Ok(Framing::Close) };
+    if lengths.any(|other| other != length) || !length.as_bytes().iter().all(u8::is_ascii_digit) {
+        return Err(malformed(length));
+    }
+    let text = length.to_str().map_err(|_| malformed(length))?;
+    text.parse().map(Framing::Length).map_err(|_| malformed(length))
+}
+
+/// Whether the connection ends with this message.
+pub(super) fn says_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    texts.flat_map(|text| text.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"))
 }
 
-fn clean(headers: &mut Headers) {
+/// How long the peer keeps the connection when it lies idle, where it says so.
+pub(super) fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
+    let words = last(headers, KEEP_ALIVE)?.split(',');
+    let mut times = words.filter_map(|word| word.trim().strip_prefix("timeout="));
+    times.next()?.parse().ok().map(Duration::from_secs)
+}
+
+/// Headers as a map.
+pub(super) fn map(parsed: &[httparse::Header<'_>]) -> Result<HeaderMap, Error> {
+    let mut headers = HeaderMap::with_capacity(parsed.len() + 4);
+    for field in parsed {
+        let wrong = || Error::Malformed(field.name.to_owned());
+        let name = HeaderName::from_bytes(field.name.as_bytes()).map_err(|_| wrong())?;
+        let value = HeaderValue::from_bytes(field.value).map_err(|_| wrong())?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// A path and query, also where the whole address was sent.
+pub(super) fn origin_form(target: &str) -> &str {
+    let Some(rest) = target.strip_prefix("http://") else { return target };
+    rest.find('/').map_or("/", |slash| &rest[slash..])
+}
+
+pub(super) fn malformed(error: httparse::Error) -> Error {
+    match error {
+        httparse::Error::TooManyHeaders => Error::HeaderCount(HEADERS_MAX),
+        error => Error::Malformed(error.to_string()),
+    }
+}
+
+pub(super) fn last<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get_all(name).iter().next_back()?.to_str().ok()
+}
+
+pub(super) fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => drop(headers.insert(name, value)),
+        Err(error) => {
+            tracing::warn!(target: "hemlockfield::exchange", %name, "header left out: {error}");
+        }
+    }
+}
+
+pub(super) fn encode(headers: &HeaderMap, bytes: &mut Vec<u8>) {
+    for (name, value) in headers {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+}
+
+pub(super) fn encode_length(length: u64, bytes: &mut Vec<u8>) {
+    bytes.extend_from_slice(format!("content-length: {length}\r\n").as_bytes());
+}
+
+fn clean(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
-        .get(CONNECTION)
-        .into_iter()
-        .flat_map(|values| values.iter())
-        .flat_map(|value| value.as_str().split(','))
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .filter(|name| !matches!(name.as_str(), "" | "host" | "content-length"))
         .collect();
-    for name in named {
+    for name in &named {
         headers.remove(name.as_str());
     }
-    for name in HOP_BY_HOP {
+    for name in &HOP_BY_HOP {
         headers.remove(name);
     }
+    headers.remove(KEEP_ALIVE);
+    headers.remove(PROXY_CONNECTION);
 }
--- a/src/exchange/inlet.rs
+++ b/src/exchange/inlet.rs
@@ -1,3 +1,5 @@
+//! A caller's connection: its requests, one after the other.
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -5,81 +7,82 @@
 use async_std::io;
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
-use http_types::Method;
-use http_types::Request;
 
+use super::Body;
 use super::Error;
+use super::Exact;
 use super::Outcome;
 use super::Outlet;
+use super::Request;
 use super::Tap;
-use super::check_request;
+use super::head;
 use super::refuse;
 
-/// Longest that what a caller still sends is read after its answer, and most bytes of it:
-/// closing on unread bytes resets the connection and can destroy the answer on its way.
+/// Longest head unless told otherwise, in bytes: twice what common servers allow.
+pub const HEAD_MAX: usize = 16 * 1024;
+/// Time in which a caller reads an answer that ends the connection. Closed at once, its
+/// unread bytes would reset the connection, and the answer would be lost on the way.
 const LINGER: Duration = Duration::from_secs(2);
 const LINGER_BYTES: u64 = 1024 * 1024;
+/// Longest pause in a request's body until its rule sets another.
+const IDLE: Duration = Duration::from_secs(60);
 
-/// A caller's connection.
+/// Reads requests off one connection.
 pub struct Inlet {
+    head_max: usize,
     peer: SocketAddr,
     tap: Tap,
 }
 
 impl Inlet {
-    /// Takes an accepted connection.
+    /// Serves an accepted connection.
     pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
         stream.set_nodelay(true).ok();
-        Self { peer, tap: Tap::new(stream) }
+        Self { head_max: HEAD_MAX, peer, tap: Tap::new(stream) }
+    }
+
+    /// Sets the longest head, in bytes.
+    pub fn set_head_max(&mut self, head_max: usize) {
+        self.head_max = head_max;
     }
 
-    /// Address of the caller's end.
+    /// The other end.
     pub fn peer(&self) -> SocketAddr {
         self.peer
     }
 
-    /// Ends when the caller closes or sends the first byte of a request.
+    /// Ends when a request begins, or the caller has closed.
     pub async fn readable(&self) {
-        if self.tap.has_early() {
-            return;
-        }
-        let mut byte = [0];
-        self.tap.stream().peek(&mut byte).await.ok();
+        self.tap.readable().await;
     }
 
-    /// Reads the next request's head within `limit`; `None` when the caller has closed.
-    /// A head that can't be taken is answered here and ends the connection.
+    /// The next request, whose head comes within `limit`; `None` where the connection is
+    /// over. A head that can't be served is answered here.
     pub async fn next(&mut self, limit: Duration) -> Option<(Request, Outlet)> {
-        self.tap.next_message();
-        let decoded = timeout(limit, async_h1::server::decode(self.tap.clone())).await;
-        let error = match decoded {
-            Err(_) => return None,
-            Ok(Ok(None)) => return None,
-            Ok(Ok(Some((request, _)))) => match check_request(&request) {
-                Ok(()) => return Some(self.start(request)),
-                Err(error) => error,
-            },
-            Ok(Err(error)) if self.tap.head_len() == 0 => {
-                tracing::debug!(target: "exchange", "connection ended: {error}");
-                return None;
-            }
-            Ok(Err(error)) => {
-                self.tap.fault().unwrap_or_else(|| Error::Malformed(error.to_string()))
-            }
+        let head = timeout(limit, self.tap.head(self.head_max)).await.ok()?;
+        let request = match head {
+            Ok(None) => return None,
+            Ok(Some(bytes)) => Request::parse(&bytes),
+            Err(error) => Err(error),
         };
-        self.reject(&error).await;
-        None
+        match request {
+            Ok(request) => Some(self.start(request)),
+            Err(error) => {
+                self.reject(&error).await;
+                None
+            }
+        }
     }
 
-    /// Answers a request that can't be taken and closes.
+    /// Answers with an error and ends the connection.
     pub async fn reject(&mut self, error: &Error) {
-        let mut outlet = Outlet::new(self.tap.clone(), Method::Get, true);
+        let mut outlet = Outlet::new(self.tap.clone(), http::Method::GET, true);
         let response = refuse(error.status(), Outcome::NotRun, &error.to_string(), None);
         outlet.send(response).await.ok();
         self.linger().await;
     }
 
-    /// Ends the connection so that the last answer still arrives.
+    /// Lets the caller read what was sent, and closes.
     pub async fn linger(&mut self) {
         self.tap.finish();
         let mut rest = self.tap.stream().take(LINGER_BYTES);
@@ -87,18 +90,17 @@
         self.tap.close();
     }
 
-    fn start(&self, request: Request) -> (Request, Outlet) {
-        match request.len() {
-            Some(length) if request.header("transfer-encoding").is_none() => {
-                self.tap.expect_body(length as u64);
+    fn start(&self, mut request: Request) -> (Request, Outlet) {
+        if let Some(framing) = head::request_framing(&request) {
+            let mut exact = Exact::new(self.tap.clone(), framing, u64::MAX, IDLE);
+            let expects = request.header("expect");
+            if expects.is_some_and(|text| text.eq_ignore_ascii_case("100-continue")) {
+                exact.greet();
             }
-            _ if request.header("transfer-encoding").is_some() => self.tap.expect_chunks(),
-            _ => self.tap.expect_body(0),
+            request.body = Body::Stream(Box::new(exact));
         }
-        let close = request
-            .header("connection")
-            .is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("close"));
-        let outlet = Outlet::new(self.tap.clone(), request.method(), close);
+        let close = head::says_close(&request.headers);
+        let outlet = Outlet::new(self.tap.clone(), request.method.clone(), close);
         (request, outlet)
     }
 }
--- a/src/exchange/leg.rs
+++ b/src/exchange/leg.rs
@@ -1,31 +1,39 @@
+//! A connection to an upstream, and one exchange on it.
+
+use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_std::future::timeout;
-use async_std::io;
-use async_std::io::BufReader;
-use async_std::io::ReadExt;
 use async_std::net::TcpStream;
+use bytes::Bytes;
 use futures::FutureExt;
 use futures::pin_mut;
 use futures::select;
-use http_types::Body;
-use http_types::Method;
-use http_types::Request;
-use http_types::Response;
-use http_types::headers::CONNECTION;
-use http_types::headers::CONTENT_LENGTH;
-use http_types::headers::TRANSFER_ENCODING;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
 
 use super::Answer;
+use super::Body;
+use super::BodyError;
 use super::Exact;
 use super::Failure;
+use super::Framing;
+use super::Request;
+use super::Response;
 use super::Tap;
+use super::answer::Ending;
 use super::clean_response;
-use super::payload::HELD_MAX;
+use super::head;
+use super::outlet::chunk;
+
+/// Longest head of an answer, in bytes.
+const HEAD_MAX: usize = 16 * 1024;
+/// Largest answer that is received whole before it is passed on, in bytes: a cut one can
+/// then be told as a failure, and an idempotent request be tried again.
+const HELD_MAX: u64 = 64 * 1024;
 
 /// Time limits of one attempt at an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -38,16 +46,21 @@
     pub idle: Duration,
 }
 
-/// A connection to an upstream, which carries one exchange at a time.
+/// An open connection to an upstream.
 #[derive(Debug)]
 pub struct Leg {
     born: Instant,
+    idle_limit: Option<Duration>,
     tap: Tap,
     used: u32,
 }
 
 impl Leg {
     /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Where nobody answers within `limit`; nothing was sent then.
     pub async fn dial(address: SocketAddr, limit: Duration) -> Result<Self, Failure> {
         let stream = match timeout(limit, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
@@ -55,20 +68,30 @@
             Err(_) => return Err(Failure::Connect(format!("no answer in {limit:?}"))),
         };
         stream.set_nodelay(true).ok();
-        Ok(Self { born: Instant::now(), tap: Tap::new(stream), used: 0 })
+        Ok(Self { born: Instant::now(), idle_limit: None, tap: Tap::new(stream), used: 0 })
     }
 
-    /// When the connection was opened.
+    /// When it was opened.
     pub fn born(&self) -> Instant {
         self.born
     }
 
-    /// Whether the connection may be used again now.
+    /// How long the upstream keeps it when it lies idle, where it has said so.
+    pub fn idle_limit(&self) -> Option<Duration> {
+        self.idle_limit
+    }
+
+    /// Whether it carried a request before.
+    pub fn is_used(&self) -> bool {
+        self.used > 0
+    }
+
+    /// Whether it is open and nothing unasked came on it.
     pub async fn is_quiet(&self) -> bool {
         self.tap.is_quiet().await
     }
 
-    /// Closes it; the upstream takes that as cancellation.
+    /// Closes it: upstreams take that as a cancellation.
     pub fn close(&self) {
         self.tap.close();
     }
@@ -77,166 +100,181 @@
         self.tap.has_early()
     }
 
-    /// Sends `request` and reads the answer's head, and its body where that is small.
+    /// Sends a request and waits for its answer. Dropped, it closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Where the answer does not come, is none, or is cut before it could be passed on.
     pub async fn ask(mut self, request: Request, limits: Limits) -> Result<Answer, Failure> {
         let reused = self.used > 0;
         self.used += 1;
-        let method = request.method();
-        let asked = self.exchange(request, limits, reused).await;
-        let (response, sent) = match asked {
-            Ok(asked) => asked,
-            Err(failure) => {
-                self.close();
-                return Err(failure);
-            }
-        };
-        match self.frame(response, method, limits).await {
-            Ok(Framed { broken, complete, keep, response }) => {
-                Ok(Answer { broken, complete, keep, leg: self, response, sent })
-            }
-            Err(failure) => {
-                self.close();
-                Err(failure)
-            }
-        }
+        let method = request.method.clone();
+        let guard = Guard(Some(self.tap.clone()));
+        let (response, sent) = self.exchange(request, limits, reused).await?;
+        self.idle_limit = head::idle_limit(&response.headers);
+        let (response, ending) = self.frame(response, &method, limits).await?;
+        guard.disarm();
+        Ok(Answer { ending, leg: self, response, sent })
     }
 
-    /// Sends while it listens: an upstream may answer before it has read the whole
-    /// upload, and may then never read the rest. Tells whether all was sent.
+    /// The answer's head, and whether the request was sent whole before it came.
     async fn exchange(
         &self,
         request: Request,
         limits: Limits,
         reused: bool,
     ) -> Result<(Response, bool), Failure> {
-        self.tap.next_message();
-        let has_body = request.len() != Some(0);
-        let mut writer = self.tap.clone();
-        let mut encoder = async_h1::client::Encoder::new(request);
-        let send = async move { io::copy(&mut encoder, &mut writer).await }.fuse();
-        let receive = self.head().fuse();
+        let echo = request.echoed();
+        let send = self.send(request).fuse();
+        let receive = self.head(echo.as_ref(), limits, reused).fuse();
         pin_mut!(send, receive);
         let sent = select! {
             sent = send => sent,
-            head = receive => return self.read(head, reused).map(|head| (head, false)),
+            head = receive => return head.map(|head| (head, false)),
         };
-        if let Err(error) = sent {
-            return Err(self.send_failure(&error, has_body, reused));
+        match sent {
+            Ok(()) => (),
+            Err(SendError::Body(error)) => return Err(Failure::Upload(error.to_string())),
+            // An upstream may answer and close before it has read all.
+            Err(SendError::Io(error)) => {
+                tracing::debug!(target: "hemlockfield::exchange", "upstream reads no more: {error}");
+                return receive.await.map(|head| (head, false));
+            }
         }
         match timeout(limits.first_byte, receive).await {
-            Ok(head) => self.read(head, reused).map(|head| (head, true)),
+            Ok(head) => head.map(|head| (head, true)),
             Err(_) => Err(Failure::Silent(limits.first_byte)),
         }
     }
 
-    fn read(&self, head: http_types::Result<Response>, reused: bool) -> Result<Response, Failure> {
-        head.map_err(|error| match self.tap.fault() {
-            Some(fault) => Failure::Malformed(fault.to_string()),
-            None if self.tap.head_len() == 0 => Failure::Closed { reused },
-            None => Failure::Malformed(error.to_string()),
-        })
+    async fn send(&self, request: Request) -> Result<(), SendError> {
+        let mut bytes = request.encode();
+        let chunked = request.body.len().is_none();
+        match request.body {
+            Body::Empty => (),
+            Body::Held(body) => bytes.extend_from_slice(&body),
+            Body::Stream(mut exact) => {
+                self.tap.write(&bytes).await?;
+                while let Some(piece) = exact.next().await? {
+                    if chunked {
+                        self.tap.write(&chunk(&piece)).await?;
+                    } else {
+                        self.tap.write(&piece).await?;
+                    }
+                }
+                bytes = if chunked { b"0\r\n\r\n".to_vec() } else { Vec::new() };
+            }
+        }
+        Ok(self.tap.write(&bytes).await?)
     }
 
-    /// Reads a head, passing over interim ones: taken for the answer, a `100` would
-    /// reach the caller and the real answer the next one.
-    async fn head(&self) -> http_types::Result<Response> {
+    /// The head of the final answer to this request. Interim answers, and answers to other
+    /// requests that came late, are passed over.
+    async fn head(
+        &self,
+        echo: Option<&(HeaderName, HeaderValue)>,
+        limits: Limits,
+        reused: bool,
+    ) -> Result<Response, Failure> {
         loop {
-            let response = async_h1::client::decode(self.tap.clone()).await?;
-            if !response.status().is_informational() {
+            let bytes = self.tap.head(HEAD_MAX).await;
+            let bytes = bytes.map_err(|error| Failure::Malformed(error.to_string()))?;
+            let response = Response::parse(&bytes.ok_or(Failure::Closed { reused })?)?;
+            let foreign = echo.is_some_and(|(name, value)| {
+                response.headers.get(name).is_some_and(|echoed| echoed != value)
+            });
+            if foreign {
+                self.pass_over(&response, limits).await?;
+            } else if response.status >= 200 {
                 return Ok(response);
             }
-            self.tap.next_message();
         }
     }
 
-    fn send_failure(&self, error: &io::Error, has_body: bool, reused: bool) -> Failure {
-        let callers = matches!(
-            error.kind(),
-            io::ErrorKind::UnexpectedEof
-                | io::ErrorKind::TimedOut
-                | io::ErrorKind::InvalidData
-                | io::ErrorKind::FileTooLarge
-        );
-        if has_body && callers {
-            return Failure::Upload(error.to_string());
+    async fn pass_over(&self, response: &Response, limits: Limits) -> Result<(), Failure> {
+        let framing = head::response_framing(response)?;
+        if framing == Framing::Close {
+            return Err(Failure::Malformed("an answer to another request".to_owned()));
         }
-        Failure::Closed { reused }
+        let mut exact = Exact::new(self.tap.clone(), framing, u64::MAX, limits.idle);
+        exact.read_all().await.map(drop).map_err(|error| Failure::Cut(error.to_string()))
     }
 
-    /// Frames the body, and receives a small one whole, so that a cut in it is found
-    /// while the caller can still be answered.
     async fn frame(
         &self,
         mut response: Response,
-        method: Method,
+        method: &Method,
         limits: Limits,
-    ) -> Result<Framed, Failure> {
-        let keep = !says_close(&response);
-        let chunked = response.header(TRANSFER_ENCODING).is_some();
-        let length = declared(&response)?;
-        let status = u16::from(response.status());
-        let bodiless = method == Method::Head || status == 204 || status == 304;
-        let source = response.take_body().into_reader();
+    ) -> Result<(Response, Ending), Failure> {
+        let keep = !head::says_close(&response.headers);
+        let framing = head::response_framing(&response)?;
+        let bodiless = *method == Method::HEAD || matches!(response.status, 204 | 304);
         clean_response(&mut response);
-        if bodiless {
-            let exact = Exact::new(source, Some(0), 0, limits.idle);
-            let shown = length.and_then(|length| usize::try_from(length).ok());
-            if method == Method::Head && shown.is_some() {
-                response.set_body(Body::from_reader(io::empty(), shown));
+        let framing = if bodiless { Framing::Length(0) } else { framing };
+        let mut exact = Exact::new(self.tap.clone(), framing, u64::MAX, limits.idle);
+        let ending = Ending::new(&exact, keep && framing != Framing::Close);
+        match framing {
+            Framing::Length(length) if length <= HELD_MAX => {
+                let body = exact.read_all().await;
+                response.body = Body::Held(body.map_err(|error| Failure::Cut(error.to_string()))?);
+            }
+            Framing::Close => response.body = self.until_close(exact).await?,
+            Framing::Chunked | Framing::Length(_) => {
+                response.body = Body::Stream(Box::new(exact));
             }
-            return Ok(Framed::new(&exact, keep, response));
-        }
-        match length {
-            Some(length) => self.tap.expect_body(length),
-            None if chunked => self.tap.expect_chunks(),
-            None => return Err(Failure::Unbounded),
-        }
-        let mut exact = Exact::new(source, length, u64::MAX, limits.idle);
-        let mut framed = Framed::new(&exact, keep, response);
-        let response = &mut framed.response;
-        let kind = response.header("content-type").map(|values| values.last().as_str().to_owned());
-        if let Some(length) = length.filter(|length| *length <= HELD_MAX) {
-            let mut bytes = Vec::with_capacity(length as usize);
-            let read = exact.read_to_end(&mut bytes).await;
-            read.map_err(|error| Failure::Cut(error.to_string()))?;
-            response.set_body(Body::from_bytes(bytes));
-        } else {
-            let shown = length.and_then(|length| usize::try_from(length).ok());
-            response.set_body(Body::from_reader(BufReader::new(exact), shown));
         }
-        match kind {
-            Some(kind) => drop(response.insert_header("content-type", kind)),
-            None => drop(response.remove_header("content-type")),
+        Ok((response, ending))
+    }
+
+    /// A body that ends with its connection is held where it fits, so that it can be passed
+    /// on with its length.
+    async fn until_close(&self, mut exact: Exact) -> Result<Body, Failure> {
+        let mut held = Vec::new();
+        loop {
+            let piece = exact.next().await.map_err(|error| Failure::Cut(error.to_string()))?;
+            let Some(piece) = piece else { return Ok(held.into()) };
+            held.extend_from_slice(&piece);
+            if held.len() as u64 > HELD_MAX {
+                exact.unread(Bytes::from(held));
+                return Ok(Body::Stream(Box::new(exact)));
+            }
         }
-        Ok(framed)
     }
 }
 
-/// An answer whose body's end is known.
-struct Framed {
-    broken: Arc<AtomicBool>,
-    complete: Arc<AtomicBool>,
-    keep: bool,
-    response: Response,
+/// Why a request could not be sent.
+enum SendError {
+    /// Its body did not come from the caller.
+    Body(BodyError),
+    /// The upstream took no more of it.
+    Io(io::Error),
 }
 
-impl Framed {
-    fn new(exact: &Exact, keep: bool, response: Response) -> Self {
-        Self { broken: exact.broken(), complete: exact.complete(), keep, response }
+impl From<BodyError> for SendError {
+    fn from(error: BodyError) -> Self {
+        Self::Body(error)
     }
 }
 
-fn says_close(response: &Response) -> bool {
-    let Some(values) = response.header(CONNECTION) else { return false };
-    values.iter().any(|value| value.as_str().to_ascii_lowercase().contains("close"))
+impl From<io::Error> for SendError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
 }
 
-fn declared(response: &Response) -> Result<Option<u64>, Failure> {
-    let Some(values) = response.header(CONTENT_LENGTH) else { return Ok(None) };
-    let text = values.last().as_str();
-    let digits = text.bytes().all(|byte| byte.is_ascii_digit());
-    match text.parse() {
-        Ok(length) if digits && values.iter().all(|value| value == text) => Ok(Some(length)),
-        _ => Err(Failure::Malformed(format!("content-length {text}"))),
+/// Closes a connection whose exchange did not end: the upstream would work on.
+struct Guard(Option<Tap>);
+
+impl Guard {
+    fn disarm(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(tap) = &self.0 {
+            tap.close();
+        }
     }
 }
--- a/src/exchange/pool.rs
+++ b/src/exchange/pool.rs
@@ -1,3 +1,5 @@
+//! Idle connections to upstreams.
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -7,27 +9,41 @@
 
 use super::Leg;
 
-/// Longest a connection may lie idle before it is used again. Something between the two
-/// ends may have lost track of it: it then swallows what is sent. State tables between
-/// hosts keep idle flows for minutes, not seconds, so that 15 s stays far below.
-const IDLE_MAX: Duration = Duration::from_secs(15);
 /// Longest a connection is kept at all, so that a fleet's connections move with its subsets.
 const AGE_MAX: Duration = Duration::from_secs(300);
 /// Idle connections kept an upstream: an entry's share of its slots is below that.
 const IDLE_COUNT: usize = 16;
+/// Share of the idle time that an upstream names after which it is no longer relied on: its
+/// clock started earlier than ours by the answer's way.
+const SAFE: f64 = 0.8;
 
 /// Idle connections to upstreams, the last used first.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     idle: Mutex<BTreeMap<SocketAddr, Vec<(Instant, Leg)>>>,
+    idle_max: Duration,
+}
+
+impl Default for Pool {
+    /// Keeps connections for 15 s: something between the two ends may have lost track of one
+    /// that lies idle, and then swallows what is sent. State tables between hosts keep idle
+    /// flows for minutes, not seconds, so that 15 s stays far below.
+    fn default() -> Self {
+        Self::new(Duration::from_secs(15))
+    }
 }
 
 impl Pool {
-    /// A connection that was just found open and silent, if there is one.
-    pub async fn take(&self, address: SocketAddr) -> Option<Leg> {
-        while let Some((since, leg)) = self.pop(address) {
-            let fresh = since.elapsed() < IDLE_MAX && leg.born().elapsed() < AGE_MAX;
-            if fresh && leg.is_quiet().await {
+    /// Keeps connections that lie idle for at most `idle_max`.
+    pub fn new(idle_max: Duration) -> Self {
+        Self { idle: Mutex::default(), idle_max }
+    }
+
+    /// A connection that was just found open and silent, if there is one that has been
+    /// idle for less than `newer`.
+    pub async fn take(&self, address: SocketAddr, newer: Duration) -> Option<Leg> {
+        while let Some((since, leg)) = self.pop(address, newer) {
+            if self.is_fresh(since, &leg) && leg.is_quiet().await {
                 return Some(leg);
             }
             leg.close();
@@ -39,19 +55,28 @@
     pub fn put(&self, address: SocketAddr, leg: Leg) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let legs = idle.entry(address).or_default();
-        legs.retain(|(since, _)| since.elapsed() < IDLE_MAX);
+        legs.retain(|(since, leg)| self.is_fresh(*since, leg));
         if legs.len() < IDLE_COUNT {
             legs.push((Instant::now(), leg));
         }
     }
 
-    /// Closes what is idle to an upstream that left.
+    /// Drops the connections of an upstream that is gone.
     pub fn forget(&self, address: SocketAddr) {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<(Instant, Leg)> {
+    fn is_fresh(&self, since: Instant, leg: &Leg) -> bool {
+        let told = leg.idle_limit().map_or(self.idle_max, |limit| limit.mul_f64(SAFE));
+        since.elapsed() < self.idle_max.min(told) && leg.born().elapsed() < AGE_MAX
+    }
+
+    fn pop(&self, address: SocketAddr, newer: Duration) -> Option<(Instant, Leg)> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get_mut(&address)?.pop()
+        let legs = idle.get_mut(&address)?;
+        if legs.last()?.0.elapsed() >= newer {
+            return None;
+        }
+        legs.pop()
     }
 }
--- a/src/exchange/refusal.rs
+++ b/src/exchange/refusal.rs
@@ -1,8 +1,11 @@
+//! Answers of our own, which say what became of a request.
+
 use std::time::Duration;
 
-use http_types::Body;
-use http_types::Response;
-use http_types::StatusCode;
+use http::HeaderName;
+use http::header;
+
+use super::Response;
 
 /// Says of an answer that is ours, not an upstream's, what became of the request.
 pub const OUTCOME_HEADER: &str = "x-hemlockfield-outcome";
@@ -37,6 +40,31 @@
     }
 }
 
+/// A request that gets no upstream's answer, and why.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// For people.
+    pub reason: String,
+    /// When the caller should come back.
+    pub retry_after: Option<Duration>,
+    /// Status of the answer.
+    pub status: u16,
+}
+
+impl Refusal {
+    /// One that names no time to come back.
+    pub fn new(status: u16, outcome: Outcome, reason: impl Into<String>) -> Self {
+        Self { outcome, reason: reason.into(), retry_after: None, status }
+    }
+
+    /// One of a request that was not run, with a time to come back.
+    pub fn not_run(status: u16, reason: impl Into<String>, after: Duration) -> Self {
+        Self { retry_after: Some(after), ..Self::new(status, Outcome::NotRun, reason) }
+    }
+}
+
 /// An answer of ours, with the reason as text and when to come back.
 pub fn refuse(
     status: u16,
@@ -44,14 +72,14 @@
     reason: &str,
     retry_after: Option<Duration>,
 ) -> Response {
-    let status = StatusCode::try_from(status).unwrap_or(StatusCode::ServiceUnavailable);
     let mut response = Response::new(status);
-    response.insert_header(OUTCOME_HEADER, outcome.as_str());
-    response.set_body(Body::from_string(format!("{reason}\n")));
+    response.set_header(HeaderName::from_static(OUTCOME_HEADER), outcome.as_str());
+    response.body = format!("{reason}\n").into();
     if let Some(after) = retry_after {
         let seconds = after.as_millis().div_ceil(1000).max(1);
-        response.insert_header("retry-after", seconds.to_string());
-        response.insert_header(RETRY_AFTER_MS_HEADER, after.as_millis().to_string());
+        response.set_header(header::RETRY_AFTER, seconds.to_string());
+        let name = HeaderName::from_static(RETRY_AFTER_MS_HEADER);
+        response.set_header(name, after.as_millis().to_string());
     }
     response
 }
--- /dev/null
+++ b/src/exchange/response.rs
@@ -0,0 +1,95 @@
+//! An answer: its head, and a body that is whole or still coming.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::StatusCode;
+
+use super::Body;
+use super::BodyError;
+use super::Failure;
+use super::head;
+
+/// One answer, received or to be sent.
+#[derive(Debug)]
+pub struct Response {
+    /// Body; taken once.
+    pub body: Body,
+    /// Headers, without those that frame the message.
+    pub headers: HeaderMap,
+    /// Status.
+    pub status: u16,
+}
+
+impl Response {
+    /// An answer without headers or body.
+    pub fn new(status: u16) -> Self {
+        Self { body: Body::Empty, headers: HeaderMap::new(), status }
+    }
+
+    /// An answer of JSON.
+    pub fn json(status: u16, text: String) -> Self {
+        let mut response = Self::new(status);
+        response.set_header(http::header::CONTENT_TYPE, "application/json");
+        response.body = text.into();
+        response
+    }
+
+    /// Reads an answer's head.
+    ///
+    /// # Errors
+    ///
+    /// Where it is none.
+    pub(super) fn parse(bytes: &[u8]) -> Result<Self, Failure> {
+        let mut headers = [httparse::EMPTY_HEADER; head::HEADERS_MAX];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let malformed = |text: String| Failure::Malformed(text);
+        let status = parsed.parse(bytes).map_err(|error| malformed(error.to_string()))?;
+        let (false, Some(code)) = (status.is_partial(), parsed.code) else {
+            return Err(malformed("its first line".to_owned()));
+        };
+        let headers = head::map(parsed.headers).map_err(|error| malformed(error.to_string()))?;
+        Ok(Self { body: Body::Empty, headers, status: code })
+    }
+
+    /// Whether the status is 2xx.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
+    /// A header's last value, where it is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        head::last(&self.headers, name)
+    }
+
+    /// Sets a header; values that no header can hold are left out.
+    pub fn set_header(&mut self, name: HeaderName, value: impl AsRef<str>) {
+        head::set(&mut self.headers, name, value.as_ref());
+    }
+
+    /// Takes the body and reads it to its end, as text.
+    ///
+    /// # Errors
+    ///
+    /// Where it is not whole.
+    pub async fn body_text(&mut self) -> Result<String, BodyError> {
+        let bytes = std::mem::take(&mut self.body).read_all().await?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
+    /// Head as bytes, as the answer to a request that may want no body.
+    pub(super) fn encode(&self, wants_body: bool) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512 + self.body.len().unwrap_or_default().min(65_536) as usize);
+        let reason = StatusCode::from_u16(self.status).ok();
+        let reason = reason.and_then(|status| status.canonical_reason()).unwrap_or("Status");
+        bytes.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", self.status).as_bytes());
+        head::encode(&self.headers, &mut bytes);
+        match self.body.len() {
+            _ if self.status == 204 || self.status == 304 => (),
+            Some(length) => head::encode_length(length, &mut bytes),
+            None if wants_body => bytes.extend_from_slice(head::CHUNKED),
+            None => (),
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes
+    }
+}
--- a/src/exchange/tap.rs
+++ b/src/exchange/tap.rs
@@ -1,4 +1,5 @@
-use std::collections::VecDeque;
+//! One connection, read through a buffer that heads and bodies take from.
+
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,103 +10,110 @@
 use std::task::Poll;
 
 use async_std::io::Read;
-use async_std::io::Write;
+use async_std::io::WriteExt;
 use async_std::net::TcpStream;
+use bytes::Bytes;
+use bytes::BytesMut;
 
 use super::Error;
 
-/// Longest message head, in bytes: the HTTP library's own bound.
-pub(super) const HEAD_MAX: usize = 8 * 1024;
-
+/// Bytes asked of the socket at once: a head of the longest kind.
 const CHUNK: usize = 16 * 1024;
+const END: &[u8] = b"\r\n\r\n";
 
-/// A connection that never reads past the end of the message being read.
-///
-/// The HTTP library buffers what it reads and drops the buffer with the message. Bytes
-/// of the next message that were read early would vanish, and the next caller on the
-/// connection would get half an answer. A tap keeps such bytes and hands them to the
-/// next message only.
+/// A connection. Bytes that came early stay in its buffer for the next message: lost, they
+/// would leave the next caller with half an answer.
 #[derive(Clone, Debug)]
 pub struct Tap {
-    stream: TcpStream,
     state: Arc<Mutex<State>>,
+    stream: TcpStream,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    early: VecDeque<u8>,
+    buffer: BytesMut,
     ended: bool,
-    fault: Option<Error>,
-    head: usize,
-    matched: usize,
-    phase: Phase,
-    read: u64,
-    written: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum Phase {
-    #[default]
-    Head,
-    Body {
-        left: u64,
-    },
-    Chunks,
+impl State {
+    /// The first bytes; an empty buffer keeps no room.
+    fn split(&mut self, count: usize) -> Bytes {
+        if count == self.buffer.len() {
+            return std::mem::take(&mut self.buffer).freeze();
+        }
+        self.buffer.split_to(count).freeze()
+    }
 }
 
 impl Tap {
-    /// Wraps a connection at a message's start.
+    /// Wraps an open connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, state: Arc::default() }
+        Self { state: Arc::default(), stream }
+    }
+
+    /// The next head, with its empty line; `None` where the peer closed before a byte of it.
+    ///
+    /// # Errors
+    ///
+    /// Where it is longer than `limit` bytes, holds a byte that heads can't, or breaks off.
+    pub async fn head(&self, limit: usize) -> Result<Option<Bytes>, Error> {
+        let mut seen = 0;
+        loop {
+            if let Some(head) = self.buffered_head(&mut seen, limit)? {
+                return Ok(Some(head));
+            }
+            let filled = self.fill().await;
+            match filled {
+                Ok(0) | Err(_) if !self.has_early() => return Ok(None),
+                Ok(0) => return Err(Error::Malformed("it breaks off".to_owned())),
+                Ok(_) => (),
+                Err(error) => return Err(Error::Malformed(error.to_string())),
+            }
+        }
     }
 
-    /// Starts the next message: its head is to be read.
-    pub fn next_message(&self) {
+    /// At most `most` bytes that are there already.
+    pub(super) fn take(&self, most: u64) -> Bytes {
         let mut state = self.lock();
-        state.phase = Phase::Head;
-        state.head = 0;
-        state.matched = 0;
+        let count = usize::try_from(most).unwrap_or(usize::MAX).min(state.buffer.len());
+        state.split(count)
     }
 
-    /// Says that the body has `left` bytes; no more than these are read.
-    pub fn expect_body(&self, left: u64) {
-        self.lock().phase = Phase::Body { left };
-    }
-
-    /// Says that the body is chunked; its end is the decoder's to find.
-    pub fn expect_chunks(&self) {
-        self.lock().phase = Phase::Chunks;
-    }
-
-    /// Bytes written to the connection since it was opened.
-    pub fn written(&self) -> u64 {
-        self.lock().written
+    /// The next line that is there already, without its line end.
+    pub(super) fn take_line(&self) -> Option<Bytes> {
+        let mut state = self.lock();
+        let end = state.buffer.iter().position(|byte| *byte == b'\n')?;
+        let mut line = state.buffer.split_to(end + 1);
+        line.truncate(end);
+        if line.last() == Some(&b'\r') {
+            line.truncate(end - 1);
+        }
+        Some(line.freeze())
     }
 
-    /// Bytes of the present message's head that were read.
-    pub fn head_len(&self) -> usize {
-        self.lock().head
+    /// Bytes that came and were not taken yet.
+    pub(super) fn early(&self) -> usize {
+        self.lock().buffer.len()
     }
 
-    /// Why reading was refused, where it was this tap that refused it.
-    pub fn fault(&self) -> Option<Error> {
-        self.lock().fault.clone()
+    /// Whether bytes came that no message has taken.
+    pub fn has_early(&self) -> bool {
+        self.early() > 0
     }
 
-    /// Whether the other end has closed and nothing of it is left to read.
-    pub fn is_ended(&self) -> bool {
-        self.lock().ended
+    /// Reads more into the buffer; 0 where the peer has closed.
+    pub(super) async fn fill(&self) -> io::Result<usize> {
+        futures::future::poll_fn(|context| self.poll_fill(context)).await
     }
 
-    /// Whether bytes of a further message are waiting here.
-    pub fn has_early(&self) -> bool {
-        !self.lock().early.is_empty()
+    /// Writes all of `bytes`.
+    pub(super) async fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        (&self.stream).write_all(bytes).await
     }
 
-    /// Whether an idle connection is open and silent, as one must be before it is used
-    /// again: bytes that nobody asked for belong to an earlier request's answer.
+    /// Whether the connection is open and nothing unasked came on it.
     pub async fn is_quiet(&self) -> bool {
-        if self.has_early() || self.is_ended() {
+        if self.has_early() || self.lock().ended {
             return false;
         }
         let mut byte = [0];
@@ -114,8 +122,11 @@
         futures::poll!(peek).is_pending()
     }
 
-    /// Waits until the other end closes; never ends while it does not.
+    /// Ends when the peer has closed; never while it has bytes to be read.
     pub async fn gone(&self) {
+        if self.has_early() {
+            return futures::future::pending().await;
+        }
         let mut byte = [0];
         match self.stream.peek(&mut byte).await {
             Ok(0) | Err(_) => (),
@@ -123,130 +134,59 @@
         }
     }
 
-    /// Closes both directions.
+    /// Ends when there is something to read, or the peer has closed.
+    pub async fn readable(&self) {
+        if !self.has_early() {
+            let mut byte = [0];
+            self.stream.peek(&mut byte).await.ok();
+        }
+    }
+
+    /// Closes both ways.
     pub fn close(&self) {
         self.stream.shutdown(std::net::Shutdown::Both).ok();
     }
 
-    /// Tells the other end that nothing more is coming, and goes on reading.
+    /// Closes the way out.
     pub fn finish(&self) {
         self.stream.shutdown(std::net::Shutdown::Write).ok();
     }
 
-    /// The connection itself, for reading what is thrown away.
+    /// The connection itself.
     pub fn stream(&self) -> &TcpStream {
         &self.stream
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl State {
-    fn room(&self, wanted: usize) -> usize {
-        match self.phase {
-            Phase::Body { left } => wanted.min(usize::try_from(left).unwrap_or(usize::MAX)),
-            Phase::Chunks => wanted,
-            Phase::Head => wanted.min(CHUNK),
-        }
-    }
-
-    /// Takes from `bytes` what belongs to the message and keeps the rest.
-    fn take(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let taken = match &mut self.phase {
-            Phase::Body { left } => {
-                *left -= bytes.len() as u64;
-                bytes.len()
-            }
-            Phase::Chunks => bytes.len(),
-            Phase::Head => self.take_head(bytes)?,
-        };
-        self.read += taken as u64;
-        self.early.extend(&bytes[taken..]);
-        Ok(taken)
-    }
-
-    fn take_head(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        const END: &[u8] = b"\r\n\r\n";
-        for (at, byte) in bytes.iter().enumerate() {
-            self.head += 1;
-            if !byte.is_ascii() || *byte == 0 {
-                return Err(self.refuse(Error::HeadByte(*byte)));
-            }
-            if self.head >= HEAD_MAX {
-                return Err(self.refuse(Error::HeadSize(HEAD_MAX)));
-            }
-            self.matched = match *byte {
-                byte if byte == END[self.matched] => self.matched + 1,
-                b'\r' => 1,
-                _ => 0,
-            };
-            if self.matched == END.len() {
-                self.phase = Phase::Body { left: 0 };
-                return Ok(at + 1);
-            }
+    fn buffered_head(&self, seen: &mut usize, limit: usize) -> Result<Option<Bytes>, Error> {
+        let mut state = self.lock();
+        let from = seen.saturating_sub(END.len() - 1);
+        let end = state.buffer[from..].windows(END.len()).position(|window| window == END);
+        let length = end.map_or(state.buffer.len(), |end| from + end + END.len());
+        let odd = |byte: &&u8| !byte.is_ascii() || **byte == 0;
+        if let Some(byte) = state.buffer[*seen..length].iter().find(odd) {
+            return Err(Error::HeadByte(*byte));
         }
-        Ok(bytes.len())
-    }
-
-    fn refuse(&mut self, error: Error) -> io::Error {
-        self.fault = Some(error.clone());
-        io::Error::new(io::ErrorKind::InvalidData, error)
-    }
-}
-
-impl Read for Tap {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let tap = self.get_mut();
-        let mut state = tap.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let room = state.room(buffer.len());
-        if room == 0 {
-            return Poll::Ready(Ok(0));
+        if length > limit {
+            return Err(Error::HeadSize(limit));
         }
-        let count = if state.early.is_empty() {
-            match Pin::new(&mut tap.stream).poll_read(context, &mut buffer[..room]) {
-                Poll::Ready(Ok(0)) => {
-                    state.ended = true;
-                    return Poll::Ready(Ok(0));
-                }
-                Poll::Ready(Ok(count)) => count,
-                other => return other,
-            }
-        } else {
-            let count = room.min(state.early.len());
-            for (slot, byte) in buffer.iter_mut().zip(state.early.drain(..count)) {
-                *slot = byte;
-            }
-            count
-        };
-        Poll::Ready(state.take(&buffer[..count]))
+        *seen = length;
+        Ok(end.map(|_| state.split(length)))
     }
-}
 
-impl Write for Tap {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let tap = self.get_mut();
-        let polled = Pin::new(&mut tap.stream).poll_write(context, bytes);
+    fn poll_fill(&self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        // Not read into the buffer itself: thousands of idle connections would keep room in it.
+        let mut chunk = [0; CHUNK];
+        let mut stream = &self.stream;
+        let polled = Pin::new(&mut stream).poll_read(context, &mut chunk);
+        let mut state = self.lock();
         if let Poll::Ready(Ok(count)) = &polled {
-            tap.lock().written += *count as u64;
+            state.buffer.extend_from_slice(&chunk[..*count]);
         }
+        state.ended |= matches!(polled, Poll::Ready(Ok(0) | Err(_)));
         polled
     }
 
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
-    }
-
-    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_close(context)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/src/feed/input.rs
@@ -0,0 +1,23 @@
+//! Inputs and outputs of an entry's side.
+
+use super::Message;
+use super::News;
+use crate::id::NodeId;
+
+/// What an entry's side is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A control's answer.
+    News(NodeId, Box<News>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What an entry's side wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send this.
+    Send(NodeId, Message),
+    /// Take these news: they are newer than all before.
+    Take(Box<News>),
+}
--- /dev/null
+++ b/src/feed/message.rs
@@ -0,0 +1,40 @@
+//! What goes between controls and entries.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Control;
+use super::News;
+use super::Poll;
+use super::Ready;
+use crate::health;
+use crate::id::NodeId;
+use crate::id::ServiceId;
+use crate::quorum::DiskId;
+
+/// What goes between controls and entries.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    /// Evidence on upstreams, from an entry or passed on.
+    Evidence(Vec<(ServiceId, health::Digest)>),
+    /// A control says that it is there, with the identity of its disk.
+    Hello {
+        /// The control.
+        control: Control,
+        /// Its disk, once it has one.
+        disk: Option<DiskId>,
+        /// The entries that ask it.
+        ready: Ready,
+    },
+    /// A control tells another one which controls there are, and which leads.
+    Controls {
+        /// The controls.
+        controls: Vec<Control>,
+        /// The leader, if it is known.
+        leader: Option<NodeId>,
+    },
+    /// A control's answer.
+    News(Box<News>),
+    /// An entry's question.
+    Poll(Poll),
+}
--- /dev/null
+++ b/src/feed/poll.rs
@@ -0,0 +1,18 @@
+//! An entry's question.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Entry;
+use crate::id::Index;
+
+/// An entry's question: what is new?
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Poll {
+    /// The entry itself.
+    pub entry: Entry,
+    /// Index of the log that it knows everything up to.
+    pub known: Index,
+    /// Counts the questions.
+    pub sequence: u64,
+}
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -5,11 +5,10 @@
 use std::time::Instant;
 
 use async_std::future::timeout;
-use async_std::io::ReadExt;
 use compact_str::CompactString;
-use http_types::Body;
-use http_types::Request;
-use http_types::Url;
+use http::HeaderName;
+use http::Method;
+use http::header;
 
 use crate::directory;
 use crate::exchange;
@@ -17,6 +16,8 @@
 use crate::exchange::Leg;
 use crate::exchange::Limits;
 use crate::exchange::Pool;
+use crate::exchange::Request;
+use crate::exchange::Response;
 use crate::upstream;
 
 use super::Kind;
@@ -86,10 +87,10 @@
 
     async fn send_once(&self, ask: &Ask<'_>) -> Heard {
         let Some(entry) = self.entry().await else { return nothing() };
-        let Ok(request) = self.request(ask) else { return nothing() };
+        let request = self.request(ask);
         let limits =
             Limits { connect: CONNECT, first_byte: ask.budget + GRACE, idle: ask.budget + GRACE };
-        let leg = match self.pool.take(entry).await {
+        let leg = match self.pool.take(entry, Duration::MAX).await {
             Some(leg) => leg,
             None => match Leg::dial(entry, CONNECT).await {
                 Ok(leg) => leg,
@@ -124,16 +125,17 @@
                 return nothing();
             }
         };
-        let mut body = Vec::new();
-        let read = answer.response.take_body().read_to_end(&mut body).await;
+        let read = std::mem::take(&mut answer.response.body).read_all().await;
         let after = retry_after(&answer.response);
         let told = match told_by(&answer.response) {
             Some(told) => told,
-            None if read.is_err() => Told::Cut,
-            None if body == upstream::body_for(&ask.identity, &ask.upload, ask.kind.down) => {
-                Told::Answer
-            }
-            None => Told::Wrong,
+            None => match read {
+                Err(_) => Told::Cut,
+                Ok(body) if body == upstream::body_for(&ask.identity, &ask.upload, ask.kind.down) => {
+                    Told::Answer
+                }
+                Ok(_) => Told::Wrong,
+            },
         };
         if let Some(leg) = answer.release() {
             self.pool.put(entry, leg);
@@ -141,20 +143,23 @@
         Heard { after, told }
     }
 
-    fn request(&self, ask: &Ask<'_>) -> http_types::Result<Request> {
-        let url = Url::parse(&format!("http://{}{}", ask.kind.host, ask.kind.path))?;
-        let mut request = Request::new(ask.kind.method, url);
-        request.insert_header(exchange::CALLER_HEADER, self.name.as_str());
-        request.insert_header(exchange::BUDGET_HEADER, ask.budget.as_millis().to_string());
-        request.insert_header(upstream::IDENTITY_HEADER, ask.identity.as_str());
-        request.insert_header(upstream::SIZE_HEADER, ask.kind.down.to_string());
+    fn request(&self, ask: &Ask<'_>) -> Request {
+        let mut request = Request::new(ask.kind.method.clone(), &ask.kind.path);
+        let budget = ask.budget.as_millis().to_string();
+        let size = ask.kind.down.to_string();
+        let name = HeaderName::from_static;
+        request.set_header(header::HOST, &ask.kind.host);
+        request.set_header(name(exchange::CALLER_HEADER), &self.name);
+        request.set_header(name(exchange::BUDGET_HEADER), budget);
+        request.set_header(name(upstream::IDENTITY_HEADER), &ask.identity);
+        request.set_header(name(upstream::SIZE_HEADER), size);
         if ask.kind.keyed {
-            request.insert_header(upstream::KEY_HEADER, ask.identity.as_str());
+            request.set_header(name(upstream::KEY_HEADER), &ask.identity);
         }
         if !ask.upload.is_empty() {
-            request.set_body(Body::from_bytes(ask.upload.clone()));
+            request.body = ask.upload.clone().into();
         }
-        Ok(request)
+        request
     }
 
     /// The entry to use, after asking one of them where the list has run out.
@@ -172,11 +177,12 @@
 
     async fn list(&self, entry: SocketAddr) -> Option<directory::Answer> {
         let path = crate::node::DIRECTORY_PATH;
-        let url = Url::parse(&format!("http://{entry}{path}?caller={}", self.name)).ok()?;
+        let mut request = Request::new(Method::GET, &format!("{path}?caller={}", self.name));
+        request.set_header(header::HOST, entry.to_string());
         let limits = Limits { connect: CONNECT, first_byte: CONNECT, idle: CONNECT };
         let leg = Leg::dial(entry, CONNECT).await.ok()?;
-        let mut answer = leg.ask(Request::new(http_types::Method::Get, url), limits).await.ok()?;
-        answer.response.body_json().await.ok()
+        let mut answer = leg.ask(request, limits).await.ok()?;
+        serde_json::from_str(&answer.response.body_text().await.ok()?).ok()
     }
 
     fn client(&self) -> std::sync::MutexGuard<'_, directory::Client> {
@@ -188,21 +194,18 @@
     Heard { after: Duration::ZERO, told: Told::Nothing }
 }
 
-fn told_by(response: &http_types::Response) -> Option<Told> {
-    let outcome = response.header(exchange::OUTCOME_HEADER).map(|values| values.last().as_str());
-    match outcome {
+fn told_by(response: &Response) -> Option<Told> {
+    match response.header(exchange::OUTCOME_HEADER) {
         Some("not-run") => Some(Told::NotRun),
         Some("unknown" | "in-progress") => Some(Told::Unknown),
         Some("already-run") => Some(Told::Answer),
         Some(_) => Some(Told::Failed),
-        None if response.status().is_success() => None,
+        None if response.is_success() => None,
         None => Some(Told::Failed),
     }
 }
 
-fn retry_after(response: &http_types::Response) -> Duration {
-    let text = response
-        .header(exchange::RETRY_AFTER_MS_HEADER)
-        .map(http_types::headers::HeaderValues::last);
-    text.and_then(|text| text.as_str().parse().ok()).map_or(Duration::ZERO, Duration::from_millis)
+fn retry_after(response: &Response) -> Duration {
+    let text = response.header(exchange::RETRY_AFTER_MS_HEADER);
+    text.and_then(|text| text.parse().ok()).map_or(Duration::ZERO, Duration::from_millis)
 }
--- a/src/load/kind.rs
+++ b/src/load/kind.rs
@@ -1,7 +1,7 @@
 use std::str::FromStr;
 
 use compact_str::CompactString;
-use http_types::Method;
+use http::Method;
 
 use super::Error;
 
@@ -41,7 +41,7 @@
         Ok(Self {
             down: size(1).map_err(|_| wrong())?,
             host: host.into(),
-            keyed: method == Method::Post,
+            keyed: method == Method::POST,
             method,
             name: (*name).into(),
             path: format!("/{path}").into(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,14 +4,20 @@
 //! control thread carries its inputs and outputs. Traffic threads read immutable
 //! [`View`]s of it and send outcomes back, and never wait for it.
 
+mod attached;
 mod carrier;
 mod clerk;
 pub mod core;
+mod doors;
 mod error;
 mod held;
+mod inbox;
 mod input;
+mod judges;
 mod links;
 mod logs;
+mod machine;
+mod make;
 mod metrics;
 mod nowhere;
 mod office;
@@ -32,6 +38,7 @@
 pub use carrier::Carrier;
 pub use error::Error;
 pub use input::Claimed;
+pub use inbox::Inbox;
 pub use input::Input;
 pub use logs::start_logs;
 pub use logs::start_threads;
--- /dev/null
+++ b/src/node/attached/hub.rs
@@ -0,0 +1,540 @@
+//! A control's part: the log, the feed to entries, and repair of the members.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::catalog::Action;
+use crate::catalog::Catalog;
+use crate::clock::Epoch;
+use crate::clock::Moment;
+use crate::config::Version;
+use crate::directory;
+use crate::feed::Control;
+use crate::feed::Ledger;
+use crate::feed::Message;
+use crate::feed::Publisher;
+use crate::feed::Ready;
+use crate::id::Index;
+use crate::id::NodeId;
+use crate::id::RegionId;
+use crate::node::Office;
+use crate::node::View;
+use crate::node::clerk;
+use crate::node::clerk::Clerk;
+use crate::node::core::Input;
+use crate::node::core::Output;
+use crate::node::office;
+use crate::node::status;
+use crate::quorum::DiskId;
+use crate::quorum::mend;
+use crate::timeline::Event;
+use crate::timeline::Kind;
+use crate::timeline::Stamp;
+use crate::wire::Frame;
+use crate::wire::Order;
+use crate::wire::Verdict;
+
+use super::Setup;
+
+/// A control vouches for its news while the log was heard to go on within this span: four
+/// heartbeats, so that one lost is no alarm.
+const FRESH: Duration = Duration::from_millis(700);
+/// Pause between two greetings of the other controls.
+const HELLO: Duration = Duration::from_millis(500);
+/// A control that greeted within this span is there: three greetings and a lost one.
+const PRESENT: Duration = Duration::from_millis(1600);
+/// A control that is neither member nor seed is forgotten after so long.
+const FORGET: Duration = Duration::from_secs(30);
+/// Pause between two looks at the members.
+const MEND: Duration = Duration::from_millis(200);
+/// Longest that an announcement or a reading is carried around: those who ask wait for a
+/// second and then ask another control.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// Longest that a submission is carried around: an election may pass meanwhile.
+const SUBMIT_PATIENCE: Duration = Duration::from_millis(1900);
+
+/// A control's part.
+#[derive(Debug)]
+pub(super) struct Hub {
+    asked: BTreeMap<u64, Asked>,
+    clerk: Clerk,
+    hello_at: Moment,
+    known: BTreeMap<NodeId, Known>,
+    me: Control,
+    mend_at: Moment,
+    office: Option<Office>,
+    publisher: Publisher,
+    reads: Vec<Reading>,
+    seeds: Vec<NodeId>,
+    stopped: Option<String>,
+}
+
+/// What a ticket asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Asked {
+    Catalog,
+    Read,
+    Submit,
+}
+
+/// Another control.
+#[derive(Clone, Debug)]
+struct Known {
+    control: Control,
+    disk: Option<DiskId>,
+    heard: Option<Moment>,
+}
+
+/// A reading that waits for the own log to come so far.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    index: Index,
+    ticket: u64,
+    until: Moment,
+}
+
+impl Hub {
+    pub(super) fn new(now: Moment, setup: Setup) -> Self {
+        let mut hub = Self {
+            asked: BTreeMap::new(),
+            clerk: Clerk::default(),
+            hello_at: now,
+            known: BTreeMap::new(),
+            me: Control { domain: setup.domain, id: setup.id },
+            mend_at: now,
+            office: setup.office,
+            publisher: Publisher::default(),
+            reads: Vec::new(),
+            seeds: setup.seeds,
+            stopped: None,
+        };
+        hub.meet_members();
+        hub
+    }
+
+    pub(super) fn handle(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        match input {
+            Input::Catalog(ticket, action) => self.catalog(now, ticket, action, &mut outputs),
+            Input::Change(ticket, change) => {
+                self.tell_office(now, wall, office::Input::Change(ticket, change), &mut outputs);
+            }
+            Input::Frame(from, frame) => self.receive(now, wall, from, frame, &mut outputs),
+            Input::Read(ticket) => {
+                self.ask(now, ticket, Asked::Read, Order::Read, PATIENCE, &mut outputs);
+            }
+            Input::Seeds(seeds) => {
+                self.seeds = seeds;
+                self.meet_members();
+            }
+            Input::Submit(ticket, version) => self.submit(now, ticket, version, &mut outputs),
+            Input::Synced(number) => {
+                self.tell_office(now, wall, office::Input::Synced(number), &mut outputs);
+            }
+            Input::Tick => self.tick(now, wall, &mut outputs),
+            _ => (),
+        }
+        self.settle_reads(now, &mut outputs);
+        outputs
+    }
+
+    pub(super) fn wake(&self, now: Moment) -> Moment {
+        let office = self.office.as_ref().and_then(Office::wake);
+        let reads = self.reads.iter().map(|read| read.until).min();
+        let mend = self.office.as_ref().filter(|office| office.leads()).map(|_| self.mend_at);
+        let due = office.into_iter().chain(reads).chain(mend).chain(self.clerk.wake());
+        due.fold(self.publisher.wake().min(self.hello_at), Moment::min).max(now)
+    }
+
+    pub(super) fn version(&self) -> Option<&Version> {
+        self.office.as_ref()?.in_force()
+    }
+
+    pub(super) fn control(&self, now: Moment) -> status::Control {
+        status::Control {
+            claims: self.office.as_ref().map_or(0, Office::claims_kept),
+            log: self.office.as_ref().map(|office| office.status(now)),
+            stopped: self.stopped.clone(),
+        }
+    }
+
+    /// Entries that take callers; `None` where they are those of the last view.
+    pub(super) fn entries(&self, now: Moment, last: &View) -> Option<Arc<Vec<directory::Entry>>> {
+        let entry = |entry: &crate::feed::Entry| directory::Entry {
+            address: entry.callers,
+            domain: entry.domain.clone(),
+            id: entry.id.clone(),
+            load: 0.0,
+            region: RegionId::default(),
+            state: entry.state,
+            suspect: false,
+        };
+        let mut entries: Vec<directory::Entry> = self.publisher.serving(now).map(entry).collect();
+        entries.sort_by(|one, other| one.id.cmp(&other.id));
+        (entries != *last.entries).then(|| Arc::new(entries))
+    }
+
+    pub(super) fn close_office(&mut self, reason: String) {
+        self.office = None;
+        self.stopped = Some(reason);
+    }
+
+    pub(super) fn open_office(&mut self, office: Office) {
+        self.office = Some(office);
+        self.stopped = None;
+        self.meet_members();
+    }
+
+    fn receive(
+        &mut self,
+        now: Moment,
+        wall: Epoch,
+        from: NodeId,
+        frame: Frame,
+        outputs: &mut Vec<Output>,
+    ) {
+        match frame {
+            Frame::Feed(message) => self.feed(now, from, message, outputs),
+            Frame::Order { ticket, order } => {
+                let input = match order {
+                    Order::Catalog(action) => office::Input::Catalog(from, ticket, action),
+                    Order::Read => office::Input::Read(from, ticket),
+                    Order::Submit(version) => office::Input::Submit(from, ticket, version),
+                };
+                self.tell_office(now, wall, input, outputs);
+            }
+            Frame::Quorum(message) => {
+                self.tell_office(now, wall, office::Input::Receive(from, message), outputs);
+            }
+            Frame::Submit { ticket, version } => {
+                let input = office::Input::Submit(from, ticket, version);
+                self.tell_office(now, wall, input, outputs);
+            }
+            Frame::Verdict { ticket, verdict } => {
+                let done = self.clerk.verdict(now, ticket, verdict);
+                self.carry_out(now, done, outputs);
+            }
+            _ => tracing::warn!(
+                target: "hemlockfield::link",
+                peer = %from,
+                "frame of another kind of fleet"
+            ),
+        }
+    }
+
+    fn feed(&mut self, now: Moment, from: NodeId, message: Message, outputs: &mut Vec<Output>) {
+        match message {
+            Message::Controls { controls, leader } => {
+                for control in controls {
+                    self.meet(control, None, None);
+                }
+                if let Some(leader) = leader {
+                    self.clerk.set_leader(&leader);
+                }
+            }
+            Message::Evidence(evidence) => {
+                let own = !self.known.contains_key(&from);
+                self.publisher.gather(now, evidence, own);
+            }
+            Message::Hello { control, disk, ready } => {
+                let known = self.known.get(&from).is_some_and(|known| known.heard.is_some());
+                self.meet(control, disk, Some(now));
+                self.publisher.hear(now, &from, ready);
+                if !known {
+                    let controls = self.controls(now);
+                    let leader = self.office.as_ref().and_then(Office::leader);
+                    outputs.push(send(from, Message::Controls { controls, leader }));
+                }
+            }
+            Message::News(_) => (),
+            Message::Poll(poll) => {
+                let controls = self.controls(now);
+                let blank = Catalog::default();
+                let ledger = ledger(now, self.office.as_ref(), &blank, controls);
+                let sends = self.publisher.poll(now, poll, &ledger);
+                outputs.extend(sends.into_iter().map(|(to, message)| send(to, message)));
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Moment, wall: Epoch, outputs: &mut Vec<Output>) {
+        self.tell_office(now, wall, office::Input::Tick, outputs);
+        let done = self.clerk.tick(now);
+        self.carry_out(now, done, outputs);
+        self.publish(now, outputs);
+        self.greet(now, outputs);
+        self.mend(now, wall, outputs);
+    }
+
+    fn publish(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if now < self.publisher.wake() {
+            return;
+        }
+        let controls = self.controls(now);
+        let blank = Catalog::default();
+        let ledger = ledger(now, self.office.as_ref(), &blank, controls);
+        let sends = self.publisher.tick(now, &ledger);
+        outputs.extend(sends.into_iter().map(|(to, message)| send(to, message)));
+    }
+
+    /// Tells the other controls that this one is there, and of its entries.
+    fn greet(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if now < self.hello_at && !self.publisher.has_moved() {
+            return;
+        }
+        self.hello_at = now + HELLO;
+        let kept: BTreeSet<NodeId> = self.members().into_iter().chain(self.seeds.clone()).collect();
+        self.known.retain(|id, known| {
+            kept.contains(id) || known.heard.is_some_and(|at| now < at + FORGET)
+        });
+        let disk = self.office.as_ref().and_then(|office| office.replica().named_disk());
+        let ready = Ready { entries: self.publisher.own(now) };
+        for id in self.known.keys() {
+            let (control, ready) = (self.me.clone(), ready.clone());
+            outputs.push(send(id.clone(), Message::Hello { control, disk, ready }));
+        }
+    }
+
+    /// Changes the members, where this control leads and the others that are there ask for it.
+    fn mend(&mut self, now: Moment, wall: Epoch, outputs: &mut Vec<Output>) {
+        let Some(office) = self.office.as_ref().filter(|office| office.leads()) else { return };
+        if now < self.mend_at {
+            return;
+        }
+        self.mend_at = now + MEND;
+        let here = |known: &&Known| known.heard.is_some_and(|at| now < at + PRESENT);
+        let present = self.known.values().filter(here);
+        let present: BTreeMap<NodeId, DiskId> =
+            present.filter_map(|known| Some((known.control.id.clone(), known.disk?))).collect();
+        let next = mend::next(&office.status(now), office.tenure(now), &present);
+        if let Some(change) = next {
+            let event = event(&self.me.id, Kind::MemberChanged);
+            outputs.push(Output::Event(event.detail("change", format!("{change:?}"))));
+            self.tell_office(now, wall, office::Input::Change(0, change), outputs);
+        }
+    }
+
+    fn catalog(&mut self, now: Moment, ticket: u64, action: Action, outputs: &mut Vec<Output>) {
+        let Some(office) = &self.office else {
+            outputs.push(Output::Announced(ticket, Err("no disk to write to".to_owned())));
+            return;
+        };
+        if !office.catalog().is_news(&action) {
+            outputs.push(Output::Announced(ticket, Ok(())));
+            return;
+        }
+        self.ask(now, ticket, Asked::Catalog, Order::Catalog(action), PATIENCE, outputs);
+    }
+
+    fn submit(&mut self, now: Moment, ticket: u64, version: Version, outputs: &mut Vec<Output>) {
+        let held = self.version().map(|held| held.number);
+        if let Some(held) = held.filter(|held| *held >= version.number) {
+            // Committed before, or overtaken by what is committed.
+            outputs.push(Output::Verdict(ticket, Verdict::AlreadyAccepted(held)));
+            return;
+        }
+        let order = Order::Submit(version);
+        self.ask(now, ticket, Asked::Submit, order, SUBMIT_PATIENCE, outputs);
+    }
+
+    fn ask(
+        &mut self,
+        now: Moment,
+        ticket: u64,
+        asked: Asked,
+        order: Order,
+        patience: Duration,
+        outputs: &mut Vec<Output>,
+    ) {
+        if let Some(leader) = self.office.as_ref().and_then(Office::leader) {
+            self.clerk.set_leader(&leader);
+        }
+        self.asked.insert(ticket, asked);
+        let done = self.clerk.ask(now, ticket, order, patience);
+        self.carry_out(now, done, outputs);
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Moment,
+        done: Vec<clerk::Output>,
+        outputs: &mut Vec<Output>,
+    ) {
+        for output in done {
+            match output {
+                clerk::Output::Answer(ticket, verdict) => {
+                    self.answer(now, ticket, verdict, outputs);
+                }
+                clerk::Output::Send(to, frame) => outputs.push(Output::Send(to, None, *frame)),
+            }
+        }
+    }
+
+    fn answer(
+        &mut self,
+        now: Moment,
+        ticket: u64,
+        verdict: Verdict,
+        outputs: &mut Vec<Output>,
+    ) {
+        match (self.asked.remove(&ticket), verdict) {
+            (Some(Asked::Catalog), Verdict::Announced) => {
+                outputs.push(Output::Announced(ticket, Ok(())));
+            }
+            (Some(Asked::Catalog), _) => {
+                let text = "the log could not take it in time".to_owned();
+                outputs.push(Output::Announced(ticket, Err(text)));
+            }
+            (Some(Asked::Read), Verdict::Readable(index)) => {
+                self.reads.push(Reading { index, ticket, until: now + PATIENCE });
+            }
+            (Some(Asked::Read), _) => outputs.push(Output::Read(ticket, None)),
+            (Some(Asked::Submit) | None, verdict) => {
+                outputs.push(Output::Verdict(ticket, verdict));
+            }
+        }
+    }
+
+    fn settle_reads(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if self.reads.is_empty() {
+            return;
+        }
+        let applied = self.office.as_ref().map(Office::applied);
+        for read in std::mem::take(&mut self.reads) {
+            if applied.is_some_and(|applied| applied >= read.index) {
+                outputs.push(Output::Read(read.ticket, Some(self.version().cloned())));
+            } else if read.until <= now {
+                outputs.push(Output::Read(read.ticket, None));
+            } else {
+                self.reads.push(read);
+            }
+        }
+    }
+
+    fn tell_office(
+        &mut self,
+        now: Moment,
+        wall: Epoch,
+        input: office::Input,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(office) = &mut self.office else { return };
+        let mut changed = false;
+        for output in office.handle(now, wall, input) {
+            match output {
+                office::Output::Changed(ticket, result) => {
+                    outputs.push(Output::Changed(ticket, result));
+                }
+                office::Output::Committed(version) => {
+                    changed = true;
+                    let event = event(&self.me.id, Kind::ConfigurationAccepted);
+                    outputs.push(Output::Event(event.configuration(version.number)));
+                }
+                office::Output::Installed => changed = true,
+                office::Output::Leads(_) => (),
+                office::Output::Persist(number, records) => {
+                    outputs.push(Output::Persist(number, records));
+                }
+                office::Output::Send(to, frame) => outputs.push(Output::Send(to, None, *frame)),
+                office::Output::Term(role, term) => {
+                    let event = event(&self.me.id, Kind::Election).term(term);
+                    outputs.push(Output::Event(event.detail("role", format!("{role:?}"))));
+                }
+                office::Output::Upstream(action) => {
+                    changed = true;
+                    outputs.push(Output::Event(about(&self.me.id, &action)));
+                }
+            }
+        }
+        if changed {
+            self.publisher.changed(now);
+            self.meet_members();
+            self.publish(now, outputs);
+        }
+    }
+
+    fn members(&self) -> Vec<NodeId> {
+        let members = self.office.as_ref().map(|office| office.replica().membership());
+        members.map(|them| them.members().map(|(id, _)| id.clone()).collect()).unwrap_or_default()
+    }
+
+    fn meet_members(&mut self) {
+        let ids: Vec<NodeId> = self.members().into_iter().chain(self.seeds.clone()).collect();
+        for id in ids {
+            let domain = self.known.get(&id).map(|known| known.control.domain.clone());
+            self.meet(Control { domain: domain.unwrap_or_default(), id }, None, None);
+        }
+        self.set_clerk();
+    }
+
+    fn meet(&mut self, control: Control, disk: Option<DiskId>, heard: Option<Moment>) {
+        if control.id == self.me.id {
+            return;
+        }
+        let fresh = !self.known.contains_key(&control.id);
+        let known = self.known.entry(control.id.clone());
+        let known = known.or_insert(Known { control: control.clone(), disk: None, heard: None });
+        if heard.is_some() {
+            *known = Known { control, disk, heard };
+        }
+        if fresh {
+            self.set_clerk();
+        }
+    }
+
+    fn set_clerk(&mut self) {
+        let mut controls: Vec<NodeId> = self.known.keys().cloned().collect();
+        controls.push(self.me.id.clone());
+        self.clerk.set_controls(controls);
+    }
+
+    /// Controls that entries may ask.
+    fn controls(&self, now: Moment) -> Vec<Control> {
+        let here = |known: &&Known| known.heard.is_some_and(|at| now < at + PRESENT);
+        let others = self.known.values().filter(here).map(|known| known.control.clone());
+        others.chain([self.me.clone()]).collect()
+    }
+}
+
+fn ledger<'a>(
+    now: Moment,
+    office: Option<&'a Office>,
+    blank: &'a Catalog,
+    controls: Vec<Control>,
+) -> Ledger<'a> {
+    let Some(office) = office else {
+        return Ledger { applied: 0, catalog: blank, configuration: None, controls, fresh: false };
+    };
+    Ledger {
+        applied: office.applied(),
+        catalog: office.catalog(),
+        configuration: office.configuration(),
+        controls,
+        fresh: office.replica().is_current(now, FRESH),
+    }
+}
+
+fn send(to: NodeId, message: Message) -> Output {
+    Output::Send(to, None, Frame::Feed(message))
+}
+
+fn event(vm: &NodeId, kind: Kind) -> Event {
+    Event::new(Stamp::default(), vm.clone(), kind)
+}
+
+fn about(vm: &NodeId, action: &Action) -> Event {
+    match action {
+        Action::Announce(change) => {
+            let said = &change.announcement;
+            let kind = match said.state {
+                crate::registry::State::Ready => Kind::UpstreamAnnounced,
+                _ => Kind::UpstreamDraining,
+            };
+            let event = event(vm, kind).upstream(said.upstream.clone());
+            event.service(said.service.clone()).detail("address", said.address.to_string())
+        }
+        Action::Leave(id) => event(vm, Kind::UpstreamExpired).upstream(id.clone()),
+    }
+}
--- /dev/null
+++ b/src/node/attached/setup.rs
@@ -0,0 +1,35 @@
+//! What a process knows when it starts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::boundary::Boundary;
+use crate::id::DomainId;
+use crate::id::NodeId;
+use crate::node::Office;
+use crate::replay::Recorder;
+
+/// What a process knows when it starts.
+#[derive(Debug)]
+pub(in crate::node) struct Setup {
+    /// How configurations are read.
+    pub(in crate::node) boundary: Arc<dyn Boundary>,
+    /// Where callers connect, at an entry.
+    pub(in crate::node) callers: SocketAddr,
+    /// The own failure domain.
+    pub(in crate::node) domain: DomainId,
+    /// The own id, which names the VM's address.
+    pub(in crate::node) id: NodeId,
+    /// Whether it is a control.
+    pub(in crate::node) is_control: bool,
+    /// Whether it is an entry.
+    pub(in crate::node) is_entry: bool,
+    /// The log, at a control.
+    pub(in crate::node) office: Option<Office>,
+    /// Where decisions are recorded.
+    pub(in crate::node) recorder: Recorder,
+    /// Seed of all that is drawn.
+    pub(in crate::node) seed: u64,
+    /// Controls that are known from the start.
+    pub(in crate::node) seeds: Vec<NodeId>,
+}
--- a/src/node/clerk.rs
+++ b/src/node/clerk.rs
@@ -1,3 +1,5 @@
+//! Carries orders to whichever control leads.
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -5,19 +7,24 @@
 use crate::config::Version;
 use crate::id::NodeId;
 use crate::wire::Frame;
+use crate::wire::Order;
 use crate::wire::Verdict;
 
-/// Time without an answer after which a submission goes to the next control.
+/// Time without an answer after which an order goes to the next control.
 const RETRY: Duration = Duration::from_millis(500);
-/// Pause before a submission is sent again where nobody leads.
+/// Pause before an order is sent again where nobody leads.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Pause before an order follows the word of one control to another: two that take each
+/// other for the leader would pass it to and fro without end.
+const FOLLOW: Duration = Duration::from_millis(10);
 /// Longest that an operator's submission is carried around: an election takes two
 /// seconds, and the operator may send again.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// Carries operators' submissions to whichever control leads.
+/// Carries orders to whichever control leads.
 ///
-/// The same submission may reach the leader several times; its id makes that safe.
+/// The same order may reach the leader several times: a submission's id, an announcement's
+/// number, or that it only asks, makes that safe.
 #[derive(Debug, Default)]
 pub(super) struct Clerk {
     controls: Vec<NodeId>,
@@ -28,21 +35,19 @@
 #[derive(Debug)]
 struct Pending {
     due: Moment,
+    order: Order,
+    sent: bool,
     until: Moment,
-    version: Version,
 }
 
-/// What a clerk wants done.
+/// What the clerk wants done.
 #[derive(Debug)]
 pub(super) enum Output {
-    /// Answer to the operator with this ticket.
     Answer(u64, Verdict),
-    /// Frame to a control.
     Send(NodeId, Box<Frame>),
 }
 
 impl Clerk {
-    /// Takes the controls that may lead.
     pub(super) fn set_controls(&mut self, controls: Vec<NodeId>) {
         if self.controls != controls {
             self.controls = controls;
@@ -50,26 +55,41 @@
         }
     }
 
-    /// Takes up a submission.
+    /// Tries this control first.
+    pub(super) fn set_leader(&mut self, leader: &NodeId) {
+        if let Some(at) = self.controls.iter().position(|control| control == leader) {
+            self.leader = at;
+        }
+    }
+
     pub(super) fn submit(&mut self, now: Moment, ticket: u64, version: Version) -> Vec<Output> {
-        let pending = Pending { due: now, until: now + PATIENCE, version };
-        self.pending.insert(ticket, pending);
+        self.ask(now, ticket, Order::Submit(version), PATIENCE)
+    }
+
+    /// Carries an order around for at most `patience`.
+    pub(super) fn ask(
+        &mut self,
+        now: Moment,
+        ticket: u64,
+        order: Order,
+        patience: Duration,
+    ) -> Vec<Output> {
+        self.pending.insert(ticket, Pending { due: now, order, sent: false, until: now + patience });
         self.tick(now)
     }
 
-    /// Takes a control's verdict.
     pub(super) fn verdict(&mut self, now: Moment, ticket: u64, verdict: Verdict) -> Vec<Output> {
         let Some(pending) = self.pending.get_mut(&ticket) else { return Vec::new() };
         match verdict {
             Verdict::NotLeader(Some(leader)) => {
-                if let Some(at) = self.controls.iter().position(|control| *control == leader) {
-                    self.leader = at;
-                }
-                pending.due = now + PAUSE;
+                pending.due = now + FOLLOW;
+                pending.sent = false;
+                self.set_leader(&leader);
             }
             Verdict::NotLeader(None) => {
                 self.leader = (self.leader + 1) % self.controls.len().max(1);
                 pending.due = now + PAUSE;
+                pending.sent = false;
             }
             settled => {
                 self.pending.remove(&ticket);
@@ -79,7 +99,11 @@
         Vec::new()
     }
 
-    /// Sends again what is due, and gives up what has waited too long.
+    /// When it wants to be told the time.
+    pub(super) fn wake(&self) -> Option<Moment> {
+        self.pending.values().map(|pending| pending.due.min(pending.until)).min()
+    }
+
     pub(super) fn tick(&mut self, now: Moment) -> Vec<Output> {
         let mut outputs = Vec::new();
         let late: Vec<u64> = self
@@ -92,18 +116,22 @@
             self.pending.remove(&ticket);
             outputs.push(Output::Answer(ticket, Verdict::Unconfirmed));
         }
-        let mut sent = false;
+        let mut late = false;
         for (ticket, pending) in &mut self.pending {
             let Some(control) = self.controls.get(self.leader) else { return outputs };
             if pending.due > now {
                 continue;
             }
+            late |= pending.sent;
+            pending.sent = true;
             pending.due = now + RETRY;
-            sent = true;
-            let frame = Frame::Submit { ticket: *ticket, version: pending.version.clone() };
+            let frame = match pending.order.clone() {
+                Order::Submit(version) => Frame::Submit { ticket: *ticket, version },
+                order => Frame::Order { ticket: *ticket, order },
+            };
             outputs.push(Output::Send(control.clone(), Box::new(frame)));
         }
-        if sent {
+        if late {
             self.leader = (self.leader + 1) % self.controls.len().max(1);
         }
         outputs
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -2,13 +2,13 @@
 
 mod claims;
 mod configuration;
+mod machine;
 mod membership;
 mod quality;
 mod upstreams;
 mod view;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +18,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::catalog;
 use crate::claim;
 use crate::claim::Agent;
 use crate::clock::Epoch;
@@ -31,7 +32,6 @@
 use crate::fleet::Member;
 use crate::fleet::Seed;
 use crate::health;
-use crate::health::Judge;
 use crate::id::NodeId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -48,6 +48,7 @@
 use crate::wire::Verdict;
 
 use super::Office;
+use super::judges::Judges;
 use super::clerk::Clerk;
 use super::input::Claimed;
 use super::office;
@@ -76,6 +77,8 @@
 pub enum Input {
     /// An upstream announced itself here.
     Announce(u64, registry::Announcement),
+    /// What an upstream says of itself to a control, for the log.
+    Catalog(u64, catalog::Action),
     /// Change of the controls' membership.
     Change(u64, quorum::Change),
     /// A request wants its claim by the moment given.
@@ -92,6 +95,10 @@
     Overdue(ServiceId, UpstreamId, Vec<Duration>),
     /// An upstream's own report: draining, where it told, and healthy.
     Probed(ServiceId, UpstreamId, Option<bool>, bool),
+    /// Somebody asks for the newest configuration.
+    Read(u64),
+    /// The seeds were exchanged.
+    Seeds(Vec<NodeId>),
     /// The process ends: tell the others.
     Stop,
     /// An operator's submission.
@@ -129,6 +136,9 @@
         upstream: UpstreamId,
     },
     /// Frame to send, with the receiver's address where it is known.
+    /// The newest configuration; `None` where it can't be told which that is.
+    Read(u64, Option<Option<Version>>),
+    /// Message to another process, and its address where it is known.
     Send(NodeId, Option<SocketAddr>, Frame),
     /// Answer to a submission.
     Verdict(u64, Verdict),
@@ -141,23 +151,19 @@
     /// Ticket of the announcement being taken.
     announcing: Option<u64>,
     /// Services where an upstream stays in use only because of the floor.
-    at_floor: BTreeSet<ServiceId>,
     clerk: Clerk,
     controls: Vec<NodeId>,
     dirty: bool,
     holder: Holder,
     /// Whether the slices know who there is.
     introduced: bool,
-    judges: BTreeMap<ServiceId, Judge>,
-    judged_at: Moment,
+    judges: Judges,
     leaving: bool,
     me: fleet::Record,
     member: Member,
     office: Option<Office>,
     /// When this process last asked an upstream for its own report.
     probed_at: BTreeMap<UpstreamId, Moment>,
-    random: ChaCha8Rng,
-    recorder: Recorder,
     registry: Registry,
     rules: Option<Arc<Rules>>,
     /// When evidence on the upstreams of a service was last sent to others.
@@ -178,30 +184,27 @@
             Holder::new(now, me.id.clone(), config::Settings::default(), setup.kept, draw());
         let member = Member::new(now, me.clone(), setup.seeds, draw());
         let registry = Registry::new(now, me.id.clone(), draw());
+        let judges = Judges::new(now, me.id.clone(), setup.recorder, draw());
         let mut core = Self {
             agent: Agent::new(now, me.id.clone(), me.incarnation),
             announcing: None,
-            at_floor: BTreeSet::new(),
             clerk: Clerk::default(),
             controls: setup.controls,
             dirty: true,
             holder,
             introduced: false,
-            judges: BTreeMap::new(),
-            judged_at: now,
+            judges,
             leaving: false,
             me,
             member,
             office: setup.office,
             probed_at: BTreeMap::new(),
-            recorder: setup.recorder,
             registry,
             rules: None,
             shared_at: BTreeMap::new(),
             stopped: None,
             version: 0,
             wall: Epoch::ZERO,
-            random,
         };
         if let Some(version) = core.holder.current().cloned() {
             core.resume(now, &version);
@@ -217,6 +220,10 @@
             Input::Announce(ticket, announcement) => {
                 self.announce(now, ticket, announcement, &mut outputs);
             }
+            Input::Catalog(ticket, _) => {
+                let text = "upstreams announce themselves to entries here".to_owned();
+                outputs.push(Output::Announced(ticket, Err(text)));
+            }
             Input::Change(ticket, change) => self.change(now, ticket, change, &mut outputs),
             Input::Claim(ticket, request, deadline) => {
                 let input = claim::Input::Begin { deadline, request, ticket };
@@ -235,6 +242,8 @@
             Input::Probed(service, upstream, draining, healthy) => {
                 self.probed(now, service, upstream, draining, healthy, &mut outputs);
             }
+            Input::Read(ticket) => outputs.push(Output::Read(ticket, None)),
+            Input::Seeds(_) => (),
             Input::Stop => self.tell_member(now, fleet::Input::Leave, &mut outputs),
             Input::Submit(ticket, version) => {
                 let done = self.clerk.submit(now, ticket, version);
@@ -296,7 +305,7 @@
     }
 
     /// Verdicts on the upstreams of each service.
-    pub fn judges(&self) -> impl Iterator<Item = (&ServiceId, &Judge)> {
+    pub fn judges(&self) -> impl Iterator<Item = (&ServiceId, &health::Judge)> {
         self.judges.iter()
     }
 
@@ -323,6 +332,9 @@
             Frame::Config(message) => {
                 self.tell_holder(now, config::Input::Receive { from, message }, outputs);
             }
+            Frame::Feed(_) | Frame::Order { .. } => {
+                tracing::warn!(target: "hemlockfield::link", peer = %from, "frame of another kind of fleet");
+            }
             Frame::Fleet(message) => {
                 self.tell_member(now, fleet::Input::Receive { from, message }, outputs);
             }
--- a/src/node/core/configuration.rs
+++ b/src/node/core/configuration.rs
@@ -32,6 +32,12 @@
                     outputs.push(Output::Event(event));
                     self.tell_holder(now, config::Input::Committed(version), outputs);
                 }
+                office::Output::Installed | office::Output::Upstream(_) => {
+                    tracing::warn!(
+                        target: "hemlockfield::registry",
+                        "the log speaks of upstreams, which announce themselves to entries here"
+                    );
+                }
                 office::Output::Leads(leads) => {
                     self.tell_holder(now, config::Input::Leads(leads), outputs);
                 }
--- /dev/null
+++ b/src/node/core/machine.rs
@@ -0,0 +1,56 @@
+//! The core as the driver sees it.
+
+use crate::clock::Epoch;
+use crate::clock::Moment;
+use crate::fleet;
+use crate::id::NodeId;
+use crate::node::Office;
+use crate::node::View;
+use crate::node::core::Core;
+use crate::node::core::Input;
+use crate::node::core::Output;
+use crate::node::machine::Machine;
+use crate::node::status;
+use crate::node::status::Report;
+
+impl Machine for Core {
+    fn handle(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
+        self.handle(now, wall, input)
+    }
+
+    fn wake(&self, now: Moment) -> Moment {
+        self.wake().min(now + fleet::Member::TICK)
+    }
+
+    fn view(&mut self, now: Moment, last: &View) -> Option<View> {
+        self.view(now, last)
+    }
+
+    fn report(&self, now: Moment) -> Report {
+        Report {
+            configuration: self.version().map(status::Configuration::of),
+            control: self.control(now),
+            id: self.member().me().id.clone(),
+            members: self.member().members().map(status::Member::of).collect(),
+            open_claims: self.open_claims(),
+            services: self.upstreams(now),
+            standing: self.standing(),
+        }
+    }
+
+    fn neighbours(&self) -> Vec<NodeId> {
+        self.neighbours()
+    }
+
+    fn open_claims(&self) -> usize {
+        self.open_claims()
+    }
+
+    fn close_office(&mut self, reason: String) {
+        self.close_office(reason);
+    }
+
+    fn open_office(&mut self, office: Office) {
+        self.open_office(office);
+    }
+}
--- a/src/node/core/upstreams.rs
+++ b/src/node/core/upstreams.rs
@@ -136,13 +136,11 @@
     }
 
     fn forget(&mut self, now: Moment, upstream: &UpstreamId, outputs: &mut Vec<Output>) {
-        let services: Vec<ServiceId> = self.judges.keys().cloned().collect();
-        for service in services {
-            let input = health::Input::Gone { upstream: upstream.clone() };
-            self.tell_judge(now, &service, input, outputs);
-        }
+        let told = self.judges.forget(now, upstream);
+        self.judged(now, told, outputs);
     }
 
+
     /// Tells a new judge of the upstreams that are there already.
     pub(super) fn introduce(
         &mut self,
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -1,23 +1,22 @@
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::balance;
 use crate::clock::Moment;
 use crate::health::Verdict;
 use crate::id::ServiceId;
+use crate::node::Office;
 use crate::node::View;
 use crate::node::core::Core;
 use crate::node::status;
 use crate::node::view;
 use crate::registry;
-use crate::rule::ServiceState;
 
 impl Core {
     /// What traffic threads are to know from now on; `None` where nothing has changed.
     pub fn view(&mut self, now: Moment, last: &View) -> Option<View> {
         let services = self.services(now);
-        if !self.dirty && same(&services, &last.services) {
+        if !self.dirty && last.has(&services) {
             return None;
         }
         self.dirty = false;
@@ -26,7 +25,7 @@
             leaving: self.leaving,
             number: self.holder.current().map(|version| version.number),
             rules: self.rules.clone(),
-            services: self.publish(services, last),
+            services: last.succeed(services, &mut self.version),
             standing: self.holder.standing(),
         })
     }
@@ -64,6 +63,12 @@
         self.stopped = Some(reason);
     }
 
+    /// Takes control's part up again, from what the disk has kept.
+    pub fn open_office(&mut self, office: Office) {
+        self.office = Some(office);
+        self.stopped = None;
+    }
+
     fn services(&self, now: Moment) -> BTreeMap<ServiceId, view::Service> {
         let entries = self.entries().len();
         let mut services: BTreeMap<ServiceId, view::Service> = BTreeMap::new();
@@ -81,51 +86,10 @@
             }
         }
         for (name, service) in &mut services {
-            service.state = state(service, self.at_floor.contains(name));
+            service.settle(self.judges.is_at_floor(name));
         }
         services
     }
-
-    /// Counts up the version of each service that has changed.
-    fn publish(
-        &mut self,
-        services: BTreeMap<ServiceId, view::Service>,
-        last: &View,
-    ) -> BTreeMap<ServiceId, Arc<view::Service>> {
-        let mut published = BTreeMap::new();
-        for (name, mut service) in services {
-            let before = last.services.get(&name);
-            let service = match before.filter(|before| is_same(&service, before)) {
-                Some(before) => Arc::clone(before),
-                None => {
-                    self.version += 1;
-                    service.version = self.version;
-                    Arc::new(service)
-                }
-            };
-            published.insert(name, service);
-        }
-        published
-    }
-}
-
-fn same(
-    services: &BTreeMap<ServiceId, view::Service>,
-    last: &BTreeMap<ServiceId, Arc<view::Service>>,
-) -> bool {
-    services.len() == last.len()
-        && services
-            .iter()
-            .zip(last)
-            .all(|((name, service), (other, before))| name == other && is_same(service, before))
-}
-
-fn is_same(service: &view::Service, before: &view::Service) -> bool {
-    service.members == before.members
-        && service.addresses == before.addresses
-        && service.weights == before.weights
-        && service.entries == before.entries
-        && service.state == before.state
 }
 
 fn member(now: Moment, found: &registry::Upstream) -> balance::Member {
@@ -149,16 +113,3 @@
     let since = found.born_at();
     balance::State::Warm { since, until: since.saturating_add(warm_up) }
 }
-
-fn state(service: &view::Service, at_floor: bool) -> ServiceState {
-    let usable = service.members.len();
-    let weights: HashMap<_, _> =
-        service.weights.iter().filter(|(_, weight)| **weight <= 0.0).collect();
-    match weights.len() {
-        _ if usable == 0 => ServiceState::Down,
-        0 => ServiceState::Healthy,
-        ejected if ejected == usable => ServiceState::Down,
-        _ if at_floor => ServiceState::AtFloor,
-        _ => ServiceState::Degraded,
-    }
-}
--- /dev/null
+++ b/src/node/doors.rs
@@ -0,0 +1,156 @@
+//! Side doors: announcements, operators, lists of entries and readiness, as the boundary
+//! reads them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::channel::Receiver;
+use async_std::channel::bounded;
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+
+use super::Inbox;
+use super::Input;
+use super::traffic::Shared;
+use crate::boundary::Done;
+use crate::boundary::Order;
+use crate::catalog::Action;
+use crate::directory;
+use crate::exchange::Inlet;
+use crate::exchange::Outcome;
+use crate::exchange::Outlet;
+use crate::exchange::Payload;
+use crate::exchange::Refusal;
+use crate::exchange::Request;
+use crate::runtime;
+use crate::wire::Verdict;
+
+/// Longest order, in bytes: a configuration many times that of the size planned for.
+const ORDER_MAX: u64 = 16 << 20;
+/// Longest pause in an order, and longest that a connection lies idle.
+const IDLE: Duration = Duration::from_secs(20);
+/// Longest that control is waited for: those who ask give up sooner.
+const PATIENCE: Duration = Duration::from_millis(2500);
+/// A control that has just started has not heard from all entries yet; a list of a few would
+/// send all callers to those.
+const WARM_UP: Duration = Duration::from_millis(1500);
+/// Pause after a failed accept.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves one door.
+pub(super) async fn serve(listener: TcpListener, inbox: Inbox, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                runtime::spawn(connection(stream, peer, inbox.clone(), Arc::clone(&shared)));
+            }
+            Err(error) => {
+                tracing::warn!(target: "hemlockfield::node", "can't accept: {error}");
+                task::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, peer: SocketAddr, inbox: Inbox, shared: Arc<Shared>) {
+    let mut inlet = Inlet::new(stream, peer);
+    while let Some((request, mut outlet)) = inlet.next(IDLE).await {
+        order(request, &mut outlet, &inbox, &shared).await;
+        if outlet.is_closing() {
+            inlet.linger().await;
+            return;
+        }
+    }
+}
+
+async fn order(mut request: Request, outlet: &mut Outlet, inbox: &Inbox, shared: &Shared) {
+    let body = match Payload::take(&mut request, ORDER_MAX, ORDER_MAX, IDLE).await {
+        Ok(Payload::Held(body)) => body,
+        Ok(Payload::Stream(Some(mut exact), _)) => match exact.read_all().await {
+            Ok(body) => body,
+            Err(error) => return refuse(400, &error.to_string(), outlet, shared).await,
+        },
+        Ok(_) => bytes::Bytes::new(),
+        Err(failure) => return refuse(400, &failure.to_string(), outlet, shared).await,
+    };
+    let response = match shared.boundary.order(&request, &body) {
+        Ok(order) => shared.boundary.done(carry_out(order, inbox, shared).await),
+        Err(refusal) => shared.boundary.refuse(&refusal),
+    };
+    if let Err(error) = outlet.send(response).await {
+        tracing::debug!(target: "hemlockfield::node", "who asked is gone: {error}");
+    }
+}
+
+async fn refuse(status: u16, reason: &str, outlet: &mut Outlet, shared: &Shared) {
+    outlet.close_after();
+    let refusal = Refusal::new(status, Outcome::NotRun, reason);
+    if let Err(error) = outlet.send(shared.boundary.refuse(&refusal)).await {
+        tracing::debug!(target: "hemlockfield::node", "who asked is gone: {error}");
+    }
+}
+
+async fn carry_out(order: Order, inbox: &Inbox, shared: &Shared) -> Done {
+    match order {
+        Order::Announce(change) => announce(Action::Announce(*change), inbox).await,
+        Order::Leave(upstream) => announce(Action::Leave(upstream), inbox).await,
+        Order::List(domain) => list(&domain, shared),
+        Order::Read => read(inbox).await,
+        Order::Ready => {
+            let view = shared.view.load();
+            let ready = view.standing.serves() && view.rules.is_some() && !view.leaving;
+            Done::Readiness(ready)
+        }
+        Order::Submit(version) => submit(version, inbox).await,
+    }
+}
+
+async fn announce(action: Action, inbox: &Inbox) -> Done {
+    let (sender, receiver) = bounded(1);
+    match ask(inbox, Input::Catalog(action, sender), &receiver).await {
+        Some(Ok(())) => Done::Announced(None),
+        Some(Err(reason)) => Done::Busy(reason.into()),
+        None => Done::Busy("control does not answer".into()),
+    }
+}
+
+fn list(domain: &str, shared: &Shared) -> Done {
+    let view = shared.view.load();
+    let entries = directory::nearby(domain, &view.entries);
+    if shared.now() < WARM_UP || entries.is_empty() {
+        return Done::Busy("no entries are known yet".into());
+    }
+    Done::Entries(entries, shared.settings.directory.lifetime)
+}
+
+async fn read(inbox: &Inbox) -> Done {
+    let (sender, receiver) = bounded(1);
+    match ask(inbox, Input::Read(sender), &receiver).await {
+        Some(Some(version)) => Done::Configuration(version),
+        Some(None) | None => Done::Busy("which configuration is the newest is not sure".into()),
+    }
+}
+
+async fn submit(version: crate::config::Version, inbox: &Inbox) -> Done {
+    let (sender, receiver) = bounded(1);
+    match ask(inbox, Input::Submit(version, sender), &receiver).await {
+        // One that is not higher than what is in force is overtaken, which is no error.
+        Some(
+            Verdict::Accepted(_)
+            | Verdict::AlreadyAccepted(_)
+            | Verdict::Refused { .. }
+            | Verdict::Reused(_),
+        ) => Done::Submitted,
+        Some(_) | None => Done::Busy("the log could not take it in time".into()),
+    }
+}
+
+async fn ask<T>(inbox: &Inbox, input: Input, answer: &Receiver<T>) -> Option<T> {
+    if !inbox.send(input).await {
+        return None;
+    }
+    timeout(PATIENCE, answer.recv()).await.ok()?.ok()
+}
--- a/src/node/error.rs
+++ b/src/node/error.rs
@@ -31,6 +31,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The process has no log to open.
+    #[error("this process is no control and has no log")]
+    Office,
     /// Recording that can't be written.
     #[error(transparent)]
     Replay(#[from] crate::replay::Error),
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -2,9 +2,9 @@
 
 use async_std::channel::Sender;
 
+use crate::catalog;
 use crate::claim;
 use crate::config::Version;
-use crate::health;
 use crate::id::NodeId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -19,6 +19,8 @@
 pub enum Input {
     /// An upstream announced itself here; the sender takes the answer.
     Announce(registry::Announcement, Sender<Result<(), String>>),
+    /// What an upstream says of itself to a control; the sender takes the answer.
+    Catalog(catalog::Action, Sender<Result<(), String>>),
     /// A change of the controls' membership; the sender takes the answer.
     Change(quorum::Change, Sender<Result<u64, String>>),
     /// A request's claim; the sender takes the end of the question.
@@ -31,17 +33,6 @@
     Frame(NodeId, Vec<u8>),
     /// Requests that wait unusually long for an upstream's first byte.
     Overdue(ServiceId, UpstreamId, Vec<Duration>),
-    /// A request to an upstream ended.
-    Outcome {
-        /// How it ended.
-        kind: health::Kind,
-        /// Until the first byte of its answer.
-        latency: Duration,
-        /// Service of the upstream.
-        service: ServiceId,
-        /// The upstream.
-        upstream: UpstreamId,
-    },
     /// An upstream's own report, asked of it by this process.
     Probed {
         /// Whether it says that it is leaving; `None` where it gave no answer.
@@ -53,12 +44,18 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// Somebody asks for the newest configuration; `None` where it can't be told.
+    Read(Sender<Option<Option<Version>>>),
+    /// The seeds were exchanged.
+    Seeds(Vec<NodeId>),
     /// What this process knows; for operators.
     Status(Sender<Status>),
     /// Serving is over: tell the others, and end the control thread.
     Stop,
     /// A configuration that an operator submitted here.
     Submit(Version, Sender<Verdict>),
+    /// Outcomes were noted that should not wait.
+    Wake,
 }
 
 /// End of a question for a claim.
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -2,22 +2,22 @@
 
 mod plain;
 mod quic;
-
-use async_std::channel::Sender;
+mod stream;
 
 use crate::settings::Settings;
 
 use super::Carrier;
 use super::Error;
-use super::Input;
+use super::Inbox;
 
 /// Starts the links of a process; what arrives goes to `control`.
 pub(super) fn start(
     settings: &Settings,
-    control: Sender<Input>,
+    control: Inbox,
 ) -> Result<Box<dyn Carrier>, Error> {
     match &settings.keys {
         Some(keys) => quic::start(settings, keys, control),
+        None if settings.trusted_network => stream::start(settings, control),
         None => plain::start(settings, control),
     }
 }
--- a/src/node/links/plain.rs
+++ b/src/node/links/plain.rs
@@ -2,13 +2,13 @@
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 
-use async_std::channel::Sender;
-
 use crate::id::NodeId;
 use crate::link;
 use crate::node::Carrier;
 use crate::node::Error;
+use crate::node::Inbox;
 use crate::node::Input;
+use crate::node::inbox::Refused;
 use crate::settings::Settings;
 
 /// Largest frame that one datagram carries, in bytes.
@@ -24,7 +24,7 @@
 
 pub(super) fn start(
     settings: &Settings,
-    control: Sender<Input>,
+    control: Inbox,
 ) -> Result<Box<dyn Carrier>, Error> {
     tracing::warn!(target: "hemlockfield::link", "no keys: links are for trials on loopback");
     let address = settings.listen.links;
@@ -57,12 +57,12 @@
     }
 }
 
-fn read(socket: &UdpSocket, control: &Sender<Input>) {
+fn read(socket: &UdpSocket, control: &Inbox) {
     let mut buffer = vec![0; DATAGRAM_MAX + 1];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer) else { continue };
         let Ok((from, bytes)) = postcard::from_bytes(&buffer[..length]) else { continue };
-        if control.send_blocking(Input::Frame(from, bytes)).is_err() {
+        if let Err(Refused::Closed) = control.try_send(Input::Frame(from, bytes)) {
             return;
         }
     }
--- a/src/node/links/quic.rs
+++ b/src/node/links/quic.rs
@@ -2,7 +2,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use async_std::channel::Sender;
 use stop_token::StopSource;
 
 use crate::id::NodeId;
@@ -11,6 +10,7 @@
 use crate::link::Endpoint;
 use crate::node::Carrier;
 use crate::node::Error;
+use crate::node::Inbox;
 use crate::node::Input;
 use crate::settings::Keys;
 use crate::settings::Settings;
@@ -26,14 +26,16 @@
 pub(super) fn start(
     settings: &Settings,
     keys: &Keys,
-    control: Sender<Input>,
+    control: Inbox,
 ) -> Result<Box<dyn Carrier>, Error> {
     let paths = Paths { authority: keys.authority.clone(), identity: keys.identity.clone() };
     let links = link::Settings::new(settings.node.id.clone(), settings.listen.links, paths);
     let stop = StopSource::new();
     // What control can't take now is dropped, as by a network: the slices send again.
     let receive = move |from: &NodeId, bytes: Vec<u8>| {
-        control.try_send(Input::Frame(from.clone(), bytes)).ok();
+        if control.try_send(Input::Frame(from.clone(), bytes)).is_err() {
+            tracing::warn!(target: "hemlockfield::link", peer = %from, "frame is dropped");
+        }
     };
     let endpoint = Endpoint::start(links, Box::new(receive), stop.token())?;
     let addresses: BTreeMap<NodeId, SocketAddr> =
--- a/src/node/logs.rs
+++ b/src/node/logs.rs
@@ -17,10 +17,5 @@
 
 /// Starts as many traffic threads as the settings say; before the first task runs.
 pub fn start_threads(settings: &Settings) {
-    let threads = settings.traffic.threads;
-    let config = async_global_executor::GlobalExecutorConfig::default()
-        .with_min_threads(threads)
-        .with_max_threads(threads)
-        .with_thread_name_fn(|| "traffic".to_owned());
-    async_global_executor::init_with_config(config);
+    crate::runtime::set_threads(settings.traffic.threads);
 }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -1,6 +1,4 @@
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -11,32 +9,25 @@
 use async_std::channel::bounded;
 use async_std::channel::unbounded;
 use async_std::net::TcpListener;
-use async_std::task;
 
 use crate::config::Version;
 use crate::directory::Directory;
-use crate::fleet;
 use crate::id::ConfigNumber;
-use crate::id::NodeId;
-use crate::quorum;
-use crate::quorum::Membership;
 use crate::replay;
-use crate::settings::Role;
+use crate::runtime;
 use crate::settings::Settings;
-use crate::storage::Folder;
-use crate::storage::Log;
 use crate::timeline::FileRecorder;
 use crate::timeline::Journal;
 use crate::timeline::Kind;
 use crate::wire::Verdict;
 
-use super::Core;
 use super::Error;
+use super::Inbox;
 use super::Input;
-use super::Office;
-use super::core::Setup;
-use super::held::Held;
+use super::doors;
 use super::links;
+use super::make;
+use super::make::Parts;
 use super::metrics::Metrics;
 use super::nowhere::Nowhere;
 use super::operators;
@@ -47,16 +38,13 @@
 use super::traffic;
 use super::traffic::Shared;
 
-/// Inputs that may wait for the control thread: a quarter of a second of 40,000 outcomes
-/// a second.
-const INBOX: usize = 10_000;
 
 /// A running process.
 pub struct Node {
     callers: Option<SocketAddr>,
-    control: Sender<Input>,
+    control: Inbox,
     ended: Receiver<()>,
-    operators: SocketAddr,
+    operators: Option<SocketAddr>,
     shared: Arc<Shared>,
     stop: Sender<()>,
     thread: Option<std::thread::JoinHandle<()>>,
@@ -65,7 +53,7 @@
 /// Makes a running process leave.
 #[derive(Clone)]
 pub struct Leaving {
-    control: Sender<Input>,
+    control: Inbox,
     shared: Arc<Shared>,
     stop: Sender<()>,
 }
@@ -78,19 +66,24 @@
     /// When an address, a key or the data folder can't be used.
     pub async fn start(settings: Settings, found: bool) -> Result<Self, Error> {
         let started = Instant::now();
-        let (control, inbox) = bounded(INBOX);
+        let (control, inbox) = Inbox::new();
         let (stop, done) = unbounded::<()>();
         let callers = bind(settings.listen.callers).await?;
-        let operators = bind(Some(settings.listen.operators)).await?;
-        let operators = operators.ok_or_else(|| unbound(settings.listen.operators))?;
-        let operators_at = address_of(&operators)?;
+        let operators = bind(settings.listen.operators).await?;
+        let operators_at = operators.as_ref().map(address_of).transpose()?;
+        let mut doors = Vec::new();
+        for address in &settings.listen.orders {
+            doors.extend(bind(Some(*address)).await?);
+        }
         let callers_at = callers.as_ref().map(address_of).transpose()?;
         let directory = Directory::new(settings.node.region.clone(), settings.directory.lifetime);
         let metrics = Metrics::new(settings.metrics.as_ref().map(|metrics| metrics.statsd))?;
         let recorder = replay::Recorder::open(settings.record.as_ref())?;
+        let boundary = make::boundary(&settings);
         let shared = Arc::new(Shared::new(
             settings.clone(),
             started,
+            Arc::clone(&boundary),
             control.clone(),
             done,
             directory,
@@ -100,30 +93,20 @@
         let journal = Arc::new(journal(&settings)?);
         let event = |event: crate::timeline::Event| event.detail("started", "now");
         journal.record(wall(), Kind::ProcessStarted, event);
-        let me = me(&settings, callers_at);
-        let (held, kept) = held(&settings)?;
-        let (office, log) = office(&settings, found)?;
-        let core = Core::new(
-            started.elapsed(),
-            Setup {
-                controls: controls(&settings),
-                kept,
-                me,
-                office,
-                recorder,
-                seeds: seeds(&settings),
-                seed: rand::random(),
-            },
-        );
+        let now = started.elapsed();
+        let parts = make::parts(now, &settings, callers_at, found, recorder, boundary)?;
+        let Parts { held, log, machine, opener } = parts;
         let carrier = links::start(&settings, control.clone())?;
         let thread = Thread {
             carrier,
+            closed_at: None,
             control: control.clone(),
-            core,
             held,
             inbox,
             journal,
             log,
+            machine,
+            opener,
             shared: Arc::clone(&shared),
             started,
             tickets: Tickets::default(),
@@ -132,20 +115,25 @@
         let thread = std::thread::Builder::new()
             .name("control".into())
             .spawn(move || {
-                task::block_on(thread.run());
+                thread.run();
                 drop(end);
             })
             .map_err(Error::Thread)?;
-        let state = Operators { control: control.clone(), shared: Arc::clone(&shared) };
-        task::spawn(async move {
-            if let Err(error) = operators::app(state).listen(operators).await {
-                tracing::error!(target: "hemlockfield::node", "operators' side ended: {error}");
-            }
-        });
+        if let Some(listener) = operators {
+            let state = Operators { control: control.clone(), shared: Arc::clone(&shared) };
+            runtime::spawn(async move {
+                if let Err(error) = operators::app(state).listen(listener).await {
+                    tracing::error!(target: "hemlockfield::node", "operators' side ended: {error}");
+                }
+            });
+        }
+        for listener in doors {
+            runtime::spawn(doors::serve(listener, control.clone(), Arc::clone(&shared)));
+        }
         if let Some(listener) = callers {
-            task::spawn(traffic::listen(listener, Arc::clone(&shared)));
+            runtime::spawn(traffic::listen(listener, Arc::clone(&shared)));
+            runtime::spawn(traffic::tick(Arc::clone(&shared)));
         }
-        task::spawn(traffic::tick(Arc::clone(&shared)));
         Ok(Self {
             callers: callers_at,
             control,
@@ -164,7 +152,7 @@
 
     /// Where operators and announcing upstreams connect.
     pub fn operators(&self) -> SocketAddr {
-        self.operators
+        self.operators.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
     }
 
     /// Number of the configuration in force here.
@@ -175,7 +163,7 @@
     /// Submits a configuration; tells whether it was accepted.
     pub async fn submit(&self, version: Version) -> bool {
         let (sender, receiver) = bounded(1);
-        if self.control.send(Input::Submit(version, sender)).await.is_err() {
+        if !self.control.send(Input::Submit(version, sender)).await {
             return false;
         }
         let verdict = receiver.recv().await;
@@ -218,7 +206,7 @@
             tracing::warn!(target: "hemlockfield::node", cut, "requests in flight are cut");
         }
         self.stop.close();
-        self.control.send(Input::Stop).await.ok();
+        self.control.send(Input::Stop).await;
         async_std::future::timeout(Duration::from_secs(2), self.ended.recv()).await.ok();
         if let Some(thread) = self.thread.take()
             && thread.is_finished()
@@ -232,7 +220,9 @@
 impl Leaving {
     /// Leaves the callers' lists, then ends when nothing needs this process any more.
     pub fn drain(&self) {
-        self.control.try_send(Input::Drain).ok();
+        if self.control.try_send(Input::Drain).is_err() {
+            tracing::warn!(target: "hemlockfield::node", "control is not told of the leaving");
+        }
         self.shared.request_drain();
     }
 
@@ -249,10 +239,6 @@
     bound.map(Some).map_err(|source| Error::Listen { address, source })
 }
 
-fn unbound(address: SocketAddr) -> Error {
-    Error::Listen { address, source: std::io::ErrorKind::AddrNotAvailable.into() }
-}
-
 fn address_of(listener: &TcpListener) -> Result<SocketAddr, Error> {
     let none = SocketAddr::from(([0, 0, 0, 0], 0));
     listener.local_addr().map_err(|source| Error::Listen { address: none, source })
@@ -272,66 +258,3 @@
     }
     Ok(journal)
 }
-
-fn me(settings: &Settings, callers: Option<SocketAddr>) -> fleet::Record {
-    let roles: BTreeSet<fleet::Role> = settings.roles.iter().map(role).collect();
-    fleet::Record {
-        id: settings.node.id.clone(),
-        incarnation: super::incarnation(),
-        meta: fleet::Meta {
-            callers: callers.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))),
-            config: 0,
-            domain: settings.node.failure_domain.clone(),
-            links: settings.listen.links,
-            region: settings.node.region.clone(),
-            roles,
-            state: fleet::State::Starting,
-        },
-    }
-}
-
-fn role(role: &Role) -> fleet::Role {
-    match role {
-        Role::Control => fleet::Role::Control,
-        Role::Entry => fleet::Role::Entry,
-    }
-}
-
-fn controls(settings: &Settings) -> Vec<NodeId> {
-    let own = settings.has(Role::Control).then(|| settings.node.id.clone());
-    let peers = settings.peers.iter().filter(|peer| peer.roles.contains(&Role::Control));
-    own.into_iter().chain(peers.map(|peer| peer.id.clone())).collect()
-}
-
-fn seeds(settings: &Settings) -> Vec<fleet::Seed> {
-    let seed =
-        |peer: &crate::settings::Peer| fleet::Seed { address: peer.links, id: peer.id.clone() };
-    settings.peers.iter().map(seed).collect()
-}
-
-fn held(settings: &Settings) -> Result<(Option<Held>, Option<crate::config::Version>), Error> {
-    let Some(data) = &settings.data else { return Ok((None, None)) };
-    let (held, kept) = Held::open(&data.join("held"))?;
-    Ok((Some(held), kept))
-}
-
-fn office(settings: &Settings, found: bool) -> Result<(Option<Office>, Option<Log>), Error> {
-    let Some(data) = settings.data.as_deref().filter(|_| settings.has(Role::Control)) else {
-        return Ok((None, None));
-    };
-    let folder = data.join("log");
-    let (log, recovered) = open(&folder)?;
-    let mut setup = quorum::Setup::new(settings.node.id.clone());
-    if found {
-        if recovered.identity.is_some() {
-            return Err(Error::Founded(folder));
-        }
-        setup.founders = Some(Membership::founding(controls(settings)));
-    }
-    Ok((Some(Office::new(setup, recovered, rand::random())), Some(log)))
-}
-
-fn open(folder: &Path) -> Result<(Log, quorum::Recovered), Error> {
-    let disk = Folder::open(folder)?;
-    Ok(Log::open(Box::new(disk))?)
-}
--- a/src/node/office.rs
+++ b/src/node/office.rs
@@ -1,6 +1,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::catalog;
+use crate::catalog::Catalog;
 use crate::claim;
 use crate::claim::Desk;
 use crate::claim::Ledger;
@@ -39,8 +41,11 @@
 pub struct Office {
     applied: Index,
     book: Book,
+    catalog: Catalog,
+    configured: Index,
     desk: Desk,
     groups: usize,
+    led_since: Moment,
     leads: bool,
     ledger: Ledger,
     next_ticket: u64,
@@ -54,12 +59,16 @@
 /// What an office is told.
 #[derive(Debug)]
 pub enum Input {
+    /// What an upstream said, from a control with its ticket.
+    Catalog(NodeId, u64, catalog::Action),
     /// Change of the controls' membership, with the operator's ticket.
     Change(u64, quorum::Change),
     /// Claims of an entry.
     Claims(NodeId, Vec<claim::Action>),
     /// Message of another replica.
     Receive(NodeId, quorum::Message),
+    /// A control asks up to which index it has to know the log, with its ticket.
+    Read(NodeId, u64),
     /// Submission of an operator, by way of a process and its ticket.
     Submit(NodeId, u64, Version),
     /// Records up to this number are on disk.
@@ -77,19 +86,25 @@
     Committed(Version),
     /// This replica has proved that it leads, or leads no more.
     Leads(bool),
+    /// The table of upstreams was replaced by a snapshot's.
+    Installed,
     /// Records to write and sync.
     Persist(u64, Vec<Record>),
     /// Frame to send.
     Send(NodeId, Box<Frame>),
     /// This replica leads from this term on, or no more.
     Term(quorum::Role, u64),
+    /// The log said something new about an upstream.
+    Upstream(catalog::Action),
 }
 
 #[derive(Clone, Debug)]
 enum Proposal {
+    Catalog { from: NodeId, ticket: u64 },
     Change(u64),
     Claims,
     Proof,
+    Read { from: NodeId, ticket: u64 },
     Submit { from: NodeId, ticket: u64, version: Version },
 }
 
@@ -99,8 +114,11 @@
         Self {
             applied: 0,
             book: Book::default(),
+            catalog: Catalog::default(),
+            configured: 0,
             desk: Desk::default(),
             groups: 0,
+            led_since: Moment::ZERO,
             leads: false,
             ledger: Ledger::new(claim::Limits::default()),
             next_ticket: 0,
@@ -116,6 +134,10 @@
     pub fn handle(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
         let mut outputs = Vec::new();
         match input {
+            Input::Catalog(from, ticket, action) => {
+                let proposal = Proposal::Catalog { from, ticket };
+                self.announce(now, wall, proposal, action, &mut outputs);
+            }
             Input::Change(ticket, change) => {
                 let ticket = self.note(Proposal::Change(ticket));
                 self.tell(now, quorum::Input::Change { ticket, change }, &mut outputs);
@@ -124,6 +146,7 @@
             Input::Receive(from, message) => {
                 self.tell(now, quorum::Input::Receive { from, message }, &mut outputs);
             }
+            Input::Read(from, ticket) => self.read(now, from, ticket, &mut outputs),
             Input::Submit(from, ticket, version) => {
                 self.submit(now, wall, Proposal::Submit { from, ticket, version }, &mut outputs);
             }
@@ -175,10 +198,65 @@
         outputs.push(Output::Send(from, Box::new(Frame::Claim(message))));
     }
 
-    fn leader(&self) -> Option<NodeId> {
+    /// The control that leads, as far as this one knows.
+    pub fn leader(&self) -> Option<NodeId> {
         self.replica.leader().cloned()
     }
 
+    /// Whether this control leads.
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
+    /// Index of the log up to which all is applied.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// The table of upstreams.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// The configuration in force, and the index since which it is.
+    pub fn configuration(&self) -> Option<(&Version, Index)> {
+        self.book.in_force().map(|version| (version, self.configured))
+    }
+
+    /// The log's replica.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// How long this control has led.
+    pub fn tenure(&self, now: Moment) -> Duration {
+        if self.leads { now.saturating_sub(self.led_since) } else { Duration::ZERO }
+    }
+
+    fn announce(
+        &mut self,
+        now: Moment,
+        wall: Epoch,
+        proposal: Proposal,
+        action: catalog::Action,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Proposal::Catalog { from, ticket } = &proposal else { return };
+        if !self.leads {
+            outputs.push(verdict_to(from, *ticket, Verdict::NotLeader(self.leader())));
+        } else if self.catalog.is_news(&action) {
+            self.propose(now, wall, proposal, Body::Catalog(action), outputs);
+        } else {
+            // What the table holds is committed already.
+            outputs.push(verdict_to(from, *ticket, Verdict::Announced));
+        }
+    }
+
+    fn read(&mut self, now: Moment, from: NodeId, ticket: u64, outputs: &mut Vec<Output>) {
+        let ticket = self.note(Proposal::Read { from, ticket });
+        self.tell(now, quorum::Input::Read { ticket }, outputs);
+    }
+
     /// Proposes a configuration as a difference where that is smaller.
     fn submit(&mut self, now: Moment, wall: Epoch, proposal: Proposal, outputs: &mut Vec<Output>) {
         let Proposal::Submit { from, ticket, version } = &proposal else { return };
@@ -223,15 +301,16 @@
 
     fn tell(&mut self, now: Moment, input: quorum::Input, outputs: &mut Vec<Output>) {
         for output in self.replica.handle(now, input) {
-            self.carry_out(output, outputs);
+            self.carry_out(now, output, outputs);
         }
     }
 
-    fn carry_out(&mut self, output: quorum::Output, outputs: &mut Vec<Output>) {
+    fn carry_out(&mut self, now: Moment, output: quorum::Output, outputs: &mut Vec<Output>) {
         match output {
             quorum::Output::Accepted { ticket, index } => self.accepted(ticket, index, outputs),
             quorum::Output::BecameLeader { term } => {
                 self.leads = true;
+                self.led_since = now;
                 outputs.push(Output::Term(quorum::Role::Leader, term));
             }
             quorum::Output::Changed { .. } => (),
@@ -240,10 +319,12 @@
             quorum::Output::Persist { number, records } => {
                 outputs.push(Output::Persist(number, records));
             }
-            quorum::Output::Readable { ticket } => {
-                self.proposals.remove(&ticket);
-                outputs.push(Output::Leads(self.leads));
-            }
+            quorum::Output::Readable { ticket } => match self.proposals.remove(&ticket) {
+                Some(Proposal::Read { from, ticket }) => {
+                    outputs.push(verdict_to(&from, ticket, Verdict::Readable(self.applied)));
+                }
+                _ => outputs.push(Output::Leads(self.leads)),
+            },
             quorum::Output::Refused { ticket, reason, leader } => {
                 self.refused(ticket, reason, leader, outputs);
             }
@@ -266,6 +347,11 @@
         self.applied = index;
         let Ok(command) = postcard::from_bytes::<Command>(command) else { return };
         match command.body {
+            Body::Catalog(action) => {
+                if self.catalog.apply(index, &action) {
+                    outputs.push(Output::Upstream(action));
+                }
+            }
             Body::Claims(claims) => {
                 let replies = self.ledger.apply(command.at, claims.clone());
                 if self.leads {
@@ -278,6 +364,9 @@
                 let before = self.book.in_force().map(|version| version.number);
                 let reply = self.book.apply(command.at, change);
                 let now = self.book.in_force().filter(|version| Some(version.number) != before);
+                if now.is_some() {
+                    self.configured = index;
+                }
                 outputs.extend(now.cloned().map(Output::Committed));
                 if self.leads {
                     self.replies.insert(index, verdict(reply, before));
@@ -290,13 +379,16 @@
     fn accepted(&mut self, ticket: u64, index: Index, outputs: &mut Vec<Output>) {
         let verdict = self.replies.remove(&index);
         match self.proposals.remove(&ticket) {
+            Some(Proposal::Catalog { from, ticket }) => {
+                outputs.push(verdict_to(&from, ticket, Verdict::Announced));
+            }
             Some(Proposal::Change(ticket)) => outputs.push(Output::Changed(ticket, Ok(index))),
             Some(Proposal::Claims) => self.groups = self.groups.saturating_sub(1),
             Some(Proposal::Submit { from, ticket, .. }) => {
                 let verdict = verdict.unwrap_or(Verdict::Unconfirmed);
                 outputs.push(verdict_to(&from, ticket, verdict));
             }
-            Some(Proposal::Proof) | None => (),
+            Some(Proposal::Proof | Proposal::Read { .. }) | None => (),
         }
     }
 
@@ -317,9 +409,11 @@
             }
             Some(Proposal::Claims) => self.groups = self.groups.saturating_sub(1),
             Some(Proposal::Proof) => outputs.push(Output::Leads(false)),
-            Some(Proposal::Submit { from, ticket, .. }) => {
-                outputs.push(verdict_to(&from, ticket, Verdict::NotLeader(leader)));
-            }
+            Some(
+                Proposal::Catalog { from, ticket }
+                | Proposal::Read { from, ticket }
+                | Proposal::Submit { from, ticket, .. },
+            ) => outputs.push(verdict_to(&from, ticket, Verdict::NotLeader(leader))),
             None => (),
         }
     }
@@ -327,7 +421,11 @@
     /// The process that asked sends again; its submission id makes that safe.
     fn uncertain(&mut self, ticket: u64, outputs: &mut Vec<Output>) {
         match self.proposals.remove(&ticket) {
-            Some(Proposal::Submit { from, ticket, .. }) => {
+            Some(
+                Proposal::Catalog { from, ticket }
+                | Proposal::Read { from, ticket }
+                | Proposal::Submit { from, ticket, .. },
+            ) => {
                 let verdict = Verdict::NotLeader(self.leader());
                 outputs.push(verdict_to(&from, ticket, verdict));
             }
@@ -341,15 +439,18 @@
     }
 
     fn install(&mut self, snapshot: &quorum::Snapshot, outputs: &mut Vec<Output>) {
-        let Some((book, ledger)) = Image::decode(&snapshot.bytes) else {
+        let Some((book, ledger, catalog)) = Image::decode(&snapshot.bytes) else {
             tracing::error!(target: "hemlockfield::quorum", "snapshot can't be read");
             return;
         };
         self.book = book;
+        self.catalog = catalog;
+        self.configured = snapshot.index;
         self.ledger = ledger;
         self.applied = snapshot.index;
         self.snapshot_at = snapshot.index;
         outputs.extend(self.book.in_force().cloned().map(Output::Committed));
+        outputs.push(Output::Installed);
     }
 
     fn shorten(&mut self, now: Moment, outputs: &mut Vec<Output>) {
@@ -357,7 +458,7 @@
             return;
         }
         self.snapshot_at = self.applied;
-        let Some(bytes) = Image::encode(&self.book, &self.ledger) else { return };
+        let Some(bytes) = Image::encode(&self.book, &self.ledger, &self.catalog) else { return };
         let index = self.applied;
         self.tell(now, quorum::Input::Snapshot { index, bytes }, outputs);
     }
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use async_std::channel::Receiver;
-use async_std::channel::Sender;
 use async_std::channel::bounded;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,6 +20,7 @@
 use crate::rule::Rules;
 use crate::wire::Verdict;
 
+use super::Inbox;
 use super::Input;
 use super::traffic::Shared;
 
@@ -32,7 +32,7 @@
 /// State of the operators' side.
 #[derive(Clone)]
 pub(super) struct Operators {
-    pub(super) control: Sender<Input>,
+    pub(super) control: Inbox,
     pub(super) shared: Arc<Shared>,
 }
 
@@ -108,13 +108,16 @@
     let status = match &verdict {
         Verdict::Accepted(_) | Verdict::AlreadyAccepted(_) => StatusCode::Ok,
         Verdict::Refused { .. } | Verdict::Reused(_) => StatusCode::Conflict,
-        Verdict::NotLeader(_) | Verdict::Unconfirmed => StatusCode::ServiceUnavailable,
+        Verdict::Announced
+        | Verdict::NotLeader(_)
+        | Verdict::Readable(_)
+        | Verdict::Unconfirmed => StatusCode::ServiceUnavailable,
     };
     Ok(json(status, serde_json::to_string(&Told { verdict })?))
 }
 
 async fn drain(request: Request<Operators>) -> tide::Result {
-    request.state().control.send(Input::Drain).await?;
+    tell(request.state(), Input::Drain).await?;
     request.state().shared.request_drain();
     Ok(text_of(StatusCode::Ok, "leaving"))
 }
@@ -166,10 +169,17 @@
 }
 
 async fn ask<T>(state: &Operators, input: Input, answer: &Receiver<T>) -> tide::Result<T> {
-    state.control.send(input).await?;
+    tell(state, input).await?;
     Ok(answer.recv().await?)
 }
 
+async fn tell(state: &Operators, input: Input) -> tide::Result<()> {
+    if state.control.send(input).await {
+        return Ok(());
+    }
+    Err(tide::Error::from_str(StatusCode::ServiceUnavailable, "the process ends"))
+}
+
 fn json(status: StatusCode, text: String) -> Response {
     let mut response = Response::new(status);
     response.set_body(Body::from_string(text));
--- a/src/node/snapshot.rs
+++ b/src/node/snapshot.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::catalog;
 use crate::claim;
 use crate::clock::Epoch;
 use crate::config;
@@ -18,6 +19,8 @@
 pub(super) enum Body {
     Claims(claim::Command),
     Config(config::Command),
+    /// About an upstream.
+    Catalog(catalog::Action),
 }
 
 /// Everything that the quorum log has brought about, as a snapshot holds it.
@@ -25,18 +28,26 @@
 pub(super) struct Image {
     book: Vec<u8>,
     ledger: Vec<u8>,
+    catalog: catalog::Catalog,
 }
 
 impl Image {
-    pub(super) fn encode(book: &config::Book, ledger: &claim::Ledger) -> Option<Vec<u8>> {
-        let image = Self { book: book.encode().ok()?, ledger: ledger.encode().ok()? };
+    pub(super) fn encode(
+        book: &config::Book,
+        ledger: &claim::Ledger,
+        catalog: &catalog::Catalog,
+    ) -> Option<Vec<u8>> {
+        let (book, ledger) = (book.encode().ok()?, ledger.encode().ok()?);
+        let image = Self { book, ledger, catalog: catalog.clone() };
         postcard::to_stdvec(&image).ok()
     }
 
-    pub(super) fn decode(bytes: &[u8]) -> Option<(config::Book, claim::Ledger)> {
+    pub(super) fn decode(
+        bytes: &[u8],
+    ) -> Option<(config::Book, claim::Ledger, catalog::Catalog)> {
         let image: Self = postcard::from_bytes(bytes).ok()?;
         let book = config::Book::decode(&image.book).ok()?;
         let ledger = claim::Ledger::decode(&image.ledger).ok()?;
-        Some((book, ledger))
+        Some((book, ledger, image.catalog))
     }
 }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -2,8 +2,8 @@
 
 use serde::Serialize;
 
-use crate::clock::Moment;
 use crate::config::Standing;
+use crate::config::Version;
 use crate::fleet;
 use crate::health::Verdict;
 use crate::id::ConfigNumber;
@@ -16,7 +16,6 @@
 use crate::quorum;
 
 use super::Carrier;
-use super::Core;
 use super::traffic::Shared;
 
 /// What a process knows, for operators.
@@ -91,33 +90,49 @@
 }
 
 impl Status {
-    pub(super) fn of(now: Moment, core: &Core, shared: &Shared, carrier: &dyn Carrier) -> Self {
-        let configuration = core.version().map(|version| Configuration {
-            number: version.number,
-            submission: version.submission.clone(),
-        });
+    pub(super) fn of(report: Report, shared: &Shared, carrier: &dyn Carrier) -> Self {
         let queues = shared.services().into_iter();
         Self {
-            id: core.member().me().id.clone(),
-            configuration,
-            standing: core.standing(),
+            id: report.id,
+            configuration: report.configuration,
+            standing: report.standing,
             in_flight: shared.in_flight.load(std::sync::atomic::Ordering::Relaxed),
-            open_claims: core.open_claims(),
+            open_claims: report.open_claims,
             lost_outcomes: shared.lost(),
             links: carrier.status(),
-            members: core.member().members().map(member).collect(),
-            services: core.upstreams(now),
+            members: report.members,
+            services: report.services,
             queues: queues.map(|service| (service.name.clone(), service.queue.len())).collect(),
-            control: core.control(now),
+            control: report.control,
         }
     }
 }
 
-fn member((record, status): (&fleet::Record, fleet::Status)) -> Member {
-    Member {
-        domain: record.meta.domain.clone(),
-        id: record.id.clone(),
-        state: record.meta.state,
-        status,
+/// What the control state says of itself.
+#[derive(Debug)]
+pub(super) struct Report {
+    pub(super) configuration: Option<Configuration>,
+    pub(super) control: Option<Control>,
+    pub(super) id: NodeId,
+    pub(super) members: Vec<Member>,
+    pub(super) open_claims: usize,
+    pub(super) services: BTreeMap<ServiceId, Vec<Upstream>>,
+    pub(super) standing: Standing,
+}
+
+impl Configuration {
+    pub(super) fn of(version: &Version) -> Self {
+        Self { number: version.number, submission: version.submission.clone() }
+    }
+}
+
+impl Member {
+    pub(super) fn of((record, status): (&fleet::Record, fleet::Status)) -> Self {
+        Self {
+            domain: record.meta.domain.clone(),
+            id: record.id.clone(),
+            state: record.meta.state,
+            status,
+        }
     }
 }
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -8,15 +8,13 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use async_std::channel::Receiver;
 use async_std::channel::Sender;
-use async_std::future::timeout;
-use async_std::task;
 
 use crate::clock::Epoch;
 use crate::clock::Moment;
-use crate::fleet;
+use crate::config::Version;
 use crate::quorum::Record;
+use crate::runtime;
 use crate::storage::Log;
 use crate::timeline::Event;
 use crate::timeline::Journal;
@@ -24,18 +22,27 @@
 use crate::wire::Envelope;
 use crate::wire::Verdict;
 
-use super::Core;
+use super::Error;
+use super::Inbox;
 use super::Input;
 use super::Status;
 use super::carrier::Carrier;
 use super::core;
 use super::held::Held;
+use super::inbox::Outbox;
 use super::input::Claimed;
+use super::machine::Machine;
+use super::Office;
 use super::probe::probe;
+use super::traffic::Noted;
 use super::traffic::Shared;
 
 /// Inputs that are taken before the disk is synced once for all of them.
 const BATCH: usize = 512;
+/// Pause before a failed disk is tried again.
+const REOPEN: Duration = Duration::from_secs(1);
+/// Longest sleep: a machine that names no time is asked once a second.
+const TICK_MAX: Duration = Duration::from_secs(1);
 /// Shortest time between two ticks: bounds what ticks cost.
 const TICK_MIN: Duration = Duration::from_millis(2);
 /// Times that a view's making must be followed by, as rest: at thousands of upstreams one
@@ -47,16 +54,21 @@
 /// Shortest time between two views: a burst of changes makes one.
 const VIEW_MIN: Duration = Duration::from_millis(20);
 
+/// Opens the log again.
+pub(super) type Opener = Box<dyn Fn() -> Result<(Office, Log), Error> + Send>;
+
 /// State of the control thread.
 pub(super) struct Thread {
     pub(super) carrier: Box<dyn Carrier>,
     /// For what asks an upstream on this thread's behalf.
-    pub(super) control: Sender<Input>,
-    pub(super) core: Core,
+    pub(super) closed_at: Option<Moment>,
+    pub(super) control: Inbox,
     pub(super) held: Option<Held>,
-    pub(super) inbox: Receiver<Input>,
+    pub(super) inbox: Outbox,
     pub(super) journal: Arc<Journal>,
     pub(super) log: Option<Log>,
+    pub(super) machine: Box<dyn Machine>,
+    pub(super) opener: Option<Opener>,
     pub(super) shared: Arc<Shared>,
     pub(super) started: Instant,
     pub(super) tickets: Tickets,
@@ -69,43 +81,46 @@
     changed: BTreeMap<u64, Sender<Result<u64, String>>>,
     claimed: BTreeMap<u64, Sender<Claimed>>,
     next: u64,
+    read: BTreeMap<u64, Sender<Option<Option<Version>>>>,
     verdicts: BTreeMap<u64, Sender<Verdict>>,
 }
 
 impl Thread {
-    /// Runs until [`Input::Stop`], or until nobody can send an input any more.
-    pub(super) async fn run(mut self) {
+    /// Works until the process ends.
+    pub(super) fn run(mut self) {
         let mut tick_at = Moment::ZERO;
         let mut view_at = Moment::ZERO;
         loop {
-            let now = self.now();
-            let wait = tick_at.saturating_sub(now).max(Duration::from_micros(100));
+            let wait = tick_at.saturating_sub(self.now()).max(Duration::from_micros(100));
             let mut batch = Batch::default();
-            match timeout(wait, self.inbox.recv()).await {
-                Ok(Ok(input)) => {
+            match self.inbox.receive(wait) {
+                Ok(Some(input)) => {
                     if self.take_all(input, &mut batch) {
                         self.flush(batch);
                         return;
                     }
                 }
-                Ok(Err(_)) => return,
-                Err(_) => (),
+                Ok(None) => (),
+                Err(()) => return,
             }
+            self.take_outcomes(&mut batch);
             let now = self.now();
             if now >= tick_at {
                 self.step(core::Input::Tick, &mut batch);
-                tick_at = self.core.wake().clamp(now + TICK_MIN, now + fleet::Member::TICK);
             }
             self.flush(batch);
-            tick_at = tick_at.min(self.core.wake().max(now + TICK_MIN));
+            self.reopen(now);
+            tick_at = self.machine.wake(now).clamp(now + TICK_MIN, now + TICK_MAX);
             if now >= view_at {
                 let cost = self.publish(now);
                 view_at = now + (cost * VIEW_SHARE).clamp(VIEW_MIN, VIEW_MAX);
+            } else {
+                tick_at = tick_at.min(view_at);
             }
         }
     }
 
-    /// Takes an input and what else has come; tells whether the process is to stop.
+    /// Takes what has come, up to a batch; whether the process ends.
     fn take_all(&mut self, first: Input, batch: &mut Batch) -> bool {
         let mut next = Some(first);
         let mut count = 0;
@@ -116,11 +131,35 @@
                 return true;
             }
             count += 1;
-            next = if count < BATCH { self.inbox.try_recv().ok() } else { None };
+            next = if count < BATCH { self.inbox.try_receive() } else { None };
         }
         false
     }
 
+    fn take_outcomes(&mut self, batch: &mut Batch) {
+        for Noted { kind, latency, service, upstream } in self.shared.take_outcomes() {
+            self.step(core::Input::Outcome(service, upstream, kind, latency), batch);
+        }
+    }
+
+    /// Takes up the log again that was given up when the disk failed.
+    fn reopen(&mut self, now: Moment) {
+        let due = self.closed_at.is_some_and(|at| now >= at + REOPEN);
+        let Some(opener) = self.opener.as_ref().filter(|_| due) else { return };
+        match opener() {
+            Ok((office, log)) => {
+                tracing::info!(target: "hemlockfield::storage", "the disk is back");
+                self.closed_at = None;
+                self.log = Some(log);
+                self.machine.open_office(office);
+            }
+            Err(error) => {
+                tracing::warn!(target: "hemlockfield::storage", "the disk is not back: {error}");
+                self.closed_at = Some(now);
+            }
+        }
+    }
+
     fn take(&mut self, input: Input, batch: &mut Batch) {
         let input = match input {
             Input::Announce(announcement, sender) => {
@@ -138,6 +177,11 @@
                 core::Input::Claim(ticket, request, self.now() + budget)
             }
             Input::ClaimEnd(ticket, outcome) => core::Input::ClaimEnd(ticket, outcome),
+            Input::Catalog(action, sender) => {
+                let ticket = self.tickets.next();
+                self.tickets.announced.insert(ticket, sender);
+                core::Input::Catalog(ticket, action)
+            }
             Input::Drain => core::Input::Drain,
             Input::Frame(from, bytes) => match Envelope::decode(&bytes) {
                 Ok(envelope) => {
@@ -149,15 +193,19 @@
                     return;
                 }
             },
-            Input::Outcome { kind, latency, service, upstream } => {
-                core::Input::Outcome(service, upstream, kind, latency)
-            }
             Input::Overdue(service, upstream, ages) => {
                 core::Input::Overdue(service, upstream, ages)
             }
             Input::Probed { draining, healthy, service, upstream } => {
                 core::Input::Probed(service, upstream, draining, healthy)
             }
+            Input::Read(sender) => {
+                let ticket = self.tickets.next();
+                self.tickets.read.insert(ticket, sender);
+                core::Input::Read(ticket)
+            }
+            Input::Seeds(seeds) => core::Input::Seeds(seeds),
+            Input::Wake => return,
             Input::Status(sender) => {
                 // What operators read as in force is so for callers too.
                 self.publish(self.now());
@@ -176,7 +224,7 @@
 
     fn step(&mut self, input: core::Input, batch: &mut Batch) {
         let now = self.now();
-        let outputs = self.core.handle(now, wall(), input);
+        let outputs = self.machine.handle(now, wall(), input);
         for output in outputs {
             self.carry_out(output, batch);
         }
@@ -202,7 +250,10 @@
             core::Output::Persist(number, records) => batch.persist(number, records),
             core::Output::Probe { address, path, service, upstream } => {
                 let control = self.control.clone();
-                task::spawn(probe(control, address, path, service, upstream));
+                runtime::spawn(probe(control, address, path, service, upstream));
+            }
+            core::Output::Read(ticket, version) => {
+                answer(self.tickets.read.remove(&ticket), version);
             }
             core::Output::Send(to, address, frame) => {
                 let stamp = self.journal.stamp(wall());
@@ -236,7 +287,8 @@
     fn lose_disk(&mut self, error: &crate::storage::Error) {
         tracing::error!(target: "hemlockfield::storage", "control stops here: {error}");
         self.log = None;
-        self.core.close_office(error.to_string());
+        self.closed_at = Some(self.now());
+        self.machine.close_office(error.to_string());
     }
 
     fn record(&self, event: Event) {
@@ -248,17 +300,17 @@
     /// Gives the traffic threads a new view where something has changed; tells what the
     /// making of it took.
     fn publish(&mut self, now: Moment) -> Duration {
-        if let Some(view) = self.core.view(now, &self.shared.view.load()) {
+        if let Some(view) = self.machine.view(now, &self.shared.view.load()) {
             self.shared.view.store(Arc::new(view));
         }
         let cost = self.now().saturating_sub(now);
-        self.shared.open_claims.store(self.core.open_claims(), Ordering::Release);
-        self.carrier.keep(&self.core.neighbours());
+        self.shared.open_claims.store(self.machine.open_claims(), Ordering::Release);
+        self.carrier.keep(&self.machine.neighbours());
         cost
     }
 
     fn status(&self) -> Status {
-        Status::of(self.now(), &self.core, &self.shared, self.carrier.as_ref())
+        Status::of(self.machine.report(self.now()), &self.shared, self.carrier.as_ref())
     }
 
     fn now(&self) -> Moment {
--- a/src/node/traffic.rs
+++ b/src/node/traffic.rs
@@ -17,6 +17,7 @@
 
 pub(super) use listener::listen;
 pub(super) use queue::tick;
+pub(super) use shared::Noted;
 pub(super) use shared::Shared;
 
 /// Where callers ask, at any entry, which entries to use.
--- a/src/node/traffic/attempt.rs
+++ b/src/node/traffic/attempt.rs
@@ -3,18 +3,15 @@
 use std::time::Instant;
 
 use async_std::future::timeout;
-use http_types::Request;
 
 use crate::exchange::Answer;
 use crate::exchange::Failure;
 use crate::exchange::Leg;
 use crate::exchange::Limits;
+use crate::exchange::Request;
 
 use super::Shared;
 
-/// Longest until a connection to an upstream is open: about 1 ms at the sizes of today,
-/// and one lost packet costs a second.
-const CONNECT: Duration = Duration::from_millis(1500);
 /// Share of the time left for which the first byte of an answer is waited for, where the
 /// request may be sent to another upstream after that.
 const PATIENCE: f64 = 0.5;
@@ -55,20 +52,22 @@
     let leg = leg(shared, address, idempotent, left).await?;
     let patience = if idempotent { left.mul_f64(PATIENCE) } else { left };
     let first_byte = shared.settings.limits.first_byte.min(patience);
-    leg.ask(request, Limits { connect: CONNECT, first_byte, idle: IDLE }).await
+    let connect = shared.settings.limits.connect;
+    leg.ask(request, Limits { connect, first_byte, idle: IDLE }).await
 }
 
-/// A connection: an idle one for what may be sent twice, a new one for all else. Something
-/// on the way may have lost track of an idle connection; what is sent on it then is gone,
-/// and nobody can tell whether it ran.
+/// A connection: an idle one for what may be sent twice; for all else one that has just
+/// carried an answer, or a new one. Something on the way may have lost track of a connection
+/// that lay idle; what is sent on it then is gone, and nobody can tell whether it ran.
 async fn leg(
     shared: &Shared,
     address: SocketAddr,
     idempotent: bool,
     left: Duration,
 ) -> Result<Leg, Failure> {
-    if idempotent && let Some(leg) = shared.pool.take(address).await {
+    let newer = if idempotent { Duration::MAX } else { shared.settings.limits.proven };
+    if let Some(leg) = shared.pool.take(address, newer).await {
         return Ok(leg);
     }
-    Leg::dial(address, CONNECT.min(left)).await
+    Leg::dial(address, shared.settings.limits.connect.min(left)).await
 }
--- a/src/node/traffic/claims.rs
+++ b/src/node/traffic/claims.rs
@@ -4,9 +4,8 @@
 
 use async_std::channel::bounded;
 use async_std::future::timeout;
-use http_types::Body;
-use http_types::Response;
-use http_types::StatusCode;
+use http::HeaderName;
+use http::HeaderValue;
 
 use crate::claim;
 use crate::claim::Answer;
@@ -14,6 +13,7 @@
 use crate::claim::Outcome;
 use crate::claim::Slot;
 use crate::exchange;
+use crate::exchange::Response;
 use crate::exchange::refuse;
 use crate::node::Input;
 use crate::node::input::Claimed;
@@ -98,12 +98,12 @@
 
 /// What is kept of an answer for a caller that loses it.
 pub(super) fn keep(response: &Response, body: Option<&[u8]>) -> Outcome {
-    let status = response.status().into();
+    let status = response.status;
     let Some(body) = body else { return Outcome::ran(status, None) };
     let headers = response
+        .headers
         .iter()
-        .flat_map(|(name, values)| values.iter().map(move |value| (name, value)))
-        .map(|(name, value)| (name.as_str().into(), value.as_str().into()))
+        .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
         .collect();
     Outcome::ran(status, Some(KeptAnswer { body: body.to_vec(), headers }))
 }
@@ -129,15 +129,16 @@
 }
 
 fn replay(status: u16, answer: KeptAnswer) -> Response {
-    let status = StatusCode::try_from(status).unwrap_or(StatusCode::Ok);
     let mut response = Response::new(status);
-    response.set_body(Body::from_bytes(answer.body));
-    response.remove_header("content-type");
-    for (name, value) in answer.headers {
-        response.append_header(name.as_str(), value.as_str());
+    response.body = answer.body.into();
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_str(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers.append(name, value);
+        }
     }
-    response.remove_header("content-length");
-    response.insert_header(REPLAYED_HEADER, "true");
+    response.set_header(HeaderName::from_static(REPLAYED_HEADER), "true");
     response
 }
 
--- a/src/node/traffic/dispatch.rs
+++ b/src/node/traffic/dispatch.rs
@@ -8,9 +8,9 @@
 
 use crate::admission;
 use crate::admission::Arrival;
-use crate::exchange;
+use crate::exchange::Outcome;
 use crate::exchange::Outlet;
-use crate::exchange::refuse;
+use crate::exchange::Refusal;
 use crate::node::View;
 use crate::retry;
 
@@ -33,13 +33,19 @@
     let upstreams = view.services.get(&job.service).cloned().unwrap_or_default();
     if upstreams.members.is_empty() {
         let text = format!("service `{}` has no upstream", job.service);
-        decline(&job, outlet, refuse(503, exchange::Outcome::NotRun, &text, Some(ABSENT))).await;
+        decline(shared, &job, outlet, &Refusal::not_run(503, text, ABSENT)).await;
         return;
     }
     service.catch_up(shared.now(), &upstreams);
     let held = match Held::ask(shared, &job).await {
         Ok(held) => held,
-        Err(response) => return decline(&job, outlet, *response).await,
+        Err(response) => {
+            close_upload(&job, outlet);
+            if let Err(error) = outlet.send(*response).await {
+                tracing::debug!(target: "hemlockfield::exchange", "caller is gone: {error}");
+            }
+            return;
+        }
     };
     let classes = view.rules.as_ref().map(|rules| rules.classes()).unwrap_or_default();
     let (turn, permit) = {
@@ -58,8 +64,7 @@
         held.into_iter().for_each(Held::abandon);
         shared.metrics.count("request.refused");
         let text = format!("service `{}` can't take more: {reason}", job.service);
-        let response = refuse(503, exchange::Outcome::NotRun, &text, Some(after));
-        return decline(&job, outlet, response).await;
+        return decline(shared, &job, outlet, &Refusal::not_run(503, text, after)).await;
     }
     let started = shared.now();
     let end = run(shared, &service, &upstreams, view, &mut job, outlet).await;
@@ -68,10 +73,12 @@
         End::Answer(answered) => {
             let (tried, answer) = *answered;
             permit.finish(admission::Outcome::Served);
+            job.log(shared, view, "answered", answer.response.status);
             pass_on(shared, &job, tried, answer, held, outlet).await;
         }
         End::Gone { ran } => {
             permit.finish(admission::Outcome::Failed);
+            job.log(shared, view, "caller is gone", 0);
             held.into_iter().for_each(|held| give_up(held, ran));
         }
         End::Told { answer, reason, status } => {
@@ -79,7 +86,8 @@
             let outcome = if shed { admission::Outcome::Shed } else { admission::Outcome::Failed };
             permit.finish(outcome);
             held.into_iter().for_each(|held| give_up(held, !shed));
-            decline(&job, outlet, tell(answer, &reason, status)).await;
+            let refusal = tell(answer, reason, status);
+            decline(shared, &job, outlet, &refusal).await;
         }
     }
 }
@@ -92,11 +100,20 @@
     }
 }
 
-async fn decline(job: &Job, outlet: &mut Outlet, response: http_types::Response) {
+/// Sends an answer that is not an upstream's.
+async fn decline(shared: &Shared, job: &Job, outlet: &mut Outlet, refusal: &Refusal) {
+    close_upload(job, outlet);
+    job.log(shared, &shared.view.load(), &refusal.reason, refusal.status);
+    if let Err(error) = outlet.send(shared.boundary.refuse(refusal)).await {
+        tracing::debug!(target: "hemlockfield::exchange", "caller is gone: {error}");
+    }
+}
+
+/// What is left of an upload that nobody reads ends the connection with it.
+fn close_upload(job: &Job, outlet: &mut Outlet) {
     if job.payload.is_stream() {
         outlet.close_after();
     }
-    outlet.send(response).await.ok();
 }
 
 fn arrival(job: &Job) -> Arrival {
@@ -110,13 +127,14 @@
     }
 }
 
-fn tell(answer: retry::Answer, reason: &str, status: u16) -> http_types::Response {
+/// The caller's answer where no upstream's is passed on.
+fn tell(answer: retry::Answer, reason: String, status: u16) -> Refusal {
     match answer {
-        retry::Answer::Failed => refuse(status, exchange::Outcome::Failed, reason, None),
+        retry::Answer::Failed => Refusal::new(status, Outcome::Failed, reason),
         retry::Answer::NotRun => {
             let status = if status == 400 { 400 } else { 503 };
-            refuse(status, exchange::Outcome::NotRun, reason, Some(BUSY))
+            Refusal::not_run(status, reason, BUSY)
         }
-        retry::Answer::Unknown => refuse(status, exchange::Outcome::Unknown, reason, None),
+        retry::Answer::Unknown => Refusal::new(status, Outcome::Unknown, reason),
     }
 }
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -9,9 +9,9 @@
 
 use crate::health;
 use crate::id::UpstreamId;
-use crate::node::Input;
 use crate::node::view;
 
+use super::Noted;
 use super::Shared;
 use super::job::Job;
 use super::place::Place;
@@ -31,7 +31,7 @@
     let started = now;
     let hedge = job.terms.hedge && job.is_idempotent() && !job.payload.is_stream();
     let after = if hedge { service.policy().hedge_after() } else { None };
-    let request = job.request(now);
+    let request = job.request(now, shared.boundary.as_ref(), &place.upstream);
     let overtaken = place.upstream.clone();
     let first = Tried::make(shared, request, place, job.is_idempotent(), job.left(now));
     let Some(after) = after else { return first.await };
@@ -52,7 +52,8 @@
         service.policy().hedged(false);
         return first.await;
     };
-    let second = Tried::make(shared, job.request(now), place, true, left).fuse();
+    let request = job.request(now, shared.boundary.as_ref(), &place.upstream);
+    let second = Tried::make(shared, request, place, true, left).fuse();
     pin_mut!(second);
     let (tried, won) = select! {
         tried = first => (tried, false),
@@ -75,5 +76,5 @@
 fn tell_overtaken(shared: &Shared, job: &Job, upstream: UpstreamId, waited: Duration) {
     let service = job.service.clone();
     let kind = health::Kind::Success;
-    shared.tell(Input::Outcome { kind, latency: waited, service, upstream });
+    shared.note(Noted { kind, latency: waited, service, upstream });
 }
--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -1,30 +1,43 @@
+use std::fmt::Write;
 use std::time::Duration;
 
 use compact_str::CompactString;
-use http_types::Request;
+use http::HeaderMap;
+use http::Method;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::boundary::Boundary;
+use crate::boundary::Sending;
 use crate::clock::Moment;
 use crate::exchange::Payload;
+use crate::exchange::Request;
 use crate::id::CallerId;
 use crate::id::Key;
 use crate::id::RequestId;
 use crate::id::ServiceId;
+use crate::id::RuleId;
 use crate::id::TeamId;
+use crate::id::UpstreamId;
+use crate::node::View;
+use crate::retry;
 use crate::rule::Terms;
 
-/// Name of the request, for the logs of upstreams.
-const REQUEST_HEADER: &str = "x-request-id";
+use super::Shared;
 
 /// One request on its way through the entry.
 pub(super) struct Job {
     pub(super) caller: CallerId,
     pub(super) deadline: Moment,
-    pub(super) head: Request,
+    pub(super) headers: HeaderMap,
     pub(super) id: RequestId,
     pub(super) key: Option<Key>,
+    pub(super) method: Method,
     pub(super) payload: Payload,
+    pub(super) rule: RuleId,
     pub(super) service: ServiceId,
+    /// What was tried, for the log.
+    pub(super) steps: String,
+    pub(super) target: CompactString,
     pub(super) team: Option<TeamId>,
     pub(super) terms: Terms,
     pub(super) ticket: u64,
@@ -41,25 +54,62 @@
         self.terms.idempotent
     }
 
-    /// The request for one attempt, with the time that it has left.
-    pub(super) fn request(&mut self, now: Moment) -> Request {
-        let mut request = Request::new(self.head.method(), self.head.url().clone());
-        for (name, values) in &self.head {
-            request.append_header(name, values);
-        }
-        request.insert_header(REQUEST_HEADER, self.id.as_str());
-        let left = self.left(now).as_millis().to_string();
-        request.insert_header(crate::exchange::BUDGET_HEADER, left);
+    /// The request for one attempt at `upstream`, with the time that it has left.
+    pub(super) fn request(
+        &mut self,
+        now: Moment,
+        boundary: &dyn Boundary,
+        upstream: &UpstreamId,
+    ) -> Request {
+        let mut request = Request::new(self.method.clone(), &self.target);
+        request.headers = self.headers.clone();
+        let left = self.left(now);
+        boundary.address(&mut request, &Sending { id: &self.id, left, upstream });
         self.payload.put(&mut request);
         request
     }
 
+    /// Writes the request's line in the log: what was decided by which rule of which
+    /// configuration, what was tried, and what the caller is told.
+    pub(super) fn log(&self, shared: &Shared, view: &View, told: &str, status: u16) {
+        let left = self.left(shared.now()).as_millis() as u64;
+        tracing::info!(
+            target: "hemlockfield::request",
+            id = %self.id,
+            number = view.number,
+            rule = %self.rule,
+            service = %self.service,
+            steps = self.steps,
+            status,
+            left_ms = left,
+            "{told}"
+        );
+    }
+
+    /// Notes an attempt for the log.
+    pub(super) fn tell_step(
+        &mut self,
+        upstream: &UpstreamId,
+        outcome: Option<retry::Outcome>,
+        latency: Duration,
+    ) {
+        let separator = if self.steps.is_empty() { "" } else { ", " };
+        let millis = latency.as_millis();
+        let steps = &mut self.steps;
+        // Writing to a string can't fail.
+        let _ = match outcome {
+            None => write!(steps, "{separator}{upstream} answered in {millis} ms"),
+            Some(outcome) => write!(steps, "{separator}{upstream} {outcome:?} in {millis} ms"),
+        };
+    }
+
     /// What this request is, so that another one under the same key is told from it. An
     /// upload that streams counts by its length alone.
     pub(super) fn digest(&self) -> u128 {
         let mut hash = Xxh3::new();
-        hash.update(self.head.method().as_ref().as_bytes());
-        hash.update(self.head.url().as_str().as_bytes());
+        hash.update(self.method.as_str().as_bytes());
+        hash.update(self.headers.get(http::header::HOST).map_or(&[], |host| host.as_bytes()));
+        hash.update(self.target.as_bytes());
         if let Payload::Held(bytes) = &self.payload {
             hash.update(bytes);
         }
--- a/src/node/traffic/listener.rs
+++ b/src/node/traffic/listener.rs
@@ -14,6 +14,7 @@
 
 use crate::exchange::Error;
 use crate::exchange::Inlet;
+use crate::runtime;
 
 use super::Shared;
 use super::serve;
@@ -27,15 +28,17 @@
         let accepted = {
             let accept = listener.accept().fuse();
             let done = shared.done.recv().fuse();
-            pin_mut!(accept, done);
+            let closed = shared.closed().fuse();
+            pin_mut!(accept, closed, done);
             select! {
                 accepted = accept => accepted,
+                () = closed => return,
                 _ = done => return,
             }
         };
         match accepted {
             Ok((stream, peer)) => {
-                task::spawn(guarded(stream, peer, Arc::clone(&shared)));
+                runtime::spawn(guarded(stream, peer, Arc::clone(&shared)));
             }
             Err(error) => {
                 tracing::warn!(target: "hemlockfield::exchange", "can't accept: {error}");
@@ -68,8 +71,11 @@
 async fn connection(mut inlet: Inlet, shared: &Arc<Shared>) {
     let limits = &shared.settings.limits;
     loop {
+        let told = shared.view.load().rules.as_ref().map(|rules| rules.limits());
+        let told = told.unwrap_or_default();
+        inlet.set_head_max(told.head.unwrap_or(limits.head as usize));
         let readable = {
-            let readable = timeout(limits.idle, inlet.readable()).fuse();
+            let readable = timeout(told.idle.unwrap_or(limits.idle), inlet.readable()).fuse();
             let closing = shared.closed().fuse();
             pin_mut!(readable, closing);
             select! {
@@ -81,7 +87,7 @@
             return;
         }
         let _in_flight = InFlight::new(shared);
-        let Some((request, mut outlet)) = inlet.next(limits.head_time).await else { return };
+        let Some((request, mut outlet)) = inlet.next(told.head_time.unwrap_or(limits.head_time)).await else { return };
         if shared.closing.load(Ordering::Acquire) {
             outlet.close_after();
         }
--- a/src/node/traffic/place.rs
+++ b/src/node/traffic/place.rs
@@ -5,9 +5,9 @@
 use crate::balance::Ticket;
 use crate::health;
 use crate::id::UpstreamId;
-use crate::node::Input;
 use crate::node::view;
 
+use super::Noted;
 use super::Shared;
 use super::service::Service;
 
@@ -52,7 +52,7 @@
         }
         let service = self.service.name.clone();
         let upstream = self.upstream.clone();
-        self.shared.tell(Input::Outcome { kind, latency, service, upstream });
+        self.shared.note(Noted { kind, latency, service, upstream });
     }
 
     fn give_back(&mut self, kind: health::Kind, latency: Duration) {
--- a/src/node/traffic/relay.rs
+++ b/src/node/traffic/relay.rs
@@ -1,11 +1,10 @@
 //! Passes an upstream's answer on to the caller.
 
-use http_types::Body;
-use http_types::Response;
-
 use crate::claim;
 use crate::exchange::Answer;
+use crate::exchange::Body;
 use crate::exchange::Outlet;
+use crate::exchange::Response;
 use crate::health;
 use crate::node::Input;
 use crate::node::probe::is_draining;
@@ -37,7 +36,7 @@
         let (service, upstream) = (job.service.clone(), tried.upstream());
         shared.tell(Input::Probed { draining: Some(true), healthy: true, service, upstream });
     }
-    let failed = u16::from(response.status()) >= 500;
+    let failed = response.status >= 500;
     outlet.send(response).await.ok();
     let kind = match failed {
         _ if answer.is_broken() => health::Kind::Cut,
@@ -53,15 +52,18 @@
 
 /// What the ledger is told of an answer; a small one whole, for a caller that loses it.
 async fn record(response: &mut Response) -> claim::Outcome {
-    if response.len().is_none_or(|length| length > claims::KEPT_MAX) {
+    let long = response.body.len().is_none_or(|length| length > claims::KEPT_MAX as u64);
+    if long {
         return claims::keep(response, None);
     }
-    let kind = response.header("content-type").cloned();
-    let bytes = response.take_body().into_bytes().await.unwrap_or_default();
-    response.set_body(Body::from_bytes(bytes.clone()));
-    match kind {
-        Some(kind) => drop(response.insert_header("content-type", &kind)),
-        None => drop(response.remove_header("content-type")),
+    match std::mem::take(&mut response.body).read_all().await {
+        Ok(bytes) => {
+            response.body = Body::Held(bytes.clone());
+            claims::keep(response, Some(&bytes))
+        }
+        Err(error) => {
+            tracing::warn!(target: "hemlockfield::claim", "answer is not kept: {error}");
+            claims::keep(response, None)
+        }
     }
-    claims::keep(response, Some(&bytes))
 }
