--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -1,19 +1,21 @@
+//! Takes one request off a caller's connection and says what becomes of it.
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::Body;
-use http_types::Method;
-use http_types::Request;
-use http_types::Response;
+use http::Method;
+use rand::Rng;
 
+use crate::boundary::Call;
 use crate::exchange;
 use crate::exchange::Outcome;
 use crate::exchange::Outlet;
 use crate::exchange::Payload;
-use crate::exchange::budget_of;
+use crate::exchange::Refusal;
+use crate::exchange::Request;
+use crate::exchange::Response;
 use crate::exchange::clean_request;
-use crate::exchange::refuse;
-use crate::id::CallerId;
+use crate::id::RuleId;
 use crate::id::ServiceId;
 use crate::id::TeamId;
 use crate::node::View;
@@ -26,22 +28,19 @@
 use super::dispatch;
 use super::job::Job;
 
-/// When a caller may come back to an entry that has no configuration yet.
+/// When to come back to an entry that has no configuration yet.
 const STARTING: Duration = Duration::from_secs(1);
 
-/// Headers of a request, as rules look them up.
+/// Headers of a request, as rules ask for them.
 struct Headers<'a>(&'a Request);
 
 impl rule::Headers for Headers<'_> {
     fn header(&self, name: &str) -> Option<&str> {
-        self.0
-            .header(name)
-            .and_then(|values| values.iter().next())
-            .map(http_types::headers::HeaderValue::as_str)
+        self.0.headers.get(name).and_then(|value| value.to_str().ok())
     }
 }
 
-/// Serves one request to its end; nothing is left to answer afterwards.
+/// Serves one request.
 pub(super) async fn serve(
     shared: &Shared,
     request: Request,
@@ -49,74 +48,71 @@
     peer: SocketAddr,
 ) {
     shared.metrics.count("request");
-    if request.url().path() == DIRECTORY_PATH {
+    if request.path() == DIRECTORY_PATH {
         let response = list_entries(shared, &request, peer);
-        Declined::new(&request, response).tell(outlet).await;
-        return;
+        return decline(&request, response, outlet).await;
     }
     let view = shared.view.load_full();
-    let taken = take(shared, &view, request, peer).await;
-    match taken {
+    let close = !request.body.is_empty();
+    match take(shared, &view, request, peer).await {
         Ok(job) => dispatch::dispatch(shared, &view, job, outlet).await,
-        Err(declined) => {
+        Err(refusal) => {
             shared.metrics.count("request.refused");
-            declined.tell(outlet).await;
+            if close {
+                outlet.close_after();
+            }
+            send(shared.boundary.refuse(&refusal), outlet).await;
         }
     }
 }
 
-/// An answer that comes from the entry itself.
-struct Declined {
-    /// Whether the caller may still be uploading: that is not read, so that its
-    /// connection can't go on.
-    close: bool,
-    response: Response,
+/// Answers without a look at the body, which ends the connection where there is one.
+async fn decline(request: &Request, response: Response, outlet: &mut Outlet) {
+    if !request.body.is_empty() {
+        outlet.close_after();
+    }
+    send(response, outlet).await;
 }
 
-impl Declined {
-    fn new(request: &Request, response: Response) -> Self {
-        Self { close: request.len() != Some(0), response }
-    }
-
-    async fn tell(self, outlet: &mut Outlet) {
-        if self.close {
-            outlet.close_after();
-        }
-        outlet.send(self.response).await.ok();
+async fn send(response: Response, outlet: &mut Outlet) {
+    if let Err(error) = outlet.send(response).await {
+        tracing::debug!(target: "hemlockfield::exchange", "caller is gone: {error}");
     }
 }
 
 fn list_entries(shared: &Shared, request: &Request, peer: SocketAddr) -> Response {
-    let named = request.url().query_pairs().find(|(name, _)| name == "caller");
-    let caller = named.map_or_else(|| shared.caller_at(peer.ip()), |(_, value)| value.into());
-    let answer = shared.entries(&caller);
-    let mut response = Response::new(200);
-    match Body::from_json(&answer) {
-        Ok(body) => response.set_body(body),
-        Err(error) => return refuse(500, Outcome::NotRun, &error.to_string(), None),
+    let named = request.query("caller");
+    let caller = named.unwrap_or_else(|| shared.caller_at(peer.ip()));
+    match serde_json::to_string(&shared.entries(&caller)) {
+        Ok(text) => Response::json(200, text),
+        Err(error) => exchange::refuse(500, Outcome::NotRun, &error.to_string(), None),
     }
-    response
 }
 
-/// What a rule says of a request.
+/// What the rules say of a request.
 struct Decided {
-    caller: CallerId,
+    call: Call,
+    rule: RuleId,
     service: ServiceId,
     team: Option<TeamId>,
     terms: Terms,
 }
 
-/// Finds the rule that decides, and makes a job of the request; or says why not.
 async fn take(
     shared: &Shared,
     view: &View,
     request: Request,
     peer: SocketAddr,
-) -> Result<Job, Declined> {
-    match decide(shared, view, &request, peer) {
-        Ok(decided) => make(shared, request, decided).await,
-        Err(response) => Err(Declined::new(&request, *response)),
+) -> Result<Job, Refusal> {
+    let decided = decide(shared, view, &request, peer);
+    if let Err(refusal) = &decided {
+        let id = shared.boundary.call(&request, peer.ip()).id;
+        let path = request.path();
+        let number = view.number;
+        let Refusal { reason, status, .. } = refusal;
+        tracing::info!(target: "hemlockfield::request", id = id.as_deref(), number, path, status, "{reason}");
     }
+    make(shared, request, decided?).await
 }
 
 fn decide(
@@ -124,77 +120,82 @@
     view: &View,
     request: &Request,
     peer: SocketAddr,
-) -> Result<Decided, Box<Response>> {
+) -> Result<Decided, Refusal> {
     let Some(rules) = view.rules.as_ref().filter(|_| view.standing.serves()) else {
         let text = "this entry has no configuration yet; use another";
-        return Err(Box::new(refuse(503, Outcome::NotRun, text, Some(STARTING))));
+        return Err(Refusal::not_run(503, text, STARTING));
     };
-    let caller = request
-        .header(exchange::CALLER_HEADER)
-        .map_or_else(|| shared.caller_at(peer.ip()), |values| values.last().as_str().into());
-    let host = request.url().host_str().unwrap_or_default().to_ascii_lowercase();
-    let method = request.method().to_string();
+    let call = shared.boundary.call(request, peer.ip());
     let asked = rule::Request {
-        caller: &caller,
+        caller: &call.caller,
         headers: &Headers(request),
-        host: &host,
-        method: &method,
-        path: request.url().path(),
+        host: &request.host(),
+        method: request.method.as_str(),
+        path: request.path(),
     };
     let Some(decided) = rules.decide(&asked, view) else {
-        let text = "no rule holds for this request";
-        return Err(Box::new(refuse(404, Outcome::NotRun, text, None)));
+        return Err(Refusal::new(404, Outcome::NotRun, "no rule holds for this request"));
     };
-    let (service, terms) = match &decided.then {
+    let (split, terms) = match &decided.then {
         Action::Refuse { message, status } => {
-            return Err(Box::new(refuse(*status, Outcome::NotRun, message, None)));
+            return Err(Refusal::new(*status, Outcome::NotRun, message.as_str()));
         }
-        Action::Route { service, terms } => (service.clone(), terms.clone()),
+        Action::Route { split, terms } => (split, terms.clone()),
     };
-    if let Some(response) = objection(request, &terms) {
-        return Err(Box::new(response));
+    if let Some(refusal) = objection(request, &terms) {
+        return Err(refusal);
     }
-    let team = rules.team(&caller).cloned();
-    Ok(Decided { caller, service, team, terms })
+    let service = split.choose(rand::rng().random_range(0.0..1.0)).clone();
+    let team = rules.team(&call.caller).cloned();
+    Ok(Decided { call, rule: decided.name.clone(), service, team, terms })
 }
 
-/// What speaks against a request by itself.
-fn objection(request: &Request, terms: &Terms) -> Option<Response> {
-    let size = request.len().unwrap_or_default() as u64;
+/// Why a rule's terms don't allow the request, if they don't.
+fn objection(request: &Request, terms: &Terms) -> Option<Refusal> {
+    let size = request.body.len().unwrap_or_default();
     if size > terms.body {
         let error = exchange::Error::BodySize { limit: terms.body, size };
-        return Some(refuse(error.status(), Outcome::NotRun, &error.to_string(), None));
+        return Some(Refusal::new(error.status(), Outcome::NotRun, error.to_string()));
     }
     let header = terms.key.as_ref()?;
-    if request.header(header.as_str()).is_some() || is_safe(request.method()) {
+    if request.headers.contains_key(header.as_str()) || is_safe(&request.method) {
         return None;
     }
     let text = format!("header `{header}` is missing: this request runs at most once, by its key");
-    Some(refuse(428, Outcome::NotRun, &text, None))
+    Some(Refusal::new(428, Outcome::NotRun, text))
 }
 
-async fn make(shared: &Shared, mut request: Request, decided: Decided) -> Result<Job, Declined> {
-    let Decided { caller, service, team, terms } = decided;
-    let key = terms
-        .key
-        .as_ref()
-        .and_then(|header| request.header(header.as_str()))
-        .map(|values| values.last().as_str().into());
-    let budget = budget_of(&request).map_or(terms.deadline, |budget| budget.min(terms.deadline));
+async fn make(shared: &Shared, mut request: Request, decided: Decided) -> Result<Job, Refusal> {
+    let Decided { call, rule, service, team, terms } = decided;
+    let key = terms.key.as_ref().and_then(|header| request.header(header.as_str()));
+    let key = key.map(Into::into);
+    let budget = call.budget.map_or(terms.deadline, |budget| budget.min(terms.deadline));
     let deadline = shared.now() + budget;
-    let idle = shared.settings.limits.idle;
-    let payload = match Payload::take(&mut request, terms.body, idle).await {
-        Ok(payload) => payload,
-        Err(failure) => {
-            let response = refuse(400, Outcome::NotRun, &failure.to_string(), None);
-            return Err(Declined { close: true, response });
-        }
-    };
+    let limits = &shared.settings.limits;
+    let payload = Payload::take(&mut request, terms.body, limits.body_buffer, limits.idle).await;
+    let payload =
+        payload.map_err(|failure| Refusal::new(400, Outcome::NotRun, failure.to_string()))?;
     clean_request(&mut request);
-    let (ticket, id) = shared.next_request();
-    Ok(Job { caller, deadline, head: request, id, key, payload, service, team, terms, ticket })
+    let (ticket, own) = shared.next_request();
+    Ok(Job {
+        caller: call.caller,
+        deadline,
+        headers: request.headers,
+        id: call.id.unwrap_or(own),
+        key,
+        method: request.method,
+        payload,
+        rule,
+        service,
+        steps: String::new(),
+        target: request.target,
+        team,
+        terms,
+        ticket,
+    })
 }
 
-fn is_safe(method: Method) -> bool {
-    matches!(method, Method::Get | Method::Head | Method::Options)
+/// Whether HTTP itself says that a method changes nothing.
+fn is_safe(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
 }
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -21,6 +21,8 @@
 use crate::replay::Policy;
 use crate::replay::Recorder;
 use crate::replay::Tape;
+use crate::retry;
+use crate::settings;
 use crate::settings::Settings;
 
 use super::queue::Queue;
@@ -39,6 +41,7 @@
     picker: Mutex<Choice>,
     policy: Mutex<Policy>,
     pub(in crate::node) queue: Queue,
+    retry: settings::Retry,
 }
 
 impl Service {
@@ -55,6 +58,7 @@
             picker: Mutex::new(Choice { picker, slots: 0, version: 0 }),
             policy: Mutex::new(policy),
             queue,
+            retry: settings.retry.clone(),
         }
     }
 
@@ -104,12 +108,21 @@
             choice.picker.set_entries(view.entries);
             choice.picker.set_members(&view.members);
             choice.picker.refresh(view);
+            self.limit_retries(view.entries);
             choice.slots = slots(view);
             self.queue.set_slots(now, choice.slots);
         }
         choice
     }
 
+    fn limit_retries(&self, entries: usize) {
+        if self.retry.pooled {
+            let burst = self.retry.burst as f64;
+            let limits = retry::Limits::part(self.retry.share, burst, entries);
+            self.policy().set_limits(limits);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Choice> {
         self.picker.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -13,7 +13,6 @@
 use arc_swap::ArcSwap;
 use async_std::channel::Receiver;
 use async_std::channel::Sender;
-use async_std::channel::TrySendError;
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::task;
@@ -21,25 +20,45 @@
 use compact_str::ToCompactString;
 use compact_str::format_compact;
 
+use crate::boundary::Boundary;
 use crate::clock::Moment;
 use crate::directory::Answer;
 use crate::directory::Directory;
 use crate::exchange::Pool;
 use crate::id::RequestId;
+use crate::health;
 use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::node::Inbox;
 use crate::node::Input;
+use crate::node::inbox::Refused;
 use crate::node::View;
 use crate::node::metrics::Metrics;
 use crate::replay::Recorder;
+use crate::runtime;
 use crate::settings::Settings;
 
 use super::service::Service;
 
+/// Outcomes that may wait for the control thread's next turn: a tenth of a second at many
+/// times the highest rate of one entry.
+const NOTED_MAX: usize = 10_000;
+
+/// What an upstream did with one request.
+#[derive(Debug)]
+pub(in crate::node) struct Noted {
+    pub(in crate::node) kind: health::Kind,
+    pub(in crate::node) latency: Duration,
+    pub(in crate::node) service: ServiceId,
+    pub(in crate::node) upstream: UpstreamId,
+}
+
 /// What the traffic threads of a process share.
 pub(in crate::node) struct Shared {
     pub(in crate::node) connections: AtomicUsize,
     closed: (Sender<()>, Receiver<()>),
-    control: Sender<Input>,
+    pub(in crate::node) boundary: Arc<dyn Boundary>,
+    control: Inbox,
     pub(in crate::node) directory: Mutex<Directory>,
     /// Closed when the process may stop serving.
     pub(in crate::node) done: Receiver<()>,
@@ -48,14 +67,16 @@
     pub(in crate::node) open_claims: AtomicUsize,
     /// Whether connections end with the exchange that they carry.
     pub(in crate::node) closing: AtomicBool,
+    leaving: Mutex<Option<Moment>>,
     look: (Sender<()>, Receiver<()>),
     lost_outcomes: AtomicU64,
     pub(in crate::node) metrics: Metrics,
     next_request: AtomicU64,
+    outcomes: Mutex<Vec<Noted>>,
     pub(super) pool: Pool,
     recorder: Recorder,
     services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
-    pub(super) settings: Settings,
+    pub(in crate::node) settings: Settings,
     started: Instant,
     pub(in crate::node) view: ArcSwap<View>,
 }
@@ -64,13 +85,15 @@
     pub(in crate::node) fn new(
         settings: Settings,
         started: Instant,
-        control: Sender<Input>,
+        boundary: Arc<dyn Boundary>,
+        control: Inbox,
         done: Receiver<()>,
         directory: Directory,
         metrics: Metrics,
         recorder: Recorder,
     ) -> Self {
         Self {
+            boundary,
             closed: bounded(1),
             closing: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
@@ -79,12 +102,14 @@
             done,
             drain: bounded(1),
             in_flight: AtomicUsize::new(0),
+            leaving: Mutex::default(),
             look: bounded(1),
             lost_outcomes: AtomicU64::new(0),
             metrics,
             open_claims: AtomicUsize::new(0),
             next_request: AtomicU64::new(crate::node::incarnation()),
-            pool: Pool::default(),
+            outcomes: Mutex::default(),
+            pool: Pool::new(settings.limits.upstream_idle),
             recorder,
             services: Mutex::default(),
             settings,
@@ -111,9 +136,35 @@
     /// limit, and a leaving process would wait for it. As many wait at most as there are
     /// keyed requests in flight.
     pub(super) fn tell_surely(&self, input: Input) {
-        let Err(TrySendError::Full(input)) = self.control.try_send(input) else { return };
+        let Err(Refused::Full(input)) = self.control.try_send(input) else { return };
         let control = self.control.clone();
-        task::spawn(async move { control.send(input).await.ok() });
+        runtime::spawn(async move {
+            if !control.send(*input).await {
+                tracing::debug!(target: "hemlockfield::node", "control has ended");
+            }
+        });
+    }
+
+    /// Notes what an upstream did. The control thread reads that at its next turn; a failure
+    /// gives it one at once, because the next request may go to the same upstream.
+    pub(in crate::node) fn note(&self, noted: Noted) {
+        let urgent = noted.kind.is_failure();
+        let mut outcomes = self.outcomes.lock().unwrap_or_else(PoisonError::into_inner);
+        let full = outcomes.len() >= NOTED_MAX;
+        if full {
+            self.lost_outcomes.fetch_add(1, Ordering::Relaxed);
+        } else {
+            outcomes.push(noted);
+        }
+        drop(outcomes);
+        if urgent {
+            self.tell(Input::Wake);
+        }
+    }
+
+    /// Takes what was noted.
+    pub(in crate::node) fn take_outcomes(&self) -> Vec<Noted> {
+        std::mem::take(&mut *self.outcomes.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Inputs that control could not take.
@@ -152,6 +203,12 @@
 
     /// Asks the process to leave.
     pub(in crate::node) fn request_drain(&self) {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.get_or_insert(self.now());
+        drop(leaving);
+        if self.settings.shutdown.notice.is_some() {
+            self.closing.store(true, Ordering::Release);
+        }
         self.drain.0.close();
     }
 
@@ -193,8 +250,20 @@
 
     /// Whether no list that callers were given may still name this entry.
     fn is_forgotten(&self) -> bool {
+        if self.settings.listen.callers.is_none() {
+            return true;
+        }
+        if let Some(notice) = self.settings.shutdown.notice {
+            return self.leaving_for().is_some_and(|span| span >= notice);
+        }
         let directory = self.directory.lock().unwrap_or_else(PoisonError::into_inner);
-        self.settings.listen.callers.is_none() || directory.safe_to_stop(self.now())
+        directory.safe_to_stop(self.now())
+    }
+
+    /// How long this process has been leaving.
+    fn leaving_for(&self) -> Option<Duration> {
+        let since = *self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        since.map(|since| self.now().saturating_sub(since))
     }
 
     /// Number and name of a new request.
--- a/src/node/traffic/tried.rs
+++ b/src/node/traffic/tried.rs
@@ -1,10 +1,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::Request;
-
+use crate::boundary::Answered;
+use crate::boundary::Boundary;
 use crate::exchange::Answer;
 use crate::exchange::Failure;
+use crate::exchange::Request;
 use crate::health;
 use crate::id::UpstreamId;
 use crate::retry;
@@ -21,6 +22,8 @@
 /// A finished attempt, with its place at the upstream.
 pub(super) struct Tried<'a> {
     attempt: Attempt,
+    /// Whether another process answered at the upstream's address.
+    misdirected: bool,
     place: Place<'a>,
 }
 
@@ -33,7 +36,7 @@
         left: Duration,
     ) -> Self {
         let attempt = Attempt::make(shared, request, place.address, idempotent, left).await;
-        Self { attempt, place }
+        Self { attempt, misdirected: false, place }
     }
 
     pub(super) fn address(&self) -> SocketAddr {
@@ -63,35 +66,37 @@
 
     pub(super) fn reason(&self) -> String {
         match &self.attempt.answered {
-            Ok(answer) => format!("upstream answered `{}`", answer.response.status()),
+            Ok(answer) => format!("upstream answered `{}`", answer.response.status),
             Err(failure) => failure.to_string(),
         }
     }
 
-    /// What went wrong; `None` where an answer is to be passed on. `proof` says how the
-    /// service's upstreams document that they did not run a request.
-    pub(super) fn outcome(&self, proof: Option<&rule::Service>) -> Option<retry::Outcome> {
+    /// What the attempt means for a retry; `None` where its answer is to be passed on.
+    pub(super) fn outcome(
+        &mut self,
+        boundary: &dyn Boundary,
+        service: Option<&rule::Service>,
+    ) -> Option<retry::Outcome> {
         let answer = match &self.attempt.answered {
             Ok(answer) => answer,
             Err(failure) => return Some(outcome_of(failure)),
         };
-        let status = u16::from(answer.response.status());
-        let not_run = proof.map(|service| &service.not_run).is_some_and(|refusal| {
-            let value = answer.response.header(refusal.header.as_str());
-            refusal.proves(status, value.map(|values| values.last().as_str()))
-        });
-        if not_run {
-            return Some(retry::Outcome::RefusedNotRun);
+        let answered = boundary.judge(service, &answer.response);
+        self.misdirected = answered == Answered::Misdirected;
+        match answered {
+            Answered::Failed => Some(retry::Outcome::Failed { status: answer.response.status }),
+            Answered::Misdirected | Answered::NotRun => Some(retry::Outcome::RefusedNotRun),
+            Answered::Served => None,
+            Answered::Spoiled => Some(retry::Outcome::Cut),
         }
-        (status >= 500).then_some(retry::Outcome::Failed { status })
     }
 
     /// The answer, with what is left of the attempt.
     pub(super) fn into_answer(self) -> Option<(Self, Answer)> {
-        let Self { attempt: Attempt { answered, latency }, place } = self;
+        let Self { attempt: Attempt { answered, latency }, misdirected, place } = self;
         let answer = answered.ok()?;
         let answered = Err(Failure::Closed { reused: true });
-        Some((Self { attempt: Attempt { answered, latency }, place }, answer))
+        Some((Self { attempt: Attempt { answered, latency }, misdirected, place }, answer))
     }
 
     /// Ends an attempt whose answer was passed on.
@@ -105,6 +110,8 @@
         let latency = self.attempt.latency;
         let kind = match (outcome, &self.attempt.answered) {
             (_, Err(failure)) if !failure.is_upstreams() => return,
+            // Whoever answers there is not the upstream that was meant: that one is gone.
+            _ if self.misdirected => health::Kind::ConnectFailed,
             (retry::Outcome::ConnectFailed, _) => health::Kind::ConnectFailed,
             (retry::Outcome::Cut, _) => health::Kind::Cut,
             (retry::Outcome::Deadline | retry::Outcome::Silent, _) if latency < SILENCE_MIN => {
@@ -127,7 +134,6 @@
         | Failure::Closed { .. }
         | Failure::Cut(_)
         | Failure::Malformed(_)
-        | Failure::Unbounded
         | Failure::Upload(_) => retry::Outcome::Cut,
     }
 }
--- a/src/node/traffic/tries.rs
+++ b/src/node/traffic/tries.rs
@@ -42,6 +42,7 @@
     let mut last = None;
     let mut ran = false;
     let mut tries = 0;
+    let mut sends = 0;
     service.policy().first();
     loop {
         // Where all others are taken or tried, the same one once more is better than none.
@@ -56,7 +57,7 @@
         };
         tries += 1;
         let streams = job.payload.is_stream();
-        let tried = {
+        let mut tried = {
             let attempt = attempt(shared, service, upstreams, job, place).fuse();
             let gone = caller_gone(streams, outlet).fuse();
             pin_mut!(attempt, gone);
@@ -66,7 +67,10 @@
             }
         };
         let proof = view.rules.as_ref().and_then(|rules| rules.service(&job.service));
-        let Some(outcome) = tried.outcome(proof) else {
+        let outcome = tried.outcome(shared.boundary.as_ref(), proof);
+        job.tell_step(&tried.upstream(), outcome, tried.latency());
+        sends += u32::from(tried.is_sent());
+        let Some(outcome) = outcome else {
             return tried.into_answer().map_or_else(told_nothing, |(tried, answer)| {
                 service.policy().note(tried.latency());
                 End::Answer(Box::new((tried, answer)))
@@ -76,8 +80,10 @@
             body_kept: job.payload.is_repeatable(),
             head_sent: false,
             idempotent: job.is_idempotent() && job.terms.retry,
+            limit: job.terms.attempts,
             outcome,
             remaining: job.left(shared.now()),
+            sends,
             sent: tried.is_sent(),
             tries,
         };
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -47,6 +47,62 @@
     pub weights: HashMap<UpstreamId, f64>,
 }
 
+impl View {
+    /// Whether these are the services that it has.
+    pub(super) fn has(&self, services: &BTreeMap<ServiceId, Service>) -> bool {
+        services.len() == self.services.len()
+            && services
+                .iter()
+                .zip(&self.services)
+                .all(|((name, service), (other, before))| name == other && service.is_same(before))
+    }
+
+    /// The services of the view that comes next; counts up the version of each that changed.
+    pub(super) fn succeed(
+        &self,
+        services: BTreeMap<ServiceId, Service>,
+        version: &mut u64,
+    ) -> BTreeMap<ServiceId, Arc<Service>> {
+        let mut published = BTreeMap::new();
+        for (name, mut service) in services {
+            let before = self.services.get(&name);
+            let service = match before.filter(|before| service.is_same(before)) {
+                Some(before) => Arc::clone(before),
+                None => {
+                    *version += 1;
+                    service.version = *version;
+                    Arc::new(service)
+                }
+            };
+            published.insert(name, service);
+        }
+        published
+    }
+}
+
+impl Service {
+    /// Works out the state that rules may ask for.
+    pub(super) fn settle(&mut self, at_floor: bool) {
+        let usable = self.members.len();
+        let ejected = self.weights.values().filter(|weight| **weight <= 0.0).count();
+        self.state = match ejected {
+            _ if usable == 0 => ServiceState::Down,
+            0 => ServiceState::Healthy,
+            ejected if ejected == usable => ServiceState::Down,
+            _ if at_floor => ServiceState::AtFloor,
+            _ => ServiceState::Degraded,
+        };
+    }
+
+    fn is_same(&self, before: &Self) -> bool {
+        self.members == before.members
+            && self.addresses == before.addresses
+            && self.weights == before.weights
+            && self.entries == before.entries
+            && self.state == before.state
+    }
+}
+
 impl Default for View {
     fn default() -> Self {
         Self {
--- a/src/quorum.rs
+++ b/src/quorum.rs
@@ -17,6 +17,7 @@
 mod input;
 mod lead;
 mod membership;
+pub mod mend;
 mod message;
 mod output;
 mod progress;
--- a/src/quorum/replica.rs
+++ b/src/quorum/replica.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -166,6 +167,30 @@
         }
     }
 
+    /// Whether the log goes on as of just now: a leader that a majority has answered within
+    /// `span`, or a follower that has heard from its leader.
+    pub fn is_current(&self, now: Moment, span: Duration) -> bool {
+        let Stance::Leader(lead) = &self.stance else {
+            return self.heard_leader.is_some_and(|at| now < at + span);
+        };
+        let membership = self.trail.membership();
+        let heard = membership.voters.keys().filter(|node| {
+            let heard = lead.members.get(*node).and_then(|progress| progress.heard);
+            **node == self.setup.me || heard.is_some_and(|at| now < at + span)
+        });
+        heard.count() >= membership.quorum()
+    }
+
+    /// The members as of the last change in the log.
+    pub fn membership(&self) -> &Membership {
+        self.trail.membership()
+    }
+
+    /// Identity of the own disk, once it is on the disk.
+    pub fn named_disk(&self) -> Option<DiskId> {
+        self.named.then_some(self.disk)
+    }
+
     pub(super) fn is_voter(&self) -> bool {
         self.trail.membership().votes(&self.setup.me, self.disk)
     }
--- a/src/replay/input.rs
+++ b/src/replay/input.rs
@@ -6,6 +6,7 @@
 use crate::admission;
 use crate::health;
 use crate::retry::Attempt;
+use crate::retry::Limits;
 
 /// What one of the machines is told.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -38,6 +39,8 @@
         /// Whether it answered first.
         won: bool,
     },
+    /// The limits changed.
+    Limit(Limits),
     /// A whole answer came.
     Note {
         /// Time since the start of its try.
--- a/src/replay/player.rs
+++ b/src/replay/player.rs
@@ -57,6 +57,7 @@
         Retry::First => policy.first(),
         Retry::Hedge { remaining } => return Some(Output::Hedge(policy.hedge(remaining))),
         Retry::Hedged { won } => policy.hedged(won),
+        Retry::Limit(limits) => policy.set_limits(limits),
         Retry::Note { time } => policy.note(time),
     }
     None
--- a/src/replay/policy.rs
+++ b/src/replay/policy.rs
@@ -56,6 +56,12 @@
         self.policy.hedged(won);
     }
 
+    /// As [`retry::Policy::set_limits`].
+    pub fn set_limits(&mut self, limits: retry::Limits) {
+        self.note_down(|| Retry::Limit(limits));
+        self.policy.set_limits(limits);
+    }
+
     /// As [`retry::Policy::note`].
     pub fn note(&mut self, time: Duration) {
         self.note_down(|| Retry::Note { time });
--- a/src/retry/attempt.rs
+++ b/src/retry/attempt.rs
@@ -15,10 +15,16 @@
     pub head_sent: bool,
     /// Whether running the request twice does no harm.
     pub idempotent: bool,
+    /// Most upstreams that the request may be sent to.
+    #[serde(default = "Attempt::any")]
+    pub limit: u32,
     /// How it went wrong.
     pub outcome: Outcome,
     /// Time left until the request's deadline.
     pub remaining: Duration,
+    /// Upstreams that it was sent to.
+    #[serde(default)]
+    pub sends: u32,
     /// Whether a byte of the request may have left for the upstream.
     pub sent: bool,
     /// Tries so far, this one included.
@@ -26,6 +32,10 @@
 }
 
 impl Attempt {
+    fn any() -> u32 {
+        u32::MAX
+    }
+
     /// Whether it certainly did not run: no byte left, or the upstream's
     /// documented refusal came. A connection that was reported as failed after
     /// bytes went out proves nothing, whatever the library calls it.
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -10,19 +10,30 @@
 /// request fails, it multiplies the load just when there is least room.
 #[derive(Clone, Debug)]
 pub struct Budget {
+    fraction: f64,
+    most: f64,
     tokens: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: MOST }
+        Self { fraction: FRACTION, most: MOST, tokens: MOST }
     }
 }
 
 impl Budget {
+    /// Earns by other terms from now on. What was saved up before counts for nothing: a
+    /// process that restarts often would spend it anew each time.
+    pub fn set(&mut self, fraction: f64, most: f64) {
+        if (self.fraction, self.most) != (fraction, most) {
+            let known = self.fraction == fraction;
+            *self = Self { fraction, most, tokens: if known { self.tokens.min(most) } else { 0.0 } };
+        }
+    }
+
     /// Notes a first try.
     pub fn first(&mut self) {
-        self.tokens = (self.tokens + FRACTION).min(MOST);
+        self.tokens = (self.tokens + self.fraction).min(self.most);
     }
 
     /// Takes the token for a further try or a hedge; `false` when there is none.
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -9,6 +9,7 @@
 use super::Decision;
 use super::Hedge;
 use super::Latency;
+use super::Limits;
 
 /// Longest wait before the second try; doubles with each further one. Long
 /// against the 1 ms of a new connection, short against any deadline.
@@ -23,6 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct Policy {
     budget: Budget,
+    free_connects: bool,
     hedge: Hedge,
     latency: Latency,
     rng: ChaCha8Rng,
@@ -33,12 +35,19 @@
     pub fn new(rng: ChaCha8Rng) -> Self {
         Self {
             budget: Budget::default(),
+            free_connects: false,
             hedge: Hedge::default(),
             latency: Latency::default(),
             rng,
         }
     }
 
+    /// Goes by these limits from now on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.free_connects = limits.free_connects;
+        self.budget.set(limits.share, limits.most);
+    }
+
     /// Notes the first try of a request.
     pub fn first(&mut self) {
         self.budget.first();
@@ -48,13 +57,15 @@
     /// Decides what follows a try that went wrong.
     pub fn decide(&mut self, attempt: &Attempt) -> Decision {
         let stop = Decision::Stop { answer: attempt.answer() };
-        if !attempt.is_safe() || attempt.tries >= TRIES {
+        let tried = attempt.tries >= TRIES || attempt.sends >= attempt.limit;
+        if !attempt.is_safe() || tried {
             return stop;
         }
         let after = self.wait(attempt);
         // A try that can't end in time is load without an answer.
         let usual = self.latency.median().unwrap_or_default();
-        if attempt.remaining <= after + usual || !self.budget.take() {
+        let free = self.free_connects && !attempt.sent;
+        if attempt.remaining <= after + usual || !(free || self.budget.take()) {
             return stop;
         }
         Decision::Again { after }
--- a/src/retry/storm.rs
+++ b/src/retry/storm.rs
@@ -139,8 +139,10 @@
                 body_kept: true,
                 head_sent: false,
                 idempotent: self.idempotent,
+                limit: u32::MAX,
                 outcome,
                 remaining: Duration::from_secs(5),
+                sends: tried.len() as u32,
                 sent,
                 tries: tried.len() as u32,
             };
--- a/src/rule/action.rs
+++ b/src/rule/action.rs
@@ -1,8 +1,8 @@
 use compact_str::CompactString;
 
+use super::Split;
 use super::Terms;
 use crate::id::ClassId;
-use crate::id::ServiceId;
 use crate::settings::Fields;
 use crate::settings::Mistakes;
 use crate::settings::Tree;
@@ -13,7 +13,7 @@
 const MESSAGE: &str = "refused by a rule";
 
 /// What a rule does with a request.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Answers at once; the request is not run.
     Refuse {
@@ -24,8 +24,8 @@
     },
     /// Sends it to an upstream of a service.
     Route {
-        /// The service.
-        service: ServiceId,
+        /// The service, or those that share its requests.
+        split: Split,
         /// Terms of service.
         terms: Terms,
     },
@@ -49,9 +49,8 @@
             }
             (None, Some(route)) => {
                 let terms = Terms::read(fields.tree("terms"), class, classes, mistakes);
-                let route = Fields::open(route, mistakes, &["service"])?;
-                let service = route.required::<CompactString>("service");
-                Some(Self::Route { service: service?, terms: terms? })
+                let split = Split::read(route, mistakes);
+                Some(Self::Route { split: split?, terms: terms? })
             }
             _ => {
                 mistakes.add(fields.line(), "a rule needs either `route` or `refuse` in `then`");
--- a/src/rule/explanation.rs
+++ b/src/rule/explanation.rs
@@ -73,11 +73,11 @@
             Action::Refuse { message, status } => {
                 write!(formatter, "refuse with {status}, `{message}`")
             }
-            Action::Route { service, terms } => {
+            Action::Route { split, terms } => {
                 let kind = if terms.idempotent { "idempotent" } else { "non-idempotent" };
                 let class = &terms.class;
                 let deadline = terms.deadline;
-                write!(formatter, "route to `{service}`, class `{class}`, {kind}, {deadline:?}")
+                write!(formatter, "route to {split}, class `{class}`, {kind}, {deadline:?}")
             }
         }
     }
--- a/src/rule/rule.rs
+++ b/src/rule/rule.rs
@@ -9,7 +9,7 @@
 use crate::settings::Tree;
 
 /// One rule: when the condition holds, then the action is done.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Rule {
     /// Line in the document, from 1.
     pub line: u64,
--- a/src/rule/rules.rs
+++ b/src/rule/rules.rs
@@ -7,6 +7,7 @@
 use super::Error;
 use super::Explanation;
 use super::Index;
+use super::Limits;
 use super::Request;
 use super::Rule;
 use super::Service;
@@ -29,12 +30,30 @@
 pub struct Rules {
     classes: Vec<Class>,
     index: Index,
+    limits: Limits,
     rules: Vec<Rule>,
     services: BTreeMap<ServiceId, Service>,
     teams: HashMap<CallerId, TeamId>,
 }
 
 impl Rules {
+    /// Compiles rules that were read from another document; the caller has checked that
+    /// each service and class they name is there.
+    pub fn new(
+        classes: Vec<Class>,
+        services: BTreeMap<ServiceId, Service>,
+        rules: Vec<Rule>,
+        limits: Limits,
+    ) -> Self {
+        let index = Index::new(&rules);
+        Self { classes, index, limits, rules, services, teams: HashMap::new() }
+    }
+
+    /// Bounds on callers' connections.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
     /// Checks `text`; every mistake is told with its line.
     pub fn parse(text: &str) -> Result<Self, Error> {
         Self::parse_file(DOCUMENT, text)
@@ -98,7 +117,8 @@
     }
 
     fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
-        let fields = Fields::open(tree, mistakes, &["classes", "rules", "services", "teams"])?;
+        let fields = Fields::open(tree, mistakes, &["classes", "limits", "rules", "services", "teams"])?;
+        let limits = fields.tree("limits").and_then(|tree| Limits::read(tree, mistakes));
         let classes = classes(&fields);
         let services = services(&fields);
         let (teams, names) = teams(&fields);
@@ -109,8 +129,7 @@
         if rules.is_empty() {
             mistakes.add(fields.line_of("rules"), "`rules` is empty; write at least one rule");
         }
-        let index = Index::new(&rules);
-        Some(Self { classes, index, rules, services, teams })
+        Some(Self { teams, ..Self::new(classes, services, rules, limits.unwrap_or_default()) })
     }
 }
 
@@ -188,8 +207,8 @@
     mistakes: &Mistakes,
 ) {
     let mut used: Vec<&ServiceId> = rule.when.states.iter().map(|state| &state.0).collect();
-    if let Action::Route { service, .. } = &rule.then {
-        used.push(service);
+    if let Action::Route { split, .. } = &rule.then {
+        used.extend(split.parts().iter().map(|part| &part.service));
     }
     for service in used {
         if !services.contains_key(service) {
--- a/src/rule/terms.rs
+++ b/src/rule/terms.rs
@@ -8,6 +8,8 @@
 use crate::settings::Size;
 use crate::settings::Tree;
 
+/// Default for `attempts`: what the retry policy allows by itself.
+pub const ATTEMPTS: u32 = 4;
 /// Default for `body`: forms and findings, not files.
 const BODY: Size = Size(1024 * 1024);
 /// Default for `deadline`: a surveyor who waited 10 s asks again anyhow.
@@ -20,6 +22,10 @@
 /// Terms of service that a rule gives a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Terms {
+    /// Time in which callers want the answer, where the operator says so.
+    pub aim: Option<Duration>,
+    /// Most upstreams that may get the request, the first one counted.
+    pub attempts: u32,
     /// Most bytes of the request's body.
     pub body: u64,
     /// Class of service.
@@ -47,11 +53,15 @@
         classes: &[ClassId],
         mistakes: &Mistakes,
     ) -> Option<Self> {
-        let allowed = ["body", "class", "deadline", "hedge", "idempotent", "key", "long", "retry"];
+        let allowed = [
+            "aim", "attempts", "body", "class", "deadline", "hedge", "idempotent", "key", "long", "retry",
+        ];
         let empty = Tree::empty();
         let fields = Fields::open(tree.unwrap_or(&empty), mistakes, &allowed)?;
         let least = Duration::from_millis(1);
         let terms = Self {
+            aim: fields.tree("aim").map(|_| fields.ranged("aim", DEADLINE, &least, &LONGEST)),
+            attempts: fields.ranged("attempts", ATTEMPTS as usize, &1, &10) as u32,
             body: fields.ranged("body", BODY, &Size(0), &LARGEST).0,
             class: fields.or("class", class.clone()),
             deadline: fields.ranged("deadline", DEADLINE, &least, &LONGEST),
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -8,6 +8,9 @@
 /// Default for `body_buffer`: enough to keep a network round trip of 1 ms busy
 /// at 1 Gbit/s twice over, and 400 connections then hold 100 MiB at the worst.
 const BODY_BUFFER: Size = Size(256 * 1024);
+/// Default for `connect`: about 1 ms at the sizes of today, and one lost packet costs a
+/// second.
+const CONNECT: Duration = Duration::from_millis(1500);
 /// Default for `connections`: ten callers' connections for each of the 400 that
 /// one upstream takes today, at about 20 KiB each 80 MiB in the worst case.
 const CONNECTIONS: usize = 4_000;
@@ -23,6 +26,8 @@
 /// Default for `idle`: callers keep an entry for 30 s, so that a connection
 /// idle for a minute is no longer on anyone's list.
 const IDLE: Duration = Duration::from_secs(60);
+/// Default for `proven`: a request that may run only once always opens a connection.
+const PROVEN: Duration = Duration::ZERO;
 /// Default for `upstream_idle`: a path that lost track of a connection swallows
 /// bytes; a short age means few requests meet one, and a new connection to an
 /// upstream costs only about 1 ms.
@@ -36,6 +41,8 @@
 pub struct Limits {
     /// Bytes of one body held in memory while it streams.
     pub body_buffer: u64,
+    /// Time in which a connection to an upstream must be open.
+    pub connect: Duration,
     /// Callers' connections open at once.
     pub connections: usize,
     /// Wait for the first byte of an upstream's answer.
@@ -46,6 +53,9 @@
     pub head_time: Duration,
     /// Age at which an idle caller's connection is closed.
     pub idle: Duration,
+    /// Age up to which an idle connection counts as just proven: requests that may run only
+    /// once use it too.
+    pub proven: Duration,
     /// Age at which an idle upstream's connection is closed.
     pub upstream_idle: Duration,
 }
@@ -54,11 +64,13 @@
     fn default() -> Self {
         Self {
             body_buffer: BODY_BUFFER.0,
+            connect: CONNECT,
             connections: CONNECTIONS,
             first_byte: FIRST_BYTE,
             head: HEAD.0,
             head_time: HEAD_TIME,
             idle: IDLE,
+            proven: PROVEN,
             upstream_idle: UPSTREAM_IDLE,
         }
     }
@@ -68,11 +80,13 @@
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
         let allowed = [
             "body_buffer",
+            "connect",
             "connections",
             "first_byte",
             "head",
             "head_time",
             "idle",
+            "proven",
             "upstream_idle",
         ];
         let fields = Fields::open(tree, mistakes, &allowed)?;
@@ -80,11 +94,13 @@
         let least = Size(4 * 1024);
         Some(Self {
             body_buffer: fields.ranged("body_buffer", BODY_BUFFER, &least, &Size(1 << 24)).0,
+            connect: time("connect", CONNECT),
             connections: fields.ranged("connections", CONNECTIONS, &1, &1_000_000),
             first_byte: time("first_byte", FIRST_BYTE),
             head: fields.ranged("head", HEAD, &Size(1024), &Size(1 << 20)).0,
             head_time: time("head_time", HEAD_TIME),
             idle: time("idle", IDLE),
+            proven: fields.ranged("proven", PROVEN, &Duration::ZERO, &LONGEST),
             upstream_idle: time("upstream_idle", UPSTREAM_IDLE),
         })
     }
--- /dev/null
+++ b/src/settings/retry.rs
@@ -0,0 +1,38 @@
+use super::Fields;
+use super::Fraction;
+use super::Mistakes;
+use super::Tree;
+
+/// Default for `share`: one try in twenty keeps a storm of retries from doubling any load.
+const SHARE: Fraction = Fraction(0.05);
+/// Default for `burst`, of each entry.
+const BURST: usize = 2;
+
+/// How many tries beyond the first all entries together may make for a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Retry {
+    /// Tries at once beyond the share; of each entry, or of all where `pooled`.
+    pub burst: usize,
+    /// Whether `burst` is shared by all entries, and tries that reached no upstream cost
+    /// nothing.
+    pub pooled: bool,
+    /// Tries beyond the first, as a share of the first ones.
+    pub share: f64,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Self { burst: BURST, pooled: false, share: SHARE.0 }
+    }
+}
+
+impl Retry {
+    pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
+        let fields = Fields::open(tree, mistakes, &["burst", "pooled", "share"])?;
+        Some(Self {
+            burst: fields.ranged("burst", BURST, &0, &1_000_000),
+            pooled: fields.or("pooled", false),
+            share: fields.or("share", SHARE).0,
+        })
+    }
+}
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -1,11 +1,13 @@
 use std::collections::BTreeSet;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 
 use super::Directory;
 use super::Error;
 use super::Fields;
+use super::Interface;
 use super::Keys;
 use super::Limits;
 use super::Listen;
@@ -15,6 +17,7 @@
 use super::Node;
 use super::Peer;
 use super::Record;
+use super::Retry;
 use super::Role;
 use super::Shutdown;
 use super::Traffic;
@@ -25,6 +28,8 @@
 const ALLOWED: &[&str] = &[
     "data",
     "directory",
+    "first_start",
+    "interface",
     "keys",
     "limits",
     "listen",
@@ -33,10 +38,13 @@
     "node",
     "peers",
     "record",
+    "retry",
     "roles",
+    "seeds",
     "shutdown",
     "timeline",
     "traffic",
+    "trusted_network",
 ];
 
 /// Settings of one process, checked.
@@ -46,6 +54,10 @@
     pub data: Option<PathBuf>,
     /// What callers are told about the entries.
     pub directory: Directory,
+    /// Whether the whole fleet starts for the first time: its seeds then found the log.
+    pub first_start: bool,
+    /// How the world outside speaks to this process.
+    pub interface: Interface,
     /// Keys for links; without them the process may only use loopback.
     pub keys: Option<Keys>,
     /// What the process takes on at most.
@@ -62,14 +74,21 @@
     pub peers: Vec<Peer>,
     /// Recording of decisions; off unless set.
     pub record: Option<Record>,
+    /// How much may be tried again.
+    pub retry: Retry,
     /// What it does, in a settled order.
     pub roles: Vec<Role>,
+    /// Addresses of some controls, by which the others are found. Where there are any,
+    /// entries follow the controls, and ids are addresses.
+    pub seeds: Vec<SocketAddr>,
     /// How it ends.
     pub shutdown: Shutdown,
     /// File of events for the time line.
     pub timeline: Option<PathBuf>,
     /// Threads for callers' requests.
     pub traffic: Traffic,
+    /// Whether whoever reaches a port of this process may be believed: links have no keys.
+    pub trusted_network: bool,
 }
 
 impl Settings {
@@ -107,6 +126,8 @@
             directory: part("directory")
                 .and_then(|tree| Directory::read(tree, mistakes))
                 .unwrap_or_default(),
+            first_start: fields.or("first_start", false),
+            interface: fields.or("interface", Interface::default()),
             keys: part("keys").and_then(|tree| Keys::read(tree, mistakes)),
             limits: part("limits")
                 .and_then(|tree| Limits::read(tree, mistakes))
@@ -115,7 +136,11 @@
             metrics: part("metrics").and_then(|tree| Metrics::read(tree, mistakes)),
             peers: peers(&fields),
             record: part("record").and_then(|tree| Record::read(tree, mistakes)),
+            retry: part("retry")
+                .and_then(|tree| Retry::read(tree, mistakes))
+                .unwrap_or_default(),
             roles: roles(&fields),
+            seeds: fields.several("seeds"),
             shutdown: part("shutdown")
                 .and_then(|tree| Shutdown::read(tree, mistakes))
                 .unwrap_or_default(),
@@ -123,6 +148,7 @@
             traffic: part("traffic")
                 .and_then(|tree| Traffic::read(tree, mistakes))
                 .unwrap_or_default(),
+            trusted_network: fields.or("trusted_network", false),
             listen: listen?,
             node: node?,
         };
@@ -141,16 +167,34 @@
             mistakes.add(roles, "role `entry` needs `listen.callers`, the address for callers");
         }
         self.check_loopback(fields);
+        self.check_attached(fields);
+    }
+
+    /// Entries follow controls that are known by their addresses alone.
+    fn check_attached(&self, fields: &Fields) {
+        if self.seeds.is_empty() {
+            return;
+        }
+        let address = self.listen.links.ip().to_string();
+        if self.node.id != address {
+            let text = format!("`{}` must be `{address}`: with `seeds`, ids are addresses", self.node.id);
+            fields.mistakes().add(fields.line_of("node"), text);
+        }
+        if !self.trusted_network {
+            let text = "`seeds` need `trusted_network: true`: they name no keys";
+            fields.mistakes().add(fields.line_of("seeds"), text);
+        }
     }
 
     /// Without keys anyone who reaches the port could join the fleet, so a
     /// process without them stays on loopback, where only this VM reaches it.
     fn check_loopback(&self, fields: &Fields) {
-        if self.keys.is_some() || self.listen.links.ip().is_loopback() {
+        let believed = self.trusted_network || self.listen.links.ip().is_loopback();
+        if self.keys.is_some() || believed {
             return;
         }
         let address = self.listen.links;
-        let text = format!("`{address}` is not loopback; links need `keys` there");
+        let text = format!("`{address}` is not loopback; links need `keys` there, or `trusted_network: true`");
         fields.mistakes().add(fields.line_of("listen"), text);
     }
 }
--- a/src/settings/shutdown.rs
+++ b/src/settings/shutdown.rs
@@ -13,18 +13,21 @@
 pub struct Shutdown {
     /// After this, whatever is in flight is cut and logged.
     pub limit: Duration,
+    /// How long callers are still taken, where their lists are too old to wait for.
+    pub notice: Option<Duration>,
 }
 
 impl Default for Shutdown {
     fn default() -> Self {
-        Self { limit: LIMIT }
+        Self { limit: LIMIT, notice: None }
     }
 }
 
 impl Shutdown {
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
-        let fields = Fields::open(tree, mistakes, &["limit"])?;
+        let fields = Fields::open(tree, mistakes, &["limit", "notice"])?;
         let most = Duration::from_secs(3600);
-        Some(Self { limit: fields.ranged("limit", LIMIT, &Duration::ZERO, &most) })
+        let notice = fields.tree("notice").map(|_| fields.ranged("notice", LIMIT, &Duration::ZERO, &most));
+        Some(Self { limit: fields.ranged("limit", LIMIT, &Duration::ZERO, &most), notice })
     }
 }
--- a/src/upstream/announcer.rs
+++ b/src/upstream/announcer.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use async_std::task;
-use http_types::Body;
-use http_types::Method;
-use http_types::Request;
-use http_types::Url;
+use http::Method;
+use http::header;
 
 use crate::exchange::Leg;
 use crate::exchange::Limits;
+use crate::exchange::Request;
 use crate::registry::Announcement;
 use crate::registry::State;
 
@@ -53,7 +52,7 @@
     address: SocketAddr,
     entry: SocketAddr,
     draining: bool,
-) -> http_types::Result<()> {
+) -> Result<(), String> {
     let setup = &inner.setup;
     let announcement = Announcement {
         address,
@@ -67,14 +66,16 @@
         upstream: setup.name.clone(),
         warm_up: setup.warm_up,
     };
-    let mut request = Request::new(Method::Post, Url::parse(&format!("http://{entry}{PATH}"))?);
-    request.set_body(Body::from_json(&announcement)?);
+    let mut request = Request::new(Method::POST, PATH);
+    request.set_header(header::HOST, entry.to_string());
+    let text = serde_json::to_string(&announcement).map_err(|error| error.to_string())?;
+    request.body = text.into();
     let limit = Duration::from_secs(1);
     let limits = Limits { connect: limit, first_byte: limit, idle: limit };
-    let leg = Leg::dial(entry, limit).await?;
-    let answer = leg.ask(request, limits).await?;
-    let status = answer.response.status();
+    let leg = Leg::dial(entry, limit).await.map_err(|failure| failure.to_string())?;
+    let answer = leg.ask(request, limits).await.map_err(|failure| failure.to_string())?;
+    let status = answer.response.status;
+    let taken = answer.response.is_success();
     answer.release();
-    http_types::ensure!(status.is_success(), "status {}", status);
-    Ok(())
+    if taken { Ok(()) } else { Err(format!("status {status}")) }
 }
--- a/src/upstream/stand.rs
+++ b/src/upstream/stand.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use async_std::io::ReadExt;
 use async_std::io::WriteExt;
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
@@ -16,15 +15,15 @@
 use futures::FutureExt;
 use futures::pin_mut;
 use futures::select;
-use http_types::Body;
-use http_types::Request;
-use http_types::Response;
-use http_types::StatusCode;
+use http::HeaderName;
+use http::header;
 use rand::Rng;
 
 use crate::exchange;
 use crate::exchange::Inlet;
 use crate::exchange::Outlet;
+use crate::exchange::Request;
+use crate::exchange::Response;
 
 use super::DRAINING_HEADER;
 use super::Error;
@@ -156,7 +155,7 @@
 
     /// Serves one request; tells whether the connection goes on.
     async fn serve(&self, mut request: Request, mut outlet: Outlet, stream: &TcpStream) -> bool {
-        let path = request.url().path().to_owned();
+        let path = request.path().to_owned();
         if let Some(response) = self.own(&path, &mut request).await {
             let response = self.sign(response);
             return outlet.send(response).await.is_ok() && !outlet.is_closing();
@@ -171,11 +170,10 @@
         let Some(mut place) = self.work.enter(each, exchange::budget_of(&request)) else {
             return outlet.send(shed()).await.is_ok() && !outlet.is_closing();
         };
-        let mut upload = Vec::new();
-        if request.take_body().read_to_end(&mut upload).await.is_err() {
+        let Ok(upload) = std::mem::take(&mut request.body).read_all().await else {
             return false;
-        }
-        let text = |name| request.header(name).map(|values| values.last().as_str().to_owned());
+        };
+        let text = |name| request.header(name).map(ToOwned::to_owned);
         let key = text(KEY_HEADER).map(Into::into);
         {
             let run = place.run(each, key).fuse();
@@ -187,8 +185,8 @@
             }
         }
         if matches!(&gray, Gray::Error(share) if hit(*share)) {
-            let mut response = Response::new(StatusCode::InternalServerError);
-            response.set_body("failed\n");
+            let mut response = Response::new(500);
+            response.body = "failed\n".into();
             return outlet.send(response).await.is_ok() && !outlet.is_closing();
         }
         let identity = text(IDENTITY_HEADER).unwrap_or_default();
@@ -198,18 +196,18 @@
             send_cut(stream, &body).await;
             return false;
         }
-        let mut response = Response::new(StatusCode::Ok);
-        response.insert_header(LOAD_HEADER, format!("{:.2}", self.work.load()));
-        response.insert_header("x-upstream", self.setup.name.as_str());
+        let mut response = Response::new(200);
+        response.set_header(HeaderName::from_static(LOAD_HEADER), format!("{:.2}", self.work.load()));
+        response.set_header(HeaderName::from_static("x-upstream"), &self.setup.name);
         let mut response = self.sign(response);
-        response.set_body(Body::from_bytes(body));
+        response.body = body.into();
         outlet.send(response).await.is_ok() && !outlet.is_closing()
     }
 
     /// Says on an answer whether the stand-in is leaving.
     fn sign(&self, mut response: Response) -> Response {
         if self.is_draining() {
-            response.insert_header(DRAINING_HEADER, "true");
+            response.set_header(HeaderName::from_static(DRAINING_HEADER), "true");
         }
         response
     }
@@ -217,19 +215,22 @@
     /// Answers what is about the stand-in itself. The health report lies: it says `ok`
     /// whatever the gray mode is.
     async fn own(&self, path: &str, request: &mut Request) -> Option<Response> {
-        let mut response = Response::new(StatusCode::Ok);
+        let mut response = Response::new(200);
         match path {
-            "/health" => response.set_body("ok\n"),
-            "/_load" => response.set_body(format!("{:.2}\n", self.work.load())),
-            "/_runs" => response.set_body(Body::from_json(&*self.work.counts()).ok()?),
+            "/health" => response.body = "ok\n".into(),
+            "/_load" => response.body = format!("{:.2}\n", self.work.load()).into(),
+            "/_runs" => {
+                response = Response::json(200, serde_json::to_string(&*self.work.counts()).ok()?);
+            }
             "/_drain" => self.draining.store(true, Ordering::Release),
             "/_gray" => {
-                let text = request.body_string().await.unwrap_or_default();
+                let body = std::mem::take(&mut request.body).read_all().await.unwrap_or_default();
+                let text = String::from_utf8_lossy(&body);
                 match text.trim().parse() {
                     Ok(gray) => self.set_gray(gray),
                     Err(error) => {
-                        response.set_status(StatusCode::BadRequest);
-                        response.set_body(format!("{error}\n"));
+                        response.status = 400;
+                        response.body = format!("{error}\n").into();
                     }
                 }
             }
@@ -252,10 +253,10 @@
 }
 
 fn shed() -> Response {
-    let mut response = Response::new(StatusCode::ServiceUnavailable);
-    response.insert_header(NOT_RUN_HEADER, "true");
-    response.insert_header("retry-after", "1");
-    response.set_body("full\n");
+    let mut response = Response::new(503);
+    response.set_header(HeaderName::from_static(NOT_RUN_HEADER), "true");
+    response.set_header(header::RETRY_AFTER, "1");
+    response.body = "full\n".into();
     response
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -7,4 +7,5 @@
 pub use envelope::Envelope;
 pub use error::Error;
 pub use frame::Frame;
+pub use frame::Order;
 pub use frame::Verdict;
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -1,12 +1,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::catalog;
 use crate::claim;
 use crate::config;
 use crate::config::Version;
+use crate::feed;
 use crate::fleet;
 use crate::health;
 use crate::id::ConfigNumber;
+use crate::id::Index;
 use crate::id::NodeId;
 use crate::id::ServiceId;
 use crate::id::SubmissionId;
@@ -47,6 +50,26 @@
         /// What became of it.
         verdict: Verdict,
     },
+    /// Between controls and entries.
+    Feed(feed::Message),
+    /// Asks the leader for something.
+    Order {
+        /// Names the order at its sender.
+        ticket: u64,
+        /// What is asked.
+        order: Order,
+    },
+}
+
+/// What a process asks of the leader.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Order {
+    /// Write this about an upstream into the log.
+    Catalog(catalog::Action),
+    /// Say up to which index of the log one must know to know the newest.
+    Read,
+    /// Put a configuration in force.
+    Submit(Version),
 }
 
 /// What became of a submission.
@@ -70,4 +93,8 @@
     /// Nobody could confirm it in time: it may be accepted yet. The same submission
     /// sent again is safe.
     Unconfirmed,
+    /// What was said about an upstream is in the log.
+    Announced,
+    /// Whoever knows the log up to here knows the newest.
+    Readable(Index),
 }
--- a/tests/suite/rule.rs
+++ b/tests/suite/rule.rs
@@ -69,7 +69,8 @@
 fn parse_terms() {
     let rules = Rules::parse(DONAUWERFT).expect("sound");
     let rule = rules.rules().iter().find(|rule| rule.name == "finding-sign-off").expect("sound");
-    let Action::Route { service, terms } = &rule.then else { panic!("not a route") };
+    let Action::Route { split, terms } = &rule.then else { panic!("not a route") };
+    let service = split.choose(0.0);
     assert_eq!(service, "hull-register");
     assert_eq!(terms.key.as_deref(), Some("idempotency-key"));
     assert_eq!(terms.deadline, Duration::from_secs(20));
