--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -122,6 +122,11 @@
     }
 
     /// Whether it may be given work at all.
+    /// Whether it is in the entry's own failure domain.
+    pub(crate) fn is_near(&self) -> bool {
+        self.is_near
+    }
+
     pub(crate) fn is_usable(&self) -> bool {
         self.health > 0.0 && self.member.state != crate::balance::State::Draining
     }
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -26,6 +26,8 @@
     loads: Vec<Load>,
     next_member: u64,
     next_request: u64,
+    /// Own requests at near upstreams from which on far ones take some too.
+    near_share: f64,
     open: Vec<(usize, f64)>,
     random: ChaCha8Rng,
     setup: Setup,
@@ -38,6 +40,9 @@
     /// than that is the noise of the means, and whoever is lowest by noise would
     /// draw the work of all.
     const CLEARLY: f64 = 0.9;
+    /// Own requests at near upstreams, over the own part of their slots, from which on far
+    /// ones take some too: requests come unevenly, and a queue costs less than a border.
+    const SPILL: f64 = 1.5;
     /// Latency, in seconds, that is presumed while none is known.
     const PRESUMED: f64 = 0.025;
 
@@ -48,6 +53,7 @@
             loads: Vec::new(),
             next_member: 0,
             next_request: 0,
+            near_share: 0.0,
             open: Vec::new(),
             random,
             setup,
@@ -96,15 +102,26 @@
         let second = self.draw(total)?;
         let is_cheaper = self.cost(now, second) < Self::CLEARLY * self.cost(now, first);
         let position = if is_cheaper { second } else { first };
+        Some(self.begin(now, position, ask.is_long))
+    }
+
+    /// Picks one upstream whatever its health, if it has room.
+    pub fn pick_only(&mut self, now: Moment, upstream: &UpstreamId, is_long: bool) -> Option<Pick> {
+        let wanted = |load: &Load| load.member().upstream == *upstream && load.is_open(now);
+        let position = self.loads.iter().position(wanted)?;
+        Some(self.begin(now, position, is_long))
+    }
+
+    fn begin(&mut self, now: Moment, position: usize, is_long: bool) -> Pick {
         let request = self.next_request;
         self.next_request += 1;
         let load = &mut self.loads[position];
-        load.begin(request, now, ask.is_long);
-        Some(Pick {
+        load.begin(request, now, is_long);
+        Pick {
             connections: load.connection_cap(),
             ticket: Ticket { member: load.number(), request, since: now },
             upstream: load.member().upstream.clone(),
-        })
+        }
     }
 
     /// Takes over what health holds. Due at each tick of the judge and after each
@@ -156,6 +173,10 @@
 
     fn choose(&mut self) {
         self.subset = Subset::choose(&mut self.loads, self.setup.entries, self.setup.most);
+        if self.setup.local {
+            self.subset.add_near(&self.loads);
+            self.near_share = Self::near_share(&self.loads, self.setup.entries);
+        }
     }
 
     /// Draws one of the gathered candidates in proportion to its capacity.
@@ -172,11 +193,39 @@
 
     /// Lists the candidates, and returns their whole capacity.
     fn gather(&mut self, now: Moment, ask: &Ask<'_>) -> f64 {
+        if self.setup.local && !self.is_near_full() {
+            let total = self.gather_some(now, ask, Load::is_near);
+            if total > 0.0 {
+                return total;
+            }
+        }
+        self.gather_some(now, ask, |_| true)
+    }
+
+    /// Whether this entry has its part of the near upstreams' slots in use, and more.
+    fn is_near_full(&self) -> bool {
+        let near = self.used().filter(|load| load.is_near());
+        near.map(Load::in_flight).sum::<usize>() as f64 >= Self::SPILL * self.near_share
+    }
+
+    /// An entry's part of the near upstreams' sound slots, with entries spread as slots are.
+    fn near_share(loads: &[Load], entries: usize) -> f64 {
+        let slots = |load: &&Load| f64::from(load.member().slots);
+        let all: f64 = loads.iter().map(|load| slots(&load)).sum();
+        let near: f64 = loads.iter().filter(|load| load.is_near()).map(|load| slots(&load)).sum();
+        let sound = loads.iter().filter(|load| load.is_near() && load.is_usable());
+        let sound: f64 = sound.map(|load| slots(&load)).sum();
+        let sharing = entries as f64 * near / all.max(1.0);
+        sound / sharing.max(1.0)
+    }
+
+    fn gather_some(&mut self, now: Moment, ask: &Ask<'_>, takes: impl Fn(&Load) -> bool) -> f64 {
         self.open.clear();
         let mut total = 0.0;
         for position in &self.subset.positions {
             let load = &self.loads[*position];
-            if load.is_open(now) && !ask.avoid.contains(&load.member().upstream) {
+            let avoided = ask.avoid.contains(&load.member().upstream);
+            if takes(load) && load.is_open(now) && !avoided {
                 let capacity = load.capacity(now, self.usual);
                 total += capacity;
                 self.open.push((*position, capacity));
--- a/src/balance/setup.rs
+++ b/src/balance/setup.rs
@@ -11,6 +11,8 @@
     /// Name of this entry.
     pub entry: NodeId,
     /// Most upstreams to use at once.
+    /// Whether far upstreams get work only when the near ones are full.
+    pub local: bool,
     pub most: usize,
     /// Factor on the cost of an upstream in another failure domain: work goes
     /// there when the near ones are this much more loaded.
@@ -28,6 +30,6 @@
     /// The usual setup of an entry.
     #[must_use]
     pub fn new(entry: NodeId, domain: DomainId, entries: usize) -> Self {
-        Self { domain, entries, entry, most: Self::MOST, remote: 1.2, uses_reports: false }
+        Self { domain, entries, entry, local: false, most: Self::MOST, remote: 1.2, uses_reports: false }
     }
 }
--- a/src/balance/subset.rs
+++ b/src/balance/subset.rs
@@ -27,6 +27,14 @@
 }
 
 impl Subset {
+    /// Adds all upstreams in the entry's own failure domain.
+    pub(crate) fn add_near(&mut self, loads: &[Load]) {
+        let near = (0..loads.len()).filter(|at| loads[*at].is_near() && loads[*at].is_usable());
+        self.positions.extend(near);
+        self.positions.sort_unstable();
+        self.positions.dedup();
+    }
+
     /// Chooses among `loads` and sets the connection cap of all of them.
     pub(crate) fn choose(loads: &mut [Load], entries: usize, most: usize) -> Self {
         let size = Self::size(loads, entries, most);
--- /dev/null
+++ b/src/breaker.rs
@@ -0,0 +1,26 @@
+//! Circuit breakers of upstreams, on what callers of all entries received.
+//!
+//! **Load pattern.** Dozens of entries each see a few requests a second, so that each alone
+//! meets one upstream about once in two seconds; at any time up to a third of the upstreams
+//! break off most of their answers for some seconds while their own report is good.
+//!
+//! **Without it.** An entry needs several requests of its own to convict an upstream, by
+//! which time the upstream is well again: one request in six is lost, and those that may run
+//! only once are lost for good.
+//!
+//! **How.** Entries count what they received and tell it through the controls, a broken
+//! answer at once. One broken answer anywhere opens the breaker for a moment everywhere, a
+//! second one for longer; then idempotent requests, which can be sent again, try whether the
+//! upstream is well. The floor bounds how many breakers are open.
+
+mod circuit;
+mod panel;
+mod tally;
+mod window;
+
+pub use circuit::Circuit;
+pub use circuit::State;
+pub use panel::Panel;
+pub use panel::Trial;
+pub use tally::Tally;
+pub use window::Window;
--- /dev/null
+++ b/src/breaker/panel.rs
@@ -0,0 +1,216 @@
+//! The breakers of one service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::Circuit;
+use super::State;
+use super::Tally;
+use crate::clock::Moment;
+use crate::id::UpstreamId;
+
+/// Pause between two trials of one upstream by all entries together.
+const TRIAL_EVERY: Duration = Duration::from_millis(400);
+/// An upstream whose answers take this many times as long as those of the median upstream is
+/// slow: usual ones differ by less, also when some of them are busy.
+const SLOW: f64 = 2.2;
+/// Answers within the window that show how fast an upstream is.
+const SHOWN: u32 = 4;
+/// Share of its usual work that a slow upstream gets: enough to see when it is fast again.
+const SLOW_WEIGHT: f64 = 0.15;
+
+/// An upstream that an idempotent request may try.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Trial {
+    /// Counts the trials of this entry: each is made once.
+    pub number: u64,
+    /// The upstream.
+    pub upstream: UpstreamId,
+}
+
+/// The breakers of one service, at one entry.
+#[derive(Clone, Debug)]
+pub struct Panel {
+    circuits: BTreeMap<UpstreamId, Member>,
+    entries: usize,
+    floor: f64,
+    random: ChaCha8Rng,
+    trials: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    circuit: Circuit,
+    slots: u32,
+    trial_at: Moment,
+    trial: Option<u64>,
+}
+
+impl Panel {
+    /// A service without upstreams; `floor` is the share of its slots that stay in use.
+    pub fn new(floor: f64, random: ChaCha8Rng) -> Self {
+        Self { circuits: BTreeMap::new(), entries: 1, floor, random, trials: 0 }
+    }
+
+    /// Sets the share of the slots that stay in use.
+    pub fn set_floor(&mut self, floor: f64) {
+        self.floor = floor;
+    }
+
+    /// Sets how many entries share the trials.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1);
+    }
+
+    /// An upstream takes work.
+    pub fn join(&mut self, upstream: UpstreamId, slots: u32) {
+        let fresh = Member {
+            circuit: Circuit::default(),
+            slots,
+            trial_at: Moment::ZERO,
+            trial: None,
+        };
+        self.circuits.entry(upstream).or_insert(fresh).slots = slots;
+    }
+
+    /// An upstream is gone.
+    pub fn leave(&mut self, upstream: &UpstreamId) {
+        self.circuits.remove(upstream);
+    }
+
+    /// Takes what callers received here; whether the upstream's state changed.
+    pub fn note_own(&mut self, now: Moment, upstream: &UpstreamId, tally: &Tally) -> bool {
+        self.with(upstream, |circuit| circuit.note_own(now, tally))
+    }
+
+    /// Takes what callers received at other entries; whether the upstream's state changed.
+    pub fn note(&mut self, now: Moment, upstream: &UpstreamId, tally: &Tally) -> bool {
+        self.with(upstream, |circuit| circuit.note(now, tally))
+    }
+
+    fn with(&mut self, upstream: &UpstreamId, note: impl FnOnce(&mut Circuit)) -> bool {
+        let Some(member) = self.circuits.get_mut(upstream) else { return false };
+        let before = member.circuit.state();
+        note(&mut member.circuit);
+        let after = member.circuit.state();
+        if after != before && matches!(after, State::Open { .. }) {
+            member.trial = None;
+        }
+        after != before
+    }
+
+    /// Moves on with time; whether any state changed.
+    pub fn tick(&mut self, now: Moment) -> bool {
+        let mut changed = false;
+        let spread = TRIAL_EVERY * self.entries as u32;
+        for member in self.circuits.values_mut() {
+            let before = member.circuit.state();
+            member.circuit.tick(now);
+            let after = member.circuit.state();
+            changed |= after != before;
+            if !matches!(after, State::Trial { .. }) {
+                member.trial = None;
+                member.trial_at = Moment::MAX;
+                continue;
+            }
+            if member.trial_at == Moment::MAX {
+                // Each entry waits for a share of its own, so that all together try at the
+                // pace meant.
+                member.trial_at = now + spread.mul_f64(self.random.random_range(0.0..1.0));
+            }
+            if member.trial_at <= now {
+                self.trials += 1;
+                member.trial = Some(self.trials);
+                member.trial_at = now + spread;
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// When it wants to be told the time.
+    pub fn wake(&self) -> Option<Moment> {
+        let due = |member: &Member| match member.circuit.state() {
+            State::Trial { .. } => member.circuit.wake().map(|at| at.min(member.trial_at)),
+            _ => member.circuit.wake(),
+        };
+        self.circuits.values().filter_map(due).min()
+    }
+
+    /// Trials that are due here.
+    pub fn trials(&self) -> Vec<Trial> {
+        let due = |(upstream, member): (&UpstreamId, &Member)| {
+            member.trial.map(|number| Trial { number, upstream: upstream.clone() })
+        };
+        self.circuits.iter().filter_map(due).collect()
+    }
+
+    /// Share of its usual work that each upstream gets, where that isn't all. The floor
+    /// keeps those in use whose callers received the least broken.
+    pub fn weights(&self) -> BTreeMap<UpstreamId, f64> {
+        let mut weights = self.slow();
+        let all: u64 = self.circuits.values().map(|member| u64::from(member.slots)).sum();
+        let may_go = all - (all as f64 * self.floor).ceil() as u64;
+        let mut out: Vec<(u32, &UpstreamId, u32)> = self
+            .circuits
+            .iter()
+            .filter(|(_, member)| member.circuit.state() != State::Closed)
+            .map(|(id, member)| (member.circuit.recent().broken, id, member.slots))
+            .collect();
+        out.sort_by_key(|(broken, ..)| std::cmp::Reverse(*broken));
+        let mut gone = 0;
+        for (_, id, slots) in out {
+            gone += u64::from(slots);
+            if gone > may_go {
+                break;
+            }
+            weights.insert(id.clone(), 0.0);
+        }
+        weights
+    }
+
+    /// Whether the floor keeps any in use whose breaker is open.
+    pub fn is_at_floor(&self) -> bool {
+        let open = self.circuits.values().filter(|member| member.circuit.state() != State::Closed);
+        let out = self.weights().values().filter(|weight| **weight <= 0.0).count();
+        open.count() > out
+    }
+
+    /// State of an upstream's breaker.
+    pub fn state(&self, upstream: &UpstreamId) -> State {
+        self.circuits.get(upstream).map_or(State::Closed, |member| member.circuit.state())
+    }
+
+    /// Usual time until an answer: that of the median upstream.
+    pub fn usual(&self) -> Option<Duration> {
+        let median = median(self.means().into_iter().map(|(_, mean)| mean).collect())?;
+        Some(Duration::from_secs_f64(median / 1000.0))
+    }
+
+    /// Mean time until an answer, in milliseconds, of upstreams that have shown it.
+    fn means(&self) -> Vec<(&UpstreamId, f64)> {
+        let mean = |member: &Member| {
+            let recent = member.circuit.recent();
+            let shown = recent.answered >= SHOWN;
+            shown.then(|| recent.millis as f64 / f64::from(recent.answered))
+        };
+        self.circuits.iter().filter_map(|(id, member)| Some((id, mean(member)?))).collect()
+    }
+
+    fn slow(&self) -> BTreeMap<UpstreamId, f64> {
+        let means = self.means();
+        let Some(median) = median(means.iter().map(|(_, mean)| *mean).collect()) else {
+            return BTreeMap::new();
+        };
+        let slow = means.into_iter().filter(|(_, mean)| *mean > SLOW * median);
+        slow.map(|(id, _)| (id.clone(), SLOW_WEIGHT)).collect()
+    }
+}
+
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
--- /dev/null
+++ b/src/breaker/tally.rs
@@ -0,0 +1,65 @@
+//! What callers received of one upstream in some span.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::health::Kind;
+
+/// What callers received of one upstream in some span.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tally {
+    /// Whole answers.
+    pub answered: u32,
+    /// Answers that were cut, spoiled or never came.
+    pub broken: u32,
+    /// Failures that were the upstream's own answer.
+    pub failed: u32,
+    /// Time until the heads of whole answers, summed, in milliseconds.
+    pub millis: u64,
+    /// Connections that could not be opened.
+    pub unreached: u32,
+}
+
+impl Tally {
+    /// One outcome.
+    pub fn of(kind: Kind, latency: Duration) -> Self {
+        let mut tally = Self::default();
+        match kind {
+            Kind::ConnectFailed => tally.unreached = 1,
+            Kind::Cut | Kind::Silent | Kind::Timeout => tally.broken = 1,
+            Kind::Refused => {}
+            Kind::ServerError => tally.failed = 1,
+            Kind::Success => {
+                tally.answered = 1;
+                tally.millis = latency.as_millis() as u64;
+            }
+        }
+        tally
+    }
+
+    /// Adds another span's.
+    pub fn add(&mut self, other: &Self) {
+        self.answered += other.answered;
+        self.broken += other.broken;
+        self.failed += other.failed;
+        self.millis += other.millis;
+        self.unreached += other.unreached;
+    }
+
+    /// Whether nothing was received.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+
+    /// Whether others should know at once: the next request may go there.
+    pub fn is_urgent(&self) -> bool {
+        self.broken > 0
+    }
+
+    /// Requests that ended.
+    pub fn ended(&self) -> u32 {
+        self.answered + self.broken + self.failed
+    }
+}
--- /dev/null
+++ b/src/breaker/window.rs
@@ -0,0 +1,48 @@
+//! The last seconds of what callers received.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::Tally;
+use crate::clock::Moment;
+
+/// Length of the window: at five requests a second of all entries, about a dozen outcomes,
+/// and not longer than the shortest faults last.
+const SPAN: Duration = Duration::from_millis(2500);
+/// Length of one part, by which the window moves.
+const PART: Duration = Duration::from_millis(125);
+
+/// The last seconds of what callers received.
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    parts: VecDeque<(Moment, Tally)>,
+}
+
+impl Window {
+    /// Adds what was received now.
+    pub fn add(&mut self, now: Moment, tally: &Tally) {
+        match self.parts.back_mut() {
+            Some((at, part)) if now < *at + PART => part.add(tally),
+            _ => self.parts.push_back((now, *tally)),
+        }
+    }
+
+    /// Forgets what is too old.
+    pub fn roll(&mut self, now: Moment) {
+        while self.parts.front().is_some_and(|(at, _)| now >= *at + SPAN) {
+            self.parts.pop_front();
+        }
+    }
+
+    /// Forgets all.
+    pub fn clear(&mut self) {
+        self.parts.clear();
+    }
+
+    /// All that it holds.
+    pub fn sum(&self) -> Tally {
+        let mut sum = Tally::default();
+        self.parts.iter().for_each(|(_, part)| sum.add(part));
+        sum
+    }
+}
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -15,6 +15,7 @@
 mod publisher;
 mod ready;
 mod subscriber;
+mod tallies;
 
 pub use control::Control;
 pub use entry::Entry;
@@ -27,3 +28,4 @@
 pub use publisher::Publisher;
 pub use ready::Ready;
 pub use subscriber::Subscriber;
+pub use tallies::Tallies;
--- a/src/feed/input.rs
+++ b/src/feed/input.rs
@@ -2,6 +2,7 @@
 
 use super::Message;
 use super::News;
+use super::Tallies;
 use crate::id::NodeId;
 
 /// What an entry's side is told.
@@ -16,6 +17,8 @@
 /// What an entry's side wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
+    /// Callers of other entries received this.
+    Note(Tallies),
     /// Send this.
     Send(NodeId, Message),
     /// Take these news: they are newer than all before.
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -7,16 +7,13 @@
 use super::News;
 use super::Poll;
 use super::Ready;
-use crate::health;
+use super::Tallies;
 use crate::id::NodeId;
-use crate::id::ServiceId;
 use crate::quorum::DiskId;
 
 /// What goes between controls and entries.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
-    /// Evidence on upstreams, from an entry or passed on.
-    Evidence(Vec<(ServiceId, health::Digest)>),
     /// A control says that it is there, with the identity of its disk.
     Hello {
         /// The control.
@@ -37,4 +34,6 @@
     News(Box<News>),
     /// An entry's question.
     Poll(Poll),
+    /// What callers of a control's entries received, to another control.
+    Tallies(Tallies),
 }
--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::Control;
+use super::Tallies;
 use crate::catalog::Delta;
 use crate::config::Version;
 use crate::id::Index;
@@ -26,6 +27,8 @@
     pub known: Index,
     /// Number of the question; 0 where it was told unasked.
     pub sequence: u64,
+    /// What callers of other entries received of upstreams since the last news.
+    pub tallies: Tallies,
     /// Upstreams that changed.
     pub upstreams: Delta,
 }
--- a/src/feed/poll.rs
+++ b/src/feed/poll.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::Entry;
+use super::Tallies;
 use crate::id::Index;
 
 /// An entry's question: what is new?
@@ -15,4 +16,6 @@
     pub known: Index,
     /// Counts the questions.
     pub sequence: u64,
+    /// What callers received of upstreams since the last question.
+    pub tallies: Tallies,
 }
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -9,14 +9,13 @@
 use super::News;
 use super::Poll;
 use super::Ready;
+use super::Tallies;
 use crate::catalog::Catalog;
 use crate::clock::Moment;
 use crate::config::Version;
 use crate::fleet::State;
-use crate::health;
 use crate::id::Index;
 use crate::id::NodeId;
-use crate::id::ServiceId;
 
 /// An entry that has not asked for so long is left out of lists: two rounds and a lost
 /// one. Callers would try it in vain.
@@ -26,8 +25,11 @@
 /// Shortest pause between two pushes: under a storm of changes entries get the last of some
 /// at once, and not each by itself.
 const PUSH_GAP: Duration = Duration::from_millis(100);
-/// Pause in which evidence is gathered, so that one message carries that of many entries.
-const GATHER: Duration = Duration::from_millis(150);
+/// Pause in which broken answers are gathered that entries should know of at once: a fault
+/// that begins under load breaks several within it.
+const GATHER: Duration = Duration::from_millis(15);
+/// Pause in which all else that callers received is gathered for the other controls.
+const COLLECT: Duration = Duration::from_millis(500);
 
 /// What a control knows for sure, for the feed to tell.
 #[derive(Debug)]
@@ -48,10 +50,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Publisher {
     attached: BTreeMap<NodeId, Attached>,
-    evidence: Vec<(ServiceId, health::Digest, bool)>,
-    gathered_at: Option<Moment>,
+    collected: Tallies,
     has_moved: bool,
     hearsay: BTreeMap<NodeId, (Moment, Entry, NodeId)>,
+    pass_at: Option<Moment>,
     push_at: Option<Moment>,
     pushed_at: Moment,
 }
@@ -61,6 +63,7 @@
     entry: Entry,
     heard: Moment,
     known: Index,
+    tallies: Tallies,
 }
 
 impl Publisher {
@@ -78,9 +81,12 @@
         }
         self.hearsay.remove(&id);
         let known = ledger.applied.max(poll.known);
-        let attached = Attached { entry: poll.entry, heard: now, known };
+        let before = self.attached.remove(&id);
+        self.gather(now, &poll.tallies, true);
+        let tallies = before.map(|before| before.tallies).unwrap_or_default();
+        let attached = Attached { entry: poll.entry, heard: now, known, tallies: Tallies::default() };
         self.attached.insert(id.clone(), attached);
-        let news = self.news(now, poll.known, poll.sequence, ledger);
+        let news = self.news(now, poll.known, poll.sequence, tallies, ledger);
         vec![(id, Message::News(Box::new(news)))]
     }
 
@@ -95,11 +101,18 @@
         }
     }
 
-    /// Takes evidence; `own` where it comes from an entry of this control.
-    pub fn gather(&mut self, now: Moment, evidence: Vec<(ServiceId, health::Digest)>, own: bool) {
-        self.gathered_at.get_or_insert(now);
-        let marked = evidence.into_iter().map(|(service, digest)| (service, digest, own));
-        self.evidence.extend(marked);
+    /// Takes what callers received; `own` where an entry of this control told it.
+    pub fn gather(&mut self, now: Moment, tallies: &Tallies, own: bool) {
+        if tallies.is_empty() {
+            return;
+        }
+        self.attached.values_mut().for_each(|entry| entry.tallies.add_all(tallies));
+        if own {
+            self.collected.add_all(tallies);
+        }
+        let pause = if tallies.is_urgent() { GATHER } else { COLLECT };
+        let at = now + pause;
+        self.pass_at = Some(self.pass_at.map_or(at, |other| other.min(at)));
     }
 
     /// Notes that the log told something that entries must know.
@@ -114,7 +127,7 @@
         if self.push_at.is_some_and(|at| at <= now) {
             self.push(now, ledger, &mut sends);
         }
-        if self.gathered_at.is_some_and(|at| now >= at + GATHER) {
+        if self.pass_at.is_some_and(|at| at <= now) {
             self.pass_on(now, ledger, &mut sends);
         }
         sends
@@ -122,8 +135,7 @@
 
     /// When it wants to be told the time.
     pub fn wake(&self) -> Moment {
-        let gather = self.gathered_at.map(|at| at + GATHER);
-        self.push_at.into_iter().chain(gather).min().unwrap_or(Moment::MAX)
+        self.push_at.into_iter().chain(self.pass_at).min().unwrap_or(Moment::MAX)
     }
 
     /// Whether an entry came, or began or ceased to take callers, since it was last told.
@@ -147,7 +159,14 @@
         all.filter(|entry| entry.state == State::Serving)
     }
 
-    fn news(&self, now: Moment, base: Index, sequence: u64, ledger: &Ledger<'_>) -> News {
+    fn news(
+        &self,
+        now: Moment,
+        base: Index,
+        sequence: u64,
+        tallies: Tallies,
+        ledger: &Ledger<'_>,
+    ) -> News {
         let configuration = ledger.configuration.filter(|(_, since)| *since > base);
         News {
             base,
@@ -157,6 +176,7 @@
             fresh: ledger.fresh,
             known: ledger.applied,
             sequence,
+            tallies,
             upstreams: ledger.catalog.since(base),
         }
     }
@@ -172,31 +192,44 @@
             .map(|own| (own.entry.id.clone(), own.known))
             .collect();
         for (id, known) in behind {
-            let news = self.news(now, known, 0, ledger);
-            sends.push((id.clone(), Message::News(Box::new(news))));
-            if let Some(own) = self.attached.get_mut(&id) {
-                own.known = ledger.applied;
-            }
+            self.tell(now, &id, known, ledger, sends);
         }
     }
 
+    /// Tells the other controls what callers received here, and at once the entries that
+    /// have to know of a broken answer; the others hear of it with their next question.
     fn pass_on(&mut self, now: Moment, ledger: &Ledger<'_>, sends: &mut Vec<(NodeId, Message)>) {
-        self.gathered_at = None;
-        let evidence = std::mem::take(&mut self.evidence);
-        let all: Vec<_> =
-            evidence.iter().map(|(service, digest, _)| (service.clone(), digest.clone())).collect();
-        let own = evidence.into_iter().filter(|(_, _, own)| *own);
-        let own: Vec<_> = own.map(|(service, digest, _)| (service, digest)).collect();
-        for attached in self.attached.values().filter(|own| now < own.heard + LOST) {
-            let foreign = |(_, digest): &&(ServiceId, health::Digest)| digest.from != attached.entry.id;
-            let news: Vec<_> = all.iter().filter(foreign).cloned().collect();
-            if !news.is_empty() {
-                sends.push((attached.entry.id.clone(), Message::Evidence(news)));
-            }
-        }
-        if !own.is_empty() {
+        self.pass_at = None;
+        let collected = std::mem::take(&mut self.collected);
+        if !collected.is_empty() {
             let others = ledger.controls.iter().map(|control| control.id.clone());
-            sends.extend(others.map(|id| (id, Message::Evidence(own.clone()))));
+            sends.extend(others.map(|id| (id, Message::Tallies(collected.clone()))));
+        }
+        let due = |own: &&Attached| now < own.heard + LOST && own.tallies.is_urgent();
+        let urgent: Vec<(NodeId, Index)> = self
+            .attached
+            .values()
+            .filter(due)
+            .map(|own| (own.entry.id.clone(), own.known))
+            .collect();
+        for (id, known) in urgent {
+            self.tell(now, &id, known, ledger, sends);
         }
     }
+
+    /// Tells an entry unasked what it is thought not to know.
+    fn tell(
+        &mut self,
+        now: Moment,
+        id: &NodeId,
+        known: Index,
+        ledger: &Ledger<'_>,
+        sends: &mut Vec<(NodeId, Message)>,
+    ) {
+        let Some(own) = self.attached.get_mut(id) else { return };
+        own.known = known.max(ledger.applied);
+        let tallies = std::mem::take(&mut own.tallies);
+        let news = self.news(now, known, 0, tallies, ledger);
+        sends.push((id.clone(), Message::News(Box::new(news))));
+    }
 }
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -14,11 +14,14 @@
 use super::News;
 use super::Output;
 use super::Poll;
+use super::Tallies;
+use crate::breaker::Tally;
 use crate::clock::Moment;
 use crate::fleet::State;
 use crate::id::DomainId;
 use crate::id::Index;
 use crate::id::NodeId;
+use crate::id::UpstreamId;
 
 /// Pause between two questions. A change must be in force within 2 s of its
 /// acknowledgement also where the push was lost: that leaves three rounds.
@@ -28,6 +31,9 @@
 const PATIENCE: Duration = Duration::from_millis(350);
 /// How long a control that failed is asked only after all others.
 const AVOID: Duration = Duration::from_secs(3);
+/// Shortest pause between two tellings of broken answers: under a fault of many upstreams
+/// some are told together.
+const TELL_GAP: Duration = Duration::from_millis(30);
 /// Pause before an entry that found no control asks again.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -45,6 +51,8 @@
     random: ChaCha8Rng,
     seeds: Vec<NodeId>,
     sequence: u64,
+    tallies: Tallies,
+    told_at: Moment,
 }
 
 impl Subscriber {
@@ -62,6 +70,8 @@
             random,
             seeds,
             sequence: 0,
+            tallies: Tallies::default(),
+            told_at: now,
         }
     }
 
@@ -89,6 +99,14 @@
         }
     }
 
+    /// Notes what callers received here; a broken answer is told at once.
+    pub fn note(&mut self, now: Moment, upstream: &UpstreamId, tally: &Tally) {
+        self.tallies.add(upstream, tally);
+        if tally.is_urgent() {
+            self.due = self.due.min(now.max(self.told_at + TELL_GAP));
+        }
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<NodeId>) {
         self.seeds = seeds;
@@ -114,7 +132,8 @@
         let answers = self.asked.is_some_and(|(sequence, _)| sequence == news.sequence);
         if answers {
             self.asked = None;
-            self.due = now + PERIOD;
+            let pause = if self.tallies.is_urgent() { TELL_GAP } else { PERIOD };
+            self.due = now + pause;
         }
         let behind = news.known < self.known;
         if news.fresh && !behind {
@@ -127,6 +146,9 @@
         if !news.controls.is_empty() {
             self.controls = news.controls.iter().cloned().collect();
         }
+        if !news.tallies.is_empty() {
+            outputs.push(Output::Note(news.tallies.clone()));
+        }
         if behind || news.base > self.known {
             return;
         }
@@ -150,7 +172,13 @@
         };
         self.sequence += 1;
         self.asked = Some((self.sequence, now));
-        let poll = Poll { entry: self.me.clone(), known: self.known, sequence: self.sequence };
+        self.told_at = now;
+        let poll = Poll {
+            entry: self.me.clone(),
+            known: self.known,
+            sequence: self.sequence,
+            tallies: std::mem::take(&mut self.tallies),
+        };
         outputs.push(Output::Send(to, Message::Poll(poll)));
     }
 
--- /dev/null
+++ b/src/feed/tallies.rs
@@ -0,0 +1,38 @@
+//! What callers received of many upstreams.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::breaker::Tally;
+use crate::id::UpstreamId;
+
+/// What callers received of many upstreams, in some span.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tallies {
+    /// By upstream.
+    pub by_upstream: BTreeMap<UpstreamId, Tally>,
+}
+
+impl Tallies {
+    /// Adds one upstream's.
+    pub fn add(&mut self, upstream: &UpstreamId, tally: &Tally) {
+        self.by_upstream.entry(upstream.clone()).or_default().add(tally);
+    }
+
+    /// Adds all of another span's.
+    pub fn add_all(&mut self, other: &Self) {
+        other.by_upstream.iter().for_each(|(upstream, tally)| self.add(upstream, tally));
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.by_upstream.is_empty()
+    }
+
+    /// Whether others should know at once.
+    pub fn is_urgent(&self) -> bool {
+        self.by_upstream.values().any(Tally::is_urgent)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balance;
 pub mod bench;
 pub mod boundary;
+pub mod breaker;
 pub mod catalog;
 pub mod claim;
 pub mod cli;
--- a/src/node/attached/hub.rs
+++ b/src/node/attached/hub.rs
@@ -234,10 +234,6 @@
                     self.clerk.set_leader(&leader);
                 }
             }
-            Message::Evidence(evidence) => {
-                let own = !self.known.contains_key(&from);
-                self.publisher.gather(now, evidence, own);
-            }
             Message::Hello { control, disk, ready } => {
                 let known = self.known.get(&from).is_some_and(|known| known.heard.is_some());
                 self.meet(control, disk, Some(now));
@@ -249,6 +245,7 @@
                 }
             }
             Message::News(_) => (),
+            Message::Tallies(tallies) => self.publisher.gather(now, &tallies, false),
             Message::Poll(poll) => {
                 let controls = self.controls(now);
                 let blank = Catalog::default();
--- a/src/node/attached/setup.rs
+++ b/src/node/attached/setup.rs
@@ -7,7 +7,6 @@
 use crate::id::DomainId;
 use crate::id::NodeId;
 use crate::node::Office;
-use crate::replay::Recorder;
 
 /// What a process knows when it starts.
 #[derive(Debug)]
@@ -26,8 +25,6 @@
     pub(in crate::node) is_entry: bool,
     /// The log, at a control.
     pub(in crate::node) office: Option<Office>,
-    /// Where decisions are recorded.
-    pub(in crate::node) recorder: Recorder,
     /// Seed of all that is drawn.
     pub(in crate::node) seed: u64,
     /// Controls that are known from the start.
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -9,6 +9,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::balance;
+use crate::breaker::Panel;
+use crate::breaker::State;
+use crate::breaker::Tally;
 use crate::boundary::Boundary;
 use crate::clock::Moment;
 use crate::config::Standing;
@@ -17,7 +20,8 @@
 use crate::feed::Message;
 use crate::feed::News;
 use crate::feed::Subscriber;
-use crate::fleet::State;
+use crate::feed::Tallies;
+use crate::fleet;
 use crate::health;
 use crate::id::NodeId;
 use crate::id::ServiceId;
@@ -25,8 +29,6 @@
 use crate::node::View;
 use crate::node::core::Input;
 use crate::node::core::Output;
-use crate::node::judges::Judges;
-use crate::node::judges::Told;
 use crate::node::status;
 use crate::node::view;
 use crate::registry;
@@ -39,9 +41,12 @@
 
 use super::Setup;
 
-/// Pause between two tellings of evidence: one that is half as old again as the gathering
-/// at the control delays nothing that matters, and is a fifth of the messages.
-const TELL: Duration = Duration::from_millis(100);
+/// A request that has waited this many times as long as usual, and for a second at least,
+/// counts as broken: one in a hundred takes five times as long on a sound upstream.
+const HUNG: u32 = 4;
+const HUNG_MIN: Duration = Duration::from_secs(1);
+/// Share of a service's slots that stay in use where its rules say nothing.
+const FLOOR: f64 = 0.7;
 /// An entry that no control has told anything for so long says so.
 const ALONE: Duration = Duration::from_secs(5);
 
@@ -51,15 +56,15 @@
     boundary: Arc<dyn Boundary>,
     dirty: bool,
     entries: usize,
-    evidence: BTreeMap<ServiceId, health::Digest>,
+    hung: BTreeMap<UpstreamId, usize>,
     id: NodeId,
-    judges: Judges,
     leaving: bool,
+    panels: BTreeMap<ServiceId, Panel>,
     published: u64,
+    random: ChaCha8Rng,
     rules: Option<Arc<Rules>>,
     standing: Standing,
     subscriber: Subscriber,
-    tell_at: Moment,
     upstreams: BTreeMap<UpstreamId, Known>,
     version: Option<Version>,
 }
@@ -73,7 +78,7 @@
 
 /// Whether a message is for an entry.
 pub(super) fn takes(message: &Message) -> bool {
-    matches!(message, Message::Evidence(_) | Message::News(_))
+    matches!(message, Message::News(_))
 }
 
 impl Spoke {
@@ -84,21 +89,21 @@
             callers: setup.callers,
             domain: setup.domain.clone(),
             id: setup.id.clone(),
-            state: State::Starting,
+            state: fleet::State::Starting,
         };
         Self {
             boundary: Arc::clone(&setup.boundary),
             dirty: true,
             entries: 1,
-            evidence: BTreeMap::new(),
+            hung: BTreeMap::new(),
             id: setup.id.clone(),
-            judges: Judges::new(now, setup.id.clone(), setup.recorder.clone(), draw()),
             leaving: false,
+            panels: BTreeMap::new(),
             published: 0,
+            random: draw(),
             rules: None,
             standing: Standing::Starting,
             subscriber: Subscriber::new(now, me, setup.seeds.clone(), draw()),
-            tell_at: now,
             upstreams: BTreeMap::new(),
             version: None,
         }
@@ -110,30 +115,18 @@
             Input::Drain => {
                 self.leaving = true;
                 self.dirty = true;
-                self.subscriber.set_state(now, State::Leaving);
+                self.subscriber.set_state(now, fleet::State::Leaving);
                 self.tell_subscriber(now, feed::Input::Tick, &mut outputs);
             }
-            Input::Frame(_, Frame::Feed(Message::Evidence(evidence))) => {
-                for (service, digest) in evidence.clone() {
-                    let told = self.judges.tell(now, &service, health::Input::Digest(digest));
-                    self.judged(told, &mut outputs);
-                }
-            }
             Input::Frame(from, Frame::Feed(Message::News(news))) => {
                 let input = feed::Input::News(from.clone(), news.clone());
                 self.tell_subscriber(now, input, &mut outputs);
             }
             Input::Outcome(service, upstream, kind, latency) => {
-                let (kind, latency) = (*kind, *latency);
-                let input = health::Input::Outcome { kind, latency, upstream: upstream.clone() };
-                let told = self.judges.tell(now, service, input);
-                self.judged(told, &mut outputs);
+                self.note(now, service, upstream, &Tally::of(*kind, *latency), &mut outputs);
             }
             Input::Overdue(service, upstream, ages) => {
-                let input =
-                    health::Input::Pending { ages: ages.clone(), upstream: upstream.clone() };
-                let told = self.judges.tell(now, service, input);
-                self.judged(told, &mut outputs);
+                self.overdue(now, service, upstream, ages, &mut outputs);
             }
             Input::Seeds(seeds) => self.subscriber.set_seeds(seeds.clone()),
             Input::Tick => self.tick(now, &mut outputs),
@@ -143,8 +136,8 @@
     }
 
     pub(super) fn wake(&self) -> Moment {
-        let evidence = if self.evidence.is_empty() { Moment::MAX } else { self.tell_at };
-        self.subscriber.wake().min(self.judges.wake()).min(evidence)
+        let panels = self.panels.values().filter_map(Panel::wake);
+        panels.fold(self.subscriber.wake(), Moment::min)
     }
 
     pub(super) fn version(&self) -> Option<&Version> {
@@ -174,12 +167,16 @@
     pub(super) fn upstreams(&self, _: Moment) -> BTreeMap<ServiceId, Vec<status::Upstream>> {
         let mut services: BTreeMap<ServiceId, Vec<status::Upstream>> = BTreeMap::new();
         for Known { said, .. } in self.upstreams.values() {
-            let judge = self.judges.get(&said.service);
-            let verdict = judge.map(|judge| judge.verdict(&said.upstream));
+            let panel = self.panels.get(&said.service);
+            let verdict = match panel.map(|panel| panel.state(&said.upstream)) {
+                None | Some(State::Closed) => health::Verdict::Sound,
+                Some(State::Open { .. }) => health::Verdict::Ejected,
+                Some(State::Trial { .. }) => health::Verdict::Trial,
+            };
             services.entry(said.service.clone()).or_default().push(status::Upstream {
                 usable: said.state == registry::State::Ready,
                 upstream: said.upstream.clone(),
-                verdict: verdict.unwrap_or(health::Verdict::Sound),
+                verdict,
             });
         }
         services
@@ -187,9 +184,9 @@
 
     fn tick(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         self.tell_subscriber(now, feed::Input::Tick, outputs);
-        let told = self.judges.tick(now);
-        self.judged(told, outputs);
-        self.tell_evidence(now, outputs);
+        for panel in self.panels.values_mut() {
+            self.dirty |= panel.tick(now);
+        }
         let alone = self.subscriber.fresh_at().is_none_or(|at| now >= at + ALONE);
         let standing = match self.rules {
             None => Standing::Starting,
@@ -207,6 +204,7 @@
     fn tell_subscriber(&mut self, now: Moment, input: feed::Input, outputs: &mut Vec<Output>) {
         for output in self.subscriber.handle(now, input) {
             match output {
+                feed::Output::Note(tallies) => self.note_others(now, &tallies),
                 feed::Output::Send(to, message) => {
                     outputs.push(Output::Send(to, None, Frame::Feed(message)));
                 }
@@ -217,6 +215,7 @@
 
     fn take(&mut self, now: Moment, news: News, outputs: &mut Vec<Output>) {
         self.entries = news.entries.max(1);
+        self.panels.values_mut().for_each(|panel| panel.set_entries(news.entries));
         if let Some(version) = news.configuration {
             self.configure(now, version, outputs);
         }
@@ -226,11 +225,11 @@
                 delta.upstreams.iter().map(|said| said.upstream.clone()).collect();
             let gone = self.upstreams.keys().filter(|id| !kept.contains(id)).cloned();
             let gone: Vec<UpstreamId> = gone.collect();
-            gone.iter().for_each(|id| self.lose(now, id, outputs));
+            gone.iter().for_each(|id| self.lose(id));
         }
-        delta.gone.iter().for_each(|id| self.lose(now, id, outputs));
+        delta.gone.iter().for_each(|id| self.lose(id));
         for said in delta.upstreams {
-            self.learn(now, said, outputs);
+            self.learn(now, said);
         }
     }
 
@@ -248,74 +247,100 @@
         };
         let event = self.event(Kind::ConfigurationApplied).configuration(version.number);
         outputs.push(Output::Event(event));
-        let (fresh, told) = self.judges.set_rules(now, &rules);
-        self.judged(told, outputs);
         self.rules = Some(rules);
         self.version = Some(version);
         self.dirty = true;
-        let known: Vec<Announcement> =
-            self.upstreams.values().map(|known| known.said.clone()).collect();
-        for said in known.into_iter().filter(|said| fresh.contains(&said.service)) {
-            self.introduce(now, &said, outputs);
-        }
+        self.set_floors();
         if !self.leaving {
-            self.subscriber.set_state(now, State::Serving);
+            self.subscriber.set_state(now, fleet::State::Serving);
         }
     }
 
-    fn learn(&mut self, now: Moment, said: Announcement, outputs: &mut Vec<Output>) {
+    fn learn(&mut self, now: Moment, said: Announcement) {
         let since = self.upstreams.get(&said.upstream).map_or(now, |known| known.since);
         self.upstreams.insert(said.upstream.clone(), Known { said: said.clone(), since });
         self.dirty = true;
+        let floor = self.floor(&said.service);
+        let random = &mut self.random;
+        let fresh = || Panel::new(floor, ChaCha8Rng::seed_from_u64(random.next_u64()));
+        let panel = self.panels.entry(said.service.clone()).or_insert_with(fresh);
         if said.state == registry::State::Ready {
-            self.introduce(now, &said, outputs);
+            panel.join(said.upstream, said.slots);
         } else {
-            let told = self.judges.forget(now, &said.upstream);
-            self.judged(told, outputs);
+            panel.leave(&said.upstream);
         }
     }
 
-    fn lose(&mut self, now: Moment, id: &UpstreamId, outputs: &mut Vec<Output>) {
+    fn lose(&mut self, id: &UpstreamId) {
         if self.upstreams.remove(id).is_some() {
             self.dirty = true;
-            let told = self.judges.forget(now, id);
-            self.judged(told, outputs);
+            self.hung.remove(id);
+            self.panels.values_mut().for_each(|panel| panel.leave(id));
         }
     }
 
-    fn introduce(&mut self, now: Moment, said: &Announcement, outputs: &mut Vec<Output>) {
-        if said.state != registry::State::Ready {
-            return;
-        }
-        let (domain, upstream) = (said.domain.clone(), said.upstream.clone());
-        let input = health::Input::Member { domain, slots: said.slots, upstream };
-        let told = self.judges.tell(now, &said.service, input);
-        self.judged(told, outputs);
+    fn floor(&self, service: &ServiceId) -> f64 {
+        let rules = self.rules.as_ref().and_then(|rules| rules.service(service));
+        rules.map_or(FLOOR, |service| service.floor)
     }
 
-    fn judged(&mut self, told: Vec<Told>, outputs: &mut Vec<Output>) {
-        for told in told {
-            match told {
-                Told::Event(event) => {
-                    self.dirty = true;
-                    outputs.push(Output::Event(event));
-                }
-                Told::Share(service, digest) | Told::Tell(service, digest, _) => {
-                    self.evidence.insert(service, digest);
-                }
+    fn set_floors(&mut self) {
+        let floors: Vec<(ServiceId, f64)> =
+            self.panels.keys().map(|service| (service.clone(), self.floor(service))).collect();
+        for (service, floor) in floors {
+            if let Some(panel) = self.panels.get_mut(&service) {
+                panel.set_floor(floor);
             }
         }
     }
 
-    fn tell_evidence(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.evidence.is_empty() || now < self.tell_at {
-            return;
+    /// Takes what a caller received here.
+    fn note(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        tally: &Tally,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(panel) = self.panels.get_mut(service) else { return };
+        let changed = panel.note_own(now, upstream, tally);
+        let state = panel.state(upstream);
+        self.subscriber.note(now, upstream, tally);
+        if changed {
+            self.dirty = true;
+            let kind = if state == State::Closed { Kind::Readmitted } else { Kind::Ejected };
+            let event = self.event(kind).service(service.clone()).upstream(upstream.clone());
+            outputs.push(Output::Event(event.detail("is", format!("{state:?}"))));
+        }
+    }
+
+    /// Takes what callers of other entries received.
+    fn note_others(&mut self, now: Moment, tallies: &Tallies) {
+        for (upstream, tally) in &tallies.by_upstream {
+            let Some(known) = self.upstreams.get(upstream) else { continue };
+            if let Some(panel) = self.panels.get_mut(&known.said.service) {
+                self.dirty |= panel.note(now, upstream, tally);
+            }
         }
-        self.tell_at = now + TELL;
-        let evidence: Vec<_> = std::mem::take(&mut self.evidence).into_iter().collect();
-        if let Some(control) = self.subscriber.current().cloned() {
-            let frame = Frame::Feed(Message::Evidence(evidence));
-            outputs.push(Output::Send(control, None, frame));
+    }
+
+    /// Counts requests that wait far longer than usual as broken, each once.
+    fn overdue(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        ages: &[Duration],
+        outputs: &mut Vec<Output>,
+    ) {
+        let usual = self.panels.get(service).and_then(Panel::usual).unwrap_or_default();
+        let bar = HUNG_MIN.max(usual * HUNG);
+        let count = ages.iter().filter(|age| **age >= bar).count();
+        let before = self.hung.insert(upstream.clone(), count).unwrap_or(0);
+        if count > before {
+            let tally = Tally { broken: (count - before) as u32, ..Tally::default() };
+            self.note(now, service, upstream, &tally, outputs);
         }
     }
 
@@ -328,13 +353,12 @@
             service.entries = self.entries;
             service.addresses.insert(said.upstream.clone(), said.address);
             service.members.push(self.member(now, known));
-            let weight = self.judges.get(&said.service).map(|judge| judge.weight(&said.upstream));
-            if let Some(weight) = weight.filter(|weight| *weight < 1.0) {
-                service.weights.insert(said.upstream.clone(), weight);
-            }
         }
         for (name, service) in &mut services {
-            service.settle(self.judges.is_at_floor(name));
+            let Some(panel) = self.panels.get(name) else { continue };
+            service.weights = panel.weights().into_iter().collect();
+            service.trials = panel.trials();
+            service.settle(panel.is_at_floor());
         }
         services
     }
--- a/src/node/links/stream.rs
+++ b/src/node/links/stream.rs
@@ -131,7 +131,8 @@
             }
             return;
         };
-        if state.waiting.is_empty() {
+        // A frame that a task is half through with must not be followed by another's bytes.
+        if state.waiting.is_empty() && !state.flushing {
             match write_now(&stream, &frame) {
                 Ok(count) if count == frame.len() => return,
                 Ok(count) => state.queue(frame[count..].to_vec()),
--- a/src/node/make.rs
+++ b/src/node/make.rs
@@ -78,7 +78,6 @@
         is_control: settings.has(Role::Control),
         is_entry: settings.has(Role::Entry),
         office,
-        recorder,
         seed: rand::random(),
         seeds: seed_ids(settings),
     };
--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -69,6 +69,11 @@
         request
     }
 
+    /// Whether it can show if an upstream is well: it can be sent again elsewhere.
+    pub(super) fn may_try(&self) -> bool {
+        self.is_idempotent() && self.terms.attempts > 1 && self.payload.is_repeatable()
+    }
+
     /// Writes the request's line in the log: what was decided by which rule of which
     /// configuration, what was tried, and what the caller is told.
     pub(super) fn log(&self, shared: &Shared, view: &View, told: &str, status: u16) {
--- a/src/node/traffic/place.rs
+++ b/src/node/traffic/place.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use crate::balance::Finish;
+use crate::balance::Pick;
 use crate::balance::Ticket;
 use crate::health;
 use crate::id::UpstreamId;
@@ -31,6 +32,25 @@
         long: bool,
     ) -> Option<Self> {
         let pick = service.pick(shared.now(), view, avoid, long)?;
+        Self::at(shared, service, view, pick)
+    }
+
+    /// A place at an upstream that is to be tried.
+    pub(super) fn take_trial(
+        shared: &'a Shared,
+        service: &'a Service,
+        view: &view::Service,
+    ) -> Option<Self> {
+        let pick = service.pick_trial(shared.now(), view)?;
+        Self::at(shared, service, view, pick)
+    }
+
+    fn at(
+        shared: &'a Shared,
+        service: &'a Service,
+        view: &view::Service,
+        pick: Pick,
+    ) -> Option<Self> {
         let address = view.addresses.get(&pick.upstream).copied();
         let place = Self {
             address: address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))),
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -47,7 +47,8 @@
 impl Service {
     pub(super) fn new(name: ServiceId, settings: &Settings, recorder: &Recorder) -> Self {
         let node = &settings.node;
-        let setup = balance::Setup::new(node.id.clone(), node.failure_domain.clone(), 1);
+        let mut setup = balance::Setup::new(node.id.clone(), node.failure_domain.clone(), 1);
+        setup.local = settings.traffic.local;
         let seed = crate::node::incarnation();
         let tape = |kind: &str| Tape::new(recorder, format_compact!("{kind}/{name}"));
         let policy = Policy::new(seed, tape("policy"));
@@ -55,7 +56,7 @@
         let queue = Queue::new(seed, tape("gate"));
         Self {
             name,
-            picker: Mutex::new(Choice { picker, slots: 0, version: 0 }),
+            picker: Mutex::new(Choice { picker, slots: 0, tried: 0, version: 0 }),
             policy: Mutex::new(policy),
             queue,
             retry: settings.retry.clone(),
@@ -72,6 +73,17 @@
         self.choice(now, view).picker.pick(now, &Ask { avoid, is_long })
     }
 
+    /// A place at an upstream that is to be tried, each trial once.
+    pub(super) fn pick_trial(&self, now: Moment, view: &view::Service) -> Option<Pick> {
+        if view.trials.is_empty() {
+            return None;
+        }
+        let mut choice = self.choice(now, view);
+        let trial = view.trials.iter().find(|trial| trial.number > choice.tried)?;
+        choice.tried = trial.number;
+        choice.picker.pick_only(now, &trial.upstream, false)
+    }
+
     pub(super) fn finish(&self, now: Moment, ticket: Ticket, finish: Finish) {
         self.lock().picker.finish(now, ticket, finish);
     }
@@ -133,6 +145,8 @@
     picker: Picker,
     /// Turns of this entry.
     slots: usize,
+    /// The last trial that was made.
+    tried: u64,
     /// Version of the view.
     version: u64,
 }
--- a/src/node/traffic/tries.rs
+++ b/src/node/traffic/tries.rs
@@ -47,7 +47,10 @@
     loop {
         // Where all others are taken or tried, the same one once more is better than none.
         let long = job.terms.long;
-        let place = Place::take(shared, service, upstreams, &avoid, long)
+        let trial = tries == 0 && job.may_try();
+        let trial = trial.then(|| Place::take_trial(shared, service, upstreams)).flatten();
+        let place = trial
+            .or_else(|| Place::take(shared, service, upstreams, &avoid, long))
             .or_else(|| Place::take(shared, service, upstreams, &[], long));
         let Some(place) = place else {
             let answer = not_run_unless(ran, job);
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::balance;
+use crate::breaker::Trial;
 use crate::config::Standing;
 use crate::directory;
 use crate::id::ConfigNumber;
@@ -41,6 +42,8 @@
     pub members: Vec<balance::Member>,
     /// State that rules may ask for.
     pub state: ServiceState,
+    /// Upstreams that an idempotent request may try, though they get no other work.
+    pub trials: Vec<Trial>,
     /// Counts changes of this service.
     pub version: u64,
     /// Share of its usual work that each upstream should get, where that isn't all.
@@ -97,6 +100,7 @@
     fn is_same(&self, before: &Self) -> bool {
         self.members == before.members
             && self.addresses == before.addresses
+            && self.trials == before.trials
             && self.weights == before.weights
             && self.entries == before.entries
             && self.state == before.state
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -11,17 +11,22 @@
 pub struct Traffic {
     /// Number of threads, besides the one of control.
     pub threads: usize,
+    /// Whether upstreams in other failure domains get work only when the near ones are full.
+    pub local: bool,
 }
 
 impl Default for Traffic {
     fn default() -> Self {
-        Self { threads: THREADS }
+        Self { threads: THREADS, local: false }
     }
 }
 
 impl Traffic {
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
-        let fields = Fields::open(tree, mistakes, &["threads"])?;
-        Some(Self { threads: fields.ranged("threads", THREADS, &1, &256) })
+        let fields = Fields::open(tree, mistakes, &["local", "threads"])?;
+        Some(Self {
+            threads: fields.ranged("threads", THREADS, &1, &256),
+            local: fields.or("local", false),
+        })
     }
 }
