--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -106,7 +106,11 @@
             State::Trial { .. } if tally.broken + tally.failed + tally.unreached > 0 => {
                 self.state = State::Open { until: now + AGAIN };
             }
-            State::Trial { since, passed } => self.pass(now, since, passed + tally.answered),
+            State::Trial { since, passed } => {
+                // Only trials count: answers to what was sent before the fault began come
+                // and are told late.
+                self.pass(now, since, passed + tally.passed);
+            }
         }
     }
 
--- a/src/breaker/tally.rs
+++ b/src/breaker/tally.rs
@@ -20,6 +20,8 @@
     pub late: u32,
     /// Time until the heads of whole answers, summed, in milliseconds.
     pub millis: u64,
+    /// Trials that were answered whole.
+    pub passed: u32,
     /// Connections that could not be opened.
     pub unreached: u32,
 }
@@ -41,6 +43,12 @@
         tally
     }
 
+    /// One outcome of a trial.
+    pub fn of_trial(kind: Kind, latency: Duration) -> Self {
+        let tally = Self::of(kind, latency);
+        Self { passed: tally.answered, ..tally }
+    }
+
     /// Adds another span's.
     pub fn add(&mut self, other: &Self) {
         self.answered += other.answered;
@@ -48,6 +56,7 @@
         self.failed += other.failed;
         self.late += other.late;
         self.millis += other.millis;
+        self.passed += other.passed;
         self.unreached += other.unreached;
     }
 
@@ -58,7 +67,7 @@
 
     /// Whether others should know at once: the next request may go there.
     pub fn is_urgent(&self) -> bool {
-        self.broken + self.late > 0
+        self.broken + self.late + self.passed > 0
     }
 
     /// Requests that ended.
--- a/src/exchange/failure.rs
+++ b/src/exchange/failure.rs
@@ -11,7 +11,8 @@
     /// Connection closed before an answer's head.
     #[error("connection closed before an answer (reused: `{reused}`)")]
     Closed {
-        /// Whether the connection had served an earlier request.
+        /// Whether the connection had served an earlier request and lain idle since: the
+        /// upstream may have closed it for that.
         reused: bool,
     },
     /// Connection could not be opened: nothing was sent.
--- a/src/exchange/leg.rs
+++ b/src/exchange/leg.rs
@@ -31,6 +31,9 @@
 
 /// Longest head of an answer, in bytes.
 const HEAD_MAX: usize = 16 * 1024;
+/// A connection that lay idle for less than this was not closed for that: upstreams keep idle
+/// ones for several seconds.
+const RESTED: Duration = Duration::from_secs(3);
 /// Largest answer that is received whole before it is passed on, in bytes: a cut one can
 /// then be told as a failure, and an idempotent request be tried again.
 const HELD_MAX: u64 = 64 * 1024;
@@ -51,6 +54,8 @@
 pub struct Leg {
     born: Instant,
     idle_limit: Option<Duration>,
+    /// How long it lay idle before it was taken.
+    rested: Duration,
     tap: Tap,
     used: u32,
 }
@@ -68,7 +73,7 @@
             Err(_) => return Err(Failure::Connect(format!("no answer in {limit:?}"))),
         };
         stream.set_nodelay(true).ok();
-        Ok(Self { born: Instant::now(), idle_limit: None, tap: Tap::new(stream), used: 0 })
+        Ok(Self { born: Instant::now(), idle_limit: None, rested: Duration::ZERO, tap: Tap::new(stream), used: 0 })
     }
 
     /// When it was opened.
@@ -81,6 +86,12 @@
         self.idle_limit
     }
 
+    /// Notes how long it lay idle before it was taken.
+    pub(super) fn rested(mut self, span: Duration) -> Self {
+        self.rested = span;
+        self
+    }
+
     /// Whether it carried a request before.
     pub fn is_used(&self) -> bool {
         self.used > 0
@@ -106,7 +117,7 @@
     ///
     /// Where the answer does not come, is none, or is cut before it could be passed on.
     pub async fn ask(mut self, request: Request, limits: Limits) -> Result<Answer, Failure> {
-        let reused = self.used > 0;
+        let reused = self.used > 0 && self.rested >= RESTED;
         self.used += 1;
         let method = request.method.clone();
         let guard = Guard(Some(self.tap.clone()));
--- a/src/exchange/pool.rs
+++ b/src/exchange/pool.rs
@@ -44,7 +44,7 @@
     pub async fn take(&self, address: SocketAddr, newer: Duration) -> Option<Leg> {
         while let Some((since, leg)) = self.pop(address, newer) {
             if self.is_fresh(since, &leg) && leg.is_quiet().await {
-                return Some(leg);
+                return Some(leg.rested(since.elapsed()));
             }
             leg.close();
         }
--- a/src/node/attached.rs
+++ b/src/node/attached.rs
@@ -50,7 +50,8 @@
             | Input::Overdue(..)
             | Input::Probed(..)
             | Input::Seeds(_)
-            | Input::Tick => true,
+            | Input::Tick
+            | Input::Tried(..) => true,
             Input::Frame(_, Frame::Feed(message)) => spoke::takes(message),
             _ => false,
         };
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -1,6 +1,8 @@
 //! An entry's part: what controls told, and judgement of the upstreams.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,6 +51,10 @@
 const LATE: f64 = 2.0;
 const LATE_MIN: Duration = Duration::from_millis(400);
 const HUNG_MIN: Duration = Duration::from_secs(1);
+/// An entry to which so many upstreams broke answers within the span takes itself for the
+/// cause: with a third of them at fault one entry meets one such in three seconds.
+const SELF_FAULT: usize = 4;
+const SELF_SPAN: Duration = Duration::from_secs(3);
 /// Share of a service's slots that stay in use where its rules say nothing.
 const FLOOR: f64 = 0.7;
 /// An entry that no control has told anything for so long says so.
@@ -58,6 +64,7 @@
 #[derive(Debug)]
 pub(super) struct Spoke {
     boundary: Arc<dyn Boundary>,
+    broken: VecDeque<(Moment, UpstreamId)>,
     dirty: bool,
     entries: usize,
     hung: BTreeMap<UpstreamId, (usize, usize)>,
@@ -97,6 +104,7 @@
         };
         Self {
             boundary: Arc::clone(&setup.boundary),
+            broken: VecDeque::new(),
             dirty: true,
             entries: 1,
             hung: BTreeMap::new(),
@@ -129,6 +137,10 @@
             Input::Outcome(service, upstream, kind, latency) => {
                 self.note(now, service, upstream, &Tally::of(*kind, *latency), &mut outputs);
             }
+            Input::Tried(service, upstream, kind, latency) => {
+                let tally = Tally::of_trial(*kind, *latency);
+                self.note(now, service, upstream, &tally, &mut outputs);
+            }
             Input::Overdue(service, upstream, ages) => {
                 self.overdue(now, service, upstream, ages, &mut outputs);
             }
@@ -310,7 +322,12 @@
         let Some(panel) = self.panels.get_mut(service) else { return };
         let changed = panel.note_own(now, upstream, tally);
         let state = panel.state(upstream);
-        self.subscriber.note(now, upstream, tally);
+        if tally.broken + tally.late > 0 {
+            self.broken.push_back((now, upstream.clone()));
+        }
+        if !self.is_at_fault(now) {
+            self.subscriber.note(now, upstream, tally);
+        }
         if changed {
             self.dirty = true;
             let kind = if state == State::Closed { Kind::Readmitted } else { Kind::Ejected };
@@ -319,6 +336,16 @@
         }
     }
 
+    /// Whether so many upstreams broke their answers to this entry that it is probably the
+    /// entry's own network: told to others, that would take sound upstreams from all.
+    fn is_at_fault(&mut self, now: Moment) -> bool {
+        while self.broken.front().is_some_and(|(at, _)| now >= *at + SELF_SPAN) {
+            self.broken.pop_front();
+        }
+        let upstreams: BTreeSet<&UpstreamId> = self.broken.iter().map(|(_, id)| id).collect();
+        upstreams.len() >= SELF_FAULT
+    }
+
     /// Takes what callers of other entries received.
     fn note_others(&mut self, now: Moment, tallies: &Tallies) {
         for (upstream, tally) in &tallies.by_upstream {
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -107,6 +107,8 @@
     Synced(u64),
     /// Time has passed.
     Tick,
+    /// How a trial of an upstream ended.
+    Tried(ServiceId, UpstreamId, health::Kind, Duration),
 }
 
 /// What a process does, in this order.
@@ -232,7 +234,8 @@
             Input::ClaimEnd(ticket, outcome) => self.end_claim(now, ticket, outcome, &mut outputs),
             Input::Drain => self.drain(now, &mut outputs),
             Input::Frame(from, frame) => self.receive(now, from, frame, &mut outputs),
-            Input::Outcome(service, upstream, kind, latency) => {
+            Input::Outcome(service, upstream, kind, latency)
+            | Input::Tried(service, upstream, kind, latency) => {
                 self.outcome(now, service, upstream, kind, latency, &mut outputs);
             }
             Input::Overdue(service, upstream, ages) => {
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -137,8 +137,12 @@
     }
 
     fn take_outcomes(&mut self, batch: &mut Batch) {
-        for Noted { kind, latency, service, upstream } in self.shared.take_outcomes() {
-            self.step(core::Input::Outcome(service, upstream, kind, latency), batch);
+        for Noted { kind, latency, service, trial, upstream } in self.shared.take_outcomes() {
+            let input = match trial {
+                true => core::Input::Tried(service, upstream, kind, latency),
+                false => core::Input::Outcome(service, upstream, kind, latency),
+            };
+            self.step(input, batch);
         }
     }
 
--- a/src/node/traffic/place.rs
+++ b/src/node/traffic/place.rs
@@ -19,6 +19,7 @@
     service: &'a Service,
     shared: &'a Shared,
     ticket: Ticket,
+    trial: bool,
     pub(super) upstream: UpstreamId,
 }
 
@@ -42,7 +43,9 @@
         view: &view::Service,
     ) -> Option<Self> {
         let pick = service.pick_trial(shared.now(), view)?;
-        Self::at(shared, service, view, pick)
+        let mut place = Self::at(shared, service, view, pick)?;
+        place.trial = true;
+        Some(place)
     }
 
     fn at(
@@ -58,6 +61,7 @@
             service,
             shared,
             ticket: pick.ticket,
+            trial: false,
             upstream: pick.upstream,
         };
         address.map(|_| place)
@@ -72,7 +76,7 @@
         }
         let service = self.service.name.clone();
         let upstream = self.upstream.clone();
-        self.shared.note(Noted { kind, latency, service, upstream });
+        self.shared.note(Noted { kind, latency, service, trial: self.trial, upstream });
     }
 
     fn give_back(&mut self, kind: health::Kind, latency: Duration) {
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -50,6 +50,8 @@
     pub(in crate::node) kind: health::Kind,
     pub(in crate::node) latency: Duration,
     pub(in crate::node) service: ServiceId,
+    /// Whether it was a trial.
+    pub(in crate::node) trial: bool,
     pub(in crate::node) upstream: UpstreamId,
 }
 
@@ -148,7 +150,7 @@
     /// Notes what an upstream did. The control thread reads that at its next turn; a failure
     /// gives it one at once, because the next request may go to the same upstream.
     pub(in crate::node) fn note(&self, noted: Noted) {
-        let urgent = noted.kind.is_failure();
+        let urgent = noted.trial || noted.kind.is_failure();
         let mut outcomes = self.outcomes.lock().unwrap_or_else(PoisonError::into_inner);
         let full = outcomes.len() >= NOTED_MAX;
         if full {
--- a/tests/suite/settings.rs
+++ b/tests/suite/settings.rs
@@ -82,9 +82,9 @@
         "settings.yaml:9: `64KB` is not a size; write a number with a unit \
          (`B`, `KiB`, `MiB` or `GiB`), such as `64KiB`",
         "settings.yaml:10: `0` is out of range; allowed is `1` to `1000000`",
-        "settings.yaml:11: `colour` is not a known field; allowed are `data`, `directory`, \
-         `keys`, `limits`, `listen`, `log`, `metrics`, `node`, `peers`, `record`, `roles`, \
-         `shutdown`, `timeline`, `traffic`",
+        "settings.yaml:11: `colour` is not a known field; allowed are `data`, `directory`, `first_start`, \
+         `interface`, `keys`, `limits`, `listen`, `log`, `metrics`, `node`, `peers`, `record`, \
+         `retry`, `roles`, `seeds`, `shutdown`, `timeline`, `traffic`, `trusted_network`",
     ];
     assert_eq!(mistakes(text), expected);
 }
