Tell a reset answer from a whole one when a write hears of it

Cause: a write that meets the reset takes the connection's error with it; the reads after it end like a regular close, so an answer that ends by close passed as whole.

Ruled out: lost receive queue (the bytes that came are still read).

Change: after a failed write an answer without length is a cut one.

--- a/src/balance/setup.rs
+++ b/src/balance/setup.rs
@@ -30,6 +30,14 @@
     /// The usual setup of an entry.
     #[must_use]
     pub fn new(entry: NodeId, domain: DomainId, entries: usize) -> Self {
-        Self { domain, entries, entry, local: false, most: Self::MOST, remote: 1.2, uses_reports: false }
+        Self {
+            domain,
+            entries,
+            entry,
+            local: false,
+            most: Self::MOST,
+            remote: 1.2,
+            uses_reports: false,
+        }
     }
 }
--- a/src/exchange/head.rs
+++ b/src/exchange/head.rs
@@ -45,9 +45,8 @@
 pub fn check_request(request: &Request) -> Result<(), Error> {
     let headers = &request.headers;
     let lengths: Vec<_> = headers.get_all(header::CONTENT_LENGTH).iter().collect();
-    let digits = |value: &&HeaderValue| {
-        !value.is_empty() && value.as_bytes().iter().all(u8::is_ascii_digit)
-    };
+    let digits =
+        |value: &&HeaderValue| !value.is_empty() && value.as_bytes().iter().all(u8::is_ascii_digit);
     if lengths.len() > 1 || !lengths.iter().all(digits) {
         return Err(Error::Length("content-length"));
     }
--- a/src/exchange/leg.rs
+++ b/src/exchange/leg.rs
@@ -73,7 +73,13 @@
             Err(_) => return Err(Failure::Connect(format!("no answer in {limit:?}"))),
         };
         stream.set_nodelay(true).ok();
-        Ok(Self { born: Instant::now(), idle_limit: None, rested: Duration::ZERO, tap: Tap::new(stream), used: 0 })
+        Ok(Self {
+            born: Instant::now(),
+            idle_limit: None,
+            rested: Duration::ZERO,
+            tap: Tap::new(stream),
+            used: 0,
+        })
     }
 
     /// When it was opened.
@@ -149,7 +155,13 @@
             // An upstream may answer and close before it has read all.
             Err(SendError::Io(error)) => {
                 tracing::debug!(target: "hemlockfield::exchange", "upstream reads no more: {error}");
-                return receive.await.map(|head| (head, false));
+                let response = receive.await?;
+                // The write took the news of the reset: the end of such an answer would look
+                // like its whole, and the caller would get a part of it as all.
+                if head::response_framing(&response)? == Framing::Close {
+                    return Err(Failure::Cut(error.to_string()));
+                }
+                return Ok((response, false));
             }
         }
         match timeout(limits.first_byte, receive).await {
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -85,12 +85,13 @@
     pub fn host(&self) -> CompactString {
         let host = self.header("host").unwrap_or_default();
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        CompactString::from(name).to_ascii_lowercase().into()
+        CompactString::from(name).to_ascii_lowercase()
     }
 
     /// Head as bytes, with room for the body that goes out with it.
     pub(super) fn encode(&self) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(512 + self.body.len().unwrap_or_default().min(65_536) as usize);
+        let mut bytes =
+            Vec::with_capacity(512 + self.body.len().unwrap_or_default().min(65_536) as usize);
         let line = format_compact!("{} {} HTTP/1.1\r\n", self.method, self.target);
         bytes.extend_from_slice(line.as_bytes());
         head::encode(&self.headers, &mut bytes);
--- a/src/exchange/response.rs
+++ b/src/exchange/response.rs
@@ -78,7 +78,8 @@
 
     /// Head as bytes, as the answer to a request that may want no body.
     pub(super) fn encode(&self, wants_body: bool) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(512 + self.body.len().unwrap_or_default().min(65_536) as usize);
+        let mut bytes =
+            Vec::with_capacity(512 + self.body.len().unwrap_or_default().min(65_536) as usize);
         let reason = StatusCode::from_u16(self.status).ok();
         let reason = reason.and_then(|status| status.canonical_reason()).unwrap_or("Status");
         bytes.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", self.status).as_bytes());
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -68,12 +68,7 @@
 
 impl Publisher {
     /// Answers an entry's question.
-    pub fn poll(
-        &mut self,
-        now: Moment,
-        poll: Poll,
-        ledger: &Ledger<'_>,
-    ) -> Vec<(NodeId, Message)> {
+    pub fn poll(&mut self, now: Moment, poll: Poll, ledger: &Ledger<'_>) -> Vec<(NodeId, Message)> {
         let id = poll.entry.id.clone();
         let before = self.attached.get(&id).map(|attached| attached.entry.state);
         if before != Some(poll.entry.state) {
@@ -84,7 +79,8 @@
         let before = self.attached.remove(&id);
         self.gather(now, &poll.tallies, true);
         let tallies = before.map(|before| before.tallies).unwrap_or_default();
-        let attached = Attached { entry: poll.entry, heard: now, known, tallies: Tallies::default() };
+        let attached =
+            Attached { entry: poll.entry, heard: now, known, tallies: Tallies::default() };
         self.attached.insert(id.clone(), attached);
         let news = self.news(now, poll.known, poll.sequence, tallies, ledger);
         vec![(id, Message::News(Box::new(news)))]
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -122,13 +122,7 @@
         self.fresh_at
     }
 
-    fn receive(
-        &mut self,
-        now: Moment,
-        from: &NodeId,
-        news: Box<News>,
-        outputs: &mut Vec<Output>,
-    ) {
+    fn receive(&mut self, now: Moment, from: &NodeId, news: Box<News>, outputs: &mut Vec<Output>) {
         let answers = self.asked.is_some_and(|(sequence, _)| sequence == news.sequence);
         if answers {
             self.asked = None;
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -131,7 +131,9 @@
             Some(told) => told,
             None => match read {
                 Err(_) => Told::Cut,
-                Ok(body) if body == upstream::body_for(&ask.identity, &ask.upload, ask.kind.down) => {
+                Ok(body)
+                    if body == upstream::body_for(&ask.identity, &ask.upload, ask.kind.down) =>
+                {
                     Told::Answer
                 }
                 Ok(_) => Told::Wrong,
--- a/src/node/attached/hub.rs
+++ b/src/node/attached/hub.rs
@@ -353,12 +353,7 @@
         self.carry_out(now, done, outputs);
     }
 
-    fn carry_out(
-        &mut self,
-        now: Moment,
-        done: Vec<clerk::Output>,
-        outputs: &mut Vec<Output>,
-    ) {
+    fn carry_out(&mut self, now: Moment, done: Vec<clerk::Output>, outputs: &mut Vec<Output>) {
         for output in done {
             match output {
                 clerk::Output::Answer(ticket, verdict) => {
@@ -369,13 +364,7 @@
         }
     }
 
-    fn answer(
-        &mut self,
-        now: Moment,
-        ticket: u64,
-        verdict: Verdict,
-        outputs: &mut Vec<Output>,
-    ) {
+    fn answer(&mut self, now: Moment, ticket: u64, verdict: Verdict, outputs: &mut Vec<Output>) {
         match (self.asked.remove(&ticket), verdict) {
             (Some(Asked::Catalog), Verdict::Announced) => {
                 outputs.push(Output::Announced(ticket, Ok(())));
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -11,10 +11,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::balance;
+use crate::boundary::Boundary;
 use crate::breaker::Panel;
 use crate::breaker::State;
 use crate::breaker::Tally;
-use crate::boundary::Boundary;
 use crate::clock::Moment;
 use crate::config::Standing;
 use crate::config::Version;
--- a/src/node/clerk.rs
+++ b/src/node/clerk.rs
@@ -74,7 +74,8 @@
         order: Order,
         patience: Duration,
     ) -> Vec<Output> {
-        self.pending.insert(ticket, Pending { due: now, order, sent: false, until: now + patience });
+        self.pending
+            .insert(ticket, Pending { due: now, order, sent: false, until: now + patience });
         self.tick(now)
     }
 
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -48,9 +48,9 @@
 use crate::wire::Verdict;
 
 use super::Office;
-use super::judges::Judges;
 use super::clerk::Clerk;
 use super::input::Claimed;
+use super::judges::Judges;
 use super::office;
 
 /// What a process is, and what it still knows, at its start.
--- a/src/node/core/upstreams.rs
+++ b/src/node/core/upstreams.rs
@@ -140,7 +140,6 @@
         self.judged(now, told, outputs);
     }
 
-
     /// Tells a new judge of the upstreams that are there already.
     pub(super) fn introduce(
         &mut self,
--- a/src/node/links/plain.rs
+++ b/src/node/links/plain.rs
@@ -22,10 +22,7 @@
     socket: UdpSocket,
 }
 
-pub(super) fn start(
-    settings: &Settings,
-    control: Inbox,
-) -> Result<Box<dyn Carrier>, Error> {
+pub(super) fn start(settings: &Settings, control: Inbox) -> Result<Box<dyn Carrier>, Error> {
     tracing::warn!(target: "hemlockfield::link", "no keys: links are for trials on loopback");
     let address = settings.listen.links;
     let listen = |source| Error::Listen { address, source };
--- a/src/node/make.rs
+++ b/src/node/make.rs
@@ -34,10 +34,8 @@
 
 /// Times of the log where entries follow the controls: a change has to be in force within
 /// seconds also across an election, which takes twice the longer one at the most.
-const ATTACHED: quorum::Timing = quorum::Timing {
-    election: Duration::from_millis(700),
-    heartbeat: Duration::from_millis(150),
-};
+const ATTACHED: quorum::Timing =
+    quorum::Timing { election: Duration::from_millis(700), heartbeat: Duration::from_millis(150) };
 
 /// All that control works on.
 pub(super) struct Parts {
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -11,7 +11,6 @@
 use async_std::net::TcpListener;
 
 use crate::config::Version;
-use crate::directory::Directory;
 use crate::id::ConfigNumber;
 use crate::replay;
 use crate::runtime;
@@ -38,7 +37,6 @@
 use super::traffic;
 use super::traffic::Shared;
 
-
 /// A running process.
 pub struct Node {
     callers: Option<SocketAddr>,
@@ -76,7 +74,6 @@
             doors.extend(bind(Some(*address)).await?);
         }
         let callers_at = callers.as_ref().map(address_of).transpose()?;
-        let directory = Directory::new(settings.node.region.clone(), settings.directory.lifetime);
         let metrics = Metrics::new(settings.metrics.as_ref().map(|metrics| metrics.statsd))?;
         let recorder = replay::Recorder::open(settings.record.as_ref())?;
         let boundary = make::boundary(&settings);
@@ -86,7 +83,6 @@
             Arc::clone(&boundary),
             control.clone(),
             done,
-            directory,
             metrics,
             recorder.clone(),
         ));
--- a/src/node/snapshot.rs
+++ b/src/node/snapshot.rs
@@ -42,9 +42,7 @@
         postcard::to_stdvec(&image).ok()
     }
 
-    pub(super) fn decode(
-        bytes: &[u8],
-    ) -> Option<(config::Book, claim::Ledger, catalog::Catalog)> {
+    pub(super) fn decode(bytes: &[u8]) -> Option<(config::Book, claim::Ledger, catalog::Catalog)> {
         let image: Self = postcard::from_bytes(bytes).ok()?;
         let book = config::Book::decode(&image.book).ok()?;
         let ledger = claim::Ledger::decode(&image.ledger).ok()?;
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -50,7 +50,9 @@
     if !service.policy().hedge(left) {
         return first.await;
     }
-    let Some(place) = Place::take(shared, service, upstreams, std::slice::from_ref(&overtaken), false) else {
+    let Some(place) =
+        Place::take(shared, service, upstreams, std::slice::from_ref(&overtaken), false)
+    else {
         service.policy().hedged(false);
         return first.await;
     };
--- a/src/node/traffic/listener.rs
+++ b/src/node/traffic/listener.rs
@@ -87,7 +87,11 @@
             return;
         }
         let _in_flight = InFlight::new(shared);
-        let Some((request, mut outlet)) = inlet.next(told.head_time.unwrap_or(limits.head_time)).await else { return };
+        let Some((request, mut outlet)) =
+            inlet.next(told.head_time.unwrap_or(limits.head_time)).await
+        else {
+            return;
+        };
         if shared.closing.load(Ordering::Acquire) {
             outlet.close_after();
         }
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -25,14 +25,14 @@
 use crate::directory::Answer;
 use crate::directory::Directory;
 use crate::exchange::Pool;
-use crate::id::RequestId;
 use crate::health;
+use crate::id::RequestId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::node::Inbox;
 use crate::node::Input;
-use crate::node::inbox::Refused;
 use crate::node::View;
+use crate::node::inbox::Refused;
 use crate::node::metrics::Metrics;
 use crate::replay::Recorder;
 use crate::runtime;
@@ -90,10 +90,10 @@
         boundary: Arc<dyn Boundary>,
         control: Inbox,
         done: Receiver<()>,
-        directory: Directory,
         metrics: Metrics,
         recorder: Recorder,
     ) -> Self {
+        let directory = Directory::new(settings.node.region.clone(), settings.directory.lifetime);
         Self {
             boundary,
             closed: bounded(1),
--- a/src/quorum/mend.rs
+++ b/src/quorum/mend.rs
@@ -28,9 +28,8 @@
     present: &BTreeMap<NodeId, DiskId>,
 ) -> Option<Change> {
     let find = |id: &NodeId| status.members.iter().find(|member| member.node == *id);
-    let replaced = present.iter().find(|(id, disk)| {
-        find(id).is_some_and(|member| member.disk != **disk)
-    });
+    let replaced =
+        present.iter().find(|(id, disk)| find(id).is_some_and(|member| member.disk != **disk));
     if let Some((node, _)) = replaced {
         return Some(Change::Remove { node: node.clone() });
     }
@@ -41,7 +40,9 @@
     if let Some((node, disk)) = present.iter().find(|(id, _)| find(id).is_none()) {
         return Some(Change::AddLearner { disk: *disk, node: node.clone() });
     }
-    lost(status).filter(|_| tenure >= SILENT).map(|member| Change::Remove { node: member.node.clone() })
+    lost(status)
+        .filter(|_| tenure >= SILENT)
+        .map(|member| Change::Remove { node: member.node.clone() })
 }
 
 fn lost(status: &Status) -> Option<&Member> {
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -27,7 +27,8 @@
     pub fn set(&mut self, fraction: f64, most: f64) {
         if (self.fraction, self.most) != (fraction, most) {
             let known = self.fraction == fraction;
-            *self = Self { fraction, most, tokens: if known { self.tokens.min(most) } else { 0.0 } };
+            *self =
+                Self { fraction, most, tokens: if known { self.tokens.min(most) } else { 0.0 } };
         }
     }
 
--- a/src/rule/rules.rs
+++ b/src/rule/rules.rs
@@ -117,7 +117,8 @@
     }
 
     fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
-        let fields = Fields::open(tree, mistakes, &["classes", "limits", "rules", "services", "teams"])?;
+        let fields =
+            Fields::open(tree, mistakes, &["classes", "limits", "rules", "services", "teams"])?;
         let limits = fields.tree("limits").and_then(|tree| Limits::read(tree, mistakes));
         let classes = classes(&fields);
         let services = services(&fields);
--- a/src/rule/terms.rs
+++ b/src/rule/terms.rs
@@ -54,7 +54,16 @@
         mistakes: &Mistakes,
     ) -> Option<Self> {
         let allowed = [
-            "aim", "attempts", "body", "class", "deadline", "hedge", "idempotent", "key", "long", "retry",
+            "aim",
+            "attempts",
+            "body",
+            "class",
+            "deadline",
+            "hedge",
+            "idempotent",
+            "key",
+            "long",
+            "retry",
         ];
         let empty = Tree::empty();
         let fields = Fields::open(tree.unwrap_or(&empty), mistakes, &allowed)?;
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -136,9 +136,7 @@
             metrics: part("metrics").and_then(|tree| Metrics::read(tree, mistakes)),
             peers: peers(&fields),
             record: part("record").and_then(|tree| Record::read(tree, mistakes)),
-            retry: part("retry")
-                .and_then(|tree| Retry::read(tree, mistakes))
-                .unwrap_or_default(),
+            retry: part("retry").and_then(|tree| Retry::read(tree, mistakes)).unwrap_or_default(),
             roles: roles(&fields),
             seeds: fields.several("seeds"),
             shutdown: part("shutdown")
@@ -177,7 +175,8 @@
         }
         let address = self.listen.links.ip().to_string();
         if self.node.id != address {
-            let text = format!("`{}` must be `{address}`: with `seeds`, ids are addresses", self.node.id);
+            let text =
+                format!("`{}` must be `{address}`: with `seeds`, ids are addresses", self.node.id);
             fields.mistakes().add(fields.line_of("node"), text);
         }
         if !self.trusted_network {
@@ -194,7 +193,9 @@
             return;
         }
         let address = self.listen.links;
-        let text = format!("`{address}` is not loopback; links need `keys` there, or `trusted_network: true`");
+        let text = format!(
+            "`{address}` is not loopback; links need `keys` there, or `trusted_network: true`"
+        );
         fields.mistakes().add(fields.line_of("listen"), text);
     }
 }
--- a/src/settings/shutdown.rs
+++ b/src/settings/shutdown.rs
@@ -27,7 +27,8 @@
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
         let fields = Fields::open(tree, mistakes, &["limit", "notice"])?;
         let most = Duration::from_secs(3600);
-        let notice = fields.tree("notice").map(|_| fields.ranged("notice", LIMIT, &Duration::ZERO, &most));
+        let notice =
+            fields.tree("notice").map(|_| fields.ranged("notice", LIMIT, &Duration::ZERO, &most));
         Some(Self { limit: fields.ranged("limit", LIMIT, &Duration::ZERO, &most), notice })
     }
 }
--- a/src/upstream/stand.rs
+++ b/src/upstream/stand.rs
@@ -197,7 +197,8 @@
             return false;
         }
         let mut response = Response::new(200);
-        response.set_header(HeaderName::from_static(LOAD_HEADER), format!("{:.2}", self.work.load()));
+        response
+            .set_header(HeaderName::from_static(LOAD_HEADER), format!("{:.2}", self.work.load()));
         response.set_header(HeaderName::from_static("x-upstream"), &self.setup.name);
         let mut response = self.sign(response);
         response.body = body.into();
--- a/tests/suite/exchange/heads.rs
+++ b/tests/suite/exchange/heads.rs
@@ -22,7 +22,8 @@
         while let Some((mut request, mut outlet)) = inlet.next(LIMITS.idle).await {
             let mut response = Response::new(200);
             let body = std::mem::take(&mut request.body).read_all().await;
-            let body = body.map_or("broken".into(), |body| String::from_utf8_lossy(&body).into_owned());
+            let body =
+                body.map_or("broken".into(), |body| String::from_utf8_lossy(&body).into_owned());
             response.body = format!("{} {body}", request.path()).into();
             if outlet.send(response).await.is_err() || outlet.is_closing() {
                 break;
@@ -70,7 +71,10 @@
 // Heads of up to 16 KiB are served, and longer ones refused.
 #[test]
 fn next_largest_head() {
-    let bytes = format!("GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx: {}\r\n\r\n", "a".repeat(16_000));
+    let bytes = format!(
+        "GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx: {}\r\n\r\n",
+        "a".repeat(16_000)
+    );
     let heard = block_on(heard(bytes.as_bytes()));
     assert!(heard.starts_with("HTTP/1.1 200 "), "{heard}");
 }
--- a/tests/suite/exchange/upstreams.rs
+++ b/tests/suite/exchange/upstreams.rs
@@ -19,8 +19,8 @@
 const BY_CLOSE: &str = "HTTP/1.1 200 OK\r\n\r\nwhole register page";
 const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
 
-// What the library does that the exchange was built on, and why it reads heads alone now: the caller would
-// get five bytes as a whole answer, and an empty page for one that ends by close.
+// What the library does that the exchange was built on, and why it reads heads alone now: the
+// caller would get five bytes as a whole answer, and an empty page for one that ends by close.
 #[rstest]
 #[case::cut(CUT, "short")]
 #[case::by_close(BY_CLOSE, "")]
@@ -68,6 +68,22 @@
     });
 }
 
+// The same, where the write of a large body is what hears of the reset. The reads after it
+// end as if the answer were whole, and the caller would get a part of it as all.
+#[test]
+fn ask_reset_told_to_write() {
+    block_on(async {
+        let address = peer(vec![Step::Write(BY_CLOSE), Step::Close]).await;
+        let leg = Leg::dial(address, LIMITS.connect).await.unwrap();
+        async_std::task::sleep(Duration::from_millis(50)).await;
+        let mut request = get("/hull/1");
+        request.method = http::Method::POST;
+        request.body = vec![b'x'; 8 << 20].into();
+        let failure = leg.ask(request, LIMITS).await.map(drop).unwrap_err();
+        assert!(matches!(failure, Failure::Cut(_)), "{failure}");
+    });
+}
+
 // A late answer to another request comes first on a kept connection. The header that answers
 // repeat tells it: it is passed over, and the caller gets its own.
 #[test]
