Give suspect upstreams work last

Cause: with a third of a service's upstreams at fault the floor kept half of them in use at full weight, in the order of the last window's broken answers; trials of all the others took the service's idempotent requests.

Ruled out: slow spreading of outcomes (first breakages reach all entries within 100 ms); readmission by chance (three trials in a row).

Change: what the floor keeps in use is chosen only where no other has room, longest unbroken first; failed trials back off to 2.4 s; two good trials close; untried ones wait 4.5 s. The test of a reset answer now forces the reset instead of relying on a pause, and fails without the check in the exchange.

--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -16,6 +16,7 @@
     full_until: Moment,
     health: f64,
     is_near: bool,
+    is_suspect: bool,
     /// Mean latency in seconds, and when it was last measured.
     latency: Option<(f64, Moment)>,
     limit: f64,
@@ -52,6 +53,7 @@
             full_until: Moment::ZERO,
             health: 1.0,
             is_near,
+            is_suspect: false,
             latency: None,
             limit: f64::from(member.slots.max(1)),
             long: 0,
@@ -121,12 +123,17 @@
         now >= self.full_until && (self.in_flight() as f64) < cap.max(1.0).floor()
     }
 
-    /// Whether it may be given work at all.
     /// Whether it is in the entry's own failure domain.
     pub(crate) fn is_near(&self) -> bool {
         self.is_near
     }
 
+    /// Whether it gets work before those that are suspect.
+    pub(crate) fn is_sound(&self) -> bool {
+        !self.is_suspect
+    }
+
+    /// Whether it may be given work at all.
     pub(crate) fn is_usable(&self) -> bool {
         self.health > 0.0 && self.member.state != crate::balance::State::Draining
     }
@@ -173,6 +180,10 @@
     }
 
     /// Sets the share that health allows; true when it came to or from nought.
+    pub(crate) fn set_suspect(&mut self, is_suspect: bool) {
+        self.is_suspect = is_suspect;
+    }
+
     pub(crate) fn set_health(&mut self, weight: f64) -> bool {
         let was_usable = self.health > 0.0;
         self.health = weight;
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -131,6 +131,7 @@
         for load in &mut self.loads {
             let weight = verdicts.weight(&load.member().upstream);
             is_changed |= load.set_health(weight);
+            load.set_suspect(verdicts.is_suspect(&load.member().upstream));
         }
         if is_changed {
             self.choose();
@@ -194,11 +195,16 @@
     /// Lists the candidates, and returns their whole capacity.
     fn gather(&mut self, now: Moment, ask: &Ask<'_>) -> f64 {
         if self.setup.local && !self.is_near_full() {
-            let total = self.gather_some(now, ask, Load::is_near);
+            let total = self.gather_some(now, ask, |load| load.is_near() && load.is_sound());
             if total > 0.0 {
                 return total;
             }
         }
+        // A suspect one breaks most of what it gets; what may run once is lost there.
+        let total = self.gather_some(now, ask, Load::is_sound);
+        if total > 0.0 {
+            return total;
+        }
         self.gather_some(now, ask, |_| true)
     }
 
@@ -213,7 +219,8 @@
         let slots = |load: &&Load| f64::from(load.member().slots);
         let all: f64 = loads.iter().map(|load| slots(&load)).sum();
         let near: f64 = loads.iter().filter(|load| load.is_near()).map(|load| slots(&load)).sum();
-        let sound = loads.iter().filter(|load| load.is_near() && load.is_usable());
+        let sound =
+            loads.iter().filter(|load| load.is_near() && load.is_usable() && load.is_sound());
         let sound: f64 = sound.map(|load| slots(&load)).sum();
         let sharing = entries as f64 * near / all.max(1.0);
         sound / sharing.max(1.0)
--- a/src/balance/verdicts.rs
+++ b/src/balance/verdicts.rs
@@ -2,6 +2,11 @@
 
 /// What the balance asks of health.
 pub trait Verdicts {
+    /// Whether an upstream gets work only where no other has room.
+    fn is_suspect(&self, _upstream: &str) -> bool {
+        false
+    }
+
     /// Share of its usual work that an upstream should get; nought when ejected.
     fn weight(&self, upstream: &str) -> f64;
 }
--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -9,12 +9,15 @@
 /// A broken answer takes an upstream out for this long before it is tried: nine in ten are the
 /// first sign of a fault that lasts for seconds, and what is sent meanwhile is lost.
 const OPEN: Duration = Duration::from_millis(1000);
-/// A failed trial takes it out for this long.
+/// A failed trial takes it out for this long, the next one for as long again, up to
+/// `AGAIN_MOST`: a third of a service's upstreams at fault would otherwise take all its
+/// idempotent requests for trials.
 const AGAIN: Duration = Duration::from_millis(800);
+const AGAIN_MOST: Duration = Duration::from_millis(2400);
 /// An upstream that nobody has tried for so long takes work again, because its service has no
 /// idempotent requests to try it with; each time that this was too early it takes as long
 /// again.
-const UNTRIED: Duration = Duration::from_millis(3500);
+const UNTRIED: Duration = Duration::from_millis(4500);
 const UNTRIED_ROUNDS: u32 = 4;
 /// A breaker that stays closed for so long starts with the shortest times again.
 const CALM: Duration = Duration::from_secs(12);
@@ -34,7 +37,7 @@
 const LOST: u32 = 4;
 /// Trials that have to go well, one after the other: a fault that breaks most answers lets one
 /// in six through.
-const TRIALS: u32 = 3;
+const TRIALS: u32 = 2;
 
 /// Whether an upstream gets work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,7 +61,9 @@
 /// The breaker of one upstream.
 #[derive(Clone, Debug)]
 pub struct Circuit {
+    broken_at: Moment,
     closed_at: Moment,
+    failed_trials: u32,
     own: Window,
     rounds: u32,
     state: State,
@@ -69,7 +74,15 @@
     fn default() -> Self {
         let window = Window::default();
         let own = window.clone();
-        Self { closed_at: Moment::ZERO, own, rounds: 0, state: State::Closed, window }
+        Self {
+            broken_at: Moment::ZERO,
+            closed_at: Moment::ZERO,
+            failed_trials: 0,
+            own,
+            rounds: 0,
+            state: State::Closed,
+            window,
+        }
     }
 }
 
@@ -84,6 +97,11 @@
         self.window.sum()
     }
 
+    /// When a caller last received something broken.
+    pub fn broken_at(&self) -> Moment {
+        self.broken_at
+    }
+
     /// Takes what callers received here.
     pub fn note_own(&mut self, now: Moment, tally: &Tally) {
         self.own.roll(now);
@@ -95,6 +113,9 @@
     pub fn note(&mut self, now: Moment, tally: &Tally) {
         self.window.roll(now);
         self.window.add(now, tally);
+        if tally.broken + tally.unreached > 0 {
+            self.broken_at = now;
+        }
         match self.state {
             State::Closed => self.judge(now, tally),
             State::Open { until } if tally.broken > 0 => {
@@ -104,7 +125,9 @@
             }
             State::Open { .. } => {}
             State::Trial { .. } if tally.broken + tally.failed + tally.unreached > 0 => {
-                self.state = State::Open { until: now + AGAIN };
+                self.failed_trials += 1;
+                let hold = AGAIN.saturating_mul(self.failed_trials).min(AGAIN_MOST);
+                self.state = State::Open { until: now + hold };
             }
             State::Trial { since, passed } => {
                 // Only trials count: answers to what was sent before the fault began come
@@ -148,6 +171,7 @@
         if fault {
             let calm = now >= self.closed_at + CALM;
             self.rounds = if calm { 1 } else { (self.rounds + 1).min(UNTRIED_ROUNDS) };
+            self.failed_trials = 0;
             self.state = State::Open { until: now + OPEN };
         }
     }
--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -1,6 +1,7 @@
 //! The breakers of one service.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -159,35 +160,35 @@
         self.circuits.iter().filter_map(due).collect()
     }
 
-    /// Share of its usual work that each upstream gets, where that isn't all. The floor
-    /// keeps those in use whose callers received the least broken.
+    /// Share of its usual work that each upstream gets, where that isn't all.
     pub fn weights(&self) -> BTreeMap<UpstreamId, f64> {
         let mut weights = self.slow();
+        weights.extend(self.out().into_iter().map(|id| (id.clone(), 0.0)));
+        weights
+    }
+
+    /// Upstreams whose breaker is open and that the floor keeps in use: the last to be
+    /// chosen. The floor keeps those that have broken nothing for longest.
+    pub fn suspects(&self) -> BTreeSet<UpstreamId> {
+        let out = self.out();
+        self.open().map(|(id, _)| id).filter(|id| !out.contains(id)).cloned().collect()
+    }
+
+    fn out(&self) -> BTreeSet<&UpstreamId> {
         let all: u64 = self.circuits.values().map(|member| u64::from(member.slots)).sum();
         let may_go = all - (all as f64 * self.floor).ceil() as u64;
-        let mut out: Vec<(u32, &UpstreamId, u32)> = self
-            .circuits
-            .iter()
-            .filter(|(_, member)| member.circuit.state() != State::Closed)
-            .map(|(id, member)| (member.circuit.recent().broken, id, member.slots))
-            .collect();
-        out.sort_by_key(|(broken, ..)| std::cmp::Reverse(*broken));
+        let mut open: Vec<(&UpstreamId, &Member)> = self.open().collect();
+        open.sort_by_key(|(_, member)| std::cmp::Reverse(member.circuit.broken_at()));
         let mut gone = 0;
-        for (_, id, slots) in out {
-            gone += u64::from(slots);
-            if gone > may_go {
-                break;
-            }
-            weights.insert(id.clone(), 0.0);
-        }
-        weights
+        let mut fits = |(_, member): &(&UpstreamId, &Member)| {
+            gone += u64::from(member.slots);
+            gone <= may_go
+        };
+        open.into_iter().take_while(|one| fits(one)).map(|(id, _)| id).collect()
     }
 
-    /// Whether the floor keeps any in use whose breaker is open.
-    pub fn is_at_floor(&self) -> bool {
-        let open = self.circuits.values().filter(|member| member.circuit.state() != State::Closed);
-        let out = self.weights().values().filter(|weight| **weight <= 0.0).count();
-        open.count() > out
+    fn open(&self) -> impl Iterator<Item = (&UpstreamId, &Member)> {
+        self.circuits.iter().filter(|(_, member)| member.circuit.state() != State::Closed)
     }
 
     /// State of an upstream's breaker.
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -395,7 +395,8 @@
             let Some(panel) = self.panels.get(name) else { continue };
             service.weights = panel.weights().into_iter().collect();
             service.trials = panel.trials();
-            service.settle(panel.is_at_floor());
+            service.suspects = panel.suspects();
+            service.settle(!service.suspects.is_empty());
         }
         services
     }
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,6 +43,8 @@
     pub members: Vec<balance::Member>,
     /// State that rules may ask for.
     pub state: ServiceState,
+    /// Upstreams that get work only where no other has room.
+    pub suspects: BTreeSet<UpstreamId>,
     /// Upstreams that an idempotent request may try, though they get no other work.
     pub trials: Vec<Trial>,
     /// Counts changes of this service.
@@ -100,6 +103,7 @@
     fn is_same(&self, before: &Self) -> bool {
         self.members == before.members
             && self.addresses == before.addresses
+            && self.suspects == before.suspects
             && self.trials == before.trials
             && self.weights == before.weights
             && self.entries == before.entries
@@ -127,6 +131,10 @@
 }
 
 impl balance::Verdicts for Service {
+    fn is_suspect(&self, upstream: &str) -> bool {
+        self.suspects.contains(upstream)
+    }
+
     fn weight(&self, upstream: &str) -> f64 {
         self.weights.get(upstream).copied().unwrap_or(1.0)
     }
--- a/tests/suite/exchange/upstreams.rs
+++ b/tests/suite/exchange/upstreams.rs
@@ -58,29 +58,21 @@
     });
 }
 
-// Such an answer whose connection is reset on the way was not all: the caller sees a failure.
+// Such an answer whose connection is reset was not all, and the caller sees a failure. The
+// upstream closes with a part of a large body unread, so its end is a reset. Either the read
+// or the write hears of it, and after the write has, reads end as if the answer were whole.
 #[test]
 fn ask_reset_before_close() {
     block_on(async {
-        let steps = vec![Step::Write(BY_CLOSE), Step::Pause, Step::Close];
-        let failure = ask(steps).await.map(drop).unwrap_err();
-        assert!(matches!(failure, Failure::Cut(_)), "{failure}");
-    });
-}
-
-// The same, where the write of a large body is what hears of the reset. The reads after it
-// end as if the answer were whole, and the caller would get a part of it as all.
-#[test]
-fn ask_reset_told_to_write() {
-    block_on(async {
-        let address = peer(vec![Step::Write(BY_CLOSE), Step::Close]).await;
-        let leg = Leg::dial(address, LIMITS.connect).await.unwrap();
-        async_std::task::sleep(Duration::from_millis(50)).await;
-        let mut request = get("/hull/1");
-        request.method = http::Method::POST;
-        request.body = vec![b'x'; 8 << 20].into();
-        let failure = leg.ask(request, LIMITS).await.map(drop).unwrap_err();
-        assert!(matches!(failure, Failure::Cut(_)), "{failure}");
+        for _ in 0..16 {
+            let address = peer(vec![Step::Head, Step::Write(BY_CLOSE), Step::Close]).await;
+            let leg = Leg::dial(address, LIMITS.connect).await.unwrap();
+            let mut request = get("/hull/1");
+            request.method = http::Method::POST;
+            request.body = vec![b'x'; 8 << 20].into();
+            let failure = leg.ask(request, LIMITS).await.map(drop).unwrap_err();
+            assert!(matches!(failure, Failure::Cut(_)), "{failure}");
+        }
     });
 }
 
