Tell callers of a few entries, near controls and upstreams first

Entries kept the control they met first, mostly across a border, and asked it once a round trip while nobody led.

Ruled out: retry limits (586 of some 1,500 allowed were used), bodies of news (2 of 6 MB across borders).

Change: controls name four entries a failure domain, more as the load rises; limits are shared among those. Entries move to a near control and pause between questions without a leader. Near upstreams spill at one deviation over the own part.

--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -43,6 +43,10 @@
     /// Own requests at near upstreams, over the own part of their slots, from which on far
     /// ones take some too: requests come unevenly, and a queue costs less than a border.
     const SPILL: f64 = 1.5;
+    /// The same in standard deviations of a part that arrivals use by chance. Of a part of
+    /// one slot, a quarter of the requests would cross the border without it while nine in
+    /// ten of the near slots are free.
+    const SPILL_CHANCE: f64 = 1.0;
     /// Latency, in seconds, that is presumed while none is known.
     const PRESUMED: f64 = 0.025;
 
@@ -211,7 +215,9 @@
     /// Whether this entry has its part of the near upstreams' slots in use, and more.
     fn is_near_full(&self) -> bool {
         let near = self.used().filter(|load| load.is_near());
-        near.map(Load::in_flight).sum::<usize>() as f64 >= Self::SPILL * self.near_share
+        let most = self.near_share + Self::SPILL_CHANCE * self.near_share.sqrt();
+        let most = most.max(Self::SPILL * self.near_share);
+        near.map(Load::in_flight).sum::<usize>() as f64 >= most
     }
 
     /// An entry's part of the near upstreams' sound slots, with entries spread as slots are.
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -3,17 +3,22 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::Control;
 use super::Entry;
 use super::Message;
 use super::News;
 use super::Poll;
+use super::Rate;
 use super::Ready;
 use super::Tallies;
+use crate::breaker::Tally;
 use crate::catalog::Catalog;
 use crate::clock::Moment;
 use crate::config::Version;
 use crate::fleet::State;
+use crate::id::DomainId;
 use crate::id::Index;
 use crate::id::NodeId;
 
@@ -46,6 +51,13 @@
     pub fresh: bool,
 }
 
+/// Fewest entries of a failure domain that callers are told of: the loss of one leaves the
+/// others a third more work each.
+const FEWEST: usize = 4;
+/// Requests a second that one entry is meant to get: an eighth of what a fifth of a core
+/// serves, so that a surge finds room, and several at a time, so that it sees who is busy.
+const SHARE: f64 = 15.0;
+
 /// A control's side of the feed.
 #[derive(Clone, Debug, Default)]
 pub struct Publisher {
@@ -56,6 +68,7 @@
     pass_at: Option<Moment>,
     push_at: Option<Moment>,
     pushed_at: Moment,
+    rate: Rate,
 }
 
 #[derive(Clone, Debug)]
@@ -102,6 +115,7 @@
         if tallies.is_empty() {
             return;
         }
+        self.rate.add(now, tallies.by_upstream.values().map(Tally::ended).sum());
         self.attached.values_mut().for_each(|entry| entry.tallies.add_all(tallies));
         if own {
             self.collected.add_all(tallies);
@@ -147,8 +161,26 @@
         self.attached.values().map(|own| own.entry.clone()).collect()
     }
 
+    /// Entries that callers are to use, a few in each failure domain. Spread over all of a
+    /// large fleet, callers would leave each entry a request every 0.3 s: too few for it to
+    /// see which upstreams are busy, to keep connections open, or to have a retry to spare.
+    pub fn named(&self, now: Moment) -> Vec<&Entry> {
+        let mut domains: BTreeMap<&DomainId, Vec<&Entry>> = BTreeMap::new();
+        for entry in self.serving(now) {
+            domains.entry(&entry.domain).or_default().push(entry);
+        }
+        let per_domain = self.rate.peak(now) / (domains.len().max(1) as f64 * SHARE);
+        let count = FEWEST.max(per_domain.ceil() as usize);
+        let mut named = Vec::new();
+        for mut entries in domains.into_values() {
+            entries.sort_by_key(|entry| xxh3_64(entry.id.as_bytes()));
+            named.extend(entries.into_iter().take(count));
+        }
+        named
+    }
+
     /// Entries that are thought to take callers.
-    pub fn serving(&self, now: Moment) -> impl Iterator<Item = &Entry> {
+    fn serving(&self, now: Moment) -> impl Iterator<Item = &Entry> {
         let own = self.attached.values().filter(move |own| now < own.heard + LOST);
         let hearsay = self.hearsay.values().filter(move |(at, ..)| now < *at + HEARSAY);
         let all = own.map(|own| &own.entry).chain(hearsay.map(|(_, entry, _)| entry));
@@ -168,7 +200,7 @@
             base,
             configuration: configuration.map(|(version, _)| version.clone()),
             controls: ledger.controls.clone(),
-            entries: self.serving(now).count(),
+            entries: self.named(now).len(),
             fresh: ledger.fresh,
             known: ledger.applied,
             sequence,
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -134,8 +134,10 @@
             self.fresh_at = Some(now);
             self.failed.remove(from);
         } else if self.current.as_ref() == Some(from) {
-            // It may be cut off from the others, which go on without it.
+            // It may be cut off from the others, which go on without it. Asked without a
+            // pause, controls without a leader would get a question a round trip from each.
             self.fail(now);
+            self.due = now + PAUSE;
         }
         if !news.controls.is_empty() {
             self.controls = news.controls.iter().cloned().collect();
@@ -143,6 +145,7 @@
         if !news.tallies.is_empty() {
             outputs.push(Output::Note(news.tallies.clone()));
         }
+        self.come_near(now);
         if behind || news.base > self.known {
             return;
         }
@@ -150,6 +153,23 @@
         outputs.push(Output::Take(news));
     }
 
+    /// Leaves a control across a border for one that is near: entries know the failure domains
+    /// of controls only once one has told them, and each news crosses the border until then.
+    fn come_near(&mut self, now: Moment) {
+        let current = self.current.as_ref();
+        let is_near = |control: &&Control| control.domain == self.me.domain;
+        let near = self.controls.iter().filter(is_near);
+        let sound = |control: &&Control| !self.is_avoided(now, &control.id);
+        let far = !near.clone().any(|control| Some(&control.id) == current);
+        if self.asked.is_none() && far && near.clone().any(|control| sound(&control)) {
+            self.current = None;
+        }
+    }
+
+    fn is_avoided(&self, now: Moment, id: &NodeId) -> bool {
+        self.failed.get(id).is_some_and(|at| now < *at + AVOID)
+    }
+
     fn run(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         if self.asked.is_some_and(|(_, at)| now >= at + PATIENCE) {
             self.fail(now);
--- a/src/node/attached/hub.rs
+++ b/src/node/attached/hub.rs
@@ -171,7 +171,8 @@
             state: entry.state,
             suspect: false,
         };
-        let mut entries: Vec<directory::Entry> = self.publisher.serving(now).map(entry).collect();
+        let mut entries: Vec<directory::Entry> =
+            self.publisher.named(now).into_iter().map(entry).collect();
         entries.sort_by(|one, other| one.id.cmp(&other.id));
         (entries != *last.entries).then(|| Arc::new(entries))
     }
--- /dev/null
+++ b/tests/suite/feed.rs
@@ -0,0 +1,4 @@
+//! What entries and controls tell each other.
+
+mod publisher;
+mod subscriber;
--- /dev/null
+++ b/tests/suite/feed/publisher.rs
@@ -0,0 +1,119 @@
+//! Which entries callers are told of.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hemlockfield::breaker::Tally;
+use hemlockfield::catalog::Catalog;
+use hemlockfield::feed::Entry;
+use hemlockfield::feed::Ledger;
+use hemlockfield::feed::Message;
+use hemlockfield::feed::Poll;
+use hemlockfield::feed::Publisher;
+use hemlockfield::feed::Tallies;
+use hemlockfield::fleet::State;
+use hemlockfield::health::Kind;
+
+const NORTH: usize = 12;
+
+fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn entry(at: usize, domain: &str) -> Entry {
+    Entry {
+        callers: SocketAddr::from(([127, 0, 0, 1], at as u16)),
+        domain: domain.into(),
+        id: compact_str::format_compact!("{domain}-{at}"),
+        state: State::Serving,
+    }
+}
+
+fn poll(publisher: &mut Publisher, now: Duration, entry: Entry) -> usize {
+    let catalog = Catalog::default();
+    let ledger = Ledger {
+        applied: 0,
+        catalog: &catalog,
+        configuration: None,
+        controls: Vec::new(),
+        fresh: true,
+    };
+    let poll = Poll { entry, known: 0, sequence: 1, tallies: Tallies::default() };
+    let sends = publisher.poll(now, poll, &ledger);
+    let Some((_, Message::News(news))) = sends.into_iter().next() else { panic!("no answer") };
+    news.entries
+}
+
+fn fleet(now: Duration) -> Publisher {
+    let mut publisher = Publisher::default();
+    for at in 0..NORTH {
+        poll(&mut publisher, now, entry(at, "north"));
+    }
+    poll(&mut publisher, now, entry(0, "south"));
+    publisher
+}
+
+fn names(publisher: &Publisher, now: Duration) -> Vec<String> {
+    publisher.named(now).into_iter().map(|entry| entry.id.to_string()).collect()
+}
+
+fn load(publisher: &mut Publisher, from: u64, requests: u32) {
+    for second in from..from + 3 {
+        let mut tallies = Tallies::default();
+        let tally = Tally::of(Kind::Success, Duration::from_millis(200));
+        let tally = Tally { answered: requests, ..tally };
+        tallies.add(&"hull-1".into(), &tally);
+        publisher.gather(secs(second), &tallies, false);
+    }
+}
+
+// Twelve entries serve in one failure domain and one in another, under little load. Callers
+// are told of four and of the one; entries are told of five that share limits among them.
+#[test]
+fn named_little_load() {
+    let mut publisher = fleet(secs(0));
+    let names = names(&publisher, secs(1));
+    assert_eq!(names.iter().filter(|name| name.starts_with("north")).count(), 4);
+    assert_eq!(names.len(), 5);
+    assert_eq!(poll(&mut publisher, secs(1), entry(1, "north")), 5);
+}
+
+// Load rises to 200 requests a second. Within seconds callers are told of more entries, so
+// that none of the four is overrun, and of fewer again when it has been quiet for a while.
+#[test]
+fn named_load_rises() {
+    let mut publisher = fleet(secs(0));
+    load(&mut publisher, 0, 200);
+    let again = |publisher: &mut Publisher, now| {
+        for at in 0..NORTH {
+            poll(publisher, now, entry(at, "north"));
+        }
+        poll(publisher, now, entry(0, "south"));
+        names(publisher, now).iter().filter(|name| name.starts_with("north")).count()
+    };
+    assert_eq!(again(&mut publisher, secs(3)), 7);
+    assert_eq!(again(&mut publisher, secs(30)), 4);
+}
+
+// One of the named entries leaves. Another takes its place, and the other three stay: callers
+// of those keep their connections.
+#[test]
+fn named_one_leaves() {
+    let mut publisher = fleet(secs(0));
+    let before = names(&publisher, secs(1));
+    let gone = before.iter().find(|name| name.starts_with("north")).expect("some").clone();
+    let at = gone.rsplit('-').next().and_then(|text| text.parse().ok()).expect("a number");
+    let leaving = Entry { state: State::Leaving, ..entry(at, "north") };
+    poll(&mut publisher, secs(1), leaving);
+    let after = names(&publisher, secs(1));
+    assert_eq!(after.len(), before.len());
+    assert!(!after.contains(&gone));
+    assert_eq!(after.iter().filter(|name| before.contains(name)).count(), before.len() - 1);
+}
+
+// An entry falls silent. It is named no longer than two rounds of questions and a lost one.
+#[test]
+fn named_silent_entry() {
+    let publisher = fleet(secs(0));
+    assert!(names(&publisher, secs(2)).is_empty());
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,17 +2,20 @@
 
 mod admission;
 mod balance;
+mod breaker;
 mod claim;
 mod config;
 mod core_fleet;
 mod directory;
 mod entry;
 mod exchange;
+mod feed;
 mod fleet;
 mod fuzz;
 mod health;
 mod keys;
 mod link;
+mod platform;
 mod process;
 mod quorum;
 mod registry;
