Write logs to standard output and serve metrics

Cause: logs went to standard error and could block on it; metrics were only sent to a collector, and nobody could fetch them.

Change: logs go to standard output from a thread of their own through a bounded buffer; lines that don't fit are lost and counted. Start, stop and failed starts are logged. Tests of the platform's interface and of the breakers are added.

--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -36,17 +36,20 @@
     let path = options.settings.clone().ok_or(Error::Missing("SETTINGS"))?;
     let found = options.found;
     let settings = Settings::load(&path)?;
-    crate::node::start_logs(&settings);
+    let _logs = crate::node::start_logs(&settings);
     crate::node::start_threads(&settings);
     block_on(async {
         // Listened for from before the first one: a second signal must not be lost.
         let mut signals = listen_for_signals();
-        let node = Node::start(settings, found).await?;
+        let node = Node::start(settings, found).await.inspect_err(|error| {
+            tracing::error!(target: "hemlockfield::node", "can't start: {error}");
+        })?;
         let leaving = node.leaving();
         runtime::spawn(async move {
             obey(&mut signals, &path, &leaving).await;
         });
         let cut = node.stopped().await;
+        tracing::info!(target: "hemlockfield::node", cut, "stopped");
         Ok(ExitCode::from(if cut == 0 { 0 } else { FINDING }))
     })
 }
--- a/src/node/error.rs
+++ b/src/node/error.rs
@@ -23,6 +23,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Metrics that can't be kept or written down.
+    #[error("metrics: {0}")]
+    Measure(#[from] prometheus::Error),
     /// Metrics that can't be sent.
     #[error("can't send metrics to `{address}`: {source}")]
     Metrics {
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -28,6 +28,7 @@
 use super::make;
 use super::make::Parts;
 use super::metrics::Metrics;
+use super::metrics_door;
 use super::nowhere::Nowhere;
 use super::operators;
 use super::operators::Operators;
@@ -74,8 +75,9 @@
             doors.extend(bind(Some(*address)).await?);
         }
         let callers_at = callers.as_ref().map(address_of).transpose()?;
-        let metrics = Metrics::new(settings.metrics.as_ref().map(|metrics| metrics.statsd))?;
+        let metrics = Metrics::new(settings.metrics.as_ref())?;
         let recorder = replay::Recorder::open(settings.record.as_ref())?;
+        let measured = bind(settings.metrics.as_ref().and_then(|metrics| metrics.listen)).await?;
         let boundary = make::boundary(&settings);
         let shared = Arc::new(Shared::new(
             settings.clone(),
@@ -123,6 +125,9 @@
                 }
             });
         }
+        if let Some(listener) = measured {
+            runtime::spawn(metrics_door::serve(listener, Arc::clone(&shared)));
+        }
         for listener in doors {
             runtime::spawn(doors::serve(listener, control.clone(), Arc::clone(&shared)));
         }
--- a/src/settings/metrics.rs
+++ b/src/settings/metrics.rs
@@ -5,15 +5,17 @@
 use super::Tree;
 
 /// Where metrics go.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Metrics {
+    /// Address at which they can be fetched as text, at `/metrics`.
+    pub listen: Option<SocketAddr>,
     /// UDP address of a statsd server.
-    pub statsd: SocketAddr,
+    pub statsd: Option<SocketAddr>,
 }
 
 impl Metrics {
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
-        let fields = Fields::open(tree, mistakes, &["statsd"])?;
-        Some(Self { statsd: fields.required("statsd")? })
+        let fields = Fields::open(tree, mistakes, &["listen", "statsd"])?;
+        Some(Self { listen: fields.optional("listen"), statsd: fields.optional("statsd") })
     }
 }
--- /dev/null
+++ b/tests/suite/breaker.rs
@@ -0,0 +1,4 @@
+//! Breakers of a service's upstreams, on what callers received.
+
+mod circuit;
+mod panel;
--- /dev/null
+++ b/tests/suite/breaker/circuit.rs
@@ -0,0 +1,135 @@
+//! One upstream's breaker.
+
+use std::time::Duration;
+
+use hemlockfield::breaker::Circuit;
+use hemlockfield::breaker::State;
+use hemlockfield::breaker::Tally;
+use hemlockfield::health::Kind;
+use rstest::rstest;
+
+const USUAL: Duration = Duration::from_millis(200);
+
+pub(super) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub(super) fn one(kind: Kind) -> Tally {
+    Tally::of(kind, USUAL)
+}
+
+fn opened_at(now: Duration) -> Circuit {
+    let mut circuit = Circuit::default();
+    circuit.note_own(now, &one(Kind::Cut));
+    circuit
+}
+
+fn is_open(circuit: &Circuit) -> bool {
+    matches!(circuit.state(), State::Open { .. })
+}
+
+// An upstream begins to cut its answers. The first cut answer that a caller receives takes it
+// out: of the next ones nine in ten would be cut too, and what may run once is lost there.
+#[rstest]
+#[case::cut(Kind::Cut)]
+#[case::silent(Kind::Silent)]
+#[case::timeout(Kind::Timeout)]
+fn note_first_broken(#[case] kind: Kind) {
+    let mut circuit = Circuit::default();
+    circuit.note(ms(100), &one(kind));
+    assert!(is_open(&circuit));
+}
+
+// One answer in a hundred is the upstream's own failure on a sound upstream. Alone it takes
+// nothing out; three of the last six do.
+#[test]
+fn note_own_failures() {
+    let mut circuit = Circuit::default();
+    for at in 0..20 {
+        circuit.note_own(ms(at * 100), &one(Kind::Success));
+    }
+    circuit.note_own(ms(2_100), &one(Kind::ServerError));
+    assert_eq!(circuit.state(), State::Closed);
+    for at in 0..16 {
+        circuit.note_own(ms(6_000 + at * 100), &one(Kind::ServerError));
+    }
+    assert!(is_open(&circuit));
+}
+
+// An upstream is out. Answers to requests from before the fault arrive late, and say nothing
+// about it; only trials close it, two in a row.
+#[test]
+fn note_late_success_closes_nothing() {
+    let mut circuit = opened_at(ms(0));
+    circuit.note(ms(200), &one(Kind::Success));
+    circuit.tick(ms(1_000));
+    assert!(matches!(circuit.state(), State::Trial { .. }));
+    circuit.note(ms(1_100), &one(Kind::Success));
+    assert!(matches!(circuit.state(), State::Trial { passed: 0, .. }));
+    circuit.note_own(ms(1_200), &Tally::of_trial(Kind::Success, USUAL));
+    circuit.note_own(ms(1_300), &Tally::of_trial(Kind::Success, USUAL));
+    assert_eq!(circuit.state(), State::Closed);
+}
+
+// A fault goes on, and each trial fails. Each next pause is longer, up to a limit, so that the
+// trials of many upstreams at fault do not take all idempotent requests of the service.
+#[test]
+fn note_failed_trials_back_off() {
+    let mut circuit = opened_at(ms(0));
+    let mut now = ms(0);
+    let mut pauses = Vec::new();
+    for _ in 0..4 {
+        let State::Open { until } = circuit.state() else { panic!("{:?}", circuit.state()) };
+        pauses.push((until - now).as_millis());
+        now = until;
+        circuit.tick(now);
+        circuit.note(now, &Tally::of_trial(Kind::Cut, USUAL));
+    }
+    assert_eq!(pauses, [1_000, 800, 1_600, 2_400]);
+}
+
+// A service has no idempotent requests, so nobody can try its upstream. It takes work again
+// by itself; where the fault lasts, each next time it stays out longer.
+#[test]
+fn tick_untried_closes() {
+    let mut circuit = opened_at(ms(0));
+    circuit.tick(ms(1_000));
+    circuit.tick(ms(5_499));
+    assert_ne!(circuit.state(), State::Closed);
+    circuit.tick(ms(5_500));
+    assert_eq!(circuit.state(), State::Closed);
+    circuit.note(ms(5_600), &one(Kind::Cut));
+    circuit.tick(ms(6_600));
+    circuit.tick(ms(15_599));
+    assert_ne!(circuit.state(), State::Closed);
+    circuit.tick(ms(15_600));
+    assert_eq!(circuit.state(), State::Closed);
+}
+
+// An upstream takes requests and answers none. Nothing fails yet, so only the wait shows it:
+// three requests past their usual time with no answer in between.
+#[test]
+fn note_late_requests() {
+    let late = Tally { late: 1, ..Tally::default() };
+    let mut circuit = Circuit::default();
+    circuit.note_own(ms(0), &late);
+    circuit.note_own(ms(100), &late);
+    assert_eq!(circuit.state(), State::Closed);
+    circuit.note_own(ms(200), &late);
+    assert!(is_open(&circuit));
+}
+
+// The path from one entry to an upstream is gone. That entry stops; the others, which reach
+// the upstream and get answers, do not.
+#[test]
+fn note_unreached_from_one_entry() {
+    let mut here = Circuit::default();
+    let mut elsewhere = Circuit::default();
+    for at in 0..8 {
+        here.note_own(ms(at * 100), &one(Kind::ConnectFailed));
+        elsewhere.note(ms(at * 100), &one(Kind::ConnectFailed));
+        elsewhere.note_own(ms(at * 100), &one(Kind::Success));
+    }
+    assert!(is_open(&here));
+    assert_eq!(elsewhere.state(), State::Closed);
+}
--- /dev/null
+++ b/tests/suite/breaker/panel.rs
@@ -0,0 +1,128 @@
+//! The breakers of one service, on a replayed load.
+
+use std::time::Duration;
+
+use hemlockfield::breaker::Panel;
+use hemlockfield::breaker::State;
+use hemlockfield::breaker::Tally;
+use hemlockfield::health::Kind;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::circuit::ms;
+use super::circuit::one;
+
+const COUNT: usize = 12;
+
+fn name(at: usize) -> compact_str::CompactString {
+    compact_str::format_compact!("hull-{at:02}")
+}
+
+fn panel(floor: f64) -> Panel {
+    let mut panel = Panel::new(floor, ChaCha8Rng::seed_from_u64(7));
+    (0..COUNT).for_each(|at| panel.join(name(at), 2));
+    panel
+}
+
+fn cut(panel: &mut Panel, now: Duration, at: usize) {
+    panel.note(now, &name(at), &one(Kind::Cut));
+}
+
+fn out(panel: &Panel) -> usize {
+    panel.weights().values().filter(|weight| **weight <= 0.0).count()
+}
+
+// Two thirds of the upstreams break an answer, one after the other: more than may be out. Half
+// stay in use. Those that have been well for longest are kept, and only as the last choice, so
+// that callers get the four sound ones first.
+#[test]
+fn weights_many_at_fault() {
+    let mut panel = panel(0.5);
+    for at in 0..8 {
+        cut(&mut panel, ms(100 * at as u64), at);
+    }
+    assert_eq!(out(&panel), 6);
+    assert_eq!(panel.weights().get(&name(7)), Some(&0.0));
+    let suspects: Vec<_> = panel.suspects().into_iter().collect();
+    assert_eq!(suspects, [name(0), name(1)]);
+}
+
+// Nothing is suspect while the floor does not bind.
+#[test]
+fn suspects_below_floor() {
+    let mut panel = panel(0.5);
+    cut(&mut panel, ms(0), 3);
+    assert_eq!(out(&panel), 1);
+    assert!(panel.suspects().is_empty());
+}
+
+// Answers of one upstream take three times as long as those of the others. It gets a little
+// work, to show when it is fast again, and none is lost.
+#[test]
+fn weights_slow() {
+    let mut panel = panel(0.5);
+    for round in 0..6 {
+        for at in 0..COUNT {
+            let took = if at == 5 { ms(600) } else { ms(200) };
+            panel.note(ms(round * 100), &name(at), &Tally::of(Kind::Success, took));
+        }
+    }
+    let weights = panel.weights();
+    assert_eq!(weights.len(), 1);
+    assert!((0.05..0.5).contains(&weights[&name(5)]), "{weights:?}");
+}
+
+/// Replays a load: a third of the upstreams cut 17 of 20 answers for `lasts`, each in turn for
+/// the entry that tries it. Gives when the last of them was back, and the trials that failed.
+fn replay(lasts: Duration) -> (Duration, usize) {
+    let mut panel = panel(0.5);
+    let bad = COUNT / 3;
+    (0..bad).for_each(|at| cut(&mut panel, ms(0), at));
+    let mut failed = 0;
+    let mut made = 0;
+    for step in 0..400 {
+        let now = ms(step * 50);
+        panel.tick(now);
+        for trial in panel.trials() {
+            if trial.number <= made {
+                continue;
+            }
+            made = trial.number;
+            let kind = if now < lasts && made % 7 != 0 { Kind::Cut } else { Kind::Success };
+            failed += usize::from(kind == Kind::Cut);
+            panel.note_own(now, &trial.upstream, &Tally::of_trial(kind, ms(20)));
+        }
+        let closed = |at: &usize| panel.state(&name(*at)) == State::Closed;
+        if now >= lasts && (0..bad).all(|at| closed(&at)) {
+            return (now, failed);
+        }
+    }
+    panic!("not back after 20 s");
+}
+
+// Four of twelve upstreams cut most answers for ten seconds. Until then few requests are spent
+// on trials, fewer than one a second and upstream; then all are back within four seconds.
+#[test]
+fn trials_of_a_long_fault() {
+    let (back, failed) = replay(ms(10_000));
+    assert!(back <= ms(14_000), "{back:?}");
+    assert!(failed <= 40, "{failed}");
+}
+
+// The same fault lasts for a second only: all are back two seconds later.
+#[test]
+fn trials_of_a_short_fault() {
+    let (back, _) = replay(ms(1_000));
+    assert!(back <= ms(4_000), "{back:?}");
+}
+
+// Upstreams come and go; one that is gone is not tried, and its service needs no room for it.
+#[test]
+fn leave_open() {
+    let mut panel = panel(0.5);
+    cut(&mut panel, ms(0), 1);
+    panel.leave(&name(1));
+    panel.tick(ms(5_000));
+    assert!(panel.trials().is_empty());
+    assert_eq!(out(&panel), 0);
+}
--- /dev/null
+++ b/tests/suite/platform.rs
@@ -0,0 +1,5 @@
+//! The platform's interface, both ways.
+
+mod answers;
+mod configuration;
+mod orders;
