--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -7,6 +7,7 @@
 mod leave;
 mod member;
 mod path;
+mod platform;
 mod record;
 mod refusal;
 mod upload;
