--- a/tests/suite/directory.rs
+++ b/tests/suite/directory.rs
@@ -9,6 +9,7 @@
 use hemlockfield::directory::Client;
 use hemlockfield::directory::Directory;
 use hemlockfield::directory::Entry;
+use hemlockfield::directory::nearby;
 use hemlockfield::fleet::State;
 use rstest::rstest;
 
@@ -138,3 +139,31 @@
     assert_eq!(client.ask(SECOND), None);
     assert_eq!(client.ask(SECOND * 2), Some(seeds[1]));
 }
+
+// A caller asks which entries to use. Where its own failure domain has enough of them it is told
+// of those alone: each request would cross a border otherwise. With two, the loss of one would
+// double the load of the other, so it is told of all.
+#[rstest]
+#[case::enough(16, 4)]
+#[case::too_few(8, 8)]
+fn nearby_own_domain(#[case] count: usize, #[case] told: usize) {
+    let entries = entries(count);
+    assert_eq!(nearby("d1", &entries).len(), told);
+}
+
+// Entries that leave, or that the fleet suspects, are not told.
+#[test]
+fn nearby_leaves_out() {
+    let mut entries = entries(16);
+    entries[1].state = State::Leaving;
+    entries[5].suspect = true;
+    let addresses = nearby("d1", &entries);
+    assert!(!addresses.contains(&entries[1].address));
+    assert!(!addresses.contains(&entries[5].address));
+    assert!(!addresses.is_empty());
+}
+
+#[test]
+fn nearby_unknown_domain() {
+    assert_eq!(nearby("", &entries(16)).len(), 16);
+}
