Let entries tell callers which entries to use

Ruled out: callers that lost their list (they keep an old one when they get no new one); entries that went down (their logs go on).

Change: controls send the named entries with their answers to entries that have another list, not before they have run for 1.5 s; entries serve the directory too.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -27,6 +27,7 @@
 pub use poll::Poll;
 pub use publisher::Ledger;
 pub use publisher::Publisher;
+pub use publisher::WARM_UP;
 pub use rate::Rate;
 pub use ready::Ready;
 pub use subscriber::Subscriber;
--- a/src/feed/input.rs
+++ b/src/feed/input.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of an entry's side.
 
+use super::Entry;
 use super::Message;
 use super::News;
 use super::Tallies;
@@ -17,6 +18,8 @@
 /// What an entry's side wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
+    /// Tell callers of these entries.
+    Name(Vec<Entry>),
     /// Callers of other entries received this.
     Note(Tallies),
     /// Send this.
--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::Control;
+use super::Entry;
 use super::Tallies;
 use crate::catalog::Delta;
 use crate::config::Version;
@@ -25,6 +26,8 @@
     pub fresh: bool,
     /// Index of the log that the entry knows everything up to with this.
     pub known: Index,
+    /// Entries that callers are told of, where they are others than the asker knows.
+    pub named: Option<Vec<Entry>>,
     /// Number of the question; 0 where it was told unasked.
     pub sequence: u64,
     /// What callers of other entries received of upstreams since the last news.
--- a/src/feed/poll.rs
+++ b/src/feed/poll.rs
@@ -14,6 +14,8 @@
     pub entry: Entry,
     /// Index of the log that it knows everything up to.
     pub known: Index,
+    /// Digest of the entries that it tells callers of.
+    pub named: u64,
     /// Counts the questions.
     pub sequence: u64,
     /// What callers received of upstreams since the last question.
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -13,6 +13,7 @@
 use super::Rate;
 use super::Ready;
 use super::Tallies;
+use super::entry;
 use crate::breaker::Tally;
 use crate::catalog::Catalog;
 use crate::clock::Moment;
@@ -51,6 +52,9 @@
     pub fresh: bool,
 }
 
+/// A control that has just started has not heard from all entries yet; a list of a few would
+/// send all callers to those.
+pub const WARM_UP: Duration = Duration::from_millis(1500);
 /// Fewest entries of a failure domain that callers are told of: the loss of one leaves the
 /// others a third more work each.
 const FEWEST: usize = 4;
@@ -95,7 +99,8 @@
         let attached =
             Attached { entry: poll.entry, heard: now, known, tallies: Tallies::default() };
         self.attached.insert(id.clone(), attached);
-        let news = self.news(now, poll.known, poll.sequence, tallies, ledger);
+        let mut news = self.news(now, poll.known, poll.sequence, tallies, ledger);
+        news.named = self.others_named(now, poll.named);
         vec![(id, Message::News(Box::new(news)))]
     }
 
@@ -187,6 +192,14 @@
         all.filter(|entry| entry.state == State::Serving)
     }
 
+    /// The named entries, where they are others than those of the digest. Entries pass them on
+    /// to callers, who would find nobody to ask while all controls are down.
+    fn others_named(&self, now: Moment, known: u64) -> Option<Vec<Entry>> {
+        let named: Vec<Entry> = self.named(now).into_iter().cloned().collect();
+        let is_other = now >= WARM_UP && entry::digest(&named) != known;
+        is_other.then_some(named)
+    }
+
     fn news(
         &self,
         now: Moment,
@@ -203,6 +216,7 @@
             entries: self.named(now).len(),
             fresh: ledger.fresh,
             known: ledger.applied,
+            named: None,
             sequence,
             tallies,
             upstreams: ledger.catalog.since(base),
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -15,6 +15,7 @@
 use super::Output;
 use super::Poll;
 use super::Tallies;
+use super::entry;
 use crate::breaker::Tally;
 use crate::clock::Moment;
 use crate::fleet::State;
@@ -48,6 +49,7 @@
     fresh_at: Option<Moment>,
     known: Index,
     me: Entry,
+    named: u64,
     random: ChaCha8Rng,
     seeds: Vec<NodeId>,
     sequence: u64,
@@ -67,6 +69,7 @@
             fresh_at: None,
             known: 0,
             me,
+            named: 0,
             random,
             seeds,
             sequence: 0,
@@ -146,6 +149,10 @@
             outputs.push(Output::Note(news.tallies.clone()));
         }
         self.come_near(now);
+        if let Some(entries) = &news.named {
+            self.named = entry::digest(entries);
+            outputs.push(Output::Name(entries.clone()));
+        }
         if behind || news.base > self.known {
             return;
         }
@@ -190,6 +197,7 @@
         let poll = Poll {
             entry: self.me.clone(),
             known: self.known,
+            named: self.named,
             sequence: self.sequence,
             tallies: std::mem::take(&mut self.tallies),
         };
--- a/src/fleet/record.rs
+++ b/src/fleet/record.rs
@@ -66,7 +66,7 @@
 }
 
 /// Whether a member takes callers.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum State {
     /// Serves those who come, and is off the callers' lists.
     Leaving,
--- a/src/node/attached.rs
+++ b/src/node/attached.rs
@@ -15,7 +15,10 @@
 use crate::clock::Epoch;
 use crate::clock::Moment;
 use crate::config::Standing;
+use crate::directory;
+use crate::feed;
 use crate::id::NodeId;
+use crate::id::RegionId;
 use crate::wire::Frame;
 
 use super::Office;
@@ -162,3 +165,16 @@
         _ => None,
     }
 }
+
+/// An entry as callers may be told of it.
+fn listed(entry: &feed::Entry) -> directory::Entry {
+    directory::Entry {
+        address: entry.callers,
+        domain: entry.domain.clone(),
+        id: entry.id.clone(),
+        load: 0.0,
+        region: RegionId::default(),
+        state: entry.state,
+        suspect: false,
+    }
+}
--- a/src/node/attached/hub.rs
+++ b/src/node/attached/hub.rs
@@ -18,7 +18,6 @@
 use crate::feed::Ready;
 use crate::id::Index;
 use crate::id::NodeId;
-use crate::id::RegionId;
 use crate::node::Office;
 use crate::node::View;
 use crate::node::clerk;
@@ -162,17 +161,8 @@
 
     /// Entries that take callers; `None` where they are those of the last view.
     pub(super) fn entries(&self, now: Moment, last: &View) -> Option<Arc<Vec<directory::Entry>>> {
-        let entry = |entry: &crate::feed::Entry| directory::Entry {
-            address: entry.callers,
-            domain: entry.domain.clone(),
-            id: entry.id.clone(),
-            load: 0.0,
-            region: RegionId::default(),
-            state: entry.state,
-            suspect: false,
-        };
         let mut entries: Vec<directory::Entry> =
-            self.publisher.named(now).into_iter().map(entry).collect();
+            self.publisher.named(now).into_iter().map(super::listed).collect();
         entries.sort_by(|one, other| one.id.cmp(&other.id));
         (entries != *last.entries).then(|| Arc::new(entries))
     }
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -18,6 +18,7 @@
 use crate::clock::Moment;
 use crate::config::Standing;
 use crate::config::Version;
+use crate::directory;
 use crate::feed;
 use crate::feed::Message;
 use crate::feed::News;
@@ -70,6 +71,8 @@
     hung: BTreeMap<UpstreamId, (usize, usize)>,
     id: NodeId,
     leaving: bool,
+    /// Entries that callers are told of.
+    named: Arc<Vec<directory::Entry>>,
     panels: BTreeMap<ServiceId, Panel>,
     published: u64,
     random: ChaCha8Rng,
@@ -110,6 +113,7 @@
             hung: BTreeMap::new(),
             id: setup.id.clone(),
             leaving: false,
+            named: Arc::default(),
             panels: BTreeMap::new(),
             published: 0,
             random: draw(),
@@ -171,7 +175,7 @@
         }
         self.dirty = false;
         Some(View {
-            entries: Arc::clone(&last.entries),
+            entries: Arc::clone(&self.named),
             leaving: self.leaving,
             number: self.version.as_ref().map(|version| version.number),
             rules: self.rules.clone(),
@@ -220,6 +224,10 @@
     fn tell_subscriber(&mut self, now: Moment, input: feed::Input, outputs: &mut Vec<Output>) {
         for output in self.subscriber.handle(now, input) {
             match output {
+                feed::Output::Name(entries) => {
+                    self.named = Arc::new(entries.iter().map(super::listed).collect());
+                    self.dirty = true;
+                }
                 feed::Output::Note(tallies) => self.note_others(now, &tallies),
                 feed::Output::Send(to, message) => {
                     outputs.push(Output::Send(to, None, Frame::Feed(message)));
--- a/src/node/doors.rs
+++ b/src/node/doors.rs
@@ -25,6 +25,7 @@
 use crate::exchange::Payload;
 use crate::exchange::Refusal;
 use crate::exchange::Request;
+use crate::feed;
 use crate::runtime;
 use crate::wire::Verdict;
 
@@ -34,9 +35,6 @@
 const IDLE: Duration = Duration::from_secs(20);
 /// Longest that control is waited for: those who ask give up sooner.
 const PATIENCE: Duration = Duration::from_millis(2500);
-/// A control that has just started has not heard from all entries yet; a list of a few would
-/// send all callers to those.
-const WARM_UP: Duration = Duration::from_millis(1500);
 /// Pause after a failed accept.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -120,7 +118,7 @@
 fn list(domain: &str, shared: &Shared) -> Done {
     let view = shared.view.load();
     let entries = directory::nearby(domain, &view.entries);
-    if shared.now() < WARM_UP || entries.is_empty() {
+    if shared.now() < feed::WARM_UP || entries.is_empty() {
         return Done::Busy("no entries are known yet".into());
     }
     Done::Entries(entries, shared.settings.directory.lifetime)
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -8,6 +8,7 @@
 use hemlockfield::feed::Entry;
 use hemlockfield::feed::Ledger;
 use hemlockfield::feed::Message;
+use hemlockfield::feed::News;
 use hemlockfield::feed::Poll;
 use hemlockfield::feed::Publisher;
 use hemlockfield::feed::Tallies;
@@ -30,6 +31,10 @@
 }
 
 fn poll(publisher: &mut Publisher, now: Duration, entry: Entry) -> usize {
+    ask(publisher, now, entry).entries
+}
+
+fn ask(publisher: &mut Publisher, now: Duration, entry: Entry) -> News {
     let catalog = Catalog::default();
     let ledger = Ledger {
         applied: 0,
@@ -38,19 +43,23 @@
         controls: Vec::new(),
         fresh: true,
     };
-    let poll = Poll { entry, known: 0, sequence: 1, tallies: Tallies::default() };
+    let poll = Poll { entry, known: 0, named: 0, sequence: 1, tallies: Tallies::default() };
     let sends = publisher.poll(now, poll, &ledger);
     let Some((_, Message::News(news))) = sends.into_iter().next() else { panic!("no answer") };
-    news.entries
+    *news
 }
 
 fn fleet(now: Duration) -> Publisher {
     let mut publisher = Publisher::default();
+    fleet_again(&mut publisher, now);
+    publisher
+}
+
+fn fleet_again(publisher: &mut Publisher, now: Duration) {
     for at in 0..NORTH {
-        poll(&mut publisher, now, entry(at, "north"));
+        poll(publisher, now, entry(at, "north"));
     }
-    poll(&mut publisher, now, entry(0, "south"));
-    publisher
+    poll(publisher, now, entry(0, "south"));
 }
 
 fn names(publisher: &Publisher, now: Duration) -> Vec<String> {
@@ -85,10 +94,7 @@
     let mut publisher = fleet(secs(0));
     load(&mut publisher, 0, 200);
     let again = |publisher: &mut Publisher, now| {
-        for at in 0..NORTH {
-            poll(publisher, now, entry(at, "north"));
-        }
-        poll(publisher, now, entry(0, "south"));
+        fleet_again(publisher, now);
         names(publisher, now).iter().filter(|name| name.starts_with("north")).count()
     };
     assert_eq!(again(&mut publisher, secs(3)), 7);
@@ -117,3 +123,14 @@
     let publisher = fleet(secs(0));
     assert!(names(&publisher, secs(2)).is_empty());
 }
+
+// A control has just started and knows of the first entries only. It tells no list yet: all
+// callers would go to those. Later it tells the list to whoever has another one.
+#[test]
+fn poll_named_entries() {
+    let mut publisher = fleet(secs(0));
+    assert_eq!(ask(&mut publisher, secs(1), entry(1, "north")).named, None);
+    fleet_again(&mut publisher, secs(2));
+    let told = ask(&mut publisher, secs(2), entry(1, "north")).named.expect("a list");
+    assert_eq!(told.len(), 5);
+}
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -51,6 +51,7 @@
         entries: 1,
         fresh: true,
         known,
+        named: None,
         sequence,
         tallies: Tallies::default(),
         upstreams: Delta::default(),
@@ -155,3 +156,21 @@
     let (_, poll) = asked(&outputs).expect("a question");
     assert_eq!(poll.tallies.by_upstream["hull-1"].broken, 1);
 }
+
+// Entries tell callers which entries to use: while all controls are down, callers would find
+// nobody to ask. An entry keeps the last list that it was told, and says which one it has, so
+// that it isn't sent again and again.
+#[test]
+fn handle_named_entries() {
+    let mut subscriber = subscriber();
+    let outputs = subscriber.handle(ms(0), Input::Tick);
+    let (to, poll) = asked(&outputs).expect("a question");
+    assert_eq!(poll.named, 0);
+    let (to, sequence) = (to.to_owned(), poll.sequence);
+    let named = vec![poll.entry.clone()];
+    let told = News { named: Some(named.clone()), ..news(sequence, 4) };
+    let outputs = answer(&mut subscriber, ms(5), &to, told);
+    assert!(outputs.contains(&Output::Name(named)));
+    let outputs = subscriber.handle(ms(505), Input::Tick);
+    assert_ne!(asked(&outputs).expect("a question").1.named, 0);
+}
