End an upstream whose address is used again

Cause: an upstream that crashes can't say that it is gone, and stays in the table; its address goes to another service, which turns away all that is sent there.

Change: the first announcement of a new upstream at an address ends whoever was there, in the log, so that late words do not bring it back.

--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -40,6 +40,9 @@
         match action {
             Action::Announce(change) => {
                 let id = change.announcement.upstream.clone();
+                if !self.upstreams.contains_key(&id) {
+                    self.replace_at(&change.announcement, index);
+                }
                 let entry = Entry { change: change.clone(), changed: index };
                 self.upstreams.insert(id, entry);
             }
@@ -97,6 +100,20 @@
         !same
     }
 
+    /// Whoever was at the address of a new upstream is gone, also where it could not say so.
+    /// Without it, all that is sent there for the old one is turned away by the new one: half
+    /// of what reached one service on a day on which addresses were used again.
+    fn replace_at(&mut self, new: &Announcement, index: Index) {
+        let is_there = |entry: &Entry| entry.change.announcement.address == new.address;
+        let old = self.upstreams.iter().filter(|(_, entry)| is_there(entry));
+        let old: Vec<UpstreamId> = old.map(|(id, _)| id.clone()).collect();
+        for id in old {
+            self.upstreams.remove(&id);
+            self.gone.insert(id, index);
+        }
+        self.forget();
+    }
+
     fn forget(&mut self) {
         while self.gone.len() > GONE_MAX {
             let oldest = self.gone.iter().min_by_key(|(_, index)| **index);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod balance;
 mod breaker;
+mod catalog;
 mod claim;
 mod config;
 mod core_fleet;
