Split the hub and the spoke by duty

The hub kept the controls that it knows beside the log and the feed, and the spoke counted overdue requests and blamed itself beside its panels.

Behaviour is meant to stay: the same limits, messages and order. No test changed.

--- a/src/node/attached/hub.rs
+++ b/src/node/attached/hub.rs
@@ -1,7 +1,6 @@
 //! A control's part: the log, the feed to entries, and repair of the members.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,26 +25,21 @@
 use crate::node::core::Output;
 use crate::node::office;
 use crate::node::status;
-use crate::quorum::DiskId;
 use crate::quorum::mend;
-use crate::timeline::Event;
 use crate::timeline::Kind;
-use crate::timeline::Stamp;
 use crate::wire::Frame;
 use crate::wire::Order;
 use crate::wire::Verdict;
 
 use super::Setup;
+use super::events;
+use super::peers::Peers;
 
 /// A control vouches for its news while the log was heard to go on within this span: four
 /// heartbeats, so that one lost is no alarm.
 const FRESH: Duration = Duration::from_millis(700);
 /// Pause between two greetings of the other controls.
 const HELLO: Duration = Duration::from_millis(500);
-/// A control that greeted within this span is there: three greetings and a lost one.
-const PRESENT: Duration = Duration::from_millis(1600);
-/// A control that is neither member nor seed is forgotten after so long.
-const FORGET: Duration = Duration::from_secs(30);
 /// Pause between two looks at the members.
 const MEND: Duration = Duration::from_millis(200);
 /// Longest that an announcement or a reading is carried around: those who ask wait for a
@@ -60,13 +54,11 @@
     asked: BTreeMap<u64, Asked>,
     clerk: Clerk,
     hello_at: Moment,
-    known: BTreeMap<NodeId, Known>,
-    me: Control,
     mend_at: Moment,
     office: Option<Office>,
+    peers: Peers,
     publisher: Publisher,
     reads: Vec<Reading>,
-    seeds: Vec<NodeId>,
     stopped: Option<String>,
 }
 
@@ -78,14 +70,6 @@
     Submit,
 }
 
-/// Another control.
-#[derive(Clone, Debug)]
-struct Known {
-    control: Control,
-    disk: Option<DiskId>,
-    heard: Option<Moment>,
-}
-
 /// A reading that waits for the own log to come so far.
 #[derive(Clone, Copy, Debug)]
 struct Reading {
@@ -96,17 +80,16 @@
 
 impl Hub {
     pub(super) fn new(now: Moment, setup: Setup) -> Self {
+        let me = Control { domain: setup.domain, id: setup.id };
         let mut hub = Self {
             asked: BTreeMap::new(),
             clerk: Clerk::default(),
             hello_at: now,
-            known: BTreeMap::new(),
-            me: Control { domain: setup.domain, id: setup.id },
             mend_at: now,
             office: setup.office,
+            peers: Peers::new(me, setup.seeds),
             publisher: Publisher::default(),
             reads: Vec::new(),
-            seeds: setup.seeds,
             stopped: None,
         };
         hub.meet_members();
@@ -125,7 +108,7 @@
                 self.ask(now, ticket, Asked::Read, Order::Read, PATIENCE, &mut outputs);
             }
             Input::Seeds(seeds) => {
-                self.seeds = seeds;
+                self.peers.set_seeds(seeds);
                 self.meet_members();
             }
             Input::Submit(ticket, version) => self.submit(now, ticket, version, &mut outputs),
@@ -218,19 +201,22 @@
     fn feed(&mut self, now: Moment, from: NodeId, message: Message, outputs: &mut Vec<Output>) {
         match message {
             Message::Controls { controls, leader } => {
-                for control in controls {
-                    self.meet(control, None, None);
+                let new = controls.into_iter().filter(|it| self.peers.hear_of(it.clone())).count();
+                if new > 0 {
+                    self.set_clerk();
                 }
                 if let Some(leader) = leader {
                     self.clerk.set_leader(&leader);
                 }
             }
             Message::Hello { control, disk, ready } => {
-                let known = self.known.get(&from).is_some_and(|known| known.heard.is_some());
-                self.meet(control, disk, Some(now));
+                let known = self.peers.has_greeted(&from);
+                if self.peers.greeted(now, control, disk) {
+                    self.set_clerk();
+                }
                 self.publisher.hear(now, &from, ready);
                 if !known {
-                    let controls = self.controls(now);
+                    let controls = self.peers.present(now);
                     let leader = self.office.as_ref().and_then(Office::leader);
                     outputs.push(send(from, Message::Controls { controls, leader }));
                 }
@@ -238,7 +224,7 @@
             Message::News(_) => (),
             Message::Tallies(tallies) => self.publisher.gather(now, &tallies, false),
             Message::Poll(poll) => {
-                let controls = self.controls(now);
+                let controls = self.peers.present(now);
                 let blank = Catalog::default();
                 let ledger = ledger(now, self.office.as_ref(), &blank, controls);
                 let sends = self.publisher.poll(now, poll, &ledger);
@@ -260,7 +246,7 @@
         if now < self.publisher.wake() {
             return;
         }
-        let controls = self.controls(now);
+        let controls = self.peers.present(now);
         let blank = Catalog::default();
         let ledger = ledger(now, self.office.as_ref(), &blank, controls);
         let sends = self.publisher.tick(now, &ledger);
@@ -273,14 +259,11 @@
             return;
         }
         self.hello_at = now + HELLO;
-        let kept: BTreeSet<NodeId> = self.members().into_iter().chain(self.seeds.clone()).collect();
-        self.known.retain(|id, known| {
-            kept.contains(id) || known.heard.is_some_and(|at| now < at + FORGET)
-        });
+        self.peers.forget(now, self.members());
         let disk = self.office.as_ref().and_then(|office| office.replica().named_disk());
         let ready = Ready { entries: self.publisher.own(now) };
-        for id in self.known.keys() {
-            let (control, ready) = (self.me.clone(), ready.clone());
+        for id in self.peers.others() {
+            let (control, ready) = (self.peers.me().clone(), ready.clone());
             outputs.push(send(id.clone(), Message::Hello { control, disk, ready }));
         }
     }
@@ -292,13 +275,9 @@
             return;
         }
         self.mend_at = now + MEND;
-        let here = |known: &&Known| known.heard.is_some_and(|at| now < at + PRESENT);
-        let present = self.known.values().filter(here);
-        let present: BTreeMap<NodeId, DiskId> =
-            present.filter_map(|known| Some((known.control.id.clone(), known.disk?))).collect();
-        let next = mend::next(&office.status(now), office.tenure(now), &present);
+        let next = mend::next(&office.status(now), office.tenure(now), &self.peers.disks(now));
         if let Some(change) = next {
-            let event = event(&self.me.id, Kind::MemberChanged);
+            let event = events::event(&self.peers.me().id, Kind::MemberChanged);
             outputs.push(Output::Event(event.detail("change", format!("{change:?}"))));
             self.tell_office(now, wall, office::Input::Change(0, change), outputs);
         }
@@ -406,7 +385,7 @@
                 }
                 office::Output::Committed(version) => {
                     changed = true;
-                    let event = event(&self.me.id, Kind::ConfigurationAccepted);
+                    let event = events::event(&self.peers.me().id, Kind::ConfigurationAccepted);
                     outputs.push(Output::Event(event.configuration(version.number)));
                 }
                 office::Output::Installed => changed = true,
@@ -416,12 +395,12 @@
                 }
                 office::Output::Send(to, frame) => outputs.push(Output::Send(to, None, *frame)),
                 office::Output::Term(role, term) => {
-                    let event = event(&self.me.id, Kind::Election).term(term);
+                    let event = events::event(&self.peers.me().id, Kind::Election).term(term);
                     outputs.push(Output::Event(event.detail("role", format!("{role:?}"))));
                 }
                 office::Output::Upstream(action) => {
                     changed = true;
-                    outputs.push(Output::Event(about(&self.me.id, &action)));
+                    outputs.push(Output::Event(events::about(&self.peers.me().id, &action)));
                 }
             }
         }
@@ -438,40 +417,12 @@
     }
 
     fn meet_members(&mut self) {
-        let ids: Vec<NodeId> = self.members().into_iter().chain(self.seeds.clone()).collect();
-        for id in ids {
-            let domain = self.known.get(&id).map(|known| known.control.domain.clone());
-            self.meet(Control { domain: domain.unwrap_or_default(), id }, None, None);
-        }
+        self.peers.meet_all(self.members());
         self.set_clerk();
     }
 
-    fn meet(&mut self, control: Control, disk: Option<DiskId>, heard: Option<Moment>) {
-        if control.id == self.me.id {
-            return;
-        }
-        let fresh = !self.known.contains_key(&control.id);
-        let known = self.known.entry(control.id.clone());
-        let known = known.or_insert(Known { control: control.clone(), disk: None, heard: None });
-        if heard.is_some() {
-            *known = Known { control, disk, heard };
-        }
-        if fresh {
-            self.set_clerk();
-        }
-    }
-
     fn set_clerk(&mut self) {
-        let mut controls: Vec<NodeId> = self.known.keys().cloned().collect();
-        controls.push(self.me.id.clone());
-        self.clerk.set_controls(controls);
-    }
-
-    /// Controls that entries may ask.
-    fn controls(&self, now: Moment) -> Vec<Control> {
-        let here = |known: &&Known| known.heard.is_some_and(|at| now < at + PRESENT);
-        let others = self.known.values().filter(here).map(|known| known.control.clone());
-        others.chain([self.me.clone()]).collect()
+        self.clerk.set_controls(self.peers.ids());
     }
 }
 
@@ -496,22 +447,3 @@
 fn send(to: NodeId, message: Message) -> Output {
     Output::Send(to, None, Frame::Feed(message))
 }
-
-fn event(vm: &NodeId, kind: Kind) -> Event {
-    Event::new(Stamp::default(), vm.clone(), kind)
-}
-
-fn about(vm: &NodeId, action: &Action) -> Event {
-    match action {
-        Action::Announce(change) => {
-            let said = &change.announcement;
-            let kind = match said.state {
-                crate::registry::State::Ready => Kind::UpstreamAnnounced,
-                _ => Kind::UpstreamDraining,
-            };
-            let event = event(vm, kind).upstream(said.upstream.clone());
-            event.service(said.service.clone()).detail("address", said.address.to_string())
-        }
-        Action::Leave(id) => event(vm, Kind::UpstreamExpired).upstream(id.clone()),
-    }
-}
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -1,8 +1,6 @@
 //! An entry's part: what controls told, and judgement of the upstreams.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,25 +35,14 @@
 use crate::registry;
 use crate::registry::Announcement;
 use crate::rule::Rules;
-use crate::timeline::Event;
 use crate::timeline::Kind;
-use crate::timeline::Stamp;
 use crate::wire::Frame;
 
 use super::Setup;
+use super::blame::Blame;
+use super::events;
+use super::overdue::Overdue;
 
-/// A request that has waited this many times as long as usual, and for a second at least,
-/// counts as broken: one in a hundred takes five times as long on a sound upstream.
-const HUNG: u32 = 4;
-/// A request that has waited this many times as long as usual is late: one in thirty is so on
-/// a sound upstream, but not three at once.
-const LATE: f64 = 2.0;
-const LATE_MIN: Duration = Duration::from_millis(400);
-const HUNG_MIN: Duration = Duration::from_secs(1);
-/// An entry to which so many upstreams broke answers within the span takes itself for the
-/// cause: with a third of them at fault one entry meets one such in three seconds.
-const SELF_FAULT: usize = 4;
-const SELF_SPAN: Duration = Duration::from_secs(3);
 /// Share of a service's slots that stay in use where its rules say nothing.
 const FLOOR: f64 = 0.7;
 /// An entry that no control has told anything for so long says so.
@@ -65,14 +52,14 @@
 #[derive(Debug)]
 pub(super) struct Spoke {
     boundary: Arc<dyn Boundary>,
-    broken: VecDeque<(Moment, UpstreamId)>,
+    blame: Blame,
     dirty: bool,
     entries: usize,
-    hung: BTreeMap<UpstreamId, (usize, usize)>,
     id: NodeId,
     leaving: bool,
     /// Entries that callers are told of.
     named: Arc<Vec<directory::Entry>>,
+    overdue: Overdue,
     panels: BTreeMap<ServiceId, Panel>,
     published: u64,
     random: ChaCha8Rng,
@@ -107,13 +94,13 @@
         };
         Self {
             boundary: Arc::clone(&setup.boundary),
-            broken: VecDeque::new(),
+            blame: Blame::default(),
             dirty: true,
             entries: 1,
-            hung: BTreeMap::new(),
             id: setup.id.clone(),
             leaving: false,
             named: Arc::default(),
+            overdue: Overdue::default(),
             panels: BTreeMap::new(),
             published: 0,
             random: draw(),
@@ -216,7 +203,7 @@
         if standing != self.standing {
             self.standing = standing;
             self.dirty = true;
-            let event = self.event(Kind::Other("standing".into()));
+            let event = events::event(&self.id, Kind::Other("standing".into()));
             outputs.push(Output::Event(event.detail("is", format!("{standing:?}"))));
         }
     }
@@ -269,7 +256,8 @@
                 return;
             }
         };
-        let event = self.event(Kind::ConfigurationApplied).configuration(version.number);
+        let event =
+            events::event(&self.id, Kind::ConfigurationApplied).configuration(version.number);
         outputs.push(Output::Event(event));
         self.rules = Some(rules);
         self.version = Some(version);
@@ -298,7 +286,7 @@
     fn lose(&mut self, id: &UpstreamId) {
         if self.upstreams.remove(id).is_some() {
             self.dirty = true;
-            self.hung.remove(id);
+            self.overdue.forget(id);
             self.panels.values_mut().for_each(|panel| panel.leave(id));
         }
     }
@@ -331,29 +319,20 @@
         let changed = panel.note_own(now, upstream, tally);
         let state = panel.state(upstream);
         if tally.broken + tally.late > 0 {
-            self.broken.push_back((now, upstream.clone()));
+            self.blame.note(now, upstream);
         }
-        if !self.is_at_fault(now) {
+        if !self.blame.is_own(now) {
             self.subscriber.note(now, upstream, tally);
         }
         if changed {
             self.dirty = true;
             let kind = if state == State::Closed { Kind::Readmitted } else { Kind::Ejected };
-            let event = self.event(kind).service(service.clone()).upstream(upstream.clone());
+            let event =
+                events::event(&self.id, kind).service(service.clone()).upstream(upstream.clone());
             outputs.push(Output::Event(event.detail("is", format!("{state:?}"))));
         }
     }
 
-    /// Whether so many upstreams broke their answers to this entry that it is probably the
-    /// entry's own network: told to others, that would take sound upstreams from all.
-    fn is_at_fault(&mut self, now: Moment) -> bool {
-        while self.broken.front().is_some_and(|(at, _)| now >= *at + SELF_SPAN) {
-            self.broken.pop_front();
-        }
-        let upstreams: BTreeSet<&UpstreamId> = self.broken.iter().map(|(_, id)| id).collect();
-        upstreams.len() >= SELF_FAULT
-    }
-
     /// Takes what callers of other entries received.
     fn note_others(&mut self, now: Moment, tallies: &Tallies) {
         for (upstream, tally) in &tallies.by_upstream {
@@ -374,16 +353,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let usual = self.panels.get(service).and_then(Panel::usual).unwrap_or_default();
-        let hung_after = HUNG_MIN.max(usual * HUNG);
-        let late_after = LATE_MIN.max(usual.mul_f64(LATE));
-        let count = |bar: Duration| ages.iter().filter(|age| **age >= bar).count();
-        let now_over = (count(late_after), count(hung_after));
-        let before = self.hung.insert(upstream.clone(), now_over).unwrap_or_default();
-        let tally = Tally {
-            broken: now_over.1.saturating_sub(before.1) as u32,
-            late: now_over.0.saturating_sub(before.0) as u32,
-            ..Tally::default()
-        };
+        let tally = self.overdue.count(upstream, usual, ages);
         if !tally.is_empty() {
             self.note(now, service, upstream, &tally, outputs);
         }
@@ -423,8 +393,4 @@
             upstream: said.upstream.clone(),
         }
     }
-
-    fn event(&self, kind: Kind) -> Event {
-        Event::new(Stamp::default(), self.id.clone(), kind)
-    }
 }
