--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -129,8 +129,7 @@
 
     fn limit_retries(&self, entries: usize) {
         if self.retry.pooled {
-            let burst = self.retry.burst as f64;
-            let limits = retry::Limits::part(self.retry.share, burst, entries);
+            let limits = retry::Limits::part(self.retry.share, self.retry.burst, entries);
             self.policy().set_limits(limits);
         }
     }
--- a/src/settings/directory.rs
+++ b/src/settings/directory.rs
@@ -24,7 +24,7 @@
 impl Directory {
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
         let fields = Fields::open(tree, mistakes, &["lifetime"])?;
-        let least = Duration::from_secs(1);
+        let least = Duration::from_millis(100);
         let most = Duration::from_secs(3600);
         Some(Self { lifetime: fields.ranged("lifetime", LIFETIME, &least, &most) })
     }
--- a/src/settings/retry.rs
+++ b/src/settings/retry.rs
@@ -6,13 +6,14 @@
 /// Default for `share`: one try in twenty keeps a storm of retries from doubling any load.
 const SHARE: Fraction = Fraction(0.05);
 /// Default for `burst`, of each entry.
-const BURST: usize = 2;
+const BURST: f64 = 2.0;
 
 /// How many tries beyond the first all entries together may make for a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Retry {
-    /// Tries at once beyond the share; of each entry, or of all where `pooled`.
-    pub burst: usize,
+    /// Tries at once beyond the share; of each entry, or of all where `pooled`. May have a
+    /// fraction: the share of a larger budget.
+    pub burst: f64,
     /// Whether `burst` is shared by all entries, and tries that reached no upstream cost
     /// nothing.
     pub pooled: bool,
@@ -30,7 +31,7 @@
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
         let fields = Fields::open(tree, mistakes, &["burst", "pooled", "share"])?;
         Some(Self {
-            burst: fields.ranged("burst", BURST, &0, &1_000_000),
+            burst: fields.ranged("burst", BURST, &0.0, &1e6),
             pooled: fields.or("pooled", false),
             share: fields.or("share", SHARE).0,
         })
--- a/src/settings/scalar.rs
+++ b/src/settings/scalar.rs
@@ -127,6 +127,19 @@
     }
 }
 
+impl Scalar for f64 {
+    const KIND: &'static str = "a number";
+    const ALLOWED: &'static str = "write digits, with a point if need be, such as `21.5`";
+
+    fn read(text: &str) -> Option<Self> {
+        digits(text)
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
 /// A plain decimal number: no sign, exponent, `inf` or `nan`.
 pub(super) fn digits(text: &str) -> Option<f64> {
     let plain = text.chars().all(|symbol| symbol.is_ascii_digit() || symbol == '.');
--- a/tests/suite/settings.rs
+++ b/tests/suite/settings.rs
@@ -55,6 +55,21 @@
     assert!(settings.record.is_none());
 }
 
+// A platform fills in bounds with fractions, such as its share of a larger retry budget. A
+// process that takes whole numbers only ends at its start, on every VM of that platform.
+#[test]
+fn parse_fractions() {
+    let text = format!(
+        "{SOUND}retry: {{share: \"0.2\", burst: \"21.686746987951807\", pooled: true}}\n\
+         directory: {{lifetime: \"0.5s\"}}\nshutdown: {{grace: \"4.8s\"}}\n"
+    );
+    let settings = Settings::parse("settings.yaml", &text).expect("sound");
+    assert_eq!(settings.retry.burst, 21.686746987951807);
+    assert_eq!(settings.directory.lifetime, Duration::from_millis(500));
+    assert_eq!(settings.shutdown.limit, Duration::from_millis(4400));
+    assert_eq!(settings.shutdown.notice, Some(Duration::from_millis(2000)));
+}
+
 #[test]
 fn parse_every_mistake_at_once() {
     // The operator sees all mistakes of a file in one run, each with its line,
