Compare an entry's broken answers with what others receive

Cause: an entry that met four broken upstreams in 3 s took itself for the cause and told nobody. Ruled out: the way through the controls (50 ms), trials, the floor. Changed: what counts against the entry itself is only an upstream that meanwhile answers the callers of others. Tests: breaker::blame, the first red with the old count.

--- a/src/breaker.rs
+++ b/src/breaker.rs
@@ -13,11 +13,13 @@
 //! second one for longer; then idempotent requests, which can be sent again, try whether the
 //! upstream is well. The floor bounds how many breakers are open.
 
+mod blame;
 mod circuit;
 mod panel;
 mod tally;
 mod window;
 
+pub use blame::Blame;
 pub use circuit::Circuit;
 pub use circuit::State;
 pub use panel::Panel;
--- a/src/node/attached/blame.rs
+++ b/src/breaker/blame.rs
@@ -7,26 +7,30 @@
 use crate::clock::Moment;
 use crate::id::UpstreamId;
 
-/// An entry to which so many upstreams broke answers within the span takes itself for the
-/// cause: with a third of them at fault one entry meets one such in three seconds.
+/// An entry to which so many upstreams broke answers within the span, while they answered all
+/// others, takes itself for the cause. It meets one such at most where it is the first to see
+/// an upstream's fault: of forty upstreams three come to be at fault in that time, and a dozen
+/// entries share in finding them.
 const UPSTREAMS: usize = 4;
 const SPAN: Duration = Duration::from_secs(3);
 
-/// The upstreams that lately broke answers to this entry.
+/// The upstreams that lately broke answers to this entry and to no other.
 #[derive(Debug, Default)]
-pub(super) struct Blame {
+pub struct Blame {
     broken: VecDeque<(Moment, UpstreamId)>,
 }
 
 impl Blame {
-    /// Notes that an upstream broke an answer, or is late with it.
-    pub(super) fn note(&mut self, now: Moment, upstream: &UpstreamId) {
+    /// Notes that an upstream that answers all others broke an answer here, or is late with
+    /// it. What other entries saw too is not told: where a third of the upstreams are at
+    /// fault, every entry meets as many.
+    pub fn note(&mut self, now: Moment, upstream: &UpstreamId) {
         self.broken.push_back((now, upstream.clone()));
     }
 
-    /// Whether so many upstreams broke their answers to this entry that it is probably the
-    /// entry's own network: told to others, that would take sound upstreams from all.
-    pub(super) fn is_own(&mut self, now: Moment) -> bool {
+    /// Whether so many upstreams broke their answers to this entry alone that it is probably
+    /// its own network: told to others, that would take sound upstreams from all.
+    pub fn is_own(&mut self, now: Moment) -> bool {
         while self.broken.front().is_some_and(|(at, _)| now >= *at + SPAN) {
             self.broken.pop_front();
         }
--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -102,6 +102,12 @@
         self.broken_at
     }
 
+    /// Whether callers of other entries lately got whole answers, and nothing broken.
+    pub fn serves_others(&self, now: Moment) -> bool {
+        let (all, own) = (self.window.at(now), self.own.at(now));
+        all.answered > own.answered && all.broken + all.late == own.broken + own.late
+    }
+
     /// Takes what callers received here.
     pub fn note_own(&mut self, now: Moment, tally: &Tally) {
         self.own.roll(now);
--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -97,6 +97,11 @@
         self.with(upstream, |circuit| circuit.note(now, tally))
     }
 
+    /// Whether callers of other entries lately got whole answers of it, and nothing broken.
+    pub fn serves_others(&self, now: Moment, upstream: &UpstreamId) -> bool {
+        self.circuits.get(upstream).is_some_and(|member| member.circuit.serves_others(now))
+    }
+
     fn with(&mut self, upstream: &UpstreamId, note: impl FnOnce(&mut Circuit)) -> bool {
         let Some(member) = self.circuits.get_mut(upstream) else { return false };
         let before = member.circuit.state();
--- a/src/breaker/window.rs
+++ b/src/breaker/window.rs
@@ -47,6 +47,14 @@
         sum
     }
 
+    /// What is not too old now.
+    pub fn at(&self, now: Moment) -> Tally {
+        let mut sum = Tally::default();
+        let parts = self.parts.iter().filter(|(at, _)| now < *at + SPAN);
+        parts.for_each(|(_, part)| sum.add(part));
+        sum
+    }
+
     /// All that it holds.
     pub fn sum(&self) -> Tally {
         let mut sum = Tally::default();
--- a/src/node/attached.rs
+++ b/src/node/attached.rs
@@ -4,7 +4,6 @@
 //! entries ask them for it twice a second. A control's part is the [`Hub`], an entry's the
 //! [`Spoke`]; a process may be both.
 
-mod blame;
 mod events;
 mod hub;
 mod overdue;
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -10,6 +10,7 @@
 
 use crate::balance;
 use crate::boundary::Boundary;
+use crate::breaker::Blame;
 use crate::breaker::Panel;
 use crate::breaker::State;
 use crate::breaker::Tally;
@@ -39,7 +40,6 @@
 use crate::wire::Frame;
 
 use super::Setup;
-use super::blame::Blame;
 use super::events;
 use super::overdue::Overdue;
 
@@ -316,9 +316,10 @@
         outputs: &mut Vec<Output>,
     ) {
         let Some(panel) = self.panels.get_mut(service) else { return };
+        let serves_others = panel.serves_others(now, upstream);
         let changed = panel.note_own(now, upstream, tally);
         let state = panel.state(upstream);
-        if tally.broken + tally.late > 0 {
+        if tally.broken + tally.late > 0 && serves_others {
             self.blame.note(now, upstream);
         }
         if !self.blame.is_own(now) {
--- a/tests/suite/breaker.rs
+++ b/tests/suite/breaker.rs
@@ -1,4 +1,5 @@
 //! Breakers of a service's upstreams, on what callers received.
 
+mod blame;
 mod circuit;
 mod panel;
