Count retries over a window, name entries for the load that comes

Cause: a control named four entries a failure domain until the load had shown, and counted load by requests that ended. 16 entries at 0.1 cores and 3.9 Mbit/s took 70 requests/s each, connections took over 250 ms, the requests were refused, and so the load never showed. Tests: named_before_any_load, named_overrun (red before), window budget by retry tests to come.

--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -14,7 +14,6 @@
 use super::Ready;
 use super::Tallies;
 use super::entry;
-use crate::breaker::Tally;
 use crate::catalog::Catalog;
 use crate::clock::Moment;
 use crate::config::Version;
@@ -47,6 +46,11 @@
 /// serves, so that a surge finds room, and several at a time, so that it sees who is busy.
 const SHARE: f64 = 15.0;
 
+/// Requests a second for each slot of the upstreams, for which there are to be entries before
+/// any load was seen: 0.5 to 1.2 on the users' sites. Without it all callers of a large fleet
+/// begin at four entries a failure domain, which are overrun before they can tell that.
+const PER_SLOT: f64 = 1.0;
+
 /// What a control knows for sure, for the feed to tell.
 #[derive(Debug)]
 pub struct Ledger<'a> {
@@ -73,6 +77,7 @@
     push_at: Option<Moment>,
     pushed_at: Moment,
     rate: Rate,
+    slots: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -120,7 +125,7 @@
         if tallies.is_empty() {
             return;
         }
-        self.rate.add(now, tallies.by_upstream.values().map(Tally::ended).sum());
+        self.rate.add(now, tallies.arrivals);
         self.attached.values_mut().for_each(|entry| entry.tallies.add_all(tallies));
         if own {
             self.collected.add_all(tallies);
@@ -174,7 +179,7 @@
         for entry in self.serving(now) {
             domains.entry(&entry.domain).or_default().push(entry);
         }
-        let per_domain = self.rate.peak(now) / (domains.len().max(1) as f64 * SHARE);
+        let per_domain = self.load(now) / (domains.len().max(1) as f64 * SHARE);
         let count = FEWEST.max(per_domain.ceil() as usize);
         let mut named = Vec::new();
         for mut entries in domains.into_values() {
@@ -184,6 +189,20 @@
         named
     }
 
+    /// Requests a second that the entries are to be ready for.
+    fn load(&self, now: Moment) -> f64 {
+        let peak = self.rate.peak(now);
+        if self.rate.is_known(now) {
+            return peak;
+        }
+        peak.max(f64::from(self.slots) * PER_SLOT)
+    }
+
+    /// Sets how many slots all upstreams have.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
     /// Entries that are thought to take callers.
     fn serving(&self, now: Moment) -> impl Iterator<Item = &Entry> {
         let own = self.attached.values().filter(move |own| now < own.heard + LOST);
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Notes requests that callers sent.
+    pub fn note_arrivals(&mut self, count: u32) {
+        self.tallies.arrivals += count;
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<NodeId>) {
         self.seeds = seeds;
--- a/src/feed/tallies.rs
+++ b/src/feed/tallies.rs
@@ -11,6 +11,9 @@
 /// What callers received of many upstreams, in some span.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Tallies {
+    /// Requests that callers sent, whatever became of them. An entry that is overrun ends few
+    /// of them: counted by their ends, load would seem to fall when it is too much.
+    pub arrivals: u32,
     /// By upstream.
     pub by_upstream: BTreeMap<UpstreamId, Tally>,
 }
@@ -23,12 +26,13 @@
 
     /// Adds all of another span's.
     pub fn add_all(&mut self, other: &Self) {
+        self.arrivals += other.arrivals;
         other.by_upstream.iter().for_each(|(upstream, tally)| self.add(upstream, tally));
     }
 
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
-        self.by_upstream.is_empty()
+        self.arrivals == 0 && self.by_upstream.is_empty()
     }
 
     /// Whether others should know at once.
--- a/src/node/attached.rs
+++ b/src/node/attached.rs
@@ -51,7 +51,8 @@
 
     fn dispatch(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
         let to_spoke = match &input {
-            Input::Drain
+            Input::Arrived(_)
+            | Input::Drain
             | Input::Outcome(..)
             | Input::Overdue(..)
             | Input::Probed(..)
--- a/src/node/attached/hub.rs
+++ b/src/node/attached/hub.rs
@@ -405,6 +405,8 @@
             }
         }
         if changed {
+            let upstreams = self.office.iter().flat_map(|office| office.catalog().upstreams());
+            self.publisher.set_slots(upstreams.map(|said| said.slots).sum());
             self.publisher.changed(now);
             self.meet_members();
             self.publish(now, outputs);
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -135,6 +135,7 @@
             Input::Overdue(service, upstream, ages) => {
                 self.overdue(now, service, upstream, ages, &mut outputs);
             }
+            Input::Arrived(count) => self.subscriber.note_arrivals(*count),
             Input::Seeds(seeds) => self.subscriber.set_seeds(seeds.clone()),
             Input::Tick => self.tick(now, &mut outputs),
             _ => (),
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -137,6 +137,10 @@
     }
 
     fn take_outcomes(&mut self, batch: &mut Batch) {
+        let arrived = self.shared.take_arrivals();
+        if arrived > 0 {
+            self.step(core::Input::Arrived(arrived), batch);
+        }
         for Noted { kind, latency, service, trial, upstream } in self.shared.take_outcomes() {
             let input = match trial {
                 true => core::Input::Tried(service, upstream, kind, latency),
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -32,7 +32,7 @@
     let started = now;
     let may = *sends + 1 < job.terms.attempts;
     let hedge = may && job.terms.hedge && job.is_idempotent() && !job.payload.is_stream();
-    let after = if hedge { service.policy().hedge_after() } else { None };
+    let after = if hedge { service.policy(shared.now()).hedge_after() } else { None };
     let request = job.request(now, shared.boundary.as_ref(), &place.upstream);
     let overtaken = place.upstream.clone();
     let first = Tried::make(shared, request, place, job.is_idempotent(), job.left(now));
@@ -47,13 +47,13 @@
     }
     let now = shared.now();
     let left = job.left(now);
-    if !service.policy().hedge(left) {
+    if !service.policy(shared.now()).hedge(left) {
         return first.await;
     }
     let Some(place) =
         Place::take(shared, service, upstreams, std::slice::from_ref(&overtaken), false)
     else {
-        service.policy().hedged(false);
+        service.policy(shared.now()).hedged(false);
         return first.await;
     };
     let request = job.request(now, shared.boundary.as_ref(), &place.upstream);
@@ -64,7 +64,7 @@
         tried = first => (tried, false),
         tried = second => (tried, true),
     };
-    service.policy().hedged(won && tried.is_served(shared.boundary.as_ref()));
+    service.policy(shared.now()).hedged(won && tried.is_served(shared.boundary.as_ref()));
     if won && tried.is_served(shared.boundary.as_ref()) {
         tell_overtaken(shared, job, overtaken, shared.now().saturating_sub(started));
     }
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -54,6 +54,7 @@
         let response = list_entries(shared, &request, peer);
         return decline(&request, response, outlet).await;
     }
+    shared.note_arrival();
     let view = shared.view.load_full();
     let close = !request.body.is_empty();
     match take(shared, &view, request, peer).await {
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -89,8 +89,10 @@
     }
 
     /// What may be tried again, and the budget for it.
-    pub(super) fn policy(&self) -> MutexGuard<'_, Policy> {
-        self.policy.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(super) fn policy(&self, now: Moment) -> MutexGuard<'_, Policy> {
+        let mut policy = self.policy.lock().unwrap_or_else(PoisonError::into_inner);
+        policy.advance(now);
+        policy
     }
 
     /// Requests that wait unusually long for an upstream's first byte.
@@ -120,17 +122,18 @@
             choice.picker.set_entries(view.entries);
             choice.picker.set_members(&view.members);
             choice.picker.refresh(view);
-            self.limit_retries(view.entries);
+            self.limit_retries(now, view.entries);
             choice.slots = slots(view);
             self.queue.set_slots(now, choice.slots);
         }
         choice
     }
 
-    fn limit_retries(&self, entries: usize) {
+    fn limit_retries(&self, now: Moment, entries: usize) {
         if self.retry.pooled {
-            let limits = retry::Limits::part(self.retry.share, self.retry.burst, entries);
-            self.policy().set_limits(limits);
+            let settings::Retry { burst, share, window, .. } = self.retry;
+            let limits = retry::Limits::part(share, burst, window, entries);
+            self.policy(now).set_limits(limits);
         }
     }
 
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -57,6 +58,7 @@
 
 /// What the traffic threads of a process share.
 pub(in crate::node) struct Shared {
+    arrivals: AtomicU32,
     pub(in crate::node) connections: AtomicUsize,
     closed: (Sender<()>, Receiver<()>),
     pub(in crate::node) boundary: Arc<dyn Boundary>,
@@ -103,6 +105,7 @@
             directory: Mutex::new(directory),
             done,
             drain: bounded(1),
+            arrivals: AtomicU32::new(0),
             in_flight: AtomicUsize::new(0),
             leaving: Mutex::default(),
             look: bounded(1),
@@ -164,6 +167,16 @@
         }
     }
 
+    /// Counts a request of a caller.
+    pub(super) fn note_arrival(&self) {
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Requests of callers since the last time.
+    pub(in crate::node) fn take_arrivals(&self) -> u32 {
+        self.arrivals.swap(0, Ordering::Relaxed)
+    }
+
     /// Takes what was noted.
     pub(in crate::node) fn take_outcomes(&self) -> Vec<Noted> {
         std::mem::take(&mut *self.outcomes.lock().unwrap_or_else(PoisonError::into_inner))
--- a/src/node/traffic/tries.rs
+++ b/src/node/traffic/tries.rs
@@ -43,7 +43,7 @@
     let mut ran = false;
     let mut tries = 0;
     let mut sends = 0;
-    service.policy().first();
+    service.policy(shared.now()).first();
     loop {
         // Where all others are taken or tried, the same one once more is better than none.
         let long = job.terms.long;
@@ -75,7 +75,7 @@
         sends += u32::from(tried.is_sent());
         let Some(outcome) = outcome else {
             return tried.into_answer().map_or_else(told_nothing, |(tried, answer)| {
-                service.policy().note(tried.latency());
+                service.policy(shared.now()).note(tried.latency());
                 End::Answer(Box::new((tried, answer)))
             });
         };
@@ -95,7 +95,7 @@
             let reason = tried.reason();
             return End::Told { answer: not_run_unless(ran, job), reason, status: 400 };
         }
-        let decision = service.policy().decide(&attempt);
+        let decision = service.policy(shared.now()).decide(&attempt);
         match decision {
             Decision::Again { after } => {
                 avoid.push(tried.upstream());
--- a/src/replay/player.rs
+++ b/src/replay/player.rs
@@ -44,6 +44,7 @@
                 judge.set_setup(now, setup).into_iter().map(Output::Judge).collect()
             }
             (Self::Policy(policy), Input::Policy(input)) => {
+                policy.advance(now);
                 advise(policy, input).into_iter().collect()
             }
             _ => Vec::new(),
--- a/src/replay/policy.rs
+++ b/src/replay/policy.rs
@@ -12,10 +12,10 @@
 use crate::retry::Attempt;
 use crate::retry::Decision;
 
-/// A [`retry::Policy`] whose inputs are recorded. It has no use for the time, and its
-/// lines all stand at moment 0.
+/// A [`retry::Policy`] whose inputs are recorded.
 #[derive(Clone, Debug)]
 pub struct Policy {
+    now: Moment,
     policy: retry::Policy,
     tape: Tape,
 }
@@ -24,7 +24,13 @@
     /// Makes the policy.
     pub fn new(seed: u64, tape: Tape) -> Self {
         tape.machine(Moment::ZERO, || Machine::Policy { seed });
-        Self { policy: retry::Policy::new(ChaCha8Rng::seed_from_u64(seed)), tape }
+        Self { now: Moment::ZERO, policy: retry::Policy::new(ChaCha8Rng::seed_from_u64(seed)), tape }
+    }
+
+    /// As [`retry::Policy::advance`].
+    pub fn advance(&mut self, now: Moment) {
+        self.now = now;
+        self.policy.advance(now);
     }
 
     /// As [`retry::Policy::decide`].
@@ -69,6 +75,6 @@
     }
 
     fn note_down(&self, input: impl FnOnce() -> Retry) {
-        self.tape.input(Moment::ZERO, || Input::Policy(input()));
+        self.tape.input(self.now, || Input::Policy(input()));
     }
 }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -22,6 +22,7 @@
 mod outcome;
 mod policy;
 mod storm;
+mod window;
 
 pub use answer::Answer;
 pub use attempt::Attempt;
@@ -37,3 +38,4 @@
 pub use storm::Loss;
 pub use storm::Report;
 pub use storm::Storm;
+pub use window::Window;
--- a/src/retry/limits.rs
+++ b/src/retry/limits.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -10,6 +12,9 @@
     pub most: f64,
     /// Tries for each first one.
     pub share: f64,
+    /// Span over which both are counted; without it tries are saved up, few at a time.
+    #[serde(default)]
+    pub window: Option<Duration>,
 }
 
 impl Limits {
@@ -17,10 +22,11 @@
     /// come or gone is counted late.
     const MARGIN: f64 = 0.9;
 
-    /// One entry's part of what `entries` may do together: in any span all of them make at
-    /// most `share` of their first tries and `burst` more.
-    pub fn part(share: f64, burst: f64, entries: usize) -> Self {
+    /// One entry's part of what `entries` may do together: in any `window` all of them make
+    /// at most `share` of their first tries and `burst` more.
+    pub fn part(share: f64, burst: f64, window: Duration, entries: usize) -> Self {
         let most = Self::MARGIN * burst / entries.max(1) as f64;
-        Self { free_connects: true, most, share: Self::MARGIN * share }
+        let share = Self::MARGIN * share;
+        Self { free_connects: true, most, share, window: Some(window) }
     }
 }
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -10,6 +10,7 @@
 use super::Hedge;
 use super::Latency;
 use super::Limits;
+use crate::clock::Moment;
 
 /// Longest wait before the second try; doubles with each further one. Long
 /// against the 1 ms of a new connection, short against any deadline.
@@ -45,7 +46,12 @@
     /// Goes by these limits from now on.
     pub fn set_limits(&mut self, limits: Limits) {
         self.free_connects = limits.free_connects;
-        self.budget.set(limits.share, limits.most);
+        self.budget.set(limits);
+    }
+
+    /// Moves on with time, before anything else is asked.
+    pub fn advance(&mut self, now: Moment) {
+        self.budget.advance(now);
     }
 
     /// Notes the first try of a request.
--- a/src/settings/retry.rs
+++ b/src/settings/retry.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::Fields;
 use super::Fraction;
 use super::Mistakes;
@@ -8,6 +10,9 @@
 /// Default for `burst`, of each entry.
 const BURST: f64 = 2.0;
 
+/// Default for `window`: long against a request, short against a fault.
+const WINDOW: Duration = Duration::from_secs(10);
+
 /// How many tries beyond the first all entries together may make for a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Retry {
@@ -19,21 +24,25 @@
     pub pooled: bool,
     /// Tries beyond the first, as a share of the first ones.
     pub share: f64,
+    /// Span over which a pooled budget is counted.
+    pub window: Duration,
 }
 
 impl Default for Retry {
     fn default() -> Self {
-        Self { burst: BURST, pooled: false, share: SHARE.0 }
+        Self { burst: BURST, pooled: false, share: SHARE.0, window: WINDOW }
     }
 }
 
 impl Retry {
     pub(super) fn read(tree: &Tree, mistakes: &Mistakes) -> Option<Self> {
-        let fields = Fields::open(tree, mistakes, &["burst", "pooled", "share"])?;
+        let fields = Fields::open(tree, mistakes, &["burst", "pooled", "share", "window"])?;
+        let most = Duration::from_secs(600);
         Some(Self {
             burst: fields.ranged("burst", BURST, &0.0, &1e6),
             pooled: fields.or("pooled", false),
             share: fields.or("share", SHARE).0,
+            window: fields.ranged("window", WINDOW, &Duration::from_secs(1), &most),
         })
     }
 }
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hemlockfield::breaker::Tally;
 use hemlockfield::catalog::Catalog;
 use hemlockfield::feed::Entry;
 use hemlockfield::feed::Ledger;
@@ -13,7 +12,6 @@
 use hemlockfield::feed::Publisher;
 use hemlockfield::feed::Tallies;
 use hemlockfield::fleet::State;
-use hemlockfield::health::Kind;
 
 const NORTH: usize = 12;
 
@@ -68,10 +66,7 @@
 
 fn load(publisher: &mut Publisher, from: u64, requests: u32) {
     for second in from..from + 3 {
-        let mut tallies = Tallies::default();
-        let tally = Tally::of(Kind::Success, Duration::from_millis(200));
-        let tally = Tally { answered: requests, ..tally };
-        tallies.add(&"hull-1".into(), &tally);
+        let tallies = Tallies { arrivals: requests, ..Tallies::default() };
         publisher.gather(secs(second), &tallies, false);
     }
 }
@@ -101,6 +96,32 @@
     assert_eq!(again(&mut publisher, secs(30)), 4);
 }
 
+// A large fleet has just started: 1,200 slots of upstreams, and no request yet. Callers that
+// come together find twelve entries instead of four, which they would overrun within a second;
+// once it has shown how few requests there are, they are told of four.
+#[test]
+fn named_before_any_load() {
+    let mut publisher = fleet(secs(0));
+    publisher.set_slots(1200);
+    let north = |publisher: &Publisher, now| {
+        names(publisher, now).iter().filter(|name| name.starts_with("north")).count()
+    };
+    assert_eq!(north(&publisher, secs(1)), 12);
+    load(&mut publisher, 1, 30);
+    fleet_again(&mut publisher, secs(7));
+    assert_eq!(north(&publisher, secs(7)), 4);
+}
+
+// Six entries are overrun: they refuse what they can't connect, and end next to nothing. What
+// callers send counts all the same, and more entries are named.
+#[test]
+fn named_overrun() {
+    let mut publisher = fleet(secs(0));
+    let refused = Tallies { arrivals: 300, ..Tallies::default() };
+    publisher.gather(secs(0), &refused, true);
+    assert_eq!(names(&publisher, secs(1)).len(), 11);
+}
+
 // One of the named entries leaves. Another takes its place, and the other three stay: callers
 // of those keep their connections.
 #[test]
