Let requests wait for the first configuration of a started process

Ruled out: the election itself (1.1 s after the start, early pre-votes). Changed: until 2.5 s after its start a process has requests wait for the configuration, up to half of the caller's time; an older process refuses at once as before.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -29,6 +29,7 @@
 mod queue;
 mod reason;
 mod standing;
+mod start;
 mod trial;
 mod waiter;
 
@@ -42,6 +43,7 @@
 pub use pattern::Pattern;
 pub use queue::Queue;
 pub use reason::Reason;
+pub use start::Start;
 pub use trial::Fate;
 pub use trial::Job;
 pub use trial::Trial;
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -309,7 +309,7 @@
     /// making of it took.
     fn publish(&mut self, now: Moment) -> Duration {
         if let Some(view) = self.machine.view(now, &self.shared.view.load()) {
-            self.shared.view.store(Arc::new(view));
+            self.shared.set_view(view);
         }
         let cost = self.now().saturating_sub(now);
         self.shared.open_claims.store(self.machine.open_claims(), Ordering::Release);
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -3,10 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::pin_mut;
+use futures::select;
 use http::Method;
 use rand::Rng;
 
+use crate::admission::Start;
 use crate::boundary::Call;
+use crate::clock::Moment;
 use crate::exchange;
 use crate::exchange::Outcome;
 use crate::exchange::Outlet;
@@ -27,11 +32,14 @@
 use super::Shared;
 use super::dispatch;
 use super::job::Job;
+use super::tries::caller_gone;
 
 /// When to come back to an entry that has no configuration yet: half a second passes between
 /// the start of a whole fleet and its first leader, and a caller that is sent away for longer
 /// has no time left for an answer.
 const STARTING: Duration = Duration::from_millis(300);
+/// Time that a caller is taken to have where it names none, before rules say otherwise.
+const BUDGET: Duration = Duration::from_secs(2);
 
 /// Headers of a request, as rules ask for them.
 struct Headers<'a>(&'a Request);
@@ -55,9 +63,13 @@
         return decline(&request, response, outlet).await;
     }
     shared.note_arrival();
+    let came = shared.now();
+    if !wait_for_rules(shared, &request, outlet, peer).await {
+        return;
+    }
     let view = shared.view.load_full();
     let close = !request.body.is_empty();
-    match take(shared, &view, request, peer).await {
+    match take(shared, &view, request, peer, came).await {
         Ok(job) => dispatch::dispatch(shared, &view, job, outlet).await,
         Err(refusal) => {
             shared.metrics.count("request.refused");
@@ -69,6 +81,28 @@
     }
 }
 
+/// Waits for the first configuration, as long as it is worth while; whether the caller is
+/// still there.
+async fn wait_for_rules(
+    shared: &Shared,
+    request: &Request,
+    outlet: &Outlet,
+    peer: SocketAddr,
+) -> bool {
+    if shared.view.load().rules.is_some() {
+        return true;
+    }
+    let budget = shared.boundary.call(request, peer.ip()).budget.unwrap_or(BUDGET);
+    let longest = Start::patience(shared.now(), budget);
+    let ready = shared.wait_until_ready(longest).fuse();
+    let gone = caller_gone(!request.body.is_empty(), outlet).fuse();
+    pin_mut!(gone, ready);
+    select! {
+        () = gone => false,
+        () = ready => true,
+    }
+}
+
 /// Answers without a look at the body, which ends the connection where there is one.
 async fn decline(request: &Request, response: Response, outlet: &mut Outlet) {
     if !request.body.is_empty() {
@@ -106,6 +140,7 @@
     view: &View,
     request: Request,
     peer: SocketAddr,
+    came: Moment,
 ) -> Result<Job, Refusal> {
     let decided = decide(shared, view, &request, peer);
     if let Err(refusal) = &decided {
@@ -115,7 +150,7 @@
         let Refusal { reason, status, .. } = refusal;
         tracing::info!(target: "hemlockfield::request", id = id.as_deref(), number, path, status, "{reason}");
     }
-    make(shared, request, decided?).await
+    make(shared, request, decided?, came).await
 }
 
 fn decide(
@@ -168,12 +203,17 @@
     Some(Refusal::new(428, Outcome::NotRun, text))
 }
 
-async fn make(shared: &Shared, mut request: Request, decided: Decided) -> Result<Job, Refusal> {
+async fn make(
+    shared: &Shared,
+    mut request: Request,
+    decided: Decided,
+    came: Moment,
+) -> Result<Job, Refusal> {
     let Decided { call, rule, service, team, terms } = decided;
     let key = terms.key.as_ref().and_then(|header| request.header(header.as_str()));
     let key = key.map(Into::into);
     let budget = call.budget.map_or(terms.deadline, |budget| budget.min(terms.deadline));
-    let deadline = shared.now() + budget;
+    let deadline = came + budget;
     let limits = &shared.settings.limits;
     let payload = Payload::take(&mut request, terms.body, limits.body_buffer, limits.idle).await;
     let payload =
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -78,6 +78,8 @@
     next_request: AtomicU64,
     outcomes: Mutex<Vec<Noted>>,
     pub(super) pool: Pool,
+    /// Closed when the process has a configuration to serve by.
+    ready: (Sender<()>, Receiver<()>),
     recorder: Recorder,
     services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
     pub(in crate::node) settings: Settings,
@@ -115,6 +117,7 @@
             next_request: AtomicU64::new(crate::node::incarnation()),
             outcomes: Mutex::default(),
             pool: Pool::new(settings.limits.upstream_idle),
+            ready: bounded(1),
             recorder,
             services: Mutex::default(),
             settings,
@@ -123,6 +126,20 @@
         }
     }
 
+    /// Has callers served by this view from now on.
+    pub(in crate::node) fn set_view(&self, view: View) {
+        let serves = view.rules.is_some() && view.standing.serves();
+        self.view.store(Arc::new(view));
+        if serves {
+            self.ready.0.close();
+        }
+    }
+
+    /// Waits until there is a configuration to serve by, at most for `longest`.
+    pub(super) async fn wait_until_ready(&self, longest: Duration) {
+        timeout(longest, self.ready.1.recv()).await.ok();
+    }
+
     /// Time since the process started, as control counts it.
     pub(in crate::node) fn now(&self) -> Moment {
         self.started.elapsed()
