Tell hung requests from broken answers where a service is full

Cause: a request that ran out of time counted as a broken answer and opened the upstream's breaker. Where all upstreams have more work than they can do, each lets some requests run out; taken out, they leave the others less time. Changed: Tally.hung; while more than 6% of what ended at the other upstreams was hung, it takes three hung requests and 60% of what ended to open. Tests: note_hung_all_full, note_hung_one (the first red before).

--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -38,6 +38,12 @@
 /// Trials that have to go well, one after the other: a fault that breaks most answers lets one
 /// in six through.
 const TRIALS: u32 = 2;
+/// Hung requests within the window that make a fault of a crowded service's upstream, where
+/// they are also this share of what ended: while all have more work than they can do, each
+/// lets some of its requests run out of time, and taking it out leaves the others still less
+/// time. Gray ones that hang their requests hang half of them and more.
+const HUNG: u32 = 3;
+const HANGING: f64 = 0.6;
 
 /// Whether an upstream gets work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -63,6 +69,7 @@
 pub struct Circuit {
     broken_at: Moment,
     closed_at: Moment,
+    crowded: bool,
     failed_trials: u32,
     own: Window,
     rounds: u32,
@@ -77,6 +84,7 @@
         Self {
             broken_at: Moment::ZERO,
             closed_at: Moment::ZERO,
+            crowded: false,
             failed_trials: 0,
             own,
             rounds: 0,
@@ -102,10 +110,20 @@
         self.broken_at
     }
 
+    /// Sets whether the service has more work than its upstreams can do.
+    pub fn set_crowded(&mut self, crowded: bool) {
+        self.crowded = crowded;
+    }
+
+    /// What callers received within the window.
+    pub fn recent_at(&self, now: Moment) -> Tally {
+        self.window.at(now)
+    }
+
     /// Whether callers of other entries lately got whole answers, and nothing broken.
     pub fn serves_others(&self, now: Moment) -> bool {
         let (all, own) = (self.window.at(now), self.own.at(now));
-        all.answered > own.answered && all.broken + all.late == own.broken + own.late
+        all.answered > own.answered && all.lost() == own.lost()
     }
 
     /// Takes what callers received here.
@@ -119,18 +137,20 @@
     pub fn note(&mut self, now: Moment, tally: &Tally) {
         self.window.roll(now);
         self.window.add(now, tally);
-        if tally.broken + tally.unreached > 0 {
+        if tally.broken + tally.hung + tally.unreached > 0 {
             self.broken_at = now;
         }
         match self.state {
             State::Closed => self.judge(now, tally),
-            State::Open { until } if tally.broken > 0 => {
+            State::Open { until } if tally.broken + tally.hung > 0 => {
                 // Requests that were under way when it opened end now; they tell that the
                 // fault goes on.
                 self.state = State::Open { until: until.max(now + OPEN) };
             }
             State::Open { .. } => {}
-            State::Trial { .. } if tally.broken + tally.failed + tally.unreached > 0 => {
+            State::Trial { .. }
+                if tally.broken + tally.failed + tally.hung + tally.unreached > 0 =>
+            {
                 self.failed_trials += 1;
                 let hold = AGAIN.saturating_mul(self.failed_trials).min(AGAIN_MOST);
                 self.state = State::Open { until: now + hold };
@@ -170,6 +190,7 @@
         let failing = f64::from(sum.failed) >= FAILING * f64::from(sum.ended());
         let recent = self.window.since(now.saturating_sub(HELD_SPAN));
         let fault = tally.broken > 0
+            || self.is_hanging(tally, &sum)
             || (sum.failed >= FAILURES && failing)
             || (recent.late >= HELD && recent.answered == 0)
             || self.own.sum().unreached >= UNREACHED
@@ -182,6 +203,13 @@
         }
     }
 
+    fn is_hanging(&self, tally: &Tally, sum: &Tally) -> bool {
+        if !self.crowded {
+            return tally.hung > 0;
+        }
+        sum.hung >= HUNG && f64::from(sum.hung) >= HANGING * f64::from(sum.ended())
+    }
+
     fn untried(&self) -> Duration {
         UNTRIED * self.rounds.max(1)
     }
--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -25,6 +25,11 @@
 /// Share of its usual work that a slow upstream gets: enough to see when it is fast again.
 const SLOW_WEIGHT: f64 = 0.15;
 
+/// Share of hung requests at the other upstreams from which on the service is taken to have
+/// more work than they can do: a group of a tenth of them that hangs half of its requests
+/// comes to less, as it gets little work once it is found.
+const CROWDED: f64 = 0.06;
+
 /// An upstream that an idempotent request may try.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Trial {
@@ -89,11 +94,13 @@
 
     /// Takes what callers received here; whether the upstream's state changed.
     pub fn note_own(&mut self, now: Moment, upstream: &UpstreamId, tally: &Tally) -> bool {
+        self.look_for_crowd(now, upstream, tally);
         self.with(upstream, |circuit| circuit.note_own(now, tally))
     }
 
     /// Takes what callers received at other entries; whether the upstream's state changed.
     pub fn note(&mut self, now: Moment, upstream: &UpstreamId, tally: &Tally) -> bool {
+        self.look_for_crowd(now, upstream, tally);
         self.with(upstream, |circuit| circuit.note(now, tally))
     }
 
@@ -102,6 +109,20 @@
         self.circuits.get(upstream).is_some_and(|member| member.circuit.serves_others(now))
     }
 
+    /// Before a hung request is judged: whether it is the service that is full.
+    fn look_for_crowd(&mut self, now: Moment, upstream: &UpstreamId, tally: &Tally) {
+        if tally.hung == 0 {
+            return;
+        }
+        let mut sum = Tally::default();
+        let others = self.circuits.iter().filter(|(id, _)| *id != upstream);
+        others.for_each(|(_, member)| sum.add(&member.circuit.recent_at(now)));
+        let crowded = f64::from(sum.hung) > CROWDED * f64::from(sum.ended());
+        if let Some(member) = self.circuits.get_mut(upstream) {
+            member.circuit.set_crowded(crowded);
+        }
+    }
+
     fn with(&mut self, upstream: &UpstreamId, note: impl FnOnce(&mut Circuit)) -> bool {
         let Some(member) = self.circuits.get_mut(upstream) else { return false };
         let before = member.circuit.state();
--- a/src/breaker/tally.rs
+++ b/src/breaker/tally.rs
@@ -12,10 +12,13 @@
 pub struct Tally {
     /// Whole answers.
     pub answered: u32,
-    /// Answers that were cut, spoiled or never came.
+    /// Answers that were cut or spoiled.
     pub broken: u32,
     /// Failures that were the upstream's own answer.
     pub failed: u32,
+    /// Answers that never came, or not in time. Unlike broken ones they are no proof of a
+    /// fault: of an upstream with more work than it can do they are the usual end.
+    pub hung: u32,
     /// Requests that were past their usual time without an answer.
     pub late: u32,
     /// Time until the heads of whole answers, summed, in milliseconds.
@@ -32,7 +35,8 @@
         let mut tally = Self::default();
         match kind {
             Kind::ConnectFailed => tally.unreached = 1,
-            Kind::Cut | Kind::Silent | Kind::Timeout => tally.broken = 1,
+            Kind::Cut => tally.broken = 1,
+            Kind::Silent | Kind::Timeout => tally.hung = 1,
             Kind::Refused => {}
             Kind::ServerError => tally.failed = 1,
             Kind::Success => {
@@ -54,6 +58,7 @@
         self.answered += other.answered;
         self.broken += other.broken;
         self.failed += other.failed;
+        self.hung += other.hung;
         self.late += other.late;
         self.millis += other.millis;
         self.passed += other.passed;
@@ -67,11 +72,16 @@
 
     /// Whether others should know at once: the next request may go there.
     pub fn is_urgent(&self) -> bool {
-        self.broken + self.late + self.passed > 0
+        self.broken + self.hung + self.late + self.passed > 0
+    }
+
+    /// Requests whose answer was broken, never came, or is late.
+    pub fn lost(&self) -> u32 {
+        self.broken + self.hung + self.late
     }
 
     /// Requests that ended.
     pub fn ended(&self) -> u32 {
-        self.answered + self.broken + self.failed
+        self.answered + self.broken + self.failed + self.hung
     }
 }
--- a/src/node/attached/overdue.rs
+++ b/src/node/attached/overdue.rs
@@ -7,7 +7,7 @@
 use crate::id::UpstreamId;
 
 /// A request that has waited this many times as long as usual, and for a second at least,
-/// counts as broken: one in a hundred takes five times as long on a sound upstream.
+/// counts as hung: one in a hundred takes five times as long on a sound upstream.
 const HUNG: u32 = 4;
 const HUNG_MIN: Duration = Duration::from_secs(1);
 /// A request that has waited this many times as long as usual is late: one in thirty is so on
@@ -34,7 +34,7 @@
         let hung = over(HUNG_MIN.max(usual * HUNG));
         let before = self.counts.insert(upstream.clone(), (late, hung)).unwrap_or_default();
         Tally {
-            broken: hung.saturating_sub(before.1) as u32,
+            hung: hung.saturating_sub(before.1) as u32,
             late: late.saturating_sub(before.0) as u32,
             ..Tally::default()
         }
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -320,7 +320,7 @@
         let serves_others = panel.serves_others(now, upstream);
         let changed = panel.note_own(now, upstream, tally);
         let state = panel.state(upstream);
-        if tally.broken + tally.late > 0 && serves_others {
+        if tally.broken + tally.hung + tally.late > 0 && serves_others {
             self.blame.note(now, upstream);
         }
         if !self.blame.is_own(now) {
--- a/tests/suite/breaker/panel.rs
+++ b/tests/suite/breaker/panel.rs
@@ -126,3 +126,37 @@
     assert!(panel.trials().is_empty());
     assert_eq!(out(&panel), 0);
 }
+
+// All upstreams have more work than they can do, and each lets every fifth request run out of
+// time. Taken out for that, they leave the others still less time, until half are out and the
+// rest answers nobody: callers of a site at twice its usual load lost one order in six so.
+#[test]
+fn note_hung_all_full() {
+    let mut panel = panel(0.5);
+    for round in 0..40 {
+        for at in 0..COUNT {
+            let kind = if (round + at) % 5 == 0 { Kind::Silent } else { Kind::Success };
+            panel.note(ms(100 * round as u64), &name(at), &one(kind));
+        }
+    }
+    let few = out(&panel) + panel.suspects().len();
+    assert!(few <= 2, "{few} are out");
+}
+
+// One upstream hangs its requests while the others answer. The first one that hangs takes it
+// out, and so does it among others that are full, once most of what it got has hung.
+#[test]
+fn note_hung_one() {
+    let mut calm = panel(0.5);
+    calm.note(ms(0), &name(0), &one(Kind::Silent));
+    assert_eq!(out(&calm), 1);
+    let mut full = panel(0.5);
+    for round in 0..20 {
+        for at in 1..COUNT {
+            let kind = if (round + at) % 5 == 0 { Kind::Silent } else { Kind::Success };
+            full.note(ms(100 * round as u64), &name(at), &one(kind));
+        }
+        full.note(ms(100 * round as u64), &name(0), &one(Kind::Silent));
+    }
+    assert_eq!(full.weights().get(&name(0)), Some(&0.0));
+}
