--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -191,11 +191,11 @@
 
     /// Requests a second that the entries are to be ready for.
     fn load(&self, now: Moment) -> f64 {
-        let peak = self.rate.peak(now);
+        let mean = self.rate.mean(now);
         if self.rate.is_known(now) {
-            return peak;
+            return mean;
         }
-        peak.max(f64::from(self.slots) * PER_SLOT)
+        mean.max(f64::from(self.slots) * PER_SLOT)
     }
 
     /// Sets how many slots all upstreams have.
--- a/src/feed/rate.rs
+++ b/src/feed/rate.rs
@@ -7,11 +7,13 @@
 
 /// Length of one part: long enough for what all controls collect to come in.
 const PART: Duration = Duration::from_secs(1);
-/// Time after the first request until a peak has shown: callers who hold no list yet come
+/// Time after the first request until their rate has shown: callers who hold no list yet come
 /// within a second or two, and what they send is told within another.
 const SETTLED: Duration = Duration::from_secs(5);
-/// How long a peak counts: callers keep lists for some seconds.
-const MEMORY: Duration = Duration::from_secs(20);
+/// Span over which requests are counted. What is told comes in lots of half a second, and
+/// callers that were kept waiting come all at once: the peak of a second named twice the
+/// entries that the load asked for, each of which then sees half as much of the upstreams.
+const SPAN: Duration = Duration::from_secs(8);
 
 /// Requests a second of the whole fleet, over the last seconds.
 #[derive(Clone, Debug, Default)]
@@ -32,19 +34,21 @@
             Some((since, count)) if now < *since + PART => *count += came,
             _ => self.parts.push_back((now, came)),
         }
-        while self.parts.front().is_some_and(|(since, _)| now >= *since + MEMORY) {
+        while self.parts.front().is_some_and(|(since, _)| now >= *since + SPAN) {
             self.parts.pop_front();
         }
     }
 
-    /// Whether requests have come for so long that a peak has shown.
+    /// Whether requests have come for so long that their rate has shown.
     pub fn is_known(&self, now: Moment) -> bool {
         self.since.is_some_and(|since| now >= since + SETTLED)
     }
 
-    /// The most requests of one second.
-    pub fn peak(&self, now: Moment) -> f64 {
-        let recent = self.parts.iter().filter(|(since, _)| now < *since + MEMORY);
-        recent.map(|(_, count)| f64::from(*count)).fold(0.0, f64::max) / PART.as_secs_f64()
+    /// Requests a second.
+    pub fn mean(&self, now: Moment) -> f64 {
+        let recent = self.parts.iter().filter(|(since, _)| now < *since + SPAN);
+        let count: f64 = recent.map(|(_, count)| f64::from(*count)).sum();
+        let seen = self.since.map_or(PART, |since| now.saturating_sub(since));
+        count / seen.clamp(PART, SPAN).as_secs_f64()
     }
 }
