--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -13,7 +13,7 @@
 /// `AGAIN_MOST`: a third of a service's upstreams at fault would otherwise take all its
 /// idempotent requests for trials.
 const AGAIN: Duration = Duration::from_millis(800);
-const AGAIN_MOST: Duration = Duration::from_millis(2400);
+const AGAIN_MOST: Duration = Duration::from_millis(800);
 /// An upstream that nobody has tried for so long takes work again, because its service has no
 /// idempotent requests to try it with; each time that this was too early it takes as long
 /// again.
--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -14,7 +14,7 @@
 use crate::id::UpstreamId;
 
 /// Pause between two trials of one upstream by all entries together.
-const TRIAL_EVERY: Duration = Duration::from_millis(600);
+const TRIAL_EVERY: Duration = Duration::from_millis(400);
 /// The same once a trial has gone well: the fault is probably over, and the others may follow.
 const TRIAL_SOON: Duration = Duration::from_millis(150);
 /// An upstream whose answers take this many times as long as those of the median upstream is
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -28,10 +28,11 @@
 use super::queue::Queue;
 
 /// Turns of all entries together, over the slots of all upstreams. Callers spread over the
-/// entries unevenly by chance; at twice its even share an entry seldom refuses what the
-/// others have room for, and when all are full, one request for each slot waits at its
-/// upstream, which an upstream's own queue takes.
-const OVERCOMMIT: f64 = 2.0;
+/// entries unevenly by chance, and an entry must not refuse what the others have room for;
+/// when all are full, two requests for each slot wait at its upstream, half of what its own
+/// queue takes. Mean worth of four days of the smaller site with four seeds: 0.483 at 1.5
+/// times, 0.502 at 2, 0.527 at 3, 0.512 at 5.
+const OVERCOMMIT: f64 = 3.0;
 /// Least turns of an entry: with fewer, one long request holds up all others.
 const SLOTS_MIN: usize = 4;
 
