--- a/src/node/doors.rs
+++ b/src/node/doors.rs
@@ -99,8 +99,7 @@
         Order::Read => read(inbox).await,
         Order::Ready => {
             let view = shared.view.load();
-            let ready = view.standing.serves() && view.rules.is_some() && !view.leaving;
-            Done::Readiness(ready)
+            Done::Readiness(view.serves() && !view.leaving)
         }
         Order::Submit(version) => submit(version, inbox).await,
     }
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -89,7 +89,7 @@
     outlet: &Outlet,
     peer: SocketAddr,
 ) -> bool {
-    if shared.view.load().rules.is_some() {
+    if shared.view.load().serves() {
         return true;
     }
     let budget = shared.boundary.call(request, peer.ip()).budget.unwrap_or(BUDGET);
@@ -159,7 +159,7 @@
     request: &Request,
     peer: SocketAddr,
 ) -> Result<Decided, Refusal> {
-    let Some(rules) = view.rules.as_ref().filter(|_| view.standing.serves()) else {
+    let Some(rules) = view.rules.as_ref().filter(|_| view.serves()) else {
         let text = "this entry has no configuration yet; use another";
         return Err(Refusal::not_run(503, text, STARTING));
     };
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -128,7 +128,7 @@
 
     /// Has callers served by this view from now on.
     pub(in crate::node) fn set_view(&self, view: View) {
-        let serves = view.rules.is_some() && view.standing.serves();
+        let serves = view.serves();
         self.view.store(Arc::new(view));
         if serves {
             self.ready.0.close();
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -54,6 +54,11 @@
 }
 
 impl View {
+    /// Whether there are rules that callers may be served by.
+    pub(crate) fn serves(&self) -> bool {
+        self.rules.is_some() && self.standing.serves()
+    }
+
     /// Whether these are the services that it has.
     pub(super) fn has(&self, services: &BTreeMap<ServiceId, Service>) -> bool {
         services.len() == self.services.len()
