Tell each start in the log

Changed: a line `started` with id, failure domain, roles and version. Test: run_tells_start, red before.

--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -41,6 +41,7 @@
     block_on(async {
         // Listened for from before the first one: a second signal must not be lost.
         let mut signals = listen_for_signals();
+        tell_start(&settings);
         let node = Node::start(settings, found).await.inspect_err(|error| {
             tracing::error!(target: "hemlockfield::node", "can't start: {error}");
         })?;
@@ -54,6 +55,15 @@
     })
 }
 
+/// Writes the line from which a reader of the log counts the process's age. A process that was
+/// killed says nothing, and without this line nothing shows when it was back.
+fn tell_start(settings: &Settings) {
+    let Settings { node, roles, .. } = settings;
+    let version = env!("CARGO_PKG_VERSION");
+    let domain = &node.failure_domain;
+    tracing::info!(target: "hemlockfield::node", id = %node.id, %domain, ?roles, version, "started");
+}
+
 /// Leaves at the first signal to end, and ends at once at the second one; reads the settings
 /// again at SIGHUP, which would end the process without a handler.
 async fn obey(signals: &mut Option<Signals>, path: &Path, leaving: &Leaving) {
--- a/tests/suite/process/platform.rs
+++ b/tests/suite/process/platform.rs
@@ -1,6 +1,7 @@
 //! Processes with the platform's interface, on loopback addresses of their own.
 
 use std::fs;
+use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
@@ -63,6 +64,20 @@
         self.folder.path().join(format!("data-{at}"))
     }
 
+    fn log(&self, at: usize) -> PathBuf {
+        self.folder.path().join(format!("log-{at}.jsonl"))
+    }
+
+    /// Lines of a process's log with this message.
+    fn count(&self, at: usize, message: &str) -> usize {
+        let wanted = format!("\"message\":\"{message}\"");
+        fs::read_to_string(self.log(at))
+            .unwrap()
+            .lines()
+            .filter(|line| line.contains(&wanted))
+            .count()
+    }
+
     fn run(&mut self, at: usize, first: bool) {
         let ip = self.ip(at);
         let seeds: Vec<String> =
@@ -88,7 +103,8 @@
         };
         let file = self.folder.path().join(format!("settings-{at}.yaml"));
         fs::write(&file, settings).unwrap();
-        let child = Command::new(BINARY).arg("run").arg(&file).stdout(Stdio::null()).spawn();
+        let log = File::options().create(true).append(true).open(self.log(at)).unwrap();
+        let child = Command::new(BINARY).arg("run").arg(&file).stdout(Stdio::from(log)).spawn();
         self.children[at] = Some(child.unwrap());
     }
 
@@ -265,6 +281,17 @@
     }
 }
 
+// An entry is killed, which it can't tell, and started again. The log of each life begins with
+// a line of its own; without it a reader of the log sees a gap in the requests and no reason.
+#[test]
+fn run_tells_start() {
+    let mut site = Site::start(&[0, 1, 2, 3, 4]);
+    wait_for("the first start", || site.count(CONTROLS, "started") == 1);
+    site.kill(CONTROLS);
+    site.run(CONTROLS, false);
+    wait_for("the second start", || site.count(CONTROLS, "started") == 2);
+}
+
 // All controls are gone. Entries go on with what they know.
 #[test]
 fn serve_without_controls() {
