--- a/src/breaker.rs
+++ b/src/breaker.rs
@@ -9,9 +9,13 @@
 //! only once are lost for good.
 //!
 //! **How.** Entries count what they received and tell it through the controls, a broken
-//! answer at once. One broken answer anywhere opens the breaker for a moment everywhere, a
-//! second one for longer; then idempotent requests, which can be sent again, try whether the
-//! upstream is well. The floor bounds how many breakers are open.
+//! answer at once. One broken answer anywhere opens the breaker for a moment everywhere; then
+//! idempotent requests, which can be sent again, try whether the upstream is well. The floor
+//! bounds how many breakers are open.
+//!
+//! Two things look like an upstream's fault and are none: an entry whose own network breaks
+//! its answers ([`Blame`]), and a service that has more work than it can do, whose requests
+//! run out of time at every upstream ([`Tally::hung`]).
 
 mod blame;
 mod circuit;
