--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -39,12 +39,15 @@
 /// A control that has just started has not heard from all entries yet; a list of a few would
 /// send all callers to those.
 pub const WARM_UP: Duration = Duration::from_millis(1500);
-/// Fewest entries of a failure domain that callers are told of: the loss of one leaves the
-/// others a third more work each.
-const FEWEST: usize = 4;
-/// Requests a second that one entry is meant to get: an eighth of what a fifth of a core
-/// serves, so that a surge finds room, and several at a time, so that it sees who is busy.
-const SHARE: f64 = 15.0;
+/// Fewest entries of a failure domain that callers are told of: the loss of one leaves its
+/// work to another one near.
+const FEWEST: usize = 2;
+/// Requests a second that one entry is meant to get: a quarter of what a fifth of a core serves,
+/// so that a surge finds room. The fewer entries there are, the sooner each sees which upstreams
+/// are busy, and the fewer lose a request of their own at one that turns bad. With half as many
+/// entries the mean worth of loaded days rose from 0.550, 0.637 and 0.599 to 0.560, 0.650 and
+/// 0.613 on three sites (5, 5 and 10 runs, together with earlier second copies).
+const SHARE: f64 = 30.0;
 
 /// Requests a second for each slot of the upstreams, for which there are to be entries before
 /// any load was seen: 0.5 to 1.2 on the users' sites. Without it all callers of a large fleet
--- a/src/retry/latency.rs
+++ b/src/retry/latency.rs
@@ -6,6 +6,10 @@
 /// Times after which percentiles are worked out anew; sorting for each request
 /// would cost about 5 us of it.
 const EVERY: usize = 32;
+/// The same until so many have been seen. With the first 32, an entry that gets two lookups a
+/// second of a service sends no second copy for 16 s after each start: of 131 lookups that one
+/// day lost to upstreams that hold what they get, none was sent again.
+const FIRST: usize = 8;
 
 /// How long answers of one service took of late.
 #[derive(Clone, Debug, Default)]
@@ -24,7 +28,8 @@
         }
         self.recent.push_back(time);
         self.fresh += 1;
-        if self.fresh >= EVERY {
+        let every = if self.recent.len() > EVERY { EVERY } else { FIRST };
+        if self.fresh >= every {
             self.fresh = 0;
             self.sort();
         }
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -191,6 +191,21 @@
     assert_eq!(policy.decide(&failed), Decision::Stop { answer: Answer::Failed });
 }
 
+// An entry has just started and gets a lookup each second, and one upstream in three holds what
+// it gets. Lookups there wait for their whole time unless a second copy goes out, and none did
+// before the entry had seen 32 answers. After eight it knows enough.
+#[test]
+fn hedge_after_start() {
+    let mut policy = policy(1);
+    (0..7).for_each(|_| policy.note(Duration::from_millis(20)));
+    assert_eq!(policy.hedge_after(), None);
+    policy.note(Duration::from_millis(20));
+    assert_eq!(policy.hedge_after(), Some(Duration::from_millis(20)));
+    // A slower time shows soon as well, and not only with the next 32.
+    (0..16).for_each(|_| policy.note(Duration::from_millis(40)));
+    assert_eq!(policy.hedge_after(), Some(Duration::from_millis(40)));
+}
+
 #[test]
 fn hedge_suspended() {
     // The whole service is slow, so that no hedge answers first. After sixteen
