Take an upstream that starts again under its id

Cause: announcements were ordered by their number alone, so one that started again under its id counted as late, and callers were sent to where it had been; one that had drained or left never took work again. Entries kept what they knew of the process before.

--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -8,6 +8,7 @@
 use super::Action;
 use super::Change;
 use super::Delta;
+use crate::id::Incarnation;
 use crate::id::Index;
 use crate::id::UpstreamId;
 use crate::registry::Announcement;
@@ -21,7 +22,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Catalog {
     floor: Index,
-    gone: BTreeMap<UpstreamId, Index>,
+    gone: BTreeMap<UpstreamId, Gone>,
     upstreams: BTreeMap<UpstreamId, Entry>,
 }
 
@@ -31,6 +32,14 @@
     changed: Index,
 }
 
+/// An upstream that is gone.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Gone {
+    /// The last of its starts that is known: a later one brings it back.
+    incarnation: Incarnation,
+    index: Index,
+}
+
 impl Catalog {
     /// Takes an entry of the log; whether it changed anything.
     pub fn apply(&mut self, index: Index, action: &Action) -> bool {
@@ -40,15 +49,15 @@
         match action {
             Action::Announce(change) => {
                 let id = change.announcement.upstream.clone();
-                if !self.upstreams.contains_key(&id) {
+                self.gone.remove(&id);
+                if self.has_started(&change.announcement) {
                     self.replace_at(&change.announcement, index);
                 }
                 let entry = Entry { change: change.clone(), changed: index };
                 self.upstreams.insert(id, entry);
             }
             Action::Leave(id) => {
-                self.upstreams.remove(id);
-                self.gone.insert(id.clone(), index);
+                self.lose(id, index);
                 self.forget();
             }
         }
@@ -68,7 +77,7 @@
     pub fn since(&self, base: Index) -> Delta {
         let whole = base < self.floor;
         let changed = self.upstreams.values().filter(|entry| whole || entry.changed > base);
-        let gone = self.gone.iter().filter(|(_, index)| !whole && **index > base);
+        let gone = self.gone.iter().filter(|(_, gone)| !whole && gone.index > base);
         Delta {
             gone: gone.map(|(id, _)| id.clone()).collect(),
             upstreams: changed.map(|entry| entry.change.announcement.clone()).collect(),
@@ -88,11 +97,15 @@
 
     fn is_newer(&self, change: &Change) -> bool {
         let said = &change.announcement;
-        if self.gone.contains_key(&said.upstream) {
-            return false;
+        if let Some(gone) = self.gone.get(&said.upstream) {
+            return said.incarnation > gone.incarnation;
         }
         let Some(known) = self.upstreams.get(&said.upstream) else { return true };
         let old = &known.change.announcement;
+        // Started again, it counts from the beginning and takes work, also where it drained.
+        if said.incarnation != old.incarnation {
+            return said.incarnation > old.incarnation;
+        }
         if change.sequence <= known.change.sequence || old.state == State::Draining {
             return false;
         }
@@ -100,24 +113,41 @@
         !same
     }
 
+    /// Whether an upstream is new, or has started again.
+    fn has_started(&self, said: &Announcement) -> bool {
+        self.get(&said.upstream).is_none_or(|old| said.incarnation > old.incarnation)
+    }
+
+    fn lose(&mut self, id: &UpstreamId, index: Index) {
+        let lost = self.upstreams.remove(id);
+        // Of one that was never known, a late first word must not bring it to life.
+        let incarnation =
+            lost.map_or(Incarnation::MAX, |entry| entry.change.announcement.incarnation);
+        self.gone.insert(id.clone(), Gone { incarnation, index });
+    }
+
     /// Whoever was at the address of a new upstream is gone, also where it could not say so.
     /// Without it, all that is sent there for the old one is turned away by the new one: half
     /// of what reached one service on a day on which addresses were used again.
     fn replace_at(&mut self, new: &Announcement, index: Index) {
-        let is_there = |entry: &Entry| entry.change.announcement.address == new.address;
+        let is_there = |entry: &Entry| {
+            let old = &entry.change.announcement;
+            old.address == new.address && old.upstream != new.upstream
+        };
         let old = self.upstreams.iter().filter(|(_, entry)| is_there(entry));
         let old: Vec<UpstreamId> = old.map(|(id, _)| id.clone()).collect();
         for id in old {
-            self.upstreams.remove(&id);
-            self.gone.insert(id, index);
+            self.lose(&id, index);
         }
         self.forget();
     }
 
     fn forget(&mut self) {
         while self.gone.len() > GONE_MAX {
-            let oldest = self.gone.iter().min_by_key(|(_, index)| **index);
-            let Some((id, index)) = oldest.map(|(id, index)| (id.clone(), *index)) else { return };
+            let oldest = self.gone.iter().min_by_key(|(_, gone)| gone.index);
+            let Some((id, index)) = oldest.map(|(id, gone)| (id.clone(), gone.index)) else {
+                return;
+            };
             self.gone.remove(&id);
             self.floor = self.floor.max(index);
         }
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -270,7 +270,14 @@
     }
 
     fn learn(&mut self, now: Moment, said: Announcement) {
-        let since = self.upstreams.get(&said.upstream).map_or(now, |known| known.since);
+        let known = self.upstreams.get(&said.upstream);
+        let known = known.filter(|known| known.said.incarnation == said.incarnation);
+        let is_new = known.is_none();
+        let since = known.map_or(now, |known| known.since);
+        if is_new {
+            // What is known of a process that started again under its id is not of this one.
+            self.lose(&said.upstream);
+        }
         self.upstreams.insert(said.upstream.clone(), Known { said: said.clone(), since });
         self.dirty = true;
         let floor = self.floor(&said.service);
--- a/tests/suite/catalog.rs
+++ b/tests/suite/catalog.rs
@@ -82,3 +82,47 @@
     assert!(!delta.whole);
     assert!(catalog.since(3).is_empty());
 }
+
+/// The same announcement by another start of the upstream.
+fn started(incarnation: u64, change: Change) -> Action {
+    let announcement = Announcement { incarnation, ..change.announcement };
+    Action::Announce(Change { announcement, ..change })
+}
+
+// An upstream crashes and starts again under the id that it had, at another address, and counts
+// its announcements from one. Callers must be sent to the new address: told from the numbers
+// alone it is late, and each request goes to where nobody is. A late word of the first start
+// changes nothing.
+#[test]
+fn apply_started_again() {
+    let mut catalog = Catalog::default();
+    let first = change("i-1", "hull", "10.0.0.1:80", 40, State::Ready);
+    catalog.apply(1, &started(1_000, first.clone()));
+    let second = change("i-1", "hull", "10.0.0.2:80", 1, State::Ready);
+    assert!(catalog.apply(2, &started(2_000, second)));
+    assert_eq!(catalog.get(&"i-1".into()).unwrap().address, "10.0.0.2:80".parse().unwrap());
+    let late = Change { sequence: 41, ..first };
+    assert!(!catalog.apply(3, &started(1_000, late)));
+    assert_eq!(catalog.get(&"i-1".into()).unwrap().address, "10.0.0.2:80".parse().unwrap());
+}
+
+// An upstream leaves, or drains, and starts again under its id. It takes work again; what the
+// one before said last does not end it.
+#[test]
+fn apply_started_again_after_leaving() {
+    let mut catalog = Catalog::default();
+    let first = change("i-1", "hull", "10.0.0.1:80", 9, State::Draining);
+    catalog.apply(1, &started(1_000, first.clone()));
+    let second = change("i-1", "hull", "10.0.0.1:80", 1, State::Ready);
+    assert!(catalog.apply(2, &started(2_000, second)));
+    assert_eq!(catalog.get(&"i-1".into()).unwrap().state, State::Ready);
+    catalog.apply(3, &Action::Leave("i-1".into()));
+    assert!(
+        !catalog.apply(4, &started(2_000, change("i-1", "hull", "10.0.0.1:80", 5, State::Ready)))
+    );
+    assert!(
+        catalog.apply(5, &started(3_000, change("i-1", "hull", "10.0.0.1:80", 1, State::Ready)))
+    );
+    assert_eq!(ids(&catalog), ["i-1"]);
+    assert_eq!(catalog.since(3).gone, Vec::<&str>::new());
+}
--- a/tests/suite/platform/orders.rs
+++ b/tests/suite/platform/orders.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use rstest::rstest;
 
-const ANNOUNCED: &str = r#"{"address": "10.1.0.9:8080", "coldRemainingS": 1.5, "sequence": 7,
+const ANNOUNCED: &str = r#"{"address": "10.1.0.9:8080", "born": 1760000000123, "coldRemainingS": 1.5, "sequence": 7,
     "service": "hull-register", "slots": 4, "state": "ready", "zone": "north", "later": [1]}"#;
 
 fn order(method: Method, target: &str, body: &str) -> Result<Order, u16> {
@@ -26,6 +26,7 @@
     };
     assert_eq!(change.sequence, 7);
     let said = change.announcement;
+    assert_eq!(said.incarnation, 1_760_000_000_123);
     assert_eq!(said.upstream, "i-7");
     assert_eq!(said.domain, "north");
     assert_eq!(said.slots, 4);
@@ -43,6 +44,7 @@
 #[case::bad_state(&ANNOUNCED.replace("ready", "perhaps"))]
 #[case::negative_slots(&ANNOUNCED.replace("\"slots\": 4", "\"slots\": -4"))]
 #[case::no_sequence(&ANNOUNCED.replace("\"sequence\": 7,", ""))]
+#[case::born_is_text(&ANNOUNCED.replace("1760000000123", "\"soon\""))]
 #[case::deep(&"[".repeat(100_000))]
 fn order_announcement_wrong(#[case] body: &str) {
     assert_eq!(order(Method::PUT, "/hemlockfield/instances/i-7", body), Err(400));
