--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -51,7 +51,7 @@
 
 /// Requests a second for each slot of the upstreams, for which there are to be entries before
 /// any load was seen: 0.5 to 1.2 on the users' sites. Without it all callers of a large fleet
-/// begin at four entries a failure domain, which are overrun before they can tell that.
+/// begin at the fewest entries, which are overrun before they can tell that.
 const PER_SLOT: f64 = 1.0;
 
 /// What a control knows for sure, for the feed to tell.
