Share the retry burst over two lists of entries

An entry's part of the burst is that of the entries named now; as load changes others are named while callers still use those before, and both spend. With half as many named, each part was twice as large. Ruled out: the share part, which follows each entry's own requests. Change: parts for two lists. retry::decide_pooled_two_lists exceeds the budget with one.

--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -133,7 +133,8 @@
     fn limit_retries(&self, now: Moment, entries: usize) {
         if self.retry.pooled {
             let settings::Retry { burst, share, window, .. } = self.retry;
-            let limits = retry::Limits::part(share, burst, window, entries);
+            let spending = entries * retry::Limits::LISTS;
+            let limits = retry::Limits::part(share, burst, window, spending);
             self.policy(now).set_limits(limits);
         }
     }
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -235,6 +235,26 @@
     policy
 }
 
+// Load rises and callers are told of eight other entries, while those who hold the list before
+// still use its eight. All upstreams refuse for ten seconds. Each entry takes its part of the
+// further tries; together all sixteen stay within what eight were told to share.
+#[test]
+fn decide_pooled_two_lists() {
+    let (share, burst, window) = (0.2, 62.0, Duration::from_secs(10));
+    let limits = Limits::part(share, burst, window, 8 * Limits::LISTS);
+    let mut firsts = 0;
+    let mut again = 0;
+    for _ in 0..16 {
+        let mut policy = policy(3);
+        policy.advance(Duration::ZERO);
+        policy.set_limits(limits);
+        lookups(&mut policy, 0, 100, 0..0);
+        firsts += 90;
+        again += lookups(&mut policy, 100, 90, 100..190);
+    }
+    assert!(again as f64 <= share * f64::from(firsts) + burst, "{again} of {firsts}");
+}
+
 /// Has `count` requests come, one each 100 ms from `from` on; how many of those that fail in
 /// `broken` are tried again.
 fn lookups(policy: &mut Policy, from: u64, count: u64, broken: std::ops::Range<u64>) -> usize {
