Name entries for what their links and processors carry

Cause: on 277 entries with links of 2.1 Mbit/s controls named one entry for each 30 requests a second, whatever the machines. At 780 requests a second with uploads of 60 KB an entry then has 38% of its link in use on average; answers come late, upstreams are taken out for that, and all work crowds onto the others. Ruled out: the processor (0.016 of 0.1 core) and slots (a fifth in use).

Change: an entry tells how many requests and bytes a second it is meant to carry, from settings `limits.processor` and `limits.link`; controls name as many as the load of both needs.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -15,6 +15,7 @@
 mod publisher;
 mod rate;
 mod ready;
+mod room;
 mod subscriber;
 mod tallies;
 
@@ -30,5 +31,7 @@
 pub use publisher::WARM_UP;
 pub use rate::Rate;
 pub use ready::Ready;
+pub use room::Load;
+pub use room::Room;
 pub use subscriber::Subscriber;
 pub use tallies::Tallies;
--- a/src/feed/entry.rs
+++ b/src/feed/entry.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::Xxh3;
 
+use super::Room;
 use crate::fleet::State;
 use crate::id::DomainId;
 use crate::id::NodeId;
@@ -21,6 +22,8 @@
     pub domain: DomainId,
     /// Its id.
     pub id: NodeId,
+    /// How much it is meant to carry.
+    pub room: Room,
     /// Whether it takes callers.
     pub state: State,
 }
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -7,6 +7,7 @@
 
 use super::Control;
 use super::Entry;
+use super::Load;
 use super::Message;
 use super::News;
 use super::Poll;
@@ -42,17 +43,13 @@
 /// Fewest entries of a failure domain that callers are told of: the loss of one leaves its
 /// work to another one near.
 const FEWEST: usize = 2;
-/// Requests a second that one entry is meant to get: a quarter of what a fifth of a core serves,
-/// so that a surge finds room. The fewer entries there are, the sooner each sees which upstreams
-/// are busy, and the fewer lose a request of their own at one that turns bad. With half as many
-/// entries the mean worth of loaded days rose from 0.550, 0.637 and 0.599 to 0.560, 0.650 and
-/// 0.613 on three sites (5, 5 and 10 runs, together with earlier second copies).
-const SHARE: f64 = 30.0;
-
 /// Requests a second for each slot of the upstreams, for which there are to be entries before
 /// any load was seen: 0.5 to 1.2 on the users' sites. Without it all callers of a large fleet
 /// begin at the fewest entries, which are overrun before they can tell that.
 const PER_SLOT: f64 = 1.0;
+/// Bytes of a request and its answer before any was seen: an upload of 60 KB among a dozen
+/// requests of a few hundred bytes.
+const PER_REQUEST: f64 = 6_000.0;
 
 /// What a control knows for sure, for the feed to tell.
 #[derive(Debug)]
@@ -73,6 +70,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Publisher {
     attached: BTreeMap<NodeId, Attached>,
+    bytes: Rate,
     collected: Tallies,
     has_moved: bool,
     hearsay: BTreeMap<NodeId, (Moment, Entry, NodeId)>,
@@ -128,7 +126,8 @@
         if tallies.is_empty() {
             return;
         }
-        self.rate.add(now, tallies.arrivals);
+        self.rate.add(now, u64::from(tallies.arrivals));
+        self.bytes.add(now, tallies.bytes);
         self.attached.values_mut().for_each(|entry| entry.tallies.add_all(tallies));
         if own {
             self.collected.add_all(tallies);
@@ -182,23 +181,31 @@
         for entry in self.serving(now) {
             domains.entry(&entry.domain).or_default().push(entry);
         }
-        let per_domain = self.load(now) / (domains.len().max(1) as f64 * SHARE);
-        let count = FEWEST.max(per_domain.ceil() as usize);
+        let part = 1.0 / domains.len().max(1) as f64;
+        let load = self.load(now);
         let mut named = Vec::new();
         for mut entries in domains.into_values() {
             entries.sort_by_key(|entry| xxh3_64(entry.id.as_bytes()));
-            named.extend(entries.into_iter().take(count));
+            let mut carried = 0.0;
+            let is_needed = |(place, entry): &(usize, &Entry)| {
+                let wanted = *place < FEWEST || carried < part;
+                carried += entry.room.share(load);
+                wanted
+            };
+            let needed = entries.into_iter().enumerate().take_while(is_needed);
+            named.extend(needed.map(|(_, entry)| entry));
         }
         named
     }
 
-    /// Requests a second that the entries are to be ready for.
-    fn load(&self, now: Moment) -> f64 {
-        let mean = self.rate.mean(now);
+    /// What the entries are to be ready for.
+    fn load(&self, now: Moment) -> Load {
+        let mean = Load { bytes: self.bytes.mean(now), requests: self.rate.mean(now) };
         if self.rate.is_known(now) {
             return mean;
         }
-        mean.max(f64::from(self.slots) * PER_SLOT)
+        let requests = mean.requests.max(f64::from(self.slots) * PER_SLOT);
+        Load { bytes: mean.bytes.max(requests * PER_REQUEST), requests }
     }
 
     /// Sets how many slots all upstreams have.
--- a/src/feed/rate.rs
+++ b/src/feed/rate.rs
@@ -1,4 +1,4 @@
-//! Requests a second of the whole fleet, over the last seconds.
+//! What goes through the whole fleet each second, over the last seconds.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -15,17 +15,17 @@
 /// entries that the load asked for, each of which then sees half as much of the upstreams.
 const SPAN: Duration = Duration::from_secs(8);
 
-/// Requests a second of the whole fleet, over the last seconds.
+/// What goes through the whole fleet each second, over the last seconds.
 #[derive(Clone, Debug, Default)]
 pub struct Rate {
-    /// When the first request came.
+    /// When the first came.
     since: Option<Moment>,
-    parts: VecDeque<(Moment, u32)>,
+    parts: VecDeque<(Moment, u64)>,
 }
 
 impl Rate {
-    /// Counts requests that came.
-    pub fn add(&mut self, now: Moment, came: u32) {
+    /// Counts what came.
+    pub fn add(&mut self, now: Moment, came: u64) {
         if came == 0 {
             return;
         }
@@ -39,15 +39,15 @@
         }
     }
 
-    /// Whether requests have come for so long that their rate has shown.
+    /// Whether some have come for so long that their rate has shown.
     pub fn is_known(&self, now: Moment) -> bool {
         self.since.is_some_and(|since| now >= since + SETTLED)
     }
 
-    /// Requests a second.
+    /// How much a second.
     pub fn mean(&self, now: Moment) -> f64 {
         let recent = self.parts.iter().filter(|(since, _)| now < *since + SPAN);
-        let count: f64 = recent.map(|(_, count)| f64::from(*count)).sum();
+        let count: f64 = recent.map(|(_, count)| *count as f64).sum();
         let seen = self.since.map_or(PART, |since| now.saturating_sub(since));
         count / seen.clamp(PART, SPAN).as_secs_f64()
     }
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -110,9 +110,10 @@
         }
     }
 
-    /// Notes requests that callers sent.
-    pub fn note_arrivals(&mut self, count: u32) {
-        self.tallies.arrivals += count;
+    /// Notes requests that callers sent, and bytes that went through.
+    pub fn note_traffic(&mut self, arrivals: u32, bytes: u64) {
+        self.tallies.arrivals += arrivals;
+        self.tallies.bytes += bytes;
     }
 
     /// Replaces the seeds.
--- a/src/feed/tallies.rs
+++ b/src/feed/tallies.rs
@@ -14,6 +14,9 @@
     /// Requests that callers sent, whatever became of them. An entry that is overrun ends few
     /// of them: counted by their ends, load would seem to fall when it is too much.
     pub arrivals: u32,
+    /// Bytes of the requests that callers sent and of the answers that they got, as far as
+    /// their lengths were told beforehand.
+    pub bytes: u64,
     /// By upstream.
     pub by_upstream: BTreeMap<UpstreamId, Tally>,
 }
@@ -27,12 +30,13 @@
     /// Adds all of another span's.
     pub fn add_all(&mut self, other: &Self) {
         self.arrivals += other.arrivals;
+        self.bytes += other.bytes;
         other.by_upstream.iter().for_each(|(upstream, tally)| self.add(upstream, tally));
     }
 
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
-        self.arrivals == 0 && self.by_upstream.is_empty()
+        self.arrivals == 0 && self.bytes == 0 && self.by_upstream.is_empty()
     }
 
     /// Whether others should know at once.
--- a/src/node/attached.rs
+++ b/src/node/attached.rs
@@ -51,7 +51,7 @@
 
     fn dispatch(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
         let to_spoke = match &input {
-            Input::Arrived(_)
+            Input::Carried(..)
             | Input::Drain
             | Input::Outcome(..)
             | Input::Overdue(..)
--- a/src/node/attached/setup.rs
+++ b/src/node/attached/setup.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::boundary::Boundary;
+use crate::feed::Room;
 use crate::id::DomainId;
 use crate::id::NodeId;
 use crate::node::Office;
@@ -25,6 +26,8 @@
     pub(in crate::node) is_entry: bool,
     /// The log, at a control.
     pub(in crate::node) office: Option<Office>,
+    /// How much it is meant to carry, at an entry.
+    pub(in crate::node) room: Room,
     /// Seed of all that is drawn.
     pub(in crate::node) seed: u64,
     /// Controls that are known from the start.
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -90,6 +90,7 @@
             callers: setup.callers,
             domain: setup.domain.clone(),
             id: setup.id.clone(),
+            room: setup.room,
             state: fleet::State::Starting,
         };
         Self {
@@ -135,7 +136,7 @@
             Input::Overdue(service, upstream, ages) => {
                 self.overdue(now, service, upstream, ages, &mut outputs);
             }
-            Input::Arrived(count) => self.subscriber.note_arrivals(*count),
+            Input::Carried(arrivals, bytes) => self.subscriber.note_traffic(*arrivals, *bytes),
             Input::Seeds(seeds) => self.subscriber.set_seeds(seeds.clone()),
             Input::Tick => self.tick(now, &mut outputs),
             _ => (),
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -77,8 +77,8 @@
 pub enum Input {
     /// An upstream announced itself here.
     Announce(u64, registry::Announcement),
-    /// So many requests came from callers.
-    Arrived(u32),
+    /// So many requests came from callers, and so many bytes went through.
+    Carried(u32, u64),
     /// What an upstream says of itself to a control, for the log.
     Catalog(u64, catalog::Action),
     /// Change of the controls' membership.
@@ -248,7 +248,7 @@
                 self.probed(now, service, upstream, draining, healthy, &mut outputs);
             }
             Input::Read(ticket) => outputs.push(Output::Read(ticket, None)),
-            Input::Arrived(_) | Input::Seeds(_) => (),
+            Input::Carried(..) | Input::Seeds(_) => (),
             Input::Stop => self.tell_member(now, fleet::Input::Leave, &mut outputs),
             Input::Submit(ticket, version) => {
                 let done = self.clerk.submit(now, ticket, version);
--- a/src/node/make.rs
+++ b/src/node/make.rs
@@ -10,6 +10,7 @@
 use crate::boundary::Own;
 use crate::clock::Moment;
 use crate::config;
+use crate::feed::Room;
 use crate::fleet;
 use crate::id::NodeId;
 use crate::platform::Platform;
@@ -76,6 +77,7 @@
         is_control: settings.has(Role::Control),
         is_entry: settings.has(Role::Entry),
         office,
+        room: Room::new(settings.limits.processor, settings.limits.link),
         seed: rand::random(),
         seeds: seed_ids(settings),
     };
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -137,9 +137,9 @@
     }
 
     fn take_outcomes(&mut self, batch: &mut Batch) {
-        let arrived = self.shared.take_arrivals();
-        if arrived > 0 {
-            self.step(core::Input::Arrived(arrived), batch);
+        let (arrivals, bytes) = self.shared.take_carried();
+        if arrivals > 0 || bytes > 0 {
+            self.step(core::Input::Carried(arrivals, bytes), batch);
         }
         for Noted { kind, latency, service, trial, upstream } in self.shared.take_outcomes() {
             let input = match trial {
--- a/src/node/traffic/relay.rs
+++ b/src/node/traffic/relay.rs
@@ -26,6 +26,7 @@
     outlet: &mut Outlet,
 ) {
     let mut response = std::mem::replace(&mut answer.response, Response::new(200));
+    shared.note_bytes(response.body.len().unwrap_or_default());
     if let Some(held) = held {
         held.end(record(&mut response).await);
     }
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -63,6 +63,7 @@
         return decline(&request, response, outlet).await;
     }
     shared.note_arrival();
+    shared.note_bytes(request.body.len().unwrap_or_default());
     let came = shared.now();
     if !wait_for_rules(shared, &request, outlet, peer).await {
         return;
--- a/src/node/traffic/shared.rs
+++ b/src/node/traffic/shared.rs
@@ -59,6 +59,7 @@
 /// What the traffic threads of a process share.
 pub(in crate::node) struct Shared {
     arrivals: AtomicU32,
+    bytes: AtomicU64,
     pub(in crate::node) connections: AtomicUsize,
     closed: (Sender<()>, Receiver<()>),
     pub(in crate::node) boundary: Arc<dyn Boundary>,
@@ -108,6 +109,7 @@
             done,
             drain: bounded(1),
             arrivals: AtomicU32::new(0),
+            bytes: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             leaving: Mutex::default(),
             look: bounded(1),
@@ -189,9 +191,14 @@
         self.arrivals.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Requests of callers since the last time.
-    pub(in crate::node) fn take_arrivals(&self) -> u32 {
-        self.arrivals.swap(0, Ordering::Relaxed)
+    /// Counts bytes of a request or an answer that go through.
+    pub(super) fn note_bytes(&self, bytes: u64) {
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Requests of callers since the last time, and bytes that went through.
+    pub(in crate::node) fn take_carried(&self) -> (u32, u64) {
+        (self.arrivals.swap(0, Ordering::Relaxed), self.bytes.swap(0, Ordering::Relaxed))
     }
 
     /// Takes what was noted.
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -26,6 +26,8 @@
 /// Default for `idle`: callers keep an entry for 30 s, so that a connection
 /// idle for a minute is no longer on anyone's list.
 const IDLE: Duration = Duration::from_secs(60);
+/// Default for `processor`: that of the smallest VMs in use.
+const PROCESSOR: f64 = 0.1;
 /// Default for `proven`: a request that may run only once always opens a connection.
 const PROVEN: Duration = Duration::ZERO;
 /// Default for `upstream_idle`: a path that lost track of a connection swallows
@@ -33,11 +35,18 @@
 /// upstream costs only about 1 ms.
 const UPSTREAM_IDLE: Duration = Duration::from_secs(5);
 
+/// Slowest and fastest link that makes sense, in Mbit/s.
+const LINK_LEAST: f64 = 0.1;
+const LINK_MOST: f64 = 1e6;
+/// Smallest and largest processor that makes sense, in cores.
+const CORES_LEAST: f64 = 0.01;
+const CORES_MOST: f64 = 1024.0;
+
 const SHORTEST: Duration = Duration::from_millis(10);
 const LONGEST: Duration = Duration::from_secs(3600);
 
 /// What one process takes on at most.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     /// Bytes of one body held in memory while it streams.
     pub body_buffer: u64,
@@ -53,6 +62,10 @@
     pub head_time: Duration,
     /// Age at which an idle caller's connection is closed.
     pub idle: Duration,
+    /// Mbit/s of the VM's own link, where that is known.
+    pub link: Option<f64>,
+    /// Cores that the process has, with a fraction.
+    pub processor: f64,
     /// Age up to which an idle connection counts as just proven: requests that may run only
     /// once use it too.
     pub proven: Duration,
@@ -70,6 +83,8 @@
             head: HEAD.0,
             head_time: HEAD_TIME,
             idle: IDLE,
+            link: None,
+            processor: PROCESSOR,
             proven: PROVEN,
             upstream_idle: UPSTREAM_IDLE,
         }
@@ -86,6 +101,8 @@
             "head",
             "head_time",
             "idle",
+            "link",
+            "processor",
             "proven",
             "upstream_idle",
         ];
@@ -100,8 +117,15 @@
             head: fields.ranged("head", HEAD, &Size(1024), &Size(1 << 20)).0,
             head_time: time("head_time", HEAD_TIME),
             idle: time("idle", IDLE),
+            link: link(&fields),
+            processor: fields.ranged("processor", PROCESSOR, &CORES_LEAST, &CORES_MOST),
             proven: fields.ranged("proven", PROVEN, &Duration::ZERO, &LONGEST),
             upstream_idle: time("upstream_idle", UPSTREAM_IDLE),
         })
     }
 }
+
+fn link(fields: &Fields) -> Option<f64> {
+    fields.tree("link")?;
+    Some(fields.ranged("link", LINK_MOST, &LINK_LEAST, &LINK_MOST))
+}
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -10,6 +10,7 @@
 use hemlockfield::feed::News;
 use hemlockfield::feed::Poll;
 use hemlockfield::feed::Publisher;
+use hemlockfield::feed::Room;
 use hemlockfield::feed::Tallies;
 use hemlockfield::fleet::State;
 
@@ -24,6 +25,7 @@
         callers: SocketAddr::from(([127, 0, 0, 1], at as u16)),
         domain: domain.into(),
         id: compact_str::format_compact!("{domain}-{at}"),
+        room: Room::default(),
         state: State::Serving,
     }
 }
@@ -122,6 +124,30 @@
     assert_eq!(names(&publisher, secs(1)).len(), 6);
 }
 
+// Callers upload: 300 requests a second carry 6 KB each, over entries whose links take 2.1
+// Mbit/s. Two entries have processors for them all, but no link: their answers would come
+// seconds late. As many are named as use a fifth of their links, twelve for a third of it.
+#[test]
+fn named_narrow_links() {
+    let mut publisher = Publisher::default();
+    let room = Room::new(0.2, Some(2.1));
+    let again = |publisher: &mut Publisher, now| {
+        let domains = ["east", "north", "south"];
+        for (at, domain) in domains.iter().flat_map(|domain| (0..40).map(move |at| (at, domain))) {
+            poll(publisher, now, Entry { room, ..entry(at, domain) });
+        }
+    };
+    for second in 0..8 {
+        let tallies = Tallies { arrivals: 300, bytes: 300 * 6_000, ..Tallies::default() };
+        publisher.gather(secs(second), &tallies, true);
+    }
+    let now = Duration::from_millis(7900);
+    again(&mut publisher, now);
+    let named = names(&publisher, now);
+    let north = named.iter().filter(|name| name.starts_with("north")).count();
+    assert_eq!((north, named.len()), (12, 36));
+}
+
 // One of the named entries leaves. Another takes its place, and the other one stays: callers
 // of it keep their connections.
 #[test]
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -12,6 +12,7 @@
 use hemlockfield::feed::News;
 use hemlockfield::feed::Output;
 use hemlockfield::feed::Poll;
+use hemlockfield::feed::Room;
 use hemlockfield::feed::Subscriber;
 use hemlockfield::feed::Tallies;
 use hemlockfield::fleet::State;
@@ -35,6 +36,7 @@
         callers: SocketAddr::from(([127, 0, 0, 1], 80)),
         domain: "north".into(),
         id: "e1".into(),
+        room: Room::default(),
         state: State::Serving,
     };
     let seeds = SEEDS.iter().map(|seed| (*seed).into()).collect();
