Tell of broken answers only entries that take callers

Cause: each control told all its entries of each broken answer within 15 ms; on the large site some answer breaks at any moment, and two thirds of 277 entries take no callers.

Change: at once only to entries that are named or got requests within 3 s, at most each 50 ms; the others hear with their next question.

--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -1,6 +1,7 @@
 //! A control's side: who asked, what each knows, and what all are told at once.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -34,6 +35,13 @@
 /// Pause in which broken answers are gathered that entries should know of at once: a fault
 /// that begins under load breaks several within it.
 const GATHER: Duration = Duration::from_millis(15);
+/// Shortest pause between two tellings of broken answers. With hundreds of upstreams some break
+/// an answer at any moment, and each telling costs each entry a wake-up; where each upstream
+/// gets a request or two a second, hardly one more is lost in this time.
+const PASS_GAP: Duration = Duration::from_millis(50);
+/// An entry that got no request for so long needs to hear of broken answers only when it asks:
+/// of 277 entries two thirds take no callers.
+const IDLE: Duration = Duration::from_secs(3);
 /// Pause in which all else that callers received is gathered for the other controls.
 const COLLECT: Duration = Duration::from_millis(500);
 
@@ -74,6 +82,7 @@
     collected: Tallies,
     has_moved: bool,
     hearsay: BTreeMap<NodeId, (Moment, Entry, NodeId)>,
+    passed_at: Moment,
     pass_at: Option<Moment>,
     push_at: Option<Moment>,
     pushed_at: Moment,
@@ -83,6 +92,8 @@
 
 #[derive(Clone, Debug)]
 struct Attached {
+    /// When it last told of requests.
+    carried_at: Option<Moment>,
     entry: Entry,
     heard: Moment,
     known: Index,
@@ -101,9 +112,16 @@
         let known = ledger.applied.max(poll.known);
         let before = self.attached.remove(&id);
         self.gather(now, &poll.tallies, true);
+        let carried = (poll.tallies.arrivals > 0).then_some(now);
+        let carried_at = carried.or(before.as_ref().and_then(|before| before.carried_at));
         let tallies = before.map(|before| before.tallies).unwrap_or_default();
-        let attached =
-            Attached { entry: poll.entry, heard: now, known, tallies: Tallies::default() };
+        let attached = Attached {
+            carried_at,
+            entry: poll.entry,
+            heard: now,
+            known,
+            tallies: Tallies::default(),
+        };
         self.attached.insert(id.clone(), attached);
         let mut news = self.news(now, poll.known, poll.sequence, tallies, ledger);
         news.named = self.others_named(now, poll.named);
@@ -132,8 +150,10 @@
         if own {
             self.collected.add_all(tallies);
         }
-        let pause = if tallies.is_urgent() { GATHER } else { COLLECT };
-        let at = now + pause;
+        let at = match tallies.is_urgent() {
+            true => (now + GATHER).max(self.passed_at + PASS_GAP),
+            false => now + COLLECT,
+        };
         self.pass_at = Some(self.pass_at.map_or(at, |other| other.min(at)));
     }
 
@@ -271,12 +291,18 @@
     /// have to know of a broken answer; the others hear of it with their next question.
     fn pass_on(&mut self, now: Moment, ledger: &Ledger<'_>, sends: &mut Vec<(NodeId, Message)>) {
         self.pass_at = None;
+        self.passed_at = now;
         let collected = std::mem::take(&mut self.collected);
         if !collected.is_empty() {
             let others = ledger.controls.iter().map(|control| control.id.clone());
             sends.extend(others.map(|id| (id, Message::Tallies(collected.clone()))));
         }
-        let due = |own: &&Attached| now < own.heard + LOST && own.tallies.is_urgent();
+        let named: BTreeSet<&NodeId> = self.named(now).into_iter().map(|own| &own.id).collect();
+        let carries = |own: &Attached| {
+            own.carried_at.is_some_and(|at| now < at + IDLE) || named.contains(&own.entry.id)
+        };
+        let due =
+            |own: &&Attached| now < own.heard + LOST && own.tallies.is_urgent() && carries(own);
         let urgent: Vec<(NodeId, Index)> = self
             .attached
             .values()
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hemlockfield::breaker::Tally;
 use hemlockfield::catalog::Catalog;
 use hemlockfield::feed::Entry;
 use hemlockfield::feed::Ledger;
@@ -13,6 +14,7 @@
 use hemlockfield::feed::Room;
 use hemlockfield::feed::Tallies;
 use hemlockfield::fleet::State;
+use hemlockfield::health::Kind;
 
 const NORTH: usize = 12;
 
@@ -181,3 +183,89 @@
     let told = ask(&mut publisher, secs(2), entry(1, "north")).named.expect("a list");
     assert_eq!(told.len(), 3);
 }
+
+/// Entries of the north that are told at once of an answer that was cut.
+fn told_at_once(publisher: &mut Publisher, now: Duration) -> Vec<String> {
+    let mut cut = Tallies::default();
+    cut.add(&"hull-01".into(), &Tally::of(Kind::Cut, Duration::ZERO));
+    publisher.gather(now, &cut, false);
+    let catalog = Catalog::default();
+    let ledger = Ledger {
+        applied: 0,
+        catalog: &catalog,
+        configuration: None,
+        controls: Vec::new(),
+        fresh: true,
+    };
+    let sends = publisher.tick(publisher.wake(), &ledger);
+    sends.into_iter().map(|(id, _)| id.to_string()).collect()
+}
+
+// Twelve entries serve near by, and callers use two of them. An upstream cuts an answer. The
+// two hear of it at once; the others, which take no callers, with their next question. Told
+// each time, ten of twelve entries would spend their processors on news that they don't need.
+#[test]
+fn pass_on_idle_entries() {
+    let mut publisher = fleet(secs(0));
+    let named = names(&publisher, secs(1));
+    let mut told = told_at_once(&mut publisher, secs(1));
+    told.sort();
+    let mut wanted = named;
+    wanted.sort();
+    assert_eq!(told, wanted);
+}
+
+// Callers keep an old list and still use an entry that is named no more. It hears of broken
+// answers at once like the named ones, for as long as it gets requests.
+#[test]
+fn pass_on_old_list() {
+    let mut publisher = fleet(secs(0));
+    let named = names(&publisher, secs(0));
+    let old = (0..NORTH).map(|at| entry(at, "north"));
+    let old = old.into_iter().find(|entry| !named.contains(&entry.id.to_string())).expect("one");
+    let catalog = Catalog::default();
+    let ledger = Ledger {
+        applied: 0,
+        catalog: &catalog,
+        configuration: None,
+        controls: Vec::new(),
+        fresh: true,
+    };
+    let tallies = Tallies { arrivals: 3, ..Tallies::default() };
+    let poll = Poll { entry: old.clone(), known: 0, named: 0, sequence: 1, tallies };
+    publisher.poll(secs(1), poll, &ledger);
+    assert!(told_at_once(&mut publisher, secs(1)).contains(&old.id.to_string()));
+    fleet_again(&mut publisher, secs(5));
+    assert!(!told_at_once(&mut publisher, secs(5)).contains(&old.id.to_string()));
+}
+
+// Upstreams cut answers every ten milliseconds. Entries are told of the first at once and of
+// the others together: at most twenty times a second, though a hundred are cut.
+#[test]
+fn pass_on_many_cuts() {
+    let mut publisher = fleet(secs(0));
+    let catalog = Catalog::default();
+    let ledger = Ledger {
+        applied: 0,
+        catalog: &catalog,
+        configuration: None,
+        controls: Vec::new(),
+        fresh: true,
+    };
+    let mut cut = Tallies::default();
+    cut.add(&"hull-01".into(), &Tally::of(Kind::Cut, Duration::ZERO));
+    let mut first = None;
+    let mut rounds = 0;
+    for at in (0..1_000).step_by(5) {
+        let now = Duration::from_millis(200 + at);
+        if at % 10 == 0 {
+            publisher.gather(now, &cut, false);
+        }
+        if now >= publisher.wake() && !publisher.tick(now, &ledger).is_empty() {
+            rounds += 1;
+            first.get_or_insert(at);
+        }
+    }
+    assert!(first.is_some_and(|first| first <= 20), "{first:?}");
+    assert!((10..=20).contains(&rounds), "{rounds}");
+}
