Tell idle entries of broken answers only

Change: an entry that is not named and got no request within 3 s hears only of what opens or closes a breaker. feed::publisher::poll_idle_entry replays it.

--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -39,8 +39,8 @@
 /// an answer at any moment, and each telling costs each entry a wake-up; where each upstream
 /// gets a request or two a second, hardly one more is lost in this time.
 const PASS_GAP: Duration = Duration::from_millis(50);
-/// An entry that got no request for so long needs to hear of broken answers only when it asks:
-/// of 277 entries two thirds take no callers.
+/// An entry that got no request for so long needs to hear only what opens and closes breakers,
+/// and only when it asks: of 277 entries two thirds take no callers.
 const IDLE: Duration = Duration::from_secs(3);
 /// Pause in which all else that callers received is gathered for the other controls.
 const COLLECT: Duration = Duration::from_millis(500);
@@ -90,6 +90,8 @@
     pushed_at: Moment,
     rate: Rate,
     slots: u32,
+    /// Entries that callers were told of when tallies were last passed on.
+    told: BTreeSet<NodeId>,
 }
 
 #[derive(Clone, Debug)]
@@ -102,6 +104,13 @@
     tallies: Tallies,
 }
 
+impl Attached {
+    /// Whether it got requests of late.
+    fn carries(&self, now: Moment) -> bool {
+        self.carried_at.is_some_and(|at| now < at + IDLE)
+    }
+}
+
 impl Publisher {
     /// Answers an entry's question.
     pub fn poll(&mut self, now: Moment, poll: Poll, ledger: &Ledger<'_>) -> Vec<(NodeId, Message)> {
@@ -148,7 +157,11 @@
         }
         self.rate.add(now, u64::from(tallies.arrivals));
         self.bytes.add(now, tallies.bytes);
-        self.attached.values_mut().for_each(|entry| entry.tallies.add_all(tallies));
+        let urgent = tallies.urgent();
+        for own in self.attached.values_mut() {
+            let carries = own.carries(now) || self.told.contains(&own.entry.id);
+            own.tallies.add_all(if carries { tallies } else { &urgent });
+        }
         if own {
             self.collected.add_all(tallies);
         }
@@ -300,10 +313,8 @@
             let others = ledger.controls.iter().map(|control| control.id.clone());
             sends.extend(others.map(|id| (id, Message::Tallies(collected.clone()))));
         }
-        let named: BTreeSet<&NodeId> = self.named(now).into_iter().map(|own| &own.id).collect();
-        let carries = |own: &Attached| {
-            own.carried_at.is_some_and(|at| now < at + IDLE) || named.contains(&own.entry.id)
-        };
+        self.told = self.named(now).into_iter().map(|own| own.id.clone()).collect();
+        let carries = |own: &Attached| own.carries(now) || self.told.contains(&own.entry.id);
         let due =
             |own: &&Attached| now < own.heard + LOST && own.tallies.is_urgent() && carries(own);
         let urgent: Vec<(NodeId, Index)> = self
--- a/src/feed/tallies.rs
+++ b/src/feed/tallies.rs
@@ -34,6 +34,13 @@
         other.by_upstream.iter().for_each(|(upstream, tally)| self.add(upstream, tally));
     }
 
+    /// Those of upstreams that others should know of at once.
+    pub fn urgent(&self) -> Self {
+        let urgent = self.by_upstream.iter().filter(|(_, tally)| tally.is_urgent());
+        let by_upstream = urgent.map(|(id, tally)| (id.clone(), *tally)).collect();
+        Self { by_upstream, ..Self::default() }
+    }
+
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.arrivals == 0 && self.bytes == 0 && self.by_upstream.is_empty()
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -284,3 +284,25 @@
     publisher.gather(secs(0), &busy, true);
     assert_eq!(names(&publisher, secs(1)).len(), 6);
 }
+
+// Hundreds of upstreams answer callers each second, and one cuts an answer. An entry that takes
+// no callers hears with its next question of the one that was cut, which it must not use should
+// callers come, and of no other: 600 upstreams are more than a link's 3 KB a second hold.
+#[test]
+fn poll_idle_entry() {
+    let mut publisher = fleet(secs(0));
+    let named = names(&publisher, secs(0));
+    let idle = (0..NORTH).map(|at| entry(at, "north"));
+    let idle = idle.into_iter().find(|entry| !named.contains(&entry.id.to_string())).expect("one");
+    told_at_once(&mut publisher, secs(0));
+    let mut tallies = Tallies { arrivals: 600, ..Tallies::default() };
+    for at in 0..600 {
+        let kind = if at == 7 { Kind::Cut } else { Kind::Success };
+        let id = compact_str::format_compact!("i-{at:03}");
+        tallies.add(&id, &Tally::of(kind, Duration::from_millis(500)));
+    }
+    publisher.gather(Duration::from_millis(100), &tallies, false);
+    let heard = ask(&mut publisher, Duration::from_millis(200), idle).tallies.by_upstream;
+    let ids: Vec<&str> = heard.keys().map(AsRef::as_ref).collect();
+    assert_eq!(ids, ["hull-01", "i-007"]);
+}
