--- a/src/node/attached.rs
+++ b/src/node/attached.rs
@@ -4,6 +4,7 @@
 //! entries ask them for it twice a second. A control's part is the [`Hub`], an entry's the
 //! [`Spoke`]; a process may be both.
 
+mod breakers;
 mod events;
 mod hub;
 mod overdue;
--- /dev/null
+++ b/src/node/attached/breakers.rs
@@ -0,0 +1,156 @@
+//! Breakers of all services at one entry, and what they are told.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngCore;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::breaker::Blame;
+use crate::breaker::Panel;
+use crate::breaker::State;
+use crate::breaker::Tally;
+use crate::clock::Moment;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+
+use super::overdue::Overdue;
+
+/// Shortest pause between two looks at the breakers. With 150 of 508 upstreams out, some trial or
+/// pause ends every few milliseconds, and an entry that wakes for each spends more on that than
+/// on its callers; nobody misses a trial that comes so much later.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// Breakers of all services at one entry.
+#[derive(Debug)]
+pub(super) struct Breakers {
+    blame: Blame,
+    looked_at: Moment,
+    overdue: Overdue,
+    panels: BTreeMap<ServiceId, Panel>,
+    random: ChaCha8Rng,
+}
+
+/// What became of something that a caller received here.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Noted {
+    /// Whether the upstream's breaker changed.
+    pub(super) changed: bool,
+    /// Whether it says something of the upstream, and not of this entry's own network.
+    pub(super) is_evidence: bool,
+    /// State of the upstream's breaker.
+    pub(super) state: State,
+}
+
+impl Breakers {
+    pub(super) fn new(now: Moment, random: ChaCha8Rng) -> Self {
+        Self {
+            blame: Blame::default(),
+            looked_at: now,
+            overdue: Overdue::default(),
+            panels: BTreeMap::new(),
+            random,
+        }
+    }
+
+    /// Breakers of one service.
+    pub(super) fn get(&self, service: &ServiceId) -> Option<&Panel> {
+        self.panels.get(service)
+    }
+
+    /// When they want to be looked at.
+    pub(super) fn wake(&self) -> Option<Moment> {
+        let next = self.panels.values().filter_map(Panel::wake).min();
+        next.map(|at| at.max(self.looked_at + LOOK))
+    }
+
+    /// Moves on with time; whether any state changed.
+    pub(super) fn look(&mut self, now: Moment) -> bool {
+        if now < self.looked_at + LOOK {
+            return false;
+        }
+        self.looked_at = now;
+        let mut changed = false;
+        for panel in self.panels.values_mut() {
+            changed |= panel.tick(now);
+        }
+        changed
+    }
+
+    /// An upstream takes work; `floor` is the share of the service's slots that stay in use.
+    pub(super) fn join(
+        &mut self,
+        service: &ServiceId,
+        upstream: UpstreamId,
+        slots: u32,
+        floor: f64,
+    ) {
+        let random = &mut self.random;
+        let fresh = || Panel::new(floor, ChaCha8Rng::seed_from_u64(random.next_u64()));
+        let panel = self.panels.entry(service.clone()).or_insert_with(fresh);
+        panel.join(upstream, slots);
+    }
+
+    /// An upstream takes no more work.
+    pub(super) fn leave(&mut self, upstream: &UpstreamId) {
+        self.panels.values_mut().for_each(|panel| panel.leave(upstream));
+    }
+
+    /// An upstream is gone, with all that is known of it.
+    pub(super) fn lose(&mut self, upstream: &UpstreamId) {
+        self.overdue.forget(upstream);
+        self.leave(upstream);
+    }
+
+    /// Sets how many entries share the trials.
+    pub(super) fn set_entries(&mut self, entries: usize) {
+        self.panels.values_mut().for_each(|panel| panel.set_entries(entries));
+    }
+
+    /// Sets the share of each service's slots that stay in use.
+    pub(super) fn set_floors(&mut self, floor: impl Fn(&ServiceId) -> f64) {
+        self.panels.iter_mut().for_each(|(service, panel)| panel.set_floor(floor(service)));
+    }
+
+    /// Takes what a caller received here; `None` where the service is not known.
+    pub(super) fn note_own(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        tally: &Tally,
+    ) -> Option<Noted> {
+        let panel = self.panels.get_mut(service)?;
+        let serves_others = panel.serves_others(now, upstream);
+        let changed = panel.note_own(now, upstream, tally);
+        if tally.lost() > 0 && serves_others {
+            self.blame.note(now, upstream);
+        }
+        let is_evidence = !self.blame.is_own(now);
+        Some(Noted { changed, is_evidence, state: panel.state(upstream) })
+    }
+
+    /// Takes what callers of other entries received; whether the upstream's state changed.
+    pub(super) fn note_others(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        tally: &Tally,
+    ) -> bool {
+        let panel = self.panels.get_mut(service);
+        panel.is_some_and(|panel| panel.note(now, upstream, tally))
+    }
+
+    /// Requests of these `ages` that wait far longer than usual, each counted once.
+    pub(super) fn count_overdue(
+        &mut self,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        ages: &[Duration],
+    ) -> Tally {
+        let usual = self.panels.get(service).and_then(Panel::usual).unwrap_or_default();
+        self.overdue.count(upstream, usual, ages)
+    }
+}
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -10,8 +10,6 @@
 
 use crate::balance;
 use crate::boundary::Boundary;
-use crate::breaker::Blame;
-use crate::breaker::Panel;
 use crate::breaker::State;
 use crate::breaker::Tally;
 use crate::clock::Moment;
@@ -40,15 +38,11 @@
 use crate::wire::Frame;
 
 use super::Setup;
+use super::breakers::Breakers;
 use super::events;
-use super::overdue::Overdue;
 
 /// Share of a service's slots that stay in use where its rules say nothing.
 const FLOOR: f64 = 0.7;
-/// Shortest pause between two looks at the breakers. With 150 of 508 upstreams out, some trial or
-/// pause ends every few milliseconds, and an entry that wakes for each spends more on that than
-/// on its callers; nobody misses a trial that comes so much later.
-const LOOK: Duration = Duration::from_millis(25);
 /// Longest until traffic goes by what only time or whole answers change: who is slow, who is
 /// warm. A view of 600 upstreams costs half a millisecond, and something is received always.
 const SETTLE: Duration = Duration::from_millis(250);
@@ -59,18 +53,14 @@
 #[derive(Debug)]
 pub(super) struct Spoke {
     boundary: Arc<dyn Boundary>,
-    blame: Blame,
+    breakers: Breakers,
     dirty: bool,
     entries: usize,
     id: NodeId,
     leaving: bool,
-    looked_at: Moment,
     /// Entries that callers are told of.
     named: Arc<Vec<directory::Entry>>,
-    overdue: Overdue,
-    panels: BTreeMap<ServiceId, Panel>,
     published: u64,
-    random: ChaCha8Rng,
     rules: Option<Arc<Rules>>,
     standing: Standing,
     subscriber: Subscriber,
@@ -104,17 +94,13 @@
         };
         Self {
             boundary: Arc::clone(&setup.boundary),
-            blame: Blame::default(),
+            breakers: Breakers::new(now, draw()),
             dirty: true,
             entries: 1,
             id: setup.id.clone(),
             leaving: false,
-            looked_at: now,
             named: Arc::default(),
-            overdue: Overdue::default(),
-            panels: BTreeMap::new(),
             published: 0,
-            random: draw(),
             rules: None,
             standing: Standing::Starting,
             subscriber: Subscriber::new(now, me, setup.seeds.clone(), draw()),
@@ -156,9 +142,7 @@
     }
 
     pub(super) fn wake(&self) -> Moment {
-        let panels = self.panels.values().filter_map(Panel::wake).min();
-        let look = panels.map(|at| at.max(self.looked_at + LOOK));
-        look.into_iter().fold(self.subscriber.wake(), Moment::min)
+        self.breakers.wake().into_iter().fold(self.subscriber.wake(), Moment::min)
     }
 
     pub(super) fn version(&self) -> Option<&Version> {
@@ -192,7 +176,7 @@
     pub(super) fn upstreams(&self, _: Moment) -> BTreeMap<ServiceId, Vec<status::Upstream>> {
         let mut services: BTreeMap<ServiceId, Vec<status::Upstream>> = BTreeMap::new();
         for Known { said, .. } in self.upstreams.values() {
-            let panel = self.panels.get(&said.service);
+            let panel = self.breakers.get(&said.service);
             let verdict = match panel.map(|panel| panel.state(&said.upstream)) {
                 None | Some(State::Closed) => health::Verdict::Sound,
                 Some(State::Open { .. }) => health::Verdict::Ejected,
@@ -209,7 +193,7 @@
 
     fn tick(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         self.tell_subscriber(now, feed::Input::Tick, outputs);
-        self.look(now);
+        self.dirty |= self.breakers.look(now);
         let alone = self.subscriber.fresh_at().is_none_or(|at| now >= at + ALONE);
         let standing = match self.rules {
             None => Standing::Starting,
@@ -224,16 +208,6 @@
         }
     }
 
-    fn look(&mut self, now: Moment) {
-        if now < self.looked_at + LOOK {
-            return;
-        }
-        self.looked_at = now;
-        for panel in self.panels.values_mut() {
-            self.dirty |= panel.tick(now);
-        }
-    }
-
     fn tell_subscriber(&mut self, now: Moment, input: feed::Input, outputs: &mut Vec<Output>) {
         for output in self.subscriber.handle(now, input) {
             match output {
@@ -252,7 +226,7 @@
 
     fn take(&mut self, now: Moment, news: News, outputs: &mut Vec<Output>) {
         self.entries = news.entries.max(1);
-        self.panels.values_mut().for_each(|panel| panel.set_entries(news.entries));
+        self.breakers.set_entries(news.entries);
         if let Some(version) = news.configuration {
             self.configure(now, version, outputs);
         }
@@ -288,7 +262,8 @@
         self.rules = Some(rules);
         self.version = Some(version);
         self.dirty = true;
-        self.set_floors();
+        let rules = self.rules.as_deref();
+        self.breakers.set_floors(|service| floor(rules, service));
         if !self.leaving {
             self.subscriber.set_state(now, fleet::State::Serving);
         }
@@ -306,37 +281,22 @@
         self.upstreams.insert(said.upstream.clone(), Known { said: said.clone(), since });
         self.dirty = true;
         let floor = self.floor(&said.service);
-        let random = &mut self.random;
-        let fresh = || Panel::new(floor, ChaCha8Rng::seed_from_u64(random.next_u64()));
-        let panel = self.panels.entry(said.service.clone()).or_insert_with(fresh);
         if said.state == registry::State::Ready {
-            panel.join(said.upstream, said.slots);
+            self.breakers.join(&said.service, said.upstream, said.slots, floor);
         } else {
-            panel.leave(&said.upstream);
+            self.breakers.leave(&said.upstream);
         }
     }
 
     fn lose(&mut self, id: &UpstreamId) {
         if self.upstreams.remove(id).is_some() {
             self.dirty = true;
-            self.overdue.forget(id);
-            self.panels.values_mut().for_each(|panel| panel.leave(id));
+            self.breakers.lose(id);
         }
     }
 
     fn floor(&self, service: &ServiceId) -> f64 {
-        let rules = self.rules.as_ref().and_then(|rules| rules.service(service));
-        rules.map_or(FLOOR, |service| service.floor)
-    }
-
-    fn set_floors(&mut self) {
-        let floors: Vec<(ServiceId, f64)> =
-            self.panels.keys().map(|service| (service.clone(), self.floor(service))).collect();
-        for (service, floor) in floors {
-            if let Some(panel) = self.panels.get_mut(&service) {
-                panel.set_floor(floor);
-            }
-        }
+        floor(self.rules.as_deref(), service)
     }
 
     /// Takes what a caller received here.
@@ -348,18 +308,13 @@
         tally: &Tally,
         outputs: &mut Vec<Output>,
     ) {
-        let Some(panel) = self.panels.get_mut(service) else { return };
-        let serves_others = panel.serves_others(now, upstream);
-        let changed = panel.note_own(now, upstream, tally);
-        let state = panel.state(upstream);
-        if tally.broken + tally.hung + tally.late > 0 && serves_others {
-            self.blame.note(now, upstream);
-        }
-        if !self.blame.is_own(now) {
+        let Some(noted) = self.breakers.note_own(now, service, upstream, tally) else { return };
+        if noted.is_evidence {
             self.subscriber.note(now, upstream, tally);
         }
-        if changed {
+        if noted.changed {
             self.dirty = true;
+            let state = noted.state;
             let kind = if state == State::Closed { Kind::Readmitted } else { Kind::Ejected };
             let event =
                 events::event(&self.id, kind).service(service.clone()).upstream(upstream.clone());
@@ -371,9 +326,8 @@
     fn note_others(&mut self, now: Moment, tallies: &Tallies) {
         for (upstream, tally) in &tallies.by_upstream {
             let Some(known) = self.upstreams.get(upstream) else { continue };
-            if let Some(panel) = self.panels.get_mut(&known.said.service) {
-                self.dirty |= panel.note(now, upstream, tally);
-            }
+            let service = &known.said.service;
+            self.dirty |= self.breakers.note_others(now, service, upstream, tally);
         }
     }
 
@@ -386,8 +340,7 @@
         ages: &[Duration],
         outputs: &mut Vec<Output>,
     ) {
-        let usual = self.panels.get(service).and_then(Panel::usual).unwrap_or_default();
-        let tally = self.overdue.count(upstream, usual, ages);
+        let tally = self.breakers.count_overdue(service, upstream, ages);
         if !tally.is_empty() {
             self.note(now, service, upstream, &tally, outputs);
         }
@@ -404,7 +357,7 @@
             service.members.push(self.member(now, known));
         }
         for (name, service) in &mut services {
-            let Some(panel) = self.panels.get(name) else { continue };
+            let Some(panel) = self.breakers.get(name) else { continue };
             service.weights = panel.weights().into_iter().collect();
             service.trials = panel.trials();
             service.suspects = panel.suspects();
@@ -428,3 +381,8 @@
         }
     }
 }
+
+/// Share of a service's slots that stay in use.
+fn floor(rules: Option<&Rules>, service: &ServiceId) -> f64 {
+    rules.and_then(|rules| rules.service(service)).map_or(FLOOR, |service| service.floor)
+}
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -32,19 +32,17 @@
     }
 }
 
+fn ledger(catalog: &Catalog) -> Ledger<'_> {
+    Ledger { applied: 0, catalog, configuration: None, controls: Vec::new(), fresh: true }
+}
+
 fn poll(publisher: &mut Publisher, now: Duration, entry: Entry) -> usize {
     ask(publisher, now, entry).entries
 }
 
 fn ask(publisher: &mut Publisher, now: Duration, entry: Entry) -> News {
     let catalog = Catalog::default();
-    let ledger = Ledger {
-        applied: 0,
-        catalog: &catalog,
-        configuration: None,
-        controls: Vec::new(),
-        fresh: true,
-    };
+    let ledger = ledger(&catalog);
     let poll = Poll { entry, known: 0, named: 0, sequence: 1, tallies: Tallies::default() };
     let sends = publisher.poll(now, poll, &ledger);
     let Some((_, Message::News(news))) = sends.into_iter().next() else { panic!("no answer") };
@@ -190,13 +188,7 @@
     cut.add(&"hull-01".into(), &Tally::of(Kind::Cut, Duration::ZERO));
     publisher.gather(now, &cut, false);
     let catalog = Catalog::default();
-    let ledger = Ledger {
-        applied: 0,
-        catalog: &catalog,
-        configuration: None,
-        controls: Vec::new(),
-        fresh: true,
-    };
+    let ledger = ledger(&catalog);
     let sends = publisher.tick(publisher.wake(), &ledger);
     sends.into_iter().map(|(id, _)| id.to_string()).collect()
 }
@@ -224,13 +216,7 @@
     let old = (0..NORTH).map(|at| entry(at, "north"));
     let old = old.into_iter().find(|entry| !named.contains(&entry.id.to_string())).expect("one");
     let catalog = Catalog::default();
-    let ledger = Ledger {
-        applied: 0,
-        catalog: &catalog,
-        configuration: None,
-        controls: Vec::new(),
-        fresh: true,
-    };
+    let ledger = ledger(&catalog);
     let tallies = Tallies { arrivals: 3, ..Tallies::default() };
     let poll = Poll { entry: old.clone(), known: 0, named: 0, sequence: 1, tallies };
     publisher.poll(secs(1), poll, &ledger);
@@ -245,13 +231,7 @@
 fn pass_on_many_cuts() {
     let mut publisher = fleet(secs(0));
     let catalog = Catalog::default();
-    let ledger = Ledger {
-        applied: 0,
-        catalog: &catalog,
-        configuration: None,
-        controls: Vec::new(),
-        fresh: true,
-    };
+    let ledger = ledger(&catalog);
     let mut cut = Tallies::default();
     cut.add(&"hull-01".into(), &Tally::of(Kind::Cut, Duration::ZERO));
     let mut first = None;
