Tell orders from lookups among the trials of an upstream

Cause, found on reading the change: trials that end after their breaker was closed counted as lookups that make trials here, and put off those by requests that may run once from 1 s to 6 s to 8 s after the last failure, at services that have no lookups. A test replays it (red before).

--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -173,8 +173,11 @@
 
     /// Whether idempotent requests make trials here, so that others need not.
     fn look_for_help(&mut self, now: Moment, upstream: &UpstreamId, tally: &Tally) {
-        let member = self.circuits.get(upstream);
-        if tally.passed > 0 && member.is_some_and(|member| !member.by_any) {
+        let Some(member) = self.circuits.get(upstream) else { return };
+        // Several requests may make the trials that close a breaker; the last of them end after
+        // it is closed, and tell nothing of who made them.
+        let is_tried = matches!(member.circuit.state(), State::Trial { .. });
+        if tally.passed > 0 && is_tried && !member.by_any {
             self.helped_at = Some(now);
         }
     }
--- a/tests/suite/breaker/outages.rs
+++ b/tests/suite/breaker/outages.rs
@@ -106,3 +106,30 @@
     let first = first.expect("a trial");
     assert!((from..from + 400).contains(&first), "{first}");
 }
+
+// Orders, which may run only once, have shown that one of ten upstreams is well; three were on
+// their way, and the third ends after the breaker is closed. It is no lookup: the other upstream
+// that is out gets an order after four seconds all the same, and not after eight.
+#[test]
+fn trials_by_any_late_order() {
+    let mut panel = Panel::new(0.5, ChaCha8Rng::seed_from_u64(5));
+    let name = |at: usize| compact_str::format_compact!("hull-{at}");
+    (0..10).for_each(|at| panel.join(name(at), 4));
+    panel.note(ms(0), &name(1), &one(Kind::Cut));
+    let passed = Tally::of_trial(Kind::Success, ms(20));
+    let mut first = None;
+    for now in (0..16_000).step_by(50) {
+        panel.tick(ms(now));
+        match now {
+            4_500 => panel.note(ms(now), &name(0), &one(Kind::Cut)),
+            4_600 | 4_700 => panel.note(ms(now), &name(1), &passed),
+            5_000 | 7_000 | 9_000 => panel.note(ms(now), &name(1), &passed),
+            _ => false,
+        };
+        let by_any = |trial: &Trial| trial.by_any && trial.upstream == name(0);
+        if first.is_none() && panel.trials().iter().any(by_any) {
+            first = Some(now);
+        }
+    }
+    assert!(first.is_some_and(|first| first < 9_000), "{first:?}");
+}
