Spend a request that may run once 3.5 s after a failure at the latest

Change: 3.5 s at most, 3 s where no outages are known. An upstream that failed once of its own accord now gets a request in each 4 s, which is what the users' floor asks for.

--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -29,12 +29,12 @@
 /// after 4.5 s to 18 s, breakers kept out a third of the upstreams that were sound.
 const OVER_ONCE: f64 = 0.5;
 /// Time since the last failure until then, where nothing is known of outages, and its bounds.
-/// At most, an upstream that failed once of its own accord goes without a request for as long:
-/// sound ones that wait so are fewer than three in ten where up to a third fail each ten
-/// seconds.
-const ONCE_USUAL: Duration = Duration::from_secs(4);
+/// At most as long, so that an upstream that failed once of its own accord gets a request in
+/// each 4 s: longer, and those that are sound again are missed by a service that is full. With
+/// 6 s the fullest day of 70 upstreams that get nothing else fell from 0.509 to 0.451.
+const ONCE_USUAL: Duration = Duration::from_secs(3);
 const ONCE_LEAST: Duration = Duration::from_secs(1);
-const ONCE_MOST: Duration = Duration::from_secs(6);
+const ONCE_MOST: Duration = Duration::from_millis(3500);
 /// The same where idempotent requests lately showed an upstream to be well: they come soon, and
 /// are sent again where it is not. Without it one sign-off in a hundred was spent on trials of
 /// a service of which every fifth request was a lookup.
--- a/tests/suite/breaker/outages.rs
+++ b/tests/suite/breaker/outages.rs
@@ -82,22 +82,26 @@
 
 // Of ten upstreams nine show each some seconds, by lookups, that they are well again. The tenth
 // goes on breaking its answers, and no lookup has come to it yet. Orders, which may run only
-// once, are not spent on it before eight seconds; where there are no lookups, after four.
+// once, are not spent on it before eight seconds; where there are no lookups, after three.
 #[rstest]
 #[case::lookups(true, 8_000)]
-#[case::none(false, 4_000)]
+#[case::none(false, 3_000)]
 fn trials_by_any(#[case] lookups: bool, #[case] from: u64) {
     let mut panel = Panel::new(0.5, ChaCha8Rng::seed_from_u64(5));
     let name = |at: usize| compact_str::format_compact!("hull-{at}");
     (0..10).for_each(|at| panel.join(name(at), 4));
     panel.note(ms(0), &name(0), &one(Kind::Cut));
-    panel.note(ms(0), &name(1), &one(Kind::Cut));
     let mut first = None;
     for now in (0..12_000).step_by(50) {
         panel.tick(ms(now));
-        if lookups && now % 1_000 == 400 {
-            panel.note(ms(now), &name(1), &Tally::of_trial(Kind::Success, ms(20)));
-        }
+        let other = name(1 + now as usize / 1_000 % 9);
+        match now % 1_000 {
+            0 => panel.note(ms(now), &other, &one(Kind::Cut)),
+            400 | 450 if lookups => {
+                panel.note(ms(now), &other, &Tally::of_trial(Kind::Success, ms(20)))
+            }
+            _ => false,
+        };
         let by_any = |trial: &Trial| trial.by_any && trial.upstream == name(0);
         if first.is_none() && panel.trials().iter().any(by_any) {
             first = Some(now);
