--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -49,9 +49,9 @@
 /// send all callers to those.
 pub const WARM_UP: Duration = Duration::from_millis(1500);
 /// Fewest entries that callers are told of, spread over the failure domains: the loss of one
-/// leaves its work to two others. With two in each of three or four domains, which one in each
-/// could carry, the mean worth of loaded days was 0.611 and 0.582 on two sites, with one 0.616
-/// and 0.587 (5 runs each); every entry sees twice as much of the upstreams.
+/// leaves its work to two others. With one in each of three domains, where that carries the load,
+/// an entry sees twice as much of the upstreams as with two: of the work of loaded days on two
+/// deployments 84.4% and 87.8% was served, 83.9% and 86.9% with two (5 runs each).
 const FEWEST: usize = 3;
 /// Requests a second for each slot of the upstreams, for which there are to be entries before
 /// any load was seen: 0.5 to 1.2 on the users' sites. Without it all callers of a large fleet
