--- a/src/feed/room.rs
+++ b/src/feed/room.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Requests a second for each core: a quarter of what one serves, so that a surge finds room.
+/// Requests a second for each core: half of what one serves, so that a surge finds room.
 /// The fewer entries there are, the sooner each sees which upstreams are busy, and the fewer
 /// lose a request of their own at one that turns bad.
 const PER_CORE: f64 = 300.0;
