Tell what took an upstream out, and what further tries cost

Lines of breakers now say by what evidence, and tell ejections, failed trials and returns apart; metrics count them, further tries that were paid for and free ones, and give the entries that the budget is shared by. No decision changes.

--- a/src/breaker.rs
+++ b/src/breaker.rs
@@ -19,6 +19,7 @@
 //! run out of time at every upstream ([`Tally::hung`]).
 
 mod blame;
+mod cause;
 mod circuit;
 mod errors;
 mod outages;
@@ -28,6 +29,7 @@
 mod window;
 
 pub use blame::Blame;
+pub use cause::Cause;
 pub use circuit::Circuit;
 pub use circuit::State;
 pub use errors::Errors;
--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Cause;
 use super::Tally;
 use super::Window;
 use crate::clock::Moment;
@@ -65,6 +66,7 @@
 #[derive(Clone, Debug)]
 pub struct Circuit {
     broken_at: Moment,
+    cause: Cause,
     crowded: bool,
     doubts: bool,
     failed_at: Moment,
@@ -82,6 +84,7 @@
         let own = window.clone();
         Self {
             broken_at: Moment::ZERO,
+            cause: Cause::Broken,
             crowded: false,
             doubts: false,
             failed_at: Moment::ZERO,
@@ -116,6 +119,11 @@
         self.broken_at
     }
 
+    /// What took it out, the last time.
+    pub fn cause(&self) -> Cause {
+        self.cause
+    }
+
     /// When its present or last outage began, and when that was last known to go on.
     pub fn outage(&self) -> (Moment, Moment) {
         (self.opened_at, self.failed_at)
@@ -168,7 +176,7 @@
             State::Closed => {
                 self.judge(now, tally);
                 if self.doubts && tally.failed > 0 && self.state == State::Closed {
-                    self.open(now, now, DOUBTED);
+                    self.open(now, now, Cause::Failed, DOUBTED);
                     self.is_doubted = true;
                 }
             }
@@ -188,6 +196,7 @@
                 // What hung from before the last failure on is no failure of a trial: taken for
                 // one, each caller that gave up put the next trial off by seconds.
                 if fault_at > self.failed_at {
+                    self.cause = Cause::of(tally);
                     self.is_doubted = false;
                     self.failed_at = fault_at;
                     self.state = State::Open { until: now + AGAIN };
@@ -235,11 +244,12 @@
             || self.own.sum().unreached >= UNREACHED
             || (sum.unreached >= LOST && sum.answered == 0);
         if fault {
-            self.open(now, tally.fault_at(now), OPEN);
+            self.open(now, tally.fault_at(now), Cause::of(tally), OPEN);
         }
     }
 
-    fn open(&mut self, now: Moment, failed_at: Moment, pause: Duration) {
+    fn open(&mut self, now: Moment, failed_at: Moment, cause: Cause, pause: Duration) {
+        self.cause = cause;
         self.failed_at = failed_at;
         self.opened_at = failed_at;
         self.state = State::Open { until: now + pause };
--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use super::Cause;
 use super::Circuit;
 use super::Errors;
 use super::Outages;
@@ -350,6 +351,11 @@
         self.circuits.get(upstream).map_or(State::Closed, |member| member.circuit.state())
     }
 
+    /// What took an upstream out, the last time; `None` where it is not known.
+    pub fn cause(&self, upstream: &UpstreamId) -> Option<Cause> {
+        self.circuits.get(upstream).map(|member| member.circuit.cause())
+    }
+
     /// Usual time until an answer: that of the median upstream.
     pub fn usual(&self) -> Option<Duration> {
         let median = median(self.means().into_iter().map(|(_, mean)| mean).collect())?;
--- a/src/node/attached/breakers.rs
+++ b/src/node/attached/breakers.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::breaker::Blame;
+use crate::breaker::Cause;
 use crate::breaker::Panel;
 use crate::breaker::State;
 use crate::breaker::Tally;
@@ -37,6 +38,10 @@
 pub(super) struct Noted {
     /// Whether an error there is a sign of a fault, and others should know of it at once.
     pub(super) alarmed: bool,
+    /// State of the upstream's breaker before.
+    pub(super) before: State,
+    /// What took the upstream out, the last time.
+    pub(super) cause: Option<Cause>,
     /// Whether the upstream's breaker changed.
     pub(super) changed: bool,
     /// Whether it says something of the upstream, and not of this entry's own network.
@@ -124,6 +129,7 @@
         tally: &Tally,
     ) -> Option<Noted> {
         let panel = self.panels.get_mut(service)?;
+        let before = panel.state(upstream);
         let serves_others = panel.serves_others(now, upstream);
         let changed = panel.note_own(now, upstream, tally);
         if tally.lost() > 0 && serves_others {
@@ -132,6 +138,8 @@
         let is_evidence = !self.blame.is_own(now);
         Some(Noted {
             alarmed: panel.is_alarmed(),
+            before,
+            cause: panel.cause(upstream),
             changed,
             is_evidence,
             state: panel.state(upstream),
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -324,11 +324,8 @@
         }
         if noted.changed {
             self.dirty = true;
-            let state = noted.state;
-            let kind = if state == State::Closed { Kind::Readmitted } else { Kind::Ejected };
-            let event =
-                events::event(&self.id, kind).service(service.clone()).upstream(upstream.clone());
-            outputs.push(Output::Event(event.detail("is", format!("{state:?}"))));
+            let event = events::breaker(&self.id, service, upstream, &noted);
+            outputs.extend(event.map(Output::Event));
         }
     }
 
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -315,6 +315,9 @@
 
     fn record(&self, event: Event) {
         log_event(&event);
+        if let Some(by) = event.detail.get("by") {
+            self.shared.metrics.count(&format!("{}.{by}", event.kind.name()));
+        }
         let Event { vm: _, kind, .. } = event.clone();
         self.journal.record(wall(), kind, |stamped| Event { stamp: stamped.stamp, ..event });
     }
@@ -375,11 +378,18 @@
     let kind = event.kind.name();
     let upstream = event.upstream.as_deref().unwrap_or_default();
     let peer = event.peer.as_deref().unwrap_or_default();
+    let service = event.service.as_deref().unwrap_or_default();
     let detail = format!("{:?}", event.detail);
     match event.kind {
         Kind::Ejected | Kind::MemberFailed => {
-            tracing::warn!(target: "hemlockfield::node", kind, upstream, peer, detail, "event");
+            tracing::warn!(
+                target: "hemlockfield::node",
+                kind, service, upstream, peer, detail, "event"
+            );
         }
-        _ => tracing::info!(target: "hemlockfield::node", kind, upstream, peer, detail, "event"),
+        _ => tracing::info!(
+            target: "hemlockfield::node",
+            kind, service, upstream, peer, detail, "event"
+        ),
     }
 }
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -58,6 +58,7 @@
     };
     let request = job.request(now, shared.boundary.as_ref(), &place.upstream);
     *sends += 1;
+    shared.metrics.count("retry.hedge");
     let second = Tried::make(shared, request, place, true, left).fuse();
     pin_mut!(second);
     let (tried, won) = select! {
--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -208,10 +208,27 @@
             gauges_at = now + GAUGES;
             let in_flight = shared.in_flight.load(Ordering::Relaxed);
             shared.metrics.gauge("request.in_flight", in_flight as u64);
+            tell_levels(&shared);
         }
     }
 }
 
+/// Tells what this entry goes by: entries that share the retry budget with it, upstreams that
+/// are out, and those that get work only where no other has room.
+fn tell_levels(shared: &Shared) {
+    let view = shared.view.load();
+    let services = || view.services.values();
+    let is_out = |weight: &&f64| **weight <= 0.0;
+    let out = services().map(|service| service.weights.values().filter(is_out).count()).sum();
+    let last = services().map(|service| service.suspects.len()).sum();
+    let entries = services().map(|service| service.entries).max().unwrap_or_default();
+    let levels = [("retry.entries", entries), ("upstream.out", out), ("upstream.last", last)];
+    for (kind, level) in levels {
+        let level: usize = level;
+        shared.metrics.gauge(kind, level as u64);
+    }
+}
+
 fn tell_overdue(shared: &Shared, service: &super::service::Service) {
     let overdue = service.overdue(shared.now());
     let stuck = overdue.iter().map(|(_, ages)| ages.len()).sum();
--- a/src/node/traffic/tries.rs
+++ b/src/node/traffic/tries.rs
@@ -99,6 +99,8 @@
         let decision = service.policy(shared.now()).decide(&attempt);
         match decision {
             Decision::Again { after } => {
+                let kind = if attempt.sent { "retry.sent" } else { "retry.unsent" };
+                shared.metrics.count(kind);
                 avoid.push(tried.upstream());
                 last = Some((tried.reason(), status_of(outcome)));
                 tried.end(outcome, job.terms.long);
--- a/tests/suite/breaker/circuit.rs
+++ b/tests/suite/breaker/circuit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hemlockfield::breaker::Cause;
 use hemlockfield::breaker::Circuit;
 use hemlockfield::breaker::State;
 use hemlockfield::breaker::Tally;
@@ -149,3 +150,28 @@
     assert!(is_open(&here));
     assert_eq!(elsewhere.state(), State::Closed);
 }
+
+// An upstream is out, and an operator wants to know for what. A request that ran out of time is
+// told from one that still waits, which may yet be answered.
+#[rstest]
+#[case::cut(one(Kind::Cut), Cause::Broken)]
+#[case::timeout(one(Kind::Timeout), Cause::Hung)]
+#[case::waits(overdue(), Cause::Overdue)]
+#[case::waits_beside_one_out_of_time(both(), Cause::Hung)]
+fn cause_by_evidence(#[case] tally: Tally, #[case] cause: Cause) {
+    let mut circuit = Circuit::default();
+    circuit.note(ms(100), &tally);
+    assert!(is_open(&circuit));
+    assert_eq!(circuit.cause(), cause);
+}
+
+/// A request that has waited for a second, and goes on waiting.
+fn overdue() -> Tally {
+    Tally { hung: 1, overdue: 1, waited: 1_000, ..Tally::default() }
+}
+
+fn both() -> Tally {
+    let mut tally = overdue();
+    tally.add(&one(Kind::Timeout));
+    tally
+}
