Share the burst of further tries among all entries that serve

Cause: the burst was divided by twice the entries that callers are told of, but all others get requests too (operators look at each entry whether a change is in force), and each of them spent such a part: with three named, 32 entries had 32/6 of the burst. Class: a limit shared by a count that is not the count of those who draw on it.

Change: the burst is shared by all entries that take callers, by the highest count of the last window and lease; an entry that no control tells anything for 5 s has no part, nor for a window after.

What it costs calm named entries is not measured yet.

--- a/src/feed/news.rs
+++ b/src/feed/news.rs
@@ -28,6 +28,8 @@
     pub known: Index,
     /// Entries that callers are told of, where they are others than the asker knows.
     pub named: Option<Vec<Entry>>,
+    /// Entries that may get requests: those that callers are told of, and all others that serve.
+    pub serving: usize,
     /// Number of the question; 0 where it was told unasked.
     pub sequence: u64,
     /// What callers of other entries received of upstreams since the last news.
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -283,6 +283,7 @@
             known: ledger.applied,
             named: None,
             sequence,
+            serving: self.serving(now).count(),
             tallies,
             upstreams: ledger.catalog.since(base),
         }
--- a/src/node/attached/setup.rs
+++ b/src/node/attached/setup.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::boundary::Boundary;
 use crate::feed::Room;
@@ -28,6 +29,8 @@
     pub(in crate::node) office: Option<Office>,
     /// How much it is meant to carry, at an entry.
     pub(in crate::node) room: Room,
+    /// Span over which further tries count, at an entry.
+    pub(in crate::node) retry_window: Duration,
     /// Seed of all that is drawn.
     pub(in crate::node) seed: u64,
     /// Controls that are known from the start.
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -76,6 +76,7 @@
             let said = &found.announcement;
             let service = services.entry(said.service.clone()).or_default();
             service.entries = entries;
+            service.sharing = Some(entries);
             service.addresses.insert(said.upstream.clone(), said.address);
             service.members.push(member(now, found));
             if let Some(judge) = self.judges.get(&said.service) {
--- a/src/node/make.rs
+++ b/src/node/make.rs
@@ -78,6 +78,7 @@
         is_entry: settings.has(Role::Entry),
         office,
         room: Room::new(settings.limits.processor, settings.limits.link),
+        retry_window: settings.retry.window,
         seed: rand::random(),
         seeds: seed_ids(settings),
     };
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -146,18 +146,17 @@
             }
             choice.picker.refresh(view);
             choice.tried.retain(|tried| view.trials.iter().any(|trial| trial.number == *tried));
-            self.limit_retries(now, view.entries);
+            self.limit_retries(now, view.sharing);
             choice.slots = slots(view);
             self.queue.set_slots(now, choice.slots);
         }
         choice
     }
 
-    fn limit_retries(&self, now: Moment, entries: usize) {
+    fn limit_retries(&self, now: Moment, sharing: Option<usize>) {
         if self.retry.pooled {
             let settings::Retry { burst, share, window, .. } = self.retry;
-            let spending = entries * retry::Limits::LISTS;
-            let limits = retry::Limits::part(share, burst, window, spending);
+            let limits = retry::Limits::part(share, burst, window, sharing);
             let limits = retry::Limits { is_first: self.is_first, ..limits };
             self.policy(now).set_limits(limits);
         }
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -41,6 +41,8 @@
     pub entries: usize,
     /// The upstreams as the balance sees them.
     pub members: Vec<balance::Member>,
+    /// Entries that share the burst of further tries; `None` where this one has no part in it.
+    pub sharing: Option<usize>,
     /// State that rules may ask for.
     pub state: ServiceState,
     /// Upstreams that get work only where no other has room.
@@ -112,6 +114,7 @@
             && self.trials == before.trials
             && self.weights == before.weights
             && self.entries == before.entries
+            && self.sharing == before.sharing
             && self.state == before.state
     }
 }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod outcome;
 mod policy;
+mod sharing;
 mod storm;
 mod window;
 
@@ -35,6 +36,7 @@
 pub use limits::Limits;
 pub use outcome::Outcome;
 pub use policy::Policy;
+pub use sharing::Sharing;
 pub use storm::Loss;
 pub use storm::Report;
 pub use storm::Storm;
--- a/src/retry/limits.rs
+++ b/src/retry/limits.rs
@@ -26,15 +26,11 @@
     /// come or gone is counted late.
     const MARGIN: f64 = 0.9;
 
-    /// Lists of entries that callers hold at a time: the one in force and the one before, as a
-    /// changed load names others. With the parts of one list alone, entries of both spent 577
-    /// further tries in 10 s where 573 were allowed.
-    pub const LISTS: usize = 2;
-
-    /// One entry's part of what `entries` may do together: in any `window` all of them make
-    /// at most `share` of their first tries and `burst` more.
-    pub fn part(share: f64, burst: f64, window: Duration, entries: usize) -> Self {
-        let most = Self::MARGIN * burst / entries.max(1) as f64;
+    /// One entry's part of what all do together: in any `window` they make at most `share` of
+    /// their first tries and `burst` more, which `entries` of them share; `None` for an entry
+    /// without a part in it.
+    pub fn part(share: f64, burst: f64, window: Duration, entries: Option<usize>) -> Self {
+        let most = entries.map_or(0.0, |entries| Self::MARGIN * burst / entries.max(1) as f64);
         let share = Self::MARGIN * share;
         Self { free_connects: true, is_first: false, most, share, window: Some(window) }
     }
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -55,6 +55,7 @@
         known,
         named: None,
         sequence,
+        serving: 1,
         tallies: Tallies::default(),
         upstreams: Delta::default(),
     }
