Take an upstream back once its slow request is answered after all

Cause: a request that waits for a second and four times as long as usual counts as hung and takes its upstream out. One in a hundred takes five times as long on a sound upstream, and is answered whole; that changed nothing. Only trials close a breaker, and where requests may run once they begin 3 s to 8 s later. Class: a verdict on incomplete evidence that is not revised when the evidence is complete.

Change: such a breaker is opened on presumption; a whole answer to a request that had waited as long closes it, and the entry tells the others. What ends without an answer makes it certain.

--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -67,6 +67,7 @@
 pub struct Circuit {
     broken_at: Moment,
     cause: Cause,
+    cleared: bool,
     crowded: bool,
     doubts: bool,
     failed_at: Moment,
@@ -74,6 +75,9 @@
     opened_at: Moment,
     own: Window,
     passed_at: Moment,
+    /// How long a request had waited that took it out though it may yet be answered; `None`
+    /// where something certain did.
+    presumed_after: Option<Duration>,
     state: State,
     window: Window,
 }
@@ -85,6 +89,7 @@
         Self {
             broken_at: Moment::ZERO,
             cause: Cause::Broken,
+            cleared: false,
             crowded: false,
             doubts: false,
             failed_at: Moment::ZERO,
@@ -92,6 +97,7 @@
             opened_at: Moment::ZERO,
             own,
             passed_at: Moment::ZERO,
+            presumed_after: None,
             state: State::Closed,
             window,
         }
@@ -124,6 +130,18 @@
         self.cause
     }
 
+    /// Whether it is back because what had taken it out was no fault.
+    pub fn was_cleared(&self) -> bool {
+        self.cleared
+    }
+
+    /// Whether this shows that the upstream was taken out for a request that was only slow: one
+    /// that had waited as long was answered whole.
+    fn is_cleared_by(&self, tally: &Tally) -> bool {
+        let latency = Duration::from_millis(tally.millis);
+        self.presumed_after.is_some_and(|after| tally.answered == 1 && latency >= after)
+    }
+
     /// When its present or last outage began, and when that was last known to go on.
     pub fn outage(&self) -> (Moment, Moment) {
         (self.opened_at, self.failed_at)
@@ -159,13 +177,19 @@
 
     /// Takes what callers received here.
     pub fn note_own(&mut self, now: Moment, tally: &Tally) {
+        let cleared = u32::from(self.is_cleared_by(tally));
         self.own.roll(now);
         self.own.add(now, tally);
-        self.note(now, tally);
+        self.note(now, &Tally { cleared, ..*tally });
     }
 
     /// Takes what callers received at other entries.
     pub fn note(&mut self, now: Moment, tally: &Tally) {
+        if self.presumed_after.is_some() && tally.cleared > 0 {
+            self.close();
+            self.cleared = true;
+        }
+        let tally = &tally.without_cleared();
         self.window.roll(now);
         self.window.add(now, tally);
         let fault_at = tally.fault_at(now);
@@ -188,6 +212,7 @@
             State::Open { until } if tally.broken + tally.hung > 0 => {
                 // Requests that were under way when it opened end now; they tell that the
                 // fault goes on.
+                self.ascertain(tally);
                 self.failed_at = self.failed_at.max(fault_at);
                 self.state = State::Open { until: until.max(fault_at + OPEN) };
             }
@@ -195,8 +220,10 @@
             State::Trial { .. } if tally.faults() > 0 => {
                 // What hung from before the last failure on is no failure of a trial: taken for
                 // one, each caller that gave up put the next trial off by seconds.
+                self.ascertain(tally);
                 if fault_at > self.failed_at {
                     self.cause = Cause::of(tally);
+                    self.presumed_after = None;
                     self.is_doubted = false;
                     self.failed_at = fault_at;
                     self.state = State::Open { until: now + AGAIN };
@@ -245,11 +272,20 @@
             || (sum.unreached >= LOST && sum.answered == 0);
         if fault {
             self.open(now, tally.fault_at(now), Cause::of(tally), OPEN);
+            self.presumed_after = sum.presumed_after().and(tally.presumed_after());
+        }
+    }
+
+    /// Takes it for certain that it is at fault, where this is certain.
+    fn ascertain(&mut self, tally: &Tally) {
+        if tally.presumed_after().is_none() && self.presumed_after.take().is_some() {
+            self.cause = Cause::of(tally);
         }
     }
 
     fn open(&mut self, now: Moment, failed_at: Moment, cause: Cause, pause: Duration) {
         self.cause = cause;
+        self.cleared = false;
         self.failed_at = failed_at;
         self.opened_at = failed_at;
         self.state = State::Open { until: now + pause };
@@ -272,6 +308,7 @@
     fn close(&mut self) {
         self.state = State::Closed;
         self.is_doubted = false;
+        self.presumed_after = None;
         self.own.clear();
         self.window.clear();
     }
--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -163,6 +163,12 @@
         self.with(upstream, |circuit| circuit.note_own(now, tally))
     }
 
+    /// Whether an upstream is back because a request that took it out was only slow. Other entries
+    /// have to be told.
+    pub fn was_cleared(&self, upstream: &UpstreamId) -> bool {
+        self.circuits.get(upstream).is_some_and(|member| member.circuit.was_cleared())
+    }
+
     /// Takes what callers received at other entries; whether the upstream's state changed.
     pub fn note(&mut self, now: Moment, upstream: &UpstreamId, tally: &Tally) -> bool {
         self.look_for_crowd(now, upstream, tally);
@@ -228,7 +234,7 @@
         if after != before && matches!(after, State::Open { .. }) {
             member.trial = None;
         }
-        if after != before && after == State::Closed {
+        if after != before && after == State::Closed && !member.circuit.was_cleared() {
             self.outages.add(member.circuit.lasted());
         }
         after != before
--- a/src/breaker/tally.rs
+++ b/src/breaker/tally.rs
@@ -17,6 +17,8 @@
     pub answered: u32,
     /// Answers that were cut or spoiled.
     pub broken: u32,
+    /// Whole answers to requests that had waited for as long as those that took the upstream out.
+    pub cleared: u32,
     /// Failures that were the upstream's own answer.
     pub failed: u32,
     /// Answers that never came, or not in time. Unlike broken ones they are no proof of a
@@ -74,6 +76,7 @@
         self.alarming += other.alarming;
         self.answered += other.answered;
         self.broken += other.broken;
+        self.cleared += other.cleared;
         self.failed += other.failed;
         self.hung += other.hung;
         self.late += other.late;
@@ -91,6 +94,7 @@
         self.alarming -= other.alarming;
         self.answered -= other.answered;
         self.broken -= other.broken;
+        self.cleared -= other.cleared;
         self.failed -= other.failed;
         self.hung -= other.hung;
         self.late -= other.late;
@@ -103,6 +107,24 @@
         self.waited -= other.waited;
     }
 
+    /// How long a request had waited that is taken for hung; `None` where one ended so, or
+    /// something else is a certain fault.
+    pub(super) fn presumed_after(&self) -> Option<Duration> {
+        let is_certain = self.broken + self.unreached > 0 || self.hung > self.overdue;
+        let is_presumed = self.overdue > 0 && !is_certain;
+        is_presumed.then(|| Duration::from_millis(self.waited / u64::from(self.hung)))
+    }
+
+    /// The same without requests that were taken for hung, where they turned out to be slow.
+    pub(super) fn without_cleared(&self) -> Self {
+        if self.cleared == 0 {
+            return *self;
+        }
+        let hung = self.hung - self.overdue;
+        let waited = if hung > 0 { self.waited } else { 0 };
+        Self { hung, overdue: 0, waited, ..*self }
+    }
+
     /// Whether nothing was received.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
@@ -110,7 +132,7 @@
 
     /// Whether others should know at once: the next request may go there.
     pub fn is_urgent(&self) -> bool {
-        self.alarming + self.broken + self.hung + self.late + self.passed > 0
+        self.alarming + self.broken + self.cleared + self.hung + self.late + self.passed > 0
     }
 
     /// Requests whose answer was broken, never came, or is late.
--- a/src/node/attached/breakers.rs
+++ b/src/node/attached/breakers.rs
@@ -44,6 +44,8 @@
     pub(super) cause: Option<Cause>,
     /// Whether the upstream's breaker changed.
     pub(super) changed: bool,
+    /// Answers that show that it was out for a request that was only slow.
+    pub(super) cleared: u32,
     /// Whether it says something of the upstream, and not of this entry's own network.
     pub(super) is_evidence: bool,
     /// State of the upstream's breaker.
@@ -132,6 +134,7 @@
         let before = panel.state(upstream);
         let serves_others = panel.serves_others(now, upstream);
         let changed = panel.note_own(now, upstream, tally);
+        let cleared = u32::from(changed && panel.was_cleared(upstream));
         if tally.lost() > 0 && serves_others {
             self.blame.note(now, upstream);
         }
@@ -141,6 +144,7 @@
             before,
             cause: panel.cause(upstream),
             changed,
+            cleared,
             is_evidence,
             state: panel.state(upstream),
         })
--- a/src/node/attached/spoke.rs
+++ b/src/node/attached/spoke.rs
@@ -326,7 +326,8 @@
         let Some(noted) = self.breakers.note_own(now, service, upstream, tally) else { return };
         if noted.is_evidence {
             let alarming = if noted.alarmed { tally.failed } else { 0 };
-            self.subscriber.note(now, upstream, &Tally { alarming, ..*tally });
+            let tally = Tally { alarming, cleared: noted.cleared, ..*tally };
+            self.subscriber.note(now, upstream, &tally);
         }
         if noted.changed {
             self.dirty = true;
--- a/tests/suite/breaker/once.rs
+++ b/tests/suite/breaker/once.rs
@@ -136,10 +136,12 @@
             panel.note(ms(now), &upstream, &heard.tally);
             return;
         }
-        panel.note_own(ms(now), &upstream, &heard.tally);
+        let changed = panel.note_own(ms(now), &upstream, &heard.tally);
+        let cleared = u32::from(changed && panel.was_cleared(&upstream));
+        let tally = Tally { cleared, ..heard.tally };
         for entry in (0..ENTRIES).filter(|entry| *entry != heard.entry) {
             let at = now + self.random.random_range(TOLD_AFTER);
-            let told = Heard { entry, is_own: false, ..*heard };
+            let told = Heard { entry, is_own: false, tally, ..*heard };
             self.heard.entry(at).or_default().push(told);
         }
     }
--- a/tests/suite/breaker/panel.rs
+++ b/tests/suite/breaker/panel.rs
@@ -175,3 +175,42 @@
     panel.note_own(ms(1_400), &name(3), &Tally::of(Kind::Success, ms(1_400)));
     assert_eq!(panel.state(&name(3)), State::Closed);
 }
+
+// The entry whose request was slow tells the others; one that hears of the wait and of its end
+// at once takes nothing out.
+#[test]
+fn note_cleared_elsewhere() {
+    let waits = Tally { hung: 1, overdue: 1, waited: 1_000, ..Tally::default() };
+    let cleared = Tally { cleared: 1, ..Tally::of(Kind::Success, ms(1_400)) };
+    let mut panel = panel(0.5);
+    panel.note(ms(1_000), &name(3), &waits);
+    assert_eq!(out(&panel), 1);
+    panel.note(ms(1_400), &name(3), &cleared);
+    assert_eq!(out(&panel), 0);
+    let mut both = waits;
+    both.add(&cleared);
+    panel.note(ms(2_000), &name(4), &both);
+    assert_eq!(out(&panel), 0);
+}
+
+// A request hangs, and its caller gives up; another one was slow, and is answered whole. That one
+// hung is certain, so the upstream stays out.
+#[test]
+fn note_answered_beside_hung() {
+    let mut panel = panel(0.5);
+    let waits = Tally { hung: 1, overdue: 1, waited: 1_000, ..Tally::default() };
+    panel.note_own(ms(1_000), &name(3), &waits);
+    panel.note_own(ms(2_000), &name(3), &Tally::of(Kind::Timeout, ms(2_000)));
+    panel.note_own(ms(2_100), &name(3), &Tally::of(Kind::Success, ms(1_400)));
+    assert_eq!(out(&panel), 1);
+}
+
+// An upstream was taken out for a broken answer. That a slow one from before comes whole is no
+// reason to take it back.
+#[test]
+fn note_answered_after_cut() {
+    let mut panel = panel(0.5);
+    cut(&mut panel, ms(1_000), 3);
+    panel.note_own(ms(1_400), &name(3), &Tally::of(Kind::Success, ms(1_400)));
+    assert_eq!(out(&panel), 1);
+}
