Try an upstream soon where its trial should have come by now

Cause: as long as little is lost, a request that may run once is spent on an upstream up to 8 s after its last failure. When much is lost all those are due at once, but each entry draws its moment from as many seconds as there are entries: one upstream in five is tried only after two seconds. Class: a pace meant for one at a time, applied to a backlog.

Change: half a second after a trial was due under pressure, entries try 0.3 s apart in place of 1 s, where the fault breaks answers and so shows at once.

--- a/src/breaker/panel.rs
+++ b/src/breaker/panel.rs
@@ -43,6 +43,11 @@
 /// that holds what it gets shows after a second: four trials a second lost four requests until
 /// all entries knew.
 const ONCE_EVERY: Duration = Duration::from_secs(1);
+/// The same where one should have come by now. Only where answers are broken: that shows at once,
+/// and the others hold back before their turn.
+const ONCE_SOON: Duration = Duration::from_millis(300);
+/// A trial should have come so long after it began to be due under pressure.
+const ONCE_LATE: Duration = Duration::from_millis(500);
 /// How long what idempotent requests showed counts.
 const HELPED: Duration = Duration::from_secs(5);
 /// An upstream whose answers take this many times as long as those of the median upstream is
@@ -94,6 +99,8 @@
     circuit: Circuit,
     /// When its last answer was an error, after one that was none.
     erred_at: Option<Moment>,
+    /// Whether a trial by requests that may run only once should have come by now.
+    is_late: bool,
     /// When requests that may run only once begin to make its trials, as things are.
     once_due: Moment,
     /// The same, by what is known of outages.
@@ -139,6 +146,7 @@
             by_any: false,
             circuit: Circuit::default(),
             erred_at: None,
+            is_late: false,
             once_due: Moment::ZERO,
             once_from: Moment::ZERO,
             passed: 0,
@@ -260,18 +268,23 @@
             if !matches!(before, State::Trial { .. }) {
                 (member.try_from, member.once_from) = moments(&self.outages, &member.circuit);
             }
+            let failed_at = member.circuit.outage().1;
+            let is_high = self.pressure.is_high(now);
+            let most = if is_high { ONCE_PRESSED } else { ONCE_MOST };
+            let is_broken = member.circuit.cause() == Cause::Broken;
+            let is_late = is_high && is_broken && now >= failed_at + ONCE_PRESSED + ONCE_LATE;
             let every = match member.by_any {
                 _ if passed > 0 => TRIAL_SOON,
+                true if is_late => ONCE_SOON,
                 true => ONCE_EVERY,
                 false => TRIAL_EVERY,
             };
             let spread = every * self.entries as u32;
-            if passed != member.passed {
+            if passed != member.passed || is_late != member.is_late {
                 member.passed = passed;
+                member.is_late = is_late;
                 member.trial_at = Moment::MAX;
             }
-            let failed_at = member.circuit.outage().1;
-            let most = if self.pressure.is_high(now) { ONCE_PRESSED } else { ONCE_MOST };
             let wanted = if helped { failed_at + ONCE_MOST } else { member.once_from };
             member.once_due = wanted.min(failed_at + most);
             if !member.by_any && now >= member.once_due {
