--- a/tests/suite/feed.rs
+++ b/tests/suite/feed.rs
@@ -2,4 +2,5 @@
 
 mod budget;
 mod publisher;
+mod slow_link;
 mod subscriber;
--- /dev/null
+++ b/tests/suite/feed/slow_link.rs
@@ -0,0 +1,315 @@
+//! Large configurations on the narrow link of an entry.
+
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hemlockfield::catalog::Action;
+use hemlockfield::catalog::Catalog;
+use hemlockfield::catalog::Change;
+use hemlockfield::config::Version;
+use hemlockfield::feed::Capacity;
+use hemlockfield::feed::Control;
+use hemlockfield::feed::Entry;
+use hemlockfield::feed::Input;
+use hemlockfield::feed::Message;
+use hemlockfield::feed::Output;
+use hemlockfield::feed::Publisher;
+use hemlockfield::feed::Snapshot;
+use hemlockfield::feed::Subscriber;
+use hemlockfield::fleet::State;
+use hemlockfield::id::ConfigNumber;
+use hemlockfield::id::Index;
+use hemlockfield::id::NodeId;
+use hemlockfield::registry;
+use hemlockfield::registry::Announcement;
+use hemlockfield::timeline::Stamp;
+use hemlockfield::wire::Envelope;
+use hemlockfield::wire::Frame;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const CONTROLS: [&str; 3] = ["c1", "c2", "c3"];
+/// Link of an entry in bytes per second: 3.9 Mbit/s.
+const LINK: u64 = 487_500;
+/// Latency one way between a control and an entry.
+const LATENCY: Duration = Duration::from_micros(1400);
+/// Step of the clock in milliseconds.
+const STEP: u64 = 1;
+/// Bytes per second that a VM may spend on control.
+const CONTROL_BYTES: u64 = 3_000;
+/// Time within which a change must be in force, and an upstream that leaves must get no work.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Default time within which an upstream must accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time in milliseconds of the first change.
+const CHANGED_AT: u64 = 3_000;
+/// Interval between changes in milliseconds.
+const CHANGE_INTERVAL: u64 = 500;
+/// Number of changes in a series.
+const CHANGES: u64 = 20;
+/// Number of the first change.
+const FIRST_CHANGE: ConfigNumber = 2;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// A configuration in one line, as operators' programs write it. Its routes differ in their names.
+fn version(number: ConfigNumber, routes: usize, weight: u32) -> Version {
+    let mut document = format!(r#"{{"version":"{number:08x}","services":[{{"name":"hull"}}],"#);
+    document.push_str(r#""hosts":[{"host":"hull.example","paths":["#);
+    for at in 0..routes {
+        let name = (at as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 28;
+        let weight = if at == 0 { weight } else { 10 };
+        write!(
+            document,
+            r#"{{"name":"r-{name:09x}","pathPrefix":"/{name:x}/","routeType":"unsafe","timeoutS":1.5,"aimS":1.2,"priority":1,"trafficSplit":[{{"service":"hull","weight":{weight}}}],"maxAttempts":2}},"#
+        )
+        .expect("formatted");
+    }
+    document.push_str("]}]}");
+    Version::new(number, compact_str::format_compact!("{number}"), &document)
+}
+
+/// The only upstream, which is ready or leaving.
+fn upstream(state: registry::State, sequence: u64) -> Action {
+    let announcement = Announcement {
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        connections: 390,
+        domain: "north".into(),
+        incarnation: 1,
+        lease: ms(4_500),
+        service: "hull".into(),
+        slots: 4,
+        state,
+        upstream: "hull-1".into(),
+        warm_up: Duration::ZERO,
+    };
+    Action::Announce(Change { announcement, sequence })
+}
+
+/// A message on the entry's link.
+struct Transfer {
+    arrives_at: Duration,
+    bytes: usize,
+    from: &'static str,
+    message: Message,
+}
+
+/// Three controls with the same log, and an entry that receives over a narrow link.
+struct World {
+    catalog: Catalog,
+    /// When each configuration took effect at the entry.
+    in_force_at: Vec<(ConfigNumber, Duration)>,
+    index: Index,
+    link: VecDeque<Transfer>,
+    /// Longest time for which a packet would have waited at the entry's link.
+    max_wait: Duration,
+    now: Duration,
+    publishers: Vec<Publisher>,
+    received: usize,
+    subscriber: Subscriber,
+    /// State of the upstream as the entry knows it.
+    upstream: Option<registry::State>,
+    version: Version,
+    version_index: Index,
+}
+
+impl World {
+    fn new(version: Version) -> Self {
+        let me = Entry {
+            callers: SocketAddr::from(([127, 0, 0, 1], 80)),
+            domain: "north".into(),
+            id: "e1".into(),
+            room: Capacity::new(0.1, Some(3.9)),
+            state: State::Serving,
+        };
+        let seeds = CONTROLS.iter().map(|id| (*id).into()).collect();
+        let mut catalog = Catalog::default();
+        catalog.apply(1, &upstream(registry::State::Ready, 1));
+        Self {
+            catalog,
+            in_force_at: Vec::new(),
+            index: 2,
+            link: VecDeque::new(),
+            max_wait: Duration::ZERO,
+            now: Duration::ZERO,
+            publishers: vec![Publisher::default(); CONTROLS.len()],
+            received: 0,
+            subscriber: Subscriber::new(ms(0), me, seeds, ChaCha8Rng::seed_from_u64(1)),
+            upstream: None,
+            version,
+            version_index: 2,
+        }
+    }
+
+    fn run_until(&mut self, end: u64) {
+        while self.now < ms(end) {
+            self.step();
+            self.now += ms(STEP);
+        }
+    }
+
+    /// Commits a configuration, which is acknowledged by that.
+    fn commit(&mut self, version: Version) {
+        self.index += 1;
+        self.version = version;
+        self.version_index = self.index;
+        self.schedule_pushes();
+    }
+
+    /// Commits that the upstream leaves, which is acknowledged by that.
+    fn drain(&mut self) {
+        self.index += 1;
+        self.catalog.apply(self.index, &upstream(registry::State::Draining, 2));
+        self.schedule_pushes();
+    }
+
+    fn schedule_pushes(&mut self) {
+        let now = self.now;
+        self.publishers.iter_mut().for_each(|publisher| publisher.schedule_push(now));
+    }
+
+    fn step(&mut self) {
+        while self.link.front().is_some_and(|transfer| transfer.arrives_at <= self.now) {
+            let Some(transfer) = self.link.pop_front() else { break };
+            self.received += transfer.bytes;
+            self.receive(transfer.from, transfer.message);
+        }
+        if self.subscriber.wake() <= self.now {
+            let outputs = self.subscriber.handle(self.now, Input::Tick);
+            self.carry_out(outputs);
+        }
+        for at in 0..self.publishers.len() {
+            if self.publishers[at].wake() <= self.now {
+                self.with_publisher(at, |publisher, now, snapshot| publisher.tick(now, snapshot));
+            }
+        }
+    }
+
+    fn receive(&mut self, from: &'static str, message: Message) {
+        let Message::News(update) = message else { return };
+        let outputs = self.subscriber.handle(self.now, Input::Update(from.into(), update));
+        self.carry_out(outputs);
+    }
+
+    fn carry_out(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send(to, message) => self.send_up(&to, message),
+                Output::Apply(update) => {
+                    let known = update.upstreams.upstreams.first();
+                    self.upstream = known.map(|known| known.state).or(self.upstream);
+                    if let Some(version) = update.configuration {
+                        self.in_force_at.push((version.number, self.now));
+                    }
+                }
+                Output::Advertise(_) | Output::Record(_) | Output::Unanswered(..) => (),
+            }
+        }
+    }
+
+    fn send_up(&mut self, to: &str, message: Message) {
+        let at = CONTROLS.iter().position(|id| *id == to).expect("a control");
+        let Message::Poll(poll) = message else { return };
+        self.with_publisher(at, |publisher, now, snapshot| publisher.poll(now, poll, snapshot));
+    }
+
+    /// Runs a control and puts what it sends to the entry on the link.
+    fn with_publisher(
+        &mut self,
+        at: usize,
+        run: impl FnOnce(&mut Publisher, Duration, &Snapshot<'_>) -> Vec<(NodeId, Message)>,
+    ) {
+        let control = |id: &&str| Control { domain: "north".into(), id: (*id).into() };
+        let snapshot = Snapshot {
+            applied: self.index,
+            catalog: &self.catalog,
+            configuration: Some((&self.version, self.version_index)),
+            controls: CONTROLS.iter().map(control).collect(),
+            fresh: true,
+        };
+        let sends = run(&mut self.publishers[at], self.now, &snapshot);
+        for (to, message) in sends {
+            if to == "e1" {
+                self.send_down(CONTROLS[at], message);
+            }
+        }
+    }
+
+    fn send_down(&mut self, from: &'static str, message: Message) {
+        let frame = Frame::Feed(message.clone());
+        let encoded = Envelope { frame, stamp: Stamp::default() }.encode().expect("encoded");
+        let bytes = encoded.len();
+        let free_at = self.link.back().map_or(self.now, |last| last.arrives_at.max(self.now));
+        self.max_wait = self.max_wait.max(free_at.saturating_sub(self.now));
+        let time = Duration::from_secs_f64(bytes as f64 / LINK as f64);
+        let arrives_at = free_at + time + 2 * LATENCY;
+        self.link.push_back(Transfer { arrives_at, bytes, from, message });
+    }
+
+    /// Commits configurations with this many routes, one each half second, and waits until the
+    /// last must be in force. Returns the bytes that the entry received.
+    fn commit_series(&mut self, routes: usize) -> usize {
+        let before = self.received;
+        let mut committed_at = Vec::new();
+        for number in FIRST_CHANGE..FIRST_CHANGE + CHANGES {
+            committed_at.push((number, self.now));
+            self.commit(version(number, routes, number as u32));
+            self.run_until(CHANGED_AT + (number - 1) * CHANGE_INTERVAL);
+        }
+        self.run_until(CHANGED_AT + CHANGES * CHANGE_INTERVAL + IN_FORCE.as_millis() as u64);
+        committed_at.iter().for_each(|(number, at)| self.check_in_force(*number, *at));
+        self.received - before
+    }
+
+    /// Checks that a configuration took effect in time, or a later one instead.
+    fn check_in_force(&self, number: ConfigNumber, committed_at: Duration) {
+        let at = self.in_force_at.iter().find(|(applied, _)| *applied >= number);
+        let after = at.map(|(_, at)| at.saturating_sub(committed_at));
+        assert!(after.is_some_and(|after| after <= IN_FORCE), "version {number}: {after:?}");
+    }
+}
+
+// Operators change one weight each half second. What an entry receives must not grow with the
+// document, which is far larger than the change.
+#[rstest]
+fn update_one_weight(#[values(10, 1_400, 4_200)] routes: usize) {
+    let mut world = World::new(version(1, routes, 1));
+    world.run_until(CHANGED_AT);
+    let received = world.commit_series(routes);
+    let span = CHANGES * CHANGE_INTERVAL + IN_FORCE.as_millis() as u64;
+    let rate = received as u64 * 1_000 / span;
+    assert!(rate <= CONTROL_BYTES, "{rate} bytes per second");
+}
+
+// Operators add 1,400 routes and change a weight each half second after that. Each change must be
+// in force in time, and the entry receives no document twice: the answer to a poll takes longer
+// than the entry waits for it, and the next control must not send the same again.
+#[rstest]
+fn large_change_in_force(#[values(10, 1_400, 2_800)] routes: usize) {
+    let mut world = World::new(version(1, routes, 1));
+    world.run_until(CHANGED_AT);
+    let received = world.commit_series(routes + 1_400);
+    let size = world.version.document.len();
+    assert!(received <= size, "{received} bytes for a document of {size}");
+}
+
+// An upstream reports that it leaves while the entry receives a large change. The entry must
+// learn of it in time, and callers' packets must not wait behind the change for so long that
+// connections to sound upstreams time out.
+#[rstest]
+fn large_change_upstream_leaves(#[values(10, 1_400, 2_800)] routes: usize) {
+    let mut world = World::new(version(1, routes, 10));
+    world.run_until(CHANGED_AT);
+    world.max_wait = Duration::ZERO;
+    world.commit(version(2, routes + 1_400, 10));
+    world.run_until(CHANGED_AT + 100);
+    world.drain();
+    world.run_until(CHANGED_AT + 100 + IN_FORCE.as_millis() as u64);
+    assert_eq!(world.upstream, Some(registry::State::Draining));
+    assert!(world.max_wait < CONNECT_TIMEOUT, "packets wait {:?}", world.max_wait);
+}
