Split configurations into short segments when comparing them

Cause: a patch was made by lines, but programs write the JSON of a configuration in one line. Each change of one weight was a patch with the whole document, so that the log carried whole documents and no patch was ever smaller than its document. Segments now end at a closing brace as well: an object is a route or a team.

Applying patches is unchanged, so patches of earlier builds can be read.

--- a/src/config/patch.rs
+++ b/src/config/patch.rs
@@ -1,4 +1,4 @@
-//! Line-based difference between two versions.
+//! Difference between two versions by short segments of their text.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -43,24 +43,24 @@
 impl Patch {
     /// Computes the difference from `base` to `version` in time linear in both documents.
     ///
-    /// A line is copied from where the previous copy ends if the base continues with it,
-    /// otherwise from its first occurrence in the base. A moved or repeated line therefore
+    /// A segment is copied from where the previous copy ends if the base continues with it,
+    /// otherwise from its first occurrence in the base. A moved or repeated segment therefore
     /// costs an extra step but never produces a wrong text.
     pub fn between(base: &Version, version: &Version) -> Self {
-        let lines = line_offsets(&base.document);
+        let offsets = segment_offsets(&base.document);
         let mut steps = Vec::new();
         let mut copied_to = 0;
-        for line in version.document.split_inclusive('\n') {
+        for segment in segments(&version.document) {
             let offset = match base.document.get(copied_to..) {
-                Some(next) if next.starts_with(line) => Some(copied_to),
-                _ => lines.get(line).copied(),
+                Some(next) if next.starts_with(segment) => Some(copied_to),
+                _ => offsets.get(segment).copied(),
             };
             match offset {
                 Some(offset) => {
-                    push_copy(&mut steps, offset, line.len());
-                    copied_to = offset + line.len();
+                    push_copy(&mut steps, offset, segment.len());
+                    copied_to = offset + segment.len();
                 }
-                None => push_insert(&mut steps, line),
+                None => push_insert(&mut steps, segment),
             }
         }
         Self {
@@ -120,12 +120,18 @@
 /// Encoded size of a patch without steps and submission: two heads and two lengths.
 const HEADER_BYTES: usize = 32;
 
-fn line_offsets(document: &str) -> HashMap<&str, usize> {
+/// Splits a document after each line and each closing brace. Programs write JSON in one line, where
+/// an object is a route or a team.
+fn segments(document: &str) -> impl Iterator<Item = &str> {
+    document.split_inclusive(['\n', '}'])
+}
+
+fn segment_offsets(document: &str) -> HashMap<&str, usize> {
     let mut offsets = HashMap::new();
     let mut offset = 0;
-    for line in document.split_inclusive('\n') {
-        offsets.entry(line).or_insert(offset);
-        offset += line.len();
+    for segment in segments(document) {
+        offsets.entry(segment).or_insert(offset);
+        offset += segment.len();
     }
     offsets
 }
@@ -140,10 +146,10 @@
     }
 }
 
-fn push_insert(steps: &mut Vec<Step>, line: &str) {
+fn push_insert(steps: &mut Vec<Step>, segment: &str) {
     match steps.last_mut() {
-        Some(Step::Insert(text)) => text.push_str(line),
-        _ => steps.push(Step::Insert(line.into())),
+        Some(Step::Insert(text)) => text.push_str(segment),
+        _ => steps.push(Step::Insert(segment.into())),
     }
 }
 
--- a/tests/suite/config/patch.rs
+++ b/tests/suite/config/patch.rs
@@ -37,6 +37,24 @@
     assert!(patch.size() >= encoded.len());
 }
 
+// Programs write a document of JSON in one line. A changed weight must not be sent as the whole
+// document: at two changes per second, a VM may spend 3 KB per second on control.
+#[test]
+fn size_one_route_of_one_line() {
+    let document = |weight: u32| {
+        let route = |at: u32| {
+            let weight = if at == 2_000 { weight } else { 10 };
+            format!(r#"{{"name":"r-{at}","pathPrefix":"/{at}/","split":[{{"weight":{weight}}}]}}"#)
+        };
+        let routes = (0..4_200).map(route).collect::<Vec<_>>();
+        format!(r#"{{"paths":[{}]}}"#, routes.join(","))
+    };
+    let base = version(1, &document(10));
+    let patch = Patch::between(&base, &version(2, &document(90)));
+    let encoded = postcard::to_stdvec(&patch).unwrap();
+    assert!(encoded.len() < 1_500, "{} bytes", encoded.len());
+}
+
 #[rstest]
 #[case::outside_base(Step::Copy { offset: 3, length: 9 }, Error::Step { number: 2 })]
 #[case::offset_overflow(Step::Copy { offset: u64::MAX, length: 9 }, Error::Step { number: 2 })]
