Send entries changes of the configuration once, in parts

Cause: an update held the whole document, for each change and each entry. On a link of 3.9 Mbit/s that takes longer than the 350 ms for which an entry waits for the answer to its poll, so that the entry polled the next control, which sent the same again, and up to three controls pushed it. The links of all entries were full of copies (controls sent 70 MB/s) for 10 to 50 s.

Ruled out: the processor (entries used 1% of a core at most).

Change: an entry names the version that it holds. A control compresses the patch from it and sends its first 4 KiB with the update; the entry requests the rest in parts of 8 KiB, one at a time and at two fifths of its link, goes on at another control if one is silent, and takes newer changes only after it is done. What is urgent waits behind one part at most. The index that an entry knows is that of the upstreams alone.

The format of updates and polls between processes has changed.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -1,8 +1,10 @@
 //! Distribution of the configuration, upstreams and their health from controls to entries.
 //!
-//! An entry polls one control twice a second for changes since the log index that it knows.
-//! Controls also push committed changes at once. The index in the entry's own poll decides what
-//! is new, so a change that a control forgets or the network loses is late by at most one poll.
+//! An entry polls one control twice a second for changes since the log index and the
+//! configuration that it knows. Controls also push committed changes at once. The index in the
+//! entry's own poll decides what is new, so a change that a control forgets or the network loses
+//! is late by at most one poll. Large changes of the configuration travel in parts, see
+//! [`transfer`].
 //! A control that has lost the leader says so, and the entry polls another one.
 
 mod capacity;
@@ -16,6 +18,7 @@
 mod report;
 mod subscriber;
 mod tallies;
+pub mod transfer;
 mod update;
 
 pub use capacity::Capacity;
--- a/src/feed/input.rs
+++ b/src/feed/input.rs
@@ -6,6 +6,8 @@
 use super::Message;
 use super::Tallies;
 use super::Update;
+use super::transfer::Part;
+use crate::config::Version;
 use crate::id::NodeId;
 
 /// Event that a subscriber handles.
@@ -13,6 +15,8 @@
 pub enum Input {
     /// Update from a control, polled or pushed.
     Update(NodeId, Box<Update>),
+    /// Part of a change of the configuration.
+    Part(Part),
     /// Time has passed.
     Tick,
 }
@@ -20,13 +24,15 @@
 /// Action that a subscriber requests.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
+    /// Put a configuration in force, which is newer than all before it.
+    Configure(Version),
     /// Advertise these entries to callers.
     Advertise(Vec<Entry>),
     /// Record the results that callers of other entries received.
     Record(Tallies),
     /// Send a message to a control.
     Send(NodeId, Message),
-    /// A control did not answer a poll for this long, and another one is polled.
+    /// A control did not answer a poll or send a part for this long, and another one is polled.
     Unanswered(NodeId, Duration),
     /// Apply an update, which is at least as new as all before it.
     Apply(Box<Update>),
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -8,6 +8,7 @@
 use super::Report;
 use super::Tallies;
 use super::Update;
+use super::transfer;
 use crate::id::NodeId;
 use crate::quorum::DiskId;
 use crate::quota;
@@ -51,4 +52,8 @@
         /// The granted shares.
         grant: quota::Grant,
     },
+    /// An entry requests a part of a change of the configuration.
+    Request(transfer::Request),
+    /// A part of a change of the configuration.
+    Part(transfer::Part),
 }
--- a/src/feed/poll.rs
+++ b/src/feed/poll.rs
@@ -5,14 +5,19 @@
 
 use super::Entry;
 use super::Tallies;
+use crate::config::Head;
 use crate::id::Index;
 
 /// Request of an entry for all changes since a log index.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Poll {
+    /// Version that the entry holds; `None` if it needs the whole document.
+    pub configuration: Option<Head>,
     /// Description of the entry.
     pub entry: Entry,
-    /// Log index up to which the entry knows everything.
+    /// Whether the entry is receiving a change of the configuration and needs no offer.
+    pub is_downloading: bool,
+    /// Log index up to which the entry knows all changes to upstreams.
     pub known: Index,
     /// Digest of the entries that it advertises to callers.
     pub named: u64,
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -16,8 +16,13 @@
 use super::Tallies;
 use super::Update;
 use super::entry;
+use super::transfer::Archive;
+use super::transfer::Offer;
+use super::transfer::Part;
+use super::transfer::Request;
 use crate::catalog::Catalog;
 use crate::clock::Moment;
+use crate::config::Head;
 use crate::config::Version;
 use crate::fleet::State;
 use crate::id::DomainId;
@@ -68,8 +73,6 @@
     pub applied: Index,
     /// Table of upstreams.
     pub catalog: &'a Catalog,
-    /// The configuration in force and the log index at which it was set.
-    pub configuration: Option<(&'a Version, Index)>,
     /// All controls.
     pub controls: Vec<Control>,
     /// Whether the control has heard from a leader recently.
@@ -79,6 +82,7 @@
 /// Control's side of the feed.
 #[derive(Clone, Debug, Default)]
 pub struct Publisher {
+    archive: Archive,
     subscriptions: BTreeMap<NodeId, Subscription>,
     byte_rate: Rate,
     unforwarded: Tallies,
@@ -96,9 +100,13 @@
 
 #[derive(Clone, Debug)]
 struct Subscription {
+    /// Version that the entry holds, or will hold once it gets what was sent.
+    configuration: Option<Head>,
     /// When the entry last reported requests.
     last_request_at: Option<Moment>,
     entry: Entry,
+    /// Whether the entry is receiving a change, so that it gets no offer until it polls again.
+    is_downloading: bool,
     last_poll_at: Moment,
     known: Index,
     tallies: Tallies,
@@ -109,6 +117,16 @@
     fn is_active(&self, now: Moment) -> bool {
         self.last_request_at.is_some_and(|at| now < at + IDLE_TIMEOUT)
     }
+
+    /// Records that the entry is sent an offer.
+    fn note_offer(&mut self, offer: Option<&Offer>) {
+        let Some(offer) = offer else { return };
+        if offer.is_complete() {
+            self.configuration = Some(offer.change.head);
+        } else {
+            self.is_downloading = true;
+        }
+    }
 }
 
 impl Publisher {
@@ -132,19 +150,34 @@
         let last_request_at =
             requested_at.or(before.as_ref().and_then(|before| before.last_request_at));
         let tallies = before.map(|before| before.tallies).unwrap_or_default();
-        let subscription = Subscription {
+        let offer = if poll.is_downloading { None } else { self.offer(poll.configuration) };
+        let mut subscription = Subscription {
+            configuration: poll.configuration,
+            is_downloading: poll.is_downloading,
             last_request_at,
             entry: poll.entry,
             last_poll_at: now,
             known,
             tallies: Tallies::default(),
         };
+        subscription.note_offer(offer.as_ref());
         self.subscriptions.insert(id.clone(), subscription);
         let mut update = self.update(now, poll.known, poll.sequence, tallies, snapshot);
+        update.configuration = offer;
         update.named = self.changed_advertised(now, poll.named);
         vec![(id, Message::News(Box::new(update)))]
     }
 
+    /// Sets the configuration in force.
+    pub fn set_configuration(&mut self, version: &Version) {
+        self.archive.add(version);
+    }
+
+    /// Answers an entry's request for a part of a change.
+    pub fn part(&mut self, request: &Request) -> Part {
+        self.archive.part(request)
+    }
+
     /// Replaces the entries that another control reports.
     pub fn merge_report(&mut self, now: Moment, from: &NodeId, ready: Report) {
         self.reported.retain(|_, (_, _, by)| by != from);
@@ -278,6 +311,11 @@
         is_different.then_some(advertised)
     }
 
+    /// Offers the change from the version that an entry holds to the one in force.
+    fn offer(&mut self, held: Option<Head>) -> Option<Offer> {
+        self.archive.change_since(held).map(|change| change.offer())
+    }
+
     fn update(
         &self,
         now: Moment,
@@ -286,10 +324,9 @@
         tallies: Tallies,
         snapshot: &Snapshot<'_>,
     ) -> Update {
-        let configuration = snapshot.configuration.filter(|(_, since)| *since > base);
         Update {
             base,
-            configuration: configuration.map(|(version, _)| version.clone()),
+            configuration: None,
             controls: snapshot.controls.clone(),
             entries: self.advertised(now).len(),
             fresh: snapshot.fresh,
@@ -364,10 +401,15 @@
         snapshot: &Snapshot<'_>,
         sends: &mut Vec<(NodeId, Message)>,
     ) {
+        let Some(subscription) = self.subscriptions.get(id) else { return };
+        let (held, is_downloading) = (subscription.configuration, subscription.is_downloading);
+        let offer = if is_downloading { None } else { self.offer(held) };
         let Some(subscription) = self.subscriptions.get_mut(id) else { return };
+        subscription.note_offer(offer.as_ref());
         subscription.known = known.max(snapshot.applied);
         let tallies = std::mem::take(&mut subscription.tallies);
-        let update = self.update(now, known, 0, tallies, snapshot);
+        let mut update = self.update(now, known, 0, tallies, snapshot);
+        update.configuration = offer;
         sends.push((id.clone(), Message::News(Box::new(update))));
     }
 }
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -16,8 +16,14 @@
 use super::Tallies;
 use super::Update;
 use super::entry;
+use super::transfer::ChangeId;
+use super::transfer::Download;
+use super::transfer::Offer;
+use super::transfer::Part;
 use crate::breaker::Counts;
 use crate::clock::Moment;
+use crate::config::Head;
+use crate::config::Version;
 use crate::fleet::State;
 use crate::id::DomainId;
 use crate::id::Index;
@@ -38,9 +44,18 @@
 /// Delay before the next poll after no usable control was found.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Bytes per second at which an entry with callers receives a configuration, as a multiple of the
+/// load that it is sized for. Callers keep three fifths of its link.
+const DOWNLOAD_FACTOR: u64 = 2;
+
 /// Entry's side of the feed.
 #[derive(Clone, Debug)]
 pub struct Subscriber {
+    /// The configuration held, with its head.
+    configuration: Option<(Head, Version)>,
+    download: Option<Download>,
+    /// Whether a change could not be applied, so that the whole document is needed.
+    needs_document: bool,
     in_flight: Option<(u64, Moment)>,
     controls: BTreeSet<Control>,
     current: Option<NodeId>,
@@ -61,6 +76,9 @@
     /// Creates a subscriber that knows only its seeds.
     pub fn new(now: Moment, me: Entry, seeds: Vec<NodeId>, random: ChaCha8Rng) -> Self {
         Self {
+            configuration: None,
+            download: None,
+            needs_document: false,
             in_flight: None,
             controls: BTreeSet::new(),
             current: None,
@@ -83,15 +101,19 @@
         let mut outputs = Vec::new();
         match input {
             Input::Update(from, update) => self.receive(now, &from, update, &mut outputs),
+            Input::Part(part) => self.receive_part(now, &part, &mut outputs),
             Input::Tick => {}
         }
+        self.check_timeouts(now, &mut outputs);
         self.poll_if_due(now, &mut outputs);
+        self.request_part_if_due(now, &mut outputs);
         outputs
     }
 
     /// When the next [`Input::Tick`] is due.
     pub fn wake(&self) -> Moment {
-        self.in_flight.map_or(self.poll_at, |(_, at)| at + POLL_TIMEOUT)
+        let poll = self.in_flight.map_or(self.poll_at, |(_, at)| at + POLL_TIMEOUT);
+        self.download.as_ref().map_or(poll, |download| download.wake().min(poll))
     }
 
     /// Sets whether this entry accepts callers. A change is reported with an immediate poll.
@@ -161,6 +183,9 @@
             outputs.push(Output::Record(update.tallies.clone()));
         }
         self.prefer_local_control(now);
+        if let Some(offer) = update.configuration.clone() {
+            self.receive_offer(now, offer, outputs);
+        }
         if let Some(entries) = &update.named {
             self.named_digest = entry::digest(entries);
             outputs.push(Output::Advertise(entries.clone()));
@@ -172,6 +197,72 @@
         outputs.push(Output::Apply(update));
     }
 
+    /// Takes an offered change, unless another one is being received. The next poll asks for what
+    /// is newer than that: if each new version started the transfer anew, frequent changes would
+    /// keep an entry from ever finishing one.
+    fn receive_offer(&mut self, now: Moment, offer: Offer, outputs: &mut Vec<Output>) {
+        let held = self.head();
+        let ChangeId { base, head, .. } = offer.change;
+        let is_newer = held.is_none_or(|held| head.number > held.number);
+        let fits = base.is_none() || base == held;
+        if self.download.is_some() || !is_newer || !fits {
+            return;
+        }
+        // An entry without a configuration has no callers to leave room for.
+        let rate = held.map(|_| self.me.room.bytes.saturating_mul(DOWNLOAD_FACTOR));
+        self.download = Some(Download::new(now, offer, rate));
+        self.finish_download(outputs);
+    }
+
+    fn receive_part(&mut self, now: Moment, part: &Part, outputs: &mut Vec<Output>) {
+        let Some(download) = &mut self.download else { return };
+        if !download.receive(now, part) {
+            self.download = None;
+            self.poll_at = self.poll_at.min(now);
+        } else if self.finish_download(outputs) {
+            // Newer changes were not offered meanwhile.
+            self.poll_at = self.poll_at.min(now);
+        }
+    }
+
+    /// Puts the received configuration in force if all of it has arrived.
+    fn finish_download(&mut self, outputs: &mut Vec<Output>) -> bool {
+        let Some(download) = self.download.take() else { return false };
+        let Some(bytes) = download.finished() else {
+            self.download = Some(download);
+            return false;
+        };
+        let change = *download.change();
+        let held = self.configuration.as_ref().map(|(_, version)| version);
+        match change.apply(bytes, held) {
+            Ok(version) => {
+                self.configuration = Some((change.head, version.clone()));
+                self.needs_document = false;
+                outputs.push(Output::Configure(version));
+            }
+            Err(error) => {
+                let number = change.head.number;
+                tracing::error!(target: "hemlockfield::config", number, "change can't be used: {error}");
+                self.needs_document = true;
+            }
+        }
+        true
+    }
+
+    fn request_part_if_due(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if self.current.is_none() && self.download.is_some() {
+            self.current = self.choose_control(now);
+        }
+        let Some(to) = self.current.clone() else { return };
+        let request = self.download.as_mut().and_then(|download| download.request(now));
+        outputs.extend(request.map(|request| Output::Send(to, Message::Request(request))));
+    }
+
+    /// Head of the configuration held.
+    fn head(&self) -> Option<Head> {
+        self.configuration.as_ref().map(|(head, _)| *head)
+    }
+
     /// Drops a control in another failure domain once one in this domain is usable. Entries learn
     /// the domains of controls only from the first update, and until then updates may cross
     /// failure domains.
@@ -190,12 +281,18 @@
         self.failed_at.get(id).is_some_and(|at| now < *at + FAILURE_COOLDOWN)
     }
 
+    /// Turns to another control if the current one leaves a poll or a request unanswered.
+    fn check_timeouts(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        let poll = self.in_flight.map(|(_, at)| now.saturating_sub(at));
+        let poll = poll.filter(|waited| *waited >= POLL_TIMEOUT);
+        let part = self.download.as_mut().and_then(|download| download.give_up_part(now));
+        let Some(waited) = poll.or(part) else { return };
+        let silent = self.current.clone();
+        outputs.extend(silent.map(|id| Output::Unanswered(id, waited)));
+        self.mark_failed(now);
+    }
+
     fn poll_if_due(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if let Some((_, at)) = self.in_flight.filter(|(_, at)| now >= *at + POLL_TIMEOUT) {
-            let silent = self.current.clone();
-            outputs.extend(silent.map(|id| Output::Unanswered(id, now.saturating_sub(at))));
-            self.mark_failed(now);
-        }
         if self.in_flight.is_some() || now < self.poll_at {
             return;
         }
@@ -210,7 +307,9 @@
         self.in_flight = Some((self.sequence, now));
         self.polled_at = now;
         let poll = Poll {
+            configuration: self.head().filter(|_| !self.needs_document),
             entry: self.me.clone(),
+            is_downloading: self.download.is_some(),
             known: self.known,
             named: self.named_digest,
             sequence: self.sequence,
--- a/src/feed/update.rs
+++ b/src/feed/update.rs
@@ -6,8 +6,8 @@
 use super::Control;
 use super::Entry;
 use super::Tallies;
+use super::transfer::Offer;
 use crate::catalog::Delta;
-use crate::config::Version;
 use crate::id::Index;
 
 /// Changes since the log index that an entry knows.
@@ -15,8 +15,8 @@
 pub struct Update {
     /// Log index that the changes start from. For an entry that knows less, changes are missing.
     pub base: Index,
-    /// The configuration in force, if it changed.
-    pub configuration: Option<Version>,
+    /// Change to the configuration in force, if the entry holds another one.
+    pub configuration: Option<Offer>,
     /// All controls.
     pub controls: Vec<Control>,
     /// Number of entries that are advertised to callers.
@@ -24,7 +24,8 @@
     /// Whether the control has heard from a leader recently. If so, no change that this update
     /// lacks has been acknowledged to anybody.
     pub fresh: bool,
-    /// Log index up to which the entry knows everything once it has applied this update.
+    /// Log index up to which the entry knows all changes to upstreams once it has applied this
+    /// update.
     pub known: Index,
     /// Entries to advertise to callers, if the list differs from the one that the entry knows.
     pub named: Option<Vec<Entry>>,
--- a/src/node/feed_core/control_role.rs
+++ b/src/node/feed_core/control_role.rs
@@ -251,7 +251,10 @@
                 }
             }
             Message::Ask { ticket, ask } => self.forward_demand(now, from, ticket, ask, outputs),
-            Message::Grant { .. } | Message::News(_) => (),
+            Message::Grant { .. } | Message::News(_) | Message::Part(_) => (),
+            Message::Request(request) => {
+                outputs.push(send(from, Message::Part(self.publisher.part(&request))));
+            }
             Message::Tallies(tallies) => self.publisher.add_tallies(now, &tallies, false),
             Message::Poll(poll) => {
                 let controls = self.peers.live(now);
@@ -465,6 +468,7 @@
                 }
                 controller::Output::Committed(version) => {
                     changed = true;
+                    self.publisher.set_configuration(&version);
                     let event = events::event(&self.peers.me().id, Kind::ConfigurationAccepted);
                     outputs.push(Output::Event(event.configuration(version.number)));
                 }
@@ -518,18 +522,11 @@
     controls: Vec<Control>,
 ) -> Snapshot<'a> {
     let Some(controller) = controller else {
-        return Snapshot {
-            applied: 0,
-            catalog: empty,
-            configuration: None,
-            controls,
-            fresh: false,
-        };
+        return Snapshot { applied: 0, catalog: empty, controls, fresh: false };
     };
     Snapshot {
         applied: controller.applied(),
         catalog: controller.catalog(),
-        configuration: controller.configuration(),
         controls,
         fresh: controller.replica().is_current(now, FRESH_TIMEOUT),
     }
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -85,7 +85,7 @@
 
 /// Whether an entry processes this message.
 pub(super) fn is_for_entry(message: &Message) -> bool {
-    matches!(message, Message::Grant { .. } | Message::News(_))
+    matches!(message, Message::Grant { .. } | Message::News(_) | Message::Part(_))
 }
 
 impl EntryRole {
@@ -131,6 +131,9 @@
                 let input = feed::Input::Update(from.clone(), news.clone());
                 self.step_subscriber(now, input, &mut outputs);
             }
+            Input::Frame(_, Frame::Feed(Message::Part(part))) => {
+                self.step_subscriber(now, feed::Input::Part(part.clone()), &mut outputs);
+            }
             Input::Frame(_, Frame::Feed(Message::Grant { ticket, grant })) => {
                 outputs.push(Output::QuotaGranted(*ticket, grant.clone()));
             }
@@ -242,7 +245,8 @@
                 feed::Output::Send(to, message) => {
                     outputs.push(Output::Send(to, None, Frame::Feed(message)));
                 }
-                feed::Output::Apply(news) => self.apply_news(now, *news, outputs),
+                feed::Output::Apply(news) => self.apply_news(now, *news),
+                feed::Output::Configure(version) => self.apply_configuration(now, version, outputs),
                 feed::Output::Unanswered(control, waited) => {
                     outputs.push(Output::Event(events::unanswered_poll(&self.id, control, waited)));
                 }
@@ -250,15 +254,12 @@
         }
     }
 
-    fn apply_news(&mut self, now: Moment, news: Update, outputs: &mut Vec<Output>) {
+    fn apply_news(&mut self, now: Moment, news: Update) {
         self.entries = news.entries.max(1);
         if news.fresh {
             self.participants.update(now, news.serving);
         }
         self.breakers.set_entries(news.entries);
-        if let Some(version) = news.configuration {
-            self.apply_configuration(now, version, outputs);
-        }
         let delta = news.upstreams;
         if delta.whole {
             let kept: Vec<UpstreamId> =
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -70,6 +70,7 @@
                 matches!(message, config::Message::Patches(_) | config::Message::Whole(_))
             }
             Self::Feed(feed::Message::News(update)) => update.configuration.is_some(),
+            Self::Feed(feed::Message::Part(_)) => true,
             Self::Order { order: Order::Submit(_), .. } | Self::Submit { .. } => true,
             _ => false,
         }
--- a/tests/suite/feed/budget.rs
+++ b/tests/suite/feed/budget.rs
@@ -74,10 +74,11 @@
     fn poll(&mut self, now: Duration, age: Duration, publisher: &mut Publisher) {
         let catalog = Catalog::default();
         let controls = Vec::new();
-        let snapshot =
-            Snapshot { applied: 0, catalog: &catalog, configuration: None, controls, fresh: true };
+        let snapshot = Snapshot { applied: 0, catalog: &catalog, controls, fresh: true };
         let poll = Poll {
+            configuration: None,
             entry: self.entry.clone(),
+            is_downloading: false,
             known: 0,
             named: 0,
             sequence: 1,
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -33,7 +33,7 @@
 }
 
 fn snapshot(catalog: &Catalog) -> Snapshot<'_> {
-    Snapshot { applied: 0, catalog, configuration: None, controls: Vec::new(), fresh: true }
+    Snapshot { applied: 0, catalog, controls: Vec::new(), fresh: true }
 }
 
 fn poll(publisher: &mut Publisher, now: Duration, entry: Entry) -> usize {
@@ -43,7 +43,15 @@
 fn poll_update(publisher: &mut Publisher, now: Duration, entry: Entry) -> Update {
     let catalog = Catalog::default();
     let snapshot = snapshot(&catalog);
-    let poll = Poll { entry, known: 0, named: 0, sequence: 1, tallies: Tallies::default() };
+    let poll = Poll {
+        configuration: None,
+        entry,
+        is_downloading: false,
+        known: 0,
+        named: 0,
+        sequence: 1,
+        tallies: Tallies::default(),
+    };
     let sends = publisher.poll(now, poll, &snapshot);
     let Some((_, Message::News(update))) = sends.into_iter().next() else { panic!("no answer") };
     *update
@@ -218,7 +226,15 @@
     let catalog = Catalog::default();
     let snapshot = snapshot(&catalog);
     let tallies = Tallies { arrivals: 3, ..Tallies::default() };
-    let poll = Poll { entry: old.clone(), known: 0, named: 0, sequence: 1, tallies };
+    let poll = Poll {
+        configuration: None,
+        entry: old.clone(),
+        is_downloading: false,
+        known: 0,
+        named: 0,
+        sequence: 1,
+        tallies,
+    };
     publisher.poll(secs(1), poll, &snapshot);
     assert!(pushed_to(&mut publisher, secs(1)).contains(&old.id.to_string()));
     poll_all(&mut publisher, secs(5));
--- a/tests/suite/feed/slow_link.rs
+++ b/tests/suite/feed/slow_link.rs
@@ -115,7 +115,6 @@
     /// State of the upstream as the entry knows it.
     upstream: Option<registry::State>,
     version: Version,
-    version_index: Index,
 }
 
 impl World {
@@ -130,6 +129,8 @@
         let seeds = CONTROLS.iter().map(|id| (*id).into()).collect();
         let mut catalog = Catalog::default();
         catalog.apply(1, &upstream(registry::State::Ready, 1));
+        let mut publishers = vec![Publisher::default(); CONTROLS.len()];
+        publishers.iter_mut().for_each(|publisher| publisher.set_configuration(&version));
         Self {
             catalog,
             in_force_at: Vec::new(),
@@ -137,12 +138,11 @@
             link: VecDeque::new(),
             max_wait: Duration::ZERO,
             now: Duration::ZERO,
-            publishers: vec![Publisher::default(); CONTROLS.len()],
+            publishers,
             received: 0,
             subscriber: Subscriber::new(ms(0), me, seeds, ChaCha8Rng::seed_from_u64(1)),
             upstream: None,
             version,
-            version_index: 2,
         }
     }
 
@@ -156,8 +156,8 @@
     /// Commits a configuration, which is acknowledged by that.
     fn commit(&mut self, version: Version) {
         self.index += 1;
+        self.publishers.iter_mut().for_each(|publisher| publisher.set_configuration(&version));
         self.version = version;
-        self.version_index = self.index;
         self.schedule_pushes();
     }
 
@@ -191,8 +191,12 @@
     }
 
     fn receive(&mut self, from: &'static str, message: Message) {
-        let Message::News(update) = message else { return };
-        let outputs = self.subscriber.handle(self.now, Input::Update(from.into(), update));
+        let input = match message {
+            Message::News(update) => Input::Update(from.into(), update),
+            Message::Part(part) => Input::Part(part),
+            _ => return,
+        };
+        let outputs = self.subscriber.handle(self.now, input);
         self.carry_out(outputs);
     }
 
@@ -203,10 +207,8 @@
                 Output::Apply(update) => {
                     let known = update.upstreams.upstreams.first();
                     self.upstream = known.map(|known| known.state).or(self.upstream);
-                    if let Some(version) = update.configuration {
-                        self.in_force_at.push((version.number, self.now));
-                    }
                 }
+                Output::Configure(version) => self.in_force_at.push((version.number, self.now)),
                 Output::Advertise(_) | Output::Record(_) | Output::Unanswered(..) => (),
             }
         }
@@ -214,8 +216,13 @@
 
     fn send_up(&mut self, to: &str, message: Message) {
         let at = CONTROLS.iter().position(|id| *id == to).expect("a control");
-        let Message::Poll(poll) = message else { return };
-        self.with_publisher(at, |publisher, now, snapshot| publisher.poll(now, poll, snapshot));
+        self.with_publisher(at, |publisher, now, snapshot| match message {
+            Message::Poll(poll) => publisher.poll(now, poll, snapshot),
+            Message::Request(request) => {
+                vec![("e1".into(), Message::Part(publisher.part(&request)))]
+            }
+            _ => Vec::new(),
+        });
     }
 
     /// Runs a control and puts what it sends to the entry on the link.
@@ -228,7 +235,6 @@
         let snapshot = Snapshot {
             applied: self.index,
             catalog: &self.catalog,
-            configuration: Some((&self.version, self.version_index)),
             controls: CONTROLS.iter().map(control).collect(),
             fresh: true,
         };
