--- a/src/bench.rs
+++ b/src/bench.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod balance;
 pub mod claims;
+pub mod configuration;
 pub mod directory;
 pub mod fleet;
 pub mod health;
@@ -28,6 +29,7 @@
     ("admission", 20, admission::run),
     ("balance", 5, balance::run),
     ("claims", 1, |_| in_folder("claims", |folder| told(claims::run(folder)))),
+    ("configuration", 1, |seed| told(configuration::run(seed))),
     ("directory", 1, directory::run),
     ("fleet", 1, |seed| fleet::run(seed, &fleet::SIZES)),
     ("health", 200, |seeds| health::run(seeds, HEALTH_LOAD)),
--- a/src/node/controller.rs
+++ b/src/node/controller.rs
@@ -46,8 +46,6 @@
     applied: Index,
     submissions: Submissions,
     catalog: Catalog,
-    /// Log index of the configuration in force.
-    configuration_index: Index,
     claim_batcher: Batcher,
     /// Batches of claims proposed but not committed yet.
     claim_batches: usize,
@@ -147,7 +145,6 @@
             applied: 0,
             submissions: Submissions::default(),
             catalog: Catalog::default(),
-            configuration_index: 0,
             claim_batcher: Batcher::default(),
             claim_batches: 0,
             leader_since: Moment::ZERO,
@@ -269,11 +266,6 @@
         &self.catalog
     }
 
-    /// The configuration in force and the log index that put it in force.
-    pub fn configuration(&self) -> Option<(&Version, Index)> {
-        self.submissions.in_force().map(|version| (version, self.configuration_index))
-    }
-
     /// The replica of the log.
     pub fn replica(&self) -> &Replica {
         &self.replica
@@ -459,9 +451,6 @@
                 let reply = self.submissions.apply(command.at, change);
                 let now =
                     self.submissions.in_force().filter(|version| Some(version.number) != before);
-                if now.is_some() {
-                    self.configuration_index = index;
-                }
                 outputs.extend(now.cloned().map(Output::Committed));
                 if self.is_leader {
                     self.config_replies.insert(index, verdict_for(reply, before));
@@ -552,7 +541,6 @@
         };
         self.submissions = state.book;
         self.catalog = state.catalog;
-        self.configuration_index = snapshot.index;
         self.claim_ledger = state.ledger;
         self.quota_ledger = state.quotas;
         self.applied = snapshot.index;
