Show by a test that limits named by upstreams are not kept

The test runs real processes: two entries, callers that press, and an upstream that names 1 or 2.5 requests per second.

--- a/tests/suite/process/platform.rs
+++ b/tests/suite/process/platform.rs
@@ -12,10 +12,13 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rstest::rstest;
 use tempfile::TempDir;
@@ -167,22 +170,43 @@
 /// A stand-in for an upstream, by the platform's protocol.
 struct Upstream {
     address: String,
+    behaviour: Arc<Mutex<Behaviour>>,
+}
+
+#[derive(Default)]
+struct Behaviour {
+    arrivals: Vec<Instant>,
+    /// Requests per second that it takes from all entries together, if it names a limit.
+    limit: Option<f64>,
 }
 
 impl Upstream {
     fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap().to_string();
+        let behaviour = Arc::new(Mutex::new(Behaviour::default()));
+        let shared = Arc::clone(&behaviour);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                thread::spawn(move || answer(&stream));
+                let behaviour = Arc::clone(&shared);
+                thread::spawn(move || answer(&stream, &behaviour));
             }
         });
-        Self { address }
+        Self { address, behaviour }
+    }
+
+    fn set_limit(&self, limit: Option<f64>) {
+        self.behaviour.lock().unwrap().limit = limit;
+    }
+
+    /// Requests that arrived within the last `span`.
+    fn count_arrivals(&self, span: Duration) -> usize {
+        let behaviour = self.behaviour.lock().unwrap();
+        behaviour.arrivals.iter().filter(|at| at.elapsed() < span).count()
     }
 }
 
-fn answer(stream: &TcpStream) {
+fn answer(stream: &TcpStream, behaviour: &Mutex<Behaviour>) {
     let mut reader = BufReader::new(stream);
     let mut id = String::new();
     let mut line = String::new();
@@ -192,8 +216,14 @@
             id = text.trim().to_owned();
         }
         if lower.is_empty() {
+            let limit = {
+                let mut behaviour = behaviour.lock().unwrap();
+                behaviour.arrivals.push(Instant::now());
+                behaviour.limit.map(|limit| format!("Server-Limit: {limit}\r\n"))
+            };
+            let limit = limit.unwrap_or_default();
             let text = format!(
-                "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nHemlockfield-Request-Id: {id}\r\n\
+                "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nHemlockfield-Request-Id: {id}\r\n{limit}\
                  Hemlockfield-Response-Signature: 1\r\n\r\nhull"
             );
             if (&mut &*stream).write_all(text.as_bytes()).is_err() {
@@ -331,3 +361,50 @@
     wait_for("the end", || child.try_wait().unwrap().is_some());
     assert_eq!(site.look(1).0, 200);
 }
+
+/// Time that entries have to follow a limit after an upstream first named it.
+const LIMIT_DELAY: Duration = Duration::from_secs(3);
+/// Window over which arrivals at an upstream with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Interval of callers' requests, far above any limit.
+const PRESSURE_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Sends requests through all entries in turn for `span`.
+fn press(site: &Site, span: Duration) {
+    let started = Instant::now();
+    for entry in (0..ENTRIES).cycle() {
+        if started.elapsed() >= span {
+            return;
+        }
+        site.look(entry);
+        thread::sleep(PRESSURE_INTERVAL);
+    }
+}
+
+// An upstream in need names the requests per second that it takes from all entries together.
+// Each entry alone would send it that many and more.
+#[rstest]
+fn serve_upstream_limit(#[values(1.0, 2.5)] limit: f64) {
+    let site = Site::start(&[0, 1, 2, 3, 4]);
+    let upstream = Upstream::start();
+    site.serve(&upstream, 1);
+    upstream.set_limit(Some(limit));
+    press(&site, LIMIT_DELAY + LIMIT_WINDOW);
+    let arrivals = upstream.count_arrivals(LIMIT_WINDOW);
+    let allowed = 1.5 * limit * LIMIT_WINDOW.as_secs_f64() + 5.0;
+    assert!(arrivals as f64 <= allowed, "{arrivals} requests, {allowed} allowed");
+    assert!(arrivals > 0, "an upstream with a limit gets requests");
+}
+
+// An upstream names no limit any more. It gets all of its work again.
+#[test]
+fn serve_upstream_limit_lifted() {
+    let site = Site::start(&[0, 1, 2, 3, 4]);
+    let upstream = Upstream::start();
+    site.serve(&upstream, 1);
+    upstream.set_limit(Some(2.5));
+    press(&site, LIMIT_DELAY);
+    upstream.set_limit(None);
+    press(&site, LIMIT_DELAY);
+    wait_for("all entries to serve", || (0..10).all(|round| site.look(round % ENTRIES).0 == 200));
+}
