Keep the limits that upstreams name for all entries together

Cause: no part of the code read the header; entries went on by slots and health, and the arrivals at such an upstream did not fall at all.

Ruled out: entries that keep the limit each alone, and trials or retries that pass by it.

Parts lent through the log, as for teams, and equal parts of all entries, as for retries, were weighed and not taken: see docs/design/balance.md.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,8 +14,10 @@
 
 mod completion;
 mod health;
+mod limit;
 mod load;
 mod member;
+mod owner;
 mod pick;
 mod picker;
 mod report;
@@ -23,10 +25,13 @@
 mod setup;
 mod state;
 mod subset;
+mod throttle;
 
 pub use completion::Completion;
 pub use health::Health;
+pub use limit::Limit;
 pub use member::Member;
+pub use owner::owner;
 pub use pick::Pick;
 pub use pick::Ticket;
 pub use picker::Picker;
--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -5,6 +5,7 @@
 use crate::balance::Report;
 use crate::balance::Setup;
 use crate::balance::Ticket;
+use crate::balance::throttle::Throttle;
 use crate::clock::Moment;
 use crate::health::Kind;
 use crate::id::DomainId;
@@ -27,6 +28,8 @@
     /// Share of recent answers that were refusals, and when the last refusal was.
     refusals: (f64, Moment),
     report: Option<(Moment, Report)>,
+    /// Limits the requests of this entry if the upstream named a limit for all entries.
+    throttle: Option<Throttle>,
     waiting: Vec<(u64, Moment)>,
 }
 
@@ -62,11 +65,15 @@
             rank,
             refusals: (0.0, Moment::ZERO),
             report: None,
+            throttle: None,
             waiting: Vec::new(),
         }
     }
 
     pub(crate) fn begin(&mut self, request: u64, now: Moment, is_long: bool) {
+        if let Some(throttle) = &mut self.throttle {
+            throttle.take(now);
+        }
         if is_long {
             self.long_running += 1;
         } else {
@@ -120,7 +127,16 @@
     /// Whether it can take one more request from this entry.
     pub(crate) fn has_room(&self, now: Moment) -> bool {
         let cap = self.limit.min(f64::from(self.connection_cap()));
-        now >= self.full_until && (self.in_flight() as f64) < cap.max(1.0).floor()
+        let has_token = self.throttle.is_none_or(|throttle| throttle.has_token(now));
+        has_token && now >= self.full_until && (self.in_flight() as f64) < cap.max(1.0).floor()
+    }
+
+    /// Sets the requests per second that this entry may send; `None` for no limit.
+    pub(crate) fn set_rate(&mut self, now: Moment, rate: Option<f64>) {
+        match (&mut self.throttle, rate) {
+            (Some(throttle), Some(rate)) => throttle.set_rate(now, rate),
+            (throttle, rate) => *throttle = rate.map(|rate| Throttle::new(now, rate)),
+        }
     }
 
     /// Whether it is in the entry's own failure domain.
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -151,6 +151,14 @@
         }
     }
 
+    /// Sets the requests per second that this entry may send to each upstream; `None` for no limit.
+    pub fn set_rates(&mut self, now: Moment, rate: impl Fn(&UpstreamId) -> Option<f64>) {
+        for load in &mut self.loads {
+            let rate = rate(&load.member().upstream);
+            load.set_rate(now, rate);
+        }
+    }
+
     /// Replaces the announced upstreams by a complete list.
     pub fn set_members(&mut self, members: &[Member]) {
         let mut wanted: BTreeMap<&UpstreamId, &Member> =
--- a/src/boundary.rs
+++ b/src/boundary.rs
@@ -19,6 +19,7 @@
 use std::fmt::Debug;
 use std::net::IpAddr;
 
+use crate::balance;
 use crate::exchange::Refusal;
 use crate::exchange::Request;
 use crate::exchange::Response;
@@ -36,6 +37,9 @@
     /// Classifies an upstream's response by its head.
     fn classify(&self, service: Option<&rule::Service>, response: &Response) -> Classification;
 
+    /// Reads the limit on requests from all entries together that an upstream names in a response.
+    fn upstream_limit(&self, response: &Response) -> Option<balance::Limit>;
+
     /// Builds the response for a refused request.
     fn refuse(&self, refusal: &Refusal) -> Response;
 
--- a/src/boundary/native.rs
+++ b/src/boundary/native.rs
@@ -11,6 +11,7 @@
 use super::Metadata;
 use super::Operation;
 use super::Reply;
+use crate::balance;
 use crate::exchange;
 use crate::exchange::Outcome;
 use crate::exchange::Refusal;
@@ -25,6 +26,8 @@
 const API_KEY_HEADER: HeaderName = HeaderName::from_static("x-api-key");
 /// The team that the API key proves, sent to the upstream. A value from the caller is dropped.
 const TEAM_HEADER: HeaderName = HeaderName::from_static("x-team");
+/// Requests per second that an upstream takes from all entries together.
+const UPSTREAM_LIMIT_HEADER: HeaderName = HeaderName::from_static("x-upstream-limit");
 const TIMEOUT_HEADER: HeaderName = HeaderName::from_static(exchange::TIMEOUT_HEADER);
 
 /// This product's own protocol, with `x-` headers and rules in YAML.
@@ -63,6 +66,10 @@
         }
     }
 
+    fn upstream_limit(&self, response: &Response) -> Option<balance::Limit> {
+        balance::Limit::new(response.header(UPSTREAM_LIMIT_HEADER.as_str())?.parse().ok()?)
+    }
+
     fn refuse(&self, refusal: &Refusal) -> Response {
         let Refusal { outcome, reason, retry_after, status } = refusal;
         exchange::refuse(*status, *outcome, reason, *retry_after)
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -20,6 +20,7 @@
 use super::transfer::Download;
 use super::transfer::Offer;
 use super::transfer::Part;
+use crate::balance::Limit;
 use crate::breaker::Counts;
 use crate::clock::Moment;
 use crate::config::Head;
@@ -132,6 +133,12 @@
         }
     }
 
+    /// Records a limit that an upstream named to this entry. It is reported at once.
+    pub fn record_limit(&mut self, now: Moment, upstream: &UpstreamId, limit: Option<Limit>) {
+        self.tallies.limits.insert(upstream.clone(), limit);
+        self.poll_at = self.poll_at.min(now.max(self.polled_at + MIN_URGENT_INTERVAL));
+    }
+
     /// Records requests that callers sent and bytes that were transferred.
     pub fn record_traffic(&mut self, arrivals: u32, bytes: u64) {
         self.tallies.arrivals += arrivals;
--- a/src/feed/tallies.rs
+++ b/src/feed/tallies.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::balance::Limit;
 use crate::breaker::Counts;
 use crate::id::UpstreamId;
 
@@ -18,6 +19,8 @@
     pub bytes: u64,
     /// Counts by upstream.
     pub by_upstream: BTreeMap<UpstreamId, Counts>,
+    /// Limits that upstreams named last; `None` for one that is lifted.
+    pub limits: BTreeMap<UpstreamId, Option<Limit>>,
 }
 
 impl Tallies {
@@ -30,23 +33,25 @@
     pub fn add_all(&mut self, other: &Self) {
         self.arrivals += other.arrivals;
         self.bytes += other.bytes;
+        self.limits.extend(other.limits.iter().map(|(id, limit)| (id.clone(), *limit)));
         other.by_upstream.iter().for_each(|(upstream, counts)| self.add(upstream, counts));
     }
 
-    /// Returns only the upstreams whose counts other entries need at once.
+    /// Returns only the limits, and the upstreams whose counts other entries need at once.
     pub fn urgent(&self) -> Self {
         let urgent = self.by_upstream.iter().filter(|(_, counts)| counts.is_urgent());
         let by_upstream = urgent.map(|(id, counts)| (id.clone(), *counts)).collect();
-        Self { by_upstream, ..Self::default() }
+        Self { by_upstream, limits: self.limits.clone(), ..Self::default() }
     }
 
     /// Whether nothing was counted.
     pub fn is_empty(&self) -> bool {
-        self.arrivals == 0 && self.bytes == 0 && self.by_upstream.is_empty()
+        let is_uncounted = self.arrivals == 0 && self.bytes == 0;
+        is_uncounted && self.by_upstream.is_empty() && self.limits.is_empty()
     }
 
-    /// Whether other entries need any of the counts at once.
+    /// Whether other entries need any of this at once.
     pub fn is_urgent(&self) -> bool {
-        self.by_upstream.values().any(Counts::is_urgent)
+        !self.limits.is_empty() || self.by_upstream.values().any(Counts::is_urgent)
     }
 }
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -18,6 +18,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::balance;
 use crate::catalog;
 use crate::claim;
 use crate::claim::Agent;
@@ -106,6 +107,8 @@
     ReadConfiguration(u64),
     /// The settings were reloaded with these seeds.
     Seeds(Vec<NodeId>),
+    /// An upstream named another limit than this entry knew, or none any more.
+    UpstreamLimit(UpstreamId, Option<balance::Limit>),
     /// The process stops and announces that it leaves the fleet.
     Stop,
     /// Configuration submitted by an operator.
@@ -270,7 +273,7 @@
                 self.handle_forwarder_outputs(now, forwarder_outputs, &mut outputs);
             }
             Input::ReadConfiguration(ticket) => outputs.push(Output::Configuration(ticket, None)),
-            Input::Throughput(..) | Input::Seeds(_) => (),
+            Input::Throughput(..) | Input::Seeds(_) | Input::UpstreamLimit(..) => (),
             Input::Stop => self.step_member(now, fleet::Input::Leave, &mut outputs),
             Input::Submit(ticket, version) => {
                 let forwarder_outputs = self.forwarder.submit(now, ticket, version);
--- a/src/node/feed_core.rs
+++ b/src/node/feed_core.rs
@@ -60,7 +60,8 @@
             | Input::Quota(..)
             | Input::Seeds(_)
             | Input::Tick
-            | Input::TrialOutcome { .. } => true,
+            | Input::TrialOutcome { .. }
+            | Input::UpstreamLimit(..) => true,
             Input::Frame(_, Frame::Feed(message)) => entry_role::is_for_entry(message),
             _ => false,
         };
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -62,6 +62,8 @@
     entries: usize,
     id: NodeId,
     is_leaving: bool,
+    /// Limits that upstreams named for all entries together.
+    limits: BTreeMap<UpstreamId, balance::Limit>,
     /// Directory of entries for callers.
     directory: Arc<Vec<directory::Entry>>,
     /// Version given to the service that changed last.
@@ -106,6 +108,7 @@
             entries: 1,
             id: setup.id.clone(),
             is_leaving: false,
+            limits: BTreeMap::new(),
             directory: Arc::default(),
             service_version: 0,
             rules: None,
@@ -159,6 +162,11 @@
             Input::Overdue(service, upstream, ages) => {
                 self.record_overdue(now, service, upstream, ages, &mut outputs);
             }
+            Input::UpstreamLimit(upstream, limit) => {
+                if self.set_limit(upstream, *limit, &mut outputs) {
+                    self.subscriber.record_limit(now, upstream, *limit);
+                }
+            }
             Input::Throughput(arrivals, bytes) => self.subscriber.record_traffic(*arrivals, *bytes),
             Input::Seeds(seeds) => self.subscriber.set_seeds(seeds.clone()),
             Input::Tick => self.tick(now, &mut outputs),
@@ -241,7 +249,7 @@
                     self.directory = Arc::new(entries.iter().map(super::directory_entry).collect());
                     self.is_dirty = true;
                 }
-                feed::Output::Record(tallies) => self.record_others(now, &tallies),
+                feed::Output::Record(tallies) => self.record_others(now, &tallies, outputs),
                 feed::Output::Send(to, message) => {
                     outputs.push(Output::Send(to, None, Frame::Feed(message)));
                 }
@@ -331,6 +339,7 @@
         if self.upstreams.remove(id).is_some() {
             self.is_dirty = true;
             self.breakers.remove(id);
+            self.limits.remove(id);
         }
     }
 
@@ -360,8 +369,38 @@
         }
     }
 
+    /// Sets the limit that an upstream named; returns whether it is new.
+    fn set_limit(
+        &mut self,
+        upstream: &UpstreamId,
+        limit: Option<balance::Limit>,
+        outputs: &mut Vec<Output>,
+    ) -> bool {
+        if !self.upstreams.contains_key(upstream) || self.limits.get(upstream) == limit.as_ref() {
+            return false;
+        }
+        match limit {
+            Some(limit) => self.limits.insert(upstream.clone(), limit),
+            None => self.limits.remove(upstream),
+        };
+        self.is_dirty = true;
+        outputs.push(Output::Event(events::limit(&self.id, upstream, limit)));
+        true
+    }
+
+    /// Limit of an upstream, and the part of it that this entry may use.
+    fn limit(&self, announcement: &Announcement) -> Option<view::Limit> {
+        let named = *self.limits.get(&announcement.upstream)?;
+        let entries = self.directory.iter().map(|entry| (&entry.id, &entry.domain));
+        let owner = balance::owner(entries, &announcement.upstream, &announcement.domain);
+        Some(view::Limit { named, rate: named.rate_of(&self.id, owner) })
+    }
+
     /// Records outcomes of other entries' callers.
-    fn record_others(&mut self, now: Moment, tallies: &Tallies) {
+    fn record_others(&mut self, now: Moment, tallies: &Tallies, outputs: &mut Vec<Output>) {
+        for (upstream, limit) in &tallies.limits {
+            self.set_limit(upstream, *limit, outputs);
+        }
         for (upstream, counts) in &tallies.by_upstream {
             let Some(known) = self.upstreams.get(upstream) else { continue };
             let service = &known.announcement.service;
@@ -395,6 +434,9 @@
             service.retry_sharers = retry_sharers;
             service.addresses.insert(announcement.upstream.clone(), announcement.address);
             service.members.push(self.member(now, known));
+            if let Some(limit) = self.limit(announcement) {
+                service.limits.insert(announcement.upstream.clone(), limit);
+            }
         }
         for (name, service) in &mut services {
             let Some(group) = self.breakers.get(name) else { continue };
--- a/src/node/feed_core/events.rs
+++ b/src/node/feed_core/events.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::balance;
 use crate::breaker;
 use crate::catalog::Action;
 use crate::config::Version;
@@ -26,6 +27,17 @@
     event.detail("by", "unanswered").detail("waited_ms", waited.as_millis().to_string())
 }
 
+/// Event for a limit that an upstream named or lifted.
+pub(super) fn limit(vm: &NodeId, upstream: &UpstreamId, limit: Option<balance::Limit>) -> Event {
+    let event = event(vm, Kind::Other("upstream-limit".into())).upstream(upstream.clone());
+    match limit {
+        None => event.detail("by", "lifted"),
+        Some(limit) => {
+            event.detail("by", "named").detail("per_second", limit.per_second().to_string())
+        }
+    }
+}
+
 /// Event for a configuration that took effect.
 pub(super) fn configuration(vm: &NodeId, version: &Version) -> Event {
     let event = event(vm, Kind::ConfigurationApplied).configuration(version.number);
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -2,6 +2,7 @@
 
 use async_std::channel::Sender;
 
+use crate::balance;
 use crate::catalog;
 use crate::claim;
 use crate::config::Version;
@@ -59,6 +60,8 @@
     Stop,
     /// Configuration submitted by an operator; the sender takes the verdict.
     Submit(Version, Sender<Verdict>),
+    /// An upstream named another limit than this entry knew, or none any more.
+    UpstreamLimit(UpstreamId, Option<balance::Limit>),
     /// Wakes the control thread to handle request outcomes at once.
     Wake,
 }
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -242,6 +242,7 @@
                 return;
             }
             Input::Stop => core::Input::Stop,
+            Input::UpstreamLimit(upstream, limit) => core::Input::UpstreamLimit(upstream, limit),
             Input::Submit(version, sender) => {
                 let ticket = self.tickets.next();
                 self.tickets.submissions.insert(ticket, sender);
--- a/src/node/traffic/attempt.rs
+++ b/src/node/traffic/attempt.rs
@@ -86,6 +86,7 @@
             Ok(answer) => answer,
             Err(failure) => return Some(outcome_of(failure)),
         };
+        self.reservation.note_limit(boundary.upstream_limit(&answer.response));
         let classification = boundary.classify(service, &answer.response);
         self.is_misdirected = classification == Classification::Misdirected;
         match classification {
--- a/src/node/traffic/reservation.rs
+++ b/src/node/traffic/reservation.rs
@@ -1,11 +1,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::balance;
 use crate::balance::Completion;
 use crate::balance::Pick;
 use crate::balance::Ticket;
 use crate::health;
 use crate::id::UpstreamId;
+use crate::node::Input;
 use crate::node::view;
 
 use super::Observation;
@@ -17,6 +19,8 @@
 pub(super) struct Reservation<'a> {
     pub(super) address: SocketAddr,
     ended: bool,
+    /// Limit of the upstream as this entry knew it.
+    limit: Option<balance::Limit>,
     service: &'a Service,
     proxy: &'a Proxy,
     ticket: Ticket,
@@ -60,6 +64,7 @@
         let reservation = Self {
             address: address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))),
             ended: false,
+            limit: view.limits.get(&pick.upstream).map(|limit| limit.named),
             service,
             proxy,
             ticket: pick.ticket,
@@ -81,6 +86,15 @@
         self.proxy.observe(Observation { kind, latency, service, trial: self.trial, upstream });
     }
 
+    /// Reports the limit that the upstream names in an answer, if it is new to this entry. An
+    /// answer without one lifts only a limit that was known when the request was sent: an answer
+    /// from before the limit may arrive later than others.
+    pub(super) fn note_limit(&self, named: Option<balance::Limit>) {
+        if named != self.limit {
+            self.proxy.try_notify(Input::UpstreamLimit(self.upstream.clone(), named));
+        }
+    }
+
     fn give_back(&mut self, kind: health::Kind, latency: Duration) {
         if !self.ended {
             self.ended = true;
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -101,8 +101,9 @@
         let is_unsent = |trial: &&Trial| !selector.sent_trials.contains(&trial.number);
         let accepts = |trial: &&Trial| is_repeatable || trial.allows_any;
         let trial = view.trials.iter().filter(accepts).find(is_unsent)?;
+        let pick = selector.picker.pick_only(now, &trial.upstream, false)?;
         selector.sent_trials.insert(trial.number);
-        selector.picker.pick_only(now, &trial.upstream, false)
+        Some(pick)
     }
 
     pub(super) fn finish(&self, now: Moment, ticket: Ticket, completion: Completion) {
@@ -146,6 +147,7 @@
                 selector.members.clone_from(&view.members);
             }
             selector.picker.refresh(view);
+            selector.picker.set_rates(now, |upstream| Some(view.limits.get(upstream)?.rate));
             selector
                 .sent_trials
                 .retain(|number| view.trials.iter().any(|trial| trial.number == *number));
@@ -183,9 +185,11 @@
     version: u64,
 }
 
-/// This entry's share of the slots of all upstreams that are not ejected.
+/// This entry's share of the slots of all upstreams that are not ejected and name no limit.
 fn slots(view: &view::Service) -> usize {
-    let is_usable = |member: &&balance::Member| view.weight(&member.upstream) > 0.0;
+    let is_usable = |member: &&balance::Member| {
+        view.weight(&member.upstream) > 0.0 && !view.limits.contains_key(&member.upstream)
+    };
     let slots = view.members.iter().filter(is_usable).map(|member| u64::from(member.slots));
     let total: u64 = slots.sum();
     let share = total as f64 * OVERCOMMIT / view.entries.max(1) as f64;
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -32,6 +32,15 @@
     pub standing: Standing,
 }
 
+/// Limit that an upstream named for all entries together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// The limit.
+    pub named: balance::Limit,
+    /// Requests per second that this entry may send.
+    pub rate: f64,
+}
+
 /// Snapshot of the upstreams of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Service {
@@ -39,6 +48,8 @@
     pub addresses: HashMap<UpstreamId, SocketAddr>,
     /// Number of entries that share the upstreams.
     pub entries: usize,
+    /// Limits that upstreams named.
+    pub limits: HashMap<UpstreamId, Limit>,
     /// Upstreams as candidates of the load balancer.
     pub members: Vec<balance::Member>,
     /// Number of entries that share the burst of retries; `None` if this one has no share.
@@ -110,6 +121,7 @@
     fn is_unchanged(&self, before: &Self) -> bool {
         self.members == before.members
             && self.addresses == before.addresses
+            && self.limits == before.limits
             && self.suspects == before.suspects
             && self.trials == before.trials
             && self.weights == before.weights
--- a/tests/suite/balance.rs
+++ b/tests/suite/balance.rs
@@ -1,5 +1,6 @@
 //! Tests of `hemlockfield::balance`.
 
+mod limit;
 mod near;
 mod share;
 mod subset;
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hemlockfield::balance::Limit;
 use hemlockfield::breaker::Counts;
 use hemlockfield::catalog::Catalog;
 use hemlockfield::feed::Capacity;
@@ -302,3 +303,23 @@
     let ids: Vec<&str> = heard.keys().map(AsRef::as_ref).collect();
     assert_eq!(ids, ["hull-01", "i-007"]);
 }
+
+// An upstream names a limit to one entry. The others learn of it at once, the idle ones with their
+// next poll: each would be a sender that the limit does not bind.
+#[test]
+fn push_upstream_limit() {
+    let mut publisher = fleet(secs(0));
+    let named = advertised_ids(&publisher, secs(1));
+    let mut tallies = Tallies::default();
+    tallies.limits.insert("hull-01".into(), Limit::new(2.0));
+    publisher.add_tallies(secs(1), &tallies, true);
+    let catalog = Catalog::default();
+    let snapshot = snapshot(&catalog);
+    let sends = publisher.tick(publisher.wake(), &snapshot);
+    let told: Vec<String> = sends.into_iter().map(|(id, _)| id.to_string()).collect();
+    assert!(named.iter().all(|id| told.contains(id)), "{told:?}");
+    let idle = (0..NORTH_ENTRIES).map(|at| entry(at, "north"));
+    let idle = idle.into_iter().find(|entry| !named.contains(&entry.id.to_string())).expect("one");
+    let heard = poll_update(&mut publisher, Duration::from_millis(1_200), idle).tallies;
+    assert_eq!(heard.limits.get("hull-01"), Some(&Limit::new(2.0)));
+}
--- a/tests/suite/platform/responses.rs
+++ b/tests/suite/platform/responses.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hemlockfield::balance::Limit;
 use hemlockfield::boundary::Boundary;
 use hemlockfield::boundary::Classification;
 use hemlockfield::boundary::Reply;
@@ -77,3 +78,20 @@
     assert_eq!(response.status, 503);
     assert!(response.header("retry-after").is_some());
 }
+
+// An upstream names the requests per second that it takes. Anything else in the header is no
+// limit: taken for zero, a damaged answer would take the upstream out.
+#[rstest]
+#[case::fraction("1.9", Limit::new(1.9))]
+#[case::whole("12", Limit::new(12.0))]
+#[case::zero("0", Limit::new(0.0))]
+#[case::spaces(" 3 ", Limit::new(3.0))]
+#[case::negative("-1", None)]
+#[case::text("few", None)]
+#[case::empty("", None)]
+fn upstream_limit(#[case] value: &str, #[case] expected: Option<Limit>) {
+    let mut response = Response::new(200);
+    response.set_header(HeaderName::from_static("server-limit"), value);
+    assert_eq!(Platform.upstream_limit(&response), expected);
+    assert_eq!(Platform.upstream_limit(&Response::new(200)), None);
+}
