--- a/tests/suite/feed/slow_link.rs
+++ b/tests/suite/feed/slow_link.rs
@@ -1,5 +1,6 @@
 //! Large configurations on the narrow link of an entry.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use hemlockfield::id::ConfigNumber;
 use hemlockfield::id::Index;
 use hemlockfield::id::NodeId;
+use hemlockfield::id::UpstreamId;
 use hemlockfield::registry;
 use hemlockfield::registry::Announcement;
 use hemlockfield::timeline::Stamp;
@@ -44,6 +46,8 @@
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// Default time within which an upstream must accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time within which an entry that starts knows all upstreams.
+const START: Duration = Duration::from_secs(13);
 /// Time in milliseconds of the first change.
 const CHANGED_AT: u64 = 3_000;
 /// Interval between changes in milliseconds.
@@ -74,10 +78,10 @@
     Version::new(number, compact_str::format_compact!("{number}"), &document)
 }
 
-/// The only upstream, which is ready or leaving.
-fn upstream(state: registry::State, sequence: u64) -> Action {
+/// Announcement of an upstream, which is ready or leaving.
+fn upstream(number: u16, state: registry::State, sequence: u64) -> Action {
     let announcement = Announcement {
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        address: SocketAddr::from(([127, 0, 0, 1], number)),
         connections: 390,
         domain: "north".into(),
         incarnation: 1,
@@ -85,7 +89,7 @@
         service: "hull".into(),
         slots: 4,
         state,
-        upstream: "hull-1".into(),
+        upstream: compact_str::format_compact!("hull-{number}"),
         warm_up: Duration::ZERO,
     };
     Action::Announce(Change { announcement, sequence })
@@ -105,6 +109,8 @@
     /// When each configuration took effect at the entry.
     in_force_at: Vec<(ConfigNumber, Duration)>,
     index: Index,
+    /// Number of upstreams that the entry knew when its first configuration took effect.
+    known_when_configured: usize,
     link: VecDeque<Transfer>,
     /// Longest time for which a packet would have waited at the entry's link.
     max_wait: Duration,
@@ -112,8 +118,8 @@
     publishers: Vec<Publisher>,
     received: usize,
     subscriber: Subscriber,
-    /// State of the upstream as the entry knows it.
-    upstream: Option<registry::State>,
+    /// States of the upstreams as the entry knows them.
+    upstreams: BTreeMap<UpstreamId, registry::State>,
     version: Version,
 }
 
@@ -128,20 +134,21 @@
         };
         let seeds = CONTROLS.iter().map(|id| (*id).into()).collect();
         let mut catalog = Catalog::default();
-        catalog.apply(1, &upstream(registry::State::Ready, 1));
+        catalog.apply(1, &upstream(1, registry::State::Ready, 1));
         let mut publishers = vec![Publisher::default(); CONTROLS.len()];
         publishers.iter_mut().for_each(|publisher| publisher.set_configuration(&version));
         Self {
             catalog,
             in_force_at: Vec::new(),
-            index: 2,
+            index: 1,
+            known_when_configured: 0,
             link: VecDeque::new(),
             max_wait: Duration::ZERO,
             now: Duration::ZERO,
             publishers,
             received: 0,
             subscriber: Subscriber::new(ms(0), me, seeds, ChaCha8Rng::seed_from_u64(1)),
-            upstream: None,
+            upstreams: BTreeMap::new(),
             version,
         }
     }
@@ -161,10 +168,18 @@
         self.schedule_pushes();
     }
 
-    /// Commits that the upstream leaves, which is acknowledged by that.
+    /// Commits announcements of upstreams, all but the first.
+    fn announce(&mut self, count: u16) {
+        for number in 2..=count {
+            self.index += 1;
+            self.catalog.apply(self.index, &upstream(number, registry::State::Ready, 1));
+        }
+    }
+
+    /// Commits that the first upstream leaves, which is acknowledged by that.
     fn drain(&mut self) {
         self.index += 1;
-        self.catalog.apply(self.index, &upstream(registry::State::Draining, 2));
+        self.catalog.apply(self.index, &upstream(1, registry::State::Draining, 2));
         self.schedule_pushes();
     }
 
@@ -205,10 +220,15 @@
             match output {
                 Output::Send(to, message) => self.send_up(&to, message),
                 Output::Apply(update) => {
-                    let known = update.upstreams.upstreams.first();
-                    self.upstream = known.map(|known| known.state).or(self.upstream);
+                    let changed = update.upstreams.upstreams.into_iter();
+                    self.upstreams.extend(changed.map(|it| (it.upstream, it.state)));
+                }
+                Output::Configure(version) => {
+                    if self.in_force_at.is_empty() {
+                        self.known_when_configured = self.upstreams.len();
+                    }
+                    self.in_force_at.push((version.number, self.now));
                 }
-                Output::Configure(version) => self.in_force_at.push((version.number, self.now)),
                 Output::Advertise(_) | Output::Record(_) | Output::Unanswered(..) => (),
             }
         }
@@ -316,6 +336,22 @@
     world.run_until(CHANGED_AT + 100);
     world.drain();
     world.run_until(CHANGED_AT + 100 + IN_FORCE.as_millis() as u64);
-    assert_eq!(world.upstream, Some(registry::State::Draining));
+    assert_eq!(world.upstreams["hull-1"], registry::State::Draining);
+    assert!(world.max_wait < CONNECT_TIMEOUT, "packets wait {:?}", world.max_wait);
+}
+
+// An entry starts in a fleet with many upstreams. It receives each of them once: the whole table
+// takes longer than the entry waits for an answer, and the next control must not send it again.
+// It serves callers only when it knows all, or the few that it knows would get all requests.
+#[rstest]
+fn start_many_upstreams(#[values(250, 600, 6_200)] count: u16) {
+    let mut world = World::new(version(1, 10, 1));
+    world.announce(count);
+    world.run_until(START.as_millis() as u64);
+    assert_eq!(world.upstreams.len(), usize::from(count));
+    let table = postcard::to_stdvec(&world.catalog.upstreams().collect::<Vec<_>>()).unwrap().len();
+    let other = CONTROL_BYTES as usize * START.as_secs() as usize;
+    assert!(world.received <= table + other, "{} bytes for {table}", world.received);
     assert!(world.max_wait < CONNECT_TIMEOUT, "packets wait {:?}", world.max_wait);
+    assert_eq!(world.known_when_configured, usize::from(count));
 }
