Send large tables of upstreams in pages

Cause: an update held all changes to upstreams since the index that an entry knows.

Change: an update holds 128 changes to upstreams, and the entry polls for more at once. An entry that starts takes callers when it knows all upstreams.

--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -76,9 +76,27 @@
 
     /// Changes after the index `base`.
     pub fn since(&self, base: Index) -> Delta {
+        self.between(base, Index::MAX)
+    }
+
+    /// The first changes after the index `base`, about `limit` of them, and the index up to which
+    /// they are complete; `None` if there are no more.
+    pub fn page(&self, base: Index, limit: usize) -> (Delta, Option<Index>) {
+        let changed = self.upstreams.values().map(|entry| entry.changed);
+        let gone = self.gone.values().map(|gone| gone.index);
+        let mut indices: Vec<Index> = changed.chain(gone).filter(|index| *index > base).collect();
+        if base < self.floor || indices.len() <= limit {
+            return (self.since(base), None);
+        }
+        let (_, end, _) = indices.select_nth_unstable(limit);
+        (self.between(base, *end), Some(*end))
+    }
+
+    fn between(&self, base: Index, end: Index) -> Delta {
         let whole = base < self.floor;
-        let changed = self.upstreams.values().filter(|entry| whole || entry.changed > base);
-        let gone = self.gone.iter().filter(|(_, gone)| !whole && gone.index > base);
+        let is_within = |index: Index| index > base && index <= end;
+        let changed = self.upstreams.values().filter(|entry| whole || is_within(entry.changed));
+        let gone = self.gone.iter().filter(|(_, gone)| !whole && is_within(gone.index));
         Delta {
             gone: gone.map(|(id, _)| id.clone()).collect(),
             upstreams: changed.map(|entry| entry.change.announcement.clone()).collect(),
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -50,6 +50,11 @@
 /// Delay before all other tallies are forwarded to the other controls in one batch.
 const FORWARD_DELAY: Duration = Duration::from_millis(500);
 
+/// Changes to upstreams in one update, about 14 KB. With all changes in one, a table of thousands
+/// of upstreams takes longer on a narrow link than an entry waits for an answer, and the next
+/// control sends it again.
+const MAX_UPSTREAMS: usize = 128;
+
 /// Time after its start in which a control sends no list of advertised entries. It has not been
 /// polled by all entries yet, and all callers would connect to the few that it knows.
 pub const WARM_UP: Duration = Duration::from_millis(1500);
@@ -143,7 +148,6 @@
             self.has_changed_entries = true;
         }
         self.reported.remove(&id);
-        let known = snapshot.applied.max(poll.known);
         let before = self.subscriptions.remove(&id);
         self.add_tallies(now, &poll.tallies, true);
         let requested_at = (poll.tallies.arrivals > 0).then_some(now);
@@ -157,12 +161,13 @@
             last_request_at,
             entry: poll.entry,
             last_poll_at: now,
-            known,
+            known: poll.known,
             tallies: Tallies::default(),
         };
         subscription.note_offer(offer.as_ref());
         self.subscriptions.insert(id.clone(), subscription);
         let mut update = self.update(now, poll.known, poll.sequence, tallies, snapshot);
+        self.note_known(&id, update.known);
         update.configuration = offer;
         update.named = self.changed_advertised(now, poll.named);
         vec![(id, Message::News(Box::new(update)))]
@@ -311,6 +316,13 @@
         is_different.then_some(advertised)
     }
 
+    /// Records that an entry is sent all changes to upstreams up to this index.
+    fn note_known(&mut self, id: &NodeId, known: Index) {
+        if let Some(subscription) = self.subscriptions.get_mut(id) {
+            subscription.known = subscription.known.max(known);
+        }
+    }
+
     /// Offers the change from the version that an entry holds to the one in force.
     fn offer(&mut self, held: Option<Head>) -> Option<Offer> {
         self.archive.change_since(held).map(|change| change.offer())
@@ -324,18 +336,20 @@
         tallies: Tallies,
         snapshot: &Snapshot<'_>,
     ) -> Update {
+        let (upstreams, end) = snapshot.catalog.page(base, MAX_UPSTREAMS);
         Update {
             base,
             configuration: None,
             controls: snapshot.controls.clone(),
             entries: self.advertised(now).len(),
             fresh: snapshot.fresh,
-            known: snapshot.applied,
+            has_more: end.is_some(),
+            known: end.unwrap_or(snapshot.applied),
             named: None,
             sequence,
             serving: self.serving(now).count(),
             tallies,
-            upstreams: snapshot.catalog.since(base),
+            upstreams,
         }
     }
 
@@ -406,9 +420,9 @@
         let offer = if is_downloading { None } else { self.offer(held) };
         let Some(subscription) = self.subscriptions.get_mut(id) else { return };
         subscription.note_offer(offer.as_ref());
-        subscription.known = known.max(snapshot.applied);
         let tallies = std::mem::take(&mut subscription.tallies);
         let mut update = self.update(now, known, 0, tallies, snapshot);
+        self.note_known(id, update.known);
         update.configuration = offer;
         sends.push((id.clone(), Message::News(Box::new(update))));
     }
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -55,6 +55,11 @@
     /// The configuration held, with its head.
     configuration: Option<(Head, Version)>,
     download: Option<Download>,
+    /// First configuration, until all upstreams are known. With a few of them, an entry would send
+    /// its callers' requests to those alone.
+    early_configuration: Option<Version>,
+    /// Whether all upstreams have been received since the start.
+    has_upstreams: bool,
     /// Whether a change could not be applied, so that the whole document is needed.
     needs_document: bool,
     in_flight: Option<(u64, Moment)>,
@@ -79,6 +84,8 @@
         Self {
             configuration: None,
             download: None,
+            early_configuration: None,
+            has_upstreams: false,
             needs_document: false,
             in_flight: None,
             controls: BTreeSet::new(),
@@ -201,7 +208,14 @@
             return;
         }
         self.known = update.known;
+        if update.has_more {
+            self.poll_at = self.poll_at.min(now);
+        }
+        self.has_upstreams |= !update.has_more;
         outputs.push(Output::Apply(update));
+        if self.has_upstreams {
+            outputs.extend(self.early_configuration.take().map(Output::Configure));
+        }
     }
 
     /// Takes an offered change, unless another one is being received. The next poll asks for what
@@ -245,7 +259,11 @@
             Ok(version) => {
                 self.configuration = Some((change.head, version.clone()));
                 self.needs_document = false;
-                outputs.push(Output::Configure(version));
+                if self.has_upstreams {
+                    outputs.push(Output::Configure(version));
+                } else {
+                    self.early_configuration = Some(version);
+                }
             }
             Err(error) => {
                 let number = change.head.number;
--- a/src/feed/update.rs
+++ b/src/feed/update.rs
@@ -24,6 +24,8 @@
     /// Whether the control has heard from a leader recently. If so, no change that this update
     /// lacks has been acknowledged to anybody.
     pub fresh: bool,
+    /// Whether more changes to upstreams are to be polled for.
+    pub has_more: bool,
     /// Log index up to which the entry knows all changes to upstreams once it has applied this
     /// update.
     pub known: Index,
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -163,9 +163,7 @@
                 self.record_overdue(now, service, upstream, ages, &mut outputs);
             }
             Input::UpstreamLimit(upstream, limit) => {
-                if self.set_limit(upstream, *limit, &mut outputs) {
-                    self.subscriber.record_limit(now, upstream, *limit);
-                }
+                self.record_limit(now, upstream, *limit, &mut outputs);
             }
             Input::Throughput(arrivals, bytes) => self.subscriber.record_traffic(*arrivals, *bytes),
             Input::Seeds(seeds) => self.subscriber.set_seeds(seeds.clone()),
@@ -369,6 +367,19 @@
         }
     }
 
+    /// Records the limit that an upstream named to this entry, and reports a new one.
+    fn record_limit(
+        &mut self,
+        now: Moment,
+        upstream: &UpstreamId,
+        limit: Option<balance::Limit>,
+        outputs: &mut Vec<Output>,
+    ) {
+        if self.set_limit(upstream, limit, outputs) {
+            self.subscriber.record_limit(now, upstream, limit);
+        }
+    }
+
     /// Sets the limit that an upstream named; returns whether it is new.
     fn set_limit(
         &mut self,
--- a/tests/suite/catalog.rs
+++ b/tests/suite/catalog.rs
@@ -1,5 +1,6 @@
 //! Tests of `hemlockfield::catalog`.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hemlockfield::catalog::Action;
@@ -7,6 +8,7 @@
 use hemlockfield::catalog::Change;
 use hemlockfield::registry::Announcement;
 use hemlockfield::registry::State;
+use rstest::rstest;
 
 fn change(id: &str, service: &str, address: &str, sequence: u64, state: State) -> Change {
     let announcement = Announcement {
@@ -128,3 +130,36 @@
     assert_eq!(ids(&catalog), ["i-1"]);
     assert_eq!(catalog.since(3).gone, Vec::<&str>::new());
 }
+
+// An entry that starts receives the table in pages, while upstreams leave and their addresses are
+// used again. It must end with the same table as one that receives all at once, without the
+// upstreams that are gone.
+#[rstest]
+fn page_all_changes(#[values(1, 7, 40, 1_000)] limit: usize) {
+    let mut catalog = Catalog::default();
+    let mut index = 0;
+    for at in 0..100 {
+        index += 1;
+        let address = format!("10.0.0.{}:80", at % 60);
+        catalog.apply(index, &ready(&format!("i-{at}"), "hull", &address, 1));
+        if at % 9 == 0 {
+            index += 1;
+            catalog.apply(index, &Action::Leave(format!("i-{}", at / 2).into()));
+        }
+    }
+    let mut known = BTreeSet::new();
+    let mut base = 0;
+    loop {
+        let (delta, end) = catalog.page(base, limit);
+        assert!(delta.upstreams.len() + delta.gone.len() <= limit + 2);
+        delta.gone.iter().for_each(|id| {
+            known.remove(id);
+        });
+        known.extend(delta.upstreams.into_iter().map(|announcement| announcement.upstream));
+        let Some(end) = end else { break };
+        assert!(end > base);
+        base = end;
+    }
+    let all: BTreeSet<_> = catalog.upstreams().map(|it| it.upstream.clone()).collect();
+    assert_eq!(known, all);
+}
--- a/tests/suite/feed/slow_link.rs
+++ b/tests/suite/feed/slow_link.rs
@@ -200,7 +200,7 @@
         }
         for at in 0..self.publishers.len() {
             if self.publishers[at].wake() <= self.now {
-                self.with_publisher(at, |publisher, now, snapshot| publisher.tick(now, snapshot));
+                self.with_publisher(at, Publisher::tick);
             }
         }
     }
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -52,6 +52,7 @@
         controls: SEEDS.iter().zip(domains).map(control).collect(),
         entries: 1,
         fresh: true,
+        has_more: false,
         known,
         named: None,
         sequence,
