Compare configurations without looking up each segment

Where one segment replaces another, the base continues after it: only moved and added segments are looked up now, and the table for that is made when the first is.

--- a/src/config/patch.rs
+++ b/src/config/patch.rs
@@ -45,20 +45,24 @@
     ///
     /// A segment is copied from where the previous copy ends if the base continues with it,
     /// otherwise from its first occurrence in the base. A moved or repeated segment therefore
-    /// costs an extra step but never produces a wrong text.
+    /// costs an extra step but never produces a wrong text. Where one segment replaces another,
+    /// the base continues after it, and nothing is looked up.
     pub fn between(base: &Version, version: &Version) -> Self {
-        let offsets = segment_offsets(&base.document);
+        let mut source = Source::new(&base.document);
         let mut steps = Vec::new();
-        let mut copied_to = 0;
-        for segment in segments(&version.document) {
-            let offset = match base.document.get(copied_to..) {
-                Some(next) if next.starts_with(segment) => Some(copied_to),
-                _ => offsets.get(segment).copied(),
+        let mut segments = segments(&version.document).peekable();
+        while let Some(segment) = segments.next() {
+            let offset = if source.continues_with(segment) {
+                Some(source.position)
+            } else if source.skip_replaced_before(segments.peek().copied()) {
+                None
+            } else {
+                source.find(segment)
             };
             match offset {
                 Some(offset) => {
                     push_copy(&mut steps, offset, segment.len());
-                    copied_to = offset + segment.len();
+                    source.position = offset + segment.len();
                 }
                 None => push_insert(&mut steps, segment),
             }
@@ -126,6 +130,45 @@
     document.split_inclusive(['\n', '}'])
 }
 
+/// Document that segments are copied from.
+struct Source<'a> {
+    document: &'a str,
+    /// First occurrence of each segment, once one had to be looked up.
+    offsets: Option<HashMap<&'a str, usize>>,
+    /// End of the last copy.
+    position: usize,
+}
+
+impl<'a> Source<'a> {
+    fn new(document: &'a str) -> Self {
+        Self { document, offsets: None, position: 0 }
+    }
+
+    fn rest(&self) -> &'a str {
+        self.document.get(self.position..).unwrap_or_default()
+    }
+
+    fn continues_with(&self, segment: &str) -> bool {
+        self.rest().starts_with(segment)
+    }
+
+    /// Skips the next segment if `next` follows it; returns whether it does.
+    fn skip_replaced_before(&mut self, next: Option<&str>) -> bool {
+        let Some(replaced) = segments(self.rest()).next() else { return false };
+        let follows = next.is_some_and(|next| self.rest()[replaced.len()..].starts_with(next));
+        if follows {
+            self.position += replaced.len();
+        }
+        follows
+    }
+
+    fn find(&mut self, segment: &str) -> Option<usize> {
+        let document = self.document;
+        let offsets = self.offsets.get_or_insert_with(|| segment_offsets(document));
+        offsets.get(segment).copied()
+    }
+}
+
 fn segment_offsets(document: &str) -> HashMap<&str, usize> {
     let mut offsets = HashMap::new();
     let mut offset = 0;
