Test transfers that stop, restart or arrive damaged

A control that falls silent in a transfer, controls that restart and know the newest version alone, damaged bytes, another base, and a control that reads its log again.

--- a/tests/suite/feed.rs
+++ b/tests/suite/feed.rs
@@ -4,3 +4,4 @@
 mod publisher;
 mod slow_link;
 mod subscriber;
+mod transfer;
--- a/tests/suite/feed/slow_link.rs
+++ b/tests/suite/feed/slow_link.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hemlockfield::catalog;
 use hemlockfield::catalog::Action;
 use hemlockfield::catalog::Catalog;
-use hemlockfield::catalog::Change;
 use hemlockfield::config::Version;
 use hemlockfield::feed::Capacity;
 use hemlockfield::feed::Control;
@@ -19,6 +19,7 @@
 use hemlockfield::feed::Publisher;
 use hemlockfield::feed::Snapshot;
 use hemlockfield::feed::Subscriber;
+use hemlockfield::feed::transfer::Change;
 use hemlockfield::fleet::State;
 use hemlockfield::id::ConfigNumber;
 use hemlockfield::id::Index;
@@ -44,6 +45,8 @@
 const CONTROL_BYTES: u64 = 3_000;
 /// Time within which a change must be in force, and an upstream that leaves must get no work.
 const IN_FORCE: Duration = Duration::from_secs(2);
+/// Bytes of a part of a change.
+const PART_BYTES: usize = 8 << 10;
 /// Default time within which an upstream must accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time within which an entry that starts knows all upstreams.
@@ -92,7 +95,7 @@
         upstream: compact_str::format_compact!("hull-{number}"),
         warm_up: Duration::ZERO,
     };
-    Action::Announce(Change { announcement, sequence })
+    Action::Announce(catalog::Change { announcement, sequence })
 }
 
 /// A message on the entry's link.
@@ -117,6 +120,8 @@
     now: Duration,
     publishers: Vec<Publisher>,
     received: usize,
+    /// Control whose messages get lost.
+    silent: Option<&'static str>,
     subscriber: Subscriber,
     /// States of the upstreams as the entry knows them.
     upstreams: BTreeMap<UpstreamId, registry::State>,
@@ -147,6 +152,7 @@
             now: Duration::ZERO,
             publishers,
             received: 0,
+            silent: None,
             subscriber: Subscriber::new(ms(0), me, seeds, ChaCha8Rng::seed_from_u64(1)),
             upstreams: BTreeMap::new(),
             version,
@@ -183,6 +189,12 @@
         self.schedule_pushes();
     }
 
+    /// Silences the control that the entry polls.
+    fn silence_current(&mut self) {
+        let current = self.subscriber.current().expect("a control");
+        self.silent = CONTROLS.iter().find(|id| **id == *current).copied();
+    }
+
     fn schedule_pushes(&mut self) {
         let now = self.now;
         self.publishers.iter_mut().for_each(|publisher| publisher.schedule_push(now));
@@ -235,6 +247,9 @@
     }
 
     fn send_up(&mut self, to: &str, message: Message) {
+        if self.silent == Some(to) {
+            return;
+        }
         let at = CONTROLS.iter().position(|id| *id == to).expect("a control");
         self.with_publisher(at, |publisher, now, snapshot| match message {
             Message::Poll(poll) => publisher.poll(now, poll, snapshot),
@@ -260,7 +275,7 @@
         };
         let sends = run(&mut self.publishers[at], self.now, &snapshot);
         for (to, message) in sends {
-            if to == "e1" {
+            if to == "e1" && self.silent != Some(CONTROLS[at]) {
                 self.send_down(CONTROLS[at], message);
             }
         }
@@ -340,6 +355,39 @@
     assert!(world.max_wait < CONNECT_TIMEOUT, "packets wait {:?}", world.max_wait);
 }
 
+// The control that sends a large change falls silent in the middle. The entry goes on at another
+// one where it stopped, and the change is in force in time.
+#[test]
+fn large_change_control_silent() {
+    let mut world = World::new(version(1, 10, 1));
+    world.run_until(CHANGED_AT);
+    let before = world.received;
+    world.commit(version(2, 4_200, 1));
+    world.run_until(CHANGED_AT + 40);
+    assert!(world.received - before > 0, "the transfer has begun");
+    world.silence_current();
+    world.run_until(CHANGED_AT + IN_FORCE.as_millis() as u64);
+    world.check_in_force(2, ms(CHANGED_AT));
+    let change = Change::between(Some(&version(1, 10, 1)), &version(2, 4_200, 1)).unwrap();
+    let allowed = change.id().size as usize + 2 * PART_BYTES;
+    let received = world.received - before;
+    assert!(received <= allowed, "{received} bytes for {allowed}");
+}
+
+// All controls restart during the transfer and know the newest version alone. The entry gets that
+// one whole.
+#[test]
+fn large_change_controls_restart() {
+    let mut world = World::new(version(1, 10, 1));
+    world.run_until(CHANGED_AT);
+    world.commit(version(2, 4_200, 1));
+    world.run_until(CHANGED_AT + 40);
+    world.publishers = vec![Publisher::default(); CONTROLS.len()];
+    world.commit(version(3, 4_200, 2));
+    world.run_until(CHANGED_AT + 40 + IN_FORCE.as_millis() as u64);
+    world.check_in_force(3, ms(CHANGED_AT + 40));
+}
+
 // An entry starts in a fleet with many upstreams. It receives each of them once: the whole table
 // takes longer than the entry waits for an answer, and the next control must not send it again.
 // It serves callers only when it knows all, or the few that it knows would get all requests.
