--- a/tests/suite/balance/limit.rs
+++ b/tests/suite/balance/limit.rs
@@ -78,8 +78,7 @@
     sent.iter().map(|(_, at)| count(*at)).max().unwrap_or_default()
 }
 
-// The lists of entries differ for a while, and two entries take themselves for the owner of an
-// upstream. Together they send no more than the upstream bears.
+// Two entries that both take themselves for the owner must not exceed the limit together.
 #[rstest]
 fn pick_two_owners(#[values(0.2, 1.0, 1.9, 10.0)] per_second: f64) {
     let limit = Limit::new(per_second).expect("valid");
@@ -96,7 +95,7 @@
     assert!(!sent.is_empty());
 }
 
-// An entry that does not own an upstream with a limit sends to the others only.
+// An entry that does not own an upstream with a limit must leave it to the owner.
 #[test]
 fn pick_other_owner() {
     let limit = Limit::new(5.0).expect("valid");
@@ -108,7 +107,7 @@
     assert_eq!(sent.len(), 500);
 }
 
-// An upstream names no limit any more. The entry sends to it as before.
+// An upstream whose limit is lifted must get all of its work again.
 #[test]
 fn pick_limit_lifted() {
     let mut picker = picker("e1", &["hull-1"]);
@@ -118,8 +117,7 @@
     assert_eq!(press(&mut picker, 2_000, 2_000).len(), 100);
 }
 
-// Entries that know the same list agree on the owner without a message. It is in the upstream's
-// failure domain if an entry is, and many upstreams have many owners.
+// One entry must not own all upstreams, nor one in another failure domain if there is a nearer one.
 #[test]
 fn owner_spread() {
     let entries = entries(8);
@@ -135,7 +133,7 @@
     assert_eq!(owner_of(&[], "hull-1", "north"), None);
 }
 
-// An upstream names something that is no limit.
+// A damaged limit must not take an upstream out.
 #[rstest]
 #[case::negative(-1.0)]
 #[case::infinite(f64::INFINITY)]
--- a/tests/suite/catalog.rs
+++ b/tests/suite/catalog.rs
@@ -131,9 +131,7 @@
     assert_eq!(catalog.since(3).gone, Vec::<&str>::new());
 }
 
-// An entry that starts receives the table in pages, while upstreams leave and their addresses are
-// used again. It must end with the same table as one that receives all at once, without the
-// upstreams that are gone.
+// A table received in pages must not keep upstreams that are gone.
 #[rstest]
 fn page_all_changes(#[values(1, 7, 40, 1_000)] limit: usize) {
     let mut catalog = Catalog::default();
--- a/tests/suite/config/patch.rs
+++ b/tests/suite/config/patch.rs
@@ -37,8 +37,7 @@
     assert!(patch.size() >= encoded.len());
 }
 
-// Programs write a document of JSON in one line. A changed weight must not be sent as the whole
-// document: at two changes per second, a VM may spend 3 KB per second on control.
+// A changed weight in JSON of one line must not be sent as the whole document.
 #[test]
 fn size_one_route_of_one_line() {
     let document = |weight: u32| {
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -304,8 +304,7 @@
     assert_eq!(ids, ["hull-01", "i-007"]);
 }
 
-// An upstream names a limit to one entry. The others learn of it at once, the idle ones with their
-// next poll: each would be a sender that the limit does not bind.
+// Entries that did not meet a limit themselves must learn of it, or it does not bind them.
 #[test]
 fn push_upstream_limit() {
     let mut publisher = fleet(secs(0));
--- a/tests/suite/feed/slow_link.rs
+++ b/tests/suite/feed/slow_link.rs
@@ -315,8 +315,7 @@
     }
 }
 
-// Operators change one weight each half second. What an entry receives must not grow with the
-// document, which is far larger than the change.
+// What an entry receives for a changed weight must not grow with the document.
 #[rstest]
 fn update_one_weight(#[values(10, 1_400, 4_200)] routes: usize) {
     let mut world = World::new(version(1, routes, 1));
@@ -327,9 +326,7 @@
     assert!(rate <= CONTROL_BYTES, "{rate} bytes per second");
 }
 
-// Operators add 1,400 routes and change a weight each half second after that. Each change must be
-// in force in time, and the entry receives no document twice: the answer to a poll takes longer
-// than the entry waits for it, and the next control must not send the same again.
+// A change that takes longer than an entry waits for an answer must not be sent by each control.
 #[rstest]
 fn large_change_in_force(#[values(10, 1_400, 2_800)] routes: usize) {
     let mut world = World::new(version(1, routes, 1));
@@ -339,9 +336,7 @@
     assert!(received <= size, "{received} bytes for a document of {size}");
 }
 
-// An upstream reports that it leaves while the entry receives a large change. The entry must
-// learn of it in time, and callers' packets must not wait behind the change for so long that
-// connections to sound upstreams time out.
+// Upstreams that leave and callers' packets must not wait behind a large change.
 #[rstest]
 fn large_change_upstream_leaves(#[values(10, 1_400, 2_800)] routes: usize) {
     let mut world = World::new(version(1, routes, 10));
@@ -355,8 +350,7 @@
     assert!(world.max_wait < CONNECT_TIMEOUT, "packets wait {:?}", world.max_wait);
 }
 
-// The control that sends a large change falls silent in the middle. The entry goes on at another
-// one where it stopped, and the change is in force in time.
+// A transfer whose control falls silent must go on at another one, not begin again.
 #[test]
 fn large_change_control_silent() {
     let mut world = World::new(version(1, 10, 1));
@@ -374,8 +368,7 @@
     assert!(received <= allowed, "{received} bytes for {allowed}");
 }
 
-// All controls restart during the transfer and know the newest version alone. The entry gets that
-// one whole.
+// A transfer of a version that no control remembers must be given up for the newest one.
 #[test]
 fn large_change_controls_restart() {
     let mut world = World::new(version(1, 10, 1));
@@ -388,9 +381,7 @@
     world.check_in_force(3, ms(CHANGED_AT + 40));
 }
 
-// An entry starts in a fleet with many upstreams. It receives each of them once: the whole table
-// takes longer than the entry waits for an answer, and the next control must not send it again.
-// It serves callers only when it knows all, or the few that it knows would get all requests.
+// A table of upstreams must not be sent by each control, nor callers be served by a part of it.
 #[rstest]
 fn start_many_upstreams(#[values(250, 600, 6_200)] count: u16) {
     let mut world = World::new(version(1, 10, 1));
--- a/tests/suite/feed/transfer.rs
+++ b/tests/suite/feed/transfer.rs
@@ -43,8 +43,7 @@
     }
 }
 
-// Bytes are damaged on the way, or come from a control that encodes otherwise. An entry must not
-// put in force what they happen to decode to.
+// Damaged bytes must not be put in force as what they happen to decode to.
 #[test]
 fn apply_damaged_bytes() {
     let change = Change::between(None, &version(1, "route")).unwrap();
@@ -55,7 +54,7 @@
     assert!(matches!(change.id().apply(&[], None), Err(Error::Mismatch)));
 }
 
-// A patch to another version than the one held changes nothing.
+// A patch to another version than the one held must change nothing.
 #[test]
 fn apply_other_base() {
     let (base, next) = (large(1), version(2, &format!("{}more\n", large(1).document)));
@@ -65,8 +64,7 @@
     assert!(matches!(change.id().apply(&bytes, None), Err(Error::NoBase)));
 }
 
-// An entry continues a transfer at another control. Both must make the same bytes of the same
-// versions, whichever others they know.
+// Two controls must encode a change to the same bytes, or a transfer can't go on at the other.
 #[test]
 fn part_other_control() {
     let mut archives = [Archive::default(), Archive::default()];
@@ -78,7 +76,7 @@
     assert_eq!(change.id().apply(&bytes, Some(&large(2))).unwrap(), large(3));
 }
 
-// A control has forgotten a version, or never had it. It says so, and the entry asks anew.
+// A control that has forgotten a version must say so, or the entry asks for it forever.
 #[test]
 fn part_forgotten_version() {
     let mut archive = Archive::default();
@@ -93,8 +91,7 @@
     assert_eq!(Archive::default().part(&request).bytes, None);
 }
 
-// A control reads its log again after a failure of its disk and commits earlier versions again. It
-// must not offer them.
+// A control that reads its log again must not offer earlier versions.
 #[test]
 fn add_older_version() {
     let mut archive = Archive::default();
--- a/tests/suite/platform/configuration.rs
+++ b/tests/suite/platform/configuration.rs
@@ -170,9 +170,7 @@
 
 const HULL: &str = r#"{"name": "hull"}"#;
 
-// A compiler keeps what it made of unchanged routes. Whatever changes from one configuration to
-// the next, the result must be that of a compiler that starts anew, or an entry would serve by a
-// route that is gone.
+// A compiler that keeps results must not serve by a route, service or key that is gone.
 #[test]
 fn compile_again() {
     let all = [("a", 1), ("bb", 2), ("ccc", 3)];
@@ -203,8 +201,7 @@
     }
 }
 
-// A service is gone, but routes still name it. A compiler that knows the routes from before must
-// find the mistake as one that starts anew does.
+// A compiler that knows routes from before must still find mistakes in them.
 #[test]
 fn compile_again_invalid() {
     let routes = [("a", 1), ("bb", 2)];
--- a/tests/suite/platform/responses.rs
+++ b/tests/suite/platform/responses.rs
@@ -79,8 +79,7 @@
     assert!(response.header("retry-after").is_some());
 }
 
-// An upstream names the requests per second that it takes. Anything else in the header is no
-// limit: taken for zero, a damaged answer would take the upstream out.
+// A damaged limit must not be taken for zero, which would take the upstream out.
 #[rstest]
 #[case::fraction("1.9", Limit::new(1.9))]
 #[case::whole("12", Limit::new(12.0))]
--- a/tests/suite/process/platform.rs
+++ b/tests/suite/process/platform.rs
@@ -381,8 +381,7 @@
     }
 }
 
-// An upstream in need names the requests per second that it takes from all entries together.
-// Each entry alone would send it that many and more.
+// Entries must not each send an upstream what it takes from all of them together.
 #[rstest]
 fn serve_upstream_limit(#[values(1.0, 2.5)] limit: f64) {
     let site = Site::start(&[0, 1, 2, 3, 4]);
@@ -396,7 +395,7 @@
     assert!(arrivals > 0, "an upstream with a limit gets requests");
 }
 
-// An upstream names no limit any more. It gets all of its work again.
+// An upstream whose limit is lifted must get all of its work again.
 #[test]
 fn serve_upstream_limit_lifted() {
     let site = Site::start(&[0, 1, 2, 3, 4]);
