--- a/src/bench/configuration.rs
+++ b/src/bench/configuration.rs
@@ -8,12 +8,11 @@
 use crate::config::Version;
 use crate::feed::transfer::Change;
 use crate::feed::transfer::Error;
+use crate::platform;
 use crate::platform::Platform;
 
 /// Numbers of routes and teams, up to those to design for.
 const SIZES: [(usize, usize); 4] = [(10, 85), (1_400, 85), (4_200, 85), (4_200, 37_000)];
-/// Hosts that the routes belong to.
-const HOSTS: usize = 6;
 /// Measurements of which the median is reported.
 const RUNS: usize = 9;
 
@@ -34,7 +33,7 @@
 
 fn measure(routes: usize, teams: usize) -> Result<String, Error> {
     let version = |number: u64| {
-        let document = document(routes, teams, number);
+        let document = platform::sample_document(routes, teams, number);
         Version::new(number, number.to_string().into(), &document)
     };
     let (base, next) = (version(1), version(2));
@@ -63,30 +62,3 @@
     times.sort_unstable();
     times[RUNS / 2]
 }
-
-/// A configuration in the platform's format; the number is its version and a route's weight.
-fn document(routes: usize, teams: usize, number: u64) -> String {
-    let name = |at: usize| (at as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 28;
-    let mut text =
-        format!(r#"{{"version":"{number:08x}","services":[{{"name":"hull"}}],"tenants":["#);
-    let team = |at: usize| {
-        let name = name(at);
-        format!(r#"{{"name":"t-{at}","apiKeys":["k-{name:x}"],"ratePerS":10,"burst":20}}"#)
-    };
-    text.push_str(&(0..teams).map(team).collect::<Vec<_>>().join(","));
-    text.push_str(r#"],"hosts":["#);
-    let route = |at: usize| {
-        let name = name(at);
-        let weight = if at == 0 { number } else { 10 };
-        format!(
-            r#"{{"name":"r-{at}","pathPrefix":"/{name:x}/","routeType":"unsafe","timeoutS":1.5,"aimS":1.2,"priority":1,"trafficSplit":[{{"service":"hull","weight":{weight}}}],"maxAttempts":2}}"#
-        )
-    };
-    let host = |at: usize| {
-        let paths = (at..routes).step_by(HOSTS).map(route).collect::<Vec<_>>().join(",");
-        format!(r#"{{"host":"h{at}.example","paths":[{paths}]}}"#)
-    };
-    text.push_str(&(0..HOSTS).map(host).collect::<Vec<_>>().join(","));
-    text.push_str("]}");
-    text
-}
