--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -23,7 +23,6 @@
 use super::transfer::Request;
 use crate::catalog::Catalog;
 use crate::clock::Moment;
-use crate::config::Head;
 use crate::config::Version;
 use crate::fleet::State;
 use crate::id::DomainId;
@@ -48,7 +47,7 @@
 /// Delay before all other tallies are forwarded to the other controls in one batch.
 const FORWARD_DELAY: Duration = Duration::from_millis(500);
 
-/// Changes to upstreams in one update, about 14 KB. With all changes in one, a table of thousands
+/// Changes to upstreams in one update. With all changes in one, a table of thousands
 /// of upstreams takes longer on a narrow link than an entry waits for an answer, and the next
 /// control sends it again.
 const MAX_UPSTREAMS: usize = 128;
@@ -121,8 +120,7 @@
         let last_request_at =
             requested_at.or(before.as_ref().and_then(|before| before.last_request_at));
         let tallies = before.map(|before| before.tallies).unwrap_or_default();
-        let offer = if poll.is_downloading { None } else { self.offer(poll.configuration) };
-        let mut subscription = Subscription {
+        let subscription = Subscription {
             configuration: poll.configuration,
             is_downloading: poll.is_downloading,
             last_request_at,
@@ -131,11 +129,10 @@
             known: poll.known,
             tallies: Tallies::default(),
         };
-        subscription.note_offer(offer.as_ref());
         self.subscriptions.insert(id.clone(), subscription);
         let mut update = self.update(now, poll.known, poll.sequence, tallies, snapshot);
         self.note_known(&id, update.known);
-        update.configuration = offer;
+        update.configuration = self.offer_to(&id);
         update.named = self.changed_advertised(now, poll.named);
         vec![(id, Message::News(Box::new(update)))]
     }
@@ -290,9 +287,16 @@
         }
     }
 
-    /// Offers the change from the version that an entry holds to the one in force.
-    fn offer(&mut self, held: Option<Head>) -> Option<Offer> {
-        self.archive.change_since(held).map(|change| change.offer())
+    /// Offers an entry the change from the version that it holds to the one in force, unless it is
+    /// receiving a change.
+    fn offer_to(&mut self, id: &NodeId) -> Option<Offer> {
+        let subscription = self.subscriptions.get_mut(id)?;
+        if subscription.is_downloading {
+            return None;
+        }
+        let offer = self.archive.change_since(subscription.configuration)?.offer();
+        subscription.note_offer(&offer);
+        Some(offer)
     }
 
     fn update(
@@ -382,15 +386,11 @@
         snapshot: &Snapshot<'_>,
         sends: &mut Vec<(NodeId, Message)>,
     ) {
-        let Some(subscription) = self.subscriptions.get(id) else { return };
-        let (held, is_downloading) = (subscription.configuration, subscription.is_downloading);
-        let offer = if is_downloading { None } else { self.offer(held) };
         let Some(subscription) = self.subscriptions.get_mut(id) else { return };
-        subscription.note_offer(offer.as_ref());
         let tallies = std::mem::take(&mut subscription.tallies);
         let mut update = self.update(now, known, 0, tallies, snapshot);
         self.note_known(id, update.known);
-        update.configuration = offer;
+        update.configuration = self.offer_to(id);
         sends.push((id.clone(), Message::News(Box::new(update))));
     }
 }
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -171,7 +171,7 @@
         &mut self,
         now: Moment,
         from: &NodeId,
-        update: Box<Update>,
+        mut update: Box<Update>,
         outputs: &mut Vec<Output>,
     ) {
         let is_answer = self.in_flight.is_some_and(|(sequence, _)| sequence == update.sequence);
@@ -197,7 +197,7 @@
             outputs.push(Output::Record(update.tallies.clone()));
         }
         self.prefer_local_control(now);
-        if let Some(offer) = update.configuration.clone() {
+        if let Some(offer) = update.configuration.take() {
             self.receive_offer(now, offer, outputs);
         }
         if let Some(entries) = &update.named {
--- a/src/feed/subscription.rs
+++ b/src/feed/subscription.rs
@@ -35,8 +35,7 @@
     }
 
     /// Records that the entry is sent an offer.
-    pub(super) fn note_offer(&mut self, offer: Option<&Offer>) {
-        let Some(offer) = offer else { return };
+    pub(super) fn note_offer(&mut self, offer: &Offer) {
         if offer.is_complete() {
             self.configuration = Some(offer.change.head);
         } else {
--- a/src/feed/transfer/change.rs
+++ b/src/feed/transfer/change.rs
@@ -20,7 +20,7 @@
 /// Bytes that come with an update. A changed weight or a dozen new routes fit in, so that most
 /// changes need no request.
 const START_BYTES: usize = 4 << 10;
-/// Bytes of a part: 17 ms of a link of 3.9 Mbit/s, for which an urgent update may have to wait.
+/// Bytes of a part, for which an urgent update may have to wait on a narrow link.
 const PART_BYTES: usize = 8 << 10;
 /// Most bytes of a decompressed change, so that damaged bytes can't exhaust memory. It is eight
 /// times the document expected in two years.
--- a/src/feed/transfer/download.rs
+++ b/src/feed/transfer/download.rs
@@ -8,9 +8,8 @@
 use super::Request;
 use crate::clock::Moment;
 
-/// Longest wait for a part. A part is small enough to arrive in a twentieth of this on an idle
-/// link, so that a longer wait is a sign of a silent control; if the link is full, no more than
-/// one part is sent twice.
+/// Longest wait for a part. A part is small, so that a longer wait is a sign of a silent control;
+/// if the link is full, no more than one part is sent twice.
 const PART_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// Change that an entry receives in parts.
