Have an entry follow a bounded part of the upstreams, and keep what controls choose

Each poll sorted all entries twice and scanned the whole catalog for its page; each update of the table scanned it for the address and summed all slots; each control sent each other one the list of its entries twice a second; each entry held, loaded and copied the table of all upstreams.

Ruled out: a larger page or longer intervals (constants, which hold until the next doubling); the own failure domain's upstreams alone (a domain that fails leaves its entries nothing).

Change: an entry follows all upstreams of a service with up to 640, and beyond that the first by rendezvous hash, at most 384 near and 256 far; controls filter pages and pushes by it (`feed::Selection`), and a table is loaded page by page also after removals were forgotten. The catalog keeps the order of changes, addresses, sizes and slots. Which entries are advertised is kept for 100 ms (`feed::Roster`). Reports are a digest unless they change (`feed::Report`).

The format of polls, updates and greetings changes: replace controls and entries together.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -39,3 +39,4 @@
 pub use request::Request;
 pub use setup::Setup;
 pub use state::State;
+pub(crate) use subset::rank;
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -7,9 +7,12 @@
 mod action;
 mod change;
 mod delta;
+mod order;
+mod sizes;
 mod table;
 
 pub use action::Action;
 pub use change::Change;
 pub use delta::Delta;
+pub use sizes::Sizes;
 pub use table::Catalog;
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -8,6 +8,8 @@
 use super::Action;
 use super::Change;
 use super::Delta;
+use super::Sizes;
+use super::order::Order;
 use crate::id::Incarnation;
 use crate::id::Index;
 use crate::id::UpstreamId;
@@ -20,7 +22,17 @@
 
 /// All upstreams that have announced themselves, as of one index of the log.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "Stored", into = "Stored")]
 pub struct Catalog {
+    floor: Index,
+    gone: BTreeMap<UpstreamId, Tombstone>,
+    order: Order,
+    upstreams: BTreeMap<UpstreamId, Entry>,
+}
+
+/// The catalog as it is written to snapshots, without what can be derived.
+#[derive(Deserialize, Serialize)]
+struct Stored {
     floor: Index,
     gone: BTreeMap<UpstreamId, Tombstone>,
     upstreams: BTreeMap<UpstreamId, Entry>,
@@ -40,6 +52,23 @@
     index: Index,
 }
 
+impl From<Stored> for Catalog {
+    fn from(stored: Stored) -> Self {
+        let Stored { floor, gone, upstreams } = stored;
+        let mut order = Order::default();
+        upstreams.values().for_each(|entry| order.add(entry.changed, &entry.change.announcement));
+        gone.iter().for_each(|(id, gone)| order.add_removal(gone.index, id));
+        Self { floor, gone, order, upstreams }
+    }
+}
+
+impl From<Catalog> for Stored {
+    fn from(catalog: Catalog) -> Self {
+        let Catalog { floor, gone, upstreams, order: _ } = catalog;
+        Self { floor, gone, upstreams }
+    }
+}
+
 impl Catalog {
     /// Applies a log entry and returns whether it changed the table.
     pub fn apply(&mut self, index: Index, action: &Action) -> bool {
@@ -48,13 +77,11 @@
         }
         match action {
             Action::Announce(change) => {
-                let id = change.announcement.upstream.clone();
-                self.gone.remove(&id);
+                self.remove_tombstone(&change.announcement.upstream);
                 if self.is_new_incarnation(&change.announcement) {
                     self.remove_at_address_of(&change.announcement, index);
                 }
-                let entry = Entry { change: change.clone(), changed: index };
-                self.upstreams.insert(id, entry);
+                self.insert(change, index);
             }
             Action::Leave(id) => {
                 self.remove(id, index);
@@ -76,32 +103,52 @@
 
     /// Changes after the index `base`.
     pub fn since(&self, base: Index) -> Delta {
-        self.between(base, Index::MAX)
+        if !self.holds_removals_since(base) {
+            return Delta {
+                upstreams: self.upstreams().cloned().collect(),
+                whole: true,
+                ..Delta::default()
+            };
+        }
+        self.page(base, base, usize::MAX, |_| true).0
     }
 
-    /// The first changes after the index `base`, about `limit` of them, and the index up to which
-    /// they are complete; `None` if there are no more.
-    pub fn page(&self, base: Index, limit: usize) -> (Delta, Option<Index>) {
-        let changed = self.upstreams.values().map(|entry| entry.changed);
-        let gone = self.gone.values().map(|gone| gone.index);
-        let mut indices: Vec<Index> = changed.chain(gone).filter(|index| *index > base).collect();
-        if base < self.floor || indices.len() <= limit {
-            return (self.since(base), None);
-        }
-        let (_, end, _) = indices.select_nth_unstable(limit);
-        (self.between(base, *end), Some(*end))
-    }
-
-    fn between(&self, base: Index, end: Index) -> Delta {
-        let whole = base < self.floor;
-        let is_within = |index: Index| index > base && index <= end;
-        let changed = self.upstreams.values().filter(|entry| whole || is_within(entry.changed));
-        let gone = self.gone.iter().filter(|(_, gone)| !whole && is_within(gone.index));
-        Delta {
-            gone: gone.map(|(id, _)| id.clone()).collect(),
-            upstreams: changed.map(|entry| entry.change.announcement.clone()).collect(),
-            whole,
+    /// Whether the table knows all removals after the index `base`.
+    pub fn holds_removals_since(&self, base: Index) -> bool {
+        base >= self.floor
+    }
+
+    /// The first changes after the index `base` to upstreams that `follows` accepts, about `limit`
+    /// of them, and the index up to which they are complete; `None` if there are no more.
+    /// Removals up to the index `removals_from` are left out.
+    pub fn page(
+        &self,
+        base: Index,
+        removals_from: Index,
+        limit: usize,
+        follows: impl Fn(&Announcement) -> bool,
+    ) -> (Delta, Option<Index>) {
+        let mut delta = Delta::default();
+        let mut count = 0;
+        let mut last = base;
+        for (index, id) in self.order.after(base) {
+            let announced = self.get(id).filter(|announced| follows(announced));
+            let is_removal = self.gone.contains_key(id) && index > removals_from;
+            if announced.is_none() && !is_removal {
+                continue;
+            }
+            // Changes with the same index belong to the same page.
+            if count >= limit && index > last {
+                return (delta, Some(last));
+            }
+            last = index;
+            count += 1;
+            match announced {
+                Some(announced) => delta.upstreams.push(announced.clone()),
+                None => delta.gone.push(id.clone()),
+            }
         }
+        (delta, None)
     }
 
     /// Announcement of an upstream, unless it was removed.
@@ -114,6 +161,16 @@
         self.upstreams.values().map(|entry| &entry.change.announcement)
     }
 
+    /// Number of upstreams by service and failure domain.
+    pub fn sizes(&self) -> &Sizes {
+        self.order.sizes()
+    }
+
+    /// Slots of all upstreams.
+    pub fn slots(&self) -> u64 {
+        self.order.slots()
+    }
+
     fn is_newer(&self, change: &Change) -> bool {
         let announced = &change.announcement;
         if let Some(gone) = self.gone.get(&announced.upstream) {
@@ -139,12 +196,26 @@
         self.get(&announced.upstream).is_none_or(|old| announced.incarnation > old.incarnation)
     }
 
+    fn insert(&mut self, change: &Change, index: Index) {
+        let id = change.announcement.upstream.clone();
+        let entry = Entry { change: change.clone(), changed: index };
+        if let Some(old) = self.upstreams.insert(id, entry) {
+            self.order.remove(old.changed, &old.change.announcement);
+        }
+        self.order.add(index, &change.announcement);
+    }
+
     fn remove(&mut self, id: &UpstreamId, index: Index) {
         let removed = self.upstreams.remove(id);
+        if let Some(old) = &removed {
+            self.order.remove(old.changed, &old.change.announcement);
+        }
         // If the upstream was never known, none of its announcements is accepted any more,
         // because a late first one must not add it.
         let incarnation =
             removed.map_or(Incarnation::MAX, |entry| entry.change.announcement.incarnation);
+        self.remove_tombstone(id);
+        self.order.add_removal(index, id);
         self.gone.insert(id.clone(), Tombstone { incarnation, index });
     }
 
@@ -152,25 +223,24 @@
     /// report it. Otherwise the new upstream refuses every request that is sent there for the
     /// old one; when addresses were reused, this affected half the requests of one service.
     fn remove_at_address_of(&mut self, new: &Announcement, index: Index) {
-        let was_replaced = |entry: &Entry| {
-            let old = &entry.change.announcement;
-            old.address == new.address && old.upstream != new.upstream
-        };
-        let old = self.upstreams.iter().filter(|(_, entry)| was_replaced(entry));
-        let old: Vec<UpstreamId> = old.map(|(id, _)| id.clone()).collect();
-        for id in old {
-            self.remove(&id, index);
+        for id in self.order.at_address(new.address) {
+            if id != new.upstream {
+                self.remove(&id, index);
+            }
         }
         self.evict_tombstones();
     }
 
+    fn remove_tombstone(&mut self, id: &UpstreamId) {
+        if let Some(tombstone) = self.gone.remove(id) {
+            self.order.remove_removal(tombstone.index, id);
+        }
+    }
+
     fn evict_tombstones(&mut self) {
         while self.gone.len() > MAX_TOMBSTONES {
-            let oldest = self.gone.iter().min_by_key(|(_, gone)| gone.index);
-            let Some((id, index)) = oldest.map(|(id, gone)| (id.clone(), gone.index)) else {
-                return;
-            };
-            self.gone.remove(&id);
+            let Some((index, id)) = self.order.first_removal() else { return };
+            self.remove_tombstone(&id);
             self.floor = self.floor.max(index);
         }
     }
--- a/src/feed/input.rs
+++ b/src/feed/input.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of a subscriber.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Entry;
@@ -9,6 +10,7 @@
 use super::transfer::Part;
 use crate::config::Version;
 use crate::id::NodeId;
+use crate::id::UpstreamId;
 
 /// Event that a subscriber handles.
 #[derive(Clone, Debug)]
@@ -36,4 +38,6 @@
     Unanswered(NodeId, Duration),
     /// Apply an update, which is at least as new as all before it.
     Apply(Box<Update>),
+    /// Forget all upstreams but these.
+    Retain(BTreeSet<UpstreamId>),
 }
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -38,6 +38,8 @@
     Poll(Poll),
     /// Results that callers of the sender's entries received, forwarded to another control.
     Tallies(Tallies),
+    /// A control asks another one for the entries that poll it.
+    ReportWanted,
     /// An entry requests different shares of quota allowances.
     Ask {
         /// Identifies the request at its sender.
--- a/src/feed/poll.rs
+++ b/src/feed/poll.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::Entry;
+use super::Selection;
 use super::Tallies;
 use crate::config::Head;
 use crate::id::Index;
@@ -19,8 +20,13 @@
     pub is_downloading: bool,
     /// Log index up to which the entry knows all changes to upstreams.
     pub known: Index,
+    /// Log index that the control had applied when the entry began to load the upstreams that it
+    /// follows; `None` if it has loaded them.
+    pub loading: Option<Index>,
     /// Digest of the entries that it advertises to callers.
     pub named: u64,
+    /// Upstreams that the entry follows.
+    pub selection: Selection,
     /// Sequence number of the poll.
     pub sequence: u64,
     /// Results that callers received since the last poll.
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -1,11 +1,8 @@
 //! Control's side of the feed: answers polls, pushes changes and selects advertised entries.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::Control;
 use super::Entry;
 use super::Load;
@@ -13,9 +10,13 @@
 use super::Poll;
 use super::Rate;
 use super::Report;
+use super::Roster;
+use super::Selection;
 use super::Tallies;
 use super::Update;
 use super::entry;
+use super::reports::Effect;
+use super::reports::Reports;
 use super::subscription::Subscription;
 use super::transfer::Archive;
 use super::transfer::Offer;
@@ -24,16 +25,11 @@
 use crate::catalog::Catalog;
 use crate::clock::Moment;
 use crate::config::Version;
-use crate::fleet::State;
 use crate::id::DomainId;
 use crate::id::Index;
 use crate::id::NodeId;
+use crate::registry::Announcement;
 
-/// How long an entry without a poll is still listed: two polls and a lost one. Callers would
-/// try a dead entry in vain.
-const POLL_EXPIRY: Duration = Duration::from_millis(1600);
-/// How long an entry reported by another control is listed without a new report.
-const REPORT_EXPIRY: Duration = Duration::from_secs(4);
 /// Shortest interval between two pushes. When changes are frequent, several of them share one
 /// push.
 const MIN_PUSH_INTERVAL: Duration = Duration::from_millis(100);
@@ -55,11 +51,6 @@
 /// Time after its start in which a control sends no list of advertised entries. It has not been
 /// polled by all entries yet, and all callers would connect to the few that it knows.
 pub const WARM_UP: Duration = Duration::from_millis(1500);
-/// Fewest entries that are advertised to callers, spread over the failure domains. When one of
-/// them is lost, two others take over its work. If one entry in each of three domains can
-/// carry the load, each sees twice as many answers of the upstreams as with two in each, and
-/// learns sooner which upstreams are busy.
-const MIN_ENTRIES: usize = 3;
 /// Requests per second assumed for each slot of the upstreams until the load is known; 0.5 to 1.2
 /// are usual. Without the assumption, all callers of a large fleet would start at the fewest
 /// entries, which are overloaded before they can report it.
@@ -89,15 +80,16 @@
     byte_rate: Rate,
     unforwarded: Tallies,
     has_changed_entries: bool,
-    reported: BTreeMap<NodeId, (Moment, Entry, NodeId)>,
+    /// Digest of the entries in the last report.
+    reported_digest: u64,
+    reports: Reports,
+    roster: Roster,
     forwarded_at: Moment,
     forward_at: Option<Moment>,
     push_at: Option<Moment>,
     pushed_at: Moment,
     request_rate: Rate,
-    slots: u32,
-    /// Entries that were advertised when tallies were last forwarded.
-    last_advertised: BTreeSet<NodeId>,
+    slots: u64,
 }
 
 impl Publisher {
@@ -109,31 +101,36 @@
         snapshot: &Snapshot<'_>,
     ) -> Vec<(NodeId, Message)> {
         let id = poll.entry.id.clone();
-        let before = self.subscriptions.get(&id).map(|subscription| subscription.entry.state);
-        if before != Some(poll.entry.state) {
+        let before = self.subscriptions.get(&id).filter(|before| !before.is_expired(now));
+        if before.is_none_or(|before| before.entry != poll.entry) {
             self.has_changed_entries = true;
+            self.roster.expire();
         }
-        self.reported.remove(&id);
         let before = self.subscriptions.remove(&id);
         self.add_tallies(now, &poll.tallies, true);
         let requested_at = (poll.tallies.arrivals > 0).then_some(now);
         let last_request_at =
             requested_at.or(before.as_ref().and_then(|before| before.last_request_at));
         let tallies = before.map(|before| before.tallies).unwrap_or_default();
+        let position = Position::of(&poll, snapshot);
+        let (named, sequence) = (poll.named, poll.sequence);
         let subscription = Subscription {
             configuration: poll.configuration,
             is_downloading: poll.is_downloading,
+            is_loading: false,
             last_request_at,
             entry: poll.entry,
             last_poll_at: now,
             known: poll.known,
+            selection: poll.selection,
             tallies: Tallies::default(),
         };
         self.subscriptions.insert(id.clone(), subscription);
-        let mut update = self.update(now, poll.known, poll.sequence, tallies, snapshot);
-        self.note_known(&id, update.known);
+        let mut update = self.update(now, &id, position, tallies, snapshot);
+        update.sequence = sequence;
+        self.note_sent(&id, &update);
         update.configuration = self.offer_to(&id);
-        update.named = self.changed_advertised(now, poll.named);
+        update.named = self.changed_advertised(now, named);
         vec![(id, Message::News(Box::new(update)))]
     }
 
@@ -147,17 +144,14 @@
         self.archive.part(request)
     }
 
-    /// Replaces the entries that another control reports.
-    pub fn merge_report(&mut self, now: Moment, from: &NodeId, ready: Report) {
-        self.reported.retain(|_, (_, _, by)| by != from);
-        for entry in ready.entries {
-            let subscription = self.subscriptions.get(&entry.id);
-            if subscription
-                .is_none_or(|subscription| now >= subscription.last_poll_at + POLL_EXPIRY)
-            {
-                self.reported.insert(entry.id.clone(), (now, entry, from.clone()));
-            }
+    /// Records the entries that another control reports. Returns `false` if it has to send them
+    /// whole.
+    pub fn record_report(&mut self, now: Moment, from: &NodeId, report: Report) -> bool {
+        let effect = self.reports.record(now, from, report);
+        if effect == Effect::Changed {
+            self.roster.expire();
         }
+        effect != Effect::Unknown
     }
 
     /// Adds tallies. `is_local` says that an entry which polls this control reported them.
@@ -170,7 +164,7 @@
         let urgent = tallies.urgent();
         for subscription in self.subscriptions.values_mut() {
             let is_active = subscription.is_active(now)
-                || self.last_advertised.contains(&subscription.entry.id);
+                || self.roster.advertised_ids.contains(&subscription.entry.id);
             subscription.tallies.add_all(if is_active { tallies } else { &urgent });
         }
         if is_local {
@@ -212,37 +206,29 @@
     }
 
     /// Returns the entries that poll this control, as a report to the other controls.
-    pub fn report(&mut self, now: Moment) -> Vec<Entry> {
+    pub fn report(&mut self, now: Moment) -> Report {
         self.has_changed_entries = false;
-        self.subscriptions.retain(|_, subscription| now < subscription.last_poll_at + POLL_EXPIRY);
-        self.reported.retain(|_, (at, ..)| now < *at + REPORT_EXPIRY);
-        self.subscriptions.values().map(|subscription| subscription.entry.clone()).collect()
+        self.subscriptions.retain(|_, subscription| !subscription.is_expired(now));
+        self.reports.expire(now);
+        let Report { digest, entries } = self.whole_report();
+        let is_changed = digest != self.reported_digest;
+        self.reported_digest = digest;
+        Report { digest, entries: entries.filter(|_| is_changed) }
     }
 
-    /// Returns the entries to advertise to callers, a few in each failure domain. With callers
-    /// spread over all of a large fleet, each entry would get one request every 0.3 s: too few
-    /// to see which upstreams are busy, to keep connections open, or to earn retry budget.
-    pub fn advertised(&self, now: Moment) -> Vec<&Entry> {
-        let mut domains: BTreeMap<&DomainId, Vec<&Entry>> = BTreeMap::new();
-        for entry in self.serving(now) {
-            domains.entry(&entry.domain).or_default().push(entry);
-        }
-        let share = 1.0 / domains.len().max(1) as f64;
-        let load = self.load(now);
-        let min_entries = MIN_ENTRIES.div_ceil(domains.len().max(1));
-        let mut advertised = Vec::new();
-        for mut entries in domains.into_values() {
-            entries.sort_by_key(|entry| xxh3_64(entry.id.as_bytes()));
-            let mut capacity = 0.0;
-            let is_needed = |(position, entry): &(usize, &Entry)| {
-                let is_needed = *position < min_entries || capacity < share;
-                capacity += entry.room.share(load);
-                is_needed
-            };
-            let needed = entries.into_iter().enumerate().take_while(is_needed);
-            advertised.extend(needed.map(|(_, entry)| entry));
+    /// Returns a report for a control that has none.
+    pub fn whole_report(&self) -> Report {
+        let entries = self.subscriptions.values().map(|subscription| subscription.entry.clone());
+        let entries: Vec<Entry> = entries.collect();
+        Report { digest: entry::digest(&entries), entries: Some(entries) }
+    }
+
+    /// Entries that accept callers, and those of them to advertise.
+    pub fn roster(&mut self, now: Moment) -> &Roster {
+        if self.roster.is_stale(now) {
+            self.roster = Roster::new(now, self.entries(now), self.load(now));
         }
-        advertised
+        &self.roster
     }
 
     /// Returns the load that the advertised entries must be able to carry.
@@ -251,40 +237,45 @@
         if self.request_rate.is_known(now) {
             return mean;
         }
-        let requests = mean.requests.max(f64::from(self.slots) * REQUESTS_PER_SLOT);
+        let requests = mean.requests.max(self.slots as f64 * REQUESTS_PER_SLOT);
         Load { bytes: mean.bytes.max(requests * BYTES_PER_REQUEST), requests }
     }
 
     /// Sets the number of slots of all upstreams.
-    pub fn set_slots(&mut self, slots: u32) {
-        self.slots = slots;
+    pub fn set_slots(&mut self, slots: u64) {
+        if self.slots != slots {
+            self.slots = slots;
+            self.roster.expire();
+        }
     }
 
-    /// Returns the entries that accept callers.
-    fn serving(&self, now: Moment) -> impl Iterator<Item = &Entry> {
-        let own = self
-            .subscriptions
-            .values()
-            .filter(move |subscription| now < subscription.last_poll_at + POLL_EXPIRY);
-        let reported = self.reported.values().filter(move |(at, ..)| now < *at + REPORT_EXPIRY);
-        let all =
-            own.map(|subscription| &subscription.entry).chain(reported.map(|(_, entry, _)| entry));
-        all.filter(|entry| entry.state == State::Serving)
+    /// Entries that poll this control, and those that others report.
+    fn entries(&self, now: Moment) -> impl Iterator<Item = &Entry> {
+        let is_own = move |id: &NodeId| {
+            self.subscriptions.get(id).is_some_and(|subscription| !subscription.is_expired(now))
+        };
+        let own = self.subscriptions.values().filter(move |own| !own.is_expired(now));
+        let reported = self.reports.entries(now).filter(move |entry| !is_own(&entry.id));
+        own.map(|subscription| &subscription.entry).chain(reported)
     }
 
     /// Returns the advertised entries if they differ from those with the digest `known`. Entries
     /// relay the list to callers, who could not get it while all controls are down.
-    fn changed_advertised(&self, now: Moment, known: u64) -> Option<Vec<Entry>> {
-        let advertised: Vec<Entry> = self.advertised(now).into_iter().cloned().collect();
-        let is_different = now >= WARM_UP && entry::digest(&advertised) != known;
-        is_different.then_some(advertised)
+    fn changed_advertised(&mut self, now: Moment, known: u64) -> Option<Vec<Entry>> {
+        let roster = self.roster(now);
+        let is_different = now >= WARM_UP && roster.digest != known;
+        is_different.then(|| roster.advertised.clone())
     }
 
-    /// Records that an entry is sent all changes to upstreams up to this index.
-    fn note_known(&mut self, id: &NodeId, known: Index) {
-        if let Some(subscription) = self.subscriptions.get_mut(id) {
-            subscription.known = subscription.known.max(known);
+    /// Records what an entry is sent.
+    fn note_sent(&mut self, id: &NodeId, update: &Update) {
+        let Some(subscription) = self.subscriptions.get_mut(id) else { return };
+        subscription.is_loading |= update.has_more;
+        if let Some(selection) = &update.load {
+            subscription.selection = selection.clone();
+            subscription.known = update.known;
         }
+        subscription.known = subscription.known.max(update.known);
     }
 
     /// Offers an entry the change from the version that it holds to the one in force, unless it is
@@ -300,25 +291,32 @@
     }
 
     fn update(
-        &self,
+        &mut self,
         now: Moment,
-        base: Index,
-        sequence: u64,
+        id: &NodeId,
+        position: Position,
         tallies: Tallies,
         snapshot: &Snapshot<'_>,
     ) -> Update {
-        let (upstreams, end) = snapshot.catalog.page(base, MAX_UPSTREAMS);
+        let Position { base, domain, load, removals_from, selection } = position;
+        let follows = |announced: &Announcement| selection.includes(id, &domain, announced);
+        let catalog = snapshot.catalog;
+        let roster = self.roster(now);
+        let (upstreams, end) = catalog.page(base, removals_from, MAX_UPSTREAMS, follows);
         Update {
+            applied: snapshot.applied,
             base,
             configuration: None,
             controls: snapshot.controls.clone(),
-            entries: self.advertised(now).len(),
+            entries: roster.advertised.len(),
             fresh: snapshot.fresh,
             has_more: end.is_some(),
             known: end.unwrap_or(snapshot.applied),
+            load,
             named: None,
-            sequence,
-            serving: self.serving(now).count(),
+            selection: selection.digest(),
+            sequence: 0,
+            serving: roster.serving,
             tallies,
             upstreams,
         }
@@ -328,16 +326,13 @@
         self.push_at = None;
         self.pushed_at = now;
         let due = |subscription: &&Subscription| {
-            now < subscription.last_poll_at + POLL_EXPIRY && subscription.known < snapshot.applied
+            !subscription.is_expired(now) && subscription.known < snapshot.applied
         };
-        let outdated: Vec<(NodeId, Index)> = self
-            .subscriptions
-            .values()
-            .filter(due)
-            .map(|subscription| (subscription.entry.id.clone(), subscription.known))
-            .collect();
-        for (id, known) in outdated {
-            self.push_to(now, &id, known, snapshot, sends);
+        let outdated = self.subscriptions.values().filter(due);
+        let outdated: Vec<NodeId> =
+            outdated.map(|subscription| subscription.entry.id.clone()).collect();
+        for id in outdated {
+            self.push_to(now, &id, snapshot, sends);
         }
     }
 
@@ -356,41 +351,76 @@
             let others = snapshot.controls.iter().map(|control| control.id.clone());
             sends.extend(others.map(|id| (id, Message::Tallies(batch.clone()))));
         }
-        self.last_advertised =
-            self.advertised(now).into_iter().map(|entry| entry.id.clone()).collect();
+        let advertised = self.roster(now).advertised_ids.clone();
         let is_active = |subscription: &Subscription| {
-            subscription.is_active(now) || self.last_advertised.contains(&subscription.entry.id)
+            subscription.is_active(now) || advertised.contains(&subscription.entry.id)
         };
         let due = |subscription: &&Subscription| {
-            now < subscription.last_poll_at + POLL_EXPIRY
+            !subscription.is_expired(now)
                 && subscription.tallies.is_urgent()
                 && is_active(subscription)
         };
-        let urgent: Vec<(NodeId, Index)> = self
-            .subscriptions
-            .values()
-            .filter(due)
-            .map(|subscription| (subscription.entry.id.clone(), subscription.known))
-            .collect();
-        for (id, known) in urgent {
-            self.push_to(now, &id, known, snapshot, sends);
+        let urgent = self.subscriptions.values().filter(due);
+        let urgent: Vec<NodeId> =
+            urgent.map(|subscription| subscription.entry.id.clone()).collect();
+        for id in urgent {
+            self.push_to(now, &id, snapshot, sends);
         }
     }
 
-    /// Pushes an update with all changes after `known` to an entry.
+    /// Pushes an update with all changes that it lacks to an entry, unless it is loading and polls
+    /// for them anyway.
     fn push_to(
         &mut self,
         now: Moment,
         id: &NodeId,
-        known: Index,
         snapshot: &Snapshot<'_>,
         sends: &mut Vec<(NodeId, Message)>,
     ) {
         let Some(subscription) = self.subscriptions.get_mut(id) else { return };
+        if subscription.is_loading || !snapshot.catalog.holds_removals_since(subscription.known) {
+            return;
+        }
         let tallies = std::mem::take(&mut subscription.tallies);
-        let mut update = self.update(now, known, 0, tallies, snapshot);
-        self.note_known(id, update.known);
+        let position = Position {
+            base: subscription.known,
+            domain: subscription.entry.domain.clone(),
+            load: None,
+            removals_from: subscription.known,
+            selection: subscription.selection.clone(),
+        };
+        let mut update = self.update(now, id, position, tallies, snapshot);
+        self.note_sent(id, &update);
         update.configuration = self.offer_to(id);
         sends.push((id.clone(), Message::News(Box::new(update))));
     }
 }
+
+/// Where the changes in an update start, and which upstreams they are about.
+struct Position {
+    base: Index,
+    domain: DomainId,
+    /// Selection that the entry loads from this update on.
+    load: Option<Selection>,
+    /// Index up to which the entry needs no removals.
+    removals_from: Index,
+    selection: Selection,
+}
+
+impl Position {
+    /// Position of an entry that polls. It loads its upstreams anew if it has none, if it should
+    /// follow others, or if the table no longer knows all removals that it may have missed.
+    fn of(poll: &Poll, snapshot: &Snapshot<'_>) -> Self {
+        let domain = poll.entry.domain.clone();
+        let selection = poll.selection.fitted(snapshot.catalog.sizes(), &domain);
+        let removals_from = poll.loading.unwrap_or(poll.known);
+        let loads = poll.known == 0
+            || selection != poll.selection
+            || !snapshot.catalog.holds_removals_since(removals_from);
+        if loads {
+            let load = Some(selection.clone());
+            return Self { base: 0, domain, load, removals_from: snapshot.applied, selection };
+        }
+        Self { base: poll.known, domain, load: None, removals_from, selection }
+    }
+}
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -13,6 +13,7 @@
 use super::Message;
 use super::Output;
 use super::Poll;
+use super::Selection;
 use super::Tallies;
 use super::Update;
 use super::entry;
@@ -49,6 +50,25 @@
 /// load that it is sized for. Callers keep three fifths of its link.
 const DOWNLOAD_FACTOR: u64 = 2;
 
+/// Load of the upstreams that an entry follows, page by page.
+#[derive(Clone, Debug)]
+struct Load {
+    /// Log index that the control had applied at its start.
+    from: Index,
+    /// Upstreams received.
+    upstreams: BTreeSet<UpstreamId>,
+}
+
+impl Load {
+    fn add(&mut self, update: &Update) {
+        let received = update.upstreams.upstreams.iter();
+        self.upstreams.extend(received.map(|announced| announced.upstream.clone()));
+        for id in &update.upstreams.gone {
+            self.upstreams.remove(id);
+        }
+    }
+}
+
 /// Entry's side of the feed.
 #[derive(Clone, Debug)]
 pub struct Subscriber {
@@ -58,6 +78,9 @@
     /// First configuration, until all upstreams are known. With a few of them, an entry would send
     /// its callers' requests to those alone.
     early_configuration: Option<Version>,
+    /// Load of the upstreams that this entry follows, while it takes place.
+    load: Option<Load>,
+    selection: Selection,
     /// Whether all upstreams have been received since the start.
     has_upstreams: bool,
     /// Whether a change could not be applied, so that the whole document is needed.
@@ -85,6 +108,8 @@
             configuration: None,
             download: None,
             early_configuration: None,
+            load: None,
+            selection: Selection::default(),
             has_upstreams: false,
             needs_document: false,
             in_flight: None,
@@ -180,6 +205,9 @@
             let delay = if self.tallies.is_urgent() { MIN_URGENT_INTERVAL } else { POLL_INTERVAL };
             self.poll_at = now + delay;
         }
+        if let Some(selection) = update.load.take().filter(|_| is_answer) {
+            self.begin_load(selection, update.applied);
+        }
         let is_stale = update.known < self.known;
         if update.fresh && !is_stale {
             self.fresh_at = Some(now);
@@ -204,20 +232,43 @@
             self.named_digest = entry::digest(entries);
             outputs.push(Output::Advertise(entries.clone()));
         }
-        if is_stale || update.base > self.known {
+        let is_for_others = update.selection != self.selection.digest();
+        if is_stale || is_for_others || update.base > self.known {
             return;
         }
         self.known = update.known;
         if update.has_more {
             self.poll_at = self.poll_at.min(now);
         }
-        self.has_upstreams |= !update.has_more;
-        outputs.push(Output::Apply(update));
+        self.apply(update, outputs);
         if self.has_upstreams {
             outputs.extend(self.early_configuration.take().map(Output::Configure));
         }
     }
 
+    /// Begins to load the upstreams of a selection. Those known so far stay in use until all of
+    /// the new ones are known.
+    fn begin_load(&mut self, selection: Selection, applied: Index) {
+        self.selection = selection;
+        self.known = 0;
+        self.load = Some(Load { from: applied, upstreams: BTreeSet::new() });
+    }
+
+    fn apply(&mut self, update: Box<Update>, outputs: &mut Vec<Output>) {
+        let is_complete = !update.has_more;
+        if let Some(load) = &mut self.load {
+            load.add(&update);
+        }
+        outputs.push(Output::Apply(update));
+        if !is_complete {
+            return;
+        }
+        if let Some(load) = self.load.take().filter(|_| self.has_upstreams) {
+            outputs.push(Output::Retain(load.upstreams));
+        }
+        self.has_upstreams = true;
+    }
+
     /// Takes an offered change, unless another one is being received. The next poll asks for what
     /// is newer than that: if each new version started the transfer anew, frequent changes would
     /// keep an entry from ever finishing one.
@@ -336,7 +387,9 @@
             entry: self.me.clone(),
             is_downloading: self.download.is_some(),
             known: self.known,
+            loading: self.load.as_ref().map(|load| load.from),
             named: self.named_digest,
+            selection: self.selection.clone(),
             sequence: self.sequence,
             tallies: std::mem::take(&mut self.tallies),
         };
--- a/src/feed/update.rs
+++ b/src/feed/update.rs
@@ -5,6 +5,7 @@
 
 use super::Control;
 use super::Entry;
+use super::Selection;
 use super::Tallies;
 use super::transfer::Offer;
 use crate::catalog::Delta;
@@ -13,6 +14,8 @@
 /// Changes since the log index that an entry knows.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Update {
+    /// Log index up to which the control has applied all changes.
+    pub applied: Index,
     /// Log index that the changes start from. For an entry that knows less, changes are missing.
     pub base: Index,
     /// Change to the configuration in force, if the entry holds another one.
@@ -26,11 +29,15 @@
     pub fresh: bool,
     /// Whether more changes to upstreams are to be polled for.
     pub has_more: bool,
+    /// Upstreams to follow from now on. The entry loads all of them anew, from this update on.
+    pub load: Option<Selection>,
     /// Log index up to which the entry knows all changes to upstreams once it has applied this
     /// update.
     pub known: Index,
     /// Entries to advertise to callers, if the list differs from the one that the entry knows.
     pub named: Option<Vec<Entry>>,
+    /// Digest of the selection whose upstreams the changes are about.
+    pub selection: u64,
     /// Number of all serving entries. Those that are not advertised may get requests as well.
     pub serving: usize,
     /// Sequence number of the poll; 0 in a push.
--- a/src/node/feed_core.rs
+++ b/src/node/feed_core.rs
@@ -103,7 +103,7 @@
     }
 
     fn view(&mut self, now: Moment, last: &View) -> Option<View> {
-        let entries = self.control.as_ref().and_then(|control| control.entries(now, last));
+        let entries = self.control.as_mut().and_then(|control| control.entries(now, last));
         let next = self.entry.as_mut().and_then(|entry| entry.view(now, last));
         if entries.is_none() && next.is_none() {
             return None;
--- a/src/node/feed_core/control_role.rs
+++ b/src/node/feed_core/control_role.rs
@@ -64,6 +64,8 @@
     controller: Option<Controller>,
     peers: Peers,
     publisher: Publisher,
+    /// Digest of the entries in the last view.
+    viewed_roster: Option<u64>,
     reads: Vec<PendingRead>,
     /// Why the controller stopped, if it did.
     stopped: Option<String>,
@@ -99,6 +101,7 @@
             controller: setup.controller,
             peers: Peers::new(me, setup.seeds),
             publisher: Publisher::default(),
+            viewed_roster: None,
             reads: Vec::new(),
             stopped: None,
         };
@@ -165,9 +168,18 @@
     }
 
     /// Entries that accept callers; `None` if they are the same as in the last view.
-    pub(super) fn entries(&self, now: Moment, last: &View) -> Option<Arc<Vec<directory::Entry>>> {
+    pub(super) fn entries(
+        &mut self,
+        now: Moment,
+        last: &View,
+    ) -> Option<Arc<Vec<directory::Entry>>> {
+        let roster = self.publisher.roster(now);
+        if self.viewed_roster == Some(roster.digest()) {
+            return None;
+        }
+        self.viewed_roster = Some(roster.digest());
         let mut entries: Vec<directory::Entry> =
-            self.publisher.advertised(now).into_iter().map(super::directory_entry).collect();
+            roster.advertised().iter().map(super::directory_entry).collect();
         entries.sort_by(|one, other| one.id.cmp(&other.id));
         (entries != *last.entries).then(|| Arc::new(entries))
     }
@@ -243,7 +255,10 @@
                 if self.peers.record_greeting(now, control, disk) {
                     self.update_forwarder();
                 }
-                self.publisher.merge_report(now, &from, ready);
+                let is_known = self.publisher.record_report(now, &from, ready);
+                if !is_known {
+                    outputs.push(send(from.clone(), Message::ReportWanted));
+                }
                 if !has_greeted {
                     let controls = self.peers.live(now);
                     let leader = self.controller.as_ref().and_then(Controller::leader);
@@ -255,6 +270,10 @@
             Message::Request(request) => {
                 outputs.push(send(from, Message::Part(self.publisher.part(&request))));
             }
+            Message::ReportWanted => {
+                let ready = self.publisher.whole_report();
+                outputs.push(send(from, self.greeting(ready)));
+            }
             Message::Tallies(tallies) => self.publisher.add_tallies(now, &tallies, false),
             Message::Poll(poll) => {
                 let controls = self.peers.live(now);
@@ -293,15 +312,18 @@
         }
         self.hello_at = now + HELLO_INTERVAL;
         self.peers.remove_silent(now, self.members());
-        let disk =
-            self.controller.as_ref().and_then(|controller| controller.replica().synced_disk());
-        let ready = Report { entries: self.publisher.report(now) };
+        let ready = self.publisher.report(now);
         for id in self.peers.others() {
-            let (control, ready) = (self.peers.me().clone(), ready.clone());
-            outputs.push(send(id.clone(), Message::Hello { control, disk, ready }));
+            outputs.push(send(id.clone(), self.greeting(ready.clone())));
         }
     }
 
+    fn greeting(&self, ready: Report) -> Message {
+        let disk =
+            self.controller.as_ref().and_then(|controller| controller.replica().synced_disk());
+        Message::Hello { control: self.peers.me().clone(), disk, ready }
+    }
+
     /// Changes the log's members if this control leads and the set of live controls calls for it.
     fn change_members(&mut self, now: Moment, wall: Epoch, outputs: &mut Vec<Output>) {
         let Some(controller) = self.controller.as_ref().filter(|controller| controller.is_leader())
@@ -489,9 +511,8 @@
             }
         }
         if changed {
-            let upstreams =
-                self.controller.iter().flat_map(|controller| controller.catalog().upstreams());
-            self.publisher.set_slots(upstreams.map(|announcement| announcement.slots).sum());
+            let slots = self.controller.as_ref().map(|controller| controller.catalog().slots());
+            self.publisher.set_slots(slots.unwrap_or_default());
             self.publisher.schedule_push(now);
             self.add_members();
             self.publish(now, outputs);
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -1,6 +1,7 @@
 //! State of an entry: what it learned by the feed, and the circuit breakers of its upstreams.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -253,6 +254,7 @@
                     outputs.push(Output::Send(to, None, Frame::Feed(message)));
                 }
                 feed::Output::Apply(news) => self.apply_news(now, *news),
+                feed::Output::Retain(kept) => self.retain(&kept),
                 feed::Output::Configure(version) => self.apply_configuration(now, version, outputs),
                 feed::Output::Unanswered(control, waited) => {
                     outputs.push(Output::Event(events::unanswered_poll(&self.id, control, waited)));
@@ -268,19 +270,19 @@
         }
         self.breakers.set_entries(news.entries);
         let delta = news.upstreams;
-        if delta.whole {
-            let kept: Vec<UpstreamId> =
-                delta.upstreams.iter().map(|announcement| announcement.upstream.clone()).collect();
-            let gone = self.upstreams.keys().filter(|id| !kept.contains(id)).cloned();
-            let gone: Vec<UpstreamId> = gone.collect();
-            gone.iter().for_each(|id| self.remove(id));
-        }
         delta.gone.iter().for_each(|id| self.remove(id));
         for announcement in delta.upstreams {
             self.add(now, announcement);
         }
     }
 
+    /// Forgets all upstreams but `kept`.
+    fn retain(&mut self, kept: &BTreeSet<UpstreamId>) {
+        let gone = self.upstreams.keys().filter(|id| !kept.contains(*id)).cloned();
+        let gone: Vec<UpstreamId> = gone.collect();
+        gone.iter().for_each(|id| self.remove(id));
+    }
+
     fn apply_configuration(&mut self, now: Moment, version: Version, outputs: &mut Vec<Output>) {
         if self.version.as_ref().is_some_and(|current| current.number >= version.number) {
             return;
--- a/tests/suite/feed.rs
+++ b/tests/suite/feed.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod publisher;
+mod selection;
 mod slow_link;
 mod subscriber;
 mod transfer;
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -12,6 +12,7 @@
 use hemlockfield::feed::Message;
 use hemlockfield::feed::Output;
 use hemlockfield::feed::Poll;
+use hemlockfield::feed::Selection;
 use hemlockfield::feed::Subscriber;
 use hemlockfield::feed::Tallies;
 use hemlockfield::feed::Update;
@@ -47,6 +48,7 @@
     let domains = ["south", "east", "north"];
     let control = |(id, domain): (&&str, &str)| Control { domain: domain.into(), id: (*id).into() };
     Update {
+        applied: known,
         base: 0,
         configuration: None,
         controls: SEEDS.iter().zip(domains).map(control).collect(),
@@ -54,7 +56,9 @@
         fresh: true,
         has_more: false,
         known,
+        load: None,
         named: None,
+        selection: Selection::default().digest(),
         sequence,
         serving: 1,
         tallies: Tallies::default(),
