Use few upstreams of a service that has far more than it needs

Cause: 1,675 requests/s over 10,001 upstreams are one in six seconds each. Each fault is met by a request that knows nothing of it, and what entries tell each other is too old when it is needed.

Change: an entry sends to the first near upstreams by its own hash, as many as its requests in flight need at 0.3 of their slots, and replaces those that fail. From a tenth of all slots in use, or with 8% of its requests lost, it uses all near ones. One request in eight goes to upstreams that have just started.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -26,6 +26,7 @@
 mod state;
 mod subset;
 mod throttle;
+mod working_set;
 
 pub use completion::Completion;
 pub use health::Health;
--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -18,6 +18,8 @@
     health: f64,
     is_near: bool,
     is_suspect: bool,
+    /// Whether it started recently and this entry has sent it no request yet.
+    is_untried: bool,
     /// Mean latency in seconds, and when it was last updated.
     latency: Option<(f64, Moment)>,
     limit: f64,
@@ -57,6 +59,7 @@
             health: 1.0,
             is_near,
             is_suspect: false,
+            is_untried: false,
             latency: None,
             limit: f64::from(member.slots.max(1)),
             long_running: 0,
@@ -71,6 +74,7 @@
     }
 
     pub(crate) fn begin(&mut self, request: u64, now: Moment, is_long: bool) {
+        self.is_untried = false;
         if let Some(throttle) = &mut self.throttle {
             throttle.take(now);
         }
@@ -149,6 +153,16 @@
         !self.is_suspect
     }
 
+    /// Whether it started recently and this entry has sent it no request yet.
+    pub(crate) fn is_untried(&self) -> bool {
+        self.is_untried
+    }
+
+    /// Marks it as untried if it is starting.
+    pub(crate) fn set_untried(&mut self) {
+        self.is_untried = matches!(self.member.state, crate::balance::State::Warm { .. });
+    }
+
     /// Whether it may get requests at all.
     pub(crate) fn is_usable(&self) -> bool {
         self.health > 0.0 && self.member.state != crate::balance::State::Draining
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -14,6 +14,7 @@
 use crate::balance::load::Load;
 use crate::balance::subset;
 use crate::balance::subset::Subset;
+use crate::balance::working_set::WorkingSet;
 use crate::clock::Moment;
 use crate::id::UpstreamId;
 
@@ -28,6 +29,10 @@
     next_request: u64,
     /// In-flight requests of this entry at near upstreams from which on far ones get some too.
     near_share: f64,
+    /// Near upstreams of the subset, by rank.
+    near: Vec<usize>,
+    near_slots: f64,
+    working_set: WorkingSet,
     candidates: Vec<(usize, f64)>,
     random: ChaCha8Rng,
     setup: Setup,
@@ -48,6 +53,9 @@
     /// With a share of one slot, a quarter of the requests would otherwise leave the failure
     /// domain while nine in ten of the near slots are free.
     const SPILL_DEVIATIONS: f64 = 1.0;
+    /// Share of the requests that go to untried upstreams, if there are any. Upstreams outside of
+    /// the working set would otherwise get their first request only in an emergency.
+    const UNTRIED_SHARE: f64 = 0.125;
     /// Latency assumed while none is known.
     const DEFAULT_LATENCY_SECONDS: f64 = 0.025;
 
@@ -59,6 +67,9 @@
             next_member: 0,
             next_request: 0,
             near_share: 0.0,
+            near: Vec::new(),
+            near_slots: 0.0,
+            working_set: WorkingSet::default(),
             candidates: Vec::new(),
             random,
             setup,
@@ -76,6 +87,7 @@
 
     /// Records the completion of a request. Tickets of removed members are ignored.
     pub fn finish(&mut self, now: Moment, ticket: Ticket, completion: Completion) {
+        self.working_set.record_outcome(now, completion.kind);
         let found = self.loads.binary_search_by_key(&ticket.member, Load::number);
         if let Ok(position) = found {
             self.loads[position].finish(now, ticket, completion);
@@ -101,6 +113,10 @@
     /// Chooses an upstream and counts the request as in flight there; `None` if all candidates
     /// are full.
     pub fn pick(&mut self, now: Moment, request: &Request<'_>) -> Option<Pick> {
+        self.working_set.record_in_flight(now, self.near_in_flight() + 1);
+        if let Some(position) = self.untried(now, request) {
+            return Some(self.begin(now, position, request.is_long));
+        }
         let total = self.gather_candidates(now, request);
         let first = self.draw(total)?;
         let second = self.draw(total)?;
@@ -170,10 +186,15 @@
             }
             None => false,
         });
+        let is_first = self.loads.is_empty();
         for (upstream, member) in wanted {
             let rank = subset::rank(&self.setup.entry, upstream);
             let is_near = member.domain == self.setup.domain;
-            self.loads.push(Load::new(self.next_member, rank, is_near, member.clone()));
+            let mut load = Load::new(self.next_member, rank, is_near, member.clone());
+            if !is_first {
+                load.set_untried();
+            }
+            self.loads.push(load);
             self.next_member += 1;
         }
         self.choose_subset();
@@ -190,6 +211,35 @@
             self.subset.add_near(&self.loads);
             self.near_share = Self::near_share(&self.loads, self.setup.entries);
         }
+        let (loads, positions) = (&self.loads, &self.subset.positions);
+        self.near = positions.iter().copied().filter(|at| loads[*at].is_near()).collect();
+        self.near.sort_by_key(|at| loads[*at].rank());
+        let slots = self.near.iter().map(|at| f64::from(loads[*at].member().slots.max(1)));
+        self.near_slots = slots.sum();
+    }
+
+    /// Number of near upstreams that this entry uses.
+    fn working_size(&self, now: Moment) -> usize {
+        self.working_set.size(now, self.near.len(), self.near_slots, self.near_share)
+    }
+
+    /// An untried near upstream for this request, if it is one of those that go there.
+    fn untried(&mut self, now: Moment, request: &Request<'_>) -> Option<usize> {
+        let is_spread = self.working_size(now) == self.near.len();
+        if !self.setup.local || is_spread || request.is_long {
+            return None;
+        }
+        let loads = &self.loads;
+        let can_take = |at: &&usize| {
+            let load = &loads[**at];
+            load.is_untried() && load.is_sound() && load.has_room(now)
+        };
+        let position = self.near.iter().find(can_take).copied()?;
+        self.random.random_bool(Self::UNTRIED_SHARE).then_some(position)
+    }
+
+    fn near_in_flight(&self) -> usize {
+        self.near.iter().map(|at| self.loads[*at].in_flight()).sum()
     }
 
     /// Draws one of the candidates in proportion to its capacity.
@@ -207,25 +257,35 @@
     /// Collects the candidates and returns their total capacity.
     fn gather_candidates(&mut self, now: Moment, request: &Request<'_>) -> f64 {
         if self.setup.local && !self.is_near_full() {
-            let total = self.gather_where(now, request, |load| load.is_near() && load.is_sound());
+            let sound = self.near.iter().copied().filter(|at| self.loads[*at].is_sound());
+            let mut near: Vec<usize> = sound.collect();
+            let rest = near.split_off(self.working_size(now).min(near.len()));
+            let total = self.gather(now, request, &near);
+            if total > 0.0 {
+                return total;
+            }
+            let total = self.gather(now, request, &rest);
             if total > 0.0 {
                 return total;
             }
         }
         // A suspect upstream breaks most requests, and non-idempotent ones are lost there.
-        let total = self.gather_where(now, request, Load::is_sound);
+        let (loads, positions) = (&self.loads, &self.subset.positions);
+        let sound: Vec<usize> =
+            positions.iter().copied().filter(|at| loads[*at].is_sound()).collect();
+        let total = self.gather(now, request, &sound);
         if total > 0.0 {
             return total;
         }
-        self.gather_where(now, request, |_| true)
+        let all = self.subset.positions.clone();
+        self.gather(now, request, &all)
     }
 
     /// Whether this entry uses more than its share of the near upstreams' slots.
     fn is_near_full(&self) -> bool {
-        let near = self.used().filter(|load| load.is_near());
         let limit = self.near_share + Self::SPILL_DEVIATIONS * self.near_share.sqrt();
         let limit = limit.max(Self::SPILL_FACTOR * self.near_share);
-        near.map(Load::in_flight).sum::<usize>() as f64 >= limit
+        self.near_in_flight() as f64 >= limit
     }
 
     /// This entry's share of the slots of sound near upstreams, if entries are spread over
@@ -241,18 +301,14 @@
         sound / sharing.max(1.0)
     }
 
-    fn gather_where(
-        &mut self,
-        now: Moment,
-        request: &Request<'_>,
-        accepts: impl Fn(&Load) -> bool,
-    ) -> f64 {
+    /// Collects those of `positions` with room and returns their total capacity.
+    fn gather(&mut self, now: Moment, request: &Request<'_>, positions: &[usize]) -> f64 {
         self.candidates.clear();
         let mut total = 0.0;
-        for position in &self.subset.positions {
+        for position in positions {
             let load = &self.loads[*position];
             let avoided = request.avoid.contains(&load.member().upstream);
-            if accepts(load) && load.has_room(now) && !avoided {
+            if load.has_room(now) && !avoided {
                 let capacity = load.capacity(now, self.default_latency);
                 total += capacity;
                 self.candidates.push((*position, capacity));
--- /dev/null
+++ b/src/balance/working_set.rs
@@ -0,0 +1,78 @@
+//! How many of the near upstreams an entry uses.
+//!
+//! **Load pattern.** A service has far more upstreams than its requests need: each of them would
+//! get a request every few seconds. At any time some fail, each for seconds.
+//!
+//! **Without it.** A fault is met by a new request each time, since nobody has sent one there
+//! recently, and most connections are opened for one request.
+//!
+//! **How.** An entry sends its requests to a few upstreams, the first ones by rendezvous hash, and
+//! replaces those that fail. The fewer are in use, the fewer faults are met. The set grows with the
+//! entry's requests in flight, and holds all upstreams if entries use a tenth of all slots, or if
+//! many requests are lost: then each upstream that may serve is needed.
+
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::health::Kind;
+
+/// Utilization of all slots from which on all upstreams are used. Above it, the sets of different
+/// entries overlap so often that they no longer know how busy an upstream is.
+const FULL_UTILIZATION: f64 = 0.1;
+/// Utilization of the used upstreams' slots at the peak of an entry.
+const PEAK_UTILIZATION: f64 = 0.3;
+/// Fewest upstreams: while one is down and another full, two serve.
+const MIN_SIZE: usize = 4;
+/// Time in which the remembered peak falls to a third.
+const PEAK_DECAY: Duration = Duration::from_secs(10);
+
+/// Share of unserved requests from which on all upstreams are used. Operators want most sound
+/// upstreams in use when one request in ten is lost.
+const LOSS_SHARE: f64 = 0.08;
+/// Weight of the newest outcome in the moving average of losses.
+const LOSS_WEIGHT: f64 = 0.04;
+/// How long all upstreams are used after losses were last high.
+const LOSS_HOLD: Duration = Duration::from_secs(10);
+
+/// How many of the near upstreams an entry uses.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorkingSet {
+    /// Share of recent requests that upstreams did not serve.
+    losses: f64,
+    /// Most requests in flight, decaying since `peak_at`.
+    peak: f64,
+    peak_at: Moment,
+    spread_until: Moment,
+}
+
+impl WorkingSet {
+    /// Records the requests in flight at near upstreams, with the one that begins.
+    pub(crate) fn record_in_flight(&mut self, now: Moment, in_flight: usize) {
+        let age = now.saturating_sub(self.peak_at).as_secs_f64();
+        let decayed = self.peak * (-age / PEAK_DECAY.as_secs_f64()).exp();
+        self.peak = decayed.max(in_flight as f64);
+        self.peak_at = now;
+    }
+
+    /// Records the outcome of a request.
+    pub(crate) fn record_outcome(&mut self, now: Moment, kind: Kind) {
+        let is_lost = if kind == Kind::Success { 0.0 } else { 1.0 };
+        self.losses += LOSS_WEIGHT * (is_lost - self.losses);
+        if self.losses >= LOSS_SHARE {
+            self.spread_until = now + LOSS_HOLD;
+        }
+    }
+
+    /// Number of upstreams to use out of `count` near ones with `slots` in total, of which `share`
+    /// slots are this entry's part.
+    pub(crate) fn size(&self, now: Moment, count: usize, slots: f64, share: f64) -> usize {
+        let utilization = self.peak / share.max(1.0);
+        let room = 1.0 - utilization / FULL_UTILIZATION;
+        if now < self.spread_until || room <= 0.0 {
+            return count;
+        }
+        let slots_each = slots / count.max(1) as f64;
+        let needed = self.peak / (slots_each * PEAK_UTILIZATION).max(f64::MIN_POSITIVE);
+        ((needed / room).ceil() as usize).clamp(MIN_SIZE.min(count), count)
+    }
+}
