Let callers ask again soon while the load is not known, and estimate it early

Cause: until the load is known (5 s after the first request), a request a second and slot is assumed: 40,000 where 1,675 come, so that all entries are advertised and callers keep that list for 5 s, some for 15. Controls also listed entries in another order than entries did, so that the first 64 of a failure domain, which callers are given, differed.

Change: lists live for 1 s until the load is known; two seconds after the first request it is assumed to be four times what was seen at most; one order everywhere.

`bench feed` measures what the feed costs a control and an entry, by the size of the fleet.

--- a/src/bench.rs
+++ b/src/bench.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod directory;
+pub mod feed;
 pub mod fleet;
 pub mod health;
 pub mod link;
@@ -31,6 +32,7 @@
     ("claims", 1, |_| in_folder("claims", |folder| told(claims::run(folder)))),
     ("configuration", 1, |seed| told(configuration::run(seed))),
     ("directory", 1, directory::run),
+    ("feed", 1, feed::run),
     ("fleet", 1, |seed| fleet::run(seed, &fleet::SIZES)),
     ("health", 200, |seeds| health::run(seeds, HEALTH_LOAD)),
     ("health-acting", 40, health::run_acting),
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -104,7 +104,11 @@
     /// Changes after the index `base`.
     pub fn since(&self, base: Index) -> Delta {
         if !self.holds_removals_since(base) {
-            return Delta { upstreams: self.upstreams().cloned().collect(), whole: true, ..Delta::default() };
+            return Delta {
+                upstreams: self.upstreams().cloned().collect(),
+                whole: true,
+                ..Delta::default()
+            };
         }
         self.page(base, base, usize::MAX, |_| true).0
     }
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -226,7 +226,8 @@
     /// Entries that accept callers, and those of them to advertise.
     pub fn roster(&mut self, now: Moment) -> &Roster {
         if self.roster.is_stale(now) {
-            self.roster = Roster::new(now, self.entries(now), self.load(now));
+            let is_settled = self.request_rate.is_known(now);
+            self.roster = Roster::new(now, self.entries(now), self.load(now), is_settled);
         }
         &self.roster
     }
@@ -237,7 +238,9 @@
         if self.request_rate.is_known(now) {
             return mean;
         }
-        let requests = mean.requests.max(self.slots as f64 * REQUESTS_PER_SLOT);
+        let assumed = self.slots as f64 * REQUESTS_PER_SLOT;
+        let assumed = self.request_rate.bound(now).map_or(assumed, |bound| assumed.min(bound));
+        let requests = mean.requests.max(assumed);
         Load { bytes: mean.bytes.max(requests * BYTES_PER_REQUEST), requests }
     }
 
@@ -311,6 +314,7 @@
             entries: roster.advertised.len(),
             fresh: snapshot.fresh,
             has_more: end.is_some(),
+            is_settled: roster.is_settled,
             known: end.unwrap_or(snapshot.applied),
             load,
             named: None,
--- a/src/feed/rate.rs
+++ b/src/feed/rate.rs
@@ -10,6 +10,11 @@
 /// Time from the first request until the mean is reliable. Callers without a list of entries
 /// connect within one or two seconds, and their requests are reported within another.
 const SETTLING_TIME: Duration = Duration::from_secs(5);
+/// Time from the first request until the mean is at least [`EARLY_SHARE`] of the load: the first
+/// callers have connected, and their first requests are reported.
+const EARLY_TIME: Duration = Duration::from_secs(2);
+/// Share of the load that is known after [`EARLY_TIME`].
+const EARLY_SHARE: f64 = 0.25;
 /// Window of the mean. Reports arrive in batches of half a second, and callers that had to wait
 /// all connect at once. With the peak of one second, twice as many entries as the load required
 /// were advertised, and each of them saw half as many answers of the upstreams.
@@ -44,6 +49,15 @@
         self.first_at.is_some_and(|first_at| now >= first_at + SETTLING_TIME)
     }
 
+    /// Most that the amount per second may be; `None` while too little is known.
+    pub fn bound(&self, now: Moment) -> Option<f64> {
+        if self.is_known(now) {
+            return Some(self.mean(now));
+        }
+        let is_early = self.first_at.is_some_and(|first_at| now >= first_at + EARLY_TIME);
+        is_early.then(|| self.mean(now) / EARLY_SHARE)
+    }
+
     /// Mean amount per second over the window.
     pub fn mean(&self, now: Moment) -> f64 {
         let recent = self.buckets.iter().filter(|(start, _)| now < *start + WINDOW);
--- a/src/feed/roster.rs
+++ b/src/feed/roster.rs
@@ -33,6 +33,8 @@
     pub(super) advertised_ids: BTreeSet<NodeId>,
     /// Digest of the advertised entries.
     pub(super) digest: u64,
+    /// Whether the load is known, so that the advertised entries change little.
+    pub(super) is_settled: bool,
     pub(super) serving: usize,
     stale_at: Moment,
 }
@@ -44,6 +46,7 @@
         now: Moment,
         entries: impl Iterator<Item = &'a Entry>,
         load: Load,
+        is_settled: bool,
     ) -> Self {
         let mut known: BTreeMap<&NodeId, &Entry> = BTreeMap::new();
         for entry in entries {
@@ -60,6 +63,7 @@
             advertised_ids: advertised.iter().map(|entry| entry.id.clone()).collect(),
             digest: entry::digest(&advertised),
             advertised,
+            is_settled,
             serving,
             stale_at: now + LIFETIME,
         }
@@ -75,6 +79,11 @@
         self.digest
     }
 
+    /// Whether the load is known, so that the advertised entries change little.
+    pub fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
     /// Whether the roster must be made anew.
     pub(super) fn is_stale(&self, now: Moment) -> bool {
         now >= self.stale_at
--- a/src/feed/update.rs
+++ b/src/feed/update.rs
@@ -29,6 +29,8 @@
     pub fresh: bool,
     /// Whether more changes to upstreams are to be polled for.
     pub has_more: bool,
+    /// Whether the load is known, so that the entries advertised to callers change little.
+    pub is_settled: bool,
     /// Upstreams to follow from now on. The entry loads all of them anew, from this update on.
     pub load: Option<Selection>,
     /// Log index up to which the entry knows all changes to upstreams once it has applied this
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -21,6 +21,7 @@
         }
         self.is_view_stale = false;
         Some(View {
+            is_settled: true,
             entries: Arc::new(self.directory_entries()),
             is_leaving: self.is_leaving,
             number: self.replicator.current().map(|version| version.number),
--- a/src/node/feed_core.rs
+++ b/src/node/feed_core.rs
@@ -9,6 +9,7 @@
 mod entry_role;
 mod events;
 mod limits;
+mod listing;
 mod overdue_counter;
 mod peers;
 mod setup;
@@ -103,14 +104,14 @@
     }
 
     fn view(&mut self, now: Moment, last: &View) -> Option<View> {
-        let entries = self.control.as_mut().and_then(|control| control.entries(now, last));
+        let listing = self.control.as_mut().and_then(|control| control.listing(now, last));
         let next = self.entry.as_mut().and_then(|entry| entry.view(now, last));
-        if entries.is_none() && next.is_none() {
+        if listing.is_none() && next.is_none() {
             return None;
         }
         let mut view = next.unwrap_or_else(|| last.clone());
-        if let Some(entries) = entries {
-            view.entries = entries;
+        if let Some(listing) = listing {
+            listing.write_to(&mut view);
         }
         if self.entry.is_none() {
             view.standing = Standing::Serving;
--- a/src/node/feed_core/control_role.rs
+++ b/src/node/feed_core/control_role.rs
@@ -10,7 +10,6 @@
 use crate::clock::Epoch;
 use crate::clock::Moment;
 use crate::config::Version;
-use crate::directory;
 use crate::feed::Control;
 use crate::feed::Message;
 use crate::feed::Publisher;
@@ -35,6 +34,7 @@
 
 use super::Setup;
 use super::events;
+use super::listing::Listing;
 use super::peers::Peers;
 
 /// A control marks its news as fresh if its log was in touch with the leader, or with a majority
@@ -64,8 +64,9 @@
     controller: Option<Controller>,
     peers: Peers,
     publisher: Publisher,
-    /// Digest of the entries in the last view.
-    viewed_roster: Option<u64>,
+    /// Digest of the entries in `listing`.
+    listed: Option<u64>,
+    listing: Listing,
     reads: Vec<PendingRead>,
     /// Why the controller stopped, if it did.
     stopped: Option<String>,
@@ -101,7 +102,8 @@
             controller: setup.controller,
             peers: Peers::new(me, setup.seeds),
             publisher: Publisher::default(),
-            viewed_roster: None,
+            listed: None,
+            listing: Listing::default(),
             reads: Vec::new(),
             stopped: None,
         };
@@ -167,21 +169,16 @@
         }
     }
 
-    /// Entries that accept callers; `None` if they are the same as in the last view.
-    pub(super) fn entries(
-        &mut self,
-        now: Moment,
-        last: &View,
-    ) -> Option<Arc<Vec<directory::Entry>>> {
+    /// Entries that callers are told of; `None` if they are the same as in the last view.
+    pub(super) fn listing(&mut self, now: Moment, last: &View) -> Option<Listing> {
         let roster = self.publisher.roster(now);
-        if self.viewed_roster == Some(roster.digest()) {
-            return None;
+        if self.listed != Some(roster.digest()) {
+            let entries = roster.advertised().iter().map(super::directory_entry);
+            self.listing.entries = Arc::new(entries.collect());
+            self.listed = Some(roster.digest());
         }
-        self.viewed_roster = Some(roster.digest());
-        let mut entries: Vec<directory::Entry> =
-            roster.advertised().iter().map(super::directory_entry).collect();
-        entries.sort_by(|one, other| one.id.cmp(&other.id));
-        (entries != *last.entries).then(|| Arc::new(entries))
+        self.listing.is_settled = roster.is_settled();
+        (!self.listing.is_in(last)).then(|| self.listing.clone())
     }
 
     pub(super) fn close_controller(&mut self, reason: String) {
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -16,7 +16,6 @@
 use crate::clock::Moment;
 use crate::config::Standing;
 use crate::config::Version;
-use crate::directory;
 use crate::feed;
 use crate::feed::Message;
 use crate::feed::Subscriber;
@@ -43,6 +42,7 @@
 use super::breakers::Breakers;
 use super::events;
 use super::limits::Limits;
+use super::listing::Listing;
 
 /// Default share of a service's slots that stays in use, for services without rules.
 const DEFAULT_FLOOR: f64 = 0.7;
@@ -66,8 +66,8 @@
     is_leaving: bool,
     /// Limits that upstreams named for all entries together.
     limits: Limits,
-    /// Directory of entries for callers.
-    directory: Arc<Vec<directory::Entry>>,
+    /// Entries that callers are told of.
+    listing: Listing,
     /// Version given to the service that changed last.
     service_version: u64,
     rules: Option<Arc<Rules>>,
@@ -111,7 +111,7 @@
             id: setup.id.clone(),
             is_leaving: false,
             limits: Limits::default(),
-            directory: Arc::default(),
+            listing: Listing::default(),
             service_version: 0,
             rules: None,
             participants: Participants::new(setup.retry_window),
@@ -198,7 +198,8 @@
         }
         self.is_dirty = false;
         Some(View {
-            entries: Arc::clone(&self.directory),
+            entries: Arc::clone(&self.listing.entries),
+            is_settled: self.listing.is_settled,
             is_leaving: self.is_leaving,
             number: self.version.as_ref().map(|version| version.number),
             rules: self.rules.clone(),
@@ -246,7 +247,8 @@
         for output in self.subscriber.handle(now, input) {
             match output {
                 feed::Output::Advertise(entries) => {
-                    self.directory = Arc::new(entries.iter().map(super::directory_entry).collect());
+                    let entries = entries.iter().map(super::directory_entry);
+                    self.listing.entries = Arc::new(entries.collect());
                     self.is_dirty = true;
                 }
                 feed::Output::Record(tallies) => self.record_others(now, &tallies, outputs),
@@ -265,6 +267,8 @@
 
     fn apply_news(&mut self, now: Moment, news: Update) {
         self.entries = news.entries.max(1);
+        self.is_dirty |= self.listing.is_settled != news.is_settled;
+        self.listing.is_settled = news.is_settled;
         if news.fresh {
             self.participants.update(now, news.serving);
         }
@@ -436,7 +440,7 @@
             service.retry_sharers = retry_sharers;
             service.addresses.insert(announcement.upstream.clone(), announcement.address);
             service.members.push(self.member(now, known));
-            if let Some(limit) = self.limits.get(&self.id, &self.directory, announcement) {
+            if let Some(limit) = self.limits.get(&self.id, &self.listing.entries, announcement) {
                 service.limits.insert(announcement.upstream.clone(), limit);
             }
         }
--- a/src/node/operations.rs
+++ b/src/node/operations.rs
@@ -36,6 +36,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest wait for an answer of the control thread; clients give up sooner.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Lifetime of a list of entries while the load is not known. Until then callers are spread over far
+/// more entries than they need.
+const UNSETTLED_LIFETIME: Duration = Duration::from_secs(1);
 /// Backoff after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -132,7 +135,9 @@
     if proxy.now() < feed::WARM_UP || entries.is_empty() {
         return Reply::Unavailable("no entries are known yet".into());
     }
-    Reply::Entries(entries, proxy.settings.directory.lifetime)
+    let lifetime = proxy.settings.directory.lifetime;
+    let longest = if view.is_settled { lifetime } else { UNSETTLED_LIFETIME };
+    Reply::Entries(entries, lifetime.min(longest))
 }
 
 async fn read(control: &InputSender) -> Reply {
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -20,6 +20,8 @@
 pub struct View {
     /// Entries that may be listed to callers.
     pub entries: Arc<Vec<directory::Entry>>,
+    /// Whether `entries` will change little, so that callers may keep the list for long.
+    pub is_settled: bool,
     /// Whether this entry is leaving and has been withdrawn from the callers' lists.
     pub is_leaving: bool,
     /// Number of the configuration in force.
@@ -135,6 +137,7 @@
     fn default() -> Self {
         Self {
             entries: Arc::default(),
+            is_settled: true,
             is_leaving: false,
             number: None,
             rules: None,
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -55,6 +55,7 @@
         entries: 1,
         fresh: true,
         has_more: false,
+        is_settled: true,
         known,
         load: None,
         named: None,
