Divide the burst of retries among the entries that callers are told of

Cause: 1,040 retries over 985 entries that serve are one each; some sixty of them get the requests.

Lent parts as in `quota`: one mechanism for three needs is the larger design, left open.

Change: an entry has a part only while it is on a settled list, and once it has been for a window and a lease; whoever spends within a window was then counted with all others that do. The model of 32 entries (tests/suite/feed/budget.rs) keeps the budget with the same bounds as before.

--- a/src/node/builder.rs
+++ b/src/node/builder.rs
@@ -79,6 +79,7 @@
         is_entry: settings.has_role(Role::Entry),
         controller,
         room: Capacity::new(settings.limits.processor, settings.limits.link),
+        is_first: settings.first_start,
         retry_window: settings.retry.window,
         seed: rand::random(),
         seeds: seed_ids(settings),
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -33,6 +33,7 @@
 use crate::node::view;
 use crate::registry;
 use crate::registry::Announcement;
+use crate::retry;
 use crate::retry::Participants;
 use crate::rule::Rules;
 use crate::timeline::Kind;
@@ -114,7 +115,7 @@
             listing: Listing::default(),
             service_version: 0,
             rules: None,
-            participants: Participants::new(setup.retry_window),
+            participants: Participants::new(setup.retry_window, setup.is_first),
             standing: Standing::Starting,
             subscriber: Subscriber::new(now, me, setup.seeds.clone(), draw()),
             upstreams: BTreeMap::new(),
@@ -270,7 +271,10 @@
         self.is_dirty |= self.listing.is_settled != news.is_settled;
         self.listing.is_settled = news.is_settled;
         if news.fresh {
-            self.participants.update(now, news.serving);
+            let is_listed = self.listing.entries.iter().any(|entry| entry.id == self.id);
+            let listing =
+                retry::Listing { entries: news.entries, is_listed, is_settled: news.is_settled };
+            self.participants.update(now, listing);
         }
         self.breakers.set_entries(news.entries);
         let delta = news.upstreams;
--- a/src/node/feed_core/setup.rs
+++ b/src/node/feed_core/setup.rs
@@ -21,6 +21,8 @@
     pub(in crate::node) domain: DomainId,
     /// Id of this process: the address of its VM.
     pub(in crate::node) id: NodeId,
+    /// Whether the whole fleet starts for the first time.
+    pub(in crate::node) is_first: bool,
     /// Whether this process is a control.
     pub(in crate::node) is_control: bool,
     /// Whether this process is an entry.
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -34,6 +34,7 @@
 pub use limits::Limits;
 pub use max_attempts::MaxAttempts;
 pub use outcome::Outcome;
+pub use participants::Listing;
 pub use participants::Participants;
 pub use policy::Policy;
 pub use simulation::Outage;
