Advertise at most 64 entries a failure domain, and push only what an entry follows

Cause, seen in bench feed: at 1,000 entries each change of the list is 39 KB to each entry, although a caller uses 64; and each committed change was pushed to all entries, of which few follow it.

--- a/src/bench/feed.rs
+++ b/src/bench/feed.rs
@@ -108,6 +108,7 @@
         };
         (0..upstreams).for_each(|at| world.announce(at, registry::State::Ready, 1));
         world.poll_others(entries);
+        world.publisher.set_slots(world.catalog.slots());
         world
     }
 
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -385,7 +385,6 @@
         if subscription.is_loading || !snapshot.catalog.holds_removals_since(subscription.known) {
             return;
         }
-        let tallies = std::mem::take(&mut subscription.tallies);
         let position = Position {
             base: subscription.known,
             domain: subscription.entry.domain.clone(),
@@ -393,9 +392,18 @@
             removals_from: subscription.known,
             selection: subscription.selection.clone(),
         };
-        let mut update = self.update(now, id, position, tallies, snapshot);
-        self.note_sent(id, &update);
+        let has_tallies = subscription.tallies.is_urgent();
+        let mut update = self.update(now, id, position, Tallies::default(), snapshot);
         update.configuration = self.offer_to(id);
+        // The entry follows none of the upstreams that changed. It learns the new index when it
+        // polls.
+        if update.upstreams.is_empty() && update.configuration.is_none() && !has_tallies {
+            return;
+        }
+        self.note_sent(id, &update);
+        if let Some(subscription) = self.subscriptions.get_mut(id) {
+            update.tallies = std::mem::take(&mut subscription.tallies);
+        }
         sends.push((id.clone(), Message::News(Box::new(update))));
     }
 }
--- a/src/feed/roster.rs
+++ b/src/feed/roster.rs
@@ -23,6 +23,10 @@
 /// learns sooner which upstreams are busy.
 const MIN_ENTRIES: usize = 3;
 
+/// Most entries that are advertised in one failure domain: a caller uses no more. Each change of
+/// the list goes to all entries.
+const MAX_DOMAIN_ENTRIES: usize = 64;
+
 /// Entries that accept callers, and those of them that callers are told of.
 ///
 /// It is kept between polls: with a thousand entries, choosing anew at each poll took most of a
@@ -114,7 +118,8 @@
             capacity += entry.room.share(load);
             is_needed
         };
-        let needed = entries.into_iter().enumerate().take_while(is_needed);
+        let needed = entries.into_iter().take(MAX_DOMAIN_ENTRIES).enumerate();
+        let needed = needed.take_while(is_needed);
         chosen.extend(needed.map(|(_, entry)| entry));
     }
     chosen
