Count the upstreams behind those that an entry follows; keep a quarter of the burst for all entries

Now by `balance::Coverage`; trials and admission count the entries that follow an upstream. The moving average of losses covers a hundred requests: at 25 a single fault spread all. All serving ones now share a quarter of it, the listed ones the rest.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,6 +13,7 @@
 //! upstream. `docs/design/balance.md` has the figures and the alternatives considered.
 
 mod completion;
+mod coverage;
 mod health;
 mod limit;
 mod load;
@@ -29,6 +30,7 @@
 mod working_set;
 
 pub use completion::Completion;
+pub use coverage::Coverage;
 pub use health::Health;
 pub use limit::Limit;
 pub use member::Member;
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::balance::Completion;
+use crate::balance::Coverage;
 use crate::balance::Health;
 use crate::balance::Member;
 use crate::balance::Pick;
@@ -32,6 +33,7 @@
     /// Near upstreams of the subset, by rank.
     near: Vec<usize>,
     near_slots: f64,
+    coverage: Coverage,
     working_set: WorkingSet,
     candidates: Vec<(usize, f64)>,
     random: ChaCha8Rng,
@@ -69,6 +71,7 @@
             near_share: 0.0,
             near: Vec::new(),
             near_slots: 0.0,
+            coverage: Coverage::default(),
             working_set: WorkingSet::default(),
             candidates: Vec::new(),
             random,
@@ -167,6 +170,14 @@
         }
     }
 
+    /// Sets how many upstreams stand behind those that this entry follows.
+    pub fn set_coverage(&mut self, coverage: Coverage) {
+        if self.coverage != coverage {
+            self.coverage = coverage;
+            self.choose_subset();
+        }
+    }
+
     /// Sets the requests per second that this entry may send to each upstream; `None` for no limit.
     pub fn set_rates(&mut self, now: Moment, rate: impl Fn(&UpstreamId) -> Option<f64>) {
         for load in &mut self.loads {
@@ -209,7 +220,7 @@
         self.subset = Subset::choose(&mut self.loads, self.setup.entries, self.setup.subset_max);
         if self.setup.local {
             self.subset.add_near(&self.loads);
-            self.near_share = Self::near_share(&self.loads, self.setup.entries);
+            self.near_share = self.share_of_near_slots();
         }
         let (loads, positions) = (&self.loads, &self.subset.positions);
         self.near = positions.iter().copied().filter(|at| loads[*at].is_near()).collect();
@@ -290,14 +301,18 @@
 
     /// This entry's share of the slots of sound near upstreams, if entries are spread over
     /// failure domains as slots are.
-    fn near_share(loads: &[Load], entries: usize) -> f64 {
-        let slots = |load: &&Load| f64::from(load.member().slots);
+    fn share_of_near_slots(&self) -> f64 {
+        let (loads, coverage) = (&self.loads, self.coverage);
+        let slots = |load: &&Load| {
+            let scale = if load.is_near() { coverage.near } else { coverage.far };
+            f64::from(load.member().slots) * scale
+        };
         let all: f64 = loads.iter().map(|load| slots(&load)).sum();
         let near: f64 = loads.iter().filter(|load| load.is_near()).map(|load| slots(&load)).sum();
         let sound =
             loads.iter().filter(|load| load.is_near() && load.is_usable() && load.is_sound());
         let sound: f64 = sound.map(|load| slots(&load)).sum();
-        let sharing = entries as f64 * near / all.max(1.0);
+        let sharing = self.setup.entries as f64 * near / all.max(1.0);
         sound / sharing.max(1.0)
     }
 
--- a/src/balance/working_set.rs
+++ b/src/balance/working_set.rs
@@ -29,8 +29,9 @@
 /// Share of unserved requests from which on all upstreams are used. Operators want most sound
 /// upstreams in use when one request in ten is lost.
 const LOSS_SHARE: f64 = 0.08;
-/// Weight of the newest outcome in the moving average of losses.
-const LOSS_WEIGHT: f64 = 0.04;
+/// Weight of the newest outcome in the moving average of losses. One fault loses two or three
+/// requests at once, which must not spread the others.
+const LOSS_WEIGHT: f64 = 0.01;
 /// How long all upstreams are used after losses were last high.
 const LOSS_HOLD: Duration = Duration::from_secs(10);
 
--- a/src/feed/selection.rs
+++ b/src/feed/selection.rs
@@ -64,6 +64,13 @@
         balance::rank(entry, &announced.upstream).leading_zeros() >= halvings
     }
 
+    /// How many upstreams of a service stand behind those that the entry follows.
+    pub fn coverage(&self, service: &ServiceId) -> balance::Coverage {
+        let part = self.parts.get(service).copied().unwrap_or_default();
+        let scale = |halvings: u32| f64::from(halvings).exp2();
+        balance::Coverage { near: scale(part.near), far: scale(part.far) }
+    }
+
     /// Hash by which two processes check whether their selections are equal.
     pub fn digest(&self) -> u64 {
         let bytes = postcard::to_stdvec(self).unwrap_or_default();
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -182,6 +182,11 @@
         self.seeds = seeds;
     }
 
+    /// The upstreams that this entry follows.
+    pub fn selection(&self) -> &Selection {
+        &self.selection
+    }
+
     /// The control that is polled now.
     pub fn current(&self) -> Option<&NodeId> {
         self.current.as_ref()
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -82,7 +82,8 @@
             let announcement = &found.announcement;
             let service = services.entry(announcement.service.clone()).or_default();
             service.entries = entries;
-            service.retry_sharers = Some(entries);
+            service.followers = entries;
+            service.retry_part = 1.0 / entries.max(1) as f64;
             service.addresses.insert(announcement.upstream.clone(), announcement.address);
             service.members.push(member(now, found));
             if let Some(monitor) = self.monitors.get(&announcement.service) {
--- a/src/node/feed_core/breakers.rs
+++ b/src/node/feed_core/breakers.rs
@@ -114,9 +114,11 @@
         self.leave(upstream);
     }
 
-    /// Sets the number of entries that share the trials.
-    pub(super) fn set_entries(&mut self, entries: usize) {
-        self.groups.values_mut().for_each(|group| group.set_entries(entries));
+    /// Sets the number of entries that share the trials of a service.
+    pub(super) fn set_entries(&mut self, service: &ServiceId, entries: usize) {
+        if let Some(group) = self.groups.get_mut(service) {
+            group.set_entries(entries);
+        }
     }
 
     /// Sets the share of each service's slots that stays in use.
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -23,6 +23,7 @@
 use crate::feed::Update;
 use crate::fleet;
 use crate::health;
+use crate::id::DomainId;
 use crate::id::NodeId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -62,6 +63,8 @@
     compiler: Box<dyn Compiler>,
     /// Whether a change since the last view is to be published without waiting.
     is_dirty: bool,
+    /// Failure domain of this entry.
+    domain: DomainId,
     entries: usize,
     id: NodeId,
     is_leaving: bool,
@@ -108,6 +111,7 @@
             breakers: Breakers::new(now, draw()),
             compiler: setup.boundary.compiler(),
             is_dirty: true,
+            domain: setup.domain.clone(),
             entries: 1,
             id: setup.id.clone(),
             is_leaving: false,
@@ -194,6 +198,9 @@
         }
         self.viewed_at = now;
         let services = self.services(now);
+        for (name, service) in &services {
+            self.breakers.set_entries(name, service.followers);
+        }
         if !self.is_dirty && last.has_same_services(&services) {
             return None;
         }
@@ -272,11 +279,14 @@
         self.listing.is_settled = news.is_settled;
         if news.fresh {
             let is_listed = self.listing.entries.iter().any(|entry| entry.id == self.id);
-            let listing =
-                retry::Listing { entries: news.entries, is_listed, is_settled: news.is_settled };
+            let listing = retry::Listing {
+                entries: news.entries,
+                is_listed,
+                is_settled: news.is_settled,
+                serving: news.serving,
+            };
             self.participants.update(now, listing);
         }
-        self.breakers.set_entries(news.entries);
         let delta = news.upstreams;
         delta.gone.iter().for_each(|id| self.remove(id));
         for announcement in delta.upstreams {
@@ -435,13 +445,13 @@
 
     fn services(&self, now: Moment) -> BTreeMap<ServiceId, view::Service> {
         let mut services: BTreeMap<ServiceId, view::Service> = BTreeMap::new();
-        let retry_sharers = self.participants.count(now);
+        let retry_part = self.participants.part(now);
         let ready = |known: &&Known| known.announcement.state == registry::State::Ready;
         for known in self.upstreams.values().filter(ready) {
             let announcement = &known.announcement;
             let service = services.entry(announcement.service.clone()).or_default();
             service.entries = self.entries;
-            service.retry_sharers = retry_sharers;
+            service.retry_part = retry_part;
             service.addresses.insert(announcement.upstream.clone(), announcement.address);
             service.members.push(self.member(now, known));
             if let Some(limit) = self.limits.get(&self.id, &self.listing.entries, announcement) {
@@ -449,6 +459,8 @@
             }
         }
         for (name, service) in &mut services {
+            service.coverage = self.subscriber.selection().coverage(name);
+            service.followers = self.followers(service);
             let Some(group) = self.breakers.get(name) else { continue };
             service.weights = group.weights().into_iter().collect();
             service.trials = group.trials();
@@ -458,6 +470,14 @@
         services
     }
 
+    /// Number of entries that follow the same upstream of a service.
+    fn followers(&self, service: &view::Service) -> usize {
+        let is_near = |member: &&balance::Member| member.domain == self.domain;
+        let near = service.members.iter().filter(is_near).count();
+        let far = service.members.len() - near;
+        service.coverage.followers(self.entries, near, far)
+    }
+
     fn member(&self, now: Moment, known: &Known) -> balance::Member {
         let announcement = &known.announcement;
         let rules = self.rules.as_ref().and_then(|rules| rules.service(&announcement.service));
--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -213,7 +213,8 @@
     }
 }
 
-/// Reports gauges of the state that this entry acts on: entries that share the retry budget,
+/// Reports gauges of the state that this entry acts on: entries that an
+/// equal part of the burst of retries would allow for,
 /// ejected upstreams, and upstreams used only as a last resort.
 fn report_gauges(proxy: &Proxy) {
     let view = proxy.view.load();
@@ -221,7 +222,8 @@
     let is_out = |weight: &&f64| **weight <= 0.0;
     let out = services().map(|service| service.weights.values().filter(is_out).count()).sum();
     let last = services().map(|service| service.suspects.len()).sum();
-    let entries = services().filter_map(|service| service.retry_sharers).max().unwrap_or_default();
+    let part = services().map(|service| service.retry_part).fold(0.0, f64::max);
+    let entries = if part > 0.0 { (1.0 / part).round() as usize } else { 0 };
     let levels = [("retry.entries", entries), ("upstream.out", out), ("upstream.last", last)];
     for (kind, level) in levels {
         let level: usize = level;
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -142,6 +142,7 @@
         if selector.version < view.version {
             selector.version = view.version;
             selector.picker.set_entries(view.entries);
+            selector.picker.set_coverage(view.coverage);
             if selector.members != view.members {
                 selector.picker.set_members(&view.members);
                 selector.members.clone_from(&view.members);
@@ -151,17 +152,17 @@
             selector
                 .sent_trials
                 .retain(|number| view.trials.iter().any(|trial| trial.number == *number));
-            self.limit_retries(now, view.retry_sharers);
+            self.limit_retries(now, view.retry_part);
             selector.slots = slots(view);
             self.queue.set_slots(now, selector.slots);
         }
         selector
     }
 
-    fn limit_retries(&self, now: Moment, retry_sharers: Option<usize>) {
+    fn limit_retries(&self, now: Moment, retry_part: f64) {
         if self.retry.pooled {
             let settings::Retry { burst, share, window, .. } = self.retry;
-            let limits = retry::Limits::per_entry(share, burst, window, retry_sharers);
+            let limits = retry::Limits::per_entry(share, burst, window, retry_part);
             let limits = retry::Limits { is_first: self.is_first, ..limits };
             self.policy(now).set_limits(limits);
         }
@@ -192,6 +193,7 @@
     };
     let slots = view.members.iter().filter(is_usable).map(|member| u64::from(member.slots));
     let total: u64 = slots.sum();
-    let share = total as f64 * OVERCOMMIT / view.entries.max(1) as f64;
+    // Each of the entries that may use an upstream has a part of it.
+    let share = total as f64 * OVERCOMMIT / view.followers.max(1) as f64;
     (share.ceil() as usize).clamp(MIN_SLOTS, MIN_SLOTS.max(total as usize))
 }
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -46,16 +46,20 @@
 /// Snapshot of the upstreams of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Service {
+    /// Upstreams that stand behind those of this snapshot.
+    pub coverage: balance::Coverage,
     /// Addresses of its upstreams.
     pub addresses: HashMap<UpstreamId, SocketAddr>,
     /// Number of entries that share the upstreams.
     pub entries: usize,
+    /// Number of entries that follow the same upstream.
+    pub followers: usize,
     /// Limits that upstreams named.
     pub limits: HashMap<UpstreamId, Limit>,
     /// Upstreams as candidates of the load balancer.
     pub members: Vec<balance::Member>,
-    /// Number of entries that share the burst of retries; `None` if this one has no share.
-    pub retry_sharers: Option<usize>,
+    /// This entry's part of the burst of retries.
+    pub retry_part: f64,
     /// State of the service, which rules may match on.
     pub state: ServiceState,
     /// Upstreams that get requests only if no other has a free slot.
@@ -127,8 +131,9 @@
             && self.suspects == before.suspects
             && self.trials == before.trials
             && self.weights == before.weights
+            && self.coverage == before.coverage
             && self.entries == before.entries
-            && self.retry_sharers == before.retry_sharers
+            && self.retry_part == before.retry_part
             && self.state == before.state
     }
 }
--- a/src/retry/limits.rs
+++ b/src/retry/limits.rs
@@ -27,11 +27,9 @@
     const USABLE_SHARE: f64 = 0.9;
 
     /// Limits of one entry, out of what all entries may spend together. In any `window` all entries
-    /// retry at most `share` of their first attempts plus `burst`, which `entries` of them share.
-    /// `None` stands for an entry that has no part in the burst.
-    pub fn per_entry(share: f64, burst: f64, window: Duration, entries: Option<usize>) -> Self {
-        let most =
-            entries.map_or(0.0, |entries| Self::USABLE_SHARE * burst / entries.max(1) as f64);
+    /// retry at most `share` of their first attempts plus `burst`, of which this one has a `part`.
+    pub fn per_entry(share: f64, burst: f64, window: Duration, part: f64) -> Self {
+        let most = Self::USABLE_SHARE * burst * part;
         let share = Self::USABLE_SHARE * share;
         Self { free_connects: true, is_first: false, most, share, window: Some(window) }
     }
--- a/src/retry/participants.rs
+++ b/src/retry/participants.rs
@@ -3,6 +3,9 @@
 
 use crate::clock::Moment;
 
+/// Part of the burst that all serving entries share. Some requests reach entries that are not
+/// listed, and before the load is known none is.
+const SERVING_PART: f64 = 0.25;
 /// How long an entry may rely on the last update. Without a later one it can't know what share the
 /// other entries assume.
 const LEASE: Duration = Duration::from_secs(5);
@@ -16,9 +19,11 @@
     pub is_listed: bool,
     /// Whether the load is known. Before, far more entries are listed than will be.
     pub is_settled: bool,
+    /// Number of all entries that serve.
+    pub serving: usize,
 }
 
-/// Counts the entries that share one burst of retries.
+/// Divides one burst of retries among entries.
 ///
 /// **Load pattern.** Callers are told of a few of a thousand entries. Some requests reach others:
 /// operators check whether a change is in force everywhere, and callers use outdated lists.
@@ -28,65 +33,84 @@
 /// dozen serve all callers. If each entry takes the part of one of those dozens, all together spend
 /// many times the burst.
 ///
-/// **How.** Only listed entries have a part, and the highest recent count is used. An entry that
-/// comes onto the list, or is updated again, waits for a whole window and a lease. All that spend
-/// within one window were then listed together at its start, and were counted together.
+/// **How.** All serving entries share a quarter of the burst and the listed ones the rest.
 #[derive(Clone, Debug)]
 pub struct Participants {
+    listed: Group,
+    serving: Group,
+}
+
+/// Entries that share a part of the burst.
+///
+/// The highest recent count is used. An entry that joins, or is updated again after its lease
+/// expired, waits for a whole window and a lease. All that spend within one window were then
+/// members together at its start, and were counted together.
+#[derive(Clone, Debug)]
+struct Group {
     /// Counts, each with the time when it was first reported. The last one is current.
     counts: VecDeque<(Moment, usize)>,
-    /// Whether the fleet starts for the first time and no list was settled yet. Nobody has spent
-    /// anything then.
-    is_first: bool,
-    /// Since when this entry has been listed without a gap.
-    listed_since: Option<Moment>,
-    /// Whether it need not wait, because it was on the first list of the fleet.
+    /// Whether this entry need not wait.
     is_exempt: bool,
+    /// Since when this entry has been a member without a gap.
+    member_since: Option<Moment>,
     updated_at: Option<Moment>,
     window: Duration,
 }
 
 impl Participants {
     /// Creates a counter; retries are limited over `window`. `is_first` says that the whole fleet
-    /// starts for the first time.
+    /// starts for the first time, so that nobody has spent anything before the first list.
     pub fn new(window: Duration, is_first: bool) -> Self {
-        Self {
-            counts: VecDeque::new(),
-            is_first,
-            listed_since: None,
-            is_exempt: false,
-            updated_at: None,
-            window,
-        }
+        Self { listed: Group::new(window, is_first), serving: Group::new(window, true) }
     }
 
     /// Records a listing that is reported by a control in contact with the others.
     pub fn update(&mut self, now: Moment, listing: Listing) {
-        if !listing.is_settled {
-            return;
+        self.serving.update(now, listing.serving, true);
+        if listing.is_settled {
+            self.listed.update(now, listing.entries, listing.is_listed);
         }
+    }
+
+    /// This entry's part of the burst.
+    pub fn part(&self, now: Moment) -> f64 {
+        let share = |count: Option<usize>| count.map_or(0.0, |count| 1.0 / count.max(1) as f64);
+        let serving = SERVING_PART * share(self.serving.count(now));
+        serving + (1.0 - SERVING_PART) * share(self.listed.count(now))
+    }
+}
+
+impl Group {
+    fn new(window: Duration, is_exempt: bool) -> Self {
+        Self { counts: VecDeque::new(), is_exempt, member_since: None, updated_at: None, window }
+    }
+
+    fn update(&mut self, now: Moment, count: usize, is_member: bool) {
         if self.updated_at.is_some_and(|at| now >= at + LEASE) {
-            self.listed_since = None;
+            self.leave();
         }
-        self.updated_at = Some(now);
-        if !listing.is_listed {
-            self.listed_since = None;
-        } else if self.listed_since.is_none() {
-            self.listed_since = Some(now);
-            self.is_exempt = self.is_first;
+        if !is_member {
+            self.leave();
+        } else if self.member_since.is_none() {
+            self.member_since = Some(now);
         }
-        self.is_first = false;
-        if self.counts.back().is_none_or(|(_, count)| *count != listing.entries) {
-            self.counts.push_back((now, listing.entries));
+        self.updated_at = Some(now);
+        if self.counts.back().is_none_or(|(_, last)| *last != count) {
+            self.counts.push_back((now, count));
         }
         self.remove_outdated(now);
     }
 
-    /// Number of entries that share the burst with this one; `None` while this entry has no part.
-    pub fn count(&self, now: Moment) -> Option<usize> {
+    fn leave(&mut self) {
+        self.member_since = None;
+        self.is_exempt = false;
+    }
+
+    /// Number of members; `None` while this entry has no part.
+    fn count(&self, now: Moment) -> Option<usize> {
         let updated_at = self.updated_at?;
-        let listed_since = self.listed_since?;
-        let is_waiting = !self.is_exempt && now < listed_since + self.retention();
+        let member_since = self.member_since?;
+        let is_waiting = !self.is_exempt && now < member_since + self.retention();
         if is_waiting || now >= updated_at + LEASE {
             return None;
         }
--- a/tests/suite/balance.rs
+++ b/tests/suite/balance.rs
@@ -4,6 +4,7 @@
 mod near;
 mod share;
 mod subset;
+mod working_set;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/tests/suite/balance/working_set.rs
@@ -0,0 +1,185 @@
+//! Upstreams that an entry uses of a service with far more than it needs.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hemlockfield::balance::Completion;
+use hemlockfield::balance::Coverage;
+use hemlockfield::balance::Health;
+use hemlockfield::balance::Member;
+use hemlockfield::balance::Pick;
+use hemlockfield::balance::Picker;
+use hemlockfield::balance::Request;
+use hemlockfield::balance::Setup;
+use hemlockfield::balance::State;
+use hemlockfield::health::Kind;
+use hemlockfield::id::UpstreamId;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+use super::DOMAINS;
+use super::ready;
+
+/// Entries that callers are told of.
+const ENTRIES: usize = 60;
+/// Upstreams that the entry follows, a quarter of them near.
+const UPSTREAMS: usize = 1_400;
+/// Upstreams of the service that stand behind those.
+const COVERAGE: Coverage = Coverage { near: 4.0, far: 8.0 };
+/// Interval between two requests of the entry.
+const INTERVAL: Duration = Duration::from_millis(40);
+const LATENCY: Duration = Duration::from_millis(450);
+/// Share of requests that a faulty upstream loses, and how many are faulty at any time.
+const LOST_SHARE: f64 = 0.85;
+const FAULTY_SHARE: f64 = 0.05;
+/// Duration of a fault.
+const FAULT: Duration = Duration::from_secs(6);
+
+/// Upstreams that this entry takes for faulty.
+#[derive(Default)]
+struct Verdicts(BTreeSet<UpstreamId>);
+
+impl Health for Verdicts {
+    fn weight(&self, upstream: &str) -> f64 {
+        if self.0.contains(upstream) { 0.0 } else { 1.0 }
+    }
+}
+
+/// An entry that gets a request every 40 ms.
+struct World {
+    in_flight: Vec<(Duration, Pick)>,
+    lost: usize,
+    now: Duration,
+    picker: Picker,
+    random: ChaCha8Rng,
+    sent: usize,
+    used: BTreeSet<UpstreamId>,
+    verdicts: Verdicts,
+}
+
+impl World {
+    /// An entry that follows `upstreams` of a service.
+    fn new(seed: u64, upstreams: usize, coverage: Coverage) -> Self {
+        let setup = Setup::new("entry".into(), DOMAINS[0].into(), ENTRIES);
+        let setup = Setup { local: true, ..setup };
+        let mut picker = Picker::new(setup, ChaCha8Rng::seed_from_u64(seed));
+        picker.set_members(&ready(upstreams));
+        picker.set_coverage(coverage);
+        Self {
+            in_flight: Vec::new(),
+            lost: 0,
+            now: Duration::ZERO,
+            picker,
+            random: ChaCha8Rng::seed_from_u64(seed + 1),
+            sent: 0,
+            used: BTreeSet::new(),
+            verdicts: Verdicts::default(),
+        }
+    }
+
+    /// Sends requests for `span`; `faulty` tells which upstreams are faulty at a time.
+    fn run(&mut self, span: Duration, faulty: impl Fn(Duration, &str) -> bool) {
+        let end = self.now + span;
+        while self.now < end {
+            self.complete(&faulty);
+            let pick = self.picker.pick(self.now, &Request::default()).expect("room");
+            self.used.insert(pick.upstream.clone());
+            self.in_flight.push((self.now + LATENCY, pick));
+            self.sent += 1;
+            self.now += INTERVAL;
+        }
+    }
+
+    fn complete(&mut self, faulty: &impl Fn(Duration, &str) -> bool) {
+        let now = self.now;
+        let (done, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.in_flight).into_iter().partition(|(at, _)| *at <= now);
+        self.in_flight = rest;
+        for (_, pick) in done {
+            let is_lost = faulty(now, &pick.upstream) && self.random.random_bool(LOST_SHARE);
+            let kind = if is_lost { Kind::Cut } else { Kind::Success };
+            self.picker.finish(
+                now,
+                pick.ticket,
+                Completion { kind, latency: LATENCY, report: None },
+            );
+            if is_lost {
+                self.lost += 1;
+                self.verdicts.0.insert(pick.upstream);
+                self.picker.refresh(&self.verdicts);
+            }
+        }
+    }
+}
+
+/// Whether an upstream has a fault at a time. One in twenty has, each for six seconds.
+fn is_faulty(now: Duration, upstream: &str) -> bool {
+    let period = (FAULT.as_secs_f64() / FAULTY_SHARE) as u64;
+    let offset = xxhash_rust::xxh3::xxh3_64(upstream.as_bytes()) % period;
+    (now.as_secs() + offset) % period < FAULT.as_secs()
+}
+
+// One in twenty of 350 near upstreams is faulty at any time, and an entry sends 25 requests per
+// second. Spread over all of them, one request in twenty meets a fault that nobody has seen. Of a
+// few upstreams in use, each fault costs a request or two.
+#[rstest]
+fn pick_faults_among_many(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut world = World::new(seed, UPSTREAMS, COVERAGE);
+    world.run(Duration::from_secs(120), is_faulty);
+    let spread = world.sent as f64 * FAULTY_SHARE * LOST_SHARE;
+    assert!((world.lost as f64) < 0.4 * spread, "{} lost, {spread:.0} if spread", world.lost);
+}
+
+// Three in five requests are refused at whatever upstream. Each upstream that may serve is needed,
+// and operators want most sound ones in use.
+#[test]
+fn pick_many_losses() {
+    let mut world = World::new(1, UPSTREAMS, COVERAGE);
+    world.run(Duration::from_secs(10), |_, _| false);
+    let calm = world.used.len();
+    assert!(calm < 60, "{calm}");
+    world.used.clear();
+    // Refusals by chance tell nothing of one upstream, so none is taken out.
+    for at in 0..250_u64 {
+        let pick = world.picker.pick(world.now, &Request::default()).expect("room");
+        let kind = if at % 5 < 3 { Kind::Refused } else { Kind::Success };
+        let completion = Completion { kind, latency: LATENCY, report: None };
+        world.used.insert(pick.upstream.clone());
+        world.picker.finish(world.now, pick.ticket, completion);
+        world.now += INTERVAL;
+    }
+    assert!(world.used.len() > 120, "{}", world.used.len());
+}
+
+// Upstreams start while the entry needs none of them. Each gets a request soon, which shows
+// whether it serves.
+#[test]
+fn pick_upstreams_start() {
+    let mut world = World::new(1, UPSTREAMS, COVERAGE);
+    world.run(Duration::from_secs(10), |_, _| false);
+    let until = Duration::from_secs(60);
+    let started = |number: usize| Member {
+        upstream: compact_str::format_compact!("new-{number}"),
+        state: State::Warm { since: Duration::from_secs(10), until },
+        ..ready(1).remove(0)
+    };
+    let mut members = ready(UPSTREAMS);
+    members.extend((0..8).map(started));
+    world.picker.set_members(&members);
+    world.used.clear();
+    world.run(Duration::from_secs(10), |_, _| false);
+    let new = world.used.iter().filter(|id| id.starts_with("new-")).count();
+    assert_eq!(new, 8);
+}
+
+// A service has as many upstreams as its requests need. All of them are used, as without a
+// working set.
+#[test]
+fn pick_few_upstreams() {
+    let mut world = World::new(1, 160, Coverage::default());
+    world.run(Duration::from_secs(20), |_, _| false);
+    let near = world.used.iter().filter(|id| id[1..].parse::<usize>().is_ok_and(|at| at % 4 == 0));
+    assert!(near.count() >= 38, "{}", world.used.len());
+}
--- a/tests/suite/feed/budget.rs
+++ b/tests/suite/feed/budget.rs
@@ -102,6 +102,7 @@
             entries: update.entries,
             is_listed: self.is_listed,
             is_settled: update.is_settled,
+            serving: update.serving,
         };
         self.participants.update(now, listing);
     }
@@ -109,8 +110,8 @@
     /// Sets the retry limits from the known number of entries.
     fn update_limits(&mut self, now: Duration, burst: f64) {
         self.policy.advance(now);
-        let entries = self.participants.count(now);
-        self.policy.set_limits(Limits::per_entry(SHARE, burst, WINDOW, entries));
+        let part = self.participants.part(now);
+        self.policy.set_limits(Limits::per_entry(SHARE, burst, WINDOW, part));
     }
 
     /// Sends a request to a dead upstream. Returns whether it is retried.
@@ -240,32 +241,38 @@
     fleet.check();
 }
 
+/// A part of all listed entries and of all serving ones, as [`Participants::part`] gives it.
+fn part(listed: f64, serving: f64) -> f64 {
+    0.75 / listed + 0.25 / serving
+}
+
 // A partitioned entry is updated again. It gets no part for a window and a lease, because the
 // others may just have spent its part.
 #[test]
 fn participants_updated_again() {
-    let listing = Listing { entries: 32, is_listed: true, is_settled: true };
+    let listing = Listing { entries: 32, is_listed: true, is_settled: true, serving: 32 };
     let mut participants = Participants::new(WINDOW, true);
     (0..20).for_each(|second| participants.update(ms(second * 1_000), listing));
-    assert_eq!(participants.count(ms(19_000)), Some(32));
-    assert_eq!(participants.count(ms(24_000)), None);
+    assert_eq!(participants.part(ms(19_000)), part(32.0, 32.0));
+    assert_eq!(participants.part(ms(24_000)), 0.0);
     (50..70).for_each(|second| participants.update(ms(second * 1_000), listing));
-    assert_eq!(participants.count(ms(64_000)), None);
-    assert_eq!(participants.count(ms(65_000)), Some(32));
+    assert_eq!(participants.part(ms(64_000)), 0.0);
+    assert_eq!(participants.part(ms(65_000)), part(32.0, 32.0));
 }
 
 // A thousand entries serve and callers are told of sixty. With equal parts for all, a fault of all
 // upstreams left each of the sixty one retry.
 #[test]
 fn participants_few_listed() {
-    let listed = Listing { entries: 60, is_listed: true, is_settled: true };
+    let listed = Listing { entries: 60, is_listed: true, is_settled: true, serving: 985 };
     let mut participants = Participants::new(WINDOW, false);
     let unsettled = Listing { entries: 985, is_settled: false, ..listed };
+    let others = part(f64::INFINITY, 985.0);
     participants.update(ms(0), unsettled);
-    assert_eq!(participants.count(ms(0)), None);
+    assert_eq!(participants.part(ms(0)), others);
     (1..30).for_each(|second| participants.update(ms(second * 1_000), listed));
-    assert_eq!(participants.count(ms(15_999)), None);
-    assert_eq!(participants.count(ms(29_000)), Some(60));
+    assert_eq!(participants.part(ms(15_999)), others);
+    assert_eq!(participants.part(ms(29_000)), part(60.0, 985.0));
     participants.update(ms(29_500), Listing { is_listed: false, ..listed });
-    assert_eq!(participants.count(ms(29_500)), None);
+    assert_eq!(participants.part(ms(29_500)), others);
 }
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -228,7 +228,7 @@
 /// Budget of one entry: a fifth of its requests and two more, within ten seconds.
 fn pooled() -> Policy {
     let mut policy = policy(3);
-    let limits = Limits::per_entry(0.2, 20.0, Duration::from_secs(10), Some(10));
+    let limits = Limits::per_entry(0.2, 20.0, Duration::from_secs(10), 0.1);
     policy.advance(Duration::ZERO);
     policy.set_limits(limits);
     policy
@@ -240,7 +240,7 @@
 #[test]
 fn decide_pooled_stale_caller_lists() {
     let (share, burst, window) = (0.2, 62.0, Duration::from_secs(10));
-    let limits = Limits::per_entry(share, burst, window, Some(16));
+    let limits = Limits::per_entry(share, burst, window, 1.0 / 16.0);
     let mut firsts = 0;
     let mut retried = 0;
     for _ in 0..16 {
@@ -310,7 +310,7 @@
 // first second.
 #[test]
 fn decide_pooled_first_start() {
-    let limits = Limits::per_entry(0.2, 20.0, Duration::from_secs(10), Some(10));
+    let limits = Limits::per_entry(0.2, 20.0, Duration::from_secs(10), 0.1);
     let mut policy = policy(3);
     policy.advance(Duration::ZERO);
     policy.set_limits(Limits { is_first: true, ..limits });
