Send announcements to the leader in batches, one order at a time

The leader was at its 0.35 of a core: each announcement was an order of its own, repeated after 0.5 s and again by the upstream through another control after 1 s, faster than the leader could commit them. A loop that sustains itself.

Ruled out: memory (36 MB of 512), the links of controls. Not the cause, but growing with the square of what waits: the forwarder passes over all pending orders at each new one.

Change: a control has one order of announcements in flight, and what arrives meanwhile goes with the next, up to 128 in one entry of the log; a repeated announcement takes no second place (`catalog::Batcher`). Logs of earlier builds are still read. One log line stands for more than eight changes of one entry.

Test: batcher_all_start replays the start with 19 controls and a leader of 1,000 orders/s.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -5,6 +5,7 @@
 //! fails. Renewals that change nothing are not written to the log.
 
 mod action;
+mod batcher;
 mod change;
 mod delta;
 mod order;
@@ -12,6 +13,7 @@
 mod table;
 
 pub use action::Action;
+pub use batcher::Batcher;
 pub use change::Change;
 pub use delta::Delta;
 pub use sizes::Sizes;
--- a/src/catalog/action.rs
+++ b/src/catalog/action.rs
@@ -14,3 +14,13 @@
     /// The upstream reported that it is leaving.
     Leave(UpstreamId),
 }
+
+impl Action {
+    /// The upstream that it is about.
+    pub fn upstream(&self) -> &UpstreamId {
+        match self {
+            Self::Announce(change) => &change.announcement.upstream,
+            Self::Leave(upstream) => upstream,
+        }
+    }
+}
--- a/src/node/controller.rs
+++ b/src/node/controller.rs
@@ -71,8 +71,8 @@
 /// Input of a [`Controller`].
 #[derive(Debug)]
 pub enum Input {
-    /// Announcement or departure of an upstream, with the forwarding control and its ticket.
-    Catalog(NodeId, u64, catalog::Action),
+    /// Announcements and departures of upstreams, with the forwarding control and its ticket.
+    Catalog(NodeId, u64, Vec<catalog::Action>),
     /// Change of the controls' membership, with its ticket.
     Change(u64, quorum::Change),
     /// Claim actions of an entry.
@@ -111,7 +111,7 @@
     /// This replica's role and term after it won or lost leadership.
     RoleChanged(quorum::Role, u64),
     /// A committed entry changed the table of upstreams.
-    UpstreamChanged(catalog::Action),
+    UpstreamsChanged(Vec<catalog::Action>),
 }
 
 /// What a ticket given to the replica stands for.
@@ -171,9 +171,9 @@
     pub fn handle(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
         let mut outputs = Vec::new();
         match input {
-            Input::Catalog(from, ticket, action) => {
+            Input::Catalog(from, ticket, actions) => {
                 let proposal = Proposal::Catalog { from, ticket };
-                self.propose_catalog(now, wall, proposal, action, &mut outputs);
+                self.propose_catalog(now, wall, proposal, actions, &mut outputs);
             }
             Input::Change(ticket, change) => {
                 let ticket = self.track(Proposal::Change(ticket));
@@ -276,20 +276,21 @@
         if self.is_leader { now.saturating_sub(self.leader_since) } else { Duration::ZERO }
     }
 
-    /// Proposes a change of the table of upstreams.
+    /// Proposes changes of the table of upstreams.
     fn propose_catalog(
         &mut self,
         now: Moment,
         wall: Epoch,
         proposal: Proposal,
-        action: catalog::Action,
+        mut actions: Vec<catalog::Action>,
         outputs: &mut Vec<Output>,
     ) {
         let Proposal::Catalog { from, ticket } = &proposal else { return };
+        actions.retain(|action| self.catalog.would_change(action));
         if !self.is_leader {
             outputs.push(verdict_output(from, *ticket, Verdict::NotLeader(self.leader())));
-        } else if self.catalog.would_change(&action) {
-            self.propose(now, wall, proposal, Body::Catalog(action), outputs);
+        } else if !actions.is_empty() {
+            self.propose(now, wall, proposal, Body::Catalogs(actions), outputs);
         } else {
             // What the table contains is already committed.
             outputs.push(verdict_output(from, *ticket, Verdict::Announced));
@@ -426,11 +427,8 @@
         self.applied = index;
         let Ok(command) = postcard::from_bytes::<Command>(command) else { return };
         match command.body {
-            Body::Catalog(action) => {
-                if self.catalog.apply(index, &action) {
-                    outputs.push(Output::UpstreamChanged(action));
-                }
-            }
+            Body::Catalog(action) => self.apply_catalog(index, vec![action], outputs),
+            Body::Catalogs(actions) => self.apply_catalog(index, actions, outputs),
             Body::Claims(claims) => {
                 let replies = self.claim_ledger.apply(command.at, claims.clone());
                 if self.is_leader {
@@ -460,6 +458,18 @@
         }
     }
 
+    fn apply_catalog(
+        &mut self,
+        index: Index,
+        mut actions: Vec<catalog::Action>,
+        outputs: &mut Vec<Output>,
+    ) {
+        actions.retain(|action| self.catalog.apply(index, action));
+        if !actions.is_empty() {
+            outputs.push(Output::UpstreamsChanged(actions));
+        }
+    }
+
     fn handle_accepted(&mut self, ticket: u64, index: Index, outputs: &mut Vec<Output>) {
         let verdict = self.config_replies.remove(&index);
         match self.proposals.remove(&ticket) {
--- a/src/node/core/configuration.rs
+++ b/src/node/core/configuration.rs
@@ -36,7 +36,7 @@
                     outputs.push(Output::Event(event));
                     self.step_replicator(now, config::Input::Committed(version), outputs);
                 }
-                controller::Output::SnapshotInstalled | controller::Output::UpstreamChanged(_) => {
+                controller::Output::SnapshotInstalled | controller::Output::UpstreamsChanged(_) => {
                     tracing::warn!(
                         target: "hemlockfield::registry",
                         "ignored any upstreams in log or snapshot; they announce to entries here"
--- a/src/node/feed_core/control_role.rs
+++ b/src/node/feed_core/control_role.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::catalog;
 use crate::catalog::Action;
 use crate::catalog::Catalog;
 use crate::clock::Epoch;
@@ -49,18 +50,20 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest time for which a submission is retried; an election may take place within it.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1900);
-/// Base of the tickets for demands of entries, above all tickets of this process's control thread.
-const DEMAND_TICKET_BASE: u64 = 1 << 63;
+/// Base of the tickets for orders of this control itself, above all tickets of this process's control
+/// thread.
+const TICKET_BASE: u64 = 1 << 63;
 
 /// State of a control.
 #[derive(Debug)]
 pub(super) struct ControlRole {
+    announcements: catalog::Batcher,
     /// Orders that the forwarder has not answered, by ticket.
     pending: BTreeMap<u64, Pending>,
     forwarder: Forwarder,
     hello_at: Moment,
     member_check_at: Moment,
-    last_demand_ticket: u64,
+    last_ticket: u64,
     controller: Option<Controller>,
     peers: Peers,
     publisher: Publisher,
@@ -94,11 +97,12 @@
     pub(super) fn new(now: Moment, setup: Setup) -> Self {
         let me = Control { domain: setup.domain, id: setup.id };
         let mut role = Self {
+            announcements: catalog::Batcher::default(),
             pending: BTreeMap::new(),
             forwarder: Forwarder::default(),
             hello_at: now,
             member_check_at: now,
-            last_demand_ticket: DEMAND_TICKET_BASE,
+            last_ticket: TICKET_BASE,
             controller: setup.controller,
             peers: Peers::new(me, setup.seeds),
             publisher: Publisher::default(),
@@ -204,7 +208,7 @@
             Frame::Feed(message) => self.receive_feed(now, from, message, outputs),
             Frame::Order { ticket, order } => {
                 let input = match order {
-                    Order::Catalog(action) => controller::Input::Catalog(from, ticket, action),
+                    Order::Catalog(actions) => controller::Input::Catalog(from, ticket, actions),
                     Order::Quota(ask) => controller::Input::Quota(from, ticket, ask),
                     Order::Read => controller::Input::Read(from, ticket),
                     Order::Submit(version) => controller::Input::Submit(from, ticket, version),
@@ -358,7 +362,36 @@
             outputs.push(Output::Announced(ticket, Ok(())));
             return;
         }
-        self.forward(now, ticket, Pending::Catalog, Order::Catalog(action), ORDER_TIMEOUT, outputs);
+        self.announcements.add(ticket, action);
+        self.forward_announcements(now, outputs);
+    }
+
+    /// Forwards the announcements that wait, unless earlier ones are on their way.
+    fn forward_announcements(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        while let Some(mut actions) = self.announcements.next_batch() {
+            if let Some(controller) = &self.controller {
+                actions.retain(|action| controller.catalog().would_change(action));
+            }
+            if actions.is_empty() {
+                self.answer_announcements(&Ok(()), outputs);
+                continue;
+            }
+            let ticket = self.next_ticket();
+            let order = Order::Catalog(actions);
+            self.forward(now, ticket, Pending::Catalog, order, ORDER_TIMEOUT, outputs);
+        }
+    }
+
+    fn answer_announcements(&mut self, result: &Result<(), String>, outputs: &mut Vec<Output>) {
+        for ticket in self.announcements.finish() {
+            outputs.push(Output::Announced(ticket, result.clone()));
+        }
+    }
+
+    /// Ticket for an order of this control itself.
+    fn next_ticket(&mut self) -> u64 {
+        self.last_ticket += 1;
+        self.last_ticket
     }
 
     /// Forwards a demand of an entry; an entry may demand only for itself.
@@ -374,17 +407,10 @@
             tracing::warn!(target: "hemlockfield::link", peer = %from, holder = %demand.holder, "quota demand for another entry");
             return;
         }
-        self.last_demand_ticket += 1;
         let kind = Pending::Quota(from, ticket);
         let order = Order::Quota(demand);
-        self.forward(
-            now,
-            self.last_demand_ticket,
-            kind,
-            order,
-            quota::Limiter::RESEND_INTERVAL,
-            outputs,
-        );
+        let ticket = self.next_ticket();
+        self.forward(now, ticket, kind, order, quota::Limiter::RESEND_INTERVAL, outputs);
     }
 
     fn submit(&mut self, now: Moment, ticket: u64, version: Version, outputs: &mut Vec<Output>) {
@@ -433,12 +459,12 @@
 
     fn answer(&mut self, now: Moment, ticket: u64, verdict: Verdict, outputs: &mut Vec<Output>) {
         match (self.pending.remove(&ticket), verdict) {
-            (Some(Pending::Catalog), Verdict::Announced) => {
-                outputs.push(Output::Announced(ticket, Ok(())));
-            }
-            (Some(Pending::Catalog), _) => {
-                let text = "the log could not take it in time".to_owned();
-                outputs.push(Output::Announced(ticket, Err(text)));
+            (Some(Pending::Catalog), verdict) => {
+                let text = || "the log could not take it in time".to_owned();
+                let is_announced = verdict == Verdict::Announced;
+                let result = if is_announced { Ok(()) } else { Err(text()) };
+                self.answer_announcements(&result, outputs);
+                self.forward_announcements(now, outputs);
             }
             (Some(Pending::Quota(to, ticket)), Verdict::Granted(grant)) => {
                 outputs.push(send(to, Message::Grant { ticket, grant }));
@@ -501,9 +527,10 @@
                     let event = events::event(&self.peers.me().id, Kind::Election).term(term);
                     outputs.push(Output::Event(event.detail("role", format!("{role:?}"))));
                 }
-                controller::Output::UpstreamChanged(action) => {
+                controller::Output::UpstreamsChanged(actions) => {
                     changed = true;
-                    outputs.push(Output::Event(events::catalog(&self.peers.me().id, &action)));
+                    let events = events::catalog(&self.peers.me().id, &actions);
+                    outputs.extend(events.into_iter().map(Output::Event));
                 }
             }
         }
--- a/src/node/feed_core/events.rs
+++ b/src/node/feed_core/events.rs
@@ -44,8 +44,21 @@
     event.detail("bytes", version.document.len().to_string())
 }
 
+/// Changes of one log entry from which on one event stands for all of them. A fleet that starts
+/// would otherwise write thousands of lines at each control.
+const MAX_EVENTS: usize = 8;
+
+/// Events for committed changes of upstreams.
+pub(super) fn catalog(vm: &NodeId, actions: &[Action]) -> Vec<Event> {
+    if actions.len() <= MAX_EVENTS {
+        return actions.iter().map(|action| upstream(vm, action)).collect();
+    }
+    let event = event(vm, Kind::Other("upstreams-changed".into()));
+    vec![event.detail("count", actions.len().to_string())]
+}
+
 /// Event for a committed change of an upstream.
-pub(super) fn catalog(vm: &NodeId, action: &Action) -> Event {
+fn upstream(vm: &NodeId, action: &Action) -> Event {
     match action {
         Action::Announce(change) => {
             let announcement = &change.announcement;
--- a/src/node/snapshot.rs
+++ b/src/node/snapshot.rs
@@ -20,10 +20,12 @@
 pub(super) enum Body {
     Claims(claim::Command),
     Config(config::Command),
-    /// Change of an announced upstream.
+    /// Change of an announced upstream, in logs of earlier builds.
     Catalog(catalog::Action),
     /// Changes of granted quota.
     Quota(Vec<quota::Action>),
+    /// Changes of announced upstreams.
+    Catalogs(Vec<catalog::Action>),
 }
 
 /// Application state that results from the quorum log.
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -80,8 +80,8 @@
 /// Request of a process to the leader.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Order {
-    /// Append an action on an upstream to the log.
-    Catalog(catalog::Action),
+    /// Append actions on upstreams to the log.
+    Catalog(Vec<catalog::Action>),
     /// Return the log index that a reader must have applied to see the latest state.
     Read,
     /// Activate a configuration.
@@ -111,7 +111,7 @@
     /// The result was not confirmed in time, so the submission may still be accepted. It is safe
     /// to send the same submission again.
     Unconfirmed,
-    /// The action on an upstream is committed to the log.
+    /// The actions on upstreams are committed to the log.
     Announced,
     /// A reader that has applied the log up to this index sees the latest state.
     Readable(Index),
--- a/tests/suite/catalog.rs
+++ b/tests/suite/catalog.rs
@@ -1,9 +1,12 @@
 //! Tests of `hemlockfield::catalog`.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use hemlockfield::catalog::Action;
+use hemlockfield::catalog::Batcher;
 use hemlockfield::catalog::Catalog;
 use hemlockfield::catalog::Change;
 use hemlockfield::registry::Announcement;
@@ -161,3 +164,69 @@
     let all: BTreeSet<_> = catalog.upstreams().map(|it| it.upstream.clone()).collect();
     assert_eq!(known, all);
 }
+
+/// Controls that take announcements.
+const CONTROLS: usize = 19;
+const UPSTREAMS: usize = 10_001;
+/// Time in milliseconds within which all upstreams announce themselves, and after which one that
+/// is not answered turns to the next control.
+const SPREAD: usize = 5_000;
+const REPEAT: usize = 1_000;
+/// Orders that the leader handles in a millisecond, and the time until it answers, in milliseconds.
+const ORDERS_PER_MS: usize = 1;
+const ROUND_TRIP: usize = 20;
+
+// Ten thousand upstreams announce themselves in five seconds, and repeat what is not answered
+// within a second. With an order for each, the leader was repeated the same announcements faster
+// than it could commit them, and answered none.
+#[test]
+fn batcher_all_start() {
+    let mut batchers: Vec<Batcher> = (0..CONTROLS).map(|_| Batcher::default()).collect();
+    let mut leader: VecDeque<(usize, usize)> = VecDeque::new();
+    let mut ends: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+    let mut answered = BTreeSet::new();
+    let mut orders = 0;
+    for now in 0..SPREAD + 2 * REPEAT {
+        for at in 0..UPSTREAMS {
+            let first = at * SPREAD / UPSTREAMS;
+            let is_due = now >= first && (now - first).is_multiple_of(REPEAT);
+            if is_due && !answered.contains(&(at as u64)) {
+                let control = (at + (now - first) / REPEAT) % CONTROLS;
+                let id = format!("i-{at}");
+                let action = ready(&id, "hull", &format!("10.0.{}.{}:80", at >> 8, at & 0xff), 1);
+                batchers[control].add(at as u64, action);
+            }
+        }
+        for control in ends.remove(&now).unwrap_or_default() {
+            answered.extend(batchers[control].finish());
+        }
+        for (control, batcher) in batchers.iter_mut().enumerate() {
+            if let Some(actions) = batcher.next_batch() {
+                orders += 1;
+                leader.push_back((control, actions.len()));
+            }
+        }
+        for (control, _) in leader.drain(..ORDERS_PER_MS.min(leader.len())) {
+            ends.entry(now + ROUND_TRIP).or_default().push(control);
+        }
+    }
+    assert_eq!(answered.len(), UPSTREAMS);
+    assert!(orders < UPSTREAMS / 2, "{orders}");
+}
+
+// An upstream repeats an announcement while it waits, and then reports that it leaves. Both answers
+// are given, and the log gets each announcement once.
+#[test]
+fn batcher_repeated() {
+    let mut batcher = Batcher::default();
+    let first = ready("i-1", "hull", "10.0.0.1:80", 1);
+    batcher.add(1, first.clone());
+    assert_eq!(batcher.next_batch().map(|batch| batch.len()), Some(1));
+    let drain = Action::Announce(change("i-1", "hull", "10.0.0.1:80", 2, State::Draining));
+    batcher.add(2, drain.clone());
+    batcher.add(3, drain.clone());
+    assert_eq!(batcher.next_batch(), None);
+    assert_eq!(batcher.finish(), [1]);
+    assert_eq!(batcher.next_batch(), Some(vec![drain]));
+    assert_eq!(batcher.finish(), [2, 3]);
+}
