--- a/src/bench/feed.rs
+++ b/src/bench/feed.rs
@@ -121,7 +121,7 @@
                 let mut subscriber = Subscriber::new(self.now, entry(at), vec![control(0)], random);
                 for output in subscriber.handle(self.now, Input::Tick) {
                     if let Output::Send(_, Message::Poll(poll)) = output {
-                        publisher.poll(self.now, poll, &snapshot(0, &empty));
+                        publisher.poll(self.now, *poll, &snapshot(0, &empty));
                     }
                 }
             }
@@ -203,7 +203,7 @@
             self.control.received_bytes += bytes.len();
             let Message::Poll(poll) = message else { continue };
             let started = Instant::now();
-            let sends = self.publisher.poll(self.now, poll, &snapshot(self.index, &self.catalog));
+            let sends = self.publisher.poll(self.now, *poll, &snapshot(self.index, &self.catalog));
             self.control.spent += started.elapsed();
             self.deliver(sends);
         }
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -35,7 +35,7 @@
     /// An update from a control, polled or pushed.
     News(Box<Update>),
     /// An entry's poll.
-    Poll(Poll),
+    Poll(Box<Poll>),
     /// Results that callers of the sender's entries received, forwarded to another control.
     Tallies(Tallies),
     /// A control asks another one for the entries that poll it.
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -402,7 +402,7 @@
             sequence: self.sequence,
             tallies: std::mem::take(&mut self.tallies),
         };
-        outputs.push(Output::Send(to, Message::Poll(poll)));
+        outputs.push(Output::Send(to, Message::Poll(Box::new(poll))));
     }
 
     fn mark_failed(&mut self, now: Moment) {
--- a/src/node/feed_core/control_role.rs
+++ b/src/node/feed_core/control_role.rs
@@ -280,7 +280,7 @@
                 let controls = self.peers.live(now);
                 let empty = Catalog::default();
                 let ledger = ledger(now, self.controller.as_ref(), &empty, controls);
-                let sends = self.publisher.poll(now, poll, &ledger);
+                let sends = self.publisher.poll(now, *poll, &ledger);
                 outputs.extend(sends.into_iter().map(|(to, message)| send(to, message)));
             }
         }
--- a/tests/suite/feed/selection.rs
+++ b/tests/suite/feed/selection.rs
@@ -180,7 +180,7 @@
                         controls: Vec::new(),
                         fresh: true,
                     };
-                    let sends = self.publisher.poll(self.now, poll, &snapshot);
+                    let sends = self.publisher.poll(self.now, *poll, &snapshot);
                     let news = sends.into_iter().find_map(|(_, message)| match message {
                         Message::News(update) => Some(update),
                         _ => None,
--- a/tests/suite/feed/slow_link.rs
+++ b/tests/suite/feed/slow_link.rs
@@ -265,7 +265,7 @@
         }
         let at = CONTROLS.iter().position(|id| *id == to).expect("a control");
         self.with_publisher(at, |publisher, now, snapshot| match message {
-            Message::Poll(poll) => publisher.poll(now, poll, snapshot),
+            Message::Poll(poll) => publisher.poll(now, *poll, snapshot),
             Message::Request(request) => {
                 vec![("e1".into(), Message::Part(publisher.part(&request)))]
             }
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -70,7 +70,7 @@
 
 fn sent_poll(outputs: &[Output]) -> Option<(&str, &Poll)> {
     outputs.iter().find_map(|output| match output {
-        Output::Send(to, Message::Poll(poll)) => Some((to.as_str(), poll)),
+        Output::Send(to, Message::Poll(poll)) => Some((to.as_str(), &**poll)),
         _ => None,
     })
 }
