--- a/src/balance/working_set.rs
+++ b/src/balance/working_set.rs
@@ -9,7 +9,7 @@
 //! **How.** An entry sends its requests to a few upstreams that have just served it, the first ones
 //! by rendezvous hash, and replaces those that fail by others, which requests that can be repeated
 //! try first. The fewer are in use, the fewer faults are met. The set grows with the entry's requests
-//! in flight, and holds all upstreams if entries use a tenth of all slots, or if many requests are
+//! in flight, and holds all upstreams if entries use a twentieth of all slots, or if many requests are
 //! refused. Losses are no reason to spread: unknown upstreams lose more.
 
 use std::time::Duration;
@@ -17,9 +17,10 @@
 use crate::clock::Moment;
 use crate::health::Kind;
 
-/// Utilization of all slots from which on all upstreams are used. Above it, the sets of different
-/// entries overlap so often that they no longer know how busy an upstream is.
-const FULL_UTILIZATION: f64 = 0.1;
+/// Utilization of all slots from which on all upstreams are used. Above it, an upstream gets a
+/// request within the two seconds in which operators want most sound ones in use while many
+/// requests are lost.
+const FULL_UTILIZATION: f64 = 0.05;
 /// Utilization of the used upstreams' slots at the peak of an entry.
 const PEAK_UTILIZATION: f64 = 0.7;
 /// Fewest upstreams: while one is down and another full, a third serves.
@@ -67,12 +68,11 @@
     /// slots are this entry's part.
     pub(crate) fn size(&self, now: Moment, count: usize, slots: f64, share: f64) -> usize {
         let utilization = self.peak / share.max(1.0);
-        let room = 1.0 - utilization / FULL_UTILIZATION;
-        if now < self.spread_until || room <= 0.0 {
+        if now < self.spread_until || utilization >= FULL_UTILIZATION {
             return count;
         }
         let slots_each = slots / count.max(1) as f64;
         let needed = self.peak / (slots_each * PEAK_UTILIZATION).max(f64::MIN_POSITIVE);
-        ((needed / room).ceil() as usize).clamp(MIN_SIZE.min(count), count)
+        (needed.ceil() as usize).clamp(MIN_SIZE.min(count), count)
     }
 }
