--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -237,7 +237,7 @@
     /// Whether all upstreams are needed.
     #[must_use]
     pub fn needs_all(&self, now: Moment) -> bool {
-        self.working_size(now) == self.near.len()
+        !self.setup.local || self.working_size(now) == self.near.len()
     }
 
     /// Sound near upstreams, those to use first in front. The first ones have served recently: what a
@@ -264,7 +264,7 @@
     /// An upstream for a request that finds out whether it serves. These are the next ones of a
     /// working set that lacks some, for requests that can be repeated, and those that started.
     fn explore(&mut self, now: Moment, request: &Request<'_>) -> Option<usize> {
-        if !self.setup.local || self.needs_all(now) || request.is_long {
+        if self.needs_all(now) || request.is_long {
             return None;
         }
         let loads = &self.loads;
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -11,10 +11,10 @@
 use super::Rate;
 use super::Report;
 use super::Roster;
-use super::Selection;
 use super::Tallies;
 use super::Update;
 use super::entry;
+use super::position::Position;
 use super::reports::Effect;
 use super::reports::Reports;
 use super::subscription::Subscription;
@@ -25,7 +25,6 @@
 use crate::catalog::Catalog;
 use crate::clock::Moment;
 use crate::config::Version;
-use crate::id::DomainId;
 use crate::id::Index;
 use crate::id::NodeId;
 use crate::registry::Announcement;
@@ -388,14 +387,7 @@
         if subscription.is_loading || !snapshot.catalog.holds_removals_since(subscription.known) {
             return;
         }
-        let position = Position {
-            base: subscription.known,
-            domain: subscription.entry.domain.clone(),
-            follow: None,
-            is_load: false,
-            removals_from: subscription.known,
-            selection: subscription.selection.clone(),
-        };
+        let position = Position::of_push(subscription);
         let has_tallies = subscription.tallies.is_urgent();
         let mut update = self.update(now, id, position, Tallies::default(), snapshot);
         update.configuration = self.offer_to(id);
@@ -411,34 +403,3 @@
         sends.push((id.clone(), Message::News(Box::new(update))));
     }
 }
-
-/// Where the changes in an update start, and which upstreams they are about.
-struct Position {
-    base: Index,
-    domain: DomainId,
-    /// Selection that the entry follows from now on, if it is another one.
-    follow: Option<Selection>,
-    /// Whether it loads all upstreams of the selection anew.
-    is_load: bool,
-    /// Index up to which the entry needs no removals.
-    removals_from: Index,
-    selection: Selection,
-}
-
-impl Position {
-    /// Position of an entry that polls. It loads its upstreams anew if it has none, if it should
-    /// follow more, or if the table no longer knows all removals that it may have missed. To follow
-    /// fewer, as while a table fills, it only drops the others.
-    fn of(poll: &Poll, snapshot: &Snapshot<'_>) -> Self {
-        let domain = poll.entry.domain.clone();
-        let selection = poll.selection.fitted(snapshot.catalog.sizes(), &domain);
-        let removals_from = poll.loading.unwrap_or(poll.known);
-        let is_load = poll.known == 0
-            || !selection.is_within(&poll.selection)
-            || !snapshot.catalog.holds_removals_since(removals_from);
-        let follow = (is_load || selection != poll.selection).then(|| selection.clone());
-        let (base, removals_from) =
-            if is_load { (0, snapshot.applied) } else { (poll.known, removals_from) };
-        Self { base, domain, follow, is_load, removals_from, selection }
-    }
-}
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -17,6 +17,7 @@
 use super::Tallies;
 use super::Update;
 use super::entry;
+use super::table_load::TableLoad;
 use super::transfer::ChangeId;
 use super::transfer::Download;
 use super::transfer::Offer;
@@ -50,25 +51,6 @@
 /// load that it is sized for. Callers keep three fifths of its link.
 const DOWNLOAD_FACTOR: u64 = 2;
 
-/// Load of the upstreams that an entry follows, page by page.
-#[derive(Clone, Debug)]
-struct Load {
-    /// Log index that the control had applied at its start.
-    from: Index,
-    /// Upstreams received.
-    upstreams: BTreeSet<UpstreamId>,
-}
-
-impl Load {
-    fn add(&mut self, update: &Update) {
-        let received = update.upstreams.upstreams.iter();
-        self.upstreams.extend(received.map(|announced| announced.upstream.clone()));
-        for id in &update.upstreams.gone {
-            self.upstreams.remove(id);
-        }
-    }
-}
-
 /// Entry's side of the feed.
 #[derive(Clone, Debug)]
 pub struct Subscriber {
@@ -79,7 +61,7 @@
     /// its callers' requests to those alone.
     early_configuration: Option<Version>,
     /// Load of the upstreams that this entry follows, while it takes place.
-    load: Option<Load>,
+    load: Option<TableLoad>,
     selection: Selection,
     /// Whether all upstreams have been received since the start.
     has_upstreams: bool,
@@ -257,7 +239,7 @@
         self.selection = selection;
         if update.is_load {
             self.known = 0;
-            self.load = Some(Load { from: update.applied, upstreams: BTreeSet::new() });
+            self.load = Some(TableLoad::new(update));
         } else {
             outputs.push(Output::Narrow(self.selection.clone()));
         }
--- a/src/node/feed_core/control_role.rs
+++ b/src/node/feed_core/control_role.rs
@@ -1,12 +1,14 @@
 //! State of a control: the replicated state machine, the feed to entries, and automatic changes
 //! of the log's members.
 
+mod announcements;
+mod reads;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::catalog;
-use crate::catalog::Action;
 use crate::catalog::Catalog;
 use crate::clock::Epoch;
 use crate::clock::Moment;
@@ -16,7 +18,6 @@
 use crate::feed::Publisher;
 use crate::feed::Report;
 use crate::feed::Snapshot;
-use crate::id::Index;
 use crate::id::NodeId;
 use crate::node::Controller;
 use crate::node::View;
@@ -37,6 +38,7 @@
 use super::events;
 use super::listing::Listing;
 use super::peers::Peers;
+use reads::Read;
 
 /// A control marks its news as fresh if its log was in touch with the leader, or with a majority
 /// if it leads, within this span: four heartbeats, so that one lost heartbeat does not matter.
@@ -70,7 +72,7 @@
     /// Digest of the entries in `listing`.
     listed: Option<u64>,
     listing: Listing,
-    reads: Vec<PendingRead>,
+    reads: Vec<Read>,
     /// Why the controller stopped, if it did.
     stopped: Option<String>,
 }
@@ -85,14 +87,6 @@
     Submit,
 }
 
-/// A read that waits until this replica has applied the log up to `index`.
-#[derive(Clone, Copy, Debug)]
-struct PendingRead {
-    index: Index,
-    ticket: u64,
-    deadline: Moment,
-}
-
 impl ControlRole {
     pub(super) fn new(now: Moment, setup: Setup) -> Self {
         let me = Control { domain: setup.domain, id: setup.id };
@@ -347,47 +341,6 @@
         }
     }
 
-    fn forward_announcement(
-        &mut self,
-        now: Moment,
-        ticket: u64,
-        action: Action,
-        outputs: &mut Vec<Output>,
-    ) {
-        let Some(controller) = &self.controller else {
-            outputs.push(Output::Announced(ticket, Err("no disk to write to".to_owned())));
-            return;
-        };
-        if !controller.catalog().would_change(&action) {
-            outputs.push(Output::Announced(ticket, Ok(())));
-            return;
-        }
-        self.announcements.add(ticket, action);
-        self.forward_announcements(now, outputs);
-    }
-
-    /// Forwards the announcements that wait, unless earlier ones are on their way.
-    fn forward_announcements(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        while let Some(mut actions) = self.announcements.next_batch() {
-            if let Some(controller) = &self.controller {
-                actions.retain(|action| controller.catalog().would_change(action));
-            }
-            if actions.is_empty() {
-                self.answer_announcements(&Ok(()), outputs);
-                continue;
-            }
-            let ticket = self.next_ticket();
-            let order = Order::Catalog(actions);
-            self.forward(now, ticket, Pending::Catalog, order, ORDER_TIMEOUT, outputs);
-        }
-    }
-
-    fn answer_announcements(&mut self, result: &Result<(), String>, outputs: &mut Vec<Output>) {
-        for ticket in self.announcements.finish() {
-            outputs.push(Output::Announced(ticket, result.clone()));
-        }
-    }
-
     /// Ticket for an order of this control itself.
     fn next_ticket(&mut self) -> u64 {
         self.last_ticket += 1;
@@ -472,7 +425,7 @@
             // The entry repeats its demand.
             (Some(Pending::Quota(..)), _) => (),
             (Some(Pending::Read), Verdict::Readable(index)) => {
-                self.reads.push(PendingRead { index, ticket, deadline: now + ORDER_TIMEOUT });
+                self.reads.push(Read { index, ticket, deadline: now + ORDER_TIMEOUT });
             }
             (Some(Pending::Read), _) => outputs.push(Output::Configuration(ticket, None)),
             (Some(Pending::Submit) | None, verdict) => {
@@ -481,22 +434,6 @@
         }
     }
 
-    fn answer_reads(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.reads.is_empty() {
-            return;
-        }
-        let applied = self.controller.as_ref().map(Controller::applied);
-        for read in std::mem::take(&mut self.reads) {
-            if applied.is_some_and(|applied| applied >= read.index) {
-                outputs.push(Output::Configuration(read.ticket, Some(self.version().cloned())));
-            } else if read.deadline <= now {
-                outputs.push(Output::Configuration(read.ticket, None));
-            } else {
-                self.reads.push(read);
-            }
-        }
-    }
-
     fn step_controller(
         &mut self,
         now: Moment,
