--- a/src/bench/health.rs
+++ b/src/bench/health.rs
@@ -1,10 +1,10 @@
 //! Detection time and false ejections of [`crate::health`], against consecutive
 //! errors and a fixed latency threshold on the same streams of outcomes.
 
-mod acting;
 pub(crate) mod chooser;
 mod consecutive;
 mod detector;
+mod entry;
 pub(crate) mod judged;
 mod score;
 mod threshold;
@@ -28,8 +28,8 @@
 use crate::model::Outcome;
 use crate::model::Plan;
 use crate::model::World;
-use acting::Acting;
 use detector::Way;
+use entry::Entry;
 use score::Score;
 use watcher::Watcher;
 
@@ -107,7 +107,7 @@
     for seed in 0..seeds {
         let (plan, _) = failing(plan, seed);
         let setup = Config { floor_count: 2, floor_share: 0.6, sensitivity };
-        let agent = |entry| Acting::new(&plan, entry, way, setup.clone(), seed);
+        let agent = |entry| Entry::new(&plan, entry, way, setup.clone(), seed);
         let agents = (0..plan.entries).map(|entry| Box::new(agent(entry)) as Box<dyn Agent>);
         let outcome = World::new(plan.clone(), agents.collect(), seed).run();
         whole.failed += outcome.failed;
--- a/src/bench/health/acting.rs
+++ b/src/bench/health/entry.rs
@@ -21,14 +21,14 @@
 use crate::model::Plan;
 
 /// An entry that sends work where one way of detecting allows it.
-pub(crate) struct Acting {
+pub(crate) struct Entry {
     chooser: Chooser,
     entries: usize,
-    means: Means,
+    detection: Detection,
 }
 
 /// The way of detecting; none for comparison.
-enum Means {
+enum Detection {
     Judge(Box<Monitor>),
     None,
     Simple { detector: Box<dyn Detector>, out: Out },
@@ -47,7 +47,7 @@
     }
 }
 
-impl Acting {
+impl Entry {
     pub(crate) fn new(
         plan: &Plan,
         entry: usize,
@@ -55,18 +55,18 @@
         setup: Config,
         seed: u64,
     ) -> Self {
-        let simple = |detector: Box<dyn Detector>| Means::Simple {
+        let simple = |detector: Box<dyn Detector>| Detection::Simple {
             detector,
             out: Out { now: Moment::ZERO, until: BTreeMap::new() },
         };
-        let means = match way {
-            None => Means::None,
+        let detection = match way {
+            None => Detection::None,
             Some(Way::Consecutive) => simple(Box::new(Consecutive::new(plan.upstreams))),
-            Some(Way::Judge) => Means::Judge(Box::new(judged::judge(plan, entry, setup, seed))),
+            Some(Way::Judge) => Detection::Judge(Box::new(judged::judge(plan, entry, setup, seed))),
             Some(Way::Threshold) => simple(Box::new(Threshold::new(plan.upstreams))),
         };
         let chooser = Chooser::new(judged::picker(plan, entry, seed, |_| {}));
-        Self { chooser, entries: plan.entries, means }
+        Self { chooser, entries: plan.entries, detection }
     }
 
     fn route(&self, outputs: Vec<Output>) -> Vec<(Option<usize>, Digest)> {
@@ -84,17 +84,17 @@
     }
 }
 
-impl Agent for Acting {
+impl Agent for Entry {
     fn finish(&mut self, now: Moment, choice: Choice, answer: &Answer) {
         self.chooser.finish(now, choice, answer);
         let (kind, latency) = (answer.kind, answer.latency);
-        match &mut self.means {
-            Means::Judge(judge) => {
+        match &mut self.detection {
+            Detection::Judge(judge) => {
                 let upstream = judged::upstream_name(choice.upstream);
                 judge.handle(now, Input::Outcome { kind, latency, upstream });
             }
-            Means::None => {}
-            Means::Simple { detector, out } => {
+            Detection::None => {}
+            Detection::Simple { detector, out } => {
                 if detector.ejects(now, choice.upstream, kind, latency) {
                     out.until.insert(choice.upstream, now + OUT);
                 }
@@ -103,7 +103,7 @@
     }
 
     fn hear(&mut self, now: Moment, digest: &Digest) {
-        if let Means::Judge(judge) = &mut self.means {
+        if let Detection::Judge(judge) = &mut self.detection {
             judge.handle(now, Input::Digest(digest.clone()));
         }
     }
@@ -114,8 +114,8 @@
 
     fn tick(&mut self, now: Moment) -> Vec<(Option<usize>, Digest)> {
         let overdue: Vec<(_, Vec<Duration>)> = self.chooser.picker.overdue(now);
-        match &mut self.means {
-            Means::Judge(judge) => {
+        match &mut self.detection {
+            Detection::Judge(judge) => {
                 for (upstream, ages) in overdue {
                     judge.handle(now, Input::Pending { ages, upstream });
                 }
@@ -123,8 +123,8 @@
                 self.chooser.picker.refresh(judge.as_ref());
                 self.route(outputs)
             }
-            Means::None => Vec::new(),
-            Means::Simple { out, .. } => {
+            Detection::None => Vec::new(),
+            Detection::Simple { out, .. } => {
                 out.now = now;
                 self.chooser.picker.refresh(out);
                 Vec::new()
--- a/src/bench/spread.rs
+++ b/src/bench/spread.rs
@@ -46,14 +46,14 @@
 const STEP: Duration = Duration::from_millis(5);
 
 /// One kind of fleet.
-struct Case {
+struct Scenario {
     count: usize,
     fanout: usize,
     loss: f64,
     rewrite: bool,
 }
 
-impl Case {
+impl Scenario {
     fn changes(&self) -> u64 {
         if self.rewrite { REWRITES } else { CHANGES }
     }
@@ -84,45 +84,45 @@
 /// Prints a table of spread times over all processes and changes, and of bytes
 /// sent a second by a process; all random choices follow from `seed`.
 pub fn run(seed: u64) -> String {
-    let cases = [
-        Case { count: 44, fanout: 8, loss: 0.0, rewrite: false },
-        Case { count: 44, fanout: 8, loss: 0.05, rewrite: false },
-        Case { count: 520, fanout: 8, loss: 0.0, rewrite: false },
-        Case { count: 520, fanout: 8, loss: 0.05, rewrite: false },
-        Case { count: 520, fanout: 0, loss: 0.05, rewrite: false },
-        Case { count: 520, fanout: 8, loss: 0.05, rewrite: true },
+    let scenarios = [
+        Scenario { count: 44, fanout: 8, loss: 0.0, rewrite: false },
+        Scenario { count: 44, fanout: 8, loss: 0.05, rewrite: false },
+        Scenario { count: 520, fanout: 8, loss: 0.0, rewrite: false },
+        Scenario { count: 520, fanout: 8, loss: 0.05, rewrite: false },
+        Scenario { count: 520, fanout: 0, loss: 0.05, rewrite: false },
+        Scenario { count: 520, fanout: 8, loss: 0.05, rewrite: true },
     ];
     let mut table = String::from(
         "holders  pushes  loss  rewrite  p50 ms  p99 ms  max ms  missed  B/s mean  B/s max\n",
     );
-    for case in cases {
-        let tally = Fleet::new(seed, &case).measure(&case);
-        let _ = writeln!(table, "{}", row(&case, tally));
+    for scenario in scenarios {
+        let tally = Fleet::new(seed, &scenario).measure(&scenario);
+        let _ = writeln!(table, "{}", row(&scenario, tally));
     }
     table
 }
 
-fn row(case: &Case, mut tally: Tally) -> String {
+fn row(scenario: &Scenario, mut tally: Tally) -> String {
     tally.times.sort();
     let quantile = |part: f64| {
         let last = tally.times.len().saturating_sub(1);
         tally.times.get((last as f64 * part) as usize).map_or(0, Duration::as_millis)
     };
-    let span = (CHANGE_GAP * case.changes() as u32).as_secs_f64();
+    let span = (CHANGE_GAP * scenario.changes() as u32).as_secs_f64();
     let rate = |bytes: usize| bytes as f64 / span;
     let sum = tally.bytes.values().sum::<usize>();
     let most = tally.bytes.values().max().copied().unwrap_or_default();
     format!(
         "{:7}  {:6}  {:4}  {:7}  {:6}  {:6}  {:6}  {:6}  {:8.1}  {:7.1}",
-        case.count,
-        case.fanout,
-        case.loss,
-        case.rewrite,
+        scenario.count,
+        scenario.fanout,
+        scenario.loss,
+        scenario.rewrite,
         quantile(0.5),
         quantile(0.99),
         quantile(1.0),
         tally.late,
-        rate(sum / case.count),
+        rate(sum / scenario.count),
         rate(most),
     )
 }
@@ -136,10 +136,10 @@
 }
 
 impl Fleet {
-    fn new(seed: u64, case: &Case) -> Self {
+    fn new(seed: u64, scenario: &Scenario) -> Self {
         let delay_min = Duration::from_millis(1);
         let delay_max = Duration::from_millis(30);
-        let conditions = Conditions { loss: case.loss, duplication: 0.0, delay_min, delay_max };
+        let conditions = Conditions { loss: scenario.loss, duplication: 0.0, delay_min, delay_max };
         let mut fleet = Self {
             replicators: BTreeMap::new(),
             net: Net::new(seed, conditions),
@@ -147,9 +147,9 @@
             tally: Tally::default(),
         };
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let links = links(case.count, &mut random);
+        let links = links(scenario.count, &mut random);
         for (index, links) in links.iter().enumerate() {
-            let settings = Settings { fanout: case.fanout, ..Settings::default() };
+            let settings = Settings { fanout: scenario.fanout, ..Settings::default() };
             let random = ChaCha8Rng::seed_from_u64(random.random());
             let replicator = Replicator::new(fleet.now, id(index), settings, None, random);
             fleet.replicators.insert(id(index), replicator);
@@ -163,15 +163,15 @@
         fleet
     }
 
-    fn measure(mut self, case: &Case) -> Tally {
-        let mut lines = (0..case.lines())
+    fn measure(mut self, scenario: &Scenario) -> Tally {
+        let mut lines = (0..scenario.lines())
             .map(|line| format!("route {line}: service-{}\n", line % 110))
             .collect::<Vec<_>>();
         self.commit(1, &lines);
         self.run(WARM_UP, None);
         self.tally = Tally::default();
-        for number in 2..2 + case.changes() {
-            case.edit(number, &mut lines);
+        for number in 2..2 + scenario.changes() {
+            scenario.edit(number, &mut lines);
             let start = self.now;
             self.commit(number, &lines);
             self.run(CHANGE_GAP, Some((number, start)));
