--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -234,9 +234,17 @@
         self.working_set.size(now, self.near.len(), self.near_slots, self.near_share)
     }
 
-    /// Whether all upstreams are needed.
+    /// Whether sound near upstreams are to spare. If fewer than half are left, those that are out must
+    /// be tried again, also by requests that may be lost.
     #[must_use]
-    pub fn needs_all(&self, now: Moment) -> bool {
+    pub fn has_spare(&self, now: Moment) -> bool {
+        let all = self.loads.iter().filter(|load| load.is_near()).count();
+        let sound = self.near.iter().filter(|at| self.loads[**at].is_sound()).count();
+        !self.needs_all(now) && 2 * sound >= all
+    }
+
+    /// Whether all upstreams are needed.
+    fn needs_all(&self, now: Moment) -> bool {
         !self.setup.local || self.working_size(now) == self.near.len()
     }
 
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -99,8 +99,8 @@
         let mut selector = self.selector(now, view);
         let is_unsent = |trial: &&Trial| !selector.sent_trials.contains(&trial.number);
         // With upstreams to spare, a request that may be lost is not needed to find one more.
-        let needs_all = selector.picker.needs_all(now);
-        let accepts = |trial: &&Trial| is_repeatable || (trial.allows_any && needs_all);
+        let has_spare = selector.picker.has_spare(now);
+        let accepts = |trial: &&Trial| is_repeatable || (trial.allows_any && !has_spare);
         let trial = view.trials.iter().filter(accepts).find(is_unsent)?;
         let pick = selector.picker.pick_only(now, &trial.upstream, false)?;
         selector.sent_trials.insert(trial.number);
--- a/tests/suite/balance/working_set.rs
+++ b/tests/suite/balance/working_set.rs
@@ -197,3 +197,17 @@
     let near = world.used.iter().filter(|id| id[1..].parse::<usize>().is_ok_and(|at| at % 4 == 0));
     assert!(near.count() >= 38, "{}", world.used.len());
 }
+
+// A service gets no request that can be repeated, and its faulty upstreams come back only by trials
+// of others. If none were made while upstreams are to spare, all would be out in the end.
+#[test]
+fn has_spare_half_out() {
+    let mut world = World::new(1, UPSTREAMS, COVERAGE);
+    world.run(Duration::from_secs(1), |_, _| false);
+    assert!(world.picker.has_spare(world.now));
+    let near = ready(UPSTREAMS).into_iter().filter(|member| member.domain == DOMAINS[0]);
+    let out = near.take(UPSTREAMS / 4 / 2 + 1).map(|member| (member.upstream, Duration::MAX));
+    world.verdicts.0.extend(out);
+    world.picker.refresh(&world.verdicts);
+    assert!(!world.picker.has_spare(world.now));
+}
