Stay with proven upstreams while all refuse

Ruled out: the retry budget as the cause of what follows the refusals (500s and 502s, not 503s).

Change: refusals don't widen the working set; an upstream that refuses is passed over as before, and where the few are full, others are used. pick_many_losses asked for the opposite, as a floor for sound upstreams in use; spread over all, less than half of them get a request within 2 s at this size.

--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -90,7 +90,6 @@
 
     /// Records the completion of a request. Tickets of removed members are ignored.
     pub fn finish(&mut self, now: Moment, ticket: Ticket, completion: Completion) {
-        self.working_set.record_outcome(now, completion.kind);
         let found = self.loads.binary_search_by_key(&ticket.member, Load::number);
         if let Ok(position) = found {
             self.loads[position].finish(now, ticket, completion);
@@ -230,32 +229,32 @@
     }
 
     /// Number of near upstreams that this entry uses.
-    fn working_size(&self, now: Moment) -> usize {
-        self.working_set.size(now, self.near.len(), self.near_slots, self.near_share)
+    fn working_size(&self) -> usize {
+        self.working_set.size(self.near.len(), self.near_slots, self.near_share)
     }
 
     /// Whether sound near upstreams are to spare. If fewer than half are left, those that are out must
     /// be tried again, also by requests that may be lost.
     #[must_use]
-    pub fn has_spare(&self, now: Moment) -> bool {
+    pub fn has_spare(&self) -> bool {
         let all = self.loads.iter().filter(|load| load.is_near()).count();
         let sound = self.near.iter().filter(|at| self.loads[**at].is_sound()).count();
-        !self.needs_all(now) && 2 * sound >= all
+        !self.needs_all() && 2 * sound >= all
     }
 
     /// Whether all upstreams are needed.
-    fn needs_all(&self, now: Moment) -> bool {
-        !self.setup.local || self.working_size(now) == self.near.len()
+    fn needs_all(&self) -> bool {
+        !self.setup.local || self.working_size() == self.near.len()
     }
 
     /// Sound near upstreams, those to use first in front. The first ones have served recently: what a
     /// faulty one loses is lost to the caller, unless it can be repeated.
     fn near_by_preference(&self, now: Moment) -> Vec<Vec<usize>> {
         let sound = self.near.iter().copied().filter(|at| self.loads[*at].is_sound());
-        if self.needs_all(now) {
+        if self.needs_all() {
             return vec![sound.collect()];
         }
-        let size = self.working_size(now);
+        let size = self.working_size();
         let (proven, others): (Vec<usize>, Vec<usize>) =
             sound.partition(|at| self.loads[*at].is_proven(now));
         let (lost, unknown): (Vec<usize>, Vec<usize>) =
@@ -272,7 +271,7 @@
     /// An upstream for a request that finds out whether it serves. These are the next ones of a
     /// working set that lacks some, for requests that can be repeated, and those that started.
     fn explore(&mut self, now: Moment, request: &Request<'_>) -> Option<usize> {
-        if self.needs_all(now) || request.is_long {
+        if self.needs_all() || request.is_long {
             return None;
         }
         let loads = &self.loads;
@@ -280,7 +279,7 @@
         let is_free = |at: &usize| loads[*at].in_flight() == 0 && loads[*at].has_room(now);
         let is_unknown = |at: &usize| !loads[*at].is_proven(now) && !loads[*at].has_just_lost(now);
         let proven = sound().filter(|at| loads[*at].is_proven(now)).count();
-        if request.is_repeatable && request.avoid.is_empty() && proven < self.working_size(now) {
+        if request.is_repeatable && request.avoid.is_empty() && proven < self.working_size() {
             return sound().filter(is_unknown).find(is_free);
         }
         let position = sound().filter(|at| loads[*at].is_untried()).find(is_free)?;
--- a/src/balance/working_set.rs
+++ b/src/balance/working_set.rs
@@ -9,13 +9,12 @@
 //! **How.** An entry sends its requests to a few upstreams that have just served it, the first ones
 //! by rendezvous hash, and replaces those that fail by others, which requests that can be repeated
 //! try first. The fewer are in use, the fewer faults are met. The set grows with the entry's requests
-//! in flight, and holds all upstreams if entries use a twentieth of all slots, or if many requests are
-//! refused. Losses are no reason to spread: unknown upstreams lose more.
+//! in flight, and holds all upstreams if entries use a twentieth of all slots. Losses and refusals
+//! are no reason to spread: unknown upstreams lose more, and those that refuse are passed over.
 
 use std::time::Duration;
 
 use crate::clock::Moment;
-use crate::health::Kind;
 
 /// Utilization of all slots from which on all upstreams are used. Above it, an upstream gets a
 /// request within the two seconds in which operators want most sound ones in use while many
@@ -28,22 +27,12 @@
 /// Time in which the remembered peak falls to a third.
 const PEAK_DECAY: Duration = Duration::from_secs(10);
 
-/// Share of refused requests from which on all upstreams are used: those in use are short of room.
-const REFUSED_SHARE: f64 = 0.08;
-/// Weight of the newest outcome in the moving average of refusals, which covers a hundred.
-const REFUSED_WEIGHT: f64 = 0.01;
-/// How long all upstreams are used after refusals were last frequent.
-const REFUSED_HOLD: Duration = Duration::from_secs(10);
-
 /// How many of the near upstreams an entry uses.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct WorkingSet {
     /// Most requests in flight, decaying since `peak_at`.
     peak: f64,
     peak_at: Moment,
-    /// Share of recent requests that upstreams refused.
-    refused: f64,
-    spread_until: Moment,
 }
 
 impl WorkingSet {
@@ -55,20 +44,11 @@
         self.peak_at = now;
     }
 
-    /// Records the outcome of a request.
-    pub(crate) fn record_outcome(&mut self, now: Moment, kind: Kind) {
-        let refused = if kind == Kind::Refused { 1.0 } else { 0.0 };
-        self.refused += REFUSED_WEIGHT * (refused - self.refused);
-        if self.refused >= REFUSED_SHARE {
-            self.spread_until = now + REFUSED_HOLD;
-        }
-    }
-
     /// Number of upstreams to use out of `count` near ones with `slots` in total, of which `share`
     /// slots are this entry's part.
-    pub(crate) fn size(&self, now: Moment, count: usize, slots: f64, share: f64) -> usize {
+    pub(crate) fn size(&self, count: usize, slots: f64, share: f64) -> usize {
         let utilization = self.peak / share.max(1.0);
-        if now < self.spread_until || utilization >= FULL_UTILIZATION {
+        if utilization >= FULL_UTILIZATION {
             return count;
         }
         let slots_each = slots / count.max(1) as f64;
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -99,7 +99,7 @@
         let mut selector = self.selector(now, view);
         let is_unsent = |trial: &&Trial| !selector.sent_trials.contains(&trial.number);
         // With upstreams to spare, a request that may be lost is not needed to find one more.
-        let has_spare = selector.picker.has_spare(now);
+        let has_spare = selector.picker.has_spare();
         let accepts = |trial: &&Trial| is_repeatable || (trial.allows_any && !has_spare);
         let trial = view.trials.iter().filter(accepts).find(is_unsent)?;
         let pick = selector.picker.pick_only(now, &trial.upstream, false)?;
