Choose near upstreams by predicates again, without lists at each pick

Found when the change was read again: each pick copied lists of positions, also where all upstreams are used; two conditions on what an upstream's last requests showed are one enum now; a doc comment stood at another field; a poll was written out twice in a test.

Behaviour is the same but for a last resort: of near upstreams that have all just lost a request, the first by rank are taken first.

--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -27,11 +27,11 @@
     member: Member,
     number: u64,
     rank: u64,
-    /// Share of recent answers that were refusals, and when the last refusal was.
     /// When it last lost a request of this entry.
     lost_at: Option<Moment>,
     /// When it last served a request of this entry; `None` if it has lost one since.
     proven_at: Option<Moment>,
+    /// Share of recent answers that were refusals, and when the last refusal was.
     refusals: (f64, Moment),
     report: Option<(Moment, Report)>,
     /// Limits the requests of this entry if the upstream named a limit for all entries.
@@ -39,6 +39,17 @@
     waiting: Vec<(u64, Moment)>,
 }
 
+/// What the last requests of this entry to an upstream showed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Record {
+    /// It served one recently and has lost none since.
+    Proven,
+    /// Nothing recent is known.
+    Unknown,
+    /// It lost one a moment ago. The breaker's verdict comes with the next view.
+    Lost,
+}
+
 impl Load {
     /// Weight of the newest answer in the moving averages, which cover about the last twenty.
     const EWMA_WEIGHT: f64 = 0.05;
@@ -172,15 +183,15 @@
         !self.is_suspect
     }
 
-    /// Whether it lost a request of this entry a moment ago. The breaker's verdict comes with the next
-    /// view.
-    pub(crate) fn has_just_lost(&self, now: Moment) -> bool {
-        self.lost_at.is_some_and(|at| now < at + Self::LOST_AGE)
-    }
-
-    /// Whether it served a request of this entry recently and has lost none since.
-    pub(crate) fn is_proven(&self, now: Moment) -> bool {
-        self.proven_at.is_some_and(|at| now < at + Self::PROVEN_AGE)
+    /// What this entry's last requests showed.
+    pub(crate) fn record(&self, now: Moment) -> Record {
+        if self.proven_at.is_some_and(|at| now < at + Self::PROVEN_AGE) {
+            Record::Proven
+        } else if self.lost_at.is_some_and(|at| now < at + Self::LOST_AGE) {
+            Record::Lost
+        } else {
+            Record::Unknown
+        }
     }
 
     /// Whether it started recently and this entry has sent it no request yet.
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -13,6 +13,7 @@
 use crate::balance::Setup;
 use crate::balance::Ticket;
 use crate::balance::load::Load;
+use crate::balance::load::Record;
 use crate::balance::subset;
 use crate::balance::subset::Subset;
 use crate::balance::working_set::WorkingSet;
@@ -247,27 +248,6 @@
         !self.setup.local || self.working_size() == self.near.len()
     }
 
-    /// Sound near upstreams, those to use first in front. The first ones have served recently: what a
-    /// faulty one loses is lost to the caller, unless it can be repeated.
-    fn near_by_preference(&self, now: Moment) -> Vec<Vec<usize>> {
-        let sound = self.near.iter().copied().filter(|at| self.loads[*at].is_sound());
-        if self.needs_all() {
-            return vec![sound.collect()];
-        }
-        let size = self.working_size();
-        let (proven, others): (Vec<usize>, Vec<usize>) =
-            sound.partition(|at| self.loads[*at].is_proven(now));
-        let (lost, unknown): (Vec<usize>, Vec<usize>) =
-            others.into_iter().partition(|at| self.loads[*at].has_just_lost(now));
-        let mut preferences = Vec::new();
-        for mut positions in [proven, unknown] {
-            let rest = positions.split_off(size.min(positions.len()));
-            preferences.extend([positions, rest]);
-        }
-        preferences.push(lost);
-        preferences
-    }
-
     /// An upstream for a request that finds out whether it serves. These are the next ones of a
     /// working set that lacks some, for requests that can be repeated, and those that started.
     fn explore(&mut self, now: Moment, request: &Request<'_>) -> Option<usize> {
@@ -277,8 +257,8 @@
         let loads = &self.loads;
         let sound = || self.near.iter().copied().filter(|at| loads[*at].is_sound());
         let is_free = |at: &usize| loads[*at].in_flight() == 0 && loads[*at].has_room(now);
-        let is_unknown = |at: &usize| !loads[*at].is_proven(now) && !loads[*at].has_just_lost(now);
-        let proven = sound().filter(|at| loads[*at].is_proven(now)).count();
+        let is_unknown = |at: &usize| loads[*at].record(now) == Record::Unknown;
+        let proven = sound().filter(|at| loads[*at].record(now) == Record::Proven).count();
         if request.is_repeatable && request.avoid.is_empty() && proven < self.working_size() {
             return sound().filter(is_unknown).find(is_free);
         }
@@ -305,23 +285,44 @@
     /// Collects the candidates and returns their total capacity.
     fn gather_candidates(&mut self, now: Moment, request: &Request<'_>) -> f64 {
         if self.setup.local && !self.is_near_full() {
-            for positions in self.near_by_preference(now) {
-                let total = self.gather(now, request, &positions);
-                if total > 0.0 {
-                    return total;
-                }
+            let total = self.gather_near(now, request);
+            if total > 0.0 {
+                return total;
             }
         }
         // A suspect upstream breaks most requests, and non-idempotent ones are lost there.
-        let (loads, positions) = (&self.loads, &self.subset.positions);
-        let sound: Vec<usize> =
-            positions.iter().copied().filter(|at| loads[*at].is_sound()).collect();
-        let total = self.gather(now, request, &sound);
+        let total = self.gather_where(now, request, Load::is_sound);
         if total > 0.0 {
             return total;
         }
-        let all = self.subset.positions.clone();
-        self.gather(now, request, &all)
+        self.gather_where(now, request, |_| true)
+    }
+
+    /// Collects sound near upstreams. If not all are needed, those that have served recently come
+    /// first: what a faulty one loses is lost to the caller, unless it can be repeated.
+    fn gather_near(&mut self, now: Moment, request: &Request<'_>) -> f64 {
+        let is_near = |load: &Load| load.is_near() && load.is_sound();
+        if self.needs_all() {
+            return self.gather_where(now, request, is_near);
+        }
+        for record in [Record::Proven, Record::Unknown, Record::Lost] {
+            let is_wanted = |load: &Load| is_near(load) && load.record(now) == record;
+            for rank_max in [self.rank_max(is_wanted), u64::MAX] {
+                let is_first = |load: &Load| is_wanted(load) && load.rank() <= rank_max;
+                let total = self.gather_where(now, request, is_first);
+                if total > 0.0 {
+                    return total;
+                }
+            }
+        }
+        0.0
+    }
+
+    /// Rank of the last upstream of a working set of those that `accepts` accepts.
+    fn rank_max(&self, accepts: impl Fn(&Load) -> bool) -> u64 {
+        let near = self.near.iter().map(|at| &self.loads[*at]);
+        let accepted = near.filter(|load| accepts(load));
+        accepted.take(self.working_size()).last().map_or(u64::MAX, Load::rank)
     }
 
     /// Whether this entry uses more than its share of the near upstreams' slots.
@@ -348,14 +349,18 @@
         sound / sharing.max(1.0)
     }
 
-    /// Collects those of `positions` with room and returns their total capacity.
-    fn gather(&mut self, now: Moment, request: &Request<'_>, positions: &[usize]) -> f64 {
+    fn gather_where(
+        &mut self,
+        now: Moment,
+        request: &Request<'_>,
+        accepts: impl Fn(&Load) -> bool,
+    ) -> f64 {
         self.candidates.clear();
         let mut total = 0.0;
-        for position in positions {
+        for position in &self.subset.positions {
             let load = &self.loads[*position];
             let avoided = request.avoid.contains(&load.member().upstream);
-            if load.has_room(now) && !avoided {
+            if accepts(load) && load.has_room(now) && !avoided {
                 let capacity = load.capacity(now, self.default_latency);
                 total += capacity;
                 self.candidates.push((*position, capacity));
--- a/src/feed/roster.rs
+++ b/src/feed/roster.rs
@@ -29,8 +29,7 @@
 
 /// Entries that accept callers, and those of them that callers are told of.
 ///
-/// It is kept between polls: with a thousand entries, choosing anew at each poll took most of a
-/// control's processor.
+/// It is kept between polls, as choosing passes over all entries of the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     pub(super) advertised: Vec<Entry>,
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -38,14 +38,9 @@
     Snapshot { applied: 0, catalog, controls: Vec::new(), fresh: true }
 }
 
-fn poll(publisher: &mut Publisher, now: Duration, entry: Entry) -> usize {
-    poll_update(publisher, now, entry).entries
-}
-
-fn poll_update(publisher: &mut Publisher, now: Duration, entry: Entry) -> Update {
-    let catalog = Catalog::default();
-    let snapshot = snapshot(&catalog);
-    let poll = Poll {
+/// Poll of an entry that knows nothing yet.
+fn first_poll(entry: Entry, tallies: Tallies) -> Poll {
+    Poll {
         configuration: None,
         entry,
         is_downloading: false,
@@ -54,8 +49,18 @@
         named: 0,
         selection: Selection::default(),
         sequence: 1,
-        tallies: Tallies::default(),
-    };
+        tallies,
+    }
+}
+
+fn poll(publisher: &mut Publisher, now: Duration, entry: Entry) -> usize {
+    poll_update(publisher, now, entry).entries
+}
+
+fn poll_update(publisher: &mut Publisher, now: Duration, entry: Entry) -> Update {
+    let catalog = Catalog::default();
+    let snapshot = snapshot(&catalog);
+    let poll = first_poll(entry, Tallies::default());
     let sends = publisher.poll(now, poll, &snapshot);
     let Some((_, Message::News(update))) = sends.into_iter().next() else { panic!("no answer") };
     *update
@@ -230,18 +235,7 @@
     let catalog = Catalog::default();
     let snapshot = snapshot(&catalog);
     let tallies = Tallies { arrivals: 3, ..Tallies::default() };
-    let poll = Poll {
-        configuration: None,
-        entry: old.clone(),
-        is_downloading: false,
-        known: 0,
-        loading: None,
-        named: 0,
-        selection: Selection::default(),
-        sequence: 1,
-        tallies,
-    };
-    publisher.poll(secs(1), poll, &snapshot);
+    publisher.poll(secs(1), first_poll(old.clone(), tallies), &snapshot);
     assert!(pushed_to(&mut publisher, secs(1)).contains(&old.id.to_string()));
     poll_all(&mut publisher, secs(5));
     assert!(!pushed_to(&mut publisher, secs(5)).contains(&old.id.to_string()));
