Tell connections, suspected faults of the own network and changes of the advertised entries

No log or metric told whether an entry that is cut off concludes that its own network is at fault, what it withholds then, how many connections it fails to open, and whom controls advertise. No logic changes.

--- a/src/node/feed_core/breakers.rs
+++ b/src/node/feed_core/breakers.rs
@@ -69,6 +69,11 @@
         self.groups.get(service)
     }
 
+    /// Whether this entry's own network is the likely cause of its broken answers.
+    pub(super) fn is_local_fault(&mut self, now: Moment) -> bool {
+        self.local_fault.is_likely(now)
+    }
+
     /// When the next [`Self::tick`] is due.
     pub(super) fn next_at(&self) -> Option<Moment> {
         let next = self.groups.values().filter_map(Group::wake).min();
--- a/src/node/feed_core/control_role.rs
+++ b/src/node/feed_core/control_role.rs
@@ -59,6 +59,8 @@
 /// State of a control.
 #[derive(Debug)]
 pub(super) struct ControlRole {
+    /// Entries that the last event about them named.
+    advertised: Vec<NodeId>,
     announcements: catalog::Batcher,
     /// Orders that the forwarder has not answered, by ticket.
     pending: BTreeMap<u64, Pending>,
@@ -91,6 +93,7 @@
     pub(super) fn new(now: Moment, setup: Setup) -> Self {
         let me = Control { domain: setup.domain, id: setup.id };
         let mut role = Self {
+            advertised: Vec::new(),
             announcements: catalog::Batcher::default(),
             pending: BTreeMap::new(),
             forwarder: Forwarder::default(),
@@ -287,6 +290,19 @@
         self.publish(now, outputs);
         self.greet(now, outputs);
         self.change_members(now, wall, outputs);
+        self.note_advertised(now, outputs);
+    }
+
+    fn note_advertised(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        let roster = self.publisher.roster(now);
+        let is_same = roster.advertised().iter().map(|entry| &entry.id).eq(&self.advertised);
+        if is_same {
+            return;
+        }
+        let after: Vec<NodeId> = roster.advertised().iter().map(|entry| entry.id.clone()).collect();
+        let event = events::advertised(&self.peers.me().id, &self.advertised, &after);
+        outputs.push(Output::Event(event));
+        self.advertised = after;
     }
 
     fn publish(&mut self, now: Moment, outputs: &mut Vec<Output>) {
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -60,6 +60,8 @@
 pub(super) struct EntryRole {
     breakers: Breakers,
     compiler: Box<dyn Compiler>,
+    /// Whether this entry's own network is the likely cause of its broken answers.
+    has_local_fault: bool,
     /// Whether a change since the last view is to be published without waiting.
     is_dirty: bool,
     /// Failure domain of this entry.
@@ -80,6 +82,8 @@
     upstreams: BTreeMap<UpstreamId, Known>,
     version: Option<Version>,
     viewed_at: Moment,
+    /// Reports withheld since this entry's own network became the likely cause.
+    withheld: u64,
 }
 
 /// An announced upstream.
@@ -111,6 +115,7 @@
             compiler: setup.boundary.compiler(),
             is_dirty: true,
             domain: setup.domain.clone(),
+            has_local_fault: false,
             entries: 1,
             id: setup.id.clone(),
             is_leaving: false,
@@ -124,6 +129,7 @@
             upstreams: BTreeMap::new(),
             version: None,
             viewed_at: now,
+            withheld: 0,
         }
     }
 
@@ -236,6 +242,7 @@
     fn tick(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         self.step_subscriber(now, feed::Input::Tick, outputs);
         self.is_dirty |= self.breakers.tick(now);
+        self.note_local_fault(now, outputs);
         let is_alone = self.subscriber.fresh_at().is_none_or(|at| now >= at + ALONE_TIMEOUT);
         let standing = match self.rules {
             None => Standing::Starting,
@@ -250,6 +257,16 @@
         }
     }
 
+    fn note_local_fault(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        let is_likely = self.breakers.is_local_fault(now);
+        if is_likely == self.has_local_fault {
+            return;
+        }
+        self.has_local_fault = is_likely;
+        let withheld = std::mem::take(&mut self.withheld);
+        outputs.push(Output::Event(events::local_fault(&self.id, is_likely, withheld)));
+    }
+
     fn step_subscriber(&mut self, now: Moment, input: feed::Input, outputs: &mut Vec<Output>) {
         for output in self.subscriber.handle(now, input) {
             match output {
@@ -386,6 +403,8 @@
             let alarming = if effect.is_alarming { counts.failed } else { 0 };
             let counts = Counts { alarming, cleared: effect.cleared, ..*counts };
             self.subscriber.record(now, upstream, &counts);
+        } else {
+            self.withheld += 1;
         }
         if effect.has_changed {
             self.is_dirty = true;
--- a/src/node/feed_core/events.rs
+++ b/src/node/feed_core/events.rs
@@ -16,6 +16,9 @@
 
 use super::breakers::Effect;
 
+/// Most entries that one event names.
+const MAX_NAMES: usize = 16;
+
 /// Creates an event of `vm`.
 pub(super) fn event(vm: &NodeId, kind: Kind) -> Event {
     Event::new(Stamp::default(), vm.clone(), kind)
@@ -27,6 +30,25 @@
     event.detail("by", "unanswered").detail("waited_ms", waited.as_millis().to_string())
 }
 
+/// Event for the start or the end of a likely fault of the entry's own network, with the reports
+/// withheld because of it.
+pub(super) fn local_fault(vm: &NodeId, is_likely: bool, withheld: u64) -> Event {
+    let event = event(vm, Kind::Other("local-fault".into()));
+    let by = if is_likely { "suspected" } else { "over" };
+    event.detail("by", by).detail("withheld", withheld.to_string())
+}
+
+/// Event for a change of the entries that a control advertises to callers.
+pub(super) fn advertised(vm: &NodeId, before: &[NodeId], after: &[NodeId]) -> Event {
+    let names = |from: &[NodeId], to: &[NodeId]| {
+        let changed = from.iter().filter(|id| !to.contains(id)).take(MAX_NAMES);
+        changed.map(NodeId::as_str).collect::<Vec<_>>().join(",")
+    };
+    let event = event(vm, Kind::Other("advertised".into())).detail("by", "changed");
+    let event = event.detail("entries", after.len().to_string());
+    event.detail("added", names(after, before)).detail("removed", names(before, after))
+}
+
 /// Event for a limit that an upstream named or lifted.
 pub(super) fn limit(vm: &NodeId, upstream: &UpstreamId, limit: Option<balance::Limit>) -> Event {
     let event = event(vm, Kind::Other("upstream-limit".into())).upstream(upstream.clone());
--- a/src/node/traffic/round_trip.rs
+++ b/src/node/traffic/round_trip.rs
@@ -66,5 +66,7 @@
     if let Some(connection) = proxy.pool.take(address, max_idle).await {
         return Ok(connection);
     }
-    Connection::connect(address, proxy.settings.limits.connect.min(left)).await
+    let opened = Connection::connect(address, proxy.settings.limits.connect.min(left)).await;
+    proxy.metrics.count(if opened.is_ok() { "connect.opened" } else { "connect.failed" });
+    opened
 }
