Show by a test that entries cut off from the upstreams stay listed and refuse

What callers see: 0 of 30 requests served at an entry that has lost its way to the upstreams, for as long as that lasts, while lists still name it. The test starts a control and four entries in one process and cuts entries off: connections hang, are reset, or open ones live on; one way, one service, a whole failure domain, most entries. Connections to upstreams go through exchange::Connector so that a test can cut them; no logic changes.

--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use async_std::future::timeout;
-use async_std::net::TcpStream;
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::pin_mut;
@@ -19,8 +18,10 @@
 use super::Body;
 use super::BodyError;
 use super::BodyReader;
+use super::Connector;
 use super::Failure;
 use super::Framing;
+use super::Network;
 use super::Request;
 use super::Response;
 use super::Socket;
@@ -61,13 +62,26 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection over the network of this VM.
     ///
     /// # Errors
     ///
     /// If the connection is refused or not open within `limit`; nothing was sent then.
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self, Failure> {
-        let stream = match timeout(limit, TcpStream::connect(address)).await {
+        Self::open(&Network, address, limit).await
+    }
+
+    /// Opens a connection with `connector`.
+    ///
+    /// # Errors
+    ///
+    /// If the connection is refused or not open within `limit`; nothing was sent then.
+    pub async fn open(
+        connector: &dyn Connector,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Self, Failure> {
+        let stream = match timeout(limit, connector.connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(Failure::Connect(error.to_string())),
             Err(_) => return Err(Failure::Connect(format!("no answer in {limit:?}"))),
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -11,6 +11,8 @@
 use async_std::net::TcpListener;
 
 use crate::config::Version;
+use crate::exchange::Connector;
+use crate::exchange::Network;
 use crate::id::ConfigNumber;
 use crate::replay;
 use crate::runtime;
@@ -64,6 +66,18 @@
     /// # Errors
     /// Fails if an address, a key or the data folder can't be used.
     pub async fn start(settings: Settings, is_founding: bool) -> Result<Self, Error> {
+        Self::start_with(settings, is_founding, Arc::new(Network)).await
+    }
+
+    /// Starts a process that opens its connections to upstreams with `connector`.
+    ///
+    /// # Errors
+    /// Fails if an address, a key or the data folder can't be used.
+    pub async fn start_with(
+        settings: Settings,
+        is_founding: bool,
+        connector: Arc<dyn Connector>,
+    ) -> Result<Self, Error> {
         let started = Instant::now();
         let (control, inputs) = InputSender::new();
         let (stop, done) = unbounded::<()>();
@@ -80,15 +94,16 @@
         let metrics_listener =
             bind(settings.metrics.as_ref().and_then(|metrics| metrics.listen)).await?;
         let boundary = builder::select_boundary(&settings);
-        let proxy = Arc::new(Proxy::new(
-            settings.clone(),
-            started,
-            Arc::clone(&boundary),
-            control.clone(),
+        let proxy = Arc::new(Proxy::new(traffic::Setup {
+            boundary: Arc::clone(&boundary),
+            connector,
+            control: control.clone(),
             done,
             metrics,
-            recorder.clone(),
-        ));
+            recorder: recorder.clone(),
+            settings: settings.clone(),
+            started,
+        }));
         let journal = Arc::new(open_journal(&settings)?);
         let event = |event: crate::timeline::Event| event.detail("started", "now");
         journal.record(wall_clock(), Kind::ProcessStarted, event);
--- a/src/node/traffic.rs
+++ b/src/node/traffic.rs
@@ -20,6 +20,7 @@
 pub(super) use listener::listen;
 pub(super) use proxy::Observation;
 pub(super) use proxy::Proxy;
+pub(super) use proxy::Setup;
 pub(super) use proxy::Trial;
 pub(super) use queue::poll_queues;
 pub(super) use rate_limiter::renew_quota;
--- a/src/node/traffic/proxy.rs
+++ b/src/node/traffic/proxy.rs
@@ -25,6 +25,7 @@
 use crate::clock::Moment;
 use crate::directory::Answer;
 use crate::directory::Directory;
+use crate::exchange::Connector;
 use crate::exchange::Pool;
 use crate::health;
 use crate::id::RequestId;
@@ -64,12 +65,28 @@
     pub(in crate::node) is_repeatable: bool,
 }
 
+/// What a [`Proxy`] is made of.
+pub(in crate::node) struct Setup {
+    pub(in crate::node) boundary: Arc<dyn Boundary>,
+    /// Opens connections to upstreams.
+    pub(in crate::node) connector: Arc<dyn Connector>,
+    pub(in crate::node) control: InputSender,
+    /// Closed when the process stops serving.
+    pub(in crate::node) done: Receiver<()>,
+    pub(in crate::node) metrics: Metrics,
+    pub(in crate::node) recorder: Recorder,
+    pub(in crate::node) settings: Settings,
+    pub(in crate::node) started: Instant,
+}
+
 /// State of the proxy in one process, shared by its traffic threads.
 pub(in crate::node) struct Proxy {
     pub(super) rate_limiter: Arc<RateLimiter>,
     arrivals: AtomicU32,
     bytes: AtomicU64,
     pub(in crate::node) connections: AtomicUsize,
+    /// Opens connections to upstreams.
+    pub(super) connector: Arc<dyn Connector>,
     closed: (Sender<()>, Receiver<()>),
     pub(in crate::node) boundary: Arc<dyn Boundary>,
     control: InputSender,
@@ -98,15 +115,9 @@
 }
 
 impl Proxy {
-    pub(in crate::node) fn new(
-        settings: Settings,
-        started: Instant,
-        boundary: Arc<dyn Boundary>,
-        control: InputSender,
-        done: Receiver<()>,
-        metrics: Metrics,
-        recorder: Recorder,
-    ) -> Self {
+    pub(in crate::node) fn new(setup: Setup) -> Self {
+        let Setup { settings, started, boundary, connector, control, done, metrics, recorder } =
+            setup;
         let directory = Directory::new(settings.node.region.clone(), settings.directory.lifetime);
         let rate_limiter = RateLimiter::new(settings.node.id.clone(), settings.quota);
         Self {
@@ -115,6 +126,7 @@
             closed: bounded(1),
             closing: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
+            connector,
             control,
             directory: Mutex::new(directory),
             done,
--- a/src/node/traffic/round_trip.rs
+++ b/src/node/traffic/round_trip.rs
@@ -66,7 +66,8 @@
     if let Some(connection) = proxy.pool.take(address, max_idle).await {
         return Ok(connection);
     }
-    let opened = Connection::connect(address, proxy.settings.limits.connect.min(left)).await;
+    let limit = proxy.settings.limits.connect.min(left);
+    let opened = Connection::open(proxy.connector.as_ref(), address, limit).await;
     proxy.metrics.count(if opened.is_ok() { "connect.opened" } else { "connect.failed" });
     opened
 }
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -2,7 +2,7 @@
 
 mod claim;
 mod configuration;
-mod fleet;
+pub(crate) mod fleet;
 mod kill;
 mod leave;
 mod member;
--- a/tests/suite/process/fleet.rs
+++ b/tests/suite/process/fleet.rs
@@ -302,7 +302,7 @@
 }
 
 /// Waits for an event, however long it takes short of a hang.
-pub(super) fn wait_for(what: &str, mut happened: impl FnMut() -> bool) {
+pub(crate) fn wait_for(what: &str, mut happened: impl FnMut() -> bool) {
     let started = Instant::now();
     while !happened() {
         assert!(started.elapsed() < HANG, "hung: waiting for {what}");
--- a/tests/suite/process/platform.rs
+++ b/tests/suite/process/platform.rs
@@ -2,18 +2,10 @@
 
 use std::fs;
 use std::fs::File;
-use std::io::BufRead;
-use std::io::BufReader;
-use std::io::Read;
-use std::io::Write;
-use std::net::TcpListener;
-use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -24,6 +16,8 @@
 use tempfile::TempDir;
 
 use super::fleet::wait_for;
+use crate::stand_in::Upstream;
+use crate::stand_in::ask;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_hemlockfield");
 const CONTROLS: usize = 3;
@@ -32,8 +26,6 @@
 const ORDERS: u16 = 18_081;
 const LINKS: u16 = 18_082;
 const METRICS: u16 = 18_083;
-/// Long enough for a caller, short enough for a test.
-const PATIENCE: Duration = Duration::from_secs(3);
 
 static NETS: AtomicUsize = AtomicUsize::new(0);
 
@@ -167,91 +159,6 @@
     }
 }
 
-/// A stand-in for an upstream, by the platform's protocol.
-struct Upstream {
-    address: String,
-    behaviour: Arc<Mutex<Behaviour>>,
-}
-
-#[derive(Default)]
-struct Behaviour {
-    arrivals: Vec<Instant>,
-    /// Requests per second that it takes from all entries together, if it names a limit.
-    limit: Option<f64>,
-}
-
-impl Upstream {
-    fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap().to_string();
-        let behaviour = Arc::new(Mutex::new(Behaviour::default()));
-        let shared = Arc::clone(&behaviour);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let behaviour = Arc::clone(&shared);
-                thread::spawn(move || answer(&stream, &behaviour));
-            }
-        });
-        Self { address, behaviour }
-    }
-
-    fn set_limit(&self, limit: Option<f64>) {
-        self.behaviour.lock().unwrap().limit = limit;
-    }
-
-    /// Requests that arrived within the last `span`.
-    fn count_arrivals(&self, span: Duration) -> usize {
-        let behaviour = self.behaviour.lock().unwrap();
-        behaviour.arrivals.iter().filter(|at| at.elapsed() < span).count()
-    }
-}
-
-fn answer(stream: &TcpStream, behaviour: &Mutex<Behaviour>) {
-    let mut reader = BufReader::new(stream);
-    let mut id = String::new();
-    let mut line = String::new();
-    while reader.read_line(&mut line).is_ok_and(|count| count > 0) {
-        let lower = line.trim().to_lowercase();
-        if let Some(text) = lower.strip_prefix("hemlockfield-request-id:") {
-            id = text.trim().to_owned();
-        }
-        if lower.is_empty() {
-            let limit = {
-                let mut behaviour = behaviour.lock().unwrap();
-                behaviour.arrivals.push(Instant::now());
-                behaviour.limit.map(|limit| format!("Server-Limit: {limit}\r\n"))
-            };
-            let limit = limit.unwrap_or_default();
-            let text = format!(
-                "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nHemlockfield-Request-Id: {id}\r\n{limit}\
-                 Hemlockfield-Response-Signature: 1\r\n\r\nhull"
-            );
-            if (&mut &*stream).write_all(text.as_bytes()).is_err() {
-                return;
-            }
-        }
-        line.clear();
-    }
-}
-
-/// Status and body of an answer; 0 where there is none.
-fn ask(address: &str, line: &str, headers: &str, body: &str) -> (u16, String) {
-    let mut text = String::new();
-    let asked = TcpStream::connect(address).and_then(|mut stream| {
-        stream.set_read_timeout(Some(PATIENCE))?;
-        let length = body.len();
-        let head = format!(
-            "{line} HTTP/1.1\r\nhost: yard.example\r\nconnection: close\r\n\
-             content-length: {length}\r\n{headers}\r\n{body}"
-        );
-        stream.write_all(head.as_bytes())?;
-        stream.read_to_string(&mut text)
-    });
-    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
-    let body = text.split("\r\n\r\n").nth(1).unwrap_or_default().to_owned();
-    (asked.ok().and(status).unwrap_or(0), body)
-}
-
 // A whole site starts for the first time; processes come up in any order, entries before
 // controls too. The first configuration and upstream are taken, callers are told of the
 // entries, and each entry serves them.
--- /dev/null
+++ b/tests/suite/reach.rs
@@ -0,0 +1,5 @@
+//! Entries that lose their way to the upstreams, while callers and controls still reach them.
+
+mod cut;
+mod fleet;
+mod network;
--- /dev/null
+++ b/tests/suite/reach/fleet.rs
@@ -0,0 +1,176 @@
+//! A control and entries in this process, with upstreams that each entry reaches by a network of
+//! its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use async_std::task::block_on;
+use hemlockfield::node::Node;
+use hemlockfield::settings::Settings;
+use tempfile::TempDir;
+
+use super::network::Form;
+use super::network::Network;
+use crate::process::fleet::wait_for;
+use crate::stand_in::Upstream;
+use crate::stand_in::ask;
+
+const FRONT: u16 = 19_080;
+const ORDERS: u16 = 19_081;
+const LINKS: u16 = 19_082;
+/// Failure domains of the entries.
+const DOMAINS: [&str; 4] = ["north", "north", "south", "south"];
+/// Upstreams of each service, spread over the failure domains in turn.
+const SERVICES: [(&str, usize); 2] = [("hull", 6), ("cert", 4)];
+/// Callers of each entry that send requests in the background, and the pause after each.
+const CALLERS: usize = 2;
+const CALLER_PAUSE: Duration = Duration::from_millis(40);
+
+static NETS: AtomicUsize = AtomicUsize::new(0);
+
+pub(super) struct Fleet {
+    entries: Vec<(Node, Network)>,
+    _control: Node,
+    _folder: TempDir,
+    net: String,
+    upstreams: Vec<(&'static str, Upstream)>,
+}
+
+/// Callers in the background, until dropped.
+pub(super) struct Callers(Arc<AtomicBool>);
+
+impl Drop for Callers {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet in which every entry serves callers.
+    pub(super) fn start() -> Self {
+        let number = NETS.fetch_add(1, Ordering::Relaxed) % 200;
+        let net = format!("127.{}.{number}", 220 + std::process::id() % 30);
+        let folder = TempDir::new().unwrap();
+        let control = settings(&net, 0, &format!("data: \"{}\"\n", folder.path().display()));
+        let control = block_on(Node::start(control, false)).unwrap();
+        let entry = |at| {
+            let network = Network::default();
+            let settings = settings(&net, at, "limits: {connect: 250ms}\n");
+            let node = Node::start_with(settings, false, Arc::new(network.clone()));
+            (block_on(node).unwrap(), network)
+        };
+        let entries = (1..=DOMAINS.len()).map(entry).collect();
+        let upstreams = SERVICES.into_iter().flat_map(|(service, count)| {
+            std::iter::repeat_with(move || (service, Upstream::start())).take(count)
+        });
+        let upstreams = upstreams.collect();
+        let fleet = Self { entries, _control: control, _folder: folder, net, upstreams };
+        wait_for("a configuration", || fleet.submit());
+        fleet.announce();
+        for entry in 0..DOMAINS.len() {
+            wait_for("an answer", || {
+                fleet.look(entry, "hull") == 200 && fleet.look(entry, "cert") == 200
+            });
+        }
+        fleet
+    }
+
+    /// Cuts entries off from the upstreams of one service, or of all.
+    pub(super) fn cut(&self, entries: &[usize], form: Form, service: Option<&str>) {
+        let behind = self.upstreams.iter().filter(|(name, _)| service.is_none_or(|it| it == *name));
+        let behind: Vec<SocketAddr> =
+            behind.map(|(_, upstream)| upstream.address.parse().unwrap()).collect();
+        entries.iter().for_each(|at| self.entries[*at].1.cut(form, behind.clone()));
+    }
+
+    /// Status of the answer to a lookup at an entry; 0 where there is none.
+    pub(super) fn look(&self, entry: usize, service: &str) -> u16 {
+        look(&self.net, entry, service)
+    }
+
+    /// Starts callers of all entries.
+    pub(super) fn callers(&self) -> Callers {
+        let done = Arc::new(AtomicBool::new(false));
+        for entry in (0..DOMAINS.len()).flat_map(|entry| [entry; CALLERS]) {
+            let (done, net) = (Arc::clone(&done), self.net.clone());
+            thread::spawn(move || {
+                while !done.load(Ordering::Relaxed) {
+                    for (service, _) in SERVICES {
+                        look(&net, entry, service);
+                    }
+                    thread::sleep(CALLER_PAUSE);
+                }
+            });
+        }
+        Callers(done)
+    }
+
+    /// Whether the control tells callers of an entry.
+    pub(super) fn is_listed(&self, entry: usize) -> bool {
+        let (status, body) = self.order("GET /hemlockfield/resolve?zone=west", "");
+        status == 200 && body.contains(&format!("{}:{FRONT}", ip(&self.net, entry + 1)))
+    }
+
+    fn submit(&self) -> bool {
+        let services: Vec<String> =
+            SERVICES.iter().map(|(name, _)| format!(r#"{{"name":"{name}"}}"#)).collect();
+        let paths = SERVICES.iter().map(|(name, _)| {
+            format!(
+                r#"{{"name":"{name}","pathPrefix":"/{name}/","routeType":"safe","service":"{name}","timeoutS":2}}"#
+            )
+        });
+        let paths: Vec<String> = paths.collect();
+        let body = format!(
+            r#"{{"version":"1","services":[{}],"hosts":[{{"host":"yard.example","paths":[{}]}}]}}"#,
+            services.join(","),
+            paths.join(",")
+        );
+        self.order("PUT /hemlockfield/config", &body).0 == 200
+    }
+
+    fn announce(&self) {
+        for (at, (service, upstream)) in self.upstreams.iter().enumerate() {
+            let domain = ["north", "south"][at % 2];
+            let body = format!(
+                r#"{{"address":"{}","sequence":1,"service":"{service}","slots":4,"state":"ready","zone":"{domain}"}}"#,
+                upstream.address
+            );
+            let line = format!("PUT /hemlockfield/instances/i-{at}");
+            wait_for("an upstream", || self.order(&line, &body).0 == 200);
+        }
+    }
+
+    fn order(&self, line: &str, body: &str) -> (u16, String) {
+        ask(&format!("{}:{ORDERS}", ip(&self.net, 0)), line, "", body)
+    }
+}
+
+fn look(net: &str, entry: usize, service: &str) -> u16 {
+    let headers = "Hemlockfield-Request-Id: 7\r\nHemlockfield-Deadline-Ms: 1500\r\n";
+    let address = format!("{}:{FRONT}", ip(net, entry + 1));
+    ask(&address, &format!("GET /{service}/1"), headers, "").0
+}
+
+/// Address of a process: the control is the first, then the entries.
+fn ip(net: &str, at: usize) -> String {
+    format!("{net}.{}", at + 1)
+}
+
+fn settings(net: &str, at: usize, more: &str) -> Settings {
+    let (own, control) = (ip(net, at), ip(net, 0));
+    let role = if at == 0 { "control" } else { "entry" };
+    let domain = if at == 0 { "west" } else { DOMAINS[at - 1] };
+    let front = if at == 0 { String::new() } else { format!("callers: \"{own}:{FRONT}\", ") };
+    let text = format!(
+        "node: {{id: \"{own}\", region: here, failure_domain: {domain}}}\nroles: [{role}]\n\
+         interface: platform\ntrusted_network: true\nseeds: [\"{control}:{ORDERS}\"]\n\
+         first_start: true\ndirectory: {{lifetime: 2s}}\n\
+         listen: {{{front}orders: [\"{own}:{ORDERS}\"], links: \"{own}:{LINKS}\"}}\n{more}"
+    );
+    Settings::parse("settings", &text).unwrap()
+}
