--- a/src/bench/feed.rs
+++ b/src/bench/feed.rs
@@ -268,6 +268,8 @@
         callers: SocketAddr::from(([10, 1, (at >> 8) as u8, at as u8], 8144)),
         domain: domain(at),
         id: format_compact!("10.1.{}.{}", at >> 8, at & 0xff),
+        peers: None,
+        reach: BTreeMap::new(),
         room: Capacity::default(),
         state: State::Serving,
     }
--- a/src/boundary.rs
+++ b/src/boundary.rs
@@ -20,6 +20,7 @@
 
 use std::fmt::Debug;
 use std::net::IpAddr;
+use std::time::Duration;
 
 use crate::balance;
 use crate::exchange::Refusal;
@@ -36,6 +37,10 @@
     /// Sets the headers that an upstream needs and removes those that it must not see.
     fn prepare(&self, request: &mut Request, context: &AttemptContext<'_>);
 
+    /// Sets the time that is left in a request that another entry serves. Everything else reaches
+    /// that entry as the caller sent it.
+    fn prepare_forwarding(&self, request: &mut Request, remaining: Duration);
+
     /// Classifies an upstream's response by its head.
     fn classify(&self, service: Option<&rule::Service>, response: &Response) -> Classification;
 
--- a/src/boundary/native.rs
+++ b/src/boundary/native.rs
@@ -1,6 +1,7 @@
 //! This product's own protocol.
 
 use std::net::IpAddr;
+use std::time::Duration;
 
 use compact_str::ToCompactString;
 use http::HeaderName;
@@ -66,6 +67,10 @@
         }
     }
 
+    fn prepare_forwarding(&self, request: &mut Request, remaining: Duration) {
+        request.set_header(TIMEOUT_HEADER, remaining.as_millis().to_string());
+    }
+
     fn classify(&self, service: Option<&rule::Service>, response: &Response) -> Classification {
         let not_run = service.map(|service| &service.not_run).is_some_and(|signal| {
             signal.proves(response.status, response.header(signal.header.as_str()))
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -9,6 +9,7 @@
 
 mod capacity;
 mod control;
+mod doubt;
 mod entry;
 mod input;
 mod message;
--- a/src/feed/entry.rs
+++ b/src/feed/entry.rs
@@ -1,5 +1,6 @@
 //! Description of an entry.
 
+use std::collections::BTreeMap;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::net::SocketAddr;
@@ -12,6 +13,8 @@
 use crate::fleet::State;
 use crate::id::DomainId;
 use crate::id::NodeId;
+use crate::id::ServiceId;
+use crate::reach::Verdict;
 
 /// Description that an entry sends with each poll.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -22,6 +25,10 @@
     pub domain: DomainId,
     /// Id of the entry.
     pub id: NodeId,
+    /// Address at which it takes requests from other entries, if it does.
+    pub peers: Option<SocketAddr>,
+    /// Services that the entry can't reach, and on request of a control those that it can.
+    pub reach: BTreeMap<ServiceId, Verdict>,
     /// Load that the entry is sized for.
     pub room: Capacity,
     /// Whether the entry accepts callers.
--- a/src/feed/input.rs
+++ b/src/feed/input.rs
@@ -11,6 +11,7 @@
 use super::transfer::Part;
 use crate::config::Version;
 use crate::id::NodeId;
+use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
 /// Event that a subscriber handles.
@@ -29,6 +30,8 @@
 pub enum Output {
     /// Put a configuration in force, which is newer than all before it.
     Configure(Version),
+    /// Tell whether this entry reaches these services.
+    Ask(BTreeSet<ServiceId>),
     /// Advertise these entries to callers.
     Advertise(Vec<Entry>),
     /// Record the results that callers of other entries received.
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -1,6 +1,7 @@
 //! Control's side of the feed: answers polls, pushes changes and selects advertised entries.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Control;
@@ -104,6 +105,9 @@
         if before.is_none_or(|before| before.entry != poll.entry) {
             self.has_changed_entries = true;
             self.roster.expire();
+            if before.is_some_and(|before| before.entry.reach != poll.entry.reach) {
+                self.schedule_push(now);
+            }
         }
         let before = self.subscriptions.remove(&id);
         self.add_tallies(now, &poll.tallies, true);
@@ -114,6 +118,7 @@
         let position = Position::of(&poll, snapshot);
         let (named, sequence) = (poll.named, poll.sequence);
         let subscription = Subscription {
+            asked: BTreeSet::new(),
             configuration: poll.configuration,
             is_downloading: poll.is_downloading,
             is_loading: false,
@@ -149,6 +154,7 @@
         let effect = self.reports.record(now, from, report);
         if effect == Effect::Changed {
             self.roster.expire();
+            self.schedule_push(now);
         }
         effect != Effect::Unknown
     }
@@ -226,7 +232,8 @@
     pub fn roster(&mut self, now: Moment) -> &Roster {
         if self.roster.is_stale(now) {
             let is_settled = self.request_rate.is_known(now);
-            self.roster = Roster::new(now, self.entries(now), self.load(now), is_settled);
+            let before = &self.roster.advertised_ids;
+            self.roster = Roster::new(now, self.entries(now), self.load(now), is_settled, before);
         }
         &self.roster
     }
@@ -272,6 +279,7 @@
     /// Records what an entry is sent.
     fn note_sent(&mut self, id: &NodeId, update: &Update) {
         let Some(subscription) = self.subscriptions.get_mut(id) else { return };
+        subscription.asked.clone_from(&update.doubted);
         subscription.is_loading |= update.has_more;
         if let Some(selection) = &update.follow {
             subscription.selection = selection.clone();
@@ -306,12 +314,14 @@
         let follows = |announced: &Announcement| selection.includes(id, &domain, announced);
         let catalog = snapshot.catalog;
         let roster = self.roster(now);
+        let doubted = roster.doubted(id).cloned().unwrap_or_default();
         let (upstreams, end) = catalog.page(base, removals_from, MAX_UPSTREAMS, follows);
         Update {
             applied: snapshot.applied,
             base,
             configuration: None,
             controls: snapshot.controls.clone(),
+            doubted,
             entries: roster.advertised.len(),
             fresh: snapshot.fresh,
             follow,
@@ -331,8 +341,15 @@
     fn push(&mut self, now: Moment, snapshot: &Snapshot<'_>, sends: &mut Vec<(NodeId, Message)>) {
         self.push_at = None;
         self.pushed_at = now;
+        self.roster(now);
+        let roster = &self.roster;
+        let is_to_be_asked = |subscription: &Subscription| {
+            let doubted = roster.doubted(&subscription.entry.id);
+            doubted.map_or(!subscription.asked.is_empty(), |it| *it != subscription.asked)
+        };
         let due = |subscription: &&Subscription| {
-            !subscription.is_expired(now) && subscription.known < snapshot.applied
+            let is_outdated = subscription.known < snapshot.applied;
+            !subscription.is_expired(now) && (is_outdated || is_to_be_asked(subscription))
         };
         let outdated = self.subscriptions.values().filter(due);
         let outdated: Vec<NodeId> =
@@ -391,9 +408,12 @@
         let has_tallies = subscription.tallies.is_urgent();
         let mut update = self.update(now, id, position, Tallies::default(), snapshot);
         update.configuration = self.offer_to(id);
+        let asked = self.subscriptions.get(id).map(|subscription| &subscription.asked);
+        let is_asked_anew = asked.is_some_and(|asked| *asked != update.doubted);
         // The entry follows none of the upstreams that changed. It learns the new index when it
         // polls.
-        if update.upstreams.is_empty() && update.configuration.is_none() && !has_tallies {
+        let is_empty = update.upstreams.is_empty() && update.configuration.is_none();
+        if is_empty && !has_tallies && !is_asked_anew {
             return;
         }
         self.note_sent(id, &update);
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -31,7 +31,9 @@
 use crate::id::DomainId;
 use crate::id::Index;
 use crate::id::NodeId;
+use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::reach::Verdict;
 
 /// Interval between two polls. A change must be in force within 2 s of its acknowledgement
 /// even if its push was lost, which leaves time for three polls.
@@ -54,6 +56,8 @@
 /// Entry's side of the feed.
 #[derive(Clone, Debug)]
 pub struct Subscriber {
+    /// Services that a control asks about.
+    asked: BTreeSet<ServiceId>,
     /// The configuration held, with its head.
     configuration: Option<(Head, Version)>,
     download: Option<Download>,
@@ -87,6 +91,7 @@
     /// Creates a subscriber that knows only its seeds.
     pub fn new(now: Moment, me: Entry, seeds: Vec<NodeId>, random: ChaCha8Rng) -> Self {
         Self {
+            asked: BTreeSet::new(),
             configuration: None,
             download: None,
             early_configuration: None,
@@ -139,6 +144,15 @@
         }
     }
 
+    /// Sets which services this entry can't reach, and which it reaches as a control asked. A change
+    /// is reported at once.
+    pub fn set_reach(&mut self, now: Moment, reach: BTreeMap<ServiceId, Verdict>) {
+        if self.me.reach != reach {
+            self.me.reach = reach;
+            self.poll_at = self.poll_at.min(now.max(self.polled_at + MIN_URGENT_INTERVAL));
+        }
+    }
+
     /// Records results that callers received here. Broken answers are reported at once.
     pub fn record(&mut self, now: Moment, upstream: &UpstreamId, counts: &Counts) {
         self.tallies.add(upstream, counts);
@@ -211,6 +225,10 @@
         if !update.tallies.is_empty() {
             outputs.push(Output::Record(update.tallies.clone()));
         }
+        if self.asked != update.doubted {
+            self.asked.clone_from(&update.doubted);
+            outputs.push(Output::Ask(self.asked.clone()));
+        }
         self.prefer_local_control(now);
         if let Some(offer) = update.configuration.take() {
             self.receive_offer(now, offer, outputs);
--- a/src/feed/subscription.rs
+++ b/src/feed/subscription.rs
@@ -1,5 +1,6 @@
 //! Entry that polls a control, as the control knows it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Entry;
@@ -9,6 +10,7 @@
 use crate::clock::Moment;
 use crate::config::Head;
 use crate::id::Index;
+use crate::id::ServiceId;
 
 /// How long an entry without a poll is still listed: two polls and a lost one. Callers would
 /// try a dead entry in vain.
@@ -20,6 +22,8 @@
 /// Entry that polls a control.
 #[derive(Clone, Debug)]
 pub(super) struct Subscription {
+    /// Services that the entry was last asked about.
+    pub(super) asked: BTreeSet<ServiceId>,
     /// Version that the entry holds, or will hold once it gets what was sent.
     pub(super) configuration: Option<Head>,
     /// When the entry last reported requests.
--- a/src/feed/update.rs
+++ b/src/feed/update.rs
@@ -1,5 +1,7 @@
 //! Update from a control.
 
+use std::collections::BTreeSet;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -10,6 +12,7 @@
 use super::transfer::Offer;
 use crate::catalog::Delta;
 use crate::id::Index;
+use crate::id::ServiceId;
 
 /// Changes since the log index that an entry knows.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -22,6 +25,8 @@
     pub configuration: Option<Offer>,
     /// All controls.
     pub controls: Vec<Control>,
+    /// Services that some entry can't reach. This entry is asked to tell whether it does.
+    pub doubted: BTreeSet<ServiceId>,
     /// Number of entries that are advertised to callers.
     pub entries: usize,
     /// Whether the control has heard from a leader recently. If so, no change that this update
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod platform;
 pub mod quorum;
 pub mod quota;
+pub mod reach;
 pub mod registry;
 pub mod replay;
 pub mod retry;
--- a/src/node/builder.rs
+++ b/src/node/builder.rs
@@ -77,6 +77,7 @@
         id: settings.node.id.clone(),
         is_control: settings.has_role(Role::Control),
         is_entry: settings.has_role(Role::Entry),
+        peers: settings.listen.peers.filter(|_| settings.has_role(Role::Entry)),
         controller,
         room: Capacity::new(settings.limits.processor, settings.limits.link),
         is_first: settings.first_start,
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -39,6 +39,7 @@
 use crate::quorum;
 use crate::quorum::Record;
 use crate::quota;
+use crate::reach;
 use crate::registry;
 use crate::registry::Registry;
 use crate::replay::Recorder;
@@ -103,6 +104,8 @@
     Probed(ServiceId, UpstreamId, Option<bool>, bool),
     /// Quota that this entry requests.
     Quota(u64, quota::Demand),
+    /// Which services this entry can't reach, and which it reaches as a control asked.
+    Reach(BTreeMap<ServiceId, reach::Verdict>),
     /// Request for the newest configuration.
     ReadConfiguration(u64),
     /// The settings were reloaded with these seeds.
@@ -273,7 +276,10 @@
                 self.handle_forwarder_outputs(now, forwarder_outputs, &mut outputs);
             }
             Input::ReadConfiguration(ticket) => outputs.push(Output::Configuration(ticket, None)),
-            Input::Throughput(..) | Input::Seeds(_) | Input::UpstreamLimit(..) => (),
+            Input::Throughput(..)
+            | Input::Reach(_)
+            | Input::Seeds(_)
+            | Input::UpstreamLimit(..) => (),
             Input::Stop => self.step_member(now, fleet::Input::Leave, &mut outputs),
             Input::Submit(ticket, version) => {
                 let forwarder_outputs = self.forwarder.submit(now, ticket, version);
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -21,6 +21,8 @@
         }
         self.is_view_stale = false;
         Some(View {
+            asked: Arc::default(),
+            peers: Arc::default(),
             is_settled: true,
             entries: Arc::new(self.directory_entries()),
             is_leaving: self.is_leaving,
--- a/src/node/feed_core.rs
+++ b/src/node/feed_core.rs
@@ -60,6 +60,7 @@
             | Input::Overdue(..)
             | Input::Probed(..)
             | Input::Quota(..)
+            | Input::Reach(_)
             | Input::Seeds(_)
             | Input::Tick
             | Input::TrialOutcome { .. }
--- a/src/node/feed_core/control_role.rs
+++ b/src/node/feed_core/control_role.rs
@@ -5,7 +5,6 @@
 mod reads;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::catalog;
@@ -174,8 +173,8 @@
     pub(super) fn listing(&mut self, now: Moment, last: &View) -> Option<Listing> {
         let roster = self.publisher.roster(now);
         if self.listed != Some(roster.digest()) {
-            let entries = roster.advertised().iter().map(super::directory_entry);
-            self.listing.entries = Arc::new(entries.collect());
+            let me = &self.peers.me().id;
+            self.listing = Listing::new(me, roster.advertised(), roster.is_settled());
             self.listed = Some(roster.digest());
         }
         self.listing.is_settled = roster.is_settled();
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -1,6 +1,7 @@
 //! State of an entry: what it learned by the feed, and the circuit breakers of its upstreams.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
 use crate::node::core::Output;
 use crate::node::status;
 use crate::node::view;
+use crate::reach::Verdict;
 use crate::registry;
 use crate::registry::Announcement;
 use crate::retry;
@@ -58,6 +60,8 @@
 /// State of an entry.
 #[derive(Debug)]
 pub(super) struct EntryRole {
+    /// Services that a control asks about.
+    asked: Arc<BTreeSet<ServiceId>>,
     breakers: Breakers,
     compiler: Box<dyn Compiler>,
     /// Whether this entry's own network is the likely cause of its broken answers.
@@ -77,6 +81,8 @@
     service_version: u64,
     rules: Option<Arc<Rules>>,
     participants: Participants,
+    /// What was last reported of the paths to the services.
+    reach: BTreeMap<ServiceId, Verdict>,
     standing: Standing,
     subscriber: Subscriber,
     upstreams: BTreeMap<UpstreamId, Known>,
@@ -107,10 +113,13 @@
             callers: setup.callers,
             domain: setup.domain.clone(),
             id: setup.id.clone(),
+            peers: setup.peers,
+            reach: BTreeMap::new(),
             room: setup.room,
             state: fleet::State::Starting,
         };
         Self {
+            asked: Arc::default(),
             breakers: Breakers::new(now, draw()),
             compiler: setup.boundary.compiler(),
             is_dirty: true,
@@ -124,6 +133,7 @@
             service_version: 0,
             rules: None,
             participants: Participants::new(setup.retry_window, setup.is_first),
+            reach: BTreeMap::new(),
             standing: Standing::Starting,
             subscriber: Subscriber::new(now, me, setup.seeds.clone(), draw()),
             upstreams: BTreeMap::new(),
@@ -178,6 +188,7 @@
                 self.record_limit(now, upstream, *limit, &mut outputs);
             }
             Input::Throughput(arrivals, bytes) => self.subscriber.record_traffic(*arrivals, *bytes),
+            Input::Reach(verdicts) => self.set_reach(now, verdicts, &mut outputs),
             Input::Seeds(seeds) => self.subscriber.set_seeds(seeds.clone()),
             Input::Tick => self.tick(now, &mut outputs),
             _ => (),
@@ -211,7 +222,9 @@
         }
         self.is_dirty = false;
         Some(View {
+            asked: Arc::clone(&self.asked),
             entries: Arc::clone(&self.listing.entries),
+            peers: Arc::clone(&self.listing.peers),
             is_settled: self.listing.is_settled,
             is_leaving: self.is_leaving,
             number: self.version.as_ref().map(|version| version.number),
@@ -257,6 +270,26 @@
         }
     }
 
+    fn set_reach(
+        &mut self,
+        now: Moment,
+        verdicts: &BTreeMap<ServiceId, Verdict>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let is_lost = |reach: &BTreeMap<ServiceId, Verdict>, service: &ServiceId| {
+            reach.get(service) == Some(&Verdict::Lost)
+        };
+        for service in verdicts.keys().chain(self.reach.keys()).collect::<BTreeSet<_>>() {
+            let (before, after) = (is_lost(&self.reach, service), is_lost(verdicts, service));
+            if before != after {
+                outputs.push(Output::Event(events::path(&self.id, service, after)));
+            }
+        }
+        self.reach.clone_from(verdicts);
+        self.subscriber.set_reach(now, verdicts.clone());
+        self.step_subscriber(now, feed::Input::Tick, outputs);
+    }
+
     fn note_local_fault(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let is_likely = self.breakers.is_local_fault(now);
         if is_likely == self.has_local_fault {
@@ -270,9 +303,12 @@
     fn step_subscriber(&mut self, now: Moment, input: feed::Input, outputs: &mut Vec<Output>) {
         for output in self.subscriber.handle(now, input) {
             match output {
+                feed::Output::Ask(services) => {
+                    self.asked = Arc::new(services);
+                    self.is_dirty = true;
+                }
                 feed::Output::Advertise(entries) => {
-                    let entries = entries.iter().map(super::directory_entry);
-                    self.listing.entries = Arc::new(entries.collect());
+                    self.listing = Listing::new(&self.id, &entries, self.listing.is_settled);
                     self.is_dirty = true;
                 }
                 feed::Output::Record(tallies) => self.record_others(now, &tallies, outputs),
--- a/src/node/feed_core/events.rs
+++ b/src/node/feed_core/events.rs
@@ -38,6 +38,12 @@
     event.detail("by", by).detail("withheld", withheld.to_string())
 }
 
+/// Event for a path to a service that is reported as lost, or no longer.
+pub(super) fn path(vm: &NodeId, service: &ServiceId, is_lost: bool) -> Event {
+    let event = event(vm, Kind::Other("path".into())).service(service.clone());
+    event.detail("by", if is_lost { "lost" } else { "restored" })
+}
+
 /// Event for a change of the entries that a control advertises to callers.
 pub(super) fn advertised(vm: &NodeId, before: &[NodeId], after: &[NodeId]) -> Event {
     let names = |from: &[NodeId], to: &[NodeId]| {
--- a/src/node/feed_core/listing.rs
+++ b/src/node/feed_core/listing.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use crate::directory;
+use crate::feed;
+use crate::id::NodeId;
 use crate::node::View;
+use crate::reach::Peer;
 
 /// Entries that callers are told of.
 #[derive(Clone, Debug, Default)]
@@ -11,9 +14,24 @@
     pub(super) entries: Arc<Vec<directory::Entry>>,
     /// Whether the entries will change little.
     pub(super) is_settled: bool,
+    /// Those of the entries that take requests from this one.
+    pub(super) peers: Arc<Vec<Peer>>,
 }
 
 impl Listing {
+    /// Creates the listing of process `me`.
+    pub(super) fn new(me: &NodeId, entries: &[feed::Entry], is_settled: bool) -> Self {
+        let peer = |entry: &feed::Entry| {
+            let address = entry.peers.filter(|_| entry.id != *me)?;
+            Some(Peer { address, id: entry.id.clone() })
+        };
+        Self {
+            entries: Arc::new(entries.iter().map(super::directory_entry).collect()),
+            is_settled,
+            peers: Arc::new(entries.iter().filter_map(peer).collect()),
+        }
+    }
+
     /// Whether a view has this listing.
     pub(super) fn is_in(&self, view: &View) -> bool {
         let has_entries = Arc::ptr_eq(&self.entries, &view.entries) || self.entries == view.entries;
@@ -24,5 +42,6 @@
     pub(super) fn write_to(self, view: &mut View) {
         view.entries = self.entries;
         view.is_settled = self.is_settled;
+        view.peers = self.peers;
     }
 }
--- a/src/node/feed_core/setup.rs
+++ b/src/node/feed_core/setup.rs
@@ -27,6 +27,8 @@
     pub(in crate::node) is_control: bool,
     /// Whether this process is an entry.
     pub(in crate::node) is_entry: bool,
+    /// Address at which an entry takes requests from other entries.
+    pub(in crate::node) peers: Option<SocketAddr>,
     /// Replicated state machine, at a control.
     pub(in crate::node) controller: Option<Controller>,
     /// Load that an entry is sized for.
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use async_std::channel::Sender;
@@ -11,6 +12,7 @@
 use crate::id::UpstreamId;
 use crate::quorum;
 use crate::quota;
+use crate::reach;
 use crate::registry;
 use crate::wire::Verdict;
 
@@ -49,6 +51,8 @@
     },
     /// Quota that this entry requests; the sender takes what was granted.
     Quota(quota::Demand, Sender<quota::Grant>),
+    /// Which services this entry can't reach, and which it reaches as a control asked.
+    Reach(BTreeMap<ServiceId, reach::Verdict>),
     /// Request for the newest configuration. The sender takes it; the outer `None` if it can't
     /// be determined, the inner one if there is no configuration.
     ReadConfiguration(Sender<Option<Option<Version>>>),
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -39,6 +39,7 @@
 use super::thread::wall_clock;
 use super::traffic;
 use super::traffic::Proxy;
+use super::traffic::Source;
 
 /// A running process.
 pub struct Node {
@@ -83,6 +84,7 @@
         let (stop, done) = unbounded::<()>();
         let callers = bind(settings.listen.callers).await?;
         let operators = bind(settings.listen.operators).await?;
+        let peers = bind(settings.listen.peers).await?;
         let operator_address = operators.as_ref().map(local_address).transpose()?;
         let mut operation_listeners = Vec::new();
         for address in &settings.listen.orders {
@@ -149,10 +151,14 @@
             runtime::spawn(operations::serve(listener, control.clone(), Arc::clone(&proxy)));
         }
         if let Some(listener) = callers {
-            runtime::spawn(traffic::listen(listener, Arc::clone(&proxy)));
+            runtime::spawn(traffic::listen(listener, Arc::clone(&proxy), Source::Caller));
+            runtime::spawn(traffic::watch_paths(Arc::clone(&proxy)));
             runtime::spawn(traffic::poll_queues(Arc::clone(&proxy)));
             runtime::spawn(traffic::renew_quota(Arc::clone(&proxy)));
         }
+        if let Some(listener) = peers {
+            runtime::spawn(traffic::listen(listener, Arc::clone(&proxy), Source::Peer));
+        }
         Ok(Self {
             callers: caller_address,
             control,
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -13,6 +13,8 @@
 use crate::clock::Epoch;
 use crate::clock::Moment;
 use crate::config::Version;
+use crate::health::Observation;
+use crate::health::Trial;
 use crate::quorum::Record;
 use crate::quota;
 use crate::runtime;
@@ -35,9 +37,7 @@
 use super::input_channel::InputReceiver;
 use super::probe::probe;
 use super::state_machine::StateMachine;
-use super::traffic::Observation;
 use super::traffic::Proxy;
-use super::traffic::Trial;
 use super::transport::Transport;
 
 /// Most inputs handled before one sync of the disk for all of them.
@@ -228,6 +228,7 @@
                 self.tickets.grants.insert(ticket, sender);
                 core::Input::Quota(ticket, ask)
             }
+            Input::Reach(verdicts) => core::Input::Reach(verdicts),
             Input::ReadConfiguration(sender) => {
                 let ticket = self.tickets.next();
                 self.tickets.reads.insert(ticket, sender);
--- a/src/node/traffic.rs
+++ b/src/node/traffic.rs
@@ -3,25 +3,28 @@
 
 mod attempt;
 mod attempts;
+mod checks;
 mod claims;
 mod dispatch;
+mod forward;
 mod hedge;
 mod job;
 mod listener;
 mod proxy;
 mod queue;
 mod rate_limiter;
+mod reach;
 mod relay;
 mod reservation;
 mod round_trip;
 mod serve;
 mod service;
 
+pub(super) use checks::watch_paths;
+pub(super) use forward::Source;
 pub(super) use listener::listen;
-pub(super) use proxy::Observation;
 pub(super) use proxy::Proxy;
 pub(super) use proxy::Setup;
-pub(super) use proxy::Trial;
 pub(super) use queue::poll_queues;
 pub(super) use rate_limiter::renew_quota;
 
--- a/src/node/traffic/attempt.rs
+++ b/src/node/traffic/attempt.rs
@@ -35,8 +35,8 @@
         idempotent: bool,
         left: Duration,
     ) -> Self {
-        let round_trip =
-            RoundTrip::run(proxy, request, reservation.address, idempotent, left).await;
+        let target = reservation.target();
+        let round_trip = RoundTrip::run(proxy, request, &target, idempotent, left).await;
         Self { round_trip, is_misdirected: false, reservation }
     }
 
@@ -65,6 +65,11 @@
         !matches!(&self.round_trip.result, Err(failure) if failure.is_not_run())
     }
 
+    /// Whether no connection to the upstream could be opened.
+    pub(super) fn is_unconnected(&self) -> bool {
+        matches!(self.round_trip.result, Err(Failure::Connect(_)))
+    }
+
     pub(super) fn is_upload_failure(&self) -> bool {
         matches!(self.round_trip.result, Err(Failure::Upload(_)))
     }
--- a/src/node/traffic/attempts.rs
+++ b/src/node/traffic/attempts.rs
@@ -28,6 +28,8 @@
     CallerGone { may_have_run: bool },
     /// The entry answers the caller itself.
     LocalReply { answer: retry::Answer, reason: String, status: u16 },
+    /// No upstream can be reached from here, and the job was sent to none.
+    Unreached,
 }
 
 /// Attempts a job at upstreams until one answers or the retry policy stops.
@@ -108,6 +110,11 @@
                 status: 400,
             };
         }
+        let is_unsent = !may_have_run && sends == 0 && job.payload.is_available();
+        if is_unsent && attempt.is_unconnected() && proxy.reach.is_lost(&job.service) {
+            attempt.fail(outcome, job.terms.long);
+            return Resolution::Unreached;
+        }
         let decision = service.policy(proxy.now()).decide(&failed);
         match decision {
             Decision::Again { after } => {
--- a/src/node/traffic/dispatch.rs
+++ b/src/node/traffic/dispatch.rs
@@ -15,10 +15,13 @@
 use crate::retry;
 
 use super::Proxy;
+use super::Source;
 use super::attempts::Resolution;
 use super::attempts::caller_gone;
 use super::attempts::run_attempts;
 use super::claims::Claim;
+use super::forward;
+use super::forward::Forwarded;
 use super::job::Job;
 use super::queue::Admission;
 use super::relay::relay_answer;
@@ -50,6 +53,17 @@
         return;
     }
     service.refresh(proxy.now(), &upstreams);
+    if proxy.reach.is_lost(&job.service) {
+        match pass_on(proxy, view, &mut job, writer).await {
+            Forwarded::Done => return,
+            Forwarded::Untaken if proxy.reach.is_answering(proxy.now(), &job.service) => (),
+            Forwarded::Untaken => {
+                job.refund();
+                proxy.metrics.count("request.refused");
+                return send_local_reply(proxy, &job, writer, &forward::unreached(&job)).await;
+            }
+        }
+    }
     let claim = match Claim::acquire(proxy, &job).await {
         Ok(claim) => claim,
         Err(response) => {
@@ -97,6 +111,14 @@
             job.log(proxy, view, "caller is gone", 0);
             claim.into_iter().for_each(|claim| settle_claim(claim, may_have_run));
         }
+        Resolution::Unreached => {
+            permit.finish(admission::Outcome::Shed);
+            claim.into_iter().for_each(Claim::abandon);
+            if let Forwarded::Untaken = pass_on(proxy, view, &mut job, writer).await {
+                job.refund();
+                send_local_reply(proxy, &job, writer, &forward::unreached(&job)).await;
+            }
+        }
         Resolution::LocalReply { answer, reason, status } => {
             let is_not_run = answer == retry::Answer::NotRun;
             if is_not_run {
@@ -112,6 +134,29 @@
     }
 }
 
+/// Passes a job on to an entry that reaches the upstreams. A job that another entry passed on is
+/// refused, so that no request goes in circles.
+async fn pass_on(
+    proxy: &Proxy,
+    view: &View,
+    job: &mut Job,
+    writer: &mut ResponseWriter,
+) -> Forwarded {
+    if job.source == Source::Caller {
+        return forward::forward(proxy, view, job, writer).await;
+    }
+    job.refund();
+    let refusal = forward::unreached(job);
+    close_upload(job, writer);
+    job.log(proxy, view, &refusal.reason, refusal.status);
+    let mut response = proxy.boundary.refuse(&refusal);
+    forward::mark_unreached(&mut response);
+    if let Err(error) = writer.send(response).await {
+        tracing::debug!(target: "hemlockfield::exchange", "entry disconnected: {error}");
+    }
+    Forwarded::Done
+}
+
 fn settle_claim(claim: Claim<'_>, may_have_run: bool) {
     if may_have_run {
         claim.end(crate::claim::Outcome::Unknown);
@@ -121,7 +166,7 @@
 }
 
 /// Answers the caller with a refusal by this entry.
-async fn send_local_reply(
+pub(super) async fn send_local_reply(
     proxy: &Proxy,
     job: &Job,
     writer: &mut ResponseWriter,
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -9,10 +9,10 @@
 
 use crate::balance::Request;
 use crate::health;
+use crate::health::Observation;
 use crate::id::UpstreamId;
 use crate::node::view;
 
-use super::Observation;
 use super::Proxy;
 use super::attempt::Attempt;
 use super::job::Job;
--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -1,4 +1,5 @@
 use std::fmt::Write;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -9,6 +10,8 @@
 use crate::boundary::AttemptContext;
 use crate::boundary::Boundary;
 use crate::clock::Moment;
+use crate::exchange::Answer;
+use crate::exchange::Failure;
 use crate::exchange::Payload;
 use crate::exchange::Request;
 use crate::id::CallerId;
@@ -19,14 +22,18 @@
 use crate::id::TeamId;
 use crate::id::UpstreamId;
 use crate::node::View;
+use crate::reach::Peer;
 use crate::retry;
 use crate::rule::Terms;
 
 use super::Proxy;
+use super::Source;
 use super::rate_limiter::Charge;
 
 /// One request while the entry handles it.
 pub(super) struct Job {
+    /// Address that the caller sent it from.
+    pub(super) address: IpAddr,
     pub(super) caller: CallerId,
     pub(super) deadline: Moment,
     pub(super) headers: HeaderMap,
@@ -40,6 +47,7 @@
     pub(super) verified_team: Option<TeamId>,
     pub(super) rule: RuleId,
     pub(super) service: ServiceId,
+    pub(super) source: Source,
     /// Attempts so far, for the log.
     pub(super) steps: String,
     pub(super) target: CompactString,
@@ -124,6 +132,25 @@
         };
     }
 
+    /// Appends to the steps for the log that the request was passed on to another entry.
+    pub(super) fn record_forwarding(
+        &mut self,
+        peer: &Peer,
+        asked: &Result<Answer, Failure>,
+        latency: Duration,
+    ) {
+        let separator = if self.steps.is_empty() { "" } else { ", " };
+        let (id, millis, steps) = (&peer.id, latency.as_millis(), &mut self.steps);
+        // Writing to a string can't fail.
+        let _ = match asked {
+            Ok(answer) => {
+                let status = answer.response.status;
+                write!(steps, "{separator}entry {id} answered {status} in {millis} ms")
+            }
+            Err(failure) => write!(steps, "{separator}entry {id}: {failure} in {millis} ms"),
+        };
+    }
+
     /// Hash of the request, which detects a different request with the same idempotency key. A
     /// streamed upload contributes only its length.
     pub(super) fn digest(&self) -> u128 {
--- a/src/node/traffic/listener.rs
+++ b/src/node/traffic/listener.rs
@@ -17,13 +17,14 @@
 use crate::runtime;
 
 use super::Proxy;
+use super::Source;
 use super::serve;
 
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts connections of callers until the process stops serving.
-pub(in crate::node) async fn listen(listener: TcpListener, proxy: Arc<Proxy>) {
+/// Accepts connections of callers or other entries until the process stops serving.
+pub(in crate::node) async fn listen(listener: TcpListener, proxy: Arc<Proxy>, source: Source) {
     loop {
         let accepted = {
             let accept = listener.accept().fuse();
@@ -38,7 +39,7 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                runtime::spawn(serve_isolated(stream, peer, Arc::clone(&proxy)));
+                runtime::spawn(serve_isolated(stream, peer, Arc::clone(&proxy), source));
             }
             Err(error) => {
                 tracing::warn!(target: "hemlockfield::exchange", "accept failed: {error}");
@@ -49,11 +50,11 @@
 }
 
 /// Serves one connection. A panic in it must not affect other connections.
-async fn serve_isolated(stream: TcpStream, peer: SocketAddr, proxy: Arc<Proxy>) {
+async fn serve_isolated(stream: TcpStream, peer: SocketAddr, proxy: Arc<Proxy>, source: Source) {
     let open = proxy.connections.fetch_add(1, Ordering::AcqRel);
     let reader = RequestReader::new(stream, peer);
     let served = if open < proxy.settings.limits.connections {
-        AssertUnwindSafe(serve_connection(reader, &proxy)).catch_unwind().await
+        AssertUnwindSafe(serve_connection(reader, &proxy, source)).catch_unwind().await
     } else {
         AssertUnwindSafe(reject_connection(reader)).catch_unwind().await
     };
@@ -68,7 +69,7 @@
     reader.reject(&Error::Connections).await;
 }
 
-async fn serve_connection(mut reader: RequestReader, proxy: &Arc<Proxy>) {
+async fn serve_connection(mut reader: RequestReader, proxy: &Arc<Proxy>, source: Source) {
     let limits = &proxy.settings.limits;
     loop {
         let rule_limits = proxy.view.load().rules.as_ref().map(|rules| rules.limits());
@@ -96,7 +97,7 @@
         if proxy.closing.load(Ordering::Acquire) {
             writer.close_after();
         }
-        serve::serve(proxy, request, &mut writer, reader.peer()).await;
+        serve::serve(proxy, request, &mut writer, reader.peer(), source).await;
         if writer.is_closing() {
             reader.linger().await;
             return;
--- a/src/node/traffic/proxy.rs
+++ b/src/node/traffic/proxy.rs
@@ -27,10 +27,9 @@
 use crate::directory::Directory;
 use crate::exchange::Connector;
 use crate::exchange::Pool;
-use crate::health;
+use crate::health::Observation;
 use crate::id::RequestId;
 use crate::id::ServiceId;
-use crate::id::UpstreamId;
 use crate::node::Input;
 use crate::node::InputSender;
 use crate::node::View;
@@ -41,30 +40,13 @@
 use crate::settings::Settings;
 
 use super::rate_limiter::RateLimiter;
+use super::reach::Reach;
 use super::service::Service;
 
 /// Observations that may wait for the control thread's next turn: those of a tenth of a second at
 /// many times the highest request rate of one entry.
 const MAX_PENDING_OBSERVATIONS: usize = 10_000;
 
-/// How an upstream handled one request.
-#[derive(Debug)]
-pub(in crate::node) struct Observation {
-    pub(in crate::node) kind: health::Kind,
-    pub(in crate::node) latency: Duration,
-    pub(in crate::node) service: ServiceId,
-    /// Set if the request was a trial.
-    pub(in crate::node) trial: Option<Trial>,
-    pub(in crate::node) upstream: UpstreamId,
-}
-
-/// A request that tested whether an ejected upstream has recovered.
-#[derive(Clone, Copy, Debug)]
-pub(in crate::node) struct Trial {
-    /// Whether the request could be sent again elsewhere.
-    pub(in crate::node) is_repeatable: bool,
-}
-
 /// What a [`Proxy`] is made of.
 pub(in crate::node) struct Setup {
     pub(in crate::node) boundary: Arc<dyn Boundary>,
@@ -82,6 +64,7 @@
 /// State of the proxy in one process, shared by its traffic threads.
 pub(in crate::node) struct Proxy {
     pub(super) rate_limiter: Arc<RateLimiter>,
+    pub(super) reach: Reach,
     arrivals: AtomicU32,
     bytes: AtomicU64,
     pub(in crate::node) connections: AtomicUsize,
@@ -122,6 +105,7 @@
         let rate_limiter = RateLimiter::new(settings.node.id.clone(), settings.quota);
         Self {
             rate_limiter: Arc::new(rate_limiter),
+            reach: Reach::new(crate::node::incarnation()),
             boundary,
             closed: bounded(1),
             closing: AtomicBool::new(false),
@@ -154,7 +138,11 @@
     /// Serves callers by this view from now on.
     pub(in crate::node) fn set_view(&self, view: View) {
         let serves = view.serves();
+        let is_asked = *view.asked != *self.view.load().asked;
         self.view.store(Arc::new(view));
+        if is_asked {
+            self.reach.wake();
+        }
         if serves {
             self.ready.0.close();
         }
@@ -196,6 +184,14 @@
     /// turn. A failure or a trial wakes it at once, because the next request may go to the same
     /// upstream.
     pub(in crate::node) fn observe(&self, observation: Observation) {
+        match self.reach.judge(self.now(), observation) {
+            Some(observation) => self.record_observation(observation),
+            None => self.metrics.count("path.withheld"),
+        }
+    }
+
+    /// Records evidence about an upstream.
+    pub(super) fn record_observation(&self, observation: Observation) {
         let is_urgent = observation.trial.is_some() || observation.kind.is_failure();
         let mut observations = self.observations.lock().unwrap_or_else(PoisonError::into_inner);
         let is_full = observations.len() >= MAX_PENDING_OBSERVATIONS;
--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -235,7 +235,12 @@
     let overdue = service.overdue(proxy.now());
     let stuck = overdue.iter().map(|(_, ages)| ages.len()).sum();
     service.compensate_stuck(proxy.now(), stuck);
-    for (upstream, ages) in overdue {
+    let now = proxy.now();
+    if !overdue.is_empty() {
+        proxy.reach.suspect(now, &service.name);
+    }
+    for (upstream, mut ages) in overdue {
+        ages.retain(|age| !proxy.reach.excuses(now, &service.name, *age));
         proxy.try_notify(node::Input::Overdue(service.name.clone(), upstream, ages));
     }
 }
--- a/src/node/traffic/reservation.rs
+++ b/src/node/traffic/reservation.rs
@@ -7,13 +7,15 @@
 use crate::balance::Request;
 use crate::balance::Ticket;
 use crate::health;
+use crate::health::Observation;
+use crate::health::Trial;
 use crate::id::UpstreamId;
 use crate::node::Input;
 use crate::node::view;
+use crate::reach::Check;
 
-use super::Observation;
 use super::Proxy;
-use super::Trial;
+use super::round_trip::Target;
 use super::service::Service;
 
 /// A reserved slot at an upstream, released at the latest when dropped.
@@ -74,6 +76,13 @@
         address.map(|_| reservation)
     }
 
+    /// The upstream, for a request to it.
+    pub(super) fn target(&self) -> Target {
+        let service = self.service.name.clone();
+        let check = Check { service, upstream: self.upstream.clone() };
+        Target { address: self.address, check }
+    }
+
     /// Releases the slot and reports the outcome to outlier detection. A success of a long job is
     /// not reported, because its latency depends on the caller's request.
     pub(super) fn end(mut self, kind: health::Kind, latency: Duration, long: bool) {
--- a/src/node/traffic/round_trip.rs
+++ b/src/node/traffic/round_trip.rs
@@ -9,12 +9,19 @@
 use crate::exchange::Failure;
 use crate::exchange::Request;
 use crate::exchange::Timeouts;
+use crate::reach::Check;
 
 use super::Proxy;
 
 /// Longest wait between two bytes of an answer body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Upstream that a request is sent to.
+pub(super) struct Target {
+    pub(super) address: SocketAddr,
+    pub(super) check: Check,
+}
+
 /// Result of sending one request to an upstream.
 pub(super) struct RoundTrip {
     pub(super) result: Result<Answer, Failure>,
@@ -28,12 +35,12 @@
     pub(super) async fn run(
         proxy: &Proxy,
         request: Request,
-        address: SocketAddr,
+        target: &Target,
         idempotent: bool,
         left: Duration,
     ) -> Self {
         let started = Instant::now();
-        let sending = send(proxy, request, address, idempotent, left);
+        let sending = send(proxy, request, target, idempotent, left);
         let result = timeout(left, sending).await.unwrap_or(Err(Failure::Expired(left)));
         Self { result, latency: started.elapsed() }
     }
@@ -42,11 +49,11 @@
 async fn send(
     proxy: &Proxy,
     request: Request,
-    address: SocketAddr,
+    target: &Target,
     idempotent: bool,
     left: Duration,
 ) -> Result<Answer, Failure> {
-    let connection = acquire_connection(proxy, address, idempotent, left).await?;
+    let connection = acquire_connection(proxy, target, idempotent, left).await?;
     let first_byte = proxy.settings.limits.first_byte.min(left);
     let connect = proxy.settings.limits.connect;
     connection.send(request, Timeouts { connect, first_byte, idle: BODY_IDLE_TIMEOUT }).await
@@ -58,16 +65,22 @@
 /// it ran.
 async fn acquire_connection(
     proxy: &Proxy,
-    address: SocketAddr,
+    target: &Target,
     idempotent: bool,
     left: Duration,
 ) -> Result<Connection, Failure> {
+    let address = target.address;
     let max_idle = if idempotent { Duration::MAX } else { proxy.settings.limits.proven };
     if let Some(connection) = proxy.pool.take(address, max_idle).await {
         return Ok(connection);
     }
     let limit = proxy.settings.limits.connect.min(left);
+    let started = proxy.now();
     let opened = Connection::open(proxy.connector.as_ref(), address, limit).await;
     proxy.metrics.count(if opened.is_ok() { "connect.opened" } else { "connect.failed" });
+    // A caller with less time left can't tell a slow path from a lost one.
+    if opened.is_ok() || limit >= proxy.settings.limits.connect {
+        proxy.record_attempt(started, &target.check, opened.is_ok());
+    }
     opened
 }
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -1,5 +1,6 @@
 //! Routes one request from a caller's connection, or refuses it.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,8 +33,10 @@
 
 use super::DIRECTORY_PATH;
 use super::Proxy;
+use super::Source;
 use super::attempts::caller_gone;
 use super::dispatch;
+use super::forward;
 use super::job::Job;
 use super::rate_limiter::Charge;
 
@@ -55,16 +58,21 @@
 /// Serves one request.
 pub(super) async fn serve(
     proxy: &Proxy,
-    request: Request,
+    mut request: Request,
     writer: &mut ResponseWriter,
     peer: SocketAddr,
+    source: Source,
 ) {
-    proxy.metrics.count("request");
+    let peer = forward::take_caller(&mut request, source, peer);
+    proxy.metrics.count(if source == Source::Peer { "request.forwarded" } else { "request" });
     if request.path() == DIRECTORY_PATH {
         let response = list_entries(proxy, &request, peer);
         return respond_unread(&request, response, writer).await;
     }
-    proxy.count_arrival();
+    // The entry that passed a request on has counted it.
+    if source == Source::Caller {
+        proxy.count_arrival();
+    }
     proxy.count_bytes(request.body.len().unwrap_or_default());
     let received_at = proxy.now();
     if !wait_for_configuration(proxy, &request, writer, peer).await {
@@ -73,7 +81,7 @@
     let view = proxy.view.load_full();
     let has_body = !request.body.is_empty();
     match accept(proxy, &view, request, peer, received_at).await {
-        Ok(job) => dispatch::dispatch(proxy, &view, job, writer).await,
+        Ok(job) => dispatch::dispatch(proxy, &view, Job { source, ..job }, writer).await,
         Err(refusal) => {
             proxy.metrics.count("request.refused");
             if has_body {
@@ -170,7 +178,7 @@
         tracing::info!(target: "hemlockfield::request", id, number, %rule, status, "{reason}");
     }
     let charge = charge?;
-    let built = build_job(proxy, request, routing, received_at).await;
+    let built = build_job(proxy, request, routing, received_at, peer.ip()).await;
     match (built, charge) {
         (Ok(job), charge) => Ok(Job { charge, ..job }),
         (Err(refusal), charge) => {
@@ -257,6 +265,7 @@
     mut request: Request,
     routing: Routing,
     received_at: Moment,
+    address: IpAddr,
 ) -> Result<Job, Refusal> {
     let deadline = received_at + routing.budget();
     let Routing { metadata, verified_team, rule, service, team, terms } = routing;
@@ -269,6 +278,7 @@
     clean_request(&mut request);
     let (ticket, generated_id) = proxy.next_request();
     Ok(Job {
+        address,
         caller: metadata.caller,
         deadline,
         headers: request.headers,
@@ -280,6 +290,7 @@
         verified_team,
         rule,
         service,
+        source: Source::Caller,
         steps: String::new(),
         target: request.target,
         team: team.map(|team| team.name),
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -11,6 +11,8 @@
 use crate::id::ConfigNumber;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::reach::Peer;
+use crate::reach::Upstreams;
 use crate::rule;
 use crate::rule::Rules;
 use crate::rule::ServiceState;
@@ -18,6 +20,8 @@
 /// Immutable snapshot of the control state, for the traffic threads.
 #[derive(Clone, Debug)]
 pub struct View {
+    /// Services of which a control asks whether this entry reaches them.
+    pub asked: Arc<BTreeSet<ServiceId>>,
     /// Entries that may be listed to callers.
     pub entries: Arc<Vec<directory::Entry>>,
     /// Whether `entries` will change little, so that callers may keep the list for long.
@@ -26,6 +30,8 @@
     pub is_leaving: bool,
     /// Number of the configuration in force.
     pub number: Option<ConfigNumber>,
+    /// Entries that take requests that this one can't serve.
+    pub peers: Arc<Vec<Peer>>,
     /// Rules in force.
     pub rules: Option<Arc<Rules>>,
     /// Upstreams by service.
@@ -73,6 +79,12 @@
 }
 
 impl View {
+    /// Upstreams of a service, as far as they tell whether it is reached.
+    pub(super) fn upstreams(&self, service: &ServiceId) -> Option<Upstreams<'_>> {
+        let service = self.services.get(service)?;
+        Some(Upstreams { members: &service.members, health: service.as_ref() })
+    }
+
     /// Whether callers are served: there are rules, and the standing allows it.
     pub(crate) fn serves(&self) -> bool {
         self.rules.is_some() && self.standing.serves()
@@ -141,10 +153,12 @@
 impl Default for View {
     fn default() -> Self {
         Self {
+            asked: Arc::default(),
             entries: Arc::default(),
             is_settled: true,
             is_leaving: false,
             number: None,
+            peers: Arc::default(),
             rules: None,
             services: BTreeMap::new(),
             standing: Standing::Starting,
--- /dev/null
+++ b/src/reach/path.rs
@@ -0,0 +1,232 @@
+//! Path of an entry to the upstreams of one service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+
+use super::Upstreams;
+use super::Verdict;
+use crate::clock::Moment;
+use crate::health::Observation;
+use crate::id::DomainId;
+use crate::id::UpstreamId;
+
+/// Connections to different upstreams that show that a lost path is back.
+const PROOFS: usize = 2;
+/// Checks that start together when the path is first in doubt.
+const FIRST_CHECKS: usize = 3;
+/// Interval between two checks while the path is in doubt.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between two checks of a lost path.
+const LOST_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between two checks that a control asked for.
+const ASKED_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a request that waits unusually long is a reason to check.
+const SUSPICION: Duration = Duration::from_millis(500);
+/// How long an answer shows that open connections live on where no new one opens.
+const ANSWER_VALIDITY: Duration = Duration::from_secs(2);
+/// How long an opened connection shows that the path is there.
+const VALIDITY: Duration = Duration::from_secs(1);
+/// A path is reported only when it has been lost for this long. Controls change the lists of all
+/// callers then.
+const REPORT_DELAY: Duration = Duration::from_millis(150);
+/// A path that is back is reported as lost for this long after it. A flapping one would otherwise
+/// change the lists of all callers each time.
+const REPORT_HOLD: Duration = Duration::from_secs(2);
+/// Most observations that are held back. More arrive only if requests fail faster than a
+/// connection can.
+const MAX_HELD: usize = 256;
+
+/// Path of an entry to the upstreams of one service.
+#[derive(Debug, Default)]
+pub(super) struct Path {
+    /// When an upstream last answered.
+    answered_at: Option<Moment>,
+    check_at: Moment,
+    /// Failures that may be due to this path.
+    held: Vec<Observation>,
+    lost_at: Option<Moment>,
+    /// Start of the newest attempt that opened a connection.
+    opened_at: Option<Moment>,
+    /// Upstreams that were reached since the path was lost.
+    proofs: BTreeMap<UpstreamId, DomainId>,
+    /// Until when a path that is back is reported as lost.
+    reported_until: Moment,
+    restored_at: Option<Moment>,
+    /// Until when requests that wait unusually long are a reason to check.
+    suspected_until: Moment,
+    /// Upstreams that could not be reached since the last connection opened.
+    unreached: BTreeMap<UpstreamId, DomainId>,
+}
+
+impl Path {
+    /// Whether no upstream can be reached.
+    pub(super) fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
+    /// Records that an upstream answered, perhaps on a connection that was open before.
+    pub(super) fn record_answer(&mut self, now: Moment) {
+        self.answered_at = Some(now);
+    }
+
+    /// Whether upstreams still answer on open connections although no new one opens.
+    pub(super) fn is_answering(&self, now: Moment) -> bool {
+        let is_since_lost = |at: &Moment| self.lost_at.is_some_and(|lost_at| *at > lost_at);
+        let answered_at = self.answered_at.filter(is_since_lost);
+        answered_at.is_some_and(|at| now < at + ANSWER_VALIDITY)
+    }
+
+    /// Whether upstreams could not be reached and no connection has opened since.
+    pub(super) fn is_in_doubt(&self) -> bool {
+        !self.is_lost() && !self.unreached.is_empty()
+    }
+
+    /// Records an attempt from `started` that opened a connection. Returns the failures that are
+    /// due to their upstreams after all.
+    pub(super) fn record_opened(
+        &mut self,
+        now: Moment,
+        started: Moment,
+        upstream: &UpstreamId,
+        upstreams: Upstreams<'_>,
+    ) -> Vec<Observation> {
+        if self.is_lost() {
+            let domain = upstreams.domain(upstream).cloned().unwrap_or_default();
+            self.proofs.insert(upstream.clone(), domain);
+            if self.proofs.len() < upstreams.proofs(PROOFS) {
+                return Vec::new();
+            }
+            self.restore(now);
+        }
+        self.opened_at = self.opened_at.max(Some(started));
+        self.unreached.clear();
+        std::mem::take(&mut self.held)
+    }
+
+    /// Records an attempt from `started` that opened no connection.
+    pub(super) fn record_failed(
+        &mut self,
+        now: Moment,
+        started: Moment,
+        upstream: &UpstreamId,
+        upstreams: Upstreams<'_>,
+    ) {
+        if self.is_lost() || self.opened_at.is_some_and(|at| at >= started) {
+            return;
+        }
+        let Some(domain) = upstreams.domain(upstream) else { return };
+        if self.unreached.is_empty() {
+            self.check_at = now;
+        }
+        self.unreached.insert(upstream.clone(), domain.clone());
+        if upstreams.is_lost(&self.unreached) {
+            self.lost_at = Some(now);
+            self.proofs.clear();
+            self.held.clear();
+        }
+    }
+
+    /// Returns a failure if it is evidence about its upstream. One that may be due to this path is
+    /// held back until that is known, or dropped.
+    pub(super) fn judge(&mut self, now: Moment, failure: Observation) -> Option<Observation> {
+        let started = now.saturating_sub(failure.latency);
+        let is_before_return = self.restored_at.is_some_and(|at| started < at);
+        if self.is_lost() || is_before_return {
+            return None;
+        }
+        if !self.is_in_doubt() {
+            return Some(failure);
+        }
+        if self.held.len() < MAX_HELD {
+            self.held.push(failure);
+        }
+        None
+    }
+
+    /// Whether a request that has waited for `age` may have waited because of this path.
+    pub(super) fn excuses(&self, now: Moment, age: Duration) -> bool {
+        let is_before_return = self.restored_at.is_some_and(|at| now.saturating_sub(age) < at);
+        self.is_lost() || self.is_in_doubt() || is_before_return
+    }
+
+    /// Records that requests wait unusually long. They may have been sent on connections that have
+    /// fallen silent, so that none opens or fails to open. Returns whether a check is due.
+    pub(super) fn suspect(&mut self, now: Moment) -> bool {
+        self.suspected_until = now + SUSPICION;
+        self.next_check(now, false).is_some_and(|at| at <= now)
+    }
+
+    /// Upstreams to open a connection to now, without a request. `is_asked` says that a control
+    /// asks whether this entry reaches the service.
+    pub(super) fn checks(
+        &mut self,
+        now: Moment,
+        is_asked: bool,
+        upstreams: Upstreams<'_>,
+        random: &mut ChaCha8Rng,
+    ) -> Vec<UpstreamId> {
+        if self.next_check(now, is_asked).is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        let is_first = self.is_in_doubt() && self.unreached.len() == 1;
+        self.check_at = now + self.interval();
+        // The checks of a lost path are spread over all upstreams again.
+        let mut tried = if self.is_lost() { &self.proofs } else { &self.unreached }.clone();
+        let mut drawn = Vec::new();
+        for _ in 0..if is_first { FIRST_CHECKS } else { 1 } {
+            let Some(member) = upstreams.draw(&tried, random) else { break };
+            tried.insert(member.upstream.clone(), member.domain.clone());
+            drawn.push(member.upstream.clone());
+        }
+        drawn
+    }
+
+    /// When [`Self::checks`] or [`Self::verdict`] is next due.
+    pub(super) fn wake(&self, now: Moment, is_asked: bool) -> Option<Moment> {
+        let report = self.lost_at.map(|at| at + REPORT_DELAY).filter(|at| now < *at);
+        let end = Some(self.reported_until).filter(|at| now < *at);
+        self.next_check(now, is_asked).into_iter().chain(report).chain(end).min()
+    }
+
+    /// What to report, if anything.
+    pub(super) fn verdict(&self, now: Moment, is_asked: bool) -> Option<Verdict> {
+        let is_reported = |at: Moment| now >= at + REPORT_DELAY;
+        if self.lost_at.is_some_and(is_reported) || now < self.reported_until {
+            return Some(Verdict::Lost);
+        }
+        let is_proven = is_asked && !self.is_lost() && self.is_proven(now);
+        is_proven.then_some(Verdict::Reached)
+    }
+
+    fn is_proven(&self, now: Moment) -> bool {
+        self.opened_at.is_some_and(|at| now < at + VALIDITY + ASKED_INTERVAL)
+    }
+
+    fn next_check(&self, now: Moment, is_asked: bool) -> Option<Moment> {
+        if self.is_lost() || self.is_in_doubt() {
+            return Some(self.check_at);
+        }
+        let proven_until = self.opened_at.map_or(Moment::ZERO, |at| at + VALIDITY);
+        let is_wanted = is_asked || now < self.suspected_until;
+        is_wanted.then_some(self.check_at.max(proven_until))
+    }
+
+    fn interval(&self) -> Duration {
+        match (self.is_lost(), self.is_in_doubt()) {
+            (true, _) => LOST_INTERVAL,
+            (_, true) => DOUBT_INTERVAL,
+            _ => ASKED_INTERVAL,
+        }
+    }
+
+    fn restore(&mut self, now: Moment) {
+        let was_reported = self.lost_at.take().is_some_and(|at| now >= at + REPORT_DELAY);
+        if was_reported {
+            self.reported_until = now + REPORT_HOLD;
+        }
+        self.restored_at = Some(now);
+        self.proofs.clear();
+    }
+}
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -186,6 +186,7 @@
             mistakes.add(roles, "role `entry` needs `listen.callers`, the address for callers");
         }
         self.check_loopback(fields);
+        self.check_peers(fields);
         self.check_seeds(fields);
     }
 
@@ -207,6 +208,20 @@
         }
     }
 
+    /// Requests from other entries carry the caller's address, and nothing proves who sent them.
+    fn check_peers(&self, fields: &Fields) {
+        let Some(address) = self.listen.peers else { return };
+        let mistakes = fields.mistakes();
+        let line = fields.line_of("listen");
+        if !self.trusted_network && !address.ip().is_loopback() {
+            let text = "`listen.peers` needs `trusted_network: true`: it asks for no keys";
+            mistakes.add(line, text);
+        }
+        if !self.has_role(Role::Entry) || self.seeds.is_empty() {
+            mistakes.add(line, "`listen.peers` is for entries that follow controls, by `seeds`");
+        }
+    }
+
     /// Without keys anyone who can reach the port could join the fleet. A process without keys
     /// is therefore limited to loopback, unless the network is trusted.
     fn check_loopback(&self, fields: &Fields) {
--- a/tests/suite/feed.rs
+++ b/tests/suite/feed.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod publisher;
+mod reach;
 mod selection;
 mod slow_link;
 mod subscriber;
--- a/tests/suite/feed/budget.rs
+++ b/tests/suite/feed/budget.rs
@@ -1,5 +1,6 @@
 //! Retry budget of all entries together, shared by the counts of the feed.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hemlockfield::catalog::Catalog;
@@ -54,6 +55,8 @@
         callers: ([127, 0, 0, 1], at as u16).into(),
         domain: compact_str::format_compact!("domain-{}", at % 3),
         id: compact_str::format_compact!("entry-{at}"),
+        peers: None,
+        reach: BTreeMap::new(),
         room: Capacity::default(),
         state: State::Serving,
     }
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -1,5 +1,6 @@
 //! Advertised entries and updates of a control.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +30,8 @@
         callers: SocketAddr::from(([127, 0, 0, 1], at as u16)),
         domain: domain.into(),
         id: compact_str::format_compact!("{domain}-{at}"),
+        peers: None,
+        reach: BTreeMap::new(),
         room: Capacity::default(),
         state: State::Serving,
     }
--- a/tests/suite/feed/selection.rs
+++ b/tests/suite/feed/selection.rs
@@ -1,5 +1,6 @@
 //! Upstreams that an entry follows, and how it loads them.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -124,6 +125,8 @@
             callers: SocketAddr::from(([127, 0, 0, 1], 80)),
             domain: "a".into(),
             id: "e1".into(),
+            peers: None,
+            reach: BTreeMap::new(),
             room: Capacity::default(),
             state: State::Serving,
         };
--- a/tests/suite/feed/slow_link.rs
+++ b/tests/suite/feed/slow_link.rs
@@ -135,6 +135,8 @@
             callers: SocketAddr::from(([127, 0, 0, 1], 80)),
             domain: "north".into(),
             id: "e1".into(),
+            peers: None,
+            reach: BTreeMap::new(),
             room: Capacity::new(0.1, Some(3.9)),
             state: State::Serving,
         };
@@ -251,6 +253,7 @@
                     self.in_force_at.push((version.number, self.now));
                 }
                 Output::Advertise(_)
+                | Output::Ask(_)
                 | Output::Narrow(_)
                 | Output::Record(_)
                 | Output::Retain(_)
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -1,5 +1,7 @@
 //! Polls, failover and updates of an entry.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,6 +39,8 @@
         callers: SocketAddr::from(([127, 0, 0, 1], 80)),
         domain: "north".into(),
         id: "e1".into(),
+        peers: None,
+        reach: BTreeMap::new(),
         room: Capacity::default(),
         state: State::Serving,
     };
@@ -52,6 +56,7 @@
         base: 0,
         configuration: None,
         controls: SEEDS.iter().zip(domains).map(control).collect(),
+        doubted: BTreeSet::new(),
         entries: 1,
         fresh: true,
         follow: None,
--- a/tests/suite/reach.rs
+++ b/tests/suite/reach.rs
@@ -2,4 +2,6 @@
 
 mod cut;
 mod fleet;
+mod monitor;
 mod network;
+mod peers;
--- a/tests/suite/reach/cut.rs
+++ b/tests/suite/reach/cut.rs
@@ -2,11 +2,13 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rstest::rstest;
 
 use super::fleet::Fleet;
 use super::network::Form;
+use crate::process::fleet::wait_for;
 
 /// Time after which an entry that lost its way to the upstreams serves callers all the same, and
 /// callers are told of others.
@@ -46,3 +48,93 @@
     assert_eq!((listed, served), (sound, all), "entries that callers are told of, and answers");
     drop(callers);
 }
+
+// Once an entry reaches the upstreams again, it serves by itself and callers are told of it.
+#[rstest]
+fn return_after_cut(#[values(Form::Hang, Form::Reset)] form: Form) {
+    let fleet = Fleet::start();
+    let _callers = fleet.callers();
+    fleet.cut(&[0], form, None);
+    wait_for("another list", || !fleet.is_listed(0));
+    fleet.heal();
+    let healed = Instant::now();
+    wait_for("its own answers", || {
+        let before = fleet.metric(0, "forward.sent");
+        count_served(&fleet, 0, "hull") == REQUESTS && fleet.metric(0, "forward.sent") == before
+    });
+    assert!(healed.elapsed() < BOUND, "{:?}", healed.elapsed());
+    wait_for("the old list", || fleet.is_listed(0));
+    assert!(healed.elapsed() < 2 * BOUND, "{:?}", healed.elapsed());
+}
+
+// What an entry that is cut off fails to reach must not take sound upstreams from the other
+// entries, nor from itself once it is back.
+#[rstest]
+fn learn_nothing_false(#[values(Form::Hang, Form::Reset)] form: Form) {
+    let fleet = Fleet::start();
+    let callers = fleet.callers();
+    fleet.cut(&[0, 1], form, None);
+    thread::sleep(BOUND);
+    let out = |entry| fleet.metric(entry, "upstream.out") + fleet.metric(entry, "upstream.last");
+    // Connections that were open are reset with a request on them, which other entries can't tell
+    // from an upstream that breaks answers.
+    let allowed = if form == Form::Reset { 2 } else { 0 };
+    assert!(out(2) <= allowed && out(3) <= allowed, "{} and {} out elsewhere", out(2), out(3));
+    fleet.heal();
+    thread::sleep(BOUND);
+    drop(callers);
+    assert_eq!([out(0), out(1), out(2), out(3)], [0; 4]);
+}
+
+// No entry reaches the upstreams: callers are still told of entries, as there are no better ones,
+// are refused at once, and are served as soon as the upstreams are back.
+#[rstest]
+fn serve_all_cut(#[values(Form::Hang, Form::Reset)] form: Form) {
+    let fleet = Fleet::start();
+    let callers = fleet.callers();
+    fleet.cut(&[0, 1, 2, 3], form, None);
+    thread::sleep(BOUND);
+    assert!((0..4).all(|entry| fleet.is_listed(entry)));
+    let asked = Instant::now();
+    assert_eq!(fleet.look(0, "hull"), 503);
+    assert!(asked.elapsed() < Duration::from_millis(600), "{:?}", asked.elapsed());
+    fleet.heal();
+    let healed = Instant::now();
+    wait_for("answers", || (0..4).all(|entry| fleet.look(entry, "hull") == 200));
+    assert!(healed.elapsed() < BOUND, "{:?}", healed.elapsed());
+    drop(callers);
+}
+
+// Requests that may run once are served by other entries too, and each runs once.
+#[test]
+fn sign_once() {
+    let fleet = Fleet::start();
+    let callers = fleet.callers();
+    fleet.cut(&[0], Form::Hang, Some("cert"));
+    wait_for("the lost path", || !fleet.is_listed(0));
+    drop(callers);
+    thread::sleep(Duration::from_millis(500));
+    let started = Instant::now();
+    for _ in 0..REQUESTS {
+        assert_eq!(fleet.sign(0, "cert"), 200);
+    }
+    assert_eq!(fleet.count_arrivals("cert", started.elapsed()), REQUESTS);
+    assert!(fleet.metric(0, "forward.answered") >= REQUESTS);
+}
+
+// The entry that is cut off opens connections until it is back, but few: a rush of checks would
+// reach the upstreams of a whole failure domain at its return.
+#[test]
+fn check_few() {
+    let fleet = Fleet::start();
+    let callers = fleet.callers();
+    fleet.cut(&[0], Form::Hang, None);
+    wait_for("the lost path", || !fleet.is_listed(0));
+    drop(callers);
+    thread::sleep(Duration::from_secs(1));
+    let opened = fleet.opened(0);
+    fleet.heal();
+    thread::sleep(BOUND);
+    let checks = fleet.opened(0) - opened;
+    assert!((2..=6).contains(&checks), "{checks} connections");
+}
--- a/tests/suite/reach/fleet.rs
+++ b/tests/suite/reach/fleet.rs
@@ -23,6 +23,8 @@
 const FRONT: u16 = 19_080;
 const ORDERS: u16 = 19_081;
 const LINKS: u16 = 19_082;
+const PEERS: u16 = 19_083;
+const METRICS: u16 = 19_084;
 /// Failure domains of the entries.
 const DOMAINS: [&str; 4] = ["north", "north", "south", "south"];
 /// Upstreams of each service, spread over the failure domains in turn.
@@ -77,6 +79,7 @@
                 fleet.look(entry, "hull") == 200 && fleet.look(entry, "cert") == 200
             });
         }
+        wait_for("a list of all", || (0..DOMAINS.len()).all(|entry| fleet.is_listed(entry)));
         fleet
     }
 
@@ -88,6 +91,37 @@
         entries.iter().for_each(|at| self.entries[*at].1.cut(form, behind.clone()));
     }
 
+    pub(super) fn heal(&self) {
+        self.entries.iter().for_each(|(_, network)| network.heal());
+    }
+
+    /// Number of connections to upstreams that an entry has opened.
+    pub(super) fn opened(&self, entry: usize) -> usize {
+        self.entries[entry].1.opened()
+    }
+
+    /// Requests that arrived at the upstreams of a service within the last `span`.
+    pub(super) fn count_arrivals(&self, service: &str, span: Duration) -> usize {
+        let upstreams = self.upstreams.iter().filter(|(name, _)| *name == service);
+        upstreams.map(|(_, upstream)| upstream.count_arrivals(span)).sum()
+    }
+
+    /// Value of a metric of an entry.
+    pub(super) fn metric(&self, entry: usize, kind: &str) -> usize {
+        let address = format!("{}:{METRICS}", ip(&self.net, entry + 1));
+        let (_, text) = ask(&address, "GET /metrics", "", "");
+        let wanted = format!("{{kind=\"{kind}\"}} ");
+        let line = text.lines().find_map(|line| Some(line.split_once(&wanted)?.1.to_owned()));
+        line.map_or(0, |value| value.parse().unwrap())
+    }
+
+    /// Status of the answer to a request that may run once, at an entry.
+    pub(super) fn sign(&self, entry: usize, service: &str) -> u16 {
+        let headers = "Hemlockfield-Request-Id: 8\r\nHemlockfield-Deadline-Ms: 1500\r\n";
+        let address = format!("{}:{FRONT}", ip(&self.net, entry + 1));
+        ask(&address, &format!("POST /{service}-sign/1"), headers, "").0
+    }
+
     /// Status of the answer to a lookup at an entry; 0 where there is none.
     pub(super) fn look(&self, entry: usize, service: &str) -> u16 {
         look(&self.net, entry, service)
@@ -120,9 +154,12 @@
         let services: Vec<String> =
             SERVICES.iter().map(|(name, _)| format!(r#"{{"name":"{name}"}}"#)).collect();
         let paths = SERVICES.iter().map(|(name, _)| {
-            format!(
-                r#"{{"name":"{name}","pathPrefix":"/{name}/","routeType":"safe","service":"{name}","timeoutS":2}}"#
-            )
+            let path = |suffix: &str, kind: &str| {
+                format!(
+                    r#"{{"name":"{name}{suffix}","pathPrefix":"/{name}{suffix}/","routeType":"{kind}","service":"{name}","timeoutS":2}}"#
+                )
+            };
+            format!("{},{}", path("", "safe"), path("-sign", "unsafe"))
         });
         let paths: Vec<String> = paths.collect();
         let body = format!(
@@ -165,11 +202,15 @@
     let (own, control) = (ip(net, at), ip(net, 0));
     let role = if at == 0 { "control" } else { "entry" };
     let domain = if at == 0 { "west" } else { DOMAINS[at - 1] };
-    let front = if at == 0 { String::new() } else { format!("callers: \"{own}:{FRONT}\", ") };
+    let front = match at {
+        0 => String::new(),
+        _ => format!("callers: \"{own}:{FRONT}\", peers: \"{own}:{PEERS}\", "),
+    };
     let text = format!(
         "node: {{id: \"{own}\", region: here, failure_domain: {domain}}}\nroles: [{role}]\n\
          interface: platform\ntrusted_network: true\nseeds: [\"{control}:{ORDERS}\"]\n\
          first_start: true\ndirectory: {{lifetime: 2s}}\n\
+         metrics: {{listen: \"{own}:{METRICS}\"}}\n\
          listen: {{{front}orders: [\"{own}:{ORDERS}\"], links: \"{own}:{LINKS}\"}}\n{more}"
     );
     Settings::parse("settings", &text).unwrap()
--- /dev/null
+++ b/tests/suite/reach/monitor.rs
@@ -0,0 +1,343 @@
+//! Decisions about a path in virtual time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hemlockfield::balance::Health;
+use hemlockfield::balance::Member;
+use hemlockfield::balance::State;
+use hemlockfield::clock::Moment;
+use hemlockfield::health::Kind;
+use hemlockfield::health::Observation;
+use hemlockfield::id::ServiceId;
+use hemlockfield::reach::Check;
+use hemlockfield::reach::Monitor;
+use hemlockfield::reach::Upstreams;
+use hemlockfield::reach::Verdict;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+/// How long a connection that hangs is waited for.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Interval of this entry's requests that need a new connection.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+const STEP: Duration = Duration::from_millis(5);
+
+/// Upstreams that no breaker has out.
+struct Sound;
+
+impl Health for Sound {
+    fn weight(&self, _: &str) -> f64 {
+        1.0
+    }
+}
+
+/// What becomes of a connection to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fate {
+    Hang,
+    Open,
+    Reset,
+}
+
+/// An entry that opens connections for requests and checks, in virtual time.
+struct Entry {
+    members: Vec<Member>,
+    monitor: Monitor,
+    now: Moment,
+    /// Attempts that hang, with their starts.
+    hanging: Vec<(Moment, Check)>,
+    opened: usize,
+    random: ChaCha8Rng,
+    reports: Vec<(Moment, BTreeMap<ServiceId, Verdict>)>,
+    request_at: Moment,
+    /// Failures that turned out to be evidence about their upstreams.
+    released: Vec<Observation>,
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn service() -> ServiceId {
+    "hull".into()
+}
+
+fn members(count: usize, domains: usize) -> Vec<Member> {
+    let member = |at: usize| Member {
+        connections: 400,
+        domain: compact_str::format_compact!("domain-{}", at % domains),
+        slots: 4,
+        state: State::Ready,
+        upstream: compact_str::format_compact!("hull-{at}"),
+    };
+    (0..count).map(member).collect()
+}
+
+fn failure(check: &Check, kind: Kind, latency: Duration) -> Observation {
+    let (service, upstream) = (check.service.clone(), check.upstream.clone());
+    Observation { kind, latency, service, trial: None, upstream }
+}
+
+impl Entry {
+    fn new(seed: u64, count: usize, domains: usize) -> Self {
+        Self {
+            members: members(count, domains),
+            monitor: Monitor::new(ChaCha8Rng::seed_from_u64(seed)),
+            now: secs(1),
+            hanging: Vec::new(),
+            opened: 0,
+            random: ChaCha8Rng::seed_from_u64(seed + 1),
+            reports: Vec::new(),
+            request_at: Moment::ZERO,
+            released: Vec::new(),
+        }
+    }
+
+    /// Runs until `until`; `fate` tells what becomes of connections. Requests arrive unless
+    /// `is_idle`.
+    fn run(&mut self, until: Moment, is_idle: bool, fate: impl Fn(Moment, &str) -> Fate) {
+        while self.now < until {
+            self.now += STEP;
+            let given_up = self.hanging.extract_if(.., |(at, _)| *at + CONNECT_LIMIT <= self.now);
+            for (started, check) in given_up.collect::<Vec<_>>() {
+                self.fail(started, &check);
+            }
+            let mut starts = Vec::new();
+            if !is_idle && self.now >= self.request_at {
+                self.request_at = self.now + REQUEST_INTERVAL;
+                let at = self.random.random_range(0..self.members.len());
+                let upstream = self.members[at].upstream.clone();
+                starts.push(Check { service: service(), upstream });
+            }
+            let upstreams = Upstreams { members: &self.members, health: &Sound };
+            starts.extend(self.monitor.checks(self.now, |_| Some(upstreams)));
+            for check in starts {
+                match fate(self.now, &check.upstream) {
+                    Fate::Hang => self.hanging.push((self.now, check)),
+                    Fate::Open => self.open(&check),
+                    Fate::Reset => self.fail(self.now, &check),
+                }
+            }
+            let report = self.monitor.report(self.now);
+            self.reports.extend(report.map(|verdicts| (self.now, verdicts)));
+        }
+    }
+
+    fn open(&mut self, check: &Check) {
+        self.opened += 1;
+        let upstreams = Upstreams { members: &self.members, health: &Sound };
+        self.released.extend(self.monitor.record_opened(self.now, self.now, check, upstreams));
+    }
+
+    fn fail(&mut self, started: Moment, check: &Check) {
+        let upstreams = Upstreams { members: &self.members, health: &Sound };
+        self.monitor.record_failed(self.now, started, check, upstreams);
+        let observation = failure(check, Kind::ConnectFailed, self.now - started);
+        self.released.extend(self.monitor.judge(self.now, observation));
+    }
+
+    fn is_lost(&self) -> bool {
+        self.monitor.is_lost(&service())
+    }
+}
+
+fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+// An entry that is cut off must know it soon, whether connections hang or are reset, and with few
+// upstreams too.
+#[rstest]
+fn is_lost_cut(
+    #[values(Fate::Hang, Fate::Reset)] fate: Fate,
+    #[values((1, 1), (2, 2), (4, 2), (36, 4))] (count, domains): (usize, usize),
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut entry = Entry::new(seed, count, domains);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    assert!(!entry.is_lost());
+    entry.run(secs(2) + ms(700), false, |_, _| fate);
+    assert!(entry.is_lost());
+}
+
+// What an entry that is cut off fails to reach is no evidence about the upstreams: other entries
+// would take sound ones out.
+#[rstest]
+fn judge_cut(#[values(Fate::Hang, Fate::Reset)] fate: Fate, #[values(1, 2, 3)] seed: u64) {
+    let mut entry = Entry::new(seed, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    entry.run(secs(5), false, |_, _| fate);
+    entry.run(secs(7), false, |_, _| Fate::Open);
+    assert_eq!(entry.released, []);
+}
+
+// Requests that were sent before the path was lost and end after its return say nothing of their
+// upstreams either.
+#[test]
+fn judge_sent_before_return() {
+    let mut entry = Entry::new(1, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    entry.run(secs(4), false, |_, _| Fate::Hang);
+    entry.run(secs(5), false, |_, _| Fate::Open);
+    let check = Check { service: service(), upstream: "hull-1".into() };
+    let silent = failure(&check, Kind::Silent, ms(2500));
+    assert_eq!(entry.monitor.judge(entry.now, silent), None);
+    let later = failure(&check, Kind::Silent, ms(500));
+    assert_eq!(entry.monitor.judge(entry.now, later.clone()), Some(later));
+}
+
+// One upstream that crashed is found within the time that a connection to another one takes, and
+// the path is never taken for lost.
+#[rstest]
+fn judge_one_crashed(#[values(Fate::Hang, Fate::Reset)] fate: Fate, #[values(1, 2, 3)] seed: u64) {
+    let mut entry = Entry::new(seed, 36, 4);
+    let crashed = move |now: Moment, upstream: &str| {
+        if now >= secs(2) && upstream == "hull-7" { fate } else { Fate::Open }
+    };
+    entry.run(secs(12), false, crashed);
+    assert!(entry.released.iter().all(|observation| observation.upstream == "hull-7"));
+    assert!(!entry.released.is_empty());
+    assert!(entry.reports.is_empty(), "{:?}", entry.reports);
+}
+
+// A whole failure domain of upstreams is down, the one that this entry prefers. The others are
+// reached, so the entry is not at fault.
+#[rstest]
+fn is_lost_near_domain_down(#[values(Fate::Hang, Fate::Reset)] fate: Fate) {
+    let mut entry = Entry::new(1, 36, 4);
+    let near: BTreeSet<_> = entry
+        .members
+        .iter()
+        .filter(|it| it.domain == "domain-0")
+        .map(|it| it.upstream.clone())
+        .collect();
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    for at in 0..near.len() {
+        let upstream = near.iter().nth(at).unwrap().clone();
+        entry.fail(entry.now, &Check { service: service(), upstream });
+    }
+    assert!(!entry.is_lost());
+    let down = |_: Moment, upstream: &str| if near.contains(upstream) { fate } else { Fate::Open };
+    entry.run(secs(4), true, down);
+    assert!(!entry.is_lost());
+    assert!(entry.reports.is_empty(), "{:?}", entry.reports);
+}
+
+// Half of the upstreams crash at once. The path may be doubted for a moment, but an entry that
+// still reaches half of them must not be reported as cut off.
+#[test]
+fn report_half_crashed() {
+    let mut reported = 0;
+    for seed in 0..100 {
+        let mut entry = Entry::new(seed, 36, 4);
+        let even = |upstream: &str| upstream.ends_with(['0', '2', '4', '6', '8']);
+        entry.run(secs(10), false, |now, upstream| match now >= secs(2) && even(upstream) {
+            true => Fate::Reset,
+            false => Fate::Open,
+        });
+        reported += entry.reports.len();
+    }
+    assert_eq!(reported, 0);
+}
+
+// Requests of an entry with few callers wait on connections that have fallen silent, and none needs
+// a new one. The entry must find out all the same.
+#[test]
+fn suspect_silent_connections() {
+    let mut entry = Entry::new(1, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    let mut now = secs(2);
+    while now < secs(4) {
+        now += ms(100);
+        entry.monitor.suspect(now, &service());
+        entry.run(now, true, |_, _| Fate::Hang);
+    }
+    assert!(entry.is_lost());
+}
+
+// Requests that wait long while connections open are no reason for more than one connection a
+// second.
+#[test]
+fn suspect_slow_upstreams() {
+    let mut entry = Entry::new(1, 36, 4);
+    entry.run(secs(2), true, |_, _| Fate::Open);
+    let mut now = secs(2);
+    while now < secs(12) {
+        now += ms(100);
+        entry.monitor.suspect(now, &service());
+        entry.run(now, true, |_, _| Fate::Open);
+    }
+    assert!(!entry.is_lost());
+    assert!(entry.opened <= 10, "{}", entry.opened);
+}
+
+// Open connections live on while no new one opens. Where no other entry helps, they are used.
+#[test]
+fn is_answering_open_connections() {
+    let mut entry = Entry::new(1, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    let check = Check { service: service(), upstream: "hull-1".into() };
+    entry.monitor.judge(entry.now, failure(&check, Kind::Success, ms(100)));
+    entry.run(secs(3), false, |_, _| Fate::Hang);
+    assert!(entry.is_lost());
+    assert!(!entry.monitor.is_answering(entry.now, &service()), "the answer came before");
+    entry.monitor.judge(entry.now, failure(&check, Kind::Success, ms(100)));
+    assert!(entry.monitor.is_answering(entry.now, &service()));
+    assert!(!entry.monitor.is_answering(entry.now + secs(3), &service()));
+}
+
+// The return costs no request of a caller: connections without one show it, and not many.
+#[rstest]
+fn checks_return(#[values(Fate::Hang, Fate::Reset)] fate: Fate, #[values(1, 2, 3)] seed: u64) {
+    let mut entry = Entry::new(seed, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    entry.run(secs(3), false, |_, _| fate);
+    entry.run(secs(10), true, |_, _| fate);
+    assert!(entry.is_lost());
+    let opened = entry.opened;
+    entry.run(secs(10) + ms(700), true, |_, _| Fate::Open);
+    assert!(!entry.is_lost());
+    assert_eq!(entry.opened - opened, 2, "two upstreams show it");
+    entry.run(secs(20), true, |_, _| Fate::Open);
+    assert_eq!(entry.opened - opened, 2, "no checks without doubt");
+}
+
+// A path that comes and goes is reported as lost all the while. Each report changes the lists of
+// all callers.
+#[test]
+fn report_flapping() {
+    let mut entry = Entry::new(1, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    let flapping = |now: Moment, _: &str| match now.as_millis() / 1500 % 2 {
+        0 => Fate::Open,
+        _ => Fate::Reset,
+    };
+    entry.run(secs(20), false, flapping);
+    assert_eq!(entry.reports.len(), 1, "{:?}", entry.reports);
+    entry.run(secs(24), false, |_, _| Fate::Open);
+    assert_eq!(entry.reports.len(), 2, "{:?}", entry.reports);
+    assert_eq!(entry.reports[1].1, BTreeMap::new());
+}
+
+// An entry without callers tells whether it reaches a service when a control asks, without a
+// request. Otherwise callers would be sent from one entry that is cut off to the next.
+#[rstest]
+#[case::reached(Fate::Open, Verdict::Reached)]
+#[case::hang(Fate::Hang, Verdict::Lost)]
+#[case::reset(Fate::Reset, Verdict::Lost)]
+fn report_asked(#[case] fate: Fate, #[case] verdict: Verdict) {
+    let mut entry = Entry::new(1, 36, 4);
+    entry.run(secs(2), true, |_, _| fate);
+    assert!(entry.reports.is_empty());
+    entry.monitor.set_asked(&BTreeSet::from([service()]));
+    entry.run(secs(3), true, |_, _| fate);
+    let (at, verdicts) = entry.reports.last().unwrap().clone();
+    assert_eq!(verdicts, BTreeMap::from([(service(), verdict)]));
+    assert!(at <= secs(2) + ms(800), "{at:?}");
+    entry.run(secs(10), true, |_, _| fate);
+    assert_eq!(entry.reports.len(), 1, "{:?}", entry.reports);
+}
--- a/tests/suite/reach/network.rs
+++ b/tests/suite/reach/network.rs
@@ -10,6 +10,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 
 use futures::FutureExt;
@@ -43,6 +45,7 @@
 #[derive(Debug, Default)]
 struct State {
     cut: Mutex<Option<Cut>>,
+    opened: AtomicUsize,
     /// Both ends of the open connections, with the upstream's address.
     open: Mutex<Vec<(SocketAddr, TcpStream, TcpStream)>>,
 }
@@ -50,15 +53,26 @@
 impl Network {
     /// Cuts the entry off from these upstreams.
     pub(super) fn cut(&self, form: Form, upstreams: Vec<SocketAddr>) {
-        if form == Form::Reset {
-            let open = self.0.open.lock().unwrap();
-            let behind = open.iter().filter(|(address, ..)| upstreams.contains(address));
-            for (_, near, far) in behind {
-                near.shutdown(Shutdown::Both).ok();
-                far.shutdown(Shutdown::Both).ok();
-            }
-        }
         *self.0.cut.lock().unwrap() = Some(Cut { form, upstreams });
+        self.reset_open();
+    }
+
+    /// Resets the open connections that a cut resets.
+    fn reset_open(&self) {
+        let open = self.0.open.lock().unwrap();
+        for (_, near, far) in open.iter().filter(|it| self.form(it.0) == Some(Form::Reset)) {
+            near.shutdown(Shutdown::Both).ok();
+            far.shutdown(Shutdown::Both).ok();
+        }
+    }
+
+    pub(super) fn heal(&self) {
+        *self.0.cut.lock().unwrap() = None;
+    }
+
+    /// Number of connections that were opened.
+    pub(super) fn opened(&self) -> usize {
+        self.0.opened.load(Ordering::Relaxed)
     }
 
     /// Form of the cut between the entry and an upstream.
@@ -73,11 +87,13 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let entry = TcpStream::connect(listener.local_addr()?)?;
         let (near, _) = listener.accept()?;
+        self.0.opened.fetch_add(1, Ordering::Relaxed);
         for stream in [&far, &entry, &near] {
             stream.set_nodelay(true)?;
         }
         let kept = (address, near.try_clone()?, far.try_clone()?);
         self.0.open.lock().unwrap().push(kept);
+        self.reset_open();
         let (to, back) = ((near.try_clone()?, far.try_clone()?), (far, near));
         let network = self.clone();
         let stops = |form| matches!(form, Form::Hang);
