Ask the same entries on while a service is in doubt

Entries that were asked and answered were no longer asked, took their answer back, and were asked again: each reported a change with every poll, and controls told each other of it. Candidates are now the next entries of each failure domain, whatever they answered.

--- a/src/feed/roster.rs
+++ b/src/feed/roster.rs
@@ -76,9 +76,9 @@
         let usable = doubt.usable(&serving_entries);
         let choice = Choice { before, doubt: &doubt, load };
         let advertised: Vec<Entry> = choice.advertised(&usable).into_iter().map(listed).collect();
-        let asked = choice.candidates(&usable);
         let advertised_ids: BTreeSet<NodeId> =
             advertised.iter().map(|entry| entry.id.clone()).collect();
+        let asked = choice.candidates(&usable, &advertised_ids);
         let asked = asked.into_iter().map(|entry| entry.id.clone());
         Self {
             asked_ids: asked.chain(advertised_ids.iter().cloned()).collect(),
@@ -162,13 +162,17 @@
         chosen
     }
 
-    /// Entries that may be advertised next and have not shown that they reach what others can't.
-    fn candidates<'a>(&self, usable: &[&'a Entry]) -> Vec<&'a Entry> {
+    /// Entries that may be advertised next, while something is in doubt.
+    fn candidates<'a>(
+        &self,
+        usable: &[&'a Entry],
+        advertised: &BTreeSet<NodeId>,
+    ) -> Vec<&'a Entry> {
         if self.doubt.services.is_empty() {
             return Vec::new();
         }
-        let unproven = usable.iter().copied().filter(|entry| !self.doubt.is_proven(entry));
-        let domains = by_domain(unproven.collect()).into_values();
+        let others = usable.iter().copied().filter(|entry| !advertised.contains(&entry.id));
+        let domains = by_domain(others.collect()).into_values();
         domains.flat_map(|entries| entries.into_iter().take(CANDIDATES)).collect()
     }
 
--- a/tests/suite/feed/reach.rs
+++ b/tests/suite/feed/reach.rs
@@ -164,6 +164,22 @@
     assert!(fleet.advertised().iter().any(|it| it.starts_with("north")), "they return");
 }
 
+// Entries that are asked and answer must be asked on. Asked in turns, all of them report a change
+// with each poll, and controls pass each on to all others.
+#[test]
+fn roster_asks_the_same() {
+    let mut fleet = Fleet::new();
+    let cut = fleet.advertised().into_iter().next().unwrap();
+    fleet.cut(&cut, &["hull"]);
+    fleet.report(&cut);
+    fleet.rounds(3);
+    let before = fleet.reach.clone();
+    for _ in 0..6 {
+        fleet.rounds(1);
+        assert_eq!(fleet.reach, before);
+    }
+}
+
 // No entry reaches a service: its upstreams are at fault. Without the entries that say so, callers
 // would be told of none.
 #[test]
