Hold broken answers back until the path is known to be there

Cause: a cut by resets breaks the requests on all open connections before any connection fails to open. Class: an entry's own fault learnt as one of the upstreams.

Change: a broken answer is held back until a connection opens or an upstream answers; a connection without a request is opened at once for it, elsewhere. It costs 2 to 3 ms and one connection, which requests use later. If the path is lost, what was held is dropped.

--- a/src/node/traffic/proxy.rs
+++ b/src/node/traffic/proxy.rs
@@ -184,10 +184,12 @@
     /// turn. A failure or a trial wakes it at once, because the next request may go to the same
     /// upstream.
     pub(in crate::node) fn observe(&self, observation: Observation) {
-        match self.reach.judge(self.now(), observation) {
-            Some(observation) => self.record_observation(observation),
-            None => self.metrics.count("path.withheld"),
+        let evidence = self.reach.judge(self.now(), observation);
+        if evidence.is_empty() {
+            self.metrics.count("path.held");
+            self.reach.wake();
         }
+        evidence.into_iter().for_each(|observation| self.record_observation(observation));
     }
 
     /// Records evidence about an upstream.
--- a/src/node/traffic/reach.rs
+++ b/src/node/traffic/reach.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Returns an observation if it is evidence about its upstream, see [`Monitor::judge`].
-    pub(super) fn judge(&self, now: Moment, observation: Observation) -> Option<Observation> {
+    /// Returns the observations that are evidence about their upstreams, see [`Monitor::judge`].
+    pub(super) fn judge(&self, now: Moment, observation: Observation) -> Vec<Observation> {
         self.monitor().judge(now, observation)
     }
 
--- a/src/reach/monitor.rs
+++ b/src/reach/monitor.rs
@@ -82,17 +82,16 @@
         path.record_failed(now, started, &check.upstream, upstreams);
     }
 
-    /// Returns an observation if it is evidence about its upstream. One that may be due to the path
-    /// is held back until that is known, or dropped.
-    pub fn judge(&mut self, now: Moment, observation: Observation) -> Option<Observation> {
-        let Some(path) = self.paths.get_mut(&observation.service) else {
-            return Some(observation);
-        };
+    /// Returns an observation if it is evidence about its upstream, with those held back before that
+    /// it shows to be. One that may be due to the path is held back until that is known, or dropped.
+    pub fn judge(&mut self, now: Moment, observation: Observation) -> Vec<Observation> {
+        let path = self.paths.entry(observation.service.clone()).or_default();
         if observation.kind.is_failure() {
-            return path.judge(now, observation);
+            return path.judge(now, observation).into_iter().collect();
         }
-        path.record_answer(now);
-        Some(observation)
+        let mut released = path.record_answer(now);
+        released.push(observation);
+        released
     }
 
     /// Whether a request that has waited for `age` may have waited because of the path.
--- a/src/reach/path.rs
+++ b/src/reach/path.rs
@@ -8,6 +8,7 @@
 use super::Upstreams;
 use super::Verdict;
 use crate::clock::Moment;
+use crate::health::Kind;
 use crate::health::Observation;
 use crate::id::DomainId;
 use crate::id::UpstreamId;
@@ -44,6 +45,8 @@
     /// When an upstream last answered.
     answered_at: Option<Moment>,
     check_at: Moment,
+    /// Whether answers broke and nothing has shown since that the path is there.
+    has_broken: bool,
     /// Failures that may be due to this path.
     held: Vec<Observation>,
     lost_at: Option<Moment>,
@@ -66,9 +69,15 @@
         self.lost_at.is_some()
     }
 
-    /// Records that an upstream answered, perhaps on a connection that was open before.
-    pub(super) fn record_answer(&mut self, now: Moment) {
+    /// Records that an upstream answered, perhaps on a connection that was open before. Returns the
+    /// broken answers that are due to their upstreams after all.
+    pub(super) fn record_answer(&mut self, now: Moment) -> Vec<Observation> {
         self.answered_at = Some(now);
+        if !self.unreached.is_empty() {
+            return Vec::new();
+        }
+        self.has_broken = false;
+        std::mem::take(&mut self.held)
     }
 
     /// Whether upstreams still answer on open connections although no new one opens.
@@ -78,9 +87,10 @@
         answered_at.is_some_and(|at| now < at + ANSWER_VALIDITY)
     }
 
-    /// Whether upstreams could not be reached and no connection has opened since.
+    /// Whether upstreams could not be reached or broke answers, and nothing has shown since that the
+    /// path is there.
     pub(super) fn is_in_doubt(&self) -> bool {
-        !self.is_lost() && !self.unreached.is_empty()
+        !self.is_lost() && (self.has_broken || !self.unreached.is_empty())
     }
 
     /// Records an attempt from `started` that opened a connection. Returns the failures that are
@@ -101,6 +111,7 @@
             self.restore(now);
         }
         self.opened_at = self.opened_at.max(Some(started));
+        self.has_broken = false;
         self.unreached.clear();
         std::mem::take(&mut self.held)
     }
@@ -123,6 +134,7 @@
         self.unreached.insert(upstream.clone(), domain.clone());
         if upstreams.is_lost(&self.unreached) {
             self.lost_at = Some(now);
+            self.has_broken = false;
             self.proofs.clear();
             self.held.clear();
         }
@@ -137,7 +149,11 @@
             return None;
         }
         if !self.is_in_doubt() {
-            return Some(failure);
+            if failure.kind != Kind::Cut {
+                return Some(failure);
+            }
+            self.has_broken = true;
+            self.check_at = now;
         }
         if self.held.len() < MAX_HELD {
             self.held.push(failure);
@@ -172,8 +188,7 @@
         }
         let is_first = self.is_in_doubt() && self.unreached.len() == 1;
         self.check_at = now + self.interval();
-        // The checks of a lost path are spread over all upstreams again.
-        let mut tried = if self.is_lost() { &self.proofs } else { &self.unreached }.clone();
+        let mut tried = self.tried(upstreams);
         let mut drawn = Vec::new();
         for _ in 0..if is_first { FIRST_CHECKS } else { 1 } {
             let Some(member) = upstreams.draw(&tried, random) else { break };
@@ -183,6 +198,18 @@
         drawn
     }
 
+    /// Upstreams that tell nothing new. The checks of a lost path are spread over all of them again.
+    fn tried(&self, upstreams: Upstreams<'_>) -> BTreeMap<UpstreamId, DomainId> {
+        if self.is_lost() {
+            return self.proofs.clone();
+        }
+        let broken = self.held.iter().filter_map(|failure| {
+            let domain = upstreams.domain(&failure.upstream)?;
+            Some((failure.upstream.clone(), domain.clone()))
+        });
+        broken.chain(self.unreached.clone()).collect()
+    }
+
     /// When [`Self::checks`] or [`Self::verdict`] is next due.
     pub(super) fn wake(&self, now: Moment, is_asked: bool) -> Option<Moment> {
         let report = self.lost_at.map(|at| at + REPORT_DELAY).filter(|at| now < *at);
--- a/tests/suite/reach/monitor.rs
+++ b/tests/suite/reach/monitor.rs
@@ -133,6 +133,15 @@
         self.released.extend(self.monitor.record_opened(self.now, self.now, check, upstreams));
     }
 
+    /// Breaks requests on open connections to this many upstreams.
+    fn break_connections(&mut self, count: usize) {
+        for member in &self.members[..count] {
+            let check = Check { service: service(), upstream: member.upstream.clone() };
+            let broken = failure(&check, Kind::Cut, ms(200));
+            self.released.extend(self.monitor.judge(self.now, broken));
+        }
+    }
+
     fn fail(&mut self, started: Moment, check: &Check) {
         let upstreams = Upstreams { members: &self.members, health: &Sound };
         self.monitor.record_failed(self.now, started, check, upstreams);
@@ -175,6 +184,47 @@
     assert_eq!(entry.released, []);
 }
 
+// At a cut by resets, requests on open connections break at many upstreams before a connection fails
+// to open. Reported, they would take half of the sound upstreams from all other entries.
+#[rstest]
+fn judge_reset_connections(#[values(1, 2, 3)] seed: u64) {
+    let mut entry = Entry::new(seed, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    entry.break_connections(8);
+    entry.run(secs(3), false, |_, _| Fate::Reset);
+    assert!(entry.is_lost());
+    entry.run(secs(5), false, |_, _| Fate::Open);
+    assert_eq!(entry.released, []);
+}
+
+// Upstreams that break answers are found out without delay: a connection to another one shows that
+// the path is there.
+#[rstest]
+fn judge_broken_answers(#[values(1, 2, 3)] seed: u64) {
+    let mut entry = Entry::new(seed, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    let opened = entry.opened;
+    entry.break_connections(3);
+    entry.run(secs(2) + STEP, true, |_, _| Fate::Open);
+    assert_eq!(entry.released.len(), 3);
+    assert_eq!(entry.opened - opened, 1, "one connection shows it");
+    assert!(entry.reports.is_empty());
+}
+
+// An answer shows that the path is there as well, without a connection.
+#[test]
+fn judge_broken_beside_answers() {
+    let mut entry = Entry::new(1, 36, 4);
+    entry.run(secs(2), false, |_, _| Fate::Open);
+    let opened = entry.opened;
+    entry.break_connections(1);
+    let check = Check { service: service(), upstream: "hull-9".into() };
+    let released = entry.monitor.judge(entry.now, failure(&check, Kind::Success, ms(100)));
+    assert_eq!(released.len(), 2, "the broken answer and this one");
+    entry.run(secs(3), true, |_, _| Fate::Open);
+    assert_eq!(entry.opened, opened);
+}
+
 // Requests that were sent before the path was lost and end after its return say nothing of their
 // upstreams either.
 #[test]
@@ -185,9 +235,9 @@
     entry.run(secs(5), false, |_, _| Fate::Open);
     let check = Check { service: service(), upstream: "hull-1".into() };
     let silent = failure(&check, Kind::Silent, ms(2500));
-    assert_eq!(entry.monitor.judge(entry.now, silent), None);
+    assert_eq!(entry.monitor.judge(entry.now, silent), []);
     let later = failure(&check, Kind::Silent, ms(500));
-    assert_eq!(entry.monitor.judge(entry.now, later.clone()), Some(later));
+    assert_eq!(entry.monitor.judge(entry.now, later.clone()), [later]);
 }
 
 // One upstream that crashed is found within the time that a connection to another one takes, and
