Count the oldest second of the load in part

Cause: the mean of 8 s dropped the oldest second as a whole, so that it changed by an eighth each second. Ruled out: noise of the arrivals alone (a steady load shows it).

Tried and not kept: keeping advertised entries up to a spare capacity of a tenth or a quarter; a fleet that starts keeps more entries than it is sized for.

--- a/src/feed/rate.rs
+++ b/src/feed/rate.rs
@@ -39,7 +39,7 @@
             Some((start, count)) if now < *start + BUCKET => *count += amount,
             _ => self.buckets.push_back((now, amount)),
         }
-        while self.buckets.front().is_some_and(|(start, _)| now >= *start + WINDOW) {
+        while self.buckets.front().is_some_and(|(start, _)| now >= *start + BUCKET + WINDOW) {
             self.buckets.pop_front();
         }
     }
@@ -58,10 +58,15 @@
         is_early.then(|| self.mean(now) / EARLY_SHARE)
     }
 
-    /// Mean amount per second over the window.
+    /// Mean amount per second over the window. Of the oldest bucket, the part within the window
+    /// counts: dropped as a whole, it would change the mean by an eighth each second.
     pub fn mean(&self, now: Moment) -> f64 {
-        let recent = self.buckets.iter().filter(|(start, _)| now < *start + WINDOW);
-        let total: f64 = recent.map(|(_, count)| *count as f64).sum();
+        let part = |start: Moment| {
+            let left = (start + BUCKET + WINDOW).saturating_sub(now).min(BUCKET);
+            left.as_secs_f64() / BUCKET.as_secs_f64()
+        };
+        let total: f64 =
+            self.buckets.iter().map(|(start, count)| part(*start) * *count as f64).sum();
         let elapsed = self.first_at.map_or(BUCKET, |first_at| now.saturating_sub(first_at));
         total / elapsed.clamp(BUCKET, WINDOW).as_secs_f64()
     }
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -18,6 +18,7 @@
 use hemlockfield::feed::Update;
 use hemlockfield::fleet::State;
 use hemlockfield::health::Kind;
+use rstest::rstest;
 
 const NORTH_ENTRIES: usize = 12;
 
@@ -118,6 +119,24 @@
     assert_eq!(north_after(&mut publisher, secs(30)), 2);
 }
 
+// The load is just what the advertised entries are sized for. Callers must not be told of other
+// entries each second: they drop their connections to those that are missing from a new list.
+#[rstest]
+fn advertised_load_at_threshold(#[values(11, 12, 13)] requests: u32) {
+    let mut publisher = fleet(secs(0));
+    let mut lists = Vec::new();
+    for step in 0..400 {
+        let now = Duration::from_millis(100 * step);
+        let tallies = Tallies { arrivals: requests, ..Tallies::default() };
+        publisher.add_tallies(now, &tallies, false);
+        poll_all(&mut publisher, now);
+        lists.push(advertised_ids(&mut publisher, now));
+    }
+    lists.drain(..120);
+    lists.dedup();
+    assert_eq!(lists.len(), 1, "{lists:?}");
+}
+
 // A large fleet has just started, with 1,200 slots of upstreams and no request yet. Twelve
 // entries are advertised, because callers that arrive together would overload two within a
 // second. Once the load is known to be low, two are advertised.
