Log how a body was framed, received and announced; count refused heads and bodies

The line of a request whose body ran empty (`i-0 ConnectFailed in 0 ms, i-2 answered in 23 ms`, status 200) was like any other, and a head that can't be read left no line at all.

Lines of requests with a body now have framing, received and announced. Refused heads and bodies have a line and a counter each (head.refused, body.refused), and callers' connections that close with a body unread are counted (body.unread). RequestReader::next returns the error of a head. No decision is changed.

--- a/src/demo/baseline.rs
+++ b/src/demo/baseline.rs
@@ -61,7 +61,7 @@
     turn: Arc<AtomicUsize>,
 ) {
     let mut reader = RequestReader::new(stream, peer);
-    while let Some((request, mut writer)) = reader.next(PATIENCE).await {
+    while let Ok(Some((request, mut writer))) = reader.next(PATIENCE).await {
         let at = turn.fetch_add(1, Ordering::Relaxed) % upstreams.len();
         pass_on(request, &mut writer, upstreams[at]).await;
         if writer.is_closing() {
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -1,11 +1,8 @@
 //! An upstream's answer and the connection that it arrived on.
 
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-
 use super::BodyReader;
 use super::Connection;
+use super::Progress;
 use super::Response;
 
 /// An upstream's answer: its head, and a body that is buffered or still being received.
@@ -20,21 +17,20 @@
 /// How far the body has been read, shared with its reader, and whether the upstream keeps the
 /// connection open afterwards.
 pub(super) struct Completion {
-    broken: Arc<AtomicBool>,
-    complete: Arc<AtomicBool>,
+    progress: Progress,
     keep_alive: bool,
 }
 
 impl Completion {
     pub(super) fn new(reader: &BodyReader, keep_alive: bool) -> Self {
-        Self { broken: reader.broken(), complete: reader.complete(), keep_alive }
+        Self { progress: reader.progress(), keep_alive }
     }
 }
 
 impl Answer {
     /// Whether reading the body from the upstream has failed.
     pub fn is_broken(&self) -> bool {
-        self.completion.broken.load(Ordering::Acquire)
+        self.completion.progress.is_broken()
     }
 
     /// Whether it arrived before the whole request was sent.
@@ -44,7 +40,7 @@
 
     /// Whether the body has been read to its end.
     pub fn is_complete(&self) -> bool {
-        self.completion.complete.load(Ordering::Acquire)
+        self.completion.progress.is_complete()
     }
 
     /// Returns the connection if it can carry another request: the request was sent and the
--- a/src/exchange/body_reader.rs
+++ b/src/exchange/body_reader.rs
@@ -1,8 +1,5 @@
 //! Reads a body up to its last byte, or fails.
 
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -10,6 +7,7 @@
 use bytes::BytesMut;
 
 use super::BodyError;
+use super::Progress;
 use super::Socket;
 
 /// Longest size or trailer line of a chunked body, in bytes. A size has at most 16 digits;
@@ -44,13 +42,12 @@
 #[derive(Debug)]
 pub struct BodyReader {
     pushed_back: Option<Bytes>,
-    broken: Arc<AtomicBool>,
-    complete: Arc<AtomicBool>,
     declared: Option<u64>,
     continue_pending: bool,
     idle: Duration,
     limit_remaining: u64,
     limit: u64,
+    progress: Progress,
     state: State,
     socket: Socket,
 }
@@ -65,16 +62,17 @@
             Framing::Length(0) => State::Done,
             Framing::Length(length) => State::Length(length),
         };
+        let progress =
+            if state == State::Done { Progress::completed() } else { Progress::default() };
         let declared = if let Framing::Length(length) = framing { Some(length) } else { None };
         Self {
             pushed_back: None,
-            broken: Arc::default(),
-            complete: Arc::new(AtomicBool::new(state == State::Done)),
             declared,
             continue_pending: false,
             idle,
             limit_remaining: limit,
             limit,
+            progress,
             state,
             socket,
         }
@@ -102,14 +100,9 @@
         self.declared
     }
 
-    /// A flag that is set once reading the body has failed.
-    pub fn broken(&self) -> Arc<AtomicBool> {
-        Arc::clone(&self.broken)
-    }
-
-    /// A flag that is set once the body has been read to its end.
-    pub fn complete(&self) -> Arc<AtomicBool> {
-        Arc::clone(&self.complete)
+    /// How far the body has been read.
+    pub fn progress(&self) -> Progress {
+        self.progress.clone()
     }
 
     /// Reads the next bytes; `None` at the end of the body.
@@ -126,7 +119,7 @@
         }
         let next = self.read_next().await;
         if next.is_err() {
-            self.broken.store(true, Ordering::Release);
+            self.progress.break_off();
         }
         next
     }
@@ -199,7 +192,7 @@
 
     fn finish(&mut self) {
         self.state = State::Done;
-        self.complete.store(true, Ordering::Release);
+        self.progress.complete();
     }
 
     /// Reads at most `max` bytes; `None` if the peer has closed the connection.
@@ -211,6 +204,7 @@
         let count = bytes.len() as u64;
         self.limit_remaining =
             self.limit_remaining.checked_sub(count).ok_or(BodyError::Limit(self.limit))?;
+        self.progress.add(count);
         Ok(Some(bytes))
     }
 
--- a/src/exchange/request_reader.rs
+++ b/src/exchange/request_reader.rs
@@ -12,6 +12,7 @@
 use super::BodyReader;
 use super::Error;
 use super::Outcome;
+use super::Progress;
 use super::Request;
 use super::ResponseWriter;
 use super::Socket;
@@ -31,6 +32,8 @@
 
 /// Reads the requests of one connection.
 pub struct RequestReader {
+    /// How far the last request's body has been read.
+    body: Progress,
     max_head_bytes: usize,
     peer: SocketAddr,
     socket: Socket,
@@ -40,7 +43,12 @@
     /// Creates a reader for an accepted connection.
     pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
         stream.set_nodelay(true).ok();
-        Self { max_head_bytes: DEFAULT_MAX_HEAD_BYTES, peer, socket: Socket::new(stream) }
+        Self {
+            body: Progress::completed(),
+            max_head_bytes: DEFAULT_MAX_HEAD_BYTES,
+            peer,
+            socket: Socket::new(stream),
+        }
     }
 
     /// Sets the largest head of a request, in bytes.
@@ -58,21 +66,35 @@
         self.socket.readable().await;
     }
 
+    /// Whether a part of the last request's body has not been read.
+    pub fn has_unread_body(&self) -> bool {
+        !self.body.is_complete()
+    }
+
     /// Reads the next request, whose head must arrive within `limit`, and returns it with the
-    /// writer of its response. `None` if the connection has ended; an invalid head is answered
-    /// with an error first.
-    pub async fn next(&mut self, limit: Duration) -> Option<(Request, ResponseWriter)> {
-        let head = timeout(limit, self.socket.read_head(self.max_head_bytes)).await.ok()?;
+    /// writer of its response. `None` if the connection has ended.
+    ///
+    /// # Errors
+    ///
+    /// If the head is invalid; the caller is answered with the error first.
+    pub async fn next(
+        &mut self,
+        limit: Duration,
+    ) -> Result<Option<(Request, ResponseWriter)>, Error> {
+        let Ok(head) = timeout(limit, self.socket.read_head(self.max_head_bytes)).await else {
+            return Ok(None);
+        };
         let request = match head {
-            Ok(None) => return None,
+            Ok(None) => return Ok(None),
             Ok(Some(bytes)) => Request::parse(&bytes),
             Err(error) => Err(error),
         };
         match request {
-            Ok(request) => Some(self.attach_body(request)),
+            Ok(request) => Ok(Some(self.attach_body(request))),
             Err(error) => {
+                tracing::info!(target: "hemlockfield::exchange", peer = %self.peer, "head refused: {error}");
                 self.reject(&error).await;
-                None
+                Err(error)
             }
         }
     }
@@ -93,10 +115,12 @@
         self.socket.close();
     }
 
-    fn attach_body(&self, mut request: Request) -> (Request, ResponseWriter) {
+    fn attach_body(&mut self, mut request: Request) -> (Request, ResponseWriter) {
+        self.body = Progress::completed();
         if let Some(framing) = head::request_framing(&request) {
             let mut reader =
                 BodyReader::new(self.socket.clone(), framing, u64::MAX, DEFAULT_BODY_TIMEOUT);
+            self.body = reader.progress();
             let expect = request.header("expect");
             if expect.is_some_and(|text| text.eq_ignore_ascii_case("100-continue")) {
                 reader.send_continue();
--- a/src/node/operations.rs
+++ b/src/node/operations.rs
@@ -64,7 +64,7 @@
     proxy: Arc<Proxy>,
 ) {
     let mut reader = RequestReader::new(stream, peer);
-    while let Some((request, mut writer)) = reader.next(IDLE_TIMEOUT).await {
+    while let Ok(Some((request, mut writer))) = reader.next(IDLE_TIMEOUT).await {
         serve_operation(request, &mut writer, &control, &proxy).await;
         if writer.is_closing() {
             reader.linger().await;
--- a/src/node/traffic/forward.rs
+++ b/src/node/traffic/forward.rs
@@ -156,6 +156,7 @@
     proxy.boundary.prepare_forwarding(&mut request, left);
     request.set_header(CALLER_ADDRESS_HEADER, job.address.to_string());
     job.payload.put(&mut request);
+    job.transfer.announced = request.body.len();
     request
 }
 
--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -14,6 +14,7 @@
 use crate::exchange::Failure;
 use crate::exchange::Payload;
 use crate::exchange::Request;
+use crate::exchange::Transfer;
 use crate::id::CallerId;
 use crate::id::Key;
 use crate::id::RequestId;
@@ -54,6 +55,7 @@
     pub(super) team: Option<TeamId>,
     pub(super) terms: Terms,
     pub(super) ticket: u64,
+    pub(super) transfer: Transfer,
 }
 
 impl Job {
@@ -83,6 +85,7 @@
             &AttemptContext { id: &self.id, remaining: left, team, upstream },
         );
         self.payload.put(&mut request);
+        self.transfer.announced = request.body.len();
         request
     }
 
@@ -111,6 +114,9 @@
             steps = self.steps,
             status,
             left_ms = left,
+            framing = self.transfer.framing(),
+            received = self.transfer.received(),
+            announced = self.transfer.announced,
             "{message}"
         );
     }
--- a/src/node/traffic/listener.rs
+++ b/src/node/traffic/listener.rs
@@ -89,16 +89,20 @@
             return;
         }
         let _in_flight = InFlight::new(proxy);
-        let Some((request, mut writer)) =
-            reader.next(rule_limits.head_time.unwrap_or(limits.head_time)).await
-        else {
-            return;
+        let head_time = rule_limits.head_time.unwrap_or(limits.head_time);
+        let (request, mut writer) = match reader.next(head_time).await {
+            Ok(Some(next)) => next,
+            Ok(None) => return,
+            Err(_) => return proxy.metrics.count("head.refused"),
         };
         if proxy.closing.load(Ordering::Acquire) {
             writer.close_after();
         }
         serve::serve(proxy, request, &mut writer, reader.peer(), source).await;
         if writer.is_closing() {
+            if reader.has_unread_body() {
+                proxy.metrics.count("body.unread");
+            }
             reader.linger().await;
             return;
         }
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -20,6 +20,7 @@
 use crate::exchange::Request;
 use crate::exchange::Response;
 use crate::exchange::ResponseWriter;
+use crate::exchange::Transfer;
 use crate::exchange::clean_request;
 use crate::id::RuleId;
 use crate::id::ServiceId;
@@ -272,9 +273,14 @@
     let key = terms.key.as_ref().and_then(|header| request.header(header.as_str()));
     let key = key.map(Into::into);
     let limits = &proxy.settings.limits;
+    let transfer = Transfer::of(&request);
     let payload = Payload::take(&mut request, terms.body, limits.body_buffer, limits.idle).await;
-    let payload =
-        payload.map_err(|failure| Refusal::new(400, Outcome::NotRun, failure.to_string()))?;
+    let payload = payload.map_err(|failure| {
+        proxy.metrics.count("body.refused");
+        let (id, framing, received) = (metadata.id.as_deref(), transfer.framing(), transfer.received());
+        tracing::info!(target: "hemlockfield::request", id, %rule, framing, received, status = 400, "{failure}");
+        Refusal::new(400, Outcome::NotRun, failure.to_string())
+    })?;
     clean_request(&mut request);
     let (ticket, generated_id) = proxy.next_request();
     Ok(Job {
@@ -296,6 +302,7 @@
         team: team.map(|team| team.name),
         terms,
         ticket,
+        transfer,
     })
 }
 
--- a/src/upstream/server.rs
+++ b/src/upstream/server.rs
@@ -152,7 +152,7 @@
 
     async fn handle(self: Arc<Self>, stream: TcpStream, peer: SocketAddr) {
         let mut reader = RequestReader::new(stream.clone(), peer);
-        while let Some((request, writer)) = reader.next(IDLE_TIMEOUT).await {
+        while let Ok(Some((request, writer))) = reader.next(IDLE_TIMEOUT).await {
             if !self.serve(request, writer, &stream).await {
                 reader.linger().await;
                 return;
--- a/tests/suite/exchange/heads.rs
+++ b/tests/suite/exchange/heads.rs
@@ -19,7 +19,7 @@
     task::spawn(async move {
         let (stream, peer) = listener.accept().await.unwrap();
         let mut reader = RequestReader::new(stream, peer);
-        while let Some((mut request, mut writer)) = reader.next(TIMEOUTS.idle).await {
+        while let Ok(Some((mut request, mut writer))) = reader.next(TIMEOUTS.idle).await {
             let mut response = Response::new(200);
             let body = std::mem::take(&mut request.body).read_all().await;
             let body =
