--- a/tests/suite/entry/fixture.rs
+++ b/tests/suite/entry/fixture.rs
@@ -53,6 +53,8 @@
     AnswerLength,
     /// Answers with 413 before reading the body, and never reads it.
     AnswerEarly,
+    /// Listens nowhere: connections are refused.
+    Absent,
     /// Reads the head and closes the connection.
     HangUp,
     /// Reads the head, never answers, and records when the other end closes the connection.
@@ -177,6 +179,9 @@
 async fn upstream(script: Script, received: Arc<Mutex<Received>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
+    if matches!(script, Script::Absent) {
+        return address;
+    }
     task::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             task::spawn(run_script(stream, script, Arc::clone(&received)));
@@ -208,7 +213,7 @@
             stream.write_all(answer).await.ok();
             task::sleep(Duration::from_secs(60)).await;
         }
-        Script::HangUp => (),
+        Script::Absent | Script::HangUp => (),
         Script::Hold => {
             let mut byte = [0];
             while matches!(stream.read(&mut byte).await, Ok(1)) {}
@@ -238,6 +243,9 @@
 
 /// Returns the number of body bytes received and whether the body was complete.
 async fn read_body(stream: &mut TcpStream, head: &str) -> (usize, bool) {
+    if head.contains("transfer-encoding: chunked") {
+        return read_chunks(stream).await;
+    }
     let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
     let declared: usize = length.map_or(0, |length| length.parse().unwrap());
     let mut buffer = vec![0; 64 * 1024];
@@ -250,3 +258,29 @@
     }
     (count, true)
 }
+
+/// As [`read_body`], for a body in chunks.
+async fn read_chunks(stream: &mut TcpStream) -> (usize, bool) {
+    let mut received = Vec::new();
+    let mut buffer = vec![0; 64 * 1024];
+    while !received.ends_with(b"0\r\n\r\n") {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return (decode_chunks(&received), false),
+            Ok(read) => received.extend_from_slice(&buffer[..read]),
+        }
+    }
+    (decode_chunks(&received), true)
+}
+
+/// Number of bytes in the chunks that are all there.
+fn decode_chunks(mut bytes: &[u8]) -> usize {
+    let mut count = 0;
+    while let Some(end) = bytes.windows(2).position(|window| window == b"\r\n") {
+        let size = std::str::from_utf8(&bytes[..end]).unwrap();
+        let size = usize::from_str_radix(size, 16).unwrap();
+        let Some(rest) = bytes.get(end + 2 + size + 2..) else { break };
+        count += size;
+        bytes = rest;
+    }
+    count
+}
--- a/tests/suite/entry/uploads.rs
+++ b/tests/suite/entry/uploads.rs
@@ -6,6 +6,7 @@
 use async_std::io::WriteExt;
 use async_std::task;
 use async_std::task::block_on;
+use rstest::rstest;
 
 use super::fixture::Fixture;
 use super::fixture::Script;
@@ -112,3 +113,73 @@
         assert_eq!(fixture.request_count(), 0);
     });
 }
+
+/// A whole request, to stand at the start of a body.
+const HIDDEN: &str = "POST /findings/hidden HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
+
+fn chunked(body: &[u8]) -> Vec<u8> {
+    let head = "POST /gauging/1 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut bytes = head.as_bytes().to_vec();
+    for part in body.chunks(50_000) {
+        bytes.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+        bytes.extend_from_slice(part);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    bytes
+}
+
+fn with_length(body: &[u8]) -> Vec<u8> {
+    let mut bytes = head(body.len(), "").into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+/// Requests that are sent, so that some of them meet the upstream that refuses connections first.
+const ATTEMPTS: usize = 8;
+
+// A body must not be lost where the first upstream refuses the connection: the next one ran the
+// request with an empty body, and the body's bytes were read as the caller's next request.
+#[rstest]
+#[case::chunked_small(chunked, b"finding".to_vec())]
+#[case::chunked_large(chunked, vec![b'x'; LARGE_BODY])]
+#[case::length_large(with_length, vec![b'x'; LARGE_BODY])]
+#[case::chunked_hidden(chunked, HIDDEN.as_bytes().to_vec())]
+#[case::length_hidden(with_length, HIDDEN.repeat(8_000).into_bytes())]
+fn post_connect_refused(#[case] encode: fn(&[u8]) -> Vec<u8>, #[case] body: Vec<u8>) {
+    block_on(async {
+        let fixture = Fixture::start(&[Script::Absent, Script::AnswerLength]).await;
+        for _ in 0..ATTEMPTS {
+            let mut stream = fixture.connect().await;
+            let mut writer = stream.clone();
+            let bytes = encode(&body);
+            let upload = task::spawn(async move { writer.write_all(&bytes).await.is_ok() });
+            let mut answer = [0; 4096];
+            let count = stream.read(&mut answer).await.unwrap();
+            let answer = String::from_utf8_lossy(&answer[..count]).into_owned();
+            // Without a retry in the budget, the refusal is true.
+            let is_true = answer.starts_with("HTTP/1.1 200 ") || answer.contains(": not-run");
+            assert!(is_true, "{answer}");
+            upload.await;
+        }
+        let received = fixture.received.lock().unwrap();
+        assert!(received.heads.iter().all(|head| head.starts_with("POST /gauging/1 ")));
+        assert_eq!(received.bodies, vec![body.len(); received.heads.len()]);
+        assert!(!received.bodies.is_empty());
+    });
+}
+
+// The rest of a body that no upstream took must not be read as a request of the caller.
+#[test]
+fn post_hidden_unreached() {
+    block_on(async {
+        let fixture = Fixture::start(&[Script::Absent]).await;
+        let bytes = with_length(HIDDEN.repeat(8_000).as_bytes());
+        let mut stream = fixture.connect().await;
+        let mut writer = stream.clone();
+        let upload = task::spawn(async move { writer.write_all(&bytes).await.is_ok() });
+        let answer = read_all(&mut stream).await;
+        upload.await;
+        assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
+    });
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod claim;
 mod config;
 mod core_fleet;
+mod delivery;
 mod directory;
 mod entry;
 mod exchange;
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -10,4 +10,5 @@
 mod platform;
 mod record;
 mod refusal;
+pub(crate) mod site;
 mod upload;
--- a/tests/suite/process/platform.rs
+++ b/tests/suite/process/platform.rs
@@ -1,164 +1,21 @@
 //! Processes with the platform's interface, on loopback addresses of their own.
 
 use std::fs;
-use std::fs::File;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use rstest::rstest;
-use tempfile::TempDir;
 
 use super::fleet::wait_for;
+use super::site::CONTROLS;
+use super::site::ENTRIES;
+use super::site::FRONT;
+use super::site::METRICS;
+use super::site::Site;
 use crate::stand_in::Upstream;
 use crate::stand_in::ask;
 
-const BINARY: &str = env!("CARGO_BIN_EXE_hemlockfield");
-const CONTROLS: usize = 3;
-const ENTRIES: usize = 2;
-const FRONT: u16 = 18_080;
-const ORDERS: u16 = 18_081;
-const LINKS: u16 = 18_082;
-const METRICS: u16 = 18_083;
-
-static NETS: AtomicUsize = AtomicUsize::new(0);
-
-/// Controls first, then entries: each has a loopback address, which is its id.
-struct Site {
-    children: Vec<Option<Child>>,
-    folder: TempDir,
-    net: String,
-}
-
-impl Site {
-    fn new() -> Self {
-        let number = NETS.fetch_add(1, Ordering::Relaxed) % 200;
-        let net = format!("127.{}.{number}", 16 + std::process::id() % 200);
-        let children = (0..CONTROLS + ENTRIES).map(|_| None).collect();
-        Self { children, folder: TempDir::new().unwrap(), net }
-    }
-
-    /// Starts the processes in this order.
-    fn start(order: &[usize]) -> Self {
-        let mut site = Self::new();
-        order.iter().for_each(|at| site.run(*at, true));
-        site
-    }
-
-    fn ip(&self, at: usize) -> String {
-        format!("{}.{}", self.net, at + 1)
-    }
-
-    fn data(&self, at: usize) -> PathBuf {
-        self.folder.path().join(format!("data-{at}"))
-    }
-
-    fn log(&self, at: usize) -> PathBuf {
-        self.folder.path().join(format!("log-{at}.jsonl"))
-    }
-
-    /// Lines of a process's log with this message.
-    fn count(&self, at: usize, message: &str) -> usize {
-        let wanted = format!("\"message\":\"{message}\"");
-        fs::read_to_string(self.log(at))
-            .unwrap()
-            .lines()
-            .filter(|line| line.contains(&wanted))
-            .count()
-    }
-
-    fn run(&mut self, at: usize, first: bool) {
-        let ip = self.ip(at);
-        let seeds: Vec<String> =
-            (0..CONTROLS).map(|at| format!("\"{}:{ORDERS}\"", self.ip(at))).collect();
-        let role = if at < CONTROLS { "control" } else { "entry" };
-        let mut settings = format!(
-            "node: {{id: \"{ip}\", region: here, failure_domain: north}}\nroles: [{role}]\n\
-             interface: platform\ntrusted_network: true\nseeds: [{}]\nfirst_start: {first}\n\
-             metrics: {{listen: \"{ip}:{METRICS}\"}}\n",
-            seeds.join(", ")
-        );
-        settings += &if at < CONTROLS {
-            let data = self.data(at).display().to_string();
-            format!(
-                "data: \"{data}\"\nlisten: {{orders: [\"{ip}:{ORDERS}\"], links: \"{ip}:{LINKS}\"}}\n\
-                 directory: {{lifetime: 2s}}\nshutdown: {{limit: 1s}}\n"
-            )
-        } else {
-            format!(
-                "listen: {{callers: \"{ip}:{FRONT}\", orders: [\"{ip}:{ORDERS}\"], links: \"{ip}:{LINKS}\"}}\n\
-                 shutdown: {{limit: 5500ms, notice: 500ms}}\n"
-            )
-        };
-        let file = self.folder.path().join(format!("settings-{at}.yaml"));
-        fs::write(&file, settings).unwrap();
-        let log = File::options().create(true).append(true).open(self.log(at)).unwrap();
-        let child = Command::new(BINARY).arg("run").arg(&file).stdout(Stdio::from(log)).spawn();
-        self.children[at] = Some(child.unwrap());
-    }
-
-    fn kill(&mut self, at: usize) {
-        let mut child = self.children[at].take().unwrap();
-        child.kill().unwrap();
-        child.wait().unwrap();
-    }
-
-    fn signal(&self, at: usize, name: &str) {
-        let id = self.children[at].as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
-    }
-
-    /// Whether a control takes the configuration.
-    fn submit(&self, at: usize, number: u32) -> bool {
-        let body = format!(
-            r#"{{"version":"{number:x}","services":[{{"name":"hull"}}],"hosts":[{{"host":"yard.example",
-            "paths":[{{"name":"look","pathPrefix":"/","routeType":"safe","service":"hull","timeoutS":2}}]}}]}}"#
-        );
-        self.order(at, "PUT /hemlockfield/config", &body).0 == 200
-    }
-
-    fn announce(&self, upstream: &Upstream) -> bool {
-        let body = format!(
-            r#"{{"address":"{}","sequence":1,"service":"hull","slots":4,"state":"ready","zone":"north"}}"#,
-            upstream.address
-        );
-        (0..CONTROLS).any(|at| self.order(at, "PUT /hemlockfield/instances/i-1", &body).0 == 200)
-    }
-
-    fn order(&self, at: usize, line: &str, body: &str) -> (u16, String) {
-        ask(&format!("{}:{ORDERS}", self.ip(at)), line, "", body)
-    }
-
-    fn look(&self, entry: usize) -> (u16, String) {
-        let headers = "Hemlockfield-Request-Id: 7\r\nHemlockfield-Deadline-Ms: 1500\r\n";
-        ask(&format!("{}:{FRONT}", self.ip(CONTROLS + entry)), "GET /hull/1", headers, "")
-    }
-
-    /// Waits until a configuration is in force and a caller served through each entry.
-    fn serve(&self, upstream: &Upstream, number: u32) {
-        wait_for("a configuration", || (0..CONTROLS).any(|at| self.submit(at, number)));
-        wait_for("the upstream", || self.announce(upstream));
-        for entry in 0..ENTRIES {
-            wait_for("an answer", || self.look(entry).0 == 200);
-        }
-    }
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        for child in self.children.iter_mut().flatten() {
-            child.kill().ok();
-            child.wait().ok();
-        }
-    }
-}
-
 // A whole site starts for the first time; processes come up in any order, entries before
 // controls too. The first configuration and upstream are taken, callers are told of the
 // entries, and each entry serves them.
--- /dev/null
+++ b/tests/suite/process/site.rs
@@ -0,0 +1,177 @@
+//! Controls and entries with the platform's interface, as real processes on loopback addresses of
+//! their own.
+
+use std::fs;
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use tempfile::TempDir;
+
+use super::fleet::wait_for;
+use crate::stand_in::Upstream;
+use crate::stand_in::ask;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_hemlockfield");
+pub(crate) const CONTROLS: usize = 3;
+pub(crate) const ENTRIES: usize = 2;
+pub(crate) const FRONT: u16 = 18_080;
+pub(crate) const ORDERS: u16 = 18_081;
+const LINKS: u16 = 18_082;
+pub(crate) const METRICS: u16 = 18_083;
+const PEERS: u16 = 18_084;
+
+static NETS: AtomicUsize = AtomicUsize::new(0);
+
+/// Controls first, then entries: each has a loopback address, which is its id.
+pub(crate) struct Site {
+    pub(crate) children: Vec<Option<Child>>,
+    pub(crate) folder: TempDir,
+    /// Limits of the entries, in the format of the settings.
+    limits: &'static str,
+    net: String,
+}
+
+impl Site {
+    fn new(limits: &'static str) -> Self {
+        let number = NETS.fetch_add(1, Ordering::Relaxed) % 200;
+        let net = format!("127.{}.{number}", 16 + std::process::id() % 200);
+        let children = (0..CONTROLS + ENTRIES).map(|_| None).collect();
+        Self { children, folder: TempDir::new().unwrap(), limits, net }
+    }
+
+    /// Starts the processes in this order.
+    pub(crate) fn start(order: &[usize]) -> Self {
+        Self::start_with_limits("{}", order)
+    }
+
+    /// Starts the processes in this order, the entries with these limits.
+    pub(crate) fn start_with_limits(limits: &'static str, order: &[usize]) -> Self {
+        let mut site = Self::new(limits);
+        order.iter().for_each(|at| site.run(*at, true));
+        site
+    }
+
+    pub(crate) fn ip(&self, at: usize) -> String {
+        format!("{}.{}", self.net, at + 1)
+    }
+
+    pub(crate) fn data(&self, at: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{at}"))
+    }
+
+    pub(crate) fn log(&self, at: usize) -> PathBuf {
+        self.folder.path().join(format!("log-{at}.jsonl"))
+    }
+
+    /// Lines of a process's log with this message.
+    pub(crate) fn count(&self, at: usize, message: &str) -> usize {
+        let wanted = format!("\"message\":\"{message}\"");
+        fs::read_to_string(self.log(at))
+            .unwrap()
+            .lines()
+            .filter(|line| line.contains(&wanted))
+            .count()
+    }
+
+    pub(crate) fn run(&mut self, at: usize, first: bool) {
+        let ip = self.ip(at);
+        let seeds: Vec<String> =
+            (0..CONTROLS).map(|at| format!("\"{}:{ORDERS}\"", self.ip(at))).collect();
+        let role = if at < CONTROLS { "control" } else { "entry" };
+        let mut settings = format!(
+            "node: {{id: \"{ip}\", region: here, failure_domain: north}}\nroles: [{role}]\n\
+             interface: platform\ntrusted_network: true\nseeds: [{}]\nfirst_start: {first}\n\
+             metrics: {{listen: \"{ip}:{METRICS}\"}}\n",
+            seeds.join(", ")
+        );
+        settings += &if at < CONTROLS {
+            let data = self.data(at).display().to_string();
+            format!(
+                "data: \"{data}\"\nlisten: {{orders: [\"{ip}:{ORDERS}\"], links: \"{ip}:{LINKS}\"}}\n\
+                 directory: {{lifetime: 2s}}\nshutdown: {{limit: 1s}}\n"
+            )
+        } else {
+            format!(
+                "listen: {{callers: \"{ip}:{FRONT}\", orders: [\"{ip}:{ORDERS}\"], links: \"{ip}:{LINKS}\", \
+                 peers: \"{ip}:{PEERS}\"}}\nlimits: {limits}\n\
+                 shutdown: {{limit: 5500ms, notice: 500ms}}\n",
+                limits = self.limits
+            )
+        };
+        let file = self.folder.path().join(format!("settings-{at}.yaml"));
+        fs::write(&file, settings).unwrap();
+        let log = File::options().create(true).append(true).open(self.log(at)).unwrap();
+        let child = Command::new(BINARY).arg("run").arg(&file).stdout(Stdio::from(log)).spawn();
+        self.children[at] = Some(child.unwrap());
+    }
+
+    pub(crate) fn kill(&mut self, at: usize) {
+        let mut child = self.children[at].take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    pub(crate) fn signal(&self, at: usize, name: &str) {
+        let id = self.children[at].as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
+    }
+
+    /// Whether a control takes the configuration.
+    pub(crate) fn submit(&self, at: usize, number: u32) -> bool {
+        let body = format!(
+            r#"{{"version":"{number:x}","services":[{{"name":"hull"}}],"hosts":[{{"host":"yard.example",
+            "paths":[{{"name":"look","pathPrefix":"/","routeType":"safe","service":"hull","timeoutS":2}}]}}]}}"#
+        );
+        self.submit_document(at, &body)
+    }
+
+    /// Whether a control takes this configuration.
+    pub(crate) fn submit_document(&self, at: usize, document: &str) -> bool {
+        self.order(at, "PUT /hemlockfield/config", document).0 == 200
+    }
+
+    pub(crate) fn announce(&self, upstream: &Upstream) -> bool {
+        self.announce_address("i-1", &upstream.address)
+    }
+
+    /// Whether a control takes the announcement of an upstream at this address.
+    pub(crate) fn announce_address(&self, id: &str, address: &str) -> bool {
+        let body = format!(
+            r#"{{"address":"{address}","sequence":1,"service":"hull","slots":4,"state":"ready","zone":"north"}}"#
+        );
+        let line = format!("PUT /hemlockfield/instances/{id}");
+        (0..CONTROLS).any(|at| self.order(at, &line, &body).0 == 200)
+    }
+
+    pub(crate) fn order(&self, at: usize, line: &str, body: &str) -> (u16, String) {
+        ask(&format!("{}:{ORDERS}", self.ip(at)), line, "", body)
+    }
+
+    pub(crate) fn look(&self, entry: usize) -> (u16, String) {
+        let headers = "Hemlockfield-Request-Id: 7\r\nHemlockfield-Deadline-Ms: 1500\r\n";
+        ask(&format!("{}:{FRONT}", self.ip(CONTROLS + entry)), "GET /hull/1", headers, "")
+    }
+
+    /// Waits until a configuration is in force and a caller served through each entry.
+    pub(crate) fn serve(&self, upstream: &Upstream, number: u32) {
+        wait_for("a configuration", || (0..CONTROLS).any(|at| self.submit(at, number)));
+        wait_for("the upstream", || self.announce(upstream));
+        for entry in 0..ENTRIES {
+            wait_for("an answer", || self.look(entry).0 == 200);
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            child.kill().ok();
+            child.wait().ok();
+        }
+    }
+}
