--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -31,20 +31,19 @@
     let failed = |reason: String| Error::Ask { address, reason };
     let mut request = Request::new(method, path);
     request.set_header(header::HOST, address.to_string());
-    if !body.is_empty() {
-        request.body = body.into();
-    }
     let asked = async {
         let timeouts =
             Timeouts { connect: ANSWER_TIMEOUT, first_byte: ANSWER_TIMEOUT, idle: ANSWER_TIMEOUT };
         let connection = Connection::connect(address, ANSWER_TIMEOUT)
             .await
             .map_err(|failure| failure.to_string())?;
-        let answer =
-            connection.send(request, timeouts).await.map_err(|failure| failure.to_string())?;
-        let mut response = answer.response;
-        let body = response.body_text().await.map_err(|error| error.to_string())?;
-        Ok(Answer { body, status: response.status })
+        let answer = connection
+            .send(request, body.into(), timeouts)
+            .await
+            .map_err(|failure| failure.to_string())?;
+        let status = answer.response.status;
+        let body = answer.response.into_text().await.map_err(|error| error.to_string())?;
+        Ok(Answer { body, status })
     };
     let answered = async_std::task::block_on(timeout(ANSWER_TIMEOUT, asked));
     answered.unwrap_or_else(|_| Err("no answer in time".to_owned())).map_err(failed)
--- a/src/demo/baseline.rs
+++ b/src/demo/baseline.rs
@@ -9,9 +9,11 @@
 use async_std::task;
 use async_std::task::JoinHandle;
 
+use crate::exchange::Body;
 use crate::exchange::Connection;
 use crate::exchange::Outcome;
 use crate::exchange::Payload;
+use crate::exchange::Received;
 use crate::exchange::Request;
 use crate::exchange::RequestReader;
 use crate::exchange::Response;
@@ -61,33 +63,42 @@
     turn: Arc<AtomicUsize>,
 ) {
     let mut reader = RequestReader::new(stream, peer);
-    while let Ok(Some((request, mut writer))) = reader.next(PATIENCE).await {
+    while let Ok(Some(received)) = reader.next(PATIENCE).await {
+        let Received { payload, request, mut writer } = received;
         let at = turn.fetch_add(1, Ordering::Relaxed) % upstreams.len();
-        pass_on(request, &mut writer, upstreams[at]).await;
+        pass_on(request, payload, &mut writer, upstreams[at]).await;
         if writer.is_closing() {
             return;
         }
     }
 }
 
-async fn pass_on(mut request: Request, writer: &mut ResponseWriter, upstream: SocketAddr) {
-    let Ok(mut payload) = Payload::take(&mut request, BODY_MAX, BODY_MAX, PATIENCE).await else {
+async fn pass_on(
+    mut request: Request,
+    payload: Payload,
+    writer: &mut ResponseWriter,
+    upstream: SocketAddr,
+) {
+    let Ok(body) = payload.read_all(BODY_MAX, PATIENCE).await else {
         writer.close_after();
         return;
     };
     clean_request(&mut request);
-    payload.put(&mut request);
     let timeouts = Timeouts { connect: PATIENCE, first_byte: PATIENCE, idle: PATIENCE };
-    let answered =
-        async { Connection::connect(upstream, PATIENCE).await?.send(request, timeouts).await };
-    let response = match answered.await {
+    let answered = async {
+        let connection = Connection::connect(upstream, PATIENCE).await?;
+        connection.send(request, Body::Buffered(body), timeouts).await
+    };
+    match answered.await {
         Ok(answer) => {
-            let mut answer = answer;
-            let mut response = Response::new(answer.response.status);
-            response.body = std::mem::take(&mut answer.response.body);
-            response
+            let (answer, _exchange) = answer.split();
+            let mut response = Response::new(answer.status);
+            response.body = answer.body;
+            writer.send(response).await.ok();
         }
-        Err(failure) => refuse(502, Outcome::Unknown, &failure.to_string(), None),
-    };
-    writer.send(response).await.ok();
+        Err(failure) => {
+            let response = refuse(502, Outcome::Unknown, &failure.to_string(), None);
+            writer.send(response).await.ok();
+        }
+    }
 }
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -1,60 +1,78 @@
-//! An upstream's answer and the connection that it arrived on.
+//! An upstream's answer, and the exchange that it belongs to.
 
-use super::BodyReader;
 use super::Connection;
 use super::Progress;
 use super::Response;
+use super::Socket;
+use super::transmission::Transmission;
 
 /// An upstream's answer: its head, and a body that is buffered or still being received.
 pub struct Answer {
+    pub(super) exchange: Exchange,
     /// Head and body; the body may still have to be read.
     pub response: Response,
-    pub(super) completion: Completion,
+}
+
+/// What remains of an exchange with an upstream when the head of its answer is there.
+pub struct Exchange {
     pub(super) connection: Connection,
-    pub(super) sent: bool,
+    /// Whether the upstream keeps the connection open afterwards.
+    pub(super) keep_alive: bool,
+    /// How far the answer's body has been read.
+    pub(super) progress: Progress,
+    pub(super) upload: Upload,
 }
 
-/// How far the body has been read, shared with its reader, and whether the upstream keeps the
-/// connection open afterwards.
-pub(super) struct Completion {
-    progress: Progress,
-    keep_alive: bool,
+/// A request on its way to an upstream. When it is dropped the connection is closed, which cancels
+/// the work.
+pub(super) struct Upload {
+    is_released: bool,
+    socket: Socket,
+    pub(super) transmission: Transmission,
+}
+
+impl Upload {
+    pub(super) fn new(socket: Socket, transmission: Transmission) -> Self {
+        Self { is_released: false, socket, transmission }
+    }
 }
 
-impl Completion {
-    pub(super) fn new(reader: &BodyReader, keep_alive: bool) -> Self {
-        Self { progress: reader.progress(), keep_alive }
+impl Drop for Upload {
+    fn drop(&mut self) {
+        if !self.is_released {
+            self.socket.close();
+        }
     }
 }
 
 impl Answer {
-    /// Whether reading the body from the upstream has failed.
-    pub fn is_broken(&self) -> bool {
-        self.completion.progress.is_broken()
+    /// Separates the answer from its exchange.
+    pub fn split(self) -> (Response, Exchange) {
+        (self.response, self.exchange)
     }
+}
 
-    /// Whether it arrived before the whole request was sent.
-    pub fn is_early(&self) -> bool {
-        !self.sent
+impl Exchange {
+    /// Whether reading the answer's body from the upstream has failed.
+    pub fn is_broken(&self) -> bool {
+        self.progress.is_broken()
     }
 
-    /// Whether the body has been read to its end.
+    /// Whether the answer's body has been read to its end.
     pub fn is_complete(&self) -> bool {
-        self.completion.progress.is_complete()
+        self.progress.is_complete()
     }
 
     /// Returns the connection if it can carry another request: the request was sent and the
     /// answer read completely, nothing more has arrived, and the upstream keeps the connection
-    /// open. Otherwise closes it, because the rest of this answer would reach the next caller.
-    pub fn release(self) -> Option<Connection> {
+    /// open. Otherwise closes it: the rest of this answer would reach the next caller, and the next
+    /// request would be read as the rest of this one.
+    pub fn release(mut self) -> Option<Connection> {
         let is_reusable = self.is_complete()
-            && self.completion.keep_alive
-            && self.sent
+            && self.keep_alive
+            && self.upload.transmission.is_finished()
             && !self.connection.has_buffered();
-        if is_reusable {
-            return Some(self.connection);
-        }
-        self.connection.close();
-        None
+        self.upload.is_released = is_reusable;
+        is_reusable.then_some(self.connection)
     }
 }
--- a/src/exchange/body.rs
+++ b/src/exchange/body.rs
@@ -1,16 +1,16 @@
-//! The body of a message: empty, buffered or streamed.
+//! The body of a message that is to be written: buffered, or streamed from another connection.
 
 use bytes::Bytes;
 
 use super::BodyError;
 use super::BodyReader;
 
-/// Body of a request or a response.
-#[derive(Debug, Default)]
+/// Body of a message that is to be written, or of a response that was received.
+///
+/// There is no default: a body that was moved away has to be missed, and not be taken for an empty
+/// one.
+#[derive(Debug)]
 pub enum Body {
-    /// No body.
-    #[default]
-    Empty,
     /// Complete, in memory.
     Buffered(Bytes),
     /// To be read from a connection.
@@ -18,10 +18,14 @@
 }
 
 impl Body {
+    /// The body of a message without one.
+    pub fn empty() -> Self {
+        Self::Buffered(Bytes::new())
+    }
+
     /// Length in bytes, if it is known before the body is read.
     pub fn len(&self) -> Option<u64> {
         match self {
-            Self::Empty => Some(0),
             Self::Buffered(bytes) => Some(bytes.len() as u64),
             Self::Stream(reader) => reader.declared(),
         }
@@ -39,7 +43,6 @@
     /// If the body is cut, stalls, is malformed or exceeds its limit.
     pub async fn read_all(self) -> Result<Bytes, BodyError> {
         match self {
-            Self::Empty => Ok(Bytes::new()),
             Self::Buffered(bytes) => Ok(bytes),
             Self::Stream(mut reader) => reader.read_all().await,
         }
--- a/src/exchange/body_error.rs
+++ b/src/exchange/body_error.rs
@@ -25,3 +25,14 @@
     #[error("nothing came of the body for `{} ms`", .0.as_millis())]
     Stalled(Duration),
 }
+
+impl BodyError {
+    /// HTTP status of the response to the caller.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Cut(_) | Self::Io(_) | Self::Malformed(_) => 400,
+            Self::Limit(_) => 413,
+            Self::Stalled(_) => 408,
+        }
+    }
+}
--- a/src/exchange/body_reader.rs
+++ b/src/exchange/body_reader.rs
@@ -95,6 +95,36 @@
         self.pushed_back = Some(bytes);
     }
 
+    /// Reads the rest of the body, as long as `keeps` agrees to the length of each part. `None` if
+    /// it does not; the next read then yields what was read.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::next`].
+    pub(super) async fn read_while(
+        &mut self,
+        mut keeps: impl FnMut(u64) -> bool,
+    ) -> Result<Option<Bytes>, BodyError> {
+        let mut first = Bytes::new();
+        let mut all = BytesMut::new();
+        while let Some(bytes) = self.next().await? {
+            let is_kept = keeps(bytes.len() as u64);
+            if first.is_empty() {
+                first = bytes;
+            } else {
+                if all.is_empty() {
+                    all.extend_from_slice(&first);
+                }
+                all.extend_from_slice(&bytes);
+            }
+            if !is_kept {
+                self.push_back(if all.is_empty() { first } else { all.freeze() });
+                return Ok(None);
+            }
+        }
+        Ok(Some(if all.is_empty() { first } else { all.freeze() }))
+    }
+
     /// Declared length in bytes, if there is one.
     pub fn declared(&self) -> Option<u64> {
         self.declared
@@ -130,18 +160,7 @@
     ///
     /// As [`Self::next`].
     pub async fn read_all(&mut self) -> Result<Bytes, BodyError> {
-        let mut first = match self.next().await? {
-            Some(bytes) => bytes,
-            None => return Ok(Bytes::new()),
-        };
-        let mut all = BytesMut::new();
-        while let Some(bytes) = self.next().await? {
-            if all.is_empty() {
-                all.extend_from_slice(&std::mem::take(&mut first));
-            }
-            all.extend_from_slice(&bytes);
-        }
-        Ok(if all.is_empty() { first } else { all.freeze() })
+        Ok(self.read_while(|_| true).await?.unwrap_or_default())
     }
 
     async fn read_next(&mut self) -> Result<Option<Bytes>, BodyError> {
@@ -204,7 +223,7 @@
         let count = bytes.len() as u64;
         self.limit_remaining =
             self.limit_remaining.checked_sub(count).ok_or(BodyError::Limit(self.limit))?;
-        self.progress.add(count);
+        self.progress.add_received(count);
         Ok(Some(bytes))
     }
 
--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -1,6 +1,5 @@
 //! A client connection to an upstream or another HTTP server.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,19 +15,21 @@
 
 use super::Answer;
 use super::Body;
-use super::BodyError;
 use super::BodyReader;
 use super::Connector;
+use super::Exchange;
 use super::Failure;
 use super::Framing;
 use super::Network;
+use super::Progress;
 use super::Request;
 use super::Response;
 use super::Socket;
-use super::answer::Completion;
+use super::answer::Upload;
 use super::clean_response;
 use super::head;
-use super::response_writer::encode_chunk;
+use super::transmission;
+use super::transmission::Transmission;
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -132,79 +133,32 @@
     }
 
     /// Sends a request and receives the answer: a small body completely, a large one as a
-    /// stream. Dropping the future closes the connection, which cancels the request.
+    /// stream. An answer may come before the request's end; the rest is not sent then. Dropping the
+    /// future closes the connection, which cancels the request.
     ///
     /// # Errors
     ///
     /// If no answer arrives, it can't be parsed, or it is cut before its body is streamed.
-    pub async fn send(mut self, request: Request, timeouts: Timeouts) -> Result<Answer, Failure> {
-        let reused = self.request_count > 0 && self.idle_before_use >= MIN_UPSTREAM_IDLE_TIMEOUT;
-        self.request_count += 1;
-        let method = request.method.clone();
-        let guard = Guard(Some(self.socket.clone()));
-        let (response, sent) = self.send_and_read_head(request, timeouts, reused).await?;
-        self.idle_limit = head::idle_limit(&response.headers);
-        let (response, completion) = self.read_body(response, &method, timeouts).await?;
-        guard.disarm();
-        Ok(Answer { completion, connection: self, response, sent })
-    }
-
-    /// Returns the head of the answer, and whether the whole request was sent before it arrived.
-    async fn send_and_read_head(
-        &self,
+    pub async fn send(
+        mut self,
         request: Request,
+        body: Body,
         timeouts: Timeouts,
-        reused: bool,
-    ) -> Result<(Response, bool), Failure> {
+    ) -> Result<Answer, Failure> {
+        let reused = self.request_count > 0 && self.idle_before_use >= MIN_UPSTREAM_IDLE_TIMEOUT;
+        self.request_count += 1;
+        let head = request.encode(body.len());
+        let transmission = Transmission::new(self.socket.clone(), head, body);
+        let mut upload = Upload::new(self.socket.clone(), transmission);
         let echo = request.expected_echo();
-        let send = self.write_request(request).fuse();
-        let receive = self.read_head(echo.as_ref(), timeouts, reused).fuse();
-        pin_mut!(send, receive);
-        let sent = select! {
-            sent = send => sent,
-            head = receive => return head.map(|head| (head, false)),
-        };
-        match sent {
-            Ok(()) => (),
-            Err(SendError::Body(error)) => return Err(Failure::Upload(error.to_string())),
-            // An upstream may answer and close before it has read the whole request.
-            Err(SendError::Io(error)) => {
-                tracing::debug!(target: "hemlockfield::exchange", "upstream reads no more: {error}");
-                let response = receive.await?;
-                // The failed write has consumed the socket's reset error, so that reads now end
-                // as after a regular close. For an answer that ends by close, a truncated body
-                // would be taken for a complete one.
-                if head::response_framing(&response)? == Framing::Close {
-                    return Err(Failure::Cut(error.to_string()));
-                }
-                return Ok((response, false));
-            }
-        }
-        match timeout(timeouts.first_byte, receive).await {
-            Ok(head) => head.map(|head| (head, true)),
-            Err(_) => Err(Failure::Silent(timeouts.first_byte)),
-        }
-    }
-
-    async fn write_request(&self, request: Request) -> Result<(), SendError> {
-        let mut bytes = request.encode();
-        let chunked = request.body.len().is_none();
-        match request.body {
-            Body::Empty => (),
-            Body::Buffered(body) => bytes.extend_from_slice(&body),
-            Body::Stream(mut reader) => {
-                self.socket.write(&bytes).await?;
-                while let Some(data) = reader.next().await? {
-                    if chunked {
-                        self.socket.write(&encode_chunk(&data)).await?;
-                    } else {
-                        self.socket.write(&data).await?;
-                    }
-                }
-                bytes = if chunked { b"0\r\n\r\n".to_vec() } else { Vec::new() };
-            }
-        }
-        Ok(self.socket.write(&bytes).await?)
+        let receive = self.read_head(echo.as_ref(), timeouts, reused);
+        let response = send_and_receive(&mut upload.transmission, receive, timeouts).await?;
+        self.idle_limit = head::idle_limit(&response.headers);
+        upload.transmission.break_off();
+        let read = self.read_body(response, &request.method, timeouts);
+        let (response, progress, keep_alive) = read.await?;
+        let exchange = Exchange { connection: self, keep_alive, progress, upload };
+        Ok(Answer { exchange, response })
     }
 
     /// Reads the head of the final answer to this request. Interim answers (1xx) and late
@@ -240,20 +194,22 @@
         reader.read_all().await.map(drop).map_err(|error| Failure::Cut(error.to_string()))
     }
 
-    /// Reads a small body completely and leaves a large one as a stream.
+    /// Reads a small body completely and leaves a large one as a stream. Returns how far the body
+    /// is read, and whether the upstream keeps the connection open.
     async fn read_body(
         &self,
         mut response: Response,
         method: &Method,
         timeouts: Timeouts,
-    ) -> Result<(Response, Completion), Failure> {
+    ) -> Result<(Response, Progress, bool), Failure> {
         let keep_alive = !head::says_close(&response.headers);
         let framing = head::response_framing(&response)?;
         let bodiless = *method == Method::HEAD || matches!(response.status, 204 | 304);
         clean_response(&mut response);
         let framing = if bodiless { Framing::Length(0) } else { framing };
         let mut reader = BodyReader::new(self.socket.clone(), framing, u64::MAX, timeouts.idle);
-        let completion = Completion::new(&reader, keep_alive && framing != Framing::Close);
+        let progress = reader.progress();
+        let keep_alive = keep_alive && framing != Framing::Close;
         match framing {
             Framing::Length(length) if length <= MAX_BUFFERED_BYTES => {
                 let body = reader.read_all().await;
@@ -265,7 +221,7 @@
                 response.body = Body::Stream(Box::new(reader));
             }
         }
-        Ok((response, completion))
+        Ok((response, progress, keep_alive))
     }
 
     /// Reads a body that ends with its connection. It is buffered if it is small enough, so that
@@ -284,40 +240,38 @@
     }
 }
 
-/// Why a request could not be sent.
-enum SendError {
-    /// Its body could not be read from the caller.
-    Body(BodyError),
-    /// Writing to the upstream failed.
-    Io(io::Error),
-}
-
-impl From<BodyError> for SendError {
-    fn from(error: BodyError) -> Self {
-        Self::Body(error)
-    }
-}
-
-impl From<io::Error> for SendError {
-    fn from(error: io::Error) -> Self {
-        Self::Io(error)
-    }
-}
-
-/// Closes the connection on drop unless disarmed: without that, the upstream would continue to
-/// work on a request whose answer nobody waits for.
-struct Guard(Option<Socket>);
-
-impl Guard {
-    fn disarm(mut self) {
-        self.0 = None;
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        if let Some(socket) = &self.0 {
-            socket.close();
+/// Writes a request and receives the head of its answer, which may come before the request's end.
+async fn send_and_receive(
+    transmission: &mut Transmission,
+    receive: impl Future<Output = Result<Response, Failure>>,
+    timeouts: Timeouts,
+) -> Result<Response, Failure> {
+    let receive = receive.fuse();
+    pin_mut!(receive);
+    let sent = {
+        let run = transmission.run().fuse();
+        pin_mut!(run);
+        select! {
+            sent = run => sent,
+            head = receive => return head,
+        }
+    };
+    match sent {
+        Ok(()) => (),
+        Err(transmission::Error::Body(error)) => return Err(Failure::Upload(error.to_string())),
+        // An upstream may answer and close before it has read the whole request.
+        Err(transmission::Error::Io(error)) => {
+            tracing::debug!(target: "hemlockfield::exchange", "upstream reads no more: {error}");
+            let response = receive.await?;
+            // The failed write has consumed the socket's reset error, so that reads now end
+            // as after a regular close. For an answer that ends by close, a truncated body
+            // would be taken for a complete one.
+            if head::response_framing(&response)? == Framing::Close {
+                return Err(Failure::Cut(error.to_string()));
+            }
+            return Ok(response);
         }
     }
+    let head = timeout(timeouts.first_byte, receive).await;
+    head.unwrap_or(Err(Failure::Silent(timeouts.first_byte)))
 }
--- a/src/exchange/failure.rs
+++ b/src/exchange/failure.rs
@@ -30,6 +30,9 @@
     /// No head of an answer arrived within this time.
     #[error("no answer within `{} ms`", .0.as_millis())]
     Silent(Duration),
+    /// The body was already streamed to an upstream; nothing was sent.
+    #[error("the body can't be sent again")]
+    Spent,
     /// The caller's upload was incomplete or exceeded its limit; the upstream is not at fault.
     #[error("upload failed: `{0}`")]
     Upload(String),
@@ -38,12 +41,15 @@
 impl Failure {
     /// Whether the request certainly did not reach the upstream.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Connect(_))
+        matches!(self, Self::Connect(_) | Self::Spent)
     }
 
     /// Whether the failure counts against the upstream's health. A caller that disconnects or
     /// sends an invalid body, and an idle connection that the upstream closed, do not.
     pub fn is_upstream_fault(&self) -> bool {
-        !matches!(self, Self::CallerGone | Self::Closed { reused: true } | Self::Upload(_))
+        !matches!(
+            self,
+            Self::CallerGone | Self::Closed { reused: true } | Self::Spent | Self::Upload(_)
+        )
     }
 }
--- a/src/exchange/payload.rs
+++ b/src/exchange/payload.rs
@@ -1,83 +1,161 @@
-//! The body of a caller's request while it is forwarded to upstreams.
+//! The body of a caller's request, until it is sent to an upstream.
 
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use super::Body;
+use super::BodyError;
 use super::BodyReader;
 use super::Failure;
-use super::Request;
+use super::Progress;
+
+/// The body of a caller's request. It leaves here only by [`Payload::begin`], onto a connection that
+/// is open.
+#[derive(Debug)]
+pub struct Payload {
+    framing: Option<&'static str>,
+    progress: Progress,
+    source: Source,
+}
 
-/// The body of a caller's request.
-pub enum Payload {
-    /// No body.
-    Empty,
+#[derive(Debug)]
+enum Source {
     /// Complete, in memory; it can be sent repeatedly.
-    Buffered(bytes::Bytes),
-    /// Streamed to one upstream; `None` once it was taken. The second field is the declared
-    /// length.
-    Stream(Option<Box<BodyReader>>, Option<u64>),
+    Buffered(Bytes),
+    /// To be read from the caller.
+    Stream(Box<BodyReader>),
+    /// Streamed to an upstream, or lost when it could not be received.
+    Spent,
+}
+
+/// Bounds on how a body is received.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Largest body that is received whole before it is sent on, in bytes.
+    pub buffer: u64,
+    /// Longest wait for the next byte.
+    pub idle: Duration,
+    /// Largest body, in bytes.
+    pub size: u64,
 }
 
 impl Payload {
-    /// Takes the body from `request`. It may have at most `limit` bytes and pause for at most
-    /// `idle`. A body with a declared length of at most `max_buffered` bytes is received
-    /// completely, so that it can be sent again and a cut is noticed before anything is sent.
-    /// Any other body is streamed, so that a large upload needs no memory of its size.
+    /// The body of a request that has none.
+    pub(super) fn empty() -> Self {
+        let source = Source::Buffered(Bytes::new());
+        Self { framing: None, progress: Progress::completed(), source }
+    }
+
+    /// A body that is still to be read.
+    pub(super) fn stream(reader: BodyReader) -> Self {
+        let framing = if reader.declared().is_some() { "length" } else { "chunked" };
+        let progress = reader.progress();
+        let source = Source::Stream(Box::new(reader));
+        Self { framing: Some(framing), progress, source }
+    }
+
+    /// Receives the body whole if its declared length is small enough, so that it can be sent again,
+    /// and a cut is noticed before anything is sent. Any other body remains to be streamed, so that
+    /// a large upload needs no memory of its size.
     ///
     /// # Errors
     ///
-    /// If a body that is buffered is cut, stalls, is malformed or exceeds its limit.
-    pub async fn take(
-        request: &mut Request,
-        limit: u64,
-        max_buffered: u64,
-        idle: Duration,
-    ) -> Result<Self, Failure> {
-        match std::mem::take(&mut request.body) {
-            Body::Empty => Ok(Self::Empty),
-            Body::Buffered(bytes) => Ok(Self::Buffered(bytes)),
-            Body::Stream(mut reader) => {
-                reader.set_limits(limit, idle);
-                let declared = reader.declared();
-                if declared.is_none_or(|length| length > max_buffered) {
-                    return Ok(Self::Stream(Some(reader), declared));
-                }
-                let bytes = reader.read_all().await;
-                Ok(Self::Buffered(bytes.map_err(|error| Failure::Upload(error.to_string()))?))
+    /// If the body is cut, stalls, is malformed or exceeds its limit. It is spent then, as it is if
+    /// the future is dropped.
+    pub async fn receive(&mut self, bounds: Bounds) -> Result<(), BodyError> {
+        let mut reader = match std::mem::replace(&mut self.source, Source::Spent) {
+            Source::Stream(reader) => reader,
+            source => {
+                self.source = source;
+                return Ok(());
             }
+        };
+        reader.set_limits(bounds.size, bounds.idle);
+        if reader.declared().is_none_or(|length| length > bounds.buffer) {
+            self.source = Source::Stream(reader);
+            return Ok(());
         }
+        self.source = Source::Buffered(reader.read_all().await?);
+        Ok(())
     }
 
-    /// Whether it can still be sent: always, except for a stream that was already taken.
+    /// Receives the body whole, of at most `size` bytes with pauses of at most `idle`.
+    ///
+    /// # Errors
+    ///
+    /// If the body is cut, stalls, is malformed or exceeds its limit.
+    pub async fn read_all(self, size: u64, idle: Duration) -> Result<Bytes, BodyError> {
+        match self.source {
+            Source::Buffered(bytes) => Ok(bytes),
+            Source::Stream(mut reader) => {
+                reader.set_limits(size, idle);
+                reader.read_all().await
+            }
+            Source::Spent => Err(BodyError::Cut(0)),
+        }
+    }
+
+    /// Returns the body to send, for a connection that is open. A stream can be sent once.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Spent`] if the body is no longer there.
+    pub fn begin(&mut self) -> Result<Body, Failure> {
+        if let Source::Buffered(bytes) = &self.source {
+            self.progress.set_sent(bytes.len() as u64);
+            return Ok(Body::Buffered(bytes.clone()));
+        }
+        match std::mem::replace(&mut self.source, Source::Spent) {
+            Source::Stream(reader) => Ok(Body::Stream(reader)),
+            Source::Buffered(_) | Source::Spent => Err(Failure::Spent),
+        }
+    }
+
+    /// A second payload of the same bytes, to be sent at the same time; `None` unless they are all
+    /// in memory.
+    pub fn duplicate(&self) -> Option<Self> {
+        let Source::Buffered(bytes) = &self.source else { return None };
+        let source = Source::Buffered(bytes.clone());
+        Some(Self { framing: self.framing, progress: self.progress.clone(), source })
+    }
+
+    /// The whole body, if it is in memory.
+    pub fn bytes(&self) -> Option<&Bytes> {
+        if let Source::Buffered(bytes) = &self.source { Some(bytes) } else { None }
+    }
+
+    /// Whether it can still be sent.
     pub fn is_available(&self) -> bool {
-        !matches!(self, Self::Stream(None, _))
+        !matches!(self.source, Source::Spent)
     }
 
-    /// Whether it is streamed.
+    /// Whether it is not in memory: it is streamed to one upstream, or was.
     pub fn is_stream(&self) -> bool {
-        matches!(self, Self::Stream(..))
+        !matches!(self.source, Source::Buffered(_))
     }
 
-    /// Length in bytes, if it is known before the body is read.
+    /// Length in bytes, if it is known. That of a stream is what the caller declared.
     pub fn len(&self) -> Option<u64> {
-        match self {
-            Self::Empty => Some(0),
-            Self::Buffered(bytes) => Some(bytes.len() as u64),
-            Self::Stream(_, length) => *length,
+        match &self.source {
+            Source::Buffered(bytes) => Some(bytes.len() as u64),
+            Source::Stream(reader) => reader.declared(),
+            Source::Spent => None,
         }
     }
 
-    /// Whether there is no body.
+    /// Whether the length is known to be zero.
     pub fn is_empty(&self) -> bool {
-        matches!(self, Self::Empty)
+        self.len() == Some(0)
     }
 
-    /// Sets the body of a request to an upstream; a stream is moved there.
-    pub fn put(&mut self, request: &mut Request) {
-        request.body = match self {
-            Self::Empty => Body::Empty,
-            Self::Buffered(bytes) => Body::Buffered(bytes.clone()),
-            Self::Stream(reader, _) => reader.take().map_or(Body::Empty, Body::Stream),
-        };
+    /// How the caller marks the end of the body, for the log; `None` without a body.
+    pub fn framing(&self) -> Option<&'static str> {
+        self.framing
+    }
+
+    /// How far the body was received and sent.
+    pub fn progress(&self) -> &Progress {
+        &self.progress
     }
 }
--- a/src/exchange/progress.rs
+++ b/src/exchange/progress.rs
@@ -14,6 +14,7 @@
     is_broken: AtomicBool,
     is_complete: AtomicBool,
     received: AtomicU64,
+    sent: AtomicU64,
 }
 
 impl Progress {
@@ -39,10 +40,23 @@
         self.0.received.load(Ordering::Relaxed)
     }
 
-    pub(super) fn add(&self, count: u64) {
+    /// Bytes of the body that were sent on.
+    pub fn sent(&self) -> u64 {
+        self.0.sent.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn add_received(&self, count: u64) {
         self.0.received.fetch_add(count, Ordering::Relaxed);
     }
 
+    pub(super) fn add_sent(&self, count: u64) {
+        self.0.sent.fetch_add(count, Ordering::Relaxed);
+    }
+
+    pub(super) fn set_sent(&self, count: u64) {
+        self.0.sent.store(count, Ordering::Relaxed);
+    }
+
     pub(super) fn break_off(&self) {
         self.0.is_broken.store(true, Ordering::Release);
     }
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -1,4 +1,4 @@
-//! A request: its head, and a body that is buffered or still being received.
+//! The head of a request.
 
 use compact_str::CompactString;
 use compact_str::format_compact;
@@ -7,15 +7,12 @@
 use http::HeaderValue;
 use http::Method;
 
-use super::Body;
 use super::Error;
 use super::head;
 
-/// One request, received or to be sent.
+/// The head of one request, received or to be sent.
 #[derive(Debug)]
 pub struct Request {
-    /// Body; a streamed one can be read once.
-    pub body: Body,
     /// Header that the upstream may repeat in its answer. An answer that has it with another value
     /// belongs to an earlier request and is skipped.
     pub echo: Option<HeaderName>,
@@ -29,13 +26,13 @@
 }
 
 impl Request {
-    /// Creates a request without headers or body.
+    /// Creates a request without headers.
     pub fn new(method: Method, target: &str) -> Self {
         let target = target.into();
-        Self { body: Body::Empty, echo: None, headers: HeaderMap::new(), method, target }
+        Self { echo: None, headers: HeaderMap::new(), method, target }
     }
 
-    /// Parses a request's head; its body is left empty.
+    /// Parses a request's head.
     ///
     /// # Errors
     ///
@@ -92,16 +89,15 @@
         CompactString::from(name).to_ascii_lowercase()
     }
 
-    /// Encodes the head, with capacity for a body of known length up to 64 KiB, as a buffered body
-    /// is appended.
-    pub(super) fn encode(&self) -> Vec<u8> {
-        let mut bytes =
-            Vec::with_capacity(512 + self.body.len().unwrap_or_default().min(65_536) as usize);
+    /// Encodes the head for a body of this length, in chunks if it is not known. There is capacity
+    /// for a body up to 64 KiB, as a buffered body is appended.
+    pub(super) fn encode(&self, length: Option<u64>) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512 + length.unwrap_or_default().min(65_536) as usize);
         let request_line = format_compact!("{} {} HTTP/1.1\r\n", self.method, self.target);
         bytes.extend_from_slice(request_line.as_bytes());
         head::encode(&self.headers, &mut bytes);
         let omits_zero_length = matches!(self.method, Method::GET | Method::HEAD | Method::DELETE);
-        match self.body.len() {
+        match length {
             Some(0) if omits_zero_length => (),
             Some(length) => head::encode_length(length, &mut bytes),
             None => bytes.extend_from_slice(head::CHUNKED_HEADER),
--- a/src/exchange/request_reader.rs
+++ b/src/exchange/request_reader.rs
@@ -8,10 +8,11 @@
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
 
-use super::Body;
 use super::BodyReader;
 use super::Error;
+use super::Framing;
 use super::Outcome;
+use super::Payload;
 use super::Progress;
 use super::Request;
 use super::ResponseWriter;
@@ -30,7 +31,18 @@
 /// Longest wait for the next byte of a request's body until the matching rule sets another limit.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Reads the requests of one connection.
+/// A request, and the writer of its response.
+pub struct Received {
+    /// Its body.
+    pub payload: Payload,
+    /// Its head.
+    pub request: Request,
+    /// Writes its response.
+    pub writer: ResponseWriter,
+}
+
+/// Reads the requests of one connection. A request is read only behind the end of the body before
+/// it: no byte of a body is taken for a head.
 pub struct RequestReader {
     /// How far the last request's body has been read.
     body: Progress,
@@ -71,16 +83,17 @@
         !self.body.is_complete()
     }
 
-    /// Reads the next request, whose head must arrive within `limit`, and returns it with the
-    /// writer of its response. `None` if the connection has ended.
+    /// Reads the next request, whose head must arrive within `limit`. `None` if the connection has
+    /// ended, or can carry no more requests as a part of the last one's body was not read.
     ///
     /// # Errors
     ///
     /// If the head is invalid; the caller is answered with the error first.
-    pub async fn next(
-        &mut self,
-        limit: Duration,
-    ) -> Result<Option<(Request, ResponseWriter)>, Error> {
+    pub async fn next(&mut self, limit: Duration) -> Result<Option<Received>, Error> {
+        if self.has_unread_body() {
+            self.linger().await;
+            return Ok(None);
+        }
         let Ok(head) = timeout(limit, self.socket.read_head(self.max_head_bytes)).await else {
             return Ok(None);
         };
@@ -101,7 +114,9 @@
 
     /// Answers with an error and closes the connection.
     pub async fn reject(&mut self, error: &Error) {
-        let mut writer = ResponseWriter::new(self.socket.clone(), http::Method::GET, true);
+        let progress = Progress::completed();
+        let mut writer =
+            ResponseWriter::new(self.socket.clone(), http::Method::GET, progress, true);
         let response = refuse(error.status(), Outcome::NotRun, &error.to_string(), None);
         writer.send(response).await.ok();
         self.linger().await;
@@ -115,20 +130,25 @@
         self.socket.close();
     }
 
-    fn attach_body(&mut self, mut request: Request) -> (Request, ResponseWriter) {
-        self.body = Progress::completed();
-        if let Some(framing) = head::request_framing(&request) {
-            let mut reader =
-                BodyReader::new(self.socket.clone(), framing, u64::MAX, DEFAULT_BODY_TIMEOUT);
-            self.body = reader.progress();
-            let expect = request.header("expect");
-            if expect.is_some_and(|text| text.eq_ignore_ascii_case("100-continue")) {
-                reader.send_continue();
-            }
-            request.body = Body::Stream(Box::new(reader));
-        }
+    fn attach_body(&mut self, request: Request) -> Received {
+        let payload = match head::request_framing(&request) {
+            Some(framing) => self.stream(&request, framing),
+            None => Payload::empty(),
+        };
+        self.body = payload.progress().clone();
         let close = head::says_close(&request.headers);
-        let writer = ResponseWriter::new(self.socket.clone(), request.method.clone(), close);
-        (request, writer)
+        let method = request.method.clone();
+        let writer = ResponseWriter::new(self.socket.clone(), method, self.body.clone(), close);
+        Received { payload, request, writer }
+    }
+
+    fn stream(&self, request: &Request, framing: Framing) -> Payload {
+        let mut reader =
+            BodyReader::new(self.socket.clone(), framing, u64::MAX, DEFAULT_BODY_TIMEOUT);
+        let expect = request.header("expect");
+        if expect.is_some_and(|text| text.eq_ignore_ascii_case("100-continue")) {
+            reader.send_continue();
+        }
+        Payload::stream(reader)
     }
 }
--- a/src/exchange/response.rs
+++ b/src/exchange/response.rs
@@ -12,7 +12,7 @@
 /// One response, received or to be sent.
 #[derive(Debug)]
 pub struct Response {
-    /// Body; it can be taken once.
+    /// Body.
     pub body: Body,
     /// Headers, without those that frame the body.
     pub headers: HeaderMap,
@@ -23,7 +23,7 @@
 impl Response {
     /// Creates a response without headers or body.
     pub fn new(status: u16) -> Self {
-        Self { body: Body::Empty, headers: HeaderMap::new(), status }
+        Self { body: Body::empty(), headers: HeaderMap::new(), status }
     }
 
     /// Creates a response with a JSON body.
@@ -48,7 +48,7 @@
             return Err(malformed("its first line".to_owned()));
         };
         let headers = head::map(parsed.headers).map_err(|error| malformed(error.to_string()))?;
-        Ok(Self { body: Body::Empty, headers, status: code })
+        Ok(Self { body: Body::empty(), headers, status: code })
     }
 
     /// Whether the status is 2xx.
@@ -66,13 +66,13 @@
         head::set(&mut self.headers, name, value.as_ref());
     }
 
-    /// Takes the body and reads it to its end as text.
+    /// Reads the body to its end as text.
     ///
     /// # Errors
     ///
     /// If the body can't be read to its end.
-    pub async fn body_text(&mut self) -> Result<String, BodyError> {
-        let bytes = std::mem::take(&mut self.body).read_all().await?;
+    pub async fn into_text(self) -> Result<String, BodyError> {
+        let bytes = self.body.read_all().await?;
         Ok(String::from_utf8_lossy(&bytes).into_owned())
     }
 
--- a/src/exchange/response_writer.rs
+++ b/src/exchange/response_writer.rs
@@ -6,19 +6,23 @@
 use http::header;
 
 use super::Body;
+use super::Progress;
 use super::Response;
 use super::Socket;
+use super::transmission::Transmission;
 
 /// Writes the response to one request to the caller's connection.
 pub struct ResponseWriter {
     close: bool,
     method: Method,
+    /// How far the request's body has been read.
+    progress: Progress,
     socket: Socket,
 }
 
 impl ResponseWriter {
-    pub(super) fn new(socket: Socket, method: Method, close: bool) -> Self {
-        Self { close, method, socket }
+    pub(super) fn new(socket: Socket, method: Method, progress: Progress, close: bool) -> Self {
+        Self { close, method, progress, socket }
     }
 
     /// Whether the connection is closed after this response.
@@ -32,12 +36,14 @@
     }
 
     /// Sends the response. If reading its body fails, the connection is closed before the
-    /// announced end, so that the caller notices that the response is incomplete.
+    /// announced end, so that the caller notices that the response is incomplete. The connection is
+    /// also closed if a part of the request's body was not read.
     ///
     /// # Errors
     ///
     /// If writing to the caller or reading the body fails.
     pub async fn send(&mut self, mut response: Response) -> io::Result<()> {
+        self.close |= !self.progress.is_complete();
         if self.close {
             response.set_header(header::CONNECTION, "close");
         }
@@ -56,31 +62,9 @@
 
     async fn write(&self, response: Response) -> io::Result<()> {
         let wants_body = self.method != Method::HEAD;
-        let mut bytes = response.encode(wants_body);
-        let chunked = response.body.len().is_none();
-        match response.body {
-            Body::Buffered(body) if wants_body => bytes.extend_from_slice(&body),
-            Body::Stream(mut reader) if wants_body => {
-                self.socket.write(&bytes).await?;
-                while let Some(data) = reader.next().await.map_err(io::Error::other)? {
-                    if chunked {
-                        self.socket.write(&encode_chunk(&data)).await?;
-                    } else {
-                        self.socket.write(&data).await?;
-                    }
-                }
-                bytes = if chunked { b"0\r\n\r\n".to_vec() } else { Vec::new() };
-            }
-            Body::Empty | Body::Buffered(_) | Body::Stream(_) => (),
-        }
-        self.socket.write(&bytes).await
+        let head = response.encode(wants_body);
+        let body = if wants_body { response.body } else { Body::empty() };
+        let sent = Transmission::new(self.socket.clone(), head, body).run().await;
+        sent.map_err(io::Error::other)
     }
 }
-
-/// Encodes one chunk of a chunked body.
-pub(super) fn encode_chunk(data: &[u8]) -> Vec<u8> {
-    let mut bytes = format!("{:x}\r\n", data.len()).into_bytes();
-    bytes.extend_from_slice(data);
-    bytes.extend_from_slice(b"\r\n");
-    bytes
-}
--- a/src/exchange/socket.rs
+++ b/src/exchange/socket.rs
@@ -117,6 +117,14 @@
         (&self.stream).write_all(bytes).await
     }
 
+    /// Writes the first bytes and returns their number, at least 1.
+    pub(super) async fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
+        match (&self.stream).write(bytes).await? {
+            0 => Err(io::ErrorKind::WriteZero.into()),
+            count => Ok(count),
+        }
+    }
+
     /// Whether the connection is open and no unread bytes have arrived on it.
     pub async fn is_idle(&self) -> bool {
         if self.has_buffered() || self.lock().has_read_ended {
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -12,6 +12,7 @@
 
 use crate::directory;
 use crate::exchange;
+use crate::exchange::Body;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
 use crate::exchange::Pool;
@@ -126,7 +127,8 @@
         timeouts: Timeouts,
         spec: &Spec<'_>,
     ) -> Reply {
-        let mut answer = match connection.send(request, timeouts).await {
+        let body = Body::from(spec.upload.clone());
+        let answer = match connection.send(request, body, timeouts).await {
             Ok(answer) => answer,
             Err(Failure::Cut(_)) => return Reply { after: Duration::ZERO, outcome: Outcome::Cut },
             Err(_) => {
@@ -134,9 +136,11 @@
                 return no_reply();
             }
         };
-        let body = std::mem::take(&mut answer.response.body).read_all().await;
-        let after = retry_after(&answer.response);
-        let outcome = match declared_outcome(&answer.response) {
+        let (response, exchange) = answer.split();
+        let after = retry_after(&response);
+        let declared = declared_outcome(&response);
+        let body = response.body.read_all().await;
+        let outcome = match declared {
             Some(outcome) => outcome,
             None => match body {
                 Err(_) => Outcome::Cut,
@@ -148,7 +152,7 @@
                 Ok(_) => Outcome::Wrong,
             },
         };
-        if let Some(connection) = answer.release() {
+        if let Some(connection) = exchange.release() {
             self.pool.put(entry, connection);
         }
         Reply { after, outcome }
@@ -167,9 +171,6 @@
         if spec.kind.keyed {
             request.set_header(name(upstream::IDEMPOTENCY_KEY_HEADER), &spec.identity);
         }
-        if !spec.upload.is_empty() {
-            request.body = spec.upload.clone().into();
-        }
         request
     }
 
@@ -196,8 +197,8 @@
             idle: CONNECT_TIMEOUT,
         };
         let connection = Connection::connect(entry, CONNECT_TIMEOUT).await.ok()?;
-        let mut answer = connection.send(request, timeouts).await.ok()?;
-        serde_json::from_str(&answer.response.body_text().await.ok()?).ok()
+        let answer = connection.send(request, Body::empty(), timeouts).await.ok()?;
+        serde_json::from_str(&answer.response.into_text().await.ok()?).ok()
     }
 
     fn client(&self) -> std::sync::MutexGuard<'_, directory::Client> {
--- a/src/node/operations.rs
+++ b/src/node/operations.rs
@@ -20,8 +20,10 @@
 use crate::boundary::Reply;
 use crate::catalog::Action;
 use crate::directory;
+use crate::exchange::BodyError;
 use crate::exchange::Outcome;
 use crate::exchange::Payload;
+use crate::exchange::Received;
 use crate::exchange::Refusal;
 use crate::exchange::Request;
 use crate::exchange::RequestReader;
@@ -64,8 +66,9 @@
     proxy: Arc<Proxy>,
 ) {
     let mut reader = RequestReader::new(stream, peer);
-    while let Ok(Some((request, mut writer))) = reader.next(IDLE_TIMEOUT).await {
-        serve_operation(request, &mut writer, &control, &proxy).await;
+    while let Ok(Some(received)) = reader.next(IDLE_TIMEOUT).await {
+        let Received { payload, request, mut writer } = received;
+        serve_operation(request, payload, &mut writer, &control, &proxy).await;
         if writer.is_closing() {
             reader.linger().await;
             return;
@@ -74,20 +77,15 @@
 }
 
 async fn serve_operation(
-    mut request: Request,
+    request: Request,
+    payload: Payload,
     writer: &mut ResponseWriter,
     control: &InputSender,
     proxy: &Proxy,
 ) {
-    let body = match Payload::take(&mut request, BODY_BYTES_MAX, BODY_BYTES_MAX, IDLE_TIMEOUT).await
-    {
-        Ok(Payload::Buffered(body)) => body,
-        Ok(Payload::Stream(Some(mut body_reader), _)) => match body_reader.read_all().await {
-            Ok(body) => body,
-            Err(error) => return refuse(400, &error.to_string(), writer, proxy).await,
-        },
-        Ok(_) => bytes::Bytes::new(),
-        Err(failure) => return refuse(400, &failure.to_string(), writer, proxy).await,
+    let body = match payload.read_all(BODY_BYTES_MAX, IDLE_TIMEOUT).await {
+        Ok(body) => body,
+        Err(error) => return refuse(&error, writer, proxy).await,
     };
     let response = match proxy.boundary.parse_operation(&request, &body) {
         Ok(operation) => proxy.boundary.respond(execute(operation, control, proxy).await),
@@ -98,9 +96,10 @@
     }
 }
 
-async fn refuse(status: u16, reason: &str, writer: &mut ResponseWriter, proxy: &Proxy) {
-    writer.close_after();
-    let refusal = Refusal::new(status, Outcome::NotRun, reason);
+async fn refuse(error: &BodyError, writer: &mut ResponseWriter, proxy: &Proxy) {
+    proxy.metrics.count("body.refused");
+    tracing::info!(target: "hemlockfield::node", "body of an operation refused: {error}");
+    let refusal = Refusal::new(error.status(), Outcome::NotRun, error.to_string());
     if let Err(error) = writer.send(proxy.boundary.refuse(&refusal)).await {
         tracing::debug!(target: "hemlockfield::node", "client is gone: {error}");
     }
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 use http::Method;
 
+use crate::exchange::Body;
 use crate::exchange::Connection;
 use crate::exchange::Request;
 use crate::exchange::Response;
@@ -47,8 +48,6 @@
     let connection = Connection::connect(address, TIMEOUT).await.ok()?;
     let mut request = Request::new(Method::GET, path);
     request.set_header(http::header::HOST, address.to_string());
-    let mut answer = connection.send(request, timeouts).await.ok()?;
-    let response = std::mem::replace(&mut answer.response, Response::new(200));
-    answer.release();
-    Some(response)
+    let answer = connection.send(request, Body::empty(), timeouts).await.ok()?;
+    Some(answer.response)
 }
--- a/src/node/traffic/attempt.rs
+++ b/src/node/traffic/attempt.rs
@@ -5,6 +5,7 @@
 use crate::boundary::Classification;
 use crate::exchange::Answer;
 use crate::exchange::Failure;
+use crate::exchange::Payload;
 use crate::exchange::Request;
 use crate::health;
 use crate::id::UpstreamId;
@@ -31,12 +32,13 @@
     pub(super) async fn run(
         proxy: &Proxy,
         request: Request,
+        payload: &mut Payload,
         reservation: Reservation<'a>,
         idempotent: bool,
         left: Duration,
     ) -> Self {
         let target = reservation.target();
-        let round_trip = RoundTrip::run(proxy, request, &target, idempotent, left).await;
+        let round_trip = RoundTrip::run(proxy, request, payload, &target, idempotent, left).await;
         Self { round_trip, is_misdirected: false, reservation }
     }
 
@@ -152,6 +154,7 @@
         | Failure::Closed { .. }
         | Failure::Cut(_)
         | Failure::Malformed(_)
+        | Failure::Spent
         | Failure::Upload(_) => retry::Outcome::Cut,
     }
 }
--- a/src/node/traffic/claims.rs
+++ b/src/node/traffic/claims.rs
@@ -13,6 +13,7 @@
 use crate::claim::Outcome;
 use crate::claim::Slot;
 use crate::exchange;
+use crate::exchange::Body;
 use crate::exchange::Response;
 use crate::exchange::refuse;
 use crate::node::Input;
@@ -24,7 +25,7 @@
 /// Marks an answer that was recorded for an earlier send of the same request.
 const REPLAYED_HEADER: &str = "x-hemlockfield-replayed";
 /// Longest answer that is recorded for resends, in bytes.
-pub(super) const MAX_KEPT_ANSWER_BYTES: usize = 4096;
+const MAX_KEPT_ANSWER_BYTES: usize = 4096;
 /// Time after a request's deadline until its unfinished claim counts as unknown.
 const CLAIM_GRACE: Duration = Duration::from_secs(5);
 /// How much longer than the request's deadline to wait for control. Control then times out first
@@ -99,11 +100,14 @@
     }
 }
 
-/// The outcome to record for an answered request. With `body`, the answer is replayed to a caller
-/// that resends the request because it lost the answer.
-pub(super) fn outcome(response: &Response, body: Option<&[u8]>) -> Outcome {
+/// The outcome to record for an answered request. A short answer is kept whole, to be replayed to a
+/// caller that resends the request because it lost the answer.
+pub(super) fn outcome(response: &Response) -> Outcome {
     let status = response.status;
-    let Some(body) = body else { return Outcome::ran(status, None) };
+    let body = match &response.body {
+        Body::Buffered(body) if body.len() <= MAX_KEPT_ANSWER_BYTES => body,
+        Body::Buffered(_) | Body::Stream(_) => return Outcome::ran(status, None),
+    };
     let headers = response
         .headers
         .iter()
--- a/src/node/traffic/dispatch.rs
+++ b/src/node/traffic/dispatch.rs
@@ -68,7 +68,6 @@
         Ok(claim) => claim,
         Err(response) => {
             job.refund();
-            close_upload(&job, writer);
             if let Err(error) = writer.send(*response).await {
                 tracing::debug!(target: "hemlockfield::exchange", "caller disconnected: {error}");
             }
@@ -147,7 +146,6 @@
     }
     job.refund();
     let refusal = forward::unreached(job);
-    close_upload(job, writer);
     job.log(proxy, view, &refusal.reason, refusal.status);
     let mut response = proxy.boundary.refuse(&refusal);
     forward::mark_unreached(&mut response);
@@ -172,20 +170,12 @@
     writer: &mut ResponseWriter,
     refusal: &Refusal,
 ) {
-    close_upload(job, writer);
     job.log(proxy, &proxy.view.load(), &refusal.reason, refusal.status);
     if let Err(error) = writer.send(proxy.boundary.refuse(refusal)).await {
         tracing::debug!(target: "hemlockfield::exchange", "caller disconnected: {error}");
     }
 }
 
-/// Closes the connection after the answer, since the rest of a streamed upload is never read.
-fn close_upload(job: &Job, writer: &mut ResponseWriter) {
-    if job.payload.is_stream() {
-        writer.close_after();
-    }
-}
-
 fn arrival(job: &Job) -> Arrival {
     Arrival {
         caller: job.caller.clone(),
--- a/src/node/traffic/forward.rs
+++ b/src/node/traffic/forward.rs
@@ -131,13 +131,14 @@
     let connection = connect(proxy, job, peer).await?;
     let left = job.left(proxy.now());
     let request = request(proxy, job, left);
+    let body = job.payload.begin()?;
     let timeouts = Timeouts {
         connect: proxy.settings.limits.connect,
         first_byte: left,
         idle: BODY_IDLE_TIMEOUT,
     };
     proxy.metrics.count("forward.sent");
-    connection.send(request, timeouts).await
+    connection.send(request, body, timeouts).await
 }
 
 async fn connect(proxy: &Proxy, job: &Job, peer: &Peer) -> Result<Connection, Failure> {
@@ -149,14 +150,12 @@
     Connection::connect(peer.address, limits.connect.min(job.left(proxy.now()))).await
 }
 
-/// The request as the caller sent it, with its address and the time that is left.
-fn request(proxy: &Proxy, job: &mut Job, left: Duration) -> Request {
+/// The head of the request as the caller sent it, with its address and the time that is left.
+fn request(proxy: &Proxy, job: &Job, left: Duration) -> Request {
     let mut request = Request::new(job.method.clone(), &job.target);
     request.headers = job.headers.clone();
     proxy.boundary.prepare_forwarding(&mut request, left);
     request.set_header(CALLER_ADDRESS_HEADER, job.address.to_string());
-    job.payload.put(&mut request);
-    job.transfer.announced = request.body.len();
     request
 }
 
@@ -165,20 +164,17 @@
     view: &View,
     job: &Job,
     peer: &Peer,
-    mut answer: Answer,
+    answer: Answer,
     writer: &mut ResponseWriter,
 ) {
     proxy.metrics.count("forward.answered");
-    let response = std::mem::replace(&mut answer.response, Response::new(200));
+    let (response, exchange) = answer.split();
     job.log(proxy, view, "answered by another entry", response.status);
     proxy.count_bytes(response.body.len().unwrap_or_default());
-    if job.payload.is_stream() {
-        writer.close_after();
-    }
     if let Err(error) = writer.send(response).await {
         tracing::debug!(target: "hemlockfield::exchange", "caller disconnected: {error}");
     }
-    if let Some(connection) = answer.release() {
+    if let Some(connection) = exchange.release() {
         proxy.pool.put(peer.address, connection);
     }
 }
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -33,14 +33,17 @@
     let now = proxy.now();
     let started = now;
     let may_send_again = *sends + 1 < job.terms.attempts;
-    let may_hedge =
-        may_send_again && job.terms.hedge && job.is_idempotent() && !job.payload.is_stream();
+    let may_hedge = may_send_again && job.terms.hedge && job.is_idempotent();
     let after = if may_hedge { service.policy(proxy.now()).hedge_after() } else { None };
     let request = job.request(now, proxy.boundary.as_ref(), &reservation.upstream);
     let primary = reservation.upstream.clone();
-    let first = Attempt::run(proxy, request, reservation, job.is_idempotent(), job.left(now));
-    let Some(after) = after else { return first.await };
-    let first = first.fuse();
+    let (idempotent, left) = (job.is_idempotent(), job.left(now));
+    let copies = after.and_then(|_| Some((job.payload.duplicate()?, job.payload.duplicate()?)));
+    let (Some(after), Some((mut payload, mut second_payload))) = (after, copies) else {
+        let payload = &mut job.payload;
+        return Attempt::run(proxy, request, payload, reservation, idempotent, left).await;
+    };
+    let first = Attempt::run(proxy, request, &mut payload, reservation, idempotent, left).fuse();
     pin_mut!(first);
     let delay = task::sleep(after).fuse();
     pin_mut!(delay);
@@ -62,7 +65,7 @@
     let request = job.request(now, proxy.boundary.as_ref(), &reservation.upstream);
     *sends += 1;
     proxy.metrics.count("retry.hedge");
-    let second = Attempt::run(proxy, request, reservation, true, left).fuse();
+    let second = Attempt::run(proxy, request, &mut second_payload, reservation, true, left).fuse();
     pin_mut!(second);
     let (attempt, hedge_won) = select! {
         attempt = first => (attempt, false),
--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -2,6 +2,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use http::HeaderMap;
 use http::Method;
@@ -13,8 +14,8 @@
 use crate::exchange::Answer;
 use crate::exchange::Failure;
 use crate::exchange::Payload;
+use crate::exchange::Progress;
 use crate::exchange::Request;
-use crate::exchange::Transfer;
 use crate::id::CallerId;
 use crate::id::Key;
 use crate::id::RequestId;
@@ -55,7 +56,6 @@
     pub(super) team: Option<TeamId>,
     pub(super) terms: Terms,
     pub(super) ticket: u64,
-    pub(super) transfer: Transfer,
 }
 
 impl Job {
@@ -69,9 +69,9 @@
         self.terms.idempotent
     }
 
-    /// Builds the request for one attempt at `upstream`, with the remaining time.
+    /// Builds the head of the request for one attempt at `upstream`, with the remaining time.
     pub(super) fn request(
-        &mut self,
+        &self,
         now: Moment,
         boundary: &dyn Boundary,
         upstream: &UpstreamId,
@@ -84,8 +84,6 @@
             &mut request,
             &AttemptContext { id: &self.id, remaining: left, team, upstream },
         );
-        self.payload.put(&mut request);
-        self.transfer.announced = request.body.len();
         request
     }
 
@@ -114,13 +112,19 @@
             steps = self.steps,
             status,
             left_ms = left,
-            framing = self.transfer.framing(),
-            received = self.transfer.received(),
-            announced = self.transfer.announced,
+            framing = self.payload.framing(),
+            received = self.if_body(Progress::received),
+            buffered = self.if_body(|_| self.payload.bytes().map_or(0, Bytes::len) as u64),
+            sent = self.if_body(Progress::sent),
             "{message}"
         );
     }
 
+    /// A figure for the log, if the request has a body.
+    fn if_body(&self, figure: impl FnOnce(&Progress) -> u64) -> Option<u64> {
+        self.payload.framing().map(|_| figure(self.payload.progress()))
+    }
+
     /// Appends an attempt to the steps for the log.
     pub(super) fn record_step(
         &mut self,
@@ -158,16 +162,18 @@
     }
 
     /// Hash of the request, which detects a different request with the same idempotency key. A
-    /// streamed upload contributes only its length.
+    /// streamed upload contributes only its declared length, if it has one.
     pub(super) fn digest(&self) -> u128 {
         let mut hash = Xxh3::new();
         hash.update(self.method.as_str().as_bytes());
         hash.update(self.headers.get(http::header::HOST).map_or(&[], |host| host.as_bytes()));
         hash.update(self.target.as_bytes());
-        if let Payload::Buffered(bytes) = &self.payload {
+        if let Some(bytes) = self.payload.bytes() {
             hash.update(bytes);
         }
-        hash.update(&self.payload.len().unwrap_or_default().to_le_bytes());
+        let length = self.payload.len();
+        hash.update(&[u8::from(length.is_some())]);
+        hash.update(&length.unwrap_or_default().to_le_bytes());
         hash.digest128()
     }
 
--- a/src/node/traffic/listener.rs
+++ b/src/node/traffic/listener.rs
@@ -13,6 +13,7 @@
 use futures::select;
 
 use crate::exchange::Error;
+use crate::exchange::Received;
 use crate::exchange::RequestReader;
 use crate::runtime;
 
@@ -90,19 +91,19 @@
         }
         let _in_flight = InFlight::new(proxy);
         let head_time = rule_limits.head_time.unwrap_or(limits.head_time);
-        let (request, mut writer) = match reader.next(head_time).await {
-            Ok(Some(next)) => next,
+        let Received { payload, request, mut writer } = match reader.next(head_time).await {
+            Ok(Some(received)) => received,
             Ok(None) => return,
             Err(_) => return proxy.metrics.count("head.refused"),
         };
         if proxy.closing.load(Ordering::Acquire) {
             writer.close_after();
         }
-        serve::serve(proxy, request, &mut writer, reader.peer(), source).await;
-        if writer.is_closing() {
-            if reader.has_unread_body() {
-                proxy.metrics.count("body.unread");
-            }
+        serve::serve(proxy, request, payload, &mut writer, reader.peer(), source).await;
+        if reader.has_unread_body() {
+            proxy.metrics.count("body.unread");
+        }
+        if writer.is_closing() || reader.has_unread_body() {
             reader.linger().await;
             return;
         }
--- a/src/node/traffic/relay.rs
+++ b/src/node/traffic/relay.rs
@@ -1,9 +1,6 @@
 //! Relays an upstream's answer to the caller.
 
-use crate::claim;
 use crate::exchange::Answer;
-use crate::exchange::Body;
-use crate::exchange::Response;
 use crate::exchange::ResponseWriter;
 use crate::health;
 use crate::node::Input;
@@ -21,52 +18,32 @@
     proxy: &Proxy,
     job: &Job,
     attempt: Attempt<'_>,
-    mut answer: Answer,
+    answer: Answer,
     claim: Option<Claim<'_>>,
     writer: &mut ResponseWriter,
 ) {
-    let mut response = std::mem::replace(&mut answer.response, Response::new(200));
+    let (response, exchange) = answer.split();
     proxy.count_bytes(response.body.len().unwrap_or_default());
     if let Some(claim) = claim {
-        claim.end(claim_outcome(&mut response).await);
-    }
-    if job.payload.is_stream() && answer.is_early() {
-        writer.close_after();
+        claim.end(claims::outcome(&response));
     }
     if is_draining(&response) {
         let (service, upstream) = (job.service.clone(), attempt.upstream());
         proxy.try_notify(Input::Probed { draining: Some(true), healthy: true, service, upstream });
     }
     let failed = response.status >= 500;
-    writer.send(response).await.ok();
+    let sent = writer.send(response).await;
+    if let Err(error) = sent {
+        tracing::debug!(target: "hemlockfield::exchange", "answer was not relayed: {error}");
+    }
     let kind = match failed {
-        _ if answer.is_broken() => health::Kind::Cut,
+        _ if exchange.is_broken() => health::Kind::Cut,
         true => health::Kind::ServerError,
         false => health::Kind::Success,
     };
     let address = attempt.address();
     attempt.finish(kind, job.terms.long);
-    if let Some(connection) = answer.release() {
+    if let Some(connection) = exchange.release() {
         proxy.pool.put(address, connection);
     }
 }
-
-/// The outcome for the claim ledger. A short answer is recorded whole, to be replayed to a caller
-/// that loses it.
-async fn claim_outcome(response: &mut Response) -> claim::Outcome {
-    let long =
-        response.body.len().is_none_or(|length| length > claims::MAX_KEPT_ANSWER_BYTES as u64);
-    if long {
-        return claims::outcome(response, None);
-    }
-    match std::mem::take(&mut response.body).read_all().await {
-        Ok(bytes) => {
-            response.body = Body::Buffered(bytes.clone());
-            claims::outcome(response, Some(&bytes))
-        }
-        Err(error) => {
-            tracing::warn!(target: "hemlockfield::claim", "can't keep the answer: {error}");
-            claims::outcome(response, None)
-        }
-    }
-}
--- a/src/node/traffic/round_trip.rs
+++ b/src/node/traffic/round_trip.rs
@@ -7,6 +7,7 @@
 use crate::exchange::Answer;
 use crate::exchange::Connection;
 use crate::exchange::Failure;
+use crate::exchange::Payload;
 use crate::exchange::Request;
 use crate::exchange::Timeouts;
 use crate::reach::Check;
@@ -35,20 +36,24 @@
     pub(super) async fn run(
         proxy: &Proxy,
         request: Request,
+        payload: &mut Payload,
         target: &Target,
         idempotent: bool,
         left: Duration,
     ) -> Self {
         let started = Instant::now();
-        let sending = send(proxy, request, target, idempotent, left);
+        let sending = send(proxy, request, payload, target, idempotent, left);
         let result = timeout(left, sending).await.unwrap_or(Err(Failure::Expired(left)));
         Self { result, latency: started.elapsed() }
     }
 }
 
+/// The body leaves the payload only for an open connection: one that could not be opened costs
+/// nothing, and the request can be sent elsewhere.
 async fn send(
     proxy: &Proxy,
     request: Request,
+    payload: &mut Payload,
     target: &Target,
     idempotent: bool,
     left: Duration,
@@ -56,7 +61,8 @@
     let connection = acquire_connection(proxy, target, idempotent, left).await?;
     let first_byte = proxy.settings.limits.first_byte.min(left);
     let connect = proxy.settings.limits.connect;
-    connection.send(request, Timeouts { connect, first_byte, idle: BODY_IDLE_TIMEOUT }).await
+    let timeouts = Timeouts { connect, first_byte, idle: BODY_IDLE_TIMEOUT };
+    connection.send(request, payload.begin()?, timeouts).await
 }
 
 /// Takes a pooled connection or opens a new one. Requests that are not idempotent use only
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -14,13 +14,13 @@
 use crate::boundary::Metadata;
 use crate::clock::Moment;
 use crate::exchange;
+use crate::exchange::Bounds;
 use crate::exchange::Outcome;
 use crate::exchange::Payload;
 use crate::exchange::Refusal;
 use crate::exchange::Request;
 use crate::exchange::Response;
 use crate::exchange::ResponseWriter;
-use crate::exchange::Transfer;
 use crate::exchange::clean_request;
 use crate::id::RuleId;
 use crate::id::ServiceId;
@@ -60,6 +60,7 @@
 pub(super) async fn serve(
     proxy: &Proxy,
     mut request: Request,
+    payload: Payload,
     writer: &mut ResponseWriter,
     peer: SocketAddr,
     source: Source,
@@ -68,26 +69,22 @@
     proxy.metrics.count(if source == Source::Peer { "request.forwarded" } else { "request" });
     if request.path() == DIRECTORY_PATH {
         let response = list_entries(proxy, &request, peer);
-        return respond_unread(&request, response, writer).await;
+        return send(response, writer).await;
     }
     // The entry that passed a request on has counted it.
     if source == Source::Caller {
         proxy.count_arrival();
     }
-    proxy.count_bytes(request.body.len().unwrap_or_default());
+    proxy.count_bytes(payload.len().unwrap_or_default());
     let received_at = proxy.now();
-    if !wait_for_configuration(proxy, &request, writer, peer).await {
+    if !wait_for_configuration(proxy, &request, &payload, writer, peer).await {
         return;
     }
     let view = proxy.view.load_full();
-    let has_body = !request.body.is_empty();
-    match accept(proxy, &view, request, peer, received_at).await {
+    match accept(proxy, &view, request, payload, peer, received_at).await {
         Ok(job) => dispatch::dispatch(proxy, &view, Job { source, ..job }, writer).await,
         Err(refusal) => {
             proxy.metrics.count("request.refused");
-            if has_body {
-                writer.close_after();
-            }
             send(proxy.boundary.refuse(&refusal), writer).await;
         }
     }
@@ -98,6 +95,7 @@
 async fn wait_for_configuration(
     proxy: &Proxy,
     request: &Request,
+    payload: &Payload,
     writer: &ResponseWriter,
     peer: SocketAddr,
 ) -> bool {
@@ -107,7 +105,7 @@
     let budget = proxy.boundary.read_metadata(request, peer.ip()).budget.unwrap_or(DEFAULT_BUDGET);
     let longest = Startup::max_wait(proxy.now(), budget);
     let ready = proxy.wait_until_ready(longest).fuse();
-    let gone = caller_gone(!request.body.is_empty(), writer).fuse();
+    let gone = caller_gone(!payload.is_empty(), writer).fuse();
     pin_mut!(gone, ready);
     select! {
         () = gone => false,
@@ -115,14 +113,6 @@
     }
 }
 
-/// Answers without reading the body; a connection with an unread body is closed.
-async fn respond_unread(request: &Request, response: Response, writer: &mut ResponseWriter) {
-    if !request.body.is_empty() {
-        writer.close_after();
-    }
-    send(response, writer).await;
-}
-
 async fn send(response: Response, writer: &mut ResponseWriter) {
     if let Err(error) = writer.send(response).await {
         tracing::debug!(target: "hemlockfield::exchange", "caller disconnected: {error}");
@@ -160,10 +150,11 @@
     proxy: &Proxy,
     view: &View,
     request: Request,
+    payload: Payload,
     peer: SocketAddr,
     received_at: Moment,
 ) -> Result<Job, Refusal> {
-    let routing = route(proxy, view, &request, peer);
+    let routing = route(proxy, view, &request, &payload, peer);
     if let Err(refusal) = &routing {
         let id = proxy.boundary.read_metadata(&request, peer.ip()).id;
         let path = request.path();
@@ -179,7 +170,7 @@
         tracing::info!(target: "hemlockfield::request", id, number, %rule, status, "{reason}");
     }
     let charge = charge?;
-    let built = build_job(proxy, request, routing, received_at, peer.ip()).await;
+    let built = build_job(proxy, request, payload, routing, received_at, peer.ip()).await;
     match (built, charge) {
         (Ok(job), charge) => Ok(Job { charge, ..job }),
         (Err(refusal), charge) => {
@@ -204,6 +195,7 @@
     proxy: &Proxy,
     view: &View,
     request: &Request,
+    payload: &Payload,
     peer: SocketAddr,
 ) -> Result<Routing, Refusal> {
     let Some(rules) = view.rules.as_ref().filter(|_| view.serves()) else {
@@ -233,7 +225,7 @@
         }
         Action::Route { split, terms } => (split, terms.clone()),
     };
-    if let Some(refusal) = terms_violation(request, &terms) {
+    if let Some(refusal) = terms_violation(request, payload, &terms) {
         return Err(refusal);
     }
     let service = split.choose(rand::rng().random_range(0.0..1.0)).clone();
@@ -247,8 +239,8 @@
 }
 
 /// Why a request violates its rule's terms, if it does.
-fn terms_violation(request: &Request, terms: &Terms) -> Option<Refusal> {
-    let size = request.body.len().unwrap_or_default();
+fn terms_violation(request: &Request, payload: &Payload, terms: &Terms) -> Option<Refusal> {
+    let size = payload.len().unwrap_or_default();
     if size > terms.body {
         let error = exchange::Error::BodySize { limit: terms.body, size };
         return Some(Refusal::new(error.status(), Outcome::NotRun, error.to_string()));
@@ -264,23 +256,16 @@
 async fn build_job(
     proxy: &Proxy,
     mut request: Request,
+    mut payload: Payload,
     routing: Routing,
     received_at: Moment,
     address: IpAddr,
 ) -> Result<Job, Refusal> {
     let deadline = received_at + routing.budget();
+    receive_body(proxy, &mut payload, &routing).await?;
     let Routing { metadata, verified_team, rule, service, team, terms } = routing;
     let key = terms.key.as_ref().and_then(|header| request.header(header.as_str()));
     let key = key.map(Into::into);
-    let limits = &proxy.settings.limits;
-    let transfer = Transfer::of(&request);
-    let payload = Payload::take(&mut request, terms.body, limits.body_buffer, limits.idle).await;
-    let payload = payload.map_err(|failure| {
-        proxy.metrics.count("body.refused");
-        let (id, framing, received) = (metadata.id.as_deref(), transfer.framing(), transfer.received());
-        tracing::info!(target: "hemlockfield::request", id, %rule, framing, received, status = 400, "{failure}");
-        Refusal::new(400, Outcome::NotRun, failure.to_string())
-    })?;
     clean_request(&mut request);
     let (ticket, generated_id) = proxy.next_request();
     Ok(Job {
@@ -302,10 +287,29 @@
         team: team.map(|team| team.name),
         terms,
         ticket,
-        transfer,
     })
 }
 
+/// Receives a body that is small enough whole, or refuses the request.
+async fn receive_body(
+    proxy: &Proxy,
+    payload: &mut Payload,
+    routing: &Routing,
+) -> Result<(), Refusal> {
+    let limits = &proxy.settings.limits;
+    let bounds = Bounds { buffer: limits.body_buffer, idle: limits.idle, size: routing.terms.body };
+    let (status, reason) = match payload.receive(bounds).await {
+        Ok(()) => return Ok(()),
+        Err(error) => (error.status(), error.to_string()),
+    };
+    proxy.metrics.count("body.refused");
+    let Routing { metadata, rule, .. } = routing;
+    let (id, framing) = (metadata.id.as_deref(), payload.framing());
+    let received = payload.progress().received();
+    tracing::info!(target: "hemlockfield::request", id, %rule, framing, received, status, "{reason}");
+    Err(Refusal::new(status, Outcome::NotRun, reason))
+}
+
 /// Whether HTTP defines the method as safe (read-only).
 fn is_safe(method: &Method) -> bool {
     matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
--- a/src/retry/attempt.rs
+++ b/src/retry/attempt.rs
@@ -9,7 +9,8 @@
 /// A failed attempt and what decides whether it may be retried.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Attempt {
-    /// Whether the request body can be sent again from its start.
+    /// Whether the request body can be sent again from its start. That nothing was sent does not
+    /// show it.
     pub body_kept: bool,
     /// Whether any byte of the response was passed on to the caller.
     pub head_sent: bool,
@@ -56,7 +57,6 @@
     /// Whether a retry is harmless and may succeed.
     pub fn is_retryable(&self) -> bool {
         let is_repeatable = self.is_not_run() || self.idempotent;
-        let can_resend = self.body_kept || !self.sent;
-        is_repeatable && can_resend && !self.head_sent && self.outcome.is_transient()
+        is_repeatable && self.body_kept && !self.head_sent && self.outcome.is_transient()
     }
 }
--- a/src/upstream/announcer.rs
+++ b/src/upstream/announcer.rs
@@ -74,14 +74,13 @@
     let mut request = Request::new(Method::POST, ANNOUNCEMENT_PATH);
     request.set_header(header::HOST, entry.to_string());
     let text = serde_json::to_string(&announcement).map_err(|error| error.to_string())?;
-    request.body = text.into();
     let timeout = Duration::from_secs(1);
     let timeouts = Timeouts { connect: timeout, first_byte: timeout, idle: timeout };
     let connection =
         Connection::connect(entry, timeout).await.map_err(|failure| failure.to_string())?;
-    let answer = connection.send(request, timeouts).await.map_err(|failure| failure.to_string())?;
+    let answer = connection.send(request, text.into(), timeouts).await;
+    let answer = answer.map_err(|failure| failure.to_string())?;
     let status = answer.response.status;
     let is_accepted = answer.response.is_success();
-    answer.release();
     if is_accepted { Ok(()) } else { Err(format!("status {status}")) }
 }
--- a/src/upstream/server.rs
+++ b/src/upstream/server.rs
@@ -20,10 +20,10 @@
 use rand::Rng;
 
 use crate::exchange;
-use crate::exchange::Request;
+use crate::exchange::Payload;
+use crate::exchange::Received;
 use crate::exchange::RequestReader;
 use crate::exchange::Response;
-use crate::exchange::ResponseWriter;
 
 use super::DRAINING_HEADER;
 use super::Error;
@@ -152,8 +152,8 @@
 
     async fn handle(self: Arc<Self>, stream: TcpStream, peer: SocketAddr) {
         let mut reader = RequestReader::new(stream.clone(), peer);
-        while let Ok(Some((request, writer))) = reader.next(IDLE_TIMEOUT).await {
-            if !self.serve(request, writer, &stream).await {
+        while let Ok(Some(received)) = reader.next(IDLE_TIMEOUT).await {
+            if !self.serve(received, &stream).await {
                 reader.linger().await;
                 return;
             }
@@ -161,14 +161,10 @@
     }
 
     /// Serves one request and returns whether the connection stays open.
-    async fn serve(
-        &self,
-        mut request: Request,
-        mut writer: ResponseWriter,
-        stream: &TcpStream,
-    ) -> bool {
-        let path = request.path().to_owned();
-        if let Some(response) = self.control(&path, &mut request).await {
+    async fn serve(&self, received: Received, stream: &TcpStream) -> bool {
+        let Received { payload, request, mut writer } = received;
+        if is_control(request.path()) {
+            let response = self.control(request.path(), payload).await;
             let response = self.mark_draining(response);
             return writer.send(response).await.is_ok() && !writer.is_closing();
         }
@@ -184,7 +180,7 @@
         else {
             return writer.send(shed_response()).await.is_ok() && !writer.is_closing();
         };
-        let Ok(upload) = std::mem::take(&mut request.body).read_all().await else {
+        let Ok(upload) = payload.read_all(u64::MAX, IDLE_TIMEOUT).await else {
             return false;
         };
         let text = |name| request.header(name).map(ToOwned::to_owned);
@@ -231,31 +227,44 @@
 
     /// Answers requests about the upstream itself. The health check answers `ok` in every
     /// failure mode, because the simulated failures are gray.
-    async fn control(&self, path: &str, request: &mut Request) -> Option<Response> {
+    async fn control(&self, path: &str, payload: Payload) -> Response {
         let mut response = Response::new(200);
         match path {
             "/health" => response.body = "ok\n".into(),
             "/_load" => response.body = format!("{:.2}\n", self.limiter.load()).into(),
-            "/_runs" => {
-                response =
-                    Response::json(200, serde_json::to_string(&*self.limiter.counts()).ok()?);
-            }
+            "/_runs" => match serde_json::to_string(&*self.limiter.counts()) {
+                Ok(text) => response = Response::json(200, text),
+                Err(error) => response = bad_request(&error.to_string()),
+            },
             "/_drain" => self.draining.store(true, Ordering::Release),
             "/_gray" => {
-                let body = std::mem::take(&mut request.body).read_all().await.unwrap_or_default();
-                let text = String::from_utf8_lossy(&body);
-                match text.trim().parse() {
-                    Ok(failure_mode) => self.set_failure_mode(failure_mode),
-                    Err(error) => {
-                        response.status = 400;
-                        response.body = format!("{error}\n").into();
-                    }
+                if let Err(error) = self.read_failure_mode(payload).await {
+                    response = bad_request(&error);
                 }
             }
-            _ => return None,
+            _ => (),
         }
-        Some(response)
+        response
     }
+
+    async fn read_failure_mode(&self, payload: Payload) -> Result<(), String> {
+        let body = payload.read_all(u64::MAX, IDLE_TIMEOUT).await;
+        let body = body.map_err(|error| error.to_string())?;
+        let mode = String::from_utf8_lossy(&body).trim().parse::<FailureMode>();
+        self.set_failure_mode(mode.map_err(|error| error.to_string())?);
+        Ok(())
+    }
+}
+
+fn bad_request(reason: &str) -> Response {
+    let mut response = Response::new(400);
+    response.body = format!("{reason}\n").into();
+    response
+}
+
+/// Whether a request is about the upstream itself.
+fn is_control(path: &str) -> bool {
+    matches!(path, "/health" | "/_load" | "/_runs" | "/_drain" | "/_gray")
 }
 
 async fn accept(listener: TcpListener, inner: Arc<Inner>) {
--- a/tests/suite/exchange.rs
+++ b/tests/suite/exchange.rs
@@ -2,5 +2,6 @@
 
 mod callers;
 mod heads;
+mod payloads;
 mod script;
 mod upstreams;
--- a/tests/suite/exchange/heads.rs
+++ b/tests/suite/exchange/heads.rs
@@ -6,12 +6,15 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use async_std::task::block_on;
+use hemlockfield::exchange::Received;
 use hemlockfield::exchange::RequestReader;
 use hemlockfield::exchange::Response;
 use rstest::rstest;
 
 use super::script::TIMEOUTS;
 
+const MAX_BODY_BYTES: u64 = 1 << 20;
+
 /// Sends `bytes` to a server that echoes path and body, and returns all that it answers.
 pub(super) async fn received(bytes: &[u8]) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -19,9 +22,10 @@
     task::spawn(async move {
         let (stream, peer) = listener.accept().await.unwrap();
         let mut reader = RequestReader::new(stream, peer);
-        while let Ok(Some((mut request, mut writer))) = reader.next(TIMEOUTS.idle).await {
+        while let Ok(Some(received)) = reader.next(TIMEOUTS.idle).await {
+            let Received { payload, request, mut writer } = received;
             let mut response = Response::new(200);
-            let body = std::mem::take(&mut request.body).read_all().await;
+            let body = payload.read_all(MAX_BODY_BYTES, TIMEOUTS.idle).await;
             let body =
                 body.map_or("broken".into(), |body| String::from_utf8_lossy(&body).into_owned());
             response.body = format!("{} {body}", request.path()).into();
--- /dev/null
+++ b/tests/suite/exchange/payloads.rs
@@ -0,0 +1,105 @@
+//! Bodies of callers: sent once, never lost, never read as a request.
+
+use std::future::Future;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::io::WriteExt;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task::block_on;
+use hemlockfield::exchange::Body;
+use hemlockfield::exchange::Bounds;
+use hemlockfield::exchange::Failure;
+use hemlockfield::exchange::Received;
+use hemlockfield::exchange::RequestReader;
+use hemlockfield::exchange::Response;
+use rstest::rstest;
+
+use super::script::TIMEOUTS;
+
+const CHUNKED: &str = "POST /1 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+const LENGTH: &str = "POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n\r\n";
+/// A whole request, of 50 bytes.
+const HIDDEN: &str = "GET /stolen HTTP/1.1\r\nhost: abcdefghijklmnopqr\r\n\r\n";
+const PATIENCE: Duration = Duration::from_millis(300);
+
+fn bounds() -> Bounds {
+    Bounds { buffer: 10, idle: PATIENCE, size: 1 << 20 }
+}
+
+/// Has a caller send `bytes` and wait, and a server read them.
+fn serve<F: Future<Output = ()>>(bytes: &str, serve: impl FnOnce(RequestReader, TcpStream) -> F) {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut caller = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (stream, peer) = listener.accept().await.unwrap();
+        caller.write_all(bytes.as_bytes()).await.unwrap();
+        serve(RequestReader::new(stream, peer), caller).await;
+    });
+}
+
+// A streamed body was sent to one upstream. Sent to another one, it must not be taken for an empty
+// one.
+#[rstest]
+#[case::chunked(CHUNKED)]
+#[case::length(LENGTH)]
+fn begin_twice(#[case] head: &str) {
+    serve(head, |mut reader, caller| async move {
+        let _open = caller;
+        let Received { mut payload, .. } = reader.next(PATIENCE).await.unwrap().unwrap();
+        payload.receive(bounds()).await.unwrap();
+        assert!(payload.is_available());
+        assert!(matches!(payload.begin(), Ok(Body::Stream(_))));
+        assert!(!payload.is_available());
+        assert!(matches!(payload.begin(), Err(Failure::Spent)));
+        assert_eq!(payload.len(), None);
+        assert!(!payload.is_empty());
+    });
+}
+
+// A body of which a part was received when receiving was given up lacks that part.
+#[test]
+fn begin_after_receive_was_dropped() {
+    let bytes = "POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nfind";
+    serve(bytes, |mut reader, caller| async move {
+        let _open = caller;
+        let Received { mut payload, .. } = reader.next(PATIENCE).await.unwrap().unwrap();
+        let receive = payload.receive(bounds());
+        assert!(timeout(PATIENCE / 10, receive).await.is_err());
+        assert!(matches!(payload.begin(), Err(Failure::Spent)));
+    });
+}
+
+// A request stands in a body that nobody has read. It must not be read as the caller's next one,
+// whatever was answered.
+#[rstest]
+#[case::length(format!("{LENGTH}{HIDDEN}"))]
+#[case::length_behind_a_part(format!("{LENGTH}{HIDDEN}{HIDDEN}"))]
+#[case::chunked(format!("{CHUNKED}{HIDDEN}"))]
+fn next_behind_unread_body(#[case] bytes: String, #[values(false, true)] is_answered: bool) {
+    serve(&bytes, |mut reader, caller| async move {
+        let Received { mut writer, .. } = reader.next(PATIENCE).await.unwrap().unwrap();
+        if is_answered {
+            writer.send(Response::new(200)).await.unwrap();
+            assert!(writer.is_closing());
+        }
+        drop(caller);
+        assert!(reader.next(TIMEOUTS.idle).await.unwrap().is_none());
+    });
+}
+
+// The body was read to its end, so that the next request follows.
+#[test]
+fn next_behind_read_body() {
+    serve(&format!("{LENGTH}{HIDDEN}{HIDDEN}"), |mut reader, caller| async move {
+        let _open = caller;
+        let Received { payload, mut writer, .. } = reader.next(PATIENCE).await.unwrap().unwrap();
+        let body = payload.read_all(1 << 20, PATIENCE).await.unwrap();
+        assert_eq!(body, HIDDEN.as_bytes());
+        writer.send(Response::new(200)).await.unwrap();
+        assert!(!writer.is_closing());
+        let Received { request, .. } = reader.next(PATIENCE).await.unwrap().unwrap();
+        assert_eq!(request.path(), "/stolen");
+    });
+}
--- a/tests/suite/exchange/script.rs
+++ b/tests/suite/exchange/script.rs
@@ -9,6 +9,7 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use hemlockfield::exchange::Answer;
+use hemlockfield::exchange::Body;
 use hemlockfield::exchange::Connection;
 use hemlockfield::exchange::Failure;
 use hemlockfield::exchange::Request;
@@ -82,5 +83,5 @@
 pub(super) async fn send(steps: Vec<Step>) -> Result<Answer, Failure> {
     let address = serve(steps).await;
     let connection = Connection::connect(address, TIMEOUTS.connect).await.unwrap();
-    connection.send(get("/hull/1"), TIMEOUTS).await
+    connection.send(get("/hull/1"), Body::empty(), TIMEOUTS).await
 }
--- a/tests/suite/exchange/upstreams.rs
+++ b/tests/suite/exchange/upstreams.rs
@@ -4,6 +4,7 @@
 
 use async_std::net::TcpStream;
 use async_std::task::block_on;
+use hemlockfield::exchange::Body;
 use hemlockfield::exchange::Connection;
 use hemlockfield::exchange::Failure;
 use hemlockfield::exchange::Pool;
@@ -39,10 +40,11 @@
 fn send_complete_answer() {
     block_on(async {
         let steps = vec![Step::Head, Step::Write(COMPLETE), Step::Hold];
-        let mut answer = send(steps).await.unwrap();
-        assert_eq!(answer.response.body_text().await.unwrap(), "whole");
-        assert!(answer.is_complete());
-        assert!(answer.release().is_some());
+        let answer = send(steps).await.unwrap();
+        let (response, exchange) = answer.split();
+        assert_eq!(response.into_text().await.unwrap(), "whole");
+        assert!(exchange.is_complete());
+        assert!(exchange.release().is_some());
     });
 }
 
@@ -52,9 +54,10 @@
 fn send_answer_ends_by_close() {
     block_on(async {
         let steps = vec![Step::Head, Step::Write(ENDS_BY_CLOSE), Step::Close];
-        let mut answer = send(steps).await.unwrap();
-        assert_eq!(answer.response.body_text().await.unwrap(), "whole register page");
-        assert!(answer.release().is_none());
+        let answer = send(steps).await.unwrap();
+        let (response, exchange) = answer.split();
+        assert_eq!(response.into_text().await.unwrap(), "whole register page");
+        assert!(exchange.release().is_none());
     });
 }
 
@@ -69,8 +72,8 @@
             let connection = Connection::connect(address, TIMEOUTS.connect).await.unwrap();
             let mut request = get("/hull/1");
             request.method = http::Method::POST;
-            request.body = vec![b'x'; 8 << 20].into();
-            let failure = connection.send(request, TIMEOUTS).await.map(drop).unwrap_err();
+            let body = Body::from(vec![b'x'; 8 << 20]);
+            let failure = connection.send(request, body, TIMEOUTS).await.map(drop).unwrap_err();
             assert!(matches!(failure, Failure::Cut(_)), "{failure}");
         }
     });
@@ -90,8 +93,8 @@
         let name = http::HeaderName::from_static("x-request-id");
         request.set_header(name.clone(), "2");
         request.echo = Some(name);
-        let mut answer = connection.send(request, TIMEOUTS).await.unwrap();
-        assert_eq!(answer.response.body_text().await.unwrap(), "own");
+        let answer = connection.send(request, Body::empty(), TIMEOUTS).await.unwrap();
+        assert_eq!(answer.response.into_text().await.unwrap(), "own");
     });
 }
 
@@ -132,10 +135,10 @@
 fn read_all_cut_after_head(#[case] text: &'static str) {
     block_on(async {
         let steps = vec![Step::Head, Step::Write(text), Step::Close];
-        let mut answer = send(steps).await.unwrap();
-        let read = std::mem::take(&mut answer.response.body).read_all().await;
-        assert!(read.is_err());
-        assert!(answer.release().is_none());
+        let answer = send(steps).await.unwrap();
+        let (response, exchange) = answer.split();
+        assert!(response.body.read_all().await.is_err());
+        assert!(exchange.release().is_none());
     });
 }
 
@@ -146,9 +149,10 @@
     block_on(async {
         let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r";
         let steps = vec![Step::Head, Step::Write(head), Step::Pause, Step::Write("\n"), Step::Hold];
-        let mut answer = send(steps).await.unwrap();
-        assert_eq!(answer.response.body_text().await.unwrap(), "whole");
-        assert!(answer.is_complete());
+        let answer = send(steps).await.unwrap();
+        let (response, exchange) = answer.split();
+        assert_eq!(response.into_text().await.unwrap(), "whole");
+        assert!(exchange.is_complete());
     });
 }
 
@@ -159,8 +163,8 @@
     block_on(async {
         let steps =
             vec![Step::Head, Step::Write("HTTP/1.1 100 Continue\r\n\r\n"), Step::Write(COMPLETE)];
-        let mut answer = send(steps).await.unwrap();
-        assert_eq!(answer.response.body_text().await.unwrap(), "whole");
+        let answer = send(steps).await.unwrap();
+        assert_eq!(answer.response.into_text().await.unwrap(), "whole");
     });
 }
 
@@ -169,9 +173,9 @@
 #[test]
 fn send_adds_no_date() {
     block_on(async {
-        let mut answer = send(vec![Step::Head, Step::Write(COMPLETE)]).await.unwrap();
+        let answer = send(vec![Step::Head, Step::Write(COMPLETE)]).await.unwrap();
         assert!(answer.response.header("date").is_none());
-        assert_eq!(answer.response.body_text().await.unwrap(), "whole");
+        assert_eq!(answer.response.into_text().await.unwrap(), "whole");
     });
 }
 
@@ -186,8 +190,8 @@
         let address = serve(steps).await;
         let pool = Pool::default();
         let connection = Connection::connect(address, TIMEOUTS.connect).await.unwrap();
-        let answer = connection.send(get("/hull/1"), TIMEOUTS).await.unwrap();
-        if let Some(connection) = answer.release() {
+        let answer = connection.send(get("/hull/1"), Body::empty(), TIMEOUTS).await.unwrap();
+        if let Some(connection) = answer.split().1.release() {
             pool.put(address, connection);
         }
         while let Some(connection) = pool.take(address, Duration::MAX).await {
--- a/tests/suite/platform/responses.rs
+++ b/tests/suite/platform/responses.rs
@@ -64,8 +64,8 @@
 #[test]
 fn respond_entries() {
     let entries = vec!["10.0.0.1:80".parse().unwrap(), "10.0.0.2:80".parse().unwrap()];
-    let mut response = Platform.respond(Reply::Entries(entries, Duration::from_millis(2500)));
-    let text = async_std::task::block_on(response.body_text()).unwrap();
+    let response = Platform.respond(Reply::Entries(entries, Duration::from_millis(2500)));
+    let text = async_std::task::block_on(response.into_text()).unwrap();
     let list: serde_json::Value = serde_json::from_str(&text).unwrap();
     assert_eq!(list["addresses"], serde_json::json!(["10.0.0.1:80", "10.0.0.2:80"]));
     assert_eq!(list["ttlS"], 2.5);
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -71,6 +71,16 @@
     }
 }
 
+// A body that is gone is gone, also if no byte was sent: the next upstream would run the request
+// without it.
+#[rstest]
+#[case::may_run_once(false)]
+#[case::idempotent(true)]
+fn decide_body_lost_unsent(#[case] idempotent: bool) {
+    let lost = Attempt { body_kept: false, ..attempt(idempotent, false, Outcome::ConnectFailed) };
+    assert_eq!(policy(1).decide(&lost), Decision::Stop { answer: Answer::NotRun });
+}
+
 #[test]
 fn decide_body_not_kept() {
     // A full upstream refused an upload after part of it had streamed through. It can't be sent
