Send the rest of a body after an early answer that does not refuse it

Cause: the head of an answer ended the writing of the request, whatever it said.

Weighed: closing at once, as before; going on after any answer; going on unless the answer refuses (status of 400 or more) or closes the connection, which is what the RFC asks of a client. Taken: the last, until the request's deadline. The rest is written while the answer is read and relayed, so that an upstream that answers as it reads does not wait for us. The caller's connection stays open if its body was read to the end.

--- a/src/demo/baseline.rs
+++ b/src/demo/baseline.rs
@@ -91,10 +91,10 @@
     };
     match answered.await {
         Ok(answer) => {
-            let (answer, _exchange) = answer.split();
+            let (answer, mut exchange) = answer.split();
             let mut response = Response::new(answer.status);
             response.body = answer.body;
-            writer.send(response).await.ok();
+            exchange.relay(response, writer, PATIENCE).await.ok();
         }
         Err(failure) => {
             let response = refuse(502, Outcome::Unknown, &failure.to_string(), None);
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -1,8 +1,15 @@
 //! An upstream's answer, and the exchange that it belongs to.
 
+use std::io;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use futures::join;
+
 use super::Connection;
 use super::Progress;
 use super::Response;
+use super::ResponseWriter;
 use super::Socket;
 use super::transmission::Transmission;
 
@@ -63,6 +70,26 @@
         self.progress.is_complete()
     }
 
+    /// Sends the answer to the caller. If it came before the request's end, and the upstream goes on
+    /// reading, the rest of the request is sent meanwhile, and for at most `limit` afterwards.
+    ///
+    /// # Errors
+    ///
+    /// If writing to the caller or reading the answer fails.
+    pub async fn relay(
+        &mut self,
+        response: Response,
+        writer: &mut ResponseWriter,
+        limit: Duration,
+    ) -> io::Result<()> {
+        let transmission = &mut self.upload.transmission;
+        if !transmission.is_open() {
+            return writer.send(response).await;
+        }
+        let (sent, _) = join!(writer.send_early(response), timeout(limit, transmission.run()));
+        sent
+    }
+
     /// Returns the connection if it can carry another request: the request was sent and the
     /// answer read completely, nothing more has arrived, and the upstream keeps the connection
     /// open. Otherwise closes it: the rest of this answer would reach the next caller, and the next
--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -40,6 +40,9 @@
 /// such an answer is cut, the attempt fails visibly and an idempotent request can be retried.
 const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
 
+/// Lowest status of an answer by which an upstream refuses a request.
+const FIRST_ERROR_STATUS: u16 = 400;
+
 /// Timeouts of one attempt at an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -133,7 +136,8 @@
     }
 
     /// Sends a request and receives the answer: a small body completely, a large one as a
-    /// stream. An answer may come before the request's end; the rest is not sent then. Dropping the
+    /// stream. An answer may come before the request's end; the rest is sent while the answer is
+    /// relayed, unless the upstream refuses the request or closes the connection. Dropping the
     /// future closes the connection, which cancels the request.
     ///
     /// # Errors
@@ -154,9 +158,11 @@
         let receive = self.read_head(echo.as_ref(), timeouts, reused);
         let response = send_and_receive(&mut upload.transmission, receive, timeouts).await?;
         self.idle_limit = head::idle_limit(&response.headers);
-        upload.transmission.break_off();
+        if head::says_close(&response.headers) || response.status >= FIRST_ERROR_STATUS {
+            upload.transmission.break_off();
+        }
         let read = self.read_body(response, &request.method, timeouts);
-        let (response, progress, keep_alive) = read.await?;
+        let (response, progress, keep_alive) = upload.transmission.run_beside(read).await?;
         let exchange = Exchange { connection: self, keep_alive, progress, upload };
         Ok(Answer { exchange, response })
     }
--- a/src/exchange/response_writer.rs
+++ b/src/exchange/response_writer.rs
@@ -42,8 +42,17 @@
     /// # Errors
     ///
     /// If writing to the caller or reading the body fails.
-    pub async fn send(&mut self, mut response: Response) -> io::Result<()> {
+    pub async fn send(&mut self, response: Response) -> io::Result<()> {
         self.close |= !self.progress.is_complete();
+        self.send_early(response).await
+    }
+
+    /// As [`Self::send`], while the rest of the request's body is being read.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub(super) async fn send_early(&mut self, mut response: Response) -> io::Result<()> {
         if self.close {
             response.set_header(header::CONNECTION, "close");
         }
--- a/src/exchange/transmission.rs
+++ b/src/exchange/transmission.rs
@@ -4,6 +4,9 @@
 
 use bytes::Buf;
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::pin_mut;
+use futures::select;
 use thiserror::Error;
 
 use super::Body;
@@ -68,6 +71,22 @@
         written
     }
 
+    /// Writes while `work` is done, and returns what it returns. A message that can't be written
+    /// further breaks off.
+    pub(super) async fn run_beside<F: Future>(&mut self, work: F) -> F::Output {
+        let work = work.fuse();
+        pin_mut!(work);
+        if self.state == State::Open {
+            let run = self.run().fuse();
+            pin_mut!(run);
+            select! {
+                output = work => return output,
+                _ = run => (),
+            }
+        }
+        work.await
+    }
+
     /// Writes nothing more.
     pub(super) fn break_off(&mut self) {
         if self.state == State::Open {
@@ -75,6 +94,11 @@
         }
     }
 
+    /// Whether bytes of the message remain to be written.
+    pub(super) fn is_open(&self) -> bool {
+        self.state == State::Open
+    }
+
     /// Whether the whole message was written.
     pub(super) fn is_finished(&self) -> bool {
         self.state == State::Finished
--- a/src/node/traffic/forward.rs
+++ b/src/node/traffic/forward.rs
@@ -168,10 +168,10 @@
     writer: &mut ResponseWriter,
 ) {
     proxy.metrics.count("forward.answered");
-    let (response, exchange) = answer.split();
+    let (response, mut exchange) = answer.split();
     job.log(proxy, view, "answered by another entry", response.status);
     proxy.count_bytes(response.body.len().unwrap_or_default());
-    if let Err(error) = writer.send(response).await {
+    if let Err(error) = exchange.relay(response, writer, job.left(proxy.now())).await {
         tracing::debug!(target: "hemlockfield::exchange", "caller disconnected: {error}");
     }
     if let Some(connection) = exchange.release() {
--- a/src/node/traffic/relay.rs
+++ b/src/node/traffic/relay.rs
@@ -22,7 +22,7 @@
     claim: Option<Claim<'_>>,
     writer: &mut ResponseWriter,
 ) {
-    let (response, exchange) = answer.split();
+    let (response, mut exchange) = answer.split();
     proxy.count_bytes(response.body.len().unwrap_or_default());
     if let Some(claim) = claim {
         claim.end(claims::outcome(&response));
@@ -32,7 +32,7 @@
         proxy.try_notify(Input::Probed { draining: Some(true), healthy: true, service, upstream });
     }
     let failed = response.status >= 500;
-    let sent = writer.send(response).await;
+    let sent = exchange.relay(response, writer, job.left(proxy.now())).await;
     if let Err(error) = sent {
         tracing::debug!(target: "hemlockfield::exchange", "answer was not relayed: {error}");
     }
--- a/tests/suite/entry/fixture.rs
+++ b/tests/suite/entry/fixture.rs
@@ -53,6 +53,8 @@
     AnswerLength,
     /// Answers with 413 before reading the body, and never reads it.
     AnswerEarly,
+    /// Answers before reading the body, then reads it.
+    AnswerThenRead,
     /// Listens nowhere: connections are refused.
     Absent,
     /// Reads the head and closes the connection.
@@ -213,6 +215,12 @@
             stream.write_all(answer).await.ok();
             task::sleep(Duration::from_secs(60)).await;
         }
+        Script::AnswerThenRead => {
+            let answer = b"HTTP/1.1 202 Accepted\r\ncontent-length: 5\r\n\r\nlater";
+            stream.write_all(answer).await.ok();
+            let (length, _) = read_body(&mut stream, &head).await;
+            received.lock().unwrap().bodies.push(length);
+        }
         Script::Absent | Script::HangUp => (),
         Script::Hold => {
             let mut byte = [0];
--- a/tests/suite/entry/uploads.rs
+++ b/tests/suite/entry/uploads.rs
@@ -76,6 +76,35 @@
     });
 }
 
+// The upstream takes an upload and answers before it has read it. The caller gets the answer at once,
+// and the upstream still gets the whole body.
+#[rstest]
+#[case::chunked(chunked)]
+#[case::length(with_length)]
+fn post_answered_early_and_read(#[case] encode: fn(&[u8]) -> Vec<u8>) {
+    block_on(async {
+        let fixture = Fixture::start(&[Script::AnswerThenRead]).await;
+        let mut stream = fixture.connect().await;
+        let bytes = encode(&vec![b'x'; LARGE_BODY]);
+        let (first, rest) = bytes.split_at(LARGE_BODY / 2);
+        stream.write_all(first).await.unwrap();
+        let mut answer = [0; 4096];
+        let count = stream.read(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer[..count]).into_owned();
+        assert!(answer.starts_with("HTTP/1.1 202 "), "{answer}");
+        stream.write_all(rest).await.unwrap();
+        while fixture.received.lock().unwrap().bodies.is_empty() {
+            task::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(fixture.received.lock().unwrap().bodies, [LARGE_BODY]);
+        // The connection carries the next request.
+        stream.write_all(b"GET /closed/1 HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).await.unwrap();
+        assert_eq!(&answer, b"HTTP/1.1 410");
+    });
+}
+
 // A caller that sends `expect: 100-continue` is told to continue once its request is admitted.
 #[test]
 fn post_expect_continue() {
