Reset a connection to an upstream within a body that was cut

What callers saw: nothing. An upstream that takes the end of a connection for that of a body would have run a part of a body that its caller never finished; bodies above the buffer are still streamed.

Cause: a cut body ended as a whole exchange does, by closing in order; only its framing told them apart. Weighed: closing (the kernel still delivers what was written, then an end) against resetting (an error, and what was not delivered is dropped). A reset can't be taken for an end.

Change: a connection that is dropped within its request is reset (SO_LINGER of 0, by socket2); one whose request was sent whole is closed as before.

Before: post_cut_by_caller red, both cases. After: green.

--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -31,7 +31,8 @@
 }
 
 /// A request on its way to an upstream. When it is dropped the connection is closed, which cancels
-/// the work.
+/// the work; within the request it is reset, so that no upstream takes the end of the connection for
+/// the end of the body.
 pub(super) struct Upload {
     is_released: bool,
     socket: Socket,
@@ -46,8 +47,13 @@
 
 impl Drop for Upload {
     fn drop(&mut self) {
-        if !self.is_released {
+        if self.is_released {
+            return;
+        }
+        if self.transmission.is_finished() {
             self.socket.close();
+        } else {
+            self.socket.reset();
         }
     }
 }
--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -158,7 +158,7 @@
         let receive = self.read_head(echo.as_ref(), timeouts, reused);
         let response = send_and_receive(&mut upload.transmission, receive, timeouts).await?;
         self.idle_limit = head::idle_limit(&response.headers);
-        if head::says_close(&response.headers) || response.status >= FIRST_ERROR_STATUS {
+        if is_last(&response)? || response.status >= FIRST_ERROR_STATUS {
             upload.transmission.break_off();
         }
         let read = self.read_body(response, &request.method, timeouts);
@@ -246,6 +246,14 @@
     }
 }
 
+/// Whether the upstream closes the connection after this response. Nothing may be written while such
+/// a response is read: a write would consume the error of a reset, and a body that ends with the
+/// connection would look complete.
+fn is_last(response: &Response) -> Result<bool, Failure> {
+    let ends_by_close = head::response_framing(response)? == Framing::Close;
+    Ok(ends_by_close || head::says_close(&response.headers))
+}
+
 /// Writes a request and receives the head of its answer, which may come before the request's end.
 async fn send_and_receive(
     transmission: &mut Transmission,
--- a/src/exchange/socket.rs
+++ b/src/exchange/socket.rs
@@ -8,12 +8,14 @@
 use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use async_std::io::Read;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use bytes::Bytes;
 use bytes::BytesMut;
+use socket2::SockRef;
 
 use super::Error;
 
@@ -162,6 +164,15 @@
         self.stream.shutdown(std::net::Shutdown::Both).ok();
     }
 
+    /// Has the connection reset once it is dropped, so that the peer can't take what it got for
+    /// complete.
+    pub(super) fn reset(&self) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            tracing::debug!(target: "hemlockfield::exchange", "can't reset: {error}");
+            self.close();
+        }
+    }
+
     /// Closes the sending direction.
     pub fn finish(&self) {
         self.stream.shutdown(std::net::Shutdown::Write).ok();
--- a/tests/suite/entry/fixture.rs
+++ b/tests/suite/entry/fixture.rs
@@ -76,6 +76,8 @@
     pub(super) closed: usize,
     /// Request heads.
     pub(super) heads: Vec<String>,
+    /// Bodies within which the other end reset the connection.
+    pub(super) resets: usize,
 }
 
 pub(super) struct Fixture {
@@ -201,9 +203,10 @@
     received.lock().unwrap().heads.push(head.clone());
     match script {
         Script::AnswerLength => {
-            let (length, whole) = read_body(&mut stream, &head).await;
+            let (length, end) = read_body(&mut stream, &head).await;
+            received.lock().unwrap().resets += usize::from(end == End::Reset);
             received.lock().unwrap().bodies.push(length);
-            if whole {
+            if end == End::Whole {
                 let body = length.to_string();
                 let answer =
                     format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
@@ -249,8 +252,16 @@
     Some(String::from_utf8_lossy(&received).into_owned())
 }
 
-/// Returns the number of body bytes received and whether the body was complete.
-async fn read_body(stream: &mut TcpStream, head: &str) -> (usize, bool) {
+/// How a body ended.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum End {
+    Closed,
+    Reset,
+    Whole,
+}
+
+/// Returns the number of body bytes received and how the body ended.
+async fn read_body(stream: &mut TcpStream, head: &str) -> (usize, End) {
     if head.contains("transfer-encoding: chunked") {
         return read_chunks(stream).await;
     }
@@ -260,24 +271,26 @@
     let mut count = 0;
     while count < declared {
         match stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => return (count, false),
+            Ok(0) => return (count, End::Closed),
+            Err(_) => return (count, End::Reset),
             Ok(read) => count += read,
         }
     }
-    (count, true)
+    (count, End::Whole)
 }
 
 /// As [`read_body`], for a body in chunks.
-async fn read_chunks(stream: &mut TcpStream) -> (usize, bool) {
+async fn read_chunks(stream: &mut TcpStream) -> (usize, End) {
     let mut received = Vec::new();
     let mut buffer = vec![0; 64 * 1024];
     while !received.ends_with(b"0\r\n\r\n") {
         match stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => return (decode_chunks(&received), false),
+            Ok(0) => return (decode_chunks(&received), End::Closed),
+            Err(_) => return (decode_chunks(&received), End::Reset),
             Ok(read) => received.extend_from_slice(&buffer[..read]),
         }
     }
-    (decode_chunks(&received), true)
+    (decode_chunks(&received), End::Whole)
 }
 
 /// Number of bytes in the chunks that are all there.
--- a/tests/suite/entry/uploads.rs
+++ b/tests/suite/entry/uploads.rs
@@ -32,15 +32,17 @@
     });
 }
 
-// The caller's connection breaks in the middle of an upload. The entry closes the connection to the
-// upstream short of the declared length, so that the upload does not appear complete.
-#[test]
-fn post_cut_by_caller() {
+// The caller's connection breaks in the middle of an upload. The entry resets the connection to the
+// upstream short of the body's end, so that the upload does not appear complete, not even to an
+// upstream that takes the end of a connection for that of a body.
+#[rstest]
+#[case::chunked(chunked)]
+#[case::length(with_length)]
+fn post_cut_by_caller(#[case] encode: fn(&[u8]) -> Vec<u8>) {
     block_on(async {
         let fixture = Fixture::start(&[Script::AnswerLength]).await;
         let mut stream = fixture.connect().await;
-        stream.write_all(head(LARGE_BODY, "").as_bytes()).await.unwrap();
-        stream.write_all(&vec![b'x'; LARGE_BODY / 2]).await.unwrap();
+        stream.write_all(&encode(&vec![b'x'; LARGE_BODY])[..LARGE_BODY / 2]).await.unwrap();
         while fixture.request_count() == 0 {
             task::sleep(Duration::from_millis(5)).await;
         }
@@ -49,6 +51,7 @@
             task::sleep(Duration::from_millis(5)).await;
         }
         assert!(fixture.received.lock().unwrap().bodies[0] < LARGE_BODY);
+        assert_eq!(fixture.received.lock().unwrap().resets, 1);
     });
 }
 
