Refuse heads that hold more than one head

What callers saw: a head whose lines end in line feeds alone hid what came behind its empty line, up to the next CRLF CRLF: a second request was never answered, and of a body the first bytes were missing. The same at answers of upstreams: bytes of the body were dropped as part of the head.

Cause: Socket::read_head takes everything up to CRLF CRLF; httparse ends a head at an empty line that ends in LF too. What it left over was dropped: two readers that differ on where a message ends.

Change: a head has to be parsed to its last byte, at callers' and at upstreams' connections.

Before: next_refused cases 07 and 08, send_incomplete_or_malformed::body_in_head red. After: green.

--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -6,6 +6,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
+use httparse::Status;
 
 use super::Error;
 use super::head;
@@ -36,19 +37,19 @@
     ///
     /// # Errors
     ///
-    /// If it is not a complete HTTP/1.1 head, has too many headers, or is refused by
+    /// If it is not exactly one complete HTTP/1.1 head, has too many headers, or is refused by
     /// [`super::check_request`].
     pub fn parse(bytes: &[u8]) -> Result<Self, Error> {
         let mut headers = [httparse::EMPTY_HEADER; head::MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
         let status = parsed.parse(bytes).map_err(head::parse_error)?;
+        if status != Status::Complete(bytes.len()) {
+            return Err(Error::Malformed("it is not exactly one head".to_owned()));
+        }
         let (Some(method), Some(path), Some(1)) = (parsed.method, parsed.path, parsed.version)
         else {
             return Err(Error::Malformed("its first line".to_owned()));
         };
-        if status.is_partial() {
-            return Err(Error::Malformed("it breaks off".to_owned()));
-        }
         let method = Method::from_bytes(method.as_bytes())
             .map_err(|_| Error::Malformed(method.to_owned()))?;
         let headers = head::map(parsed.headers)?;
--- a/src/exchange/response.rs
+++ b/src/exchange/response.rs
@@ -3,6 +3,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::StatusCode;
+use httparse::Status;
 
 use super::Body;
 use super::BodyError;
@@ -38,15 +39,18 @@
     ///
     /// # Errors
     ///
-    /// If it is not a complete HTTP/1.x head.
+    /// If it is not exactly one complete HTTP/1.x head.
     pub(super) fn parse(bytes: &[u8]) -> Result<Self, Failure> {
         let mut headers = [httparse::EMPTY_HEADER; head::MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
         let malformed = |text: String| Failure::Malformed(text);
         let status = parsed.parse(bytes).map_err(|error| malformed(error.to_string()))?;
-        let (false, Some(code)) = (status.is_partial(), parsed.code) else {
+        let (Status::Complete(length), Some(code)) = (status, parsed.code) else {
             return Err(malformed("its first line".to_owned()));
         };
+        if length != bytes.len() {
+            return Err(malformed("it is not exactly one head".to_owned()));
+        }
         let headers = head::map(parsed.headers).map_err(|error| malformed(error.to_string()))?;
         Ok(Self { body: Body::empty(), headers, status: code })
     }
--- a/tests/suite/exchange/heads.rs
+++ b/tests/suite/exchange/heads.rs
@@ -55,6 +55,11 @@
     "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999999999999999\r\n\r\nGET /hidden HTTP/1.1\r\nhost: a\r\n\r\n",
     "400"
 )]
+#[case::two_heads_in_one("GET /1 HTTP/1.1\nhost: a\n\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n", "400")]
+#[case::body_in_head(
+    "POST /1 HTTP/1.1\nhost: a\ncontent-length: 7\n\nfinding\r\n\r\nanother",
+    "400"
+)]
 #[case::length_and_chunks(
     "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
     "400"
--- a/tests/suite/exchange/upstreams.rs
+++ b/tests/suite/exchange/upstreams.rs
@@ -114,6 +114,11 @@
     Step::Write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n"),
     Step::Hold,
 ])]
+#[case::body_in_head(vec![
+    Step::Head,
+    Step::Write("HTTP/1.1 200 OK\ncontent-length: 5\n\nwhole\r\n\r\nother"),
+    Step::Hold,
+])]
 #[case::not_http(vec![Step::Head, Step::Write("220 mail ready\r\n\r\n"), Step::Hold])]
 #[case::silent(vec![Step::Head, Step::Hold])]
 #[case::silent_in_head(vec![Step::Head, Step::Write("HTTP/1.1 200 OK\r\n"), Step::Hold])]
