Refuse answers with two transfer codings

An answer with transfer-encoding: chunked and a second coding was read as chunked: only the first of the headers was looked at. Its end is not known then, and what follows could be taken for the next answer.

Before: send_incomplete_or_malformed::two_codings red.

--- a/src/exchange/head.rs
+++ b/src/exchange/head.rs
@@ -127,20 +127,19 @@
     let malformed = |what: &HeaderValue| {
         Failure::Malformed(String::from_utf8_lossy(what.as_bytes()).into_owned())
     };
-    if let Some(coding) = headers.get(header::TRANSFER_ENCODING) {
-        let chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
-        return if chunked && length.is_none() {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    if let Some(coding) = codings.next() {
+        return if is_chunked(coding) && codings.next().is_none() && length.is_none() {
             Ok(Framing::Chunked)
         } else {
             Err(malformed(coding))
         };
     }
     let Some(length) = length else { return Ok(Framing::Close) };
-    if lengths.any(|other| other != length) || !length.as_bytes().iter().all(u8::is_ascii_digit) {
+    if lengths.any(|other| other != length) {
         return Err(malformed(length));
     }
-    let text = length.to_str().map_err(|_| malformed(length))?;
-    text.parse().map(Framing::Length).map_err(|_| malformed(length))
+    parse_length(length).map(Framing::Length).ok_or_else(|| malformed(length))
 }
 
 /// Whether the peer closes the connection after this message.
--- a/tests/suite/exchange/upstreams.rs
+++ b/tests/suite/exchange/upstreams.rs
@@ -114,6 +114,11 @@
     Step::Write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n"),
     Step::Hold,
 ])]
+#[case::two_codings(vec![
+    Step::Head,
+    Step::Write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n\r\n0\r\n\r\n"),
+    Step::Hold,
+])]
 #[case::body_in_head(vec![
     Step::Head,
     Step::Write("HTTP/1.1 200 OK\ncontent-length: 5\n\nwhole\r\n\r\nother"),
