Refuse lines of chunked bodies that end in a line feed alone, and endless trailers

A size line, the end of a chunk and the last line were taken with a bare line feed. Another reader on the way takes them otherwise, and the two differ on where the body ends and the next request begins. Trailer lines had no bound together: a caller could hold a connection for ever, each line within the idle time.

--- a/src/exchange/body_reader.rs
+++ b/src/exchange/body_reader.rs
@@ -13,6 +13,8 @@
 /// Longest size or trailer line of a chunked body, in bytes. A size has at most 16 digits;
 /// the rest is room for extensions and trailers, which are ignored.
 const MAX_LINE_BYTES: usize = 4 * 1024;
+/// Largest size of all trailer lines together, in bytes: that of a head.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// How the end of a body is determined.
@@ -35,7 +37,8 @@
     Close,
     Done,
     Length(u64),
-    Trailer,
+    /// Trailer lines; the number is the bytes that they may still have.
+    Trailer(usize),
 }
 
 /// Reads one body from a connection and leaves what follows it in the socket's buffer.
@@ -183,7 +186,10 @@
                 }
                 State::ChunkSize => {
                     let size = parse_chunk_size(&self.read_line().await?)?;
-                    self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+                    self.state = match size {
+                        0 => State::Trailer(MAX_TRAILER_BYTES),
+                        size => State::Chunk(size),
+                    };
                 }
                 State::Close => match self.read_up_to(u64::MAX).await? {
                     Some(bytes) => return Ok(Some(bytes)),
@@ -200,8 +206,11 @@
                     }
                     return Ok(Some(bytes));
                 }
-                State::Trailer => {
-                    if self.read_line().await?.is_empty() {
+                State::Trailer(left) => {
+                    let line = self.read_line().await?;
+                    let left = left.checked_sub(line.len()).ok_or_else(|| malformed(&line))?;
+                    self.state = State::Trailer(left);
+                    if line.is_empty() {
                         self.finish();
                     }
                 }
@@ -227,10 +236,13 @@
         Ok(Some(bytes))
     }
 
+    /// Reads a line, which has to end in CRLF: readers that differ on where a line ends differ on
+    /// where the body ends.
     async fn read_line(&mut self) -> Result<Bytes, BodyError> {
         loop {
             if let Some(line) = self.socket.take_line() {
-                return Ok(line);
+                let text = line.strip_suffix(b"\r\n").ok_or_else(|| malformed(&line))?;
+                return Ok(line.slice_ref(text));
             }
             if self.socket.buffered_len() > MAX_LINE_BYTES {
                 return Err(BodyError::Malformed("too long a line".to_owned()));
--- a/src/exchange/socket.rs
+++ b/src/exchange/socket.rs
@@ -40,8 +40,7 @@
 }
 
 impl State {
-    /// Removes and returns the first `count` bytes. A buffer that becomes empty is freed;
-    /// `take_line` splits the buffer itself and doesn't free it.
+    /// Removes and returns the first `count` bytes. A buffer that becomes empty is freed.
     fn split_to(&mut self, count: usize) -> Bytes {
         if count == self.buffer.len() {
             return std::mem::take(&mut self.buffer).freeze();
@@ -86,16 +85,11 @@
         state.split_to(count)
     }
 
-    /// Takes the next line from the buffer, without its line end, if all of it is there.
+    /// Takes the next line from the buffer, with its line feed, if all of it is there.
     pub(super) fn take_line(&self) -> Option<Bytes> {
         let mut state = self.lock();
         let end = state.buffer.iter().position(|byte| *byte == b'\n')?;
-        let mut line = state.buffer.split_to(end + 1);
-        line.truncate(end);
-        if line.last() == Some(&b'\r') {
-            line.truncate(end - 1);
-        }
-        Some(line.freeze())
+        Some(state.split_to(end + 1))
     }
 
     /// Number of bytes that were received but not taken yet.
--- a/tests/suite/exchange/payloads.rs
+++ b/tests/suite/exchange/payloads.rs
@@ -9,6 +9,7 @@
 use async_std::net::TcpStream;
 use async_std::task::block_on;
 use hemlockfield::exchange::Body;
+use hemlockfield::exchange::BodyError;
 use hemlockfield::exchange::Bounds;
 use hemlockfield::exchange::Failure;
 use hemlockfield::exchange::Memory;
@@ -110,6 +111,25 @@
     });
 }
 
+// Readers that differ on where a chunk ends differ on what is a request.
+#[rstest]
+#[case::size_ends_in_line_feed("7\nfinding\r\n0\r\n\r\n")]
+#[case::chunk_ends_in_line_feed("7\r\nfinding\n0\r\n\r\n")]
+#[case::last_line_ends_in_line_feed("7\r\nfinding\r\n0\r\n\n")]
+#[case::line_feed_in_extension("7;a\nb\r\nfinding\r\n0\r\n\r\n")]
+#[case::sign("+7\r\nfinding\r\n0\r\n\r\n")]
+#[case::longer_than_its_size("6\r\nfinding\r\n0\r\n\r\n")]
+#[case::endless_trailers(&format!("0\r\n{}", "a: b\r\n".repeat(10_000)))]
+fn receive_malformed_chunks(#[case] chunks: &str) {
+    serve(&format!("{CHUNKED}{chunks}"), |mut reader, caller| async move {
+        let _open = caller;
+        let Received { mut payload, .. } = reader.next(PATIENCE).await.unwrap().unwrap();
+        let error = payload.receive(bounds(&Memory::new(100))).await.unwrap_err();
+        assert!(matches!(error, BodyError::Malformed(_)), "{error}");
+        assert!(reader.next(TIMEOUTS.idle).await.unwrap().is_none());
+    });
+}
+
 // A request stands in a body that nobody has read. It must not be read as the caller's next one,
 // whatever was answered.
 #[rstest]
