Refuse configurations and announcements that were cut short

What operators saw: nothing. A connection that broke within a configuration had its first part accepted, if that was valid YAML: rules were gone everywhere, and the answer (lost with the connection) said 200.

Cause: tide reads bodies by async-h1, which takes a body short of its content-length for complete (as async_h1_accepts_incomplete_body shows for answers). The platform's operations are read by RequestReader and were not concerned.

Change: what was read is compared with the declared length; 400, a line and body.refused otherwise.

Before: put_configuration_cut red (the cut configuration was in force). After: green.

--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -94,12 +94,11 @@
             return Ok(text_response(StatusCode::BadRequest, text));
         }
     };
-    if request.len().is_none_or(|length| length > MAX_CONFIGURATION_BYTES) {
-        let text =
-            format!("a configuration of at most `{MAX_CONFIGURATION_BYTES}` bytes is needed");
-        return Ok(text_response(StatusCode::PayloadTooLarge, text));
-    }
-    let document = request.body_string().await?;
+    let document = match read_body(&mut request, "configuration", MAX_CONFIGURATION_BYTES).await? {
+        Ok(bytes) => String::from_utf8(bytes)
+            .map_err(|error| tide::Error::new(StatusCode::BadRequest, error))?,
+        Err(response) => return Ok(response),
+    };
     if let Err(error) = Rules::parse(&document) {
         return Ok(text_response(StatusCode::UnprocessableEntity, error.to_string()));
     }
@@ -146,11 +145,10 @@
 }
 
 async fn announce(mut request: Request<Operators>) -> tide::Result {
-    if request.len().is_none_or(|length| length > MAX_ANNOUNCEMENT_BYTES) {
-        let text = format!("an announcement of at most `{MAX_ANNOUNCEMENT_BYTES}` bytes is needed");
-        return Ok(text_response(StatusCode::PayloadTooLarge, text));
-    }
-    let body = request.body_bytes().await?;
+    let body = match read_body(&mut request, "announcement", MAX_ANNOUNCEMENT_BYTES).await? {
+        Ok(bytes) => bytes,
+        Err(response) => return Ok(response),
+    };
     let announcement: Announcement = match serde_json::from_slice(&body) {
         Ok(announcement) => announcement,
         Err(error) => {
@@ -172,6 +170,27 @@
     Ok(json_response(StatusCode::Ok, serde_json::to_string(&answer)?))
 }
 
+/// Reads a body of a declared length, or returns the refusal. The library takes a body for complete
+/// that was cut short of its length.
+async fn read_body(
+    request: &mut Request<Operators>,
+    what: &str,
+    max: usize,
+) -> tide::Result<Result<Vec<u8>, Response>> {
+    let Some(length) = request.len().filter(|length| *length <= max) else {
+        let text = format!("`{what}` with a length of at most `{max}` bytes is needed");
+        return Ok(Err(text_response(StatusCode::PayloadTooLarge, text)));
+    };
+    let body = request.body_bytes().await?;
+    if body.len() != length {
+        let text = format!("`{what}` was cut after `{}` of `{length}` bytes", body.len());
+        tracing::info!(target: "hemlockfield::node", "{text}");
+        request.state().proxy.metrics.count("body.refused");
+        return Ok(Err(text_response(StatusCode::BadRequest, text)));
+    }
+    Ok(Ok(body))
+}
+
 async fn request_answer<T>(
     state: &Operators,
     input: Input,
--- a/tests/suite/entry.rs
+++ b/tests/suite/entry.rs
@@ -4,5 +4,6 @@
 mod fixture;
 mod keys;
 mod limits;
+mod operators;
 mod refusals;
 mod uploads;
--- a/tests/suite/entry/fixture.rs
+++ b/tests/suite/entry/fixture.rs
@@ -17,7 +17,7 @@
 
 /// Default rules: idempotent lookups, requests that run at most once with and without an
 /// idempotency key, and uploads.
-const RULES: &str = "
+pub(super) const RULES: &str = "
 services:
   hull-register: {floor: 50%, sensitivity: 0.5}
   cert-office: {floor: 50%}
