Tell what began when a test's load is over before its work, and how often a lookup was sent

No check is changed: the wait for work ends with the load, and prints what began at each upstream and the load's report.

--- a/tests/suite/entry/answers.rs
+++ b/tests/suite/entry/answers.rs
@@ -21,9 +21,10 @@
 fn get_one_cuts() {
     block_on(async {
         let fixture = Fixture::start(&[Script::Write(CUT_ANSWER), Script::AnswerLength]).await;
-        for _ in 0..8 {
+        for at in 1..=8 {
             let answer = fixture.get("/hulls/1").await;
-            assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+            let sends = fixture.request_count();
+            assert!(answer.starts_with("HTTP/1.1 200 "), "request {at}, {sends} sends: {answer}");
         }
     });
 }
--- a/tests/suite/process/leave.rs
+++ b/tests/suite/process/leave.rs
@@ -38,6 +38,20 @@
     runs(&fleet.upstreams[upstream])["begun"].as_u64().unwrap()
 }
 
+/// Waits until more than `count` requests of a running load have begun at the first upstream, and
+/// returns the load.
+fn wait_for_work(fleet: &Fleet, running: JoinHandle<Output>, count: u64) -> JoinHandle<Output> {
+    wait_for("work", || begun(fleet, 0) > count || running.is_finished());
+    if begun(fleet, 0) > count {
+        return running;
+    }
+    let each: Vec<u64> = (0..fleet.upstreams.len()).map(|at| begun(fleet, at)).collect();
+    panic!(
+        "the load is over, begun at each upstream: {each:?}\n{}",
+        text(&running.join().unwrap())
+    );
+}
+
 /// Sums of a column of the load's report, over all kinds.
 fn column(report: &str, name: &str) -> u64 {
     let lines: Vec<&str> = report.lines().filter(|line| !line.is_empty()).collect();
@@ -52,8 +66,7 @@
 #[test]
 fn drain_upstream() {
     let fleet = served(3);
-    let running = begin_load(&fleet, "6");
-    wait_for("work there", || begun(&fleet, 0) > 0);
+    let running = wait_for_work(&fleet, begin_load(&fleet, "6"), 0);
     ask(fleet.upstreams[0].callers, "POST /_drain", "content-length: 0\r\n");
     wait_for("the drain to settle", || {
         !fleet.entries.iter().any(|entry| entry.uses("hull-register", "hull-1"))
@@ -74,8 +87,7 @@
 #[case::operator(false)]
 fn drain_entry(#[case] by_signal: bool) {
     let mut fleet = served(3);
-    let running = begin_load(&fleet, "6");
-    wait_for("work", || begun(&fleet, 0) > 20);
+    let running = wait_for_work(&fleet, begin_load(&fleet, "6"), 20);
     if by_signal {
         fleet.entries[0].signal("TERM");
     } else {
