--- a/src/node/transport.rs
+++ b/src/link/transport.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
+use super::Status;
 use crate::id::NodeId;
-use crate::link;
 
 /// Sends frames to other processes without blocking. A frame that can't be sent is dropped, as on
 /// an unreliable network; slices resend what matters.
@@ -15,5 +15,5 @@
     fn send(&mut self, to: &NodeId, address: Option<SocketAddr>, bytes: Vec<u8>);
 
     /// Status of the links, for operators; `None` if this transport has none to report.
-    fn status(&self) -> Option<link::Status>;
+    fn status(&self) -> Option<Status>;
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,7 +27,6 @@
 mod status;
 mod thread;
 mod traffic;
-mod transport;
 mod view;
 
 #[allow(clippy::module_inception)]
@@ -48,7 +47,6 @@
 pub use node::Node;
 pub use status::Status;
 pub use traffic::DIRECTORY_PATH;
-pub use transport::Transport;
 pub use view::View;
 
 use crate::id::Incarnation;
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -13,9 +13,9 @@
 use crate::id::SubmissionId;
 use crate::id::UpstreamId;
 use crate::link;
+use crate::link::Transport;
 use crate::quorum;
 
-use super::Transport;
 use super::traffic::Proxy;
 
 /// Status of a process, for operators.
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -15,6 +15,7 @@
 use crate::config::Version;
 use crate::health::Observation;
 use crate::health::Trial;
+use crate::link::Transport;
 use crate::quorum::Record;
 use crate::quota;
 use crate::runtime;
@@ -38,7 +39,6 @@
 use super::probe::probe;
 use super::state_machine::StateMachine;
 use super::traffic::Proxy;
-use super::transport::Transport;
 
 /// Most inputs handled before one sync of the disk for all of them.
 const MAX_BATCH: usize = 512;
