Let what was begun on one link go with its connection

What processes saw: nothing arrived any more from a peer, though the connection that both had last opened was sound.

Cause: two processes that dial each other replace their connection. What was begun on the first stayed with the peer, not with the connection: (1) the rest of a frame stood first in the queue and was written to the second connection, where its bytes were read as the length of a frame; (2) a task that waited on the first connection, whose other end no longer read, counted as writing to the second, so that frames were queued for it and never written, until the first connection failed. Class: a fact about one resource is taken for another.

Change: the rest of a frame, and whether a task writes, belong to the connection and end with it.

Before: send_replaced_within_frame got no frame within 20 s. After: whole frames, to the last.

Ruled out: frames torn by QUIC or datagrams, which carry each whole.

--- a/src/link/tcp/peer.rs
+++ b/src/link/tcp/peer.rs
@@ -1,6 +1,7 @@
 //! Connection and send queue of one peer.
 
 use std::collections::VecDeque;
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -37,27 +38,36 @@
 
 #[derive(Default)]
 struct State {
+    connection: Option<Connection>,
     is_dialling: bool,
-    /// Whether a task writes the queue.
-    is_flushing: bool,
-    redial_at: Option<Instant>,
-    stream: Option<TcpStream>,
+    /// Whole frames that are not begun on any connection.
     queue: VecDeque<Vec<u8>>,
     queue_bytes: usize,
+    redial_at: Option<Instant>,
     /// When the first frame was sent since the last one received.
     unanswered_since: Option<Instant>,
 }
 
+/// The connection on which frames are sent. What is being written belongs to it: nothing of that goes
+/// on, or holds others up, once another connection takes its place.
+struct Connection {
+    /// Whether a task writes to it.
+    is_flushing: bool,
+    /// Rest of the frame that was begun.
+    rest: Option<Vec<u8>>,
+    stream: TcpStream,
+}
+
 impl Peer {
     pub(super) fn send(self: &Arc<Self>, shared: &Arc<Shared>, to: &NodeId, frame: Vec<u8>) {
         let now = Instant::now();
         let mut state = self.state();
         if state.unanswered_since.is_some_and(|at| now.duration_since(at) > SILENCE_TIMEOUT) {
             tracing::info!(target: "hemlockfield::link", peer = %to, "link is silent, dialled anew");
-            state.drop_stream();
+            state.drop_connection();
         }
         state.unanswered_since.get_or_insert(now);
-        let Some(stream) = state.stream.clone() else {
+        if state.connection.is_none() {
             if state.redial_at.is_some_and(|at| now < at) {
                 return;
             }
@@ -67,33 +77,32 @@
                 runtime::spawn(dial(Arc::clone(shared), Arc::clone(self), to.clone()));
             }
             return;
-        };
-        // A task may have written a part of a frame; no other bytes may follow before its rest.
-        if state.queue.is_empty() && !state.is_flushing {
-            match try_write(&stream, &frame) {
-                Ok(count) if count == frame.len() => return,
-                Ok(count) => state.enqueue(frame[count..].to_vec()),
-                Err(_) => return state.drop_stream(),
-            }
-        } else {
-            state.enqueue(frame);
         }
-        if !state.is_flushing {
-            state.is_flushing = true;
-            runtime::spawn(flush(Arc::clone(self), stream));
+        state.enqueue(frame);
+        if state.write_queue().is_err() {
+            return state.drop_connection();
         }
+        self.flush(&mut state);
     }
 
     /// Uses a connection for all frames sent from now on.
     pub(super) fn set_stream(self: &Arc<Self>, stream: &TcpStream) {
         let mut state = self.state();
-        state.stream = Some(stream.clone());
+        let stream = stream.clone();
+        state.connection = Some(Connection { is_flushing: false, rest: None, stream });
         state.is_dialling = false;
         state.redial_at = None;
         state.unanswered_since = None;
-        if !state.queue.is_empty() && !state.is_flushing {
-            state.is_flushing = true;
-            runtime::spawn(flush(Arc::clone(self), stream.clone()));
+        self.flush(&mut state);
+    }
+
+    /// Has a task write what waits, unless one does.
+    fn flush(self: &Arc<Self>, state: &mut State) {
+        let Some(connection) = &mut state.connection else { return };
+        let is_idle = connection.rest.is_none() && state.queue.is_empty();
+        if !is_idle && !connection.is_flushing {
+            connection.is_flushing = true;
+            runtime::spawn(flush(Arc::clone(self), connection.stream.clone()));
         }
     }
 
@@ -103,8 +112,8 @@
 
     pub(super) fn handle_closed(&self, stream: &TcpStream) {
         let mut state = self.state();
-        if state.stream.as_ref().is_some_and(|current| is_same_connection(current, stream)) {
-            state.drop_stream();
+        if state.connection_over(stream).is_some() {
+            state.drop_connection();
         }
     }
 
@@ -113,8 +122,8 @@
         let mut state = self.state();
         state.is_dialling = false;
         state.redial_at = Some(Instant::now() + REDIAL_BACKOFF);
-        if state.stream.is_none() {
-            state.drop_stream();
+        if state.connection.is_none() {
+            state.drop_connection();
         }
     }
 
@@ -128,15 +137,36 @@
         self.queue_bytes += frame.len();
         self.queue.push_back(frame);
         if self.queue_bytes > QUEUE_BYTES_MAX {
-            // A part of the first frame may be sent already, so the queue can only be dropped with
-            // its connection.
-            self.drop_stream();
+            self.drop_connection();
         }
     }
 
-    fn drop_stream(&mut self) {
-        if let Some(stream) = self.stream.take() {
-            close(&stream);
+    /// The current connection, if it is the one over this stream.
+    fn connection_over(&mut self, stream: &TcpStream) -> Option<&mut Connection> {
+        self.connection.as_mut().filter(|it| is_same_connection(&it.stream, stream))
+    }
+
+    /// Writes what the connection accepts at once, unless a task writes to it.
+    fn write_queue(&mut self) -> io::Result<()> {
+        let Some(connection) = &mut self.connection else { return Ok(()) };
+        if connection.is_flushing {
+            return Ok(());
+        }
+        while connection.rest.is_none() {
+            let Some(mut frame) = self.queue.pop_front() else { return Ok(()) };
+            self.queue_bytes -= frame.len();
+            let count = try_write(&connection.stream, &frame)?;
+            if count < frame.len() {
+                frame.drain(..count);
+                connection.rest = Some(frame);
+            }
+        }
+        Ok(())
+    }
+
+    fn drop_connection(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            close(&connection.stream);
         }
         self.queue.clear();
         self.queue_bytes = 0;
@@ -157,7 +187,7 @@
 }
 
 /// Writes as many bytes as the socket accepts without blocking; returns their number.
-fn try_write(stream: &TcpStream, bytes: &[u8]) -> std::io::Result<usize> {
+fn try_write(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
     let mut stream = stream;
     let mut context = Context::from_waker(futures::task::noop_waker_ref());
     match Pin::new(&mut stream).poll_write(&mut context, bytes) {
@@ -166,27 +196,24 @@
     }
 }
 
+/// Writes what waits, as long as the stream's connection is the current one.
 async fn flush(peer: Arc<Peer>, mut stream: TcpStream) {
-    loop {
-        let Some(next) = next_to_flush(&peer, &stream) else { return };
+    while let Some(next) = next_to_flush(&peer, &stream) {
         if stream.write_all(&next).await.is_err() {
-            peer.state().is_flushing = false;
-            peer.handle_closed(&stream);
-            return;
+            return peer.handle_closed(&stream);
         }
     }
 }
 
 fn next_to_flush(peer: &Peer, stream: &TcpStream) -> Option<Vec<u8>> {
     let mut state = peer.state();
-    let is_current =
-        state.stream.as_ref().is_some_and(|current| is_same_connection(current, stream));
-    let next = if is_current { state.queue.front().cloned() } else { None };
-    let Some(next) = next else {
-        state.is_flushing = false;
-        return None;
-    };
-    state.queue_bytes -= next.len();
-    state.queue.pop_front();
-    Some(next)
+    if let Some(rest) = state.connection_over(stream)?.rest.take() {
+        return Some(rest);
+    }
+    let next = state.queue.pop_front();
+    state.queue_bytes -= next.as_ref().map_or(0, Vec::len);
+    if next.is_none() {
+        state.connection_over(stream)?.is_flushing = false;
+    }
+    next
 }
--- a/tests/suite/link.rs
+++ b/tests/suite/link.rs
@@ -6,3 +6,4 @@
 mod path;
 mod refusal;
 mod relay;
+mod tcp;
