Keep the ports of absent upstreams, and show what the entries know where a test's load finds no work

The address of Script::Absent was free again once its listener was dropped: another test's listener took it, and answered (404 of an operator API; a body that belonged to another test). Seen as post_connect_refused red in 1 of 30 runs beside other tests, and post_cut_by_caller once; both came from that (the 404 has tide's date header). It stays bound now, without a listener, as long as the tests run.

--- a/tests/suite/entry/fixture.rs
+++ b/tests/suite/entry/fixture.rs
@@ -13,6 +13,9 @@
 use hemlockfield::config::Version;
 use hemlockfield::node::Node;
 use hemlockfield::settings::Settings;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 use tempfile::TempDir;
 
 /// Default rules: idempotent lookups, requests that run at most once with and without an
@@ -181,11 +184,11 @@
 }
 
 async fn upstream(script: Script, received: Arc<Mutex<Received>>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
     if matches!(script, Script::Absent) {
-        return address;
+        return absent_address();
     }
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
     task::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             task::spawn(run_script(stream, script, Arc::clone(&received)));
@@ -194,6 +197,15 @@
     address
 }
 
+/// An address that nobody listens on, nor will: it stays bound until the tests end.
+fn absent_address() -> SocketAddr {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    std::mem::forget(socket);
+    address
+}
+
 async fn run_script(mut stream: TcpStream, script: Script, received: Arc<Mutex<Received>>) {
     let Some(head) = read_head(&mut stream).await else { return };
     if head.starts_with("GET /health ") {
--- a/tests/suite/process/leave.rs
+++ b/tests/suite/process/leave.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 
 use super::fleet::Fleet;
+use super::fleet::Process;
 use super::fleet::ask;
 use super::fleet::hemlockfield;
 use super::fleet::load;
@@ -46,10 +47,10 @@
         return running;
     }
     let each: Vec<u64> = (0..fleet.upstreams.len()).map(|at| begun(fleet, at)).collect();
-    panic!(
-        "the load is over, begun at each upstream: {each:?}\n{}",
-        text(&running.join().unwrap())
-    );
+    let services = |entry: &Process| entry.status().map(|status| status["services"].to_string());
+    let services: Vec<_> = fleet.entries.iter().map(services).collect();
+    let report = text(&running.join().unwrap());
+    panic!("the load is over, begun at each upstream: {each:?}\n{report}\n{services:#?}");
 }
 
 /// Sums of a column of the load's report, over all kinds.
