Compare sent and run where entries are cut off and pass requests on

A further plan of tests/suite/delivery: entries that hang, are reset or hear nothing towards the upstreams for 1.5 s at a time pass requests on to other entries; a run in which none was passed on is red.

--- a/tests/suite/delivery.rs
+++ b/tests/suite/delivery.rs
@@ -5,8 +5,8 @@
 
 mod caller;
 mod check;
-mod fault;
 mod message;
 mod run;
 mod server;
+mod stage;
 mod world;
--- a/tests/suite/delivery/check.rs
+++ b/tests/suite/delivery/check.rs
@@ -53,7 +53,8 @@
     let is_upstreams =
         matches!(run.manner, Manner::HangUp | Manner::RefuseUnread | Manner::AnswerEarlyAndClose);
     let faults = &record.plan.faults;
-    let is_ours = sent.is_complete && !is_upstreams && !faults.kills && !faults.terms;
+    let is_ours =
+        sent.is_complete && !is_upstreams && !(faults.cuts || faults.kills || faults.terms);
     if is_ours && !run.is_whole && sent.answer.as_ref().is_some_and(|answer| answer.status == 200) {
         return Some(format!("a part of a body that was sent whole: {}", told()));
     }
--- a/tests/suite/delivery/run.rs
+++ b/tests/suite/delivery/run.rs
@@ -5,11 +5,12 @@
 use rstest::rstest;
 
 use super::check::violations;
-use super::fault::Faults;
 use super::server::Manners;
+use super::stage::Faults;
 use super::world::Plan;
 
-const NO_FAULTS: Faults = Faults { kills: false, refusals: false, stops: false, terms: false };
+const NO_FAULTS: Faults =
+    Faults { cuts: false, kills: false, refusals: false, stops: false, terms: false };
 const PLAIN: Manners = Manners { early: 0.0, faulty: 0.0, slow: 0.0 };
 const MIXED: Manners = Manners { early: 0.1, faulty: 0.1, slow: 0.2 };
 const SPAN: Duration = Duration::from_secs(4);
@@ -26,9 +27,11 @@
         }
         "leaving" => Plan { faults, leaves: 0.3, manners: PLAIN },
         "stopped" => Plan { faults: Faults { stops: true, ..faults }, leaves: 0.1, manners: PLAIN },
+        "cut" => Plan { faults: Faults { cuts: true, ..faults }, leaves: 0.1, manners: MIXED },
         "killed" => Plan { faults: Faults { kills: true, ..faults }, leaves: 0.0, manners: PLAIN },
         _ => {
-            let faults = Faults { kills: true, refusals: true, stops: true, terms: true };
+            let faults =
+                Faults { cuts: false, kills: true, refusals: true, stops: true, terms: true };
             Plan { faults, leaves: 0.2, manners: MIXED }
         }
     }
@@ -41,9 +44,11 @@
     let served = |sent: &&super::caller::Sent| {
         sent.answer.as_ref().is_some_and(|answer| answer.status == 200)
     };
+    assert!(record.passed_on > 0 || !record.plan.faults.cuts, "no request was passed on");
     println!(
-        "{name} seed {seed}: {} sent, {} served, {} runs, {} of them whole, {} contradictions",
+        "{name} seed {seed}: {} sent, {} passed on, {} served, {} runs, {} of them whole, {} contradictions",
         record.sent.len(),
+        record.passed_on,
         record.sent.iter().filter(served).count(),
         record.runs.len(),
         record.runs.iter().filter(|run| run.is_whole).count(),
@@ -62,6 +67,7 @@
 #[case::stopped("stopped", 1)]
 #[case::killed("killed", 1)]
 #[case::all("all", 1)]
+#[case::cut("cut", 1)]
 fn play_sent_and_run(#[case] name: &str, #[case] seed: u64) {
     assert_eq!(play(name, seed, SPAN), Vec::<String>::new());
 }
--- a/tests/suite/reach.rs
+++ b/tests/suite/reach.rs
@@ -1,7 +1,7 @@
 //! Entries that lose their way to the upstreams, while callers and controls still reach them.
 
 mod cut;
-mod fleet;
+pub(crate) mod fleet;
 mod monitor;
-mod network;
+pub(crate) mod network;
 mod peers;
--- a/tests/suite/reach/fleet.rs
+++ b/tests/suite/reach/fleet.rs
@@ -35,7 +35,9 @@
 
 static NETS: AtomicUsize = AtomicUsize::new(0);
 
-pub(super) struct Fleet {
+pub(crate) struct Fleet {
+    /// Service and address of each upstream.
+    announced: Vec<(&'static str, SocketAddr)>,
     entries: Vec<(Node, Network)>,
     _control: Node,
     _folder: TempDir,
@@ -53,8 +55,27 @@
 }
 
 impl Fleet {
-    /// Starts a fleet in which every entry serves callers.
+    /// Starts a fleet with upstreams of its own, in which every entry serves callers.
     pub(super) fn start() -> Self {
+        let upstreams = SERVICES.into_iter().flat_map(|(service, count)| {
+            std::iter::repeat_with(move || (service, Upstream::start())).take(count)
+        });
+        let upstreams: Vec<(&'static str, Upstream)> = upstreams.collect();
+        let address = |upstream: &Upstream| upstream.address.parse().unwrap();
+        let announced = upstreams.iter().map(|(service, it)| (*service, address(it))).collect();
+        let mut fleet = Self::start_before(announced, &document());
+        fleet.upstreams = upstreams;
+        for entry in 0..DOMAINS.len() {
+            wait_for("an answer", || {
+                fleet.look(entry, "hull") == 200 && fleet.look(entry, "cert") == 200
+            });
+        }
+        wait_for("a list of all", || (0..DOMAINS.len()).all(|entry| fleet.is_listed(entry)));
+        fleet
+    }
+
+    /// Starts a fleet before these upstreams, each of a service in the configuration.
+    pub(crate) fn start_before(announced: Vec<(&'static str, SocketAddr)>, document: &str) -> Self {
         let number = NETS.fetch_add(1, Ordering::Relaxed) % 200;
         let net = format!("127.{}.{number}", 220 + std::process::id() % 30);
         let folder = TempDir::new().unwrap();
@@ -67,31 +88,27 @@
             (block_on(node).unwrap(), network)
         };
         let entries = (1..=DOMAINS.len()).map(entry).collect();
-        let upstreams = SERVICES.into_iter().flat_map(|(service, count)| {
-            std::iter::repeat_with(move || (service, Upstream::start())).take(count)
-        });
-        let upstreams = upstreams.collect();
-        let fleet = Self { entries, _control: control, _folder: folder, net, upstreams };
-        wait_for("a configuration", || fleet.submit());
+        let upstreams = Vec::new();
+        let fleet = Self { announced, entries, _control: control, _folder: folder, net, upstreams };
+        wait_for("a configuration", || fleet.order("PUT /hemlockfield/config", document).0 == 200);
         fleet.announce();
-        for entry in 0..DOMAINS.len() {
-            wait_for("an answer", || {
-                fleet.look(entry, "hull") == 200 && fleet.look(entry, "cert") == 200
-            });
-        }
-        wait_for("a list of all", || (0..DOMAINS.len()).all(|entry| fleet.is_listed(entry)));
         fleet
     }
 
+    /// Addresses at which the entries accept callers.
+    pub(crate) fn fronts(&self) -> Vec<String> {
+        let front = |at| format!("{}:{FRONT}", ip(&self.net, at));
+        (1..=DOMAINS.len()).map(front).collect()
+    }
+
     /// Cuts entries off from the upstreams of one service, or of all.
-    pub(super) fn cut(&self, entries: &[usize], form: Form, service: Option<&str>) {
-        let behind = self.upstreams.iter().filter(|(name, _)| service.is_none_or(|it| it == *name));
-        let behind: Vec<SocketAddr> =
-            behind.map(|(_, upstream)| upstream.address.parse().unwrap()).collect();
+    pub(crate) fn cut(&self, entries: &[usize], form: Form, service: Option<&str>) {
+        let behind = self.announced.iter().filter(|(name, _)| service.is_none_or(|it| it == *name));
+        let behind: Vec<SocketAddr> = behind.map(|(_, address)| *address).collect();
         entries.iter().for_each(|at| self.entries[*at].1.cut(form, behind.clone()));
     }
 
-    pub(super) fn heal(&self) {
+    pub(crate) fn heal(&self) {
         self.entries.iter().for_each(|(_, network)| network.heal());
     }
 
@@ -107,7 +124,7 @@
     }
 
     /// Value of a metric of an entry.
-    pub(super) fn metric(&self, entry: usize, kind: &str) -> usize {
+    pub(crate) fn metric(&self, entry: usize, kind: &str) -> usize {
         let address = format!("{}:{METRICS}", ip(&self.net, entry + 1));
         let (_, text) = ask(&address, "GET /metrics", "", "");
         let wanted = format!("{{kind=\"{kind}\"}} ");
@@ -150,32 +167,11 @@
         status == 200 && body.contains(&format!("{}:{FRONT}", ip(&self.net, entry + 1)))
     }
 
-    fn submit(&self) -> bool {
-        let services: Vec<String> =
-            SERVICES.iter().map(|(name, _)| format!(r#"{{"name":"{name}"}}"#)).collect();
-        let paths = SERVICES.iter().map(|(name, _)| {
-            let path = |suffix: &str, kind: &str| {
-                format!(
-                    r#"{{"name":"{name}{suffix}","pathPrefix":"/{name}{suffix}/","routeType":"{kind}","service":"{name}","timeoutS":2}}"#
-                )
-            };
-            format!("{},{}", path("", "safe"), path("-sign", "unsafe"))
-        });
-        let paths: Vec<String> = paths.collect();
-        let body = format!(
-            r#"{{"version":"1","services":[{}],"hosts":[{{"host":"yard.example","paths":[{}]}}]}}"#,
-            services.join(","),
-            paths.join(",")
-        );
-        self.order("PUT /hemlockfield/config", &body).0 == 200
-    }
-
     fn announce(&self) {
-        for (at, (service, upstream)) in self.upstreams.iter().enumerate() {
+        for (at, (service, address)) in self.announced.iter().enumerate() {
             let domain = ["north", "south"][at % 2];
             let body = format!(
-                r#"{{"address":"{}","sequence":1,"service":"{service}","slots":4,"state":"ready","zone":"{domain}"}}"#,
-                upstream.address
+                r#"{{"address":"{address}","sequence":1,"service":"{service}","slots":4,"state":"ready","zone":"{domain}"}}"#
             );
             let line = format!("PUT /hemlockfield/instances/i-{at}");
             wait_for("an upstream", || self.order(&line, &body).0 == 200);
@@ -187,6 +183,26 @@
     }
 }
 
+/// A configuration with a route for lookups and one for requests that may run once, for each service.
+fn document() -> String {
+    let services: Vec<String> =
+        SERVICES.iter().map(|(name, _)| format!(r#"{{"name":"{name}"}}"#)).collect();
+    let paths = SERVICES.iter().map(|(name, _)| {
+            let path = |suffix: &str, kind: &str| {
+                format!(
+                    r#"{{"name":"{name}{suffix}","pathPrefix":"/{name}{suffix}/","routeType":"{kind}","service":"{name}","timeoutS":2}}"#
+                )
+            };
+            format!("{},{}", path("", "safe"), path("-sign", "unsafe"))
+        });
+    let paths: Vec<String> = paths.collect();
+    format!(
+        r#"{{"version":"1","services":[{}],"hosts":[{{"host":"yard.example","paths":[{}]}}]}}"#,
+        services.join(","),
+        paths.join(",")
+    )
+}
+
 fn look(net: &str, entry: usize, service: &str) -> u16 {
     let headers = "Hemlockfield-Request-Id: 7\r\nHemlockfield-Deadline-Ms: 1500\r\n";
     let address = format!("{}:{FRONT}", ip(net, entry + 1));
--- a/tests/suite/reach/network.rs
+++ b/tests/suite/reach/network.rs
@@ -20,7 +20,7 @@
 
 /// How a cut shows at the entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Form {
+pub(crate) enum Form {
     /// Connections hang, open ones fall silent.
     Hang,
     /// Connections are reset, open ones too.
