Assume of upstreams that were not measured what the measured ones need now

What callers saw: nothing; upstreams saw it. With quick upstreams and a calm service, one of three got 0 to 17 of 349 requests in 6 s, though sound and usable at each entry.

Cause: the latency that is assumed of an upstream without a measured one (25 ms at first) was computed when the view changes, and a calm service's view does not change. Beside two measured at 6 ms, the third lost each comparison: an entry drew it once in some 90 requests, and only then measured it.

Change: the picker computes it every 100 ms while requests end.

Ruled out: ejection (verdicts), a slow first answer (10 ms), failed probes (no event).

--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -40,7 +40,11 @@
     random: ChaCha8Rng,
     setup: Setup,
     subset: Subset,
+    /// Latency in seconds that is assumed of upstreams that were not measured: the mean of the
+    /// others.
     default_latency: f64,
+    /// When the default latency is computed again.
+    default_due: Moment,
 }
 
 impl Picker {
@@ -61,6 +65,9 @@
     const UNTRIED_SHARE: f64 = 0.125;
     /// Latency assumed while none is known.
     const DEFAULT_LATENCY_SECONDS: f64 = 0.025;
+    /// Interval between two computations of the default latency. While it is far above the measured
+    /// ones, an upstream that was not measured loses each comparison, and is never measured.
+    const DEFAULT_INTERVAL: Duration = Duration::from_millis(100);
 
     /// Creates a picker without upstreams.
     #[must_use]
@@ -79,6 +86,7 @@
             setup,
             subset: Subset::default(),
             default_latency: Self::DEFAULT_LATENCY_SECONDS,
+            default_due: Moment::ZERO,
         }
     }
 
@@ -95,6 +103,10 @@
         if let Ok(position) = found {
             self.loads[position].finish(now, ticket, completion);
         }
+        if now >= self.default_due {
+            self.default_due = now + Self::DEFAULT_INTERVAL;
+            self.update_default_latency();
+        }
     }
 
     /// In-flight requests of this entry at an upstream.
--- a/tests/suite/balance/share.rs
+++ b/tests/suite/balance/share.rs
@@ -15,6 +15,8 @@
 
 const INTERVAL: Duration = Duration::from_millis(10);
 const LATENCY: Duration = Duration::from_millis(25);
+/// Less than what is assumed of an upstream that was not measured.
+const FAST: Duration = Duration::from_millis(6);
 
 /// Sends `count` requests one after another; returns how many each upstream got.
 fn send(
@@ -155,3 +157,15 @@
     picker.finish(late, upload.ticket, finish(Kind::Success, late));
     assert_eq!(picker.in_flight("u00"), 1);
 }
+
+// The first upstreams that are measured are faster than was assumed of any. Another one must get its
+// share too, although nothing else changes in the meantime.
+#[test]
+fn pick_not_yet_measured() {
+    let counts = (0..20).map(|seed| {
+        let counts = send(&mut picker(seed, 3, &ready(3)), Moment::ZERO, 360, |_| FAST);
+        (0..3).map(|at| counts.get(&name(at)).copied().unwrap_or(0)).min().unwrap()
+    });
+    let starved: Vec<u32> = counts.filter(|least| *least < 60).collect();
+    assert_eq!(starved, Vec::<u32>::new(), "fewest requests of one of three upstreams");
+}
