--- a/tests/suite/process/fleet.rs
+++ b/tests/suite/process/fleet.rs
@@ -303,9 +303,14 @@
 
 /// Waits for an event, however long it takes short of a hang.
 pub(crate) fn wait_for(what: &str, mut happened: impl FnMut() -> bool) {
+    wait_for_ok(what, || happened().then_some(()).ok_or_else(String::new));
+}
+
+/// Waits until `check` succeeds; a hang tells what was missing last.
+pub(crate) fn wait_for_ok(what: &str, mut check: impl FnMut() -> Result<(), String>) {
     let started = Instant::now();
-    while !happened() {
-        assert!(started.elapsed() < HANG, "hung: waiting for {what}");
+    while let Err(missing) = check() {
+        assert!(started.elapsed() < HANG, "hung: waiting for {what} {missing}");
         std::thread::sleep(Duration::from_millis(50));
     }
 }
--- a/tests/suite/process/record.rs
+++ b/tests/suite/process/record.rs
@@ -7,7 +7,7 @@
 use super::fleet::Fleet;
 use super::fleet::hemlockfield;
 use super::fleet::text;
-use super::fleet::wait_for;
+use super::fleet::wait_for_ok;
 use super::path::RULES;
 
 #[test]
@@ -26,18 +26,24 @@
     let done = hemlockfield(&[&arguments[..], &[lookup, "--upstream", &upstream]].concat());
     assert!(done.status.success(), "{}", text(&done));
     let path = fleet.entries[0].recording();
-    wait_for("the recording to hold all runs", || {
+    wait_for_ok("the recording to hold all runs", || {
         let recorded = std::fs::read_to_string(&path).expect("recording");
         let whole = recorded.rfind('\n').map_or("", |end| &recorded[..end]);
         let of = |name: &str| whole.lines().filter(|line| line.contains(name)).count();
         let arrived = of("\"Arrive\"");
-        let Ok(trace) = Trace::parse(&path, whole) else { return false };
+        let trace = Trace::parse(&path, whole).map_err(|error| error.to_string())?;
         let report = trace.run();
         let is_run =
             |output: &Output| matches!(output, Output::Gate(admission::Output::Run { .. }));
         let ran = report.outputs.iter().filter(|placed| is_run(&placed.output)).count();
         let finished = of("\"Finish\"");
-        let others = of("judge/hull-register") > 0 && of("\"First\"") == ran;
-        report.lost == 0 && others && ran > 0 && ran == arrived && ran == finished
+        let first = of("\"First\"");
+        let others = of("judge/hull-register") > 0 && first == ran;
+        let is_whole = report.lost == 0 && others && ran > 0 && ran == arrived && ran == finished;
+        let lost = report.lost;
+        let counts = format!("arrived {arrived}, ran {ran}, finished {finished}, first {first}");
+        is_whole
+            .then_some(())
+            .ok_or_else(|| format!("{counts}, lost {lost}; the load's report:\n{}", text(&done)))
     });
 }
