Let time go forward for gates and policies that several threads drive

What operators saw: a recording that can't be replayed (`2679218` µs lies before the line above); and, seldom, a gate or a retry budget that was told of an earlier time than before.

Cause: a thread read the clock, then waited for the lock; another one, later by the clock, got there first.

Change: clock::Advancing, in replay::Policy and in the gate's queue: the time of such a machine does not go back.

Before: record_policy_overtaken red. After: green.

--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -18,6 +18,7 @@
 use crate::admission::Outcome;
 use crate::admission::Output;
 use crate::admission::Reason;
+use crate::clock::Advancing;
 use crate::clock::Moment;
 use crate::health;
 use crate::node;
@@ -47,6 +48,7 @@
     gate: Option<Gate>,
     slots: Option<usize>,
     machine_recorder: MachineRecorder,
+    now: Advancing,
     waiting: BTreeMap<u64, (Arrival, Sender<Admission>)>,
 }
 
@@ -128,6 +130,7 @@
         if self.gate.is_some() && self.classes == classes {
             return;
         }
+        let now = self.now.advance(now);
         self.classes = classes.to_vec();
         let random = ChaCha8Rng::seed_from_u64(seed);
         self.gate = Some(Gate::new(classes, random, now));
@@ -143,6 +146,7 @@
 
     fn handle(&mut self, now: Moment, input: Input) {
         let Some(gate) = &mut self.gate else { return };
+        let now = self.now.advance(now);
         self.machine_recorder.record_input(now, || replay::Input::Gate(input.clone()));
         for output in gate.handle(now, input) {
             let (ticket, admission) = match output {
--- a/src/replay/policy.rs
+++ b/src/replay/policy.rs
@@ -7,6 +7,7 @@
 use super::Machine;
 use super::MachineRecorder;
 use super::Retry;
+use crate::clock::Advancing;
 use crate::clock::Moment;
 use crate::retry;
 use crate::retry::Attempt;
@@ -15,7 +16,7 @@
 /// A [`retry::Policy`] that records its inputs.
 #[derive(Clone, Debug)]
 pub struct Policy {
-    now: Moment,
+    now: Advancing,
     policy: retry::Policy,
     machine_recorder: MachineRecorder,
 }
@@ -25,7 +26,7 @@
     pub fn new(seed: u64, machine_recorder: MachineRecorder) -> Self {
         machine_recorder.record_machine(Moment::ZERO, || Machine::Policy { seed });
         Self {
-            now: Moment::ZERO,
+            now: Advancing::default(),
             policy: retry::Policy::new(ChaCha8Rng::seed_from_u64(seed)),
             machine_recorder,
         }
@@ -33,8 +34,7 @@
 
     /// Calls [`retry::Policy::advance`]; later inputs are recorded at `now`.
     pub fn advance(&mut self, now: Moment) {
-        self.now = now;
-        self.policy.advance(now);
+        self.policy.advance(self.now.advance(now));
     }
 
     /// Calls [`retry::Policy::has_spare_retries`].
@@ -84,6 +84,6 @@
     }
 
     fn record(&self, input: impl FnOnce() -> Retry) {
-        self.machine_recorder.record_input(self.now, || Input::Policy(input()));
+        self.machine_recorder.record_input(self.now.now(), || Input::Policy(input()));
     }
 }
--- a/tests/suite/replay/record.rs
+++ b/tests/suite/replay/record.rs
@@ -36,6 +36,22 @@
     outputs.map(|placed| (placed.at, placed.output.clone())).collect()
 }
 
+// Two threads use a policy, and the one that read the clock first gets there last. Its input must not
+// lie before the other's, or the recording can't be replayed.
+#[test]
+fn record_policy_overtaken() {
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("entry.jsonl");
+    let recorder = recorder(&path, LIMIT_BYTES);
+    let mut policy = Policy::new(1, MachineRecorder::new(&recorder, "policy/shop".into()));
+    for millis in [2, 1] {
+        policy.advance(Duration::from_millis(millis));
+        policy.record_first();
+    }
+    drop((policy, recorder));
+    assert_eq!(Trace::read(&path).expect("trace").run().lost, 0);
+}
+
 #[test]
 fn record_all() {
     // A replayed recording must give the same outputs of gate, monitor and policy, including
