Tell of idle upstreams, lapsed trials and how late a configuration is

Logs and metrics did not show for how long an upstream has had no request from any entry and what its breaker says meanwhile, which trials were due and never made, and how long an entry had known of a configuration before it was in force.

--- a/src/breaker.rs
+++ b/src/breaker.rs
@@ -35,6 +35,7 @@
 pub use counts::Counts;
 pub use error_history::ErrorHistory;
 pub use group::Group;
+pub use group::Idle;
 pub use group::Trial;
 pub use local_fault::LocalFault;
 pub use losses::Losses;
--- a/src/breaker/group.rs
+++ b/src/breaker/group.rs
@@ -111,6 +111,26 @@
     trial: Option<u64>,
     /// When idempotent requests may make its trials.
     trials_from: Moment,
+    /// When an outcome of a request to it was last recorded, of any entry.
+    used_at: Option<Moment>,
+}
+
+/// Upstreams of a service to which no entry is known to have sent a request for some time.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Idle {
+    /// Those in use.
+    pub closed: Vec<UpstreamId>,
+    /// Those kept as a last resort.
+    pub last: Vec<UpstreamId>,
+    /// Those that get only trials.
+    pub out: Vec<UpstreamId>,
+}
+
+impl Idle {
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.closed.is_empty() && self.last.is_empty() && self.out.is_empty()
+    }
 }
 
 impl Group {
@@ -153,6 +173,7 @@
             trial_at: Moment::ZERO,
             trial: None,
             trials_from: Moment::ZERO,
+            used_at: None,
         };
         self.members.entry(upstream).or_insert(member).slots = slots;
     }
@@ -167,7 +188,7 @@
         self.detect_overload(now, upstream, counts);
         self.record_idempotent_trial(now, upstream, counts);
         self.record_error_series(now, upstream, counts);
-        self.update(upstream, |circuit| circuit.record_own(now, counts))
+        self.update(now, upstream, counts, |circuit| circuit.record_own(now, counts))
     }
 
     /// Whether the breaker closed because its overdue request was answered; others must be told.
@@ -180,7 +201,7 @@
         self.detect_overload(now, upstream, counts);
         self.record_idempotent_trial(now, upstream, counts);
         self.record_error_series(now, upstream, counts);
-        self.update(upstream, |circuit| circuit.record(now, counts))
+        self.update(now, upstream, counts, |circuit| circuit.record(now, counts))
     }
 
     /// Whether other entries recently got complete answers, and lost no more than this one saw.
@@ -231,8 +252,17 @@
         }
     }
 
-    fn update(&mut self, upstream: &UpstreamId, record: impl FnOnce(&mut Circuit)) -> bool {
+    fn update(
+        &mut self,
+        now: Moment,
+        upstream: &UpstreamId,
+        counts: &Counts,
+        record: impl FnOnce(&mut Circuit),
+    ) -> bool {
         let Some(member) = self.members.get_mut(upstream) else { return false };
+        if counts.ended() > 0 {
+            member.used_at = Some(now);
+        }
         let before = member.circuit.state();
         member.circuit.set_opens_on_error(self.errors.is_recurring());
         record(&mut member.circuit);
@@ -346,6 +376,22 @@
         self.unclosed().map(|(id, _)| id).filter(|id| !ejected.contains(id)).cloned().collect()
     }
 
+    /// Upstreams of which no outcome was recorded for `span`.
+    pub fn idle(&self, now: Moment, span: Duration) -> Idle {
+        let ejected = self.ejected();
+        let mut idle = Idle::default();
+        let is_idle = |member: &Member| member.used_at.is_none_or(|at| now >= at + span);
+        for (id, member) in self.members.iter().filter(|(_, member)| is_idle(member)) {
+            let list = match member.circuit.state() {
+                State::Closed => &mut idle.closed,
+                _ if ejected.contains(id) => &mut idle.out,
+                _ => &mut idle.last,
+            };
+            list.push(id.clone());
+        }
+        idle
+    }
+
     fn ejected(&self) -> BTreeSet<&UpstreamId> {
         let all: u64 = self.members.values().map(|member| u64::from(member.slots)).sum();
         let slots_max = all - (all as f64 * self.floor).ceil() as u64;
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -58,6 +58,10 @@
 pub struct Subscriber {
     /// Services that a control asks about.
     asked: BTreeSet<ServiceId>,
+    /// When this entry first heard of a newer configuration than the one held.
+    behind_since: Option<Moment>,
+    /// For how long this entry had known of the configuration held before it had all of it.
+    caught_up_after: Duration,
     /// The configuration held, with its head.
     configuration: Option<(Head, Version)>,
     download: Option<Download>,
@@ -92,6 +96,8 @@
     pub fn new(now: Moment, me: Entry, seeds: Vec<NodeId>, random: ChaCha8Rng) -> Self {
         Self {
             asked: BTreeSet::new(),
+            behind_since: None,
+            caught_up_after: Duration::ZERO,
             configuration: None,
             download: None,
             early_configuration: None,
@@ -188,6 +194,16 @@
         self.current.as_ref()
     }
 
+    /// For how long this entry has known of a newer configuration than the one held.
+    pub fn behind(&self, now: Moment) -> Duration {
+        self.behind_since.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
+    /// For how long this entry had known of the configuration held before it had all of it.
+    pub fn caught_up_after(&self) -> Duration {
+        self.caught_up_after
+    }
+
     /// When the last update came from a control that had heard from a leader recently.
     pub fn fresh_at(&self) -> Option<Moment> {
         self.fresh_at
@@ -286,13 +302,16 @@
         let ChangeId { base, head, .. } = offer.change;
         let is_newer = held.is_none_or(|held| head.number > held.number);
         let fits = base.is_none() || base == held;
+        if is_newer {
+            self.behind_since.get_or_insert(now);
+        }
         if self.download.is_some() || !is_newer || !fits {
             return;
         }
         // An entry without a configuration has no callers to leave room for.
         let rate = held.map(|_| self.me.room.bytes.saturating_mul(DOWNLOAD_FACTOR));
         self.download = Some(Download::new(now, offer, rate));
-        self.finish_download(outputs);
+        self.finish_download(now, outputs);
     }
 
     fn receive_part(&mut self, now: Moment, part: &Part, outputs: &mut Vec<Output>) {
@@ -300,14 +319,14 @@
         if !download.receive(now, part) {
             self.download = None;
             self.poll_at = self.poll_at.min(now);
-        } else if self.finish_download(outputs) {
+        } else if self.finish_download(now, outputs) {
             // Newer changes were not offered meanwhile.
             self.poll_at = self.poll_at.min(now);
         }
     }
 
     /// Puts the received configuration in force if all of it has arrived.
-    fn finish_download(&mut self, outputs: &mut Vec<Output>) -> bool {
+    fn finish_download(&mut self, now: Moment, outputs: &mut Vec<Output>) -> bool {
         let Some(download) = self.download.take() else { return false };
         let Some(bytes) = download.finished() else {
             self.download = Some(download);
@@ -318,6 +337,8 @@
         match change.apply(bytes, held) {
             Ok(version) => {
                 self.configuration = Some((change.head, version.clone()));
+                self.caught_up_after = self.behind(now);
+                self.behind_since = None;
                 self.needs_document = false;
                 if self.has_upstreams {
                     outputs.push(Output::Configure(version));
--- a/src/node/feed_core/breakers.rs
+++ b/src/node/feed_core/breakers.rs
@@ -10,6 +10,7 @@
 use crate::breaker::Cause;
 use crate::breaker::Counts;
 use crate::breaker::Group;
+use crate::breaker::Idle;
 use crate::breaker::LocalFault;
 use crate::breaker::State;
 use crate::clock::Moment;
@@ -69,6 +70,12 @@
         self.groups.get(service)
     }
 
+    /// Upstreams of each service of which no outcome was recorded for `span`, if there are any.
+    pub(super) fn idle(&self, now: Moment, span: Duration) -> Vec<(ServiceId, Idle)> {
+        let idle = self.groups.iter().map(|(name, group)| (name.clone(), group.idle(now, span)));
+        idle.filter(|(_, idle)| !idle.is_empty()).collect()
+    }
+
     /// Whether this entry's own network is the likely cause of its broken answers.
     pub(super) fn is_local_fault(&mut self, now: Moment) -> bool {
         self.local_fault.is_likely(now)
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -53,6 +53,10 @@
 /// weights of slow upstreams and warm-up. A view of 600 upstreams costs half a millisecond, and
 /// under load something changes all the time.
 const VIEW_INTERVAL: Duration = Duration::from_millis(250);
+/// Time without a request after which an upstream is told of as idle, and the interval between two
+/// such lines. The outcomes of other entries arrive up to a second late.
+const IDLE_AFTER: Duration = Duration::from_secs(3);
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// An entry reports `ServingAlone` after this long without news from a control in touch with a
 /// leader.
 const ALONE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -72,6 +76,8 @@
     domain: DomainId,
     entries: usize,
     id: NodeId,
+    /// When idle upstreams are told of next.
+    idle_at: Moment,
     is_leaving: bool,
     /// Limits that upstreams named for all entries together.
     limits: Limits,
@@ -127,6 +133,7 @@
             has_local_fault: false,
             entries: 1,
             id: setup.id.clone(),
+            idle_at: now + IDLE_AFTER,
             is_leaving: false,
             limits: Limits::default(),
             listing: Listing::default(),
@@ -256,6 +263,7 @@
         self.step_subscriber(now, feed::Input::Tick, outputs);
         self.is_dirty |= self.breakers.tick(now);
         self.note_local_fault(now, outputs);
+        self.note_idle(now, outputs);
         let is_alone = self.subscriber.fresh_at().is_none_or(|at| now >= at + ALONE_TIMEOUT);
         let standing = match self.rules {
             None => Standing::Starting,
@@ -300,6 +308,17 @@
         outputs.push(Output::Event(events::local_fault(&self.id, is_likely, withheld)));
     }
 
+    /// Tells of idle upstreams, at an entry that callers are told of: the others hear of faults alone.
+    fn note_idle(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if now < self.idle_at || !self.listing.includes(&self.id) {
+            return;
+        }
+        self.idle_at = now + IDLE_INTERVAL;
+        let idle = self.breakers.idle(now, IDLE_AFTER);
+        let event = |(service, idle): &(ServiceId, _)| events::idle(&self.id, service, idle);
+        outputs.extend(idle.iter().map(event).map(Output::Event));
+    }
+
     fn step_subscriber(&mut self, now: Moment, input: feed::Input, outputs: &mut Vec<Output>) {
         for output in self.subscriber.handle(now, input) {
             match output {
@@ -331,7 +350,7 @@
         self.is_dirty |= self.listing.is_settled != news.is_settled;
         self.listing.is_settled = news.is_settled;
         if news.fresh {
-            let is_listed = self.listing.entries.iter().any(|entry| entry.id == self.id);
+            let is_listed = self.listing.includes(&self.id);
             let listing = retry::Listing {
                 entries: news.entries,
                 is_listed,
@@ -372,7 +391,8 @@
                 return;
             }
         };
-        let event = events::configuration(&self.id, &version);
+        let behind = self.subscriber.caught_up_after();
+        let event = events::configuration(&self.id, &version, behind);
         outputs.push(Output::Event(event));
         self.rules = Some(rules);
         self.version = Some(version);
--- a/src/node/feed_core/events.rs
+++ b/src/node/feed_core/events.rs
@@ -66,10 +66,23 @@
     }
 }
 
-/// Event for a configuration that took effect.
-pub(super) fn configuration(vm: &NodeId, version: &Version) -> Event {
+/// Event for a configuration that took effect `behind` after this entry first heard of a newer one
+/// than it held.
+pub(super) fn configuration(vm: &NodeId, version: &Version, behind: Duration) -> Event {
     let event = event(vm, Kind::ConfigurationApplied).configuration(version.number);
-    event.detail("bytes", version.document.len().to_string())
+    let event = event.detail("bytes", version.document.len().to_string());
+    event.detail("behind_ms", behind.as_millis().to_string())
+}
+
+/// Event for upstreams that no entry is known to have sent a request to for some time.
+pub(super) fn idle(vm: &NodeId, service: &ServiceId, idle: &breaker::Idle) -> Event {
+    let names = |ids: &[UpstreamId]| {
+        let names = ids.iter().take(MAX_NAMES).map(UpstreamId::as_str);
+        names.collect::<Vec<_>>().join(",")
+    };
+    let event = event(vm, Kind::Other("upstreams-idle".into())).service(service.clone());
+    let event = event.detail("closed", names(&idle.closed));
+    event.detail("last", names(&idle.last)).detail("out", names(&idle.out))
 }
 
 /// Changes of one log entry from which on one event stands for all of them. A fleet that starts
--- a/src/node/feed_core/listing.rs
+++ b/src/node/feed_core/listing.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Whether callers are told of an entry.
+    pub(super) fn includes(&self, id: &NodeId) -> bool {
+        self.entries.iter().any(|entry| entry.id == *id)
+    }
+
     /// Whether a view has this listing.
     pub(super) fn is_in(&self, view: &View) -> bool {
         let has_entries = Arc::ptr_eq(&self.entries, &view.entries) || self.entries == view.entries;
--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -213,6 +213,8 @@
             let in_flight = proxy.in_flight.load(Ordering::Relaxed);
             proxy.metrics.gauge("request.in_flight", in_flight as u64);
             report_gauges(&proxy);
+            let lapsed = services.iter().map(|service| service.take_lapsed_trials()).sum();
+            proxy.metrics.add("trial.lapsed", lapsed);
         }
     }
 }
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -64,6 +64,8 @@
             is_first: settings.first_start,
             name,
             selector: Mutex::new(Selector {
+                due_trials: BTreeSet::new(),
+                lapsed_trials: 0,
                 members: Vec::new(),
                 picker,
                 slots: 0,
@@ -150,9 +152,7 @@
             }
             selector.picker.refresh(view);
             selector.picker.set_rates(now, |upstream| Some(view.limits.get(upstream)?.rate));
-            selector
-                .sent_trials
-                .retain(|number| view.trials.iter().any(|trial| trial.number == *number));
+            selector.set_trials(&view.trials);
             self.limit_retries(now, view.retry_part);
             selector.slots = slots(view);
             self.queue.set_slots(now, selector.slots);
@@ -160,6 +160,11 @@
         selector
     }
 
+    /// Trials that were due here and that no request made, since the last call.
+    pub(super) fn take_lapsed_trials(&self) -> u64 {
+        std::mem::take(&mut self.lock().lapsed_trials)
+    }
+
     fn limit_retries(&self, now: Moment, retry_part: f64) {
         if self.retry.pooled {
             let settings::Retry { burst, share, window, .. } = self.retry;
@@ -176,6 +181,10 @@
 
 /// The picker and the view it was last updated to.
 struct Selector {
+    /// Numbers of the view's trials.
+    due_trials: BTreeSet<u64>,
+    /// Trials that were due here and that no request made, since they were last counted.
+    lapsed_trials: u64,
     /// Upstreams known to the picker; compared because they change less often than the view.
     members: Vec<balance::Member>,
     picker: Picker,
@@ -187,6 +196,17 @@
     version: u64,
 }
 
+impl Selector {
+    /// Replaces the trials that are due.
+    fn set_trials(&mut self, trials: &[Trial]) {
+        let due: BTreeSet<u64> = trials.iter().map(|trial| trial.number).collect();
+        let is_lapsed = |number: &&u64| !due.contains(number) && !self.sent_trials.contains(number);
+        self.lapsed_trials += self.due_trials.iter().filter(is_lapsed).count() as u64;
+        self.sent_trials.retain(|number| due.contains(number));
+        self.due_trials = due;
+    }
+}
+
 /// This entry's share of the slots of all upstreams that are not ejected and name no limit.
 fn slots(view: &view::Service) -> usize {
     let is_usable = |member: &&balance::Member| {
