Move the view of a service, and the choice of its upstream, from node to a slice of their own

Nothing else changes. routing::Service is what traffic threads see of a service, routing::Selector the choice of an upstream by trials and balance; both need no lock, network or clock, so that tests can run them as the entry does.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod registry;
 pub mod replay;
 pub mod retry;
+pub mod routing;
 pub mod rule;
 pub mod runtime;
 pub mod settings;
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -9,8 +9,8 @@
 use crate::node::View;
 use crate::node::core::Core;
 use crate::node::status;
-use crate::node::view;
 use crate::registry;
+use crate::routing;
 
 impl Core {
     /// New view for the traffic threads; `None` if nothing has changed since `last`.
@@ -77,9 +77,9 @@
         self.stop_reason = None;
     }
 
-    fn build_services(&self, now: Moment) -> BTreeMap<ServiceId, view::Service> {
+    fn build_services(&self, now: Moment) -> BTreeMap<ServiceId, routing::Service> {
         let entries = self.directory_entries().len();
-        let mut services: BTreeMap<ServiceId, view::Service> = BTreeMap::new();
+        let mut services: BTreeMap<ServiceId, routing::Service> = BTreeMap::new();
         for found in self.registry.usable(now) {
             let announcement = &found.announcement;
             let service = services.entry(announcement.service.clone()).or_default();
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -31,12 +31,12 @@
 use crate::node::core::Input;
 use crate::node::core::Output;
 use crate::node::status;
-use crate::node::view;
 use crate::reach::Verdict;
 use crate::registry;
 use crate::registry::Announcement;
 use crate::retry;
 use crate::retry::Participants;
+use crate::routing;
 use crate::rule::Rules;
 use crate::timeline::Kind;
 use crate::wire::Frame;
@@ -524,8 +524,8 @@
         }
     }
 
-    fn services(&self, now: Moment) -> BTreeMap<ServiceId, view::Service> {
-        let mut services: BTreeMap<ServiceId, view::Service> = BTreeMap::new();
+    fn services(&self, now: Moment) -> BTreeMap<ServiceId, routing::Service> {
+        let mut services: BTreeMap<ServiceId, routing::Service> = BTreeMap::new();
         let retry_part = self.participants.part(now);
         let ready = |known: &&Known| known.announcement.state == registry::State::Ready;
         for known in self.upstreams.values().filter(ready) {
@@ -552,7 +552,7 @@
     }
 
     /// Number of entries that follow the same upstream of a service.
-    fn followers(&self, service: &view::Service) -> usize {
+    fn followers(&self, service: &routing::Service) -> usize {
         let is_near = |member: &&balance::Member| member.domain == self.domain;
         let near = service.members.iter().filter(is_near).count();
         let far = service.members.len() - near;
--- a/src/node/feed_core/limits.rs
+++ b/src/node/feed_core/limits.rs
@@ -6,8 +6,8 @@
 use crate::directory;
 use crate::id::NodeId;
 use crate::id::UpstreamId;
-use crate::node::view;
 use crate::registry::Announcement;
+use crate::routing;
 
 /// Limits that upstreams named for all entries together.
 #[derive(Debug, Default)]
@@ -35,10 +35,10 @@
         id: &NodeId,
         entries: &[directory::Entry],
         announcement: &Announcement,
-    ) -> Option<view::Limit> {
+    ) -> Option<routing::Limit> {
         let named = *self.0.get(&announcement.upstream)?;
         let entries = entries.iter().map(|entry| (&entry.id, &entry.domain));
         let owner = balance::owner(entries, &announcement.upstream, &announcement.domain);
-        Some(view::Limit { named, rate: named.rate_of(id, owner) })
+        Some(routing::Limit { named, rate: named.rate_of(id, owner) })
     }
 }
--- a/src/node/traffic/attempts.rs
+++ b/src/node/traffic/attempts.rs
@@ -9,9 +9,9 @@
 use crate::exchange::Answer;
 use crate::exchange::ResponseWriter;
 use crate::node::View;
-use crate::node::view;
 use crate::retry;
 use crate::retry::Decision;
+use crate::routing;
 
 use super::Proxy;
 use super::attempt::Attempt;
@@ -36,7 +36,7 @@
 pub(super) async fn run_attempts<'a>(
     proxy: &'a Proxy,
     service: &'a Service,
-    upstreams: &view::Service,
+    upstreams: &routing::Service,
     view: &View,
     job: &mut Job,
     writer: &ResponseWriter,
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -11,7 +11,7 @@
 use crate::health;
 use crate::health::Observation;
 use crate::id::UpstreamId;
-use crate::node::view;
+use crate::routing;
 
 use super::Proxy;
 use super::attempt::Attempt;
@@ -25,7 +25,7 @@
 pub(super) async fn hedged_attempt<'a>(
     proxy: &'a Proxy,
     service: &'a Service,
-    upstreams: &view::Service,
+    upstreams: &routing::Service,
     job: &mut Job,
     reservation: Reservation<'a>,
     sends: &mut u32,
--- a/src/node/traffic/reservation.rs
+++ b/src/node/traffic/reservation.rs
@@ -11,8 +11,8 @@
 use crate::health::Trial;
 use crate::id::UpstreamId;
 use crate::node::Input;
-use crate::node::view;
 use crate::reach::Check;
+use crate::routing;
 
 use super::Proxy;
 use super::round_trip::Target;
@@ -36,7 +36,7 @@
     pub(super) fn take(
         proxy: &'a Proxy,
         service: &'a Service,
-        view: &view::Service,
+        view: &routing::Service,
         request: &Request<'_>,
     ) -> Option<Self> {
         let pick = service.pick(proxy.now(), view, request)?;
@@ -47,7 +47,7 @@
     pub(super) fn take_trial(
         proxy: &'a Proxy,
         service: &'a Service,
-        view: &view::Service,
+        view: &routing::Service,
         is_repeatable: bool,
     ) -> Option<Self> {
         let pick = service.pick_trial(proxy.now(), view, is_repeatable)?;
@@ -59,7 +59,7 @@
     fn at(
         proxy: &'a Proxy,
         service: &'a Service,
-        view: &view::Service,
+        view: &routing::Service,
         pick: Pick,
     ) -> Option<Self> {
         let address = view.addresses.get(&pick.upstream).copied();
