--- a/src/node/traffic/queue.rs
+++ b/src/node/traffic/queue.rs
@@ -24,6 +24,7 @@
 use crate::node;
 use crate::replay;
 use crate::replay::MachineRecorder;
+use crate::retry::Usage;
 use crate::rule::Class;
 
 use super::Proxy;
@@ -215,6 +216,7 @@
             report_gauges(&proxy);
             let lapsed = services.iter().map(|service| service.take_lapsed_trials()).sum();
             proxy.metrics.add("trial.lapsed", lapsed);
+            services.iter().for_each(|service| report_retries(&proxy, service));
         }
     }
 }
@@ -237,6 +239,23 @@
     }
 }
 
+/// Logs what a service's retries cost since the last report. Unlike a counter, the line survives the
+/// process, so that the retries of all processes that ran in a window can be added up.
+fn report_retries(proxy: &Proxy, service: &super::service::Service) {
+    let mut policy = service.policy(proxy.now());
+    let Usage { denied, firsts, free, paid } = policy.take_usage();
+    let left = policy.remaining() as u64;
+    drop(policy);
+    proxy.metrics.add("retry.denied", denied.into());
+    if paid + denied + free > 0 {
+        let (service, age_ms) = (&service.name, proxy.now().as_millis() as u64);
+        tracing::info!(
+            target: "hemlockfield::retry",
+            %service, firsts, paid, free, denied, left, age_ms, "retries"
+        );
+    }
+}
+
 fn report_overdue(proxy: &Proxy, service: &super::service::Service) {
     let overdue = service.overdue(proxy.now());
     let stuck = overdue.iter().map(|(_, ages)| ages.len()).sum();
--- a/src/replay/policy.rs
+++ b/src/replay/policy.rs
@@ -12,6 +12,7 @@
 use crate::retry;
 use crate::retry::Attempt;
 use crate::retry::Decision;
+use crate::retry::Usage;
 
 /// A [`retry::Policy`] that records its inputs.
 #[derive(Clone, Debug)]
@@ -83,6 +84,16 @@
         self.policy.record_latency(time);
     }
 
+    /// Calls [`retry::Policy::take_usage`].
+    pub fn take_usage(&mut self) -> Usage {
+        self.policy.take_usage()
+    }
+
+    /// Calls [`retry::Policy::remaining`].
+    pub fn remaining(&self) -> f64 {
+        self.policy.remaining()
+    }
+
     fn record(&self, input: impl FnOnce() -> Retry) {
         self.machine_recorder.record_input(self.now.now(), || Input::Policy(input()));
     }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -22,6 +22,7 @@
 mod participants;
 mod policy;
 mod simulation;
+mod usage;
 mod window;
 
 pub use answer::Answer;
@@ -40,4 +41,5 @@
 pub use simulation::Outage;
 pub use simulation::Report;
 pub use simulation::Simulation;
+pub use usage::Usage;
 pub use window::Window;
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -10,6 +10,7 @@
 use super::Hedge;
 use super::Latency;
 use super::Limits;
+use super::Usage;
 use crate::clock::Moment;
 
 /// Longest backoff before the second attempt; doubles with each further one. Long compared to the 1
@@ -34,6 +35,7 @@
     hedge: Hedge,
     latency: Latency,
     rng: ChaCha8Rng,
+    usage: Usage,
 }
 
 impl Policy {
@@ -45,6 +47,7 @@
             hedge: Hedge::default(),
             latency: Latency::default(),
             rng,
+            usage: Usage::default(),
         }
     }
 
@@ -61,6 +64,7 @@
 
     /// Records the first attempt of a request.
     pub fn record_first(&mut self) {
+        self.usage.firsts += 1;
         self.budget.record_first();
         self.hedge.record_first();
     }
@@ -76,9 +80,10 @@
         // A retry that can't finish in time only adds load.
         let median = self.latency.median().unwrap_or_default();
         let is_free = self.free_connects && !attempt.sent;
-        if attempt.remaining <= after + median || !(is_free || self.budget.try_take()) {
+        if attempt.remaining <= after + median || !(is_free || self.try_take()) {
             return stop;
         }
+        self.usage.free += u32::from(is_free);
         Decision::Again { after }
     }
 
@@ -102,7 +107,7 @@
     /// charged and [`Self::record_hedge`] must follow.
     pub fn try_hedge(&mut self, remaining: Duration) -> bool {
         let median = self.latency.median().unwrap_or_default();
-        self.hedge.is_enabled() && remaining > median && self.budget.try_take()
+        self.hedge.is_enabled() && remaining > median && self.try_take()
     }
 
     /// Records whether the hedge responded first.
@@ -110,6 +115,23 @@
         self.hedge.record(won);
     }
 
+    /// Takes the counts since the last call.
+    pub fn take_usage(&mut self) -> Usage {
+        std::mem::take(&mut self.usage)
+    }
+
+    /// Retries that the budget still allows.
+    pub fn remaining(&self) -> f64 {
+        self.budget.remaining()
+    }
+
+    fn try_take(&mut self) -> bool {
+        let is_taken = self.budget.try_take();
+        self.usage.paid += u32::from(is_taken);
+        self.usage.denied += u32::from(!is_taken);
+        is_taken
+    }
+
     /// Delay before the next attempt. There is none before the second attempt of a request that did
     /// not run: only one upstream was full or unreachable, and another may be free. Otherwise it is
     /// random, so that requests that failed together aren't retried together.
