--- a/tests/suite/exchange.rs
+++ b/tests/suite/exchange.rs
@@ -1,6 +1,7 @@
 //! Tests of `hemlockfield::exchange`: callers get a complete answer or a visible failure.
 
 mod callers;
+mod endless;
 mod heads;
 mod payloads;
 mod script;
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -1,5 +1,8 @@
 //! Tests of `hemlockfield::retry`.
 
+mod fleet;
+mod shared;
+
 use std::time::Duration;
 
 use hemlockfield::retry::Answer;
--- /dev/null
+++ b/tests/suite/retry/shared.rs
@@ -0,0 +1,64 @@
+//! The budget that all entries share, over kills, pauses and callers that move.
+
+use rstest::rstest;
+
+use super::fleet::Plan;
+use super::fleet::Span;
+use super::fleet::ms;
+
+fn assert_kept(plan: &Plan) {
+    let (share, from) = plan.run().worst();
+    assert!(share <= 1.0, "{share:.2} of what is allowed from {from:?} on, {plan:?}");
+}
+
+// Processes are killed in the midst of a fault. Their successors don't know what was spent.
+#[rstest]
+#[case::none(None, 0)]
+#[case::at_once(Some((21_500, 0)), 1)]
+#[case::twice(Some((21_500, 0)), 2)]
+#[case::in_turn(Some((21_500, 400)), 1)]
+fn budget_killed(
+    #[case] kills: Option<(u64, u64)>,
+    #[case] times: u64,
+    #[values(3, 12, 44, 116)] entries: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut plan = Plan::outage(entries, 6.0 * entries as f64 + 60.0, seed);
+    for time in 0..times {
+        let (from, gap) = kills.unwrap();
+        plan = plan.kill_all(from + 1_500 * time, gap);
+    }
+    assert_kept(&plan);
+}
+
+// Callers move from one half of the entries to the other in the midst of a fault. Those that they leave
+// spend what they earned before, the others what they earn now.
+#[rstest]
+fn budget_callers_move(#[values(4, 44)] entries: usize, #[values(1, 2, 3)] seed: u64) {
+    let rate = 400.0;
+    let span = |from, fail, half| Span { fail, from: ms(from), rate, half: Some(half) };
+    let spans = vec![span(0, 0.0, 0), span(19_500, 1.0, 0), span(20_200, 1.0, 1)];
+    assert_kept(&Plan { spans, ..Plan::outage(entries, rate, seed) });
+}
+
+// The budget holds whatever load comes, where it goes and who is killed.
+#[rstest]
+fn budget_drawn(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    assert_kept(&Plan::draw(seed));
+}
+
+/// Runs `RETRY_SEEDS` plans and prints the windows that came nearest to the bound.
+#[test]
+#[ignore = "takes minutes"]
+fn budget_many_seeds() {
+    let seeds = std::env::var("RETRY_SEEDS").ok().and_then(|text| text.parse().ok());
+    let mut results: Vec<_> =
+        (0..seeds.unwrap_or(300)).map(|seed| (Plan::draw(seed).run().worst(), seed)).collect();
+    results.sort_by(|a, b| b.0.0.total_cmp(&a.0.0));
+    let broken = results.iter().filter(|((share, _), _)| *share > 1.0).count();
+    println!("{broken} of {} beyond the budget", results.len());
+    for ((share, from), seed) in results.iter().take(5) {
+        println!("  seed {seed}: {share:.3} of what is allowed, from {from:?} on");
+    }
+    assert_eq!(broken, 0);
+}
