Free what a killed process held one window after its own successor began

Callers of teams with limits got 429 and 503 (control can't confirm what a team may still ask) for five seconds after all entries had lost power twice, 4 s apart, though no upstream was at fault.

Cause: the leader computed when to free an ended incarnation's allocation anew at each check, from the start of the entry's *newest* incarnation. So the second restart put off what the first processes held by 4 s, and both allocations together were the whole allowance.

Ruled out: elections (controls kept power), configuration (entries serve at 13.5 s), waiting places.

--- a/src/quota/coordinator.rs
+++ b/src/quota/coordinator.rs
@@ -119,14 +119,15 @@
 
     /// When the requests that an ended incarnation passed are out of every window: one window
     /// after the entry's next incarnation began, or after the longest that the entry can have
-    /// served on if there is none.
+    /// served on if there is none. Incarnations that begin later don't put it off.
     fn release_at(&mut self, now: Moment, holder: &NodeId, incarnation: Incarnation) -> Moment {
         let window = Window::retention(self.window);
-        let latest = *self
+        let next = self.started_at.get(holder).filter(|(next, _)| *next > incarnation);
+        let due = self
             .releases
             .entry((holder.clone(), incarnation))
             .or_insert_with(|| now + LEAVE_TIMEOUT + window);
-        let next = self.started_at.get(holder).filter(|(next, _)| *next > incarnation);
-        next.map_or(latest, |(_, at)| latest.min(*at + window))
+        *due = next.map_or(*due, |(_, at)| (*at + window).min(*due));
+        *due
     }
 }
--- a/tests/suite/quota.rs
+++ b/tests/suite/quota.rs
@@ -2,6 +2,7 @@
 
 mod bound;
 mod calm;
+mod coordinator;
 mod ledger;
 mod limiter;
 mod simulation;
