Limit what is skipped before an answer, and give other tasks a turn while a peer sends

An upstream that sends interim heads, or late answers to other requests, without end held the attempt and its thread for as long as it sent (the test: 6 s with a first byte due after 0.3 s; other tasks of the thread stood still meanwhile), and the body of a late answer was kept whole in memory. Endless bodies that are passed on in small chunks held the thread as well.

Cause: loops over a connection that always has bytes ready never return to the executor, so neither their own timeouts nor other requests get a turn; and what is skipped had no limit. Class: work whose end a peer decides.

Change: heads (16) and bytes (256 KiB, with the lines between chunks) that are skipped have limits, after which the answer is malformed and the connection closed; a late body is not kept; a socket yields after two reads that found bytes at once. Ruled out: a larger part of a read before the yield (16 reads, 256 KiB): 4 byte chunks still held the thread for 0.2 to 0.4 s in a debug build.

--- a/src/exchange/body_reader.rs
+++ b/src/exchange/body_reader.rs
@@ -50,6 +50,8 @@
     idle: Duration,
     limit_remaining: u64,
     limit: u64,
+    /// Bytes of the lines between the chunks.
+    line_bytes: u64,
     progress: Progress,
     state: State,
     socket: Socket,
@@ -75,6 +77,7 @@
             idle,
             limit_remaining: limit,
             limit,
+            line_bytes: 0,
             progress,
             state,
             socket,
@@ -133,6 +136,11 @@
         self.declared
     }
 
+    /// Bytes read so far, with those between the chunks.
+    pub(super) fn framed_bytes(&self) -> u64 {
+        self.progress.received() + self.line_bytes
+    }
+
     /// How far the body has been read.
     pub fn progress(&self) -> Progress {
         self.progress.clone()
@@ -241,6 +249,7 @@
     async fn read_line(&mut self) -> Result<Bytes, BodyError> {
         loop {
             if let Some(line) = self.socket.take_line() {
+                self.line_bytes += line.len() as u64;
                 let text = line.strip_suffix(b"\r\n").ok_or_else(|| malformed(&line))?;
                 return Ok(line.slice_ref(text));
             }
--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -15,6 +15,7 @@
 
 use super::Answer;
 use super::Body;
+use super::BodyError;
 use super::BodyReader;
 use super::Connector;
 use super::Exchange;
@@ -40,6 +41,11 @@
 /// such an answer is cut, the attempt fails visibly and an idempotent request can be retried.
 const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
 
+/// Most bytes of late answers to other requests, and most heads of those and of interim answers, that
+/// are skipped before an answer. An upstream sends one or two; more never end.
+const MAX_SKIPPED_BYTES: u64 = 256 * 1024;
+const MAX_SKIPPED_HEADS: usize = 16;
+
 /// Lowest status of an answer by which an upstream refuses a request.
 const FIRST_ERROR_STATUS: u16 = 400;
 
@@ -168,14 +174,15 @@
     }
 
     /// Reads the head of the final answer to this request. Interim answers (1xx) and late
-    /// answers to other requests are skipped.
+    /// answers to other requests are skipped, up to a limit.
     async fn read_head(
         &self,
         echo: Option<&(HeaderName, HeaderValue)>,
         timeouts: Timeouts,
         reused: bool,
     ) -> Result<Response, Failure> {
-        loop {
+        let mut skippable = MAX_SKIPPED_BYTES;
+        for _ in 0..=MAX_SKIPPED_HEADS {
             let bytes = self.socket.read_head(MAX_HEAD_BYTES).await;
             let bytes = bytes.map_err(|error| Failure::Malformed(error.to_string()))?;
             let response = Response::parse(&bytes.ok_or(Failure::Closed { reused })?)?;
@@ -183,21 +190,36 @@
                 response.headers.get(name).is_some_and(|echoed| echoed != value)
             });
             if is_foreign {
-                self.skip_response(&response, timeouts).await?;
+                skippable -= self.skip_response(&response, skippable, timeouts).await?;
             } else if response.status >= 200 {
                 return Ok(response);
             }
         }
+        Err(Failure::Malformed("no answer behind others".to_owned()))
     }
 
-    /// Reads and discards the body of a late answer to another request.
-    async fn skip_response(&self, response: &Response, timeouts: Timeouts) -> Result<(), Failure> {
+    /// Reads and discards the body of a late answer to another request, of at most `limit` bytes.
+    /// Returns their number.
+    async fn skip_response(
+        &self,
+        response: &Response,
+        limit: u64,
+        timeouts: Timeouts,
+    ) -> Result<u64, Failure> {
         let framing = head::response_framing(response)?;
         if framing == Framing::Close {
             return Err(Failure::Malformed("an answer to another request".to_owned()));
         }
-        let mut reader = BodyReader::new(self.socket.clone(), framing, u64::MAX, timeouts.idle);
-        reader.read_all().await.map(drop).map_err(|error| Failure::Cut(error.to_string()))
+        let mut reader = BodyReader::new(self.socket.clone(), framing, limit, timeouts.idle);
+        while reader.framed_bytes() <= limit {
+            match reader.next().await {
+                Ok(Some(_)) => (),
+                Ok(None) => return Ok(reader.framed_bytes().min(limit)),
+                Err(BodyError::Limit(_)) => break,
+                Err(error) => return Err(Failure::Cut(error.to_string())),
+            }
+        }
+        Err(Failure::Malformed("too long an answer to another request".to_owned()))
     }
 
     /// Reads a small body completely and leaves a large one as a stream. Returns how far the body
--- a/src/exchange/socket.rs
+++ b/src/exchange/socket.rs
@@ -22,6 +22,9 @@
 /// Most bytes read at once; as large as `DEFAULT_MAX_HEAD_BYTES`, so that such a head fits in one
 /// read.
 const MAX_READ_BYTES: usize = 16 * 1024;
+/// Reads that find bytes at once, after which other tasks of the thread get a turn. A peer that always
+/// has bytes ready would hold the thread otherwise, and no timeout would fire.
+const MAX_READY_READS: u32 = 2;
 /// End of the last line of a head, and the empty line after it.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -37,6 +40,8 @@
 struct State {
     buffer: BytesMut,
     has_read_ended: bool,
+    /// Reads since one had to wait.
+    ready_reads: u32,
 }
 
 impl State {
@@ -197,6 +202,11 @@
     }
 
     fn poll_fill(&self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        if self.lock().ready_reads >= MAX_READY_READS {
+            self.lock().ready_reads = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         // Reads into the stack first: reserving buffer space for each of thousands of idle
         // connections would waste memory.
         let mut chunk = [0; MAX_READ_BYTES];
@@ -206,6 +216,7 @@
         if let Poll::Ready(Ok(count)) = &polled {
             state.buffer.extend_from_slice(&chunk[..*count]);
         }
+        state.ready_reads = if polled.is_ready() { state.ready_reads + 1 } else { 0 };
         state.has_read_ended |= matches!(polled, Poll::Ready(Ok(0) | Err(_)));
         polled
     }
