Pay retries with what first tries earned, each of them once

A service got up to a third more repeats than operators allowed for, where processes were killed in the midst of an outage, and 1.4 times as many where callers moved from some entries to others.

Cause: each entry kept the bound over its own sliding window, but spent in a window on what it had earned before it. A bound that each member keeps over its own past does not add up: a killed process's spending was forgotten, a successor had 0.75 of the share at once, and an entry that callers left spent on their requests while the one they moved to earned by their next ones. A request passed on to another entry earned at both.

A request that is passed on earns at the entry that handles it alone.

--- a/src/bench/retry.rs
+++ b/src/bench/retry.rs
@@ -92,7 +92,7 @@
     let mut copies = 0;
     let mut wins = 0;
     for _ in 0..LOOKUPS {
-        policy.record_first();
+        policy.record_first(Duration::ZERO);
         copies += 1;
         let first = rng.random_range(0..UPSTREAMS);
         let mut time = lookup(slow, first, &mut rng);
--- a/src/node/traffic/attempts.rs
+++ b/src/node/traffic/attempts.rs
@@ -46,7 +46,8 @@
     let mut may_have_run = false;
     let mut tries = 0;
     let mut sends = 0;
-    service.policy(proxy.now()).record_first();
+    let waited = proxy.now().saturating_sub(job.received_at);
+    service.policy(proxy.now()).record_first(waited);
     loop {
         // If every other upstream is busy or already failed, retry one that failed before.
         let is_long = job.terms.long;
@@ -113,6 +114,7 @@
         let is_unsent = !may_have_run && sends == 0 && job.payload.is_available();
         if is_unsent && attempt.is_unconnected() && proxy.reach.is_lost(&job.service) {
             attempt.fail(outcome, job.terms.long);
+            service.policy(proxy.now()).withdraw_first();
             return Resolution::Unreached;
         }
         let decision = service.policy(proxy.now()).decide(&failed);
--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -45,6 +45,7 @@
     /// Charge against the team's rate limit.
     pub(super) charge: Option<Charge>,
     pub(super) payload: Payload,
+    pub(super) received_at: Moment,
     /// The team that the request's API key proves. Upstreams are told no other.
     pub(super) verified_team: Option<TeamId>,
     pub(super) rule: RuleId,
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -279,6 +279,7 @@
         method: request.method,
         charge: None,
         payload,
+        received_at,
         verified_team,
         rule,
         service,
--- a/src/replay/input.rs
+++ b/src/replay/input.rs
@@ -46,4 +46,11 @@
         /// Time since the start of the attempt.
         time: Duration,
     },
+    /// The first attempt of a request that was received `waited` ago was sent.
+    Waited {
+        /// Time since the request was received.
+        waited: Duration,
+    },
+    /// Another entry handles a request of which the first attempt was recorded.
+    Withdraw,
 }
--- a/src/replay/instance.rs
+++ b/src/replay/instance.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -58,11 +60,13 @@
 fn handle_policy(policy: &mut retry::Policy, input: Retry) -> Option<Output> {
     match input {
         Retry::Decide(attempt) => return Some(Output::Policy(policy.decide(&attempt))),
-        Retry::First => policy.record_first(),
+        Retry::First => policy.record_first(Duration::ZERO),
         Retry::Hedge { remaining } => return Some(Output::Hedge(policy.try_hedge(remaining))),
         Retry::Hedged { won } => policy.record_hedge(won),
         Retry::Limit(limits) => policy.set_limits(limits),
         Retry::Note { time } => policy.record_latency(time),
+        Retry::Waited { waited } => policy.record_first(waited),
+        Retry::Withdraw => policy.withdraw_first(),
     }
     None
 }
--- a/src/replay/policy.rs
+++ b/src/replay/policy.rs
@@ -50,9 +50,15 @@
     }
 
     /// Records the input and calls [`retry::Policy::record_first`].
-    pub fn record_first(&mut self) {
-        self.record(|| Retry::First);
-        self.policy.record_first();
+    pub fn record_first(&mut self, waited: Duration) {
+        self.record(|| Retry::Waited { waited });
+        self.policy.record_first(waited);
+    }
+
+    /// Records the input and calls [`retry::Policy::withdraw_first`].
+    pub fn withdraw_first(&mut self) {
+        self.record(|| Retry::Withdraw);
+        self.policy.withdraw_first();
     }
 
     /// Records the input and calls [`retry::Policy::try_hedge`].
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::Limits;
 use super::Window;
 use crate::clock::Moment;
@@ -55,11 +57,19 @@
         }
     }
 
-    /// Records a first attempt.
-    pub fn record_first(&mut self) {
+    /// Records the first attempt of a request that was received `waited` ago.
+    pub fn record_first(&mut self, waited: Duration) {
         match self {
             Self::Bucket { share, capacity, tokens } => *tokens = (*tokens + *share).min(*capacity),
-            Self::Window(window) => window.record_first(),
+            Self::Window(window) => window.record_first(waited),
+        }
+    }
+
+    /// Takes back what a first attempt earned.
+    pub fn withdraw_first(&mut self) {
+        match self {
+            Self::Bucket { share, tokens, .. } => *tokens -= *share,
+            Self::Window(window) => window.withdraw_first(),
         }
     }
 
--- a/src/retry/limits.rs
+++ b/src/retry/limits.rs
@@ -22,15 +22,14 @@
 }
 
 impl Limits {
-    /// Share of the fleet's allowance that the entries use at most, because an entry that has just
-    /// joined or left is counted late.
-    const USABLE_SHARE: f64 = 0.9;
+    /// Part of the fleet's burst that the entries use at most, because an entry that has just joined
+    /// or left is counted late.
+    const USABLE_BURST: f64 = 0.9;
 
     /// Limits of one entry, out of what all entries may spend together. In any `window` all entries
     /// retry at most `share` of their first attempts plus `burst`, of which this one has a `part`.
     pub fn per_entry(share: f64, burst: f64, window: Duration, part: f64) -> Self {
-        let most = Self::USABLE_SHARE * burst * part;
-        let share = Self::USABLE_SHARE * share;
+        let most = Self::USABLE_BURST * burst * part;
         Self { free_connects: true, is_first: false, most, share, window: Some(window) }
     }
 }
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -62,13 +62,19 @@
         self.budget.advance(now);
     }
 
-    /// Records the first attempt of a request.
-    pub fn record_first(&mut self) {
+    /// Records the first attempt of a request that was received `waited` ago.
+    pub fn record_first(&mut self, waited: Duration) {
         self.usage.firsts += 1;
-        self.budget.record_first();
+        self.budget.record_first(waited);
         self.hedge.record_first();
     }
 
+    /// Takes back what [`Self::record_first`] recorded, because another entry handles the request.
+    pub fn withdraw_first(&mut self) {
+        self.usage.firsts = self.usage.firsts.saturating_sub(1);
+        self.budget.withdraw_first();
+    }
+
     /// Decides what follows a failed attempt.
     pub fn decide(&mut self, attempt: &Attempt) -> Decision {
         let stop = Decision::Stop { answer: attempt.answer() };
@@ -151,6 +157,6 @@
     }
 
     fn record_first(&mut self) {
-        self.record_first();
+        self.record_first(Duration::ZERO);
     }
 }
--- a/tests/suite/retry/shared.rs
+++ b/tests/suite/retry/shared.rs
@@ -1,5 +1,11 @@
 //! The budget that all entries share, over kills, pauses and callers that move.
 
+use std::time::Duration;
+
+use hemlockfield::retry::Limits;
+use hemlockfield::retry::Policy;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 use super::fleet::Plan;
@@ -41,6 +47,33 @@
     assert_kept(&Plan { spans, ..Plan::outage(entries, rate, seed) });
 }
 
+// Entries that don't reach the upstreams pass requests on to others, which record them again. Both would
+// earn a retry for one request.
+#[test]
+fn withdraw_passed_on() {
+    let mut policy = Policy::new(ChaCha8Rng::seed_from_u64(1));
+    policy.set_limits(Limits::per_entry(0.2, 62.0, ms(10_000), 0.0));
+    policy.advance(ms(1_000));
+    (0..30).for_each(|_| policy.record_first(Duration::ZERO));
+    assert!(policy.try_hedge(ms(1_000)));
+    (0..30).for_each(|_| policy.withdraw_first());
+    (0..19).for_each(|_| policy.record_first(Duration::ZERO));
+    assert!(!policy.try_hedge(ms(1_000)), "{}", policy.remaining());
+    policy.record_first(Duration::ZERO);
+    assert!(policy.try_hedge(ms(1_000)));
+}
+
+// A request waited for a slot before its first attempt. What it earns expires by when it was received.
+#[test]
+fn record_first_waited() {
+    let mut policy = Policy::new(ChaCha8Rng::seed_from_u64(1));
+    policy.set_limits(Limits::per_entry(0.2, 62.0, ms(10_000), 0.0));
+    policy.advance(ms(20_000));
+    (0..40).for_each(|_| policy.record_first(ms(6_000)));
+    policy.advance(ms(24_000));
+    assert!(policy.remaining() < 1.0, "{}", policy.remaining());
+}
+
 // The budget holds whatever load comes, where it goes and who is killed.
 #[rstest]
 fn budget_drawn(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
