Have one entry after the other see to it that a sound upstream gets requests in time

Callers lost one request in six while half of the sound upstreams of a service had no request for two seconds.

Cause: sound upstreams got requests by chance. Trials came at moments that each entry drew at random, 2.8 s after a failure at the latest only where entries had seen 8% of their requests lost, else up to 8 s; a trial lapsed at an entry without requests and with its restart; a request that hung counted a second time when its caller gave up, after the upstream had passed its trials; upstreams in use whose usual entries died or lost the path got nothing. Class: a promise over the whole fleet that is kept by independent draws of its members.

Change: the entries that callers are told of stand in a line for each upstream, by rendezvous hash, near ones first. The first makes a trial 3 s after the last failure at the latest, the next one 0.25 s later, and so on; that one began is told to all. An upstream in use without a known outcome for 0.8 s gets the next request of the first in line. A request that hung since before a successful trial is no evidence. Losses, random trial moments and the memory of idempotent trials are gone.

--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -17,6 +17,8 @@
     full_until: Moment,
     health: f64,
     is_near: bool,
+    /// Whether this entry is due to send it a request, as no entry has for some time.
+    is_neglected: bool,
     is_suspect: bool,
     /// Whether it started recently and this entry has sent it no request yet.
     is_untried: bool,
@@ -36,6 +38,8 @@
     report: Option<(Moment, Report)>,
     /// Limits the requests of this entry if the upstream named a limit for all entries.
     throttle: Option<Throttle>,
+    /// When this entry last sent it a request.
+    used_at: Option<Moment>,
     waiting: Vec<(u64, Moment)>,
 }
 
@@ -69,6 +73,8 @@
     const REFUSAL_COST: f64 = 5.0;
     /// Age at which a refusal has lost two thirds of its weight, as bursts are short.
     const REFUSAL_DECAY: Duration = Duration::from_secs(5);
+    /// Shortest time after a request of this entry from which on it may count as neglected.
+    const NEGLECT_MIN: Duration = Duration::from_millis(800);
     /// Age at which a reported load has lost two thirds of its weight.
     const REPORT_DECAY: Duration = Duration::from_millis(250);
 
@@ -78,6 +84,7 @@
             full_until: Moment::ZERO,
             health: 1.0,
             is_near,
+            is_neglected: false,
             is_suspect: false,
             is_untried: false,
             latency: None,
@@ -91,12 +98,15 @@
             refusals: (0.0, Moment::ZERO),
             report: None,
             throttle: None,
+            used_at: None,
             waiting: Vec::new(),
         }
     }
 
     pub(crate) fn begin(&mut self, request: u64, now: Moment, is_long: bool) {
         self.is_untried = false;
+        self.is_neglected = false;
+        self.used_at = Some(now);
         if let Some(throttle) = &mut self.throttle {
             throttle.take(now);
         }
@@ -252,6 +262,18 @@
         self.sharing_entries = sharing_entries;
     }
 
+    /// Whether this entry is due to send it a request. The outcome of one that it has just sent is not
+    /// known yet.
+    pub(crate) fn is_neglected(&self, now: Moment) -> bool {
+        let is_in_use = self.used_at.is_some_and(|at| now < at + Self::NEGLECT_MIN);
+        self.is_neglected && !is_in_use
+    }
+
+    /// Sets whether this entry is due to send it a request.
+    pub(crate) fn set_neglected(&mut self, is_neglected: bool) {
+        self.is_neglected = is_neglected;
+    }
+
     /// Sets whether it gets requests only where no sound upstream has room.
     pub(crate) fn set_suspect(&mut self, is_suspect: bool) {
         self.is_suspect = is_suspect;
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -129,7 +129,8 @@
     /// are full.
     pub fn pick(&mut self, now: Moment, request: &Request<'_>) -> Option<Pick> {
         self.working_set.record_in_flight(now, self.near_in_flight() + 1);
-        if let Some(position) = self.explore(now, request) {
+        let directed = self.explore(now, request).or_else(|| self.neglected(now, request));
+        if let Some(position) = directed {
             return Some(self.begin(now, position, request.is_long));
         }
         let total = self.gather_candidates(now, request);
@@ -167,6 +168,7 @@
             let weight = health.weight(&load.member().upstream);
             is_changed |= load.set_health(weight);
             load.set_suspect(health.is_suspect(&load.member().upstream));
+            load.set_neglected(health.is_neglected(&load.member().upstream));
         }
         if is_changed {
             self.choose_subset();
@@ -278,6 +280,18 @@
         self.random.random_bool(Self::UNTRIED_SHARE).then_some(position)
     }
 
+    /// An upstream that no entry has sent a request to for some time. Chosen by cost alone, one that is
+    /// slow, far or unlucky gets none for seconds.
+    fn neglected(&self, now: Moment, request: &Request<'_>) -> Option<usize> {
+        if request.is_long {
+            return None;
+        }
+        let is_free = |load: &Load| load.is_usable() && load.is_sound() && load.has_room(now);
+        let is_avoided = |load: &Load| request.avoid.contains(&load.member().upstream);
+        let is_due = |load: &Load| load.is_neglected(now) && is_free(load) && !is_avoided(load);
+        self.loads.iter().position(is_due)
+    }
+
     fn near_in_flight(&self) -> usize {
         self.near.iter().map(|at| self.loads[*at].in_flight()).sum()
     }
--- a/src/breaker.rs
+++ b/src/breaker.rs
@@ -12,8 +12,10 @@
 //! **How.** Entries count the outcomes of their requests and share the counts through the
 //! controls, a broken answer at once. One broken answer at any entry opens the breaker at all
 //! entries for a moment. Then idempotent requests, which can be retried, serve as trials of the
-//! upstream; where a service has none, single requests of any kind do after some seconds. The
-//! floor bounds how many breakers take their upstream out at once.
+//! upstream; where none comes, a request of any kind does within three seconds of the last
+//! failure. The entries that callers are told of stand in a line for each upstream: the first
+//! makes the trial, the next one if it has not begun soon. The floor bounds how many breakers take
+//! their upstream out at once.
 //!
 //! Two conditions look like a faulty upstream and are not: an entry whose own network breaks its
 //! answers ([`LocalFault`]), and an overloaded service, whose requests time out at every upstream
@@ -25,7 +27,7 @@
 mod error_history;
 mod group;
 mod local_fault;
-mod losses;
+mod member;
 mod outage_history;
 mod window;
 
@@ -38,6 +40,5 @@
 pub use group::Idle;
 pub use group::Trial;
 pub use local_fault::LocalFault;
-pub use losses::Losses;
 pub use outage_history::OutageHistory;
 pub use window::Window;
--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -32,6 +32,9 @@
 /// Failed connections of all entries within the window that are a fault if no caller got an
 /// answer: the upstream is gone.
 const UNREACHED_MIN: u32 = 4;
+/// Trials of other entries within the window for which no connection could be opened that show, if no
+/// caller got an answer, that the upstream is gone and not the path of one entry.
+const MISSED_MIN: u32 = 4;
 /// Successful trials in a row that close the breaker. A fault that breaks most answers lets one
 /// in six through.
 const TRIALS_TO_CLOSE: u32 = 2;
@@ -74,6 +77,8 @@
     opened_at: Moment,
     own: Window,
     passed_at: Moment,
+    /// Start of the newest trial that was successful.
+    sound_at: Option<Moment>,
     /// How long the overdue requests that opened the breaker had waited on average. They may
     /// still be answered; `None` if something certain opened it.
     overdue_wait: Option<Duration>,
@@ -96,6 +101,7 @@
             opened_at: Moment::ZERO,
             own,
             passed_at: Moment::ZERO,
+            sound_at: None,
             overdue_wait: None,
             state: State::Closed,
             window,
@@ -147,6 +153,11 @@
         (self.opened_at, self.failed_at)
     }
 
+    /// When the first successful trial of the current row was recorded.
+    pub fn passed_at(&self) -> Moment {
+        self.passed_at
+    }
+
     /// Duration of the last outage. Its end is taken to be halfway between the last failed trial
     /// and the first successful one.
     pub fn outage_duration(&self) -> Duration {
@@ -181,16 +192,32 @@
         let cleared = u32::from(self.is_cleared_by(counts));
         self.own.expire(now);
         self.own.add(now, counts);
-        self.record(now, &Counts { cleared, ..*counts });
+        self.add(now, &Counts { cleared, ..*counts }, counts.unreached);
     }
 
-    /// Records what callers of other entries received.
+    /// Records what callers of other entries received. That one of them can't reach the upstream
+    /// says nothing about the others' paths.
     pub fn record(&mut self, now: Moment, counts: &Counts) {
+        let sum = self.window.sum_at(now);
+        let is_gone = sum.missed + counts.missed >= MISSED_MIN && sum.answered == 0;
+        self.add(now, counts, if is_gone { counts.unreached } else { 0 });
+    }
+
+    /// Records outcomes; `unreached` connections are evidence that trials fail.
+    fn add(&mut self, now: Moment, counts: &Counts, unreached: u32) {
         if self.overdue_wait.is_some() && counts.cleared > 0 {
             self.close();
             self.is_cleared = true;
         }
-        let counts = &counts.without_answered_overdue();
+        let mut counts = counts.without_answered_overdue();
+        if counts.passed > 0 {
+            self.sound_at = self.sound_at.max(Some(counts.started_at(now)));
+        }
+        // A request that hung from before a successful trial ends long after it.
+        if counts.hung > 0 && self.sound_at.is_some_and(|at| counts.fault_at(now) <= at) {
+            counts = counts.without_hung();
+        }
+        let counts = &counts;
         self.window.expire(now);
         self.window.add(now, counts);
         let fault_at = counts.fault_at(now);
@@ -205,7 +232,9 @@
                     self.has_single_error = true;
                 }
             }
-            State::Open { .. } if self.has_single_error && counts.faults() > 0 => {
+            State::Open { .. }
+                if self.has_single_error && counts.losses() + counts.unreached > 0 =>
+            {
                 self.has_single_error = false;
                 self.failed_at = self.failed_at.max(fault_at);
                 self.state = State::Open { until: now + OPEN_PAUSE };
@@ -218,7 +247,7 @@
                 self.state = State::Open { until: until.max(fault_at + OPEN_PAUSE) };
             }
             State::Open { .. } => {}
-            State::HalfOpen { .. } if counts.faults() > 0 => {
+            State::HalfOpen { .. } if counts.losses() + unreached > 0 => {
                 // A hung request sent before the last failure is not a failed trial. Counted as
                 // one, each caller that gave up delayed the next trial by seconds.
                 self.confirm_fault(counts);
--- a/src/breaker/counts.rs
+++ b/src/breaker/counts.rs
@@ -15,6 +15,8 @@
     pub alarming: u32,
     /// Complete answers.
     pub answered: u32,
+    /// Trials that began.
+    pub begun: u32,
     /// Answers that were truncated or corrupted.
     pub broken: u32,
     /// Complete answers to requests that had waited at least as long as the overdue ones that
@@ -29,12 +31,12 @@
     pub late: u32,
     /// Time to the heads of complete answers, summed, in milliseconds.
     pub millis: u64,
+    /// Trials for which no connection could be opened.
+    pub missed: u32,
     /// Requests counted in `hung` that are still in flight; they are counted again when they end.
     pub overdue: u32,
     /// Trials that got a complete answer.
     pub passed: u32,
-    /// Trials counted in `passed` whose requests could be retried elsewhere.
-    pub spared: u32,
     /// Trials that failed.
     pub spent: u32,
     /// Connections that could not be opened.
@@ -64,27 +66,32 @@
         counts
     }
 
-    /// Counts the outcome of a trial; `is_repeatable` if its request could be retried elsewhere.
-    pub fn from_trial(kind: Kind, latency: Duration, is_repeatable: bool) -> Self {
+    /// Counts the outcome of a trial.
+    pub fn from_trial(kind: Kind, latency: Duration) -> Self {
         let counts = Self::from_outcome(kind, latency);
-        let spared = if is_repeatable { counts.answered } else { 0 };
         let spent = counts.broken + counts.failed + counts.hung;
-        Self { passed: counts.answered, spared, spent, ..counts }
+        Self { missed: counts.unreached, passed: counts.answered, spent, ..counts }
+    }
+
+    /// Counts a trial that begins.
+    pub fn from_trial_start() -> Self {
+        Self { begun: 1, ..Self::default() }
     }
 
     /// Adds the counts of another span.
     pub fn add(&mut self, other: &Self) {
         self.alarming += other.alarming;
         self.answered += other.answered;
+        self.begun += other.begun;
         self.broken += other.broken;
         self.cleared += other.cleared;
         self.failed += other.failed;
         self.hung += other.hung;
         self.late += other.late;
         self.millis += other.millis;
+        self.missed += other.missed;
         self.overdue += other.overdue;
         self.passed += other.passed;
-        self.spared += other.spared;
         self.spent += other.spent;
         self.unreached += other.unreached;
         self.waited += other.waited;
@@ -94,15 +101,16 @@
     pub(super) fn subtract(&mut self, other: &Self) {
         self.alarming -= other.alarming;
         self.answered -= other.answered;
+        self.begun -= other.begun;
         self.broken -= other.broken;
         self.cleared -= other.cleared;
         self.failed -= other.failed;
         self.hung -= other.hung;
         self.late -= other.late;
         self.millis -= other.millis;
+        self.missed -= other.missed;
         self.overdue -= other.overdue;
         self.passed -= other.passed;
-        self.spared -= other.spared;
         self.spent -= other.spent;
         self.unreached -= other.unreached;
         self.waited -= other.waited;
@@ -134,7 +142,8 @@
     /// Whether other entries should be told at once, as their next request may go to this
     /// upstream.
     pub fn is_urgent(&self) -> bool {
-        self.alarming + self.broken + self.cleared + self.hung + self.late + self.passed > 0
+        let outcomes = self.alarming + self.broken + self.cleared + self.hung + self.late;
+        outcomes + self.begun + self.passed + self.unreached > 0
     }
 
     /// Requests whose answer broke, never came or is late.
@@ -142,9 +151,19 @@
         self.broken + self.hung + self.late
     }
 
-    /// Requests that the upstream did not serve.
-    pub(super) fn faults(&self) -> u32 {
-        self.broken + self.failed + self.hung + self.unreached
+    /// Whether a trial has ended, or its request waits for far longer than usual.
+    pub(super) fn ends_trial(&self) -> bool {
+        self.hung + self.missed + self.passed + self.spent > 0
+    }
+
+    /// Requests that the upstream lost or answered with an error.
+    pub(super) fn losses(&self) -> u32 {
+        self.broken + self.failed + self.hung
+    }
+
+    /// The counts without requests that got no answer.
+    pub(super) fn without_hung(&self) -> Self {
+        Self { hung: 0, overdue: 0, waited: 0, ..*self }
     }
 
     /// When the upstream was last at fault, by counts received `now`. A hung request is evidence
@@ -157,16 +176,10 @@
         now.saturating_sub(waited)
     }
 
-    /// Failed requests, not counting trials.
-    pub(super) fn failures(&self) -> u32 {
-        let lost = self.broken + self.failed + self.hung;
-        lost.saturating_sub(self.overdue + self.spent)
-    }
-
-    /// Failed requests, not counting trials, as a share of the completed ones.
-    pub(super) fn failure_share(&self) -> f64 {
-        let ended = self.ended().saturating_sub(self.overdue);
-        f64::from(self.failures()) / f64::from(ended.max(1))
+    /// Start of the answered requests, by counts received `now`.
+    pub(super) fn started_at(&self, now: Moment) -> Moment {
+        let latency = self.millis / u64::from(self.answered.max(1));
+        now.saturating_sub(Duration::from_millis(latency))
     }
 
     /// Completed requests, including those that hung.
--- a/src/breaker/group.rs
+++ b/src/breaker/group.rs
@@ -4,51 +4,20 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rand::Rng;
-use rand_chacha::ChaCha8Rng;
-
 use super::Cause;
 use super::Circuit;
 use super::Counts;
 use super::ErrorHistory;
-use super::Losses;
 use super::OutageHistory;
 use super::State;
+use super::member::Member;
+use crate::balance::Place;
 use crate::clock::Moment;
 use crate::id::UpstreamId;
 
-/// Interval between idempotent trials of one upstream over all entries. With a third of the
-/// upstreams out, they take a third of the idempotent requests, a seventh to a quarter of all.
-const IDEMPOTENT_TRIAL_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval between trials over all entries after a successful one: the fault is probably over.
-const TRIAL_INTERVAL_AFTER_PASS: Duration = Duration::from_millis(150);
-/// Likelihood that an outage is over from which on idempotent requests make trials: they can be
-/// retried, and an upstream that stays out leaves its load to the others.
-const IDEMPOTENT_LIKELIHOOD: f64 = 0.15;
-/// Upper bound of the delay of idempotent trials: an outage may end sooner than recent ones.
-const IDEMPOTENT_DELAY_MAX: Duration = Duration::from_millis(1500);
-/// Likelihood that an outage is over from which on any request may make trials. A service may
-/// have no idempotent ones; closing its breakers after a fixed 4.5 s to 18 s instead kept out a
-/// third of the upstreams that were sound.
-const TRIAL_LIKELIHOOD: f64 = 0.5;
-/// Time from the last failure until any request may make trials, where too few outages are known,
-/// and its bounds.
-const TRIAL_DELAY_DEFAULT: Duration = Duration::from_secs(3);
-const TRIAL_DELAY_MIN: Duration = Duration::from_secs(1);
-const TRIAL_DELAY_MAX: Duration = Duration::from_secs(8);
-/// Upper bound of that time while many requests are lost: operators count an upstream as sound 2
-/// s after its last failure, and this bound gets it a request within another 2 s.
-const HIGH_LOSS_DELAY_MAX: Duration = Duration::from_millis(2800);
-/// Interval between trials of one upstream by any requests over all entries. A hang shows only
-/// after a second: four trials a second lost four requests before all entries knew.
-const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval between trials by any requests over all entries when one is overdue. Only for broken
-/// answers, which show at once, so that other entries cancel their trials in time.
-const TRIAL_INTERVAL_IF_OVERDUE: Duration = Duration::from_millis(300);
-/// Time after [`HIGH_LOSS_DELAY_MAX`] from which on a trial is overdue.
-const TRIAL_OVERDUE_AFTER: Duration = Duration::from_millis(500);
-/// How long a successful idempotent trial shows that the service has idempotent requests.
-const IDEMPOTENT_VALIDITY: Duration = Duration::from_secs(5);
+/// Known requests for each upstream of a service, within the window of outcomes, from which on there
+/// are enough for all upstreams.
+const REQUESTS_PER_UPSTREAM_MIN: usize = 2;
 /// Factor over the mean latency of the median upstream above which an upstream is slow. Sound
 /// ones differ by less, even when some are busy.
 const SLOW_FACTOR: f64 = 2.2;
@@ -80,41 +49,12 @@
 #[derive(Clone, Debug)]
 pub struct Group {
     members: BTreeMap<UpstreamId, Member>,
-    entries: usize,
     errors: ErrorHistory,
     floor: f64,
-    /// When a trial by an idempotent request last succeeded.
-    idempotent_at: Option<Moment>,
     outages: OutageHistory,
-    losses: Losses,
-    random: ChaCha8Rng,
     trials: u64,
 }
 
-#[derive(Clone, Debug)]
-struct Member {
-    /// Whether any request may make its trials, and not only idempotent ones.
-    allows_any: bool,
-    circuit: Circuit,
-    /// Time of the last answer if it was an error that followed no other.
-    error_at: Option<Moment>,
-    /// Whether a trial by any request is overdue.
-    is_overdue: bool,
-    /// When any request may make its trials, given losses and idempotent trials of the service.
-    any_due: Moment,
-    /// When any request may make its trials, given past outages alone.
-    any_from: Moment,
-    /// Successful trials when the next one was scheduled.
-    passed: u32,
-    slots: u32,
-    trial_at: Moment,
-    trial: Option<u64>,
-    /// When idempotent requests may make its trials.
-    trials_from: Moment,
-    /// When an outcome of a request to it was last recorded, of any entry.
-    used_at: Option<Moment>,
-}
-
 /// Upstreams of a service to which no entry is known to have sent a request for some time.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Idle {
@@ -135,16 +75,12 @@
 
 impl Group {
     /// Creates a group without upstreams; `floor` is the share of its slots that stay in use.
-    pub fn new(floor: f64, random: ChaCha8Rng) -> Self {
+    pub fn new(floor: f64) -> Self {
         Self {
             members: BTreeMap::new(),
-            entries: 1,
             errors: ErrorHistory::default(),
             floor,
-            idempotent_at: None,
             outages: OutageHistory::default(),
-            losses: Losses::default(),
-            random,
             trials: 0,
         }
     }
@@ -154,30 +90,19 @@
         self.floor = floor;
     }
 
-    /// Sets how many entries share the trials.
-    pub fn set_entries(&mut self, entries: usize) {
-        self.entries = entries.max(1);
-    }
-
     /// Adds an upstream, or updates its slots.
     pub fn join(&mut self, upstream: UpstreamId, slots: u32) {
-        let member = Member {
-            allows_any: false,
-            circuit: Circuit::default(),
-            error_at: None,
-            is_overdue: false,
-            any_due: Moment::ZERO,
-            any_from: Moment::ZERO,
-            passed: 0,
-            slots,
-            trial_at: Moment::ZERO,
-            trial: None,
-            trials_from: Moment::ZERO,
-            used_at: None,
-        };
+        let member = Member::new(slots);
         self.members.entry(upstream).or_insert(member).slots = slots;
     }
 
+    /// Sets the place of this entry among those that make trials of an upstream.
+    pub fn set_place(&mut self, upstream: &UpstreamId, place: Place) {
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.place = place;
+        }
+    }
+
     /// Removes an upstream.
     pub fn leave(&mut self, upstream: &UpstreamId) {
         self.members.remove(upstream);
@@ -186,8 +111,10 @@
     /// Records what callers of this entry received; returns whether the breaker's state changed.
     pub fn record_own(&mut self, now: Moment, upstream: &UpstreamId, counts: &Counts) -> bool {
         self.detect_overload(now, upstream, counts);
-        self.record_idempotent_trial(now, upstream, counts);
         self.record_error_series(now, upstream, counts);
+        if let Some(member) = self.members.get_mut(upstream).filter(|_| counts.missed > 0) {
+            member.missed_at = Some(now);
+        }
         self.update(now, upstream, counts, |circuit| circuit.record_own(now, counts))
     }
 
@@ -199,9 +126,12 @@
     /// Records what callers of other entries received; returns whether the state changed.
     pub fn record(&mut self, now: Moment, upstream: &UpstreamId, counts: &Counts) -> bool {
         self.detect_overload(now, upstream, counts);
-        self.record_idempotent_trial(now, upstream, counts);
         self.record_error_series(now, upstream, counts);
-        self.update(now, upstream, counts, |circuit| circuit.record(now, counts))
+        let changed = self.update(now, upstream, counts, |circuit| circuit.record(now, counts));
+        if let Some(member) = self.members.get_mut(upstream).filter(|_| counts.unreached > 0) {
+            member.unreached_at.get_or_insert(now);
+        }
+        changed
     }
 
     /// Whether other entries recently got complete answers, and lost no more than this one saw.
@@ -223,13 +153,6 @@
         }
     }
 
-    /// Records that idempotent requests make trials in this service, so that others need not.
-    fn record_idempotent_trial(&mut self, now: Moment, upstream: &UpstreamId, counts: &Counts) {
-        if counts.spared > 0 && self.members.contains_key(upstream) {
-            self.idempotent_at = Some(now);
-        }
-    }
-
     /// Whether a single error of an upstream is a sign of a fault in this service.
     pub fn has_recurring_errors(&self) -> bool {
         self.errors.is_recurring()
@@ -262,78 +185,48 @@
         let Some(member) = self.members.get_mut(upstream) else { return false };
         if counts.ended() > 0 {
             member.used_at = Some(now);
+            member.unreached_at = None;
         }
         let before = member.circuit.state();
         member.circuit.set_opens_on_error(self.errors.is_recurring());
         record(&mut member.circuit);
         let after = member.circuit.state();
-        if after != before && matches!(after, State::Open { .. }) {
-            member.trial = None;
-        }
+        member.note_trials(now, counts, before, after);
         if after != before && after == State::Closed && !member.circuit.was_cleared() {
             self.outages.add(member.circuit.outage_duration());
         }
         after != before
     }
 
+    /// Records that a request of this entry begins a trial.
+    pub fn begin_trial(&mut self, now: Moment, upstream: &UpstreamId) {
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.begun_at = Some(now);
+            member.trial = None;
+        }
+    }
+
     /// Advances all breakers and schedules trials; returns whether anything changed.
     pub fn tick(&mut self, now: Moment) -> bool {
         let mut changed = false;
-        let has_idempotent = self.idempotent_at.is_some_and(|at| now < at + IDEMPOTENT_VALIDITY);
-        self.losses.update(now, self.members.values().map(|member| member.circuit.recent()));
         for member in self.members.values_mut() {
             let before = member.circuit.state();
             member.circuit.tick(now);
             let after = member.circuit.state();
             changed |= after != before;
-            let State::HalfOpen { passed, .. } = after else {
-                member.allows_any = false;
-                member.trial = None;
-                member.trial_at = Moment::MAX;
-                member.passed = 0;
+            if !matches!(after, State::HalfOpen { .. }) {
                 continue;
-            };
-            if !matches!(before, State::HalfOpen { .. }) {
-                (member.trials_from, member.any_from) =
-                    trial_starts(&self.outages, &member.circuit);
-            }
-            let failed_at = member.circuit.outage().1;
-            let is_high = self.losses.is_high(now);
-            let delay_max = if is_high { HIGH_LOSS_DELAY_MAX } else { TRIAL_DELAY_MAX };
-            let is_broken = member.circuit.cause() == Cause::Broken;
-            let is_overdue = is_high
-                && is_broken
-                && now >= failed_at + HIGH_LOSS_DELAY_MAX + TRIAL_OVERDUE_AFTER;
-            let interval = match member.allows_any {
-                _ if passed > 0 => TRIAL_INTERVAL_AFTER_PASS,
-                true if is_overdue => TRIAL_INTERVAL_IF_OVERDUE,
-                true => TRIAL_INTERVAL,
-                false => IDEMPOTENT_TRIAL_INTERVAL,
-            };
-            let entry_interval = interval * self.entries as u32;
-            if passed != member.passed || is_overdue != member.is_overdue {
-                member.passed = passed;
-                member.is_overdue = is_overdue;
-                member.trial_at = Moment::MAX;
             }
-            let due = if has_idempotent { failed_at + TRIAL_DELAY_MAX } else { member.any_from };
-            member.any_due = due.min(failed_at + delay_max);
-            if !member.allows_any && now >= member.any_due {
-                // Many entries hold a trial that no request has made; new ones come one by one.
-                member.allows_any = true;
-                member.trial = None;
-                member.trial_at = Moment::MAX;
-                changed = true;
-            }
-            if member.trial_at == Moment::MAX && now >= member.trials_from {
-                // Each entry waits for a random part of its interval, so that all entries
-                // together keep the intended rate.
-                member.trial_at = now + entry_interval.mul_f64(self.random.random_range(0.0..1.0));
+            if !matches!(before, State::HalfOpen { .. }) {
+                member.start_trials(now, &self.outages);
             }
-            if member.trial_at <= now {
+            let allowed = member.allowed(now);
+            let is_due = allowed.is_some();
+            let allows_any = allowed == Some(true);
+            if is_due != member.trial.is_some() || allows_any != member.allows_any {
                 self.trials += 1;
-                member.trial = Some(self.trials);
-                member.trial_at = now + entry_interval;
+                member.trial = is_due.then_some(self.trials);
+                member.allows_any = allows_any;
                 changed = true;
             }
         }
@@ -343,23 +236,22 @@
     /// When [`Self::tick`] is next needed.
     pub fn wake(&self) -> Option<Moment> {
         let due = |member: &Member| match member.circuit.state() {
-            State::HalfOpen { .. } => {
-                let is_set = member.trial_at != Moment::MAX;
-                let next = if is_set { member.trial_at } else { member.trials_from };
-                Some(if member.allows_any { next } else { next.min(member.any_due) })
-            }
+            State::HalfOpen { .. } => member.trial_wake(),
             _ => member.circuit.wake(),
         };
         self.members.values().filter_map(due).min()
     }
 
-    /// Trials that are due at this entry.
+    /// Trials that are due at this entry, the one that has been due for longest first.
     pub fn trials(&self) -> Vec<Trial> {
-        let due = |(upstream, member): (&UpstreamId, &Member)| {
+        let is_due = |(_, member): &(_, &Member)| member.trial.is_some();
+        let mut due: Vec<_> = self.members.iter().filter(is_due).collect();
+        due.sort_by_key(|(_, member)| member.any_from);
+        let trial = |(upstream, member): (&UpstreamId, &Member)| {
             let allows_any = member.allows_any;
             member.trial.map(|number| Trial { allows_any, number, upstream: upstream.clone() })
         };
-        self.members.iter().filter_map(due).collect()
+        due.into_iter().filter_map(trial).collect()
     }
 
     /// Share of its usual load that each upstream gets, where that is less than all.
@@ -376,6 +268,17 @@
         self.unclosed().map(|(id, _)| id).filter(|id| !ejected.contains(id)).cloned().collect()
     }
 
+    /// Upstreams in use that no entry is known to have sent a request to for some time, where this entry
+    /// is due to send one. None where the service gets too few requests for that.
+    pub fn neglected(&self, now: Moment) -> BTreeSet<UpstreamId> {
+        let ended = self.members.values().map(|member| member.circuit.recent().ended() as usize);
+        if ended.sum::<usize>() < REQUESTS_PER_UPSTREAM_MIN * self.members.len() {
+            return BTreeSet::new();
+        }
+        let due = self.members.iter().filter(|(_, member)| member.is_neglected(now));
+        due.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Upstreams of which no outcome was recorded for `span`.
     pub fn idle(&self, now: Moment, span: Duration) -> Idle {
         let ejected = self.ejected();
@@ -446,17 +349,6 @@
     }
 }
 
-/// When idempotent requests, and when any requests, may make trials of an upstream.
-fn trial_starts(outages: &OutageHistory, circuit: &Circuit) -> (Moment, Moment) {
-    let (opened_at, failed_at) = circuit.outage();
-    let lasted = failed_at.saturating_sub(opened_at);
-    let over_at = |likelihood| outages.over_at(lasted, likelihood).map(|age| opened_at + age);
-    let idempotent =
-        over_at(IDEMPOTENT_LIKELIHOOD).unwrap_or(failed_at).min(failed_at + IDEMPOTENT_DELAY_MAX);
-    let any = over_at(TRIAL_LIKELIHOOD).unwrap_or(failed_at + TRIAL_DELAY_DEFAULT);
-    (idempotent, any.clamp(failed_at + TRIAL_DELAY_MIN, failed_at + TRIAL_DELAY_MAX))
-}
-
 fn median(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
--- a/src/health.rs
+++ b/src/health.rs
@@ -43,7 +43,6 @@
 pub use kind::Kind;
 pub use monitor::Monitor;
 pub use observation::Observation;
-pub use observation::Trial;
 pub use output::Output;
 pub use reason::Reason;
 pub use status::Status;
--- a/src/health/observation.rs
+++ b/src/health/observation.rs
@@ -15,15 +15,8 @@
     pub latency: Duration,
     /// Service of the upstream.
     pub service: ServiceId,
-    /// Set if the request was a trial.
-    pub trial: Option<Trial>,
+    /// Whether the request was a trial of an upstream that is out.
+    pub is_trial: bool,
     /// The upstream.
     pub upstream: UpstreamId,
 }
-
-/// A request that tested whether an ejected upstream has recovered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Trial {
-    /// Whether the request could be sent again elsewhere.
-    pub is_repeatable: bool,
-}
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -120,19 +120,10 @@
     Synced(u64),
     /// Time has passed.
     Tick,
-    /// Result of a trial request to an upstream.
-    TrialOutcome {
-        /// Whether the request may be retried on another upstream.
-        is_repeatable: bool,
-        /// Result of the request.
-        kind: health::Kind,
-        /// Time until the answer, or until the request was given up.
-        latency: Duration,
-        /// Service of the upstream.
-        service: ServiceId,
-        /// Upstream under trial.
-        upstream: UpstreamId,
-    },
+    /// A request began a trial of an upstream.
+    TrialBegan(ServiceId, UpstreamId),
+    /// Result and latency of a trial request to an upstream.
+    TrialOutcome(ServiceId, UpstreamId, health::Kind, Duration),
 }
 
 /// Output of the control state. Outputs are carried out in the order returned.
@@ -259,7 +250,7 @@
             Input::Drain => self.drain(now, &mut outputs),
             Input::Frame(from, frame) => self.receive(now, from, frame, &mut outputs),
             Input::Outcome(service, upstream, kind, latency)
-            | Input::TrialOutcome { kind, latency, service, upstream, .. } => {
+            | Input::TrialOutcome(service, upstream, kind, latency) => {
                 self.handle_outcome(now, service, upstream, kind, latency, &mut outputs);
             }
             Input::Overdue(service, upstream, ages) => {
@@ -279,6 +270,7 @@
             Input::Throughput(..)
             | Input::Reach(_)
             | Input::Seeds(_)
+            | Input::TrialBegan(..)
             | Input::UpstreamLimit(..) => (),
             Input::Stop => self.step_member(now, fleet::Input::Leave, &mut outputs),
             Input::Submit(ticket, version) => {
--- a/src/node/feed_core.rs
+++ b/src/node/feed_core.rs
@@ -64,7 +64,8 @@
             | Input::Reach(_)
             | Input::Seeds(_)
             | Input::Tick
-            | Input::TrialOutcome { .. }
+            | Input::TrialBegan(..)
+            | Input::TrialOutcome(..)
             | Input::UpstreamLimit(..) => true,
             Input::Frame(_, Frame::Feed(message)) => entry_role::is_for_entry(message),
             _ => false,
--- a/src/node/feed_core/breakers.rs
+++ b/src/node/feed_core/breakers.rs
@@ -3,10 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rand::RngCore;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-
+use crate::balance::Place;
 use crate::breaker::Cause;
 use crate::breaker::Counts;
 use crate::breaker::Group;
@@ -31,7 +28,6 @@
     ticked_at: Moment,
     overdue: OverdueCounter,
     groups: BTreeMap<ServiceId, Group>,
-    random: ChaCha8Rng,
 }
 
 /// Effect of one recorded outcome on the breaker of its upstream.
@@ -55,13 +51,12 @@
 }
 
 impl Breakers {
-    pub(super) fn new(now: Moment, random: ChaCha8Rng) -> Self {
+    pub(super) fn new(now: Moment) -> Self {
         Self {
             local_fault: LocalFault::default(),
             ticked_at: now,
             overdue: OverdueCounter::default(),
             groups: BTreeMap::new(),
-            random,
         }
     }
 
@@ -109,9 +104,7 @@
         slots: u32,
         floor: f64,
     ) {
-        let random = &mut self.random;
-        let create = || Group::new(floor, ChaCha8Rng::seed_from_u64(random.next_u64()));
-        let group = self.groups.entry(service.clone()).or_insert_with(create);
+        let group = self.groups.entry(service.clone()).or_insert_with(|| Group::new(floor));
         group.join(upstream, slots);
     }
 
@@ -126,10 +119,17 @@
         self.leave(upstream);
     }
 
-    /// Sets the number of entries that share the trials of a service.
-    pub(super) fn set_entries(&mut self, service: &ServiceId, entries: usize) {
+    /// Sets the place of this entry among those that make trials of an upstream.
+    pub(super) fn set_place(&mut self, service: &ServiceId, upstream: &UpstreamId, place: Place) {
+        if let Some(group) = self.groups.get_mut(service) {
+            group.set_place(upstream, place);
+        }
+    }
+
+    /// Records that a request of this entry begins a trial.
+    pub(super) fn begin_trial(&mut self, now: Moment, service: &ServiceId, upstream: &UpstreamId) {
         if let Some(group) = self.groups.get_mut(service) {
-            group.set_entries(entries);
+            group.begin_trial(now, upstream);
         }
     }
 
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -102,6 +102,7 @@
 #[derive(Clone, Debug)]
 struct Known {
     announcement: Announcement,
+    place: balance::Place,
     /// When this entry first learned of its incarnation.
     since: Moment,
 }
@@ -126,7 +127,7 @@
         };
         Self {
             asked: Arc::default(),
-            breakers: Breakers::new(now, draw()),
+            breakers: Breakers::new(now),
             compiler: setup.boundary.compiler(),
             is_dirty: true,
             domain: setup.domain.clone(),
@@ -184,8 +185,13 @@
                     &mut outputs,
                 );
             }
-            Input::TrialOutcome { is_repeatable, kind, latency, service, upstream } => {
-                let counts = Counts::from_trial(*kind, *latency, *is_repeatable);
+            Input::TrialBegan(service, upstream) => {
+                self.breakers.begin_trial(now, service, upstream);
+                self.is_dirty = true;
+                self.subscriber.record(now, upstream, &Counts::from_trial_start());
+            }
+            Input::TrialOutcome(service, upstream, kind, latency) => {
+                let counts = Counts::from_trial(*kind, *latency);
                 self.record_own(now, service, upstream, &counts, &mut outputs);
             }
             Input::Overdue(service, upstream, ages) => {
@@ -221,9 +227,6 @@
         }
         self.viewed_at = now;
         let services = self.services(now);
-        for (name, service) in &services {
-            self.breakers.set_entries(name, service.followers);
-        }
         if !self.is_dirty && last.has_same_services(&services) {
             return None;
         }
@@ -329,6 +332,7 @@
                 feed::Output::Advertise(entries) => {
                     self.listing = Listing::new(&self.id, &entries, self.listing.is_settled);
                     self.is_dirty = true;
+                    self.update_places();
                 }
                 feed::Output::Record(tallies) => self.record_others(now, &tallies, outputs),
                 feed::Output::Send(to, message) => {
@@ -415,24 +419,32 @@
             // apply to this one.
             self.remove(&announcement.upstream);
         }
+        let place = self.listing.place(&self.id, &announcement);
         self.upstreams.insert(
             announcement.upstream.clone(),
-            Known { announcement: announcement.clone(), since },
+            Known { announcement: announcement.clone(), place, since },
         );
         self.is_dirty = true;
         let floor = self.floor(&announcement.service);
         if announcement.state == registry::State::Ready {
-            self.breakers.join(
-                &announcement.service,
-                announcement.upstream,
-                announcement.slots,
-                floor,
-            );
+            let Announcement { service, slots, upstream, .. } = announcement;
+            self.breakers.join(&service, upstream.clone(), slots, floor);
+            self.breakers.set_place(&service, &upstream, place);
         } else {
             self.breakers.leave(&announcement.upstream);
         }
     }
 
+    /// Updates the places of this entry after the entries that callers are told of have changed.
+    fn update_places(&mut self) {
+        for known in self.upstreams.values_mut() {
+            let announcement = &known.announcement;
+            known.place = self.listing.place(&self.id, announcement);
+            let (service, upstream) = (&announcement.service, &announcement.upstream);
+            self.breakers.set_place(service, upstream, known.place);
+        }
+    }
+
     fn remove(&mut self, id: &UpstreamId) {
         if self.upstreams.remove(id).is_some() {
             self.is_dirty = true;
@@ -546,6 +558,7 @@
             service.weights = group.weights().into_iter().collect();
             service.trials = group.trials();
             service.suspects = group.suspects();
+            service.neglected = group.neglected(now);
             service.update_state(!service.suspects.is_empty());
         }
         services
--- a/src/node/feed_core/listing.rs
+++ b/src/node/feed_core/listing.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use crate::balance;
 use crate::directory;
 use crate::feed;
 use crate::id::NodeId;
 use crate::node::View;
 use crate::reach::Peer;
+use crate::registry::Announcement;
 
 /// Entries that callers are told of.
 #[derive(Clone, Debug, Default)]
@@ -37,6 +39,12 @@
         self.entries.iter().any(|entry| entry.id == *id)
     }
 
+    /// Place of process `me` in the line of the entries for an upstream.
+    pub(super) fn place(&self, me: &NodeId, announcement: &Announcement) -> balance::Place {
+        let entries = self.entries.iter().map(|entry| (&entry.id, &entry.domain));
+        balance::Place::of(me, entries, &announcement.upstream, &announcement.domain)
+    }
+
     /// Whether a view has this listing.
     pub(super) fn is_in(&self, view: &View) -> bool {
         let has_entries = Arc::ptr_eq(&self.entries, &view.entries) || self.entries == view.entries;
--- a/src/node/feed_core/overdue_counter.rs
+++ b/src/node/feed_core/overdue_counter.rs
@@ -33,17 +33,20 @@
         median_latency: Duration,
         ages: &[Duration],
     ) -> Counts {
-        let count_from = |least: Duration| ages.iter().filter(|age| **age >= least).count();
-        let late = count_from(LATE_MIN.max(median_latency.mul_f64(LATE_FACTOR)));
+        let late_after = LATE_MIN.max(median_latency.mul_f64(LATE_FACTOR));
+        let late = ages.iter().filter(|age| **age >= late_after).count();
         let hung_after = HUNG_MIN.max(median_latency * HUNG_FACTOR);
-        let hung = count_from(hung_after);
-        let before = self.counts.insert(upstream.clone(), (late, hung)).unwrap_or_default();
-        let newly_hung = hung.saturating_sub(before.1);
+        let mut hung: Vec<Duration> =
+            ages.iter().copied().filter(|age| *age >= hung_after).collect();
+        hung.sort_unstable();
+        let before = self.counts.insert(upstream.clone(), (late, hung.len())).unwrap_or_default();
+        hung.truncate(hung.len().saturating_sub(before.1));
+        let newly_hung = hung.len() as u32;
         Counts {
-            hung: newly_hung as u32,
-            overdue: newly_hung as u32,
+            hung: newly_hung,
+            overdue: newly_hung,
             late: late.saturating_sub(before.0) as u32,
-            waited: newly_hung as u64 * hung_after.as_millis() as u64,
+            waited: hung.iter().sum::<Duration>().as_millis() as u64,
             ..Counts::default()
         }
     }
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -66,6 +66,8 @@
     Submit(Version, Sender<Verdict>),
     /// An upstream named another limit than this entry knew, or none any more.
     UpstreamLimit(UpstreamId, Option<balance::Limit>),
+    /// A request began a trial of an upstream.
+    TrialBegan(ServiceId, UpstreamId),
     /// Wakes the control thread to handle request outcomes at once.
     Wake,
 }
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -14,7 +14,6 @@
 use crate::clock::Moment;
 use crate::config::Version;
 use crate::health::Observation;
-use crate::health::Trial;
 use crate::link::Transport;
 use crate::quorum::Record;
 use crate::quota;
@@ -151,14 +150,12 @@
         if arrivals > 0 || bytes > 0 {
             self.step(core::Input::Throughput(arrivals, bytes), batch);
         }
-        for Observation { kind, latency, service, trial, upstream } in
+        for Observation { is_trial, kind, latency, service, upstream } in
             self.proxy.take_observations()
         {
-            let input = match trial {
-                Some(Trial { is_repeatable }) => {
-                    core::Input::TrialOutcome { is_repeatable, kind, latency, service, upstream }
-                }
-                None => core::Input::Outcome(service, upstream, kind, latency),
+            let input = match is_trial {
+                true => core::Input::TrialOutcome(service, upstream, kind, latency),
+                false => core::Input::Outcome(service, upstream, kind, latency),
             };
             self.step(input, batch);
         }
@@ -235,6 +232,7 @@
                 core::Input::ReadConfiguration(ticket)
             }
             Input::Seeds(seeds) => core::Input::Seeds(seeds),
+            Input::TrialBegan(service, upstream) => core::Input::TrialBegan(service, upstream),
             Input::Wake => return,
             Input::Status(sender) => {
                 // The status must not be newer than the view that callers are served by.
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -90,5 +90,5 @@
 fn report_late_primary(proxy: &Proxy, job: &Job, upstream: UpstreamId, waited: Duration) {
     let service = job.service.clone();
     let kind = health::Kind::Success;
-    proxy.observe(Observation { kind, latency: waited, service, trial: None, upstream });
+    proxy.observe(Observation { is_trial: false, kind, latency: waited, service, upstream });
 }
--- a/src/node/traffic/proxy.rs
+++ b/src/node/traffic/proxy.rs
@@ -197,7 +197,7 @@
 
     /// Records evidence about an upstream.
     pub(super) fn record_observation(&self, observation: Observation) {
-        let is_urgent = observation.trial.is_some() || observation.kind.is_failure();
+        let is_urgent = observation.is_trial || observation.kind.is_failure();
         let mut observations = self.observations.lock().unwrap_or_else(PoisonError::into_inner);
         let is_full = observations.len() >= MAX_PENDING_OBSERVATIONS;
         if is_full {
--- a/src/node/traffic/reservation.rs
+++ b/src/node/traffic/reservation.rs
@@ -8,7 +8,6 @@
 use crate::balance::Ticket;
 use crate::health;
 use crate::health::Observation;
-use crate::health::Trial;
 use crate::id::UpstreamId;
 use crate::node::Input;
 use crate::reach::Check;
@@ -27,7 +26,7 @@
     service: &'a Service,
     proxy: &'a Proxy,
     ticket: Ticket,
-    trial: Option<Trial>,
+    is_trial: bool,
     pub(super) upstream: UpstreamId,
 }
 
@@ -52,7 +51,9 @@
     ) -> Option<Self> {
         let pick = service.pick_trial(proxy.now(), view, is_repeatable)?;
         let mut reservation = Self::at(proxy, service, view, pick)?;
-        reservation.trial = Some(Trial { is_repeatable });
+        reservation.is_trial = true;
+        let trial = Input::TrialBegan(service.name.clone(), reservation.upstream.clone());
+        proxy.try_notify(trial);
         Some(reservation)
     }
 
@@ -70,7 +71,7 @@
             service,
             proxy,
             ticket: pick.ticket,
-            trial: None,
+            is_trial: false,
             upstream: pick.upstream,
         };
         address.map(|_| reservation)
@@ -92,7 +93,13 @@
         }
         let service = self.service.name.clone();
         let upstream = self.upstream.clone();
-        self.proxy.observe(Observation { kind, latency, service, trial: self.trial, upstream });
+        self.proxy.observe(Observation {
+            is_trial: self.is_trial,
+            kind,
+            latency,
+            service,
+            upstream,
+        });
     }
 
     /// Reports the limit that the upstream names in an answer, if it is new to this entry. An
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -33,6 +33,8 @@
     pub limits: HashMap<UpstreamId, Limit>,
     /// Upstreams as candidates of the load balancer.
     pub members: Vec<balance::Member>,
+    /// Upstreams in use that no entry has sent a request to for some time, where this one is due to.
+    pub neglected: BTreeSet<UpstreamId>,
     /// This entry's part of the burst of retries.
     pub retry_part: f64,
     /// State of the service, which rules may match on.
@@ -67,6 +69,7 @@
             && self.addresses == before.addresses
             && self.limits == before.limits
             && self.suspects == before.suspects
+            && self.neglected == before.neglected
             && self.trials == before.trials
             && self.weights == before.weights
             && self.coverage == before.coverage
@@ -77,6 +80,10 @@
 }
 
 impl balance::Health for Service {
+    fn is_neglected(&self, upstream: &str) -> bool {
+        self.neglected.contains(upstream)
+    }
+
     fn is_suspect(&self, upstream: &str) -> bool {
         self.suspects.contains(upstream)
     }
--- a/tests/suite/balance/near.rs
+++ b/tests/suite/balance/near.rs
@@ -76,3 +76,35 @@
     let first = served.iter().position(|near| *near).expect("the last resort");
     assert!(first >= 24, "{served:?}");
 }
+
+/// One upstream that no entry has sent a request to for some time.
+struct Neglected(&'static str);
+
+impl Health for Neglected {
+    fn is_neglected(&self, upstream: &str) -> bool {
+        upstream == self.0
+    }
+
+    fn weight(&self, _: &str) -> f64 {
+        1.0
+    }
+}
+
+// A far upstream has had no request for a second, as near ones come first everywhere. The next
+// request must go there, and only that one until its outcome can be known.
+#[test]
+fn pick_neglected() {
+    let mut picker = local(4, 8);
+    picker.refresh(&Neglected("u03"));
+    let mut pick = |now| picker.pick(now, &Request::default()).expect("room").upstream;
+    assert_eq!(pick(Duration::ZERO), "u03");
+    picker.refresh(&Neglected("u03"));
+    assert!(
+        (0..6)
+            .all(|_| picker.pick(Duration::ZERO, &Request::default()).expect("room").upstream
+                != "u03")
+    );
+    picker.refresh(&Neglected("u03"));
+    let later = picker.pick(Duration::from_secs(1), &Request::default()).expect("room");
+    assert_eq!(later.upstream, "u03");
+}
--- a/tests/suite/fleet_model/promise.rs
+++ b/tests/suite/fleet_model/promise.rs
@@ -14,6 +14,13 @@
     assert!(left >= 0.0, "{left:.2} below the floor: {what}");
 }
 
+// One of two sound upstreams of a service had no request for 2 s.
+#[test]
+fn floor_held_two_sound() {
+    let Margin { left, what } = World::run(Plan::restarts(48)).floor_margin();
+    assert!(left >= 0.0, "{left:.2} below the floor: {what}");
+}
+
 // A small change waited for a large one that was under way, over links that callers fill.
 #[rstest]
 fn change_in_force_on_full_links(#[values(8, 13, 25, 35)] seed: u64) {
