Ask for several parts of a change at once, and poll as soon as it is complete

Requests ran by an older configuration than one that was acknowledged 2 s before, where small changes followed large ones on links that callers fill.

Cause: parts of a change were asked for one by one, each a wait on the full link; a poll on its way when a change was complete said that nothing was to be offered, and the next one came half a second after its answer; and fixed timeouts of 350 ms gave up controls whose answers take 450 ms. Class: a fixed or serial wait for work whose length the link decides.

An acknowledgement that waits for entries was weighed and not needed for the margins.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -7,6 +7,7 @@
 //! [`transfer`].
 //! A control that has lost the leader says so, and the entry polls another one.
 
+mod answer_timer;
 mod capacity;
 mod control;
 mod doubt;
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -16,6 +16,7 @@
 use super::Selection;
 use super::Tallies;
 use super::Update;
+use super::answer_timer::AnswerTimer;
 use super::entry;
 use super::table_load::TableLoad;
 use super::transfer::ChangeId;
@@ -38,9 +39,6 @@
 /// Interval between two polls. A change must be in force within 2 s of its acknowledgement
 /// even if its push was lost, which leaves time for three polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest wait for the answer to a poll. Twenty times the round trip between failure domains
-/// with the smallest CPU share.
-const POLL_TIMEOUT: Duration = Duration::from_millis(350);
 /// How long a failed control is polled only after all others.
 const FAILURE_COOLDOWN: Duration = Duration::from_secs(3);
 /// Shortest interval between two polls that report broken answers. When many upstreams fail,
@@ -56,6 +54,7 @@
 /// Entry's side of the feed.
 #[derive(Clone, Debug)]
 pub struct Subscriber {
+    answer_timer: AnswerTimer,
     /// Services that a control asks about.
     asked: BTreeSet<ServiceId>,
     /// When this entry first heard of a newer configuration than the one held.
@@ -95,6 +94,7 @@
     /// Creates a subscriber that knows only its seeds.
     pub fn new(now: Moment, me: Entry, seeds: Vec<NodeId>, random: ChaCha8Rng) -> Self {
         Self {
+            answer_timer: AnswerTimer::default(),
             asked: BTreeSet::new(),
             behind_since: None,
             caught_up_after: Duration::ZERO,
@@ -138,8 +138,9 @@
 
     /// When the next [`Input::Tick`] is due.
     pub fn wake(&self) -> Moment {
-        let poll = self.in_flight.map_or(self.poll_at, |(_, at)| at + POLL_TIMEOUT);
-        self.download.as_ref().map_or(poll, |download| download.wake().min(poll))
+        let timeout = self.answer_timer.timeout();
+        let poll = self.in_flight.map_or(self.poll_at, |(_, at)| at + timeout);
+        self.download.as_ref().map_or(poll, |download| download.wake(timeout).min(poll))
     }
 
     /// Sets whether this entry accepts callers. A change is reported with an immediate poll.
@@ -216,6 +217,7 @@
         mut update: Box<Update>,
         outputs: &mut Vec<Output>,
     ) {
+        self.answer_timer.finish(now, update.sequence);
         let is_answer = self.in_flight.is_some_and(|(sequence, _)| sequence == update.sequence);
         if is_answer {
             self.in_flight = None;
@@ -316,12 +318,14 @@
 
     fn receive_part(&mut self, now: Moment, part: &Part, outputs: &mut Vec<Output>) {
         let Some(download) = &mut self.download else { return };
-        if !download.receive(now, part) {
+        if !download.receive(part) {
             self.download = None;
             self.poll_at = self.poll_at.min(now);
         } else if self.finish_download(now, outputs) {
-            // Newer changes were not offered meanwhile.
-            self.poll_at = self.poll_at.min(now);
+            // Newer changes were not offered meanwhile, nor will they be with the answer to a poll that
+            // is on its way.
+            self.in_flight = None;
+            self.poll_at = now;
         }
     }
 
@@ -360,8 +364,10 @@
             self.current = self.choose_control(now);
         }
         let Some(to) = self.current.clone() else { return };
-        let request = self.download.as_mut().and_then(|download| download.request(now));
-        outputs.extend(request.map(|request| Output::Send(to, Message::Request(request))));
+        let Some(download) = &mut self.download else { return };
+        while let Some(request) = download.request(now) {
+            outputs.push(Output::Send(to.clone(), Message::Request(request)));
+        }
     }
 
     /// Head of the configuration held.
@@ -390,8 +396,9 @@
     /// Turns to another control if the current one leaves a poll or a request unanswered.
     fn check_timeouts(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let poll = self.in_flight.map(|(_, at)| now.saturating_sub(at));
-        let poll = poll.filter(|waited| *waited >= POLL_TIMEOUT);
-        let part = self.download.as_mut().and_then(|download| download.give_up_part(now));
+        let timeout = self.answer_timer.timeout();
+        let poll = poll.filter(|waited| *waited >= timeout);
+        let part = self.download.as_mut().and_then(|download| download.give_up_part(now, timeout));
         let Some(waited) = poll.or(part) else { return };
         let silent = self.current.clone();
         outputs.extend(silent.map(|id| Output::Unanswered(id, waited)));
@@ -411,6 +418,7 @@
         };
         self.sequence += 1;
         self.in_flight = Some((self.sequence, now));
+        self.answer_timer.start(now, self.sequence);
         self.polled_at = now;
         let poll = Poll {
             configuration: self.head().filter(|_| !self.needs_document),
--- a/src/feed/transfer/change.rs
+++ b/src/feed/transfer/change.rs
@@ -21,7 +21,7 @@
 /// changes need no request.
 const START_BYTES: usize = 4 << 10;
 /// Bytes of a part, for which an urgent update may have to wait on a narrow link.
-const PART_BYTES: usize = 8 << 10;
+pub(super) const PART_BYTES: usize = 8 << 10;
 /// Most bytes of a decompressed change, so that damaged bytes can't exhaust memory. It is eight
 /// times the document expected in two years.
 const MAX_BYTES: u64 = 32 << 20;
--- a/src/feed/transfer/download.rs
+++ b/src/feed/transfer/download.rs
@@ -1,34 +1,50 @@
 //! Change that an entry receives in parts.
 
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::ChangeId;
 use super::Offer;
 use super::Part;
 use super::Request;
+use super::change::PART_BYTES;
 use crate::clock::Moment;
 
-/// Longest wait for a part. A part is small, so that a longer wait is a sign of a silent control;
-/// if the link is full, no more than one part is sent twice.
-const PART_TIMEOUT: Duration = Duration::from_millis(350);
+/// Parts that are requested before the first of them has arrived. One at a time, each would wait behind
+/// the callers' packets on a full link.
+const MAX_REQUESTED: usize = 8;
 
 /// Change that an entry receives in parts.
 #[derive(Clone, Debug)]
 pub struct Download {
+    /// Parts that arrived before one in front of them.
+    ahead: BTreeMap<usize, Vec<u8>>,
     bytes: Vec<u8>,
     change: ChangeId,
     /// When the next part is due to be requested.
     next_at: Moment,
+    /// Where the next part to request begins.
+    next_offset: usize,
     /// Bytes per second to receive at most; `None` for no limit.
     rate: Option<u64>,
-    requested_at: Option<Moment>,
+    /// Where the parts on their way begin, and when they were requested.
+    requested: VecDeque<(usize, Moment)>,
 }
 
 impl Download {
     /// Starts to receive an offered change, at most at `rate` bytes per second.
     pub fn new(now: Moment, offer: Offer, rate: Option<u64>) -> Self {
         let Offer { change, start } = offer;
-        Self { bytes: start, change, next_at: now, rate, requested_at: None }
+        Self {
+            ahead: BTreeMap::new(),
+            next_offset: start.len(),
+            bytes: start,
+            change,
+            next_at: now,
+            rate,
+            requested: VecDeque::new(),
+        }
     }
 
     /// The change.
@@ -41,38 +57,53 @@
         (self.bytes.len() >= self.change.size as usize).then_some(&self.bytes)
     }
 
-    /// When the next part has to be requested, or the wait for it ends.
-    pub fn wake(&self) -> Moment {
-        self.requested_at.map_or(self.next_at, |at| at + PART_TIMEOUT)
+    /// When the next part has to be requested, or the wait of `timeout` for one ends.
+    pub fn wake(&self, timeout: Duration) -> Moment {
+        let given_up_at = self.requested.front().map_or(Moment::MAX, |(_, at)| *at + timeout);
+        if self.can_request() { self.next_at.min(given_up_at) } else { given_up_at }
     }
 
-    /// Ends the wait for a part that does not arrive; returns how long it was.
-    pub fn give_up_part(&mut self, now: Moment) -> Option<Duration> {
-        let at = self.requested_at.filter(|at| now >= *at + PART_TIMEOUT)?;
-        self.requested_at = None;
+    /// Ends the wait for a part that does not arrive within `timeout`; returns how long it was. Parts
+    /// that are missing are requested anew.
+    pub fn give_up_part(&mut self, now: Moment, timeout: Duration) -> Option<Duration> {
+        let (_, at) = *self.requested.front().filter(|(_, at)| now >= *at + timeout)?;
+        self.requested.clear();
+        self.next_offset = self.bytes.len();
         self.next_at = now;
         Some(now.saturating_sub(at))
     }
 
     /// Requests the next part if it is due.
     pub fn request(&mut self, now: Moment) -> Option<Request> {
-        if self.requested_at.is_some() || now < self.next_at {
+        if now < self.next_at || !self.can_request() {
             return None;
         }
-        self.requested_at = Some(now);
-        Some(Request { change: self.change, offset: self.bytes.len() as u32 })
+        let offset = self.next_offset;
+        self.requested.push_back((offset, now));
+        self.next_offset += PART_BYTES;
+        let time = self.rate.map(|rate| PART_BYTES as f64 / rate.max(1) as f64);
+        self.next_at = now + Duration::from_secs_f64(time.unwrap_or_default());
+        Some(Request { change: self.change, offset: offset as u32 })
     }
 
     /// Receives a part; returns `false` if the control can't make this change.
-    pub fn receive(&mut self, now: Moment, part: &Part) -> bool {
-        if part.change != self.change || part.offset as usize != self.bytes.len() {
+    pub fn receive(&mut self, part: &Part) -> bool {
+        if part.change != self.change {
             return true;
         }
         let Some(bytes) = &part.bytes else { return false };
-        self.bytes.extend_from_slice(bytes);
-        let time = self.rate.map(|rate| bytes.len() as f64 / rate.max(1) as f64);
-        let requested_at = self.requested_at.take().unwrap_or(now);
-        self.next_at = now.max(requested_at + Duration::from_secs_f64(time.unwrap_or_default()));
+        let offset = part.offset as usize;
+        self.requested.retain(|(requested, _)| *requested != offset);
+        if offset >= self.bytes.len() {
+            self.ahead.insert(offset, bytes.clone());
+        }
+        while let Some(bytes) = self.ahead.remove(&self.bytes.len()) {
+            self.bytes.extend_from_slice(&bytes);
+        }
         true
     }
+
+    fn can_request(&self) -> bool {
+        self.requested.len() < MAX_REQUESTED && self.next_offset < self.change.size as usize
+    }
 }
