Judge the retry budget in the fleet model

The model decides on retries by the real policies, counts what arrives at each service beyond the first arrival of each request, and prints the least part of the budget that was left in a window. Its new plan fails most or all upstreams of a service for 4 to 10 s while entries are killed at once or in turn and lose paths.

--- a/tests/suite/fleet_model/judge.rs
+++ b/tests/suite/fleet_model/judge.rs
@@ -6,6 +6,9 @@
 use hemlockfield::clock::Moment;
 
 use super::plan::CALLERS_FROM;
+use super::process::RETRY_BURST;
+use super::process::RETRY_SHARE;
+use super::process::RETRY_WINDOW;
 use super::world::World;
 
 /// Share of the sound upstreams that get requests in any window.
@@ -53,6 +56,37 @@
         least
     }
 
+    /// Least part of the allowed further arrivals at a service that is left in any window. Allowed are a
+    /// share of the requests of this window, of the one before or of the one half a window before.
+    pub(super) fn budget_margin(&self) -> Margin {
+        let mut least = Margin { left: 1.0, what: String::new() };
+        let mut from = CALLERS_FROM;
+        while from < self.plan.end {
+            for service in 0..self.plan.services.len() {
+                let asked = |from: Moment| {
+                    let first = self.requests.partition_point(|request| request.sent_at < from);
+                    let last = self.requests.partition_point(|it| it.sent_at < from + RETRY_WINDOW);
+                    self.requests[first..last].iter().filter(|it| it.service == service).count()
+                };
+                let before = [Duration::ZERO, RETRY_WINDOW / 2, RETRY_WINDOW];
+                let most = before.iter().map(|it| asked(from.saturating_sub(*it))).max();
+                let allowed = RETRY_SHARE * most.unwrap_or_default() as f64 + RETRY_BURST;
+                let first = self.again.partition_point(|(at, _)| *at < from);
+                let last = self.again.partition_point(|(at, _)| *at < from + RETRY_WINDOW);
+                let again = self.again[first..last].iter().filter(|(_, of)| *of == service).count();
+                let left = 1.0 - again as f64 / allowed;
+                if left < least.left {
+                    let name = self.plan.services[service].name;
+                    let at = from.as_secs_f64();
+                    let what = format!("{again} of {allowed:.0} at {name} from {at:.1} s");
+                    least = Margin { left, what };
+                }
+            }
+            from += STEP;
+        }
+        least
+    }
+
     /// Share of a window's requests that are lost if all entries are killed at its end.
     fn lost_share(&self, service: usize, from: Moment) -> f64 {
         let to = from + WINDOW;
--- a/tests/suite/fleet_model/plan.rs
+++ b/tests/suite/fleet_model/plan.rs
@@ -35,6 +35,8 @@
 pub(super) enum Step {
     /// Some entries lose the path to some upstreams.
     Cut { entries: Vec<usize>, upstreams: Vec<usize>, until: Moment },
+    /// A share of a service's upstreams fails all requests.
+    Fail { service: usize, share: f64, until: Moment },
     /// An entry is killed and starts again.
     Kill { entry: usize, down: Duration },
     /// Callers fill the links of all entries, so that each message waits this long.
@@ -99,6 +101,44 @@
         Self { entries, end, link: WIDE_LINK, seed, services: vec![desk, archive], steps }
     }
 
+    /// Most upstreams of a service fail for some seconds, while entries are killed at once or one after
+    /// the other, and some lose the path to some upstreams.
+    pub(super) fn outages(seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let entries = random.random_range(3..=30);
+        let service = |name, rate, idempotent| Service {
+            idempotent,
+            name,
+            rate,
+            slots: 12,
+            upstreams: 16,
+            work: Duration::from_millis(60),
+        };
+        let services = vec![service("desk", 300.0, 1.0), service("archive", 200.0, 0.5)];
+        let mut steps = Vec::new();
+        for _ in 0..random.random_range(1..=2) {
+            let at = Duration::from_millis(random.random_range(12_000..22_000));
+            let until = at + Duration::from_millis(random.random_range(4_000..10_000));
+            let share = if random.random_bool(0.5) { 1.0 } else { random.random_range(0.5..1.0) };
+            steps.push((at, Step::Fail { service: 0, share, until }));
+            let gap = Duration::from_millis(random.random_range(0..400));
+            for time in 0..random.random_range(1..=2) {
+                let from = at + Duration::from_millis(random.random_range(500..2_500)) * (time + 1);
+                for entry in 0..entries {
+                    let down = Duration::from_millis(random.random_range(300..800));
+                    steps.push((from + gap * entry as u32, Step::Kill { entry, down }));
+                }
+            }
+        }
+        let at = Duration::from_millis(random.random_range(12_000..24_000));
+        let until = at + Duration::from_millis(random.random_range(2_000..8_000));
+        let cut_entries = (0..entries).choose_multiple(&mut random, entries / 3);
+        let cut_upstreams = (0..32).choose_multiple(&mut random, 16);
+        steps.push((at, Step::Cut { entries: cut_entries, upstreams: cut_upstreams, until }));
+        let end = Duration::from_secs(34);
+        Self { entries, end, link: WIDE_LINK, seed, services, steps }
+    }
+
     /// Operators add many routes and change small things at once, while callers fill narrow links.
     pub(super) fn changes(seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/tests/suite/fleet_model/process.rs
+++ b/tests/suite/fleet_model/process.rs
@@ -22,6 +22,8 @@
 use hemlockfield::quorum;
 use hemlockfield::quorum::Membership;
 use hemlockfield::reach;
+use hemlockfield::retry;
+use hemlockfield::retry::Limits;
 use hemlockfield::routing::Selector;
 use hemlockfield::storage::Log;
 use rand::SeedableRng;
@@ -29,6 +31,11 @@
 
 use super::world::address;
 
+/// What operators allow of further arrivals at a service, over a window.
+pub(super) const RETRY_SHARE: f64 = 0.2;
+pub(super) const RETRY_BURST: f64 = 62.0;
+pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
 const START_TIME: Epoch = Duration::from_secs(1_700_000_000);
 
 /// What a process is started with.
@@ -50,6 +57,7 @@
     log: Option<Log>,
     pub(super) monitor: reach::Monitor,
     pub(super) peers: reach::Peers,
+    policies: BTreeMap<ServiceId, retry::Policy>,
     seed: u64,
     selectors: BTreeMap<ServiceId, Selector>,
     setup: balance::Setup,
@@ -81,7 +89,7 @@
             is_entry: !is_control,
             is_first: start.is_first,
             peers: (!is_control).then(|| address(start.number)),
-            retry_window: Duration::from_secs(10),
+            retry_window: RETRY_WINDOW,
             room: Capacity::new(0.2, Some(megabits)),
             seed: start.seed,
             seeds: start.controls.to_vec(),
@@ -94,6 +102,7 @@
             log,
             monitor: reach::Monitor::new(random.clone()),
             peers: reach::Peers::new(random),
+            policies: BTreeMap::new(),
             seed: start.seed,
             selectors: BTreeMap::new(),
             setup: balance,
@@ -124,6 +133,17 @@
         others
     }
 
+    /// The retry policy of a service, with its part of the burst by the newest view.
+    pub(super) fn policy(&mut self, now: Moment, service: &ServiceId) -> &mut retry::Policy {
+        let part = self.view.services.get(service).map_or(0.0, |seen| seen.retry_part);
+        let seed = self.seed;
+        let create = || retry::Policy::new(ChaCha8Rng::seed_from_u64(seed));
+        let policy = self.policies.entry(service.clone()).or_insert_with(create);
+        policy.set_limits(Limits::per_entry(RETRY_SHARE, RETRY_BURST, RETRY_WINDOW, part));
+        policy.advance(now);
+        policy
+    }
+
     /// The choice among the upstreams of a service, by the newest view.
     pub(super) fn selector(&mut self, now: Moment, service: &ServiceId) -> Option<&mut Selector> {
         let seen = self.view.services.get(service)?;
--- a/tests/suite/fleet_model/promise.rs
+++ b/tests/suite/fleet_model/promise.rs
@@ -21,6 +21,13 @@
     assert!(left >= 0.0, "{left:.2} below the floor: {what}");
 }
 
+// Processes are killed, and callers move, while most upstreams of a service fail.
+#[rstest]
+fn budget_held_amid_kills(#[values(1, 3, 7, 17, 19)] seed: u64) {
+    let Margin { left, what } = World::run(Plan::outages(seed)).budget_margin();
+    assert!(left >= 0.0, "{left:.2} of the budget left: {what}");
+}
+
 // A small change waited for a large one that was under way, over links that callers fill.
 #[rstest]
 fn change_in_force_on_full_links(#[values(8, 13, 25, 35)] seed: u64) {
@@ -40,6 +47,9 @@
         for seed in (0..seeds).filter(|seed| seed % workers == worker) {
             let restarts = World::run(Plan::restarts(seed));
             results.push(("restarts", seed, restarts.floor_margin(), restarts.served(), 0.0));
+            results.push(("restarts, budget", seed, restarts.budget_margin(), 0.0, 0.0));
+            let outages = World::run(Plan::outages(seed));
+            results.push(("outages", seed, outages.budget_margin(), outages.served(), 0.0));
             let changes = World::run(Plan::changes(seed));
             let slowest = changes.slowest_acknowledgement();
             results.push(("changes", seed, changes.change_margin(), changes.served(), slowest));
@@ -51,7 +61,7 @@
         let threads: Vec<_> = (0..workers).map(|worker| scope.spawn(move || run(worker))).collect();
         threads.into_iter().for_each(|it| results.extend(it.join().expect("a run")));
     });
-    for plan in ["restarts", "changes"] {
+    for plan in ["restarts", "restarts, budget", "outages", "changes"] {
         let mut of_plan: Vec<_> = results.iter().filter(|it| it.0 == plan).collect();
         of_plan.sort_by(|a, b| a.2.left.total_cmp(&b.2.left));
         let broken = of_plan.iter().filter(|it| it.2.left < 0.0).count();
--- a/tests/suite/fleet_model/upstream.rs
+++ b/tests/suite/fleet_model/upstream.rs
@@ -41,6 +41,8 @@
     /// When it failed a request.
     pub(super) failures: Vec<Moment>,
     faults: Vec<(Moment, Moment, Fault)>,
+    /// From when and until when it fails all requests.
+    outage: Option<(Moment, Moment)>,
     pub(super) queue: VecDeque<usize>,
     pub(super) running: u32,
     slots: u32,
@@ -61,15 +63,25 @@
             arrivals: Vec::new(),
             failures: Vec::new(),
             faults,
+            outage: None,
             queue: VecDeque::new(),
             running: 0,
             slots,
         }
     }
 
+    /// Fails all requests from a time until another.
+    pub(super) fn fail(&mut self, from: Moment, until: Moment) {
+        self.outage = Some((from, until));
+    }
+
     /// Takes a request that arrives now.
     pub(super) fn take(&mut self, now: Moment, request: usize, random: &mut ChaCha8Rng) -> Taken {
         self.arrivals.push(now);
+        if self.outage.is_some_and(|(from, until)| from <= now && now < until) {
+            self.failures.push(now);
+            return Taken::Failed(Fault::Cuts);
+        }
         let current = self.faults.iter().find(|(from, to, _)| *from <= now && now < *to);
         if let Some((.., fault)) = current
             && random.random_bool(FAULT_SHARE)
--- a/tests/suite/fleet_model/world.rs
+++ b/tests/suite/fleet_model/world.rs
@@ -25,6 +25,8 @@
 use hemlockfield::reach::Check;
 use hemlockfield::registry;
 use hemlockfield::registry::Announcement;
+use hemlockfield::retry;
+use hemlockfield::retry::Decision;
 use hemlockfield::timeline::Stamp;
 use hemlockfield::wire::Envelope;
 use hemlockfield::wire::Frame;
@@ -81,6 +83,8 @@
 /// A request of a caller.
 #[derive(Clone, Debug)]
 pub(super) struct Request {
+    /// Upstreams that it arrived at.
+    arrivals: usize,
     avoid: Vec<usize>,
     /// When it ended, and whether it was served.
     pub(super) ended: Option<(Moment, bool)>,
@@ -124,6 +128,8 @@
 /// Runs a plan.
 pub(super) struct World {
     pub(super) acknowledged: Vec<Acknowledged>,
+    /// Arrivals beyond the first of their request, with the service.
+    pub(super) again: Vec<(Moment, usize)>,
     attempts: Vec<Attempt>,
     callers: Callers,
     cuts: Vec<Cut>,
@@ -206,6 +212,7 @@
         let link = || (Link::new(plan.link), Link::new(plan.link));
         Self {
             acknowledged: Vec::new(),
+            again: Vec::new(),
             attempts: Vec::new(),
             callers: Callers::new(),
             cuts: Vec::new(),
@@ -338,6 +345,15 @@
                 let upstreams = upstreams.into_iter().collect();
                 self.cuts.push(Cut { entries, from: self.now, until, upstreams });
             }
+            Step::Fail { service, share, until } => {
+                let now = self.now;
+                let of_service = self.services.iter().zip(&mut self.upstreams);
+                for (_, upstream) in of_service.filter(|(of, _)| **of == service) {
+                    if self.random.random_bool(share) {
+                        upstream.fail(now, until);
+                    }
+                }
+            }
             Step::Fill(wait) => {
                 self.links.iter_mut().skip(CONTROLS).for_each(|(down, _)| down.wait = wait);
             }
@@ -474,6 +490,7 @@
         };
         let entry = self.callers.choose(now, &mut self.random, &listed, accepts);
         self.requests.push(Request {
+            arrivals: 0,
             avoid: Vec::new(),
             ended: entry.is_none().then_some((now, false)),
             entry: entry.unwrap_or_default(),
@@ -524,6 +541,9 @@
         let pick = trial.or_else(|| selector.pick(now, &asked));
         let pick = pick.or_else(|| selector.pick(now, &balance::Request::default()));
         let Some(pick) = pick else { return self.lose(number) };
+        if is_first {
+            running.policy(now, &service).record_first(now - request.sent_at);
+        }
         self.requests[number].tries += 1;
         let upstream = upstream_number(&pick.upstream);
         let entry = request.entry;
@@ -559,7 +579,12 @@
 
     fn arrive(&mut self, number: usize) {
         let now = self.now;
-        let Attempt { entry, epoch, started, upstream, .. } = self.attempts[number];
+        let Attempt { entry, epoch, request, started, upstream, .. } = self.attempts[number];
+        let request = &mut self.requests[request];
+        request.arrivals += 1;
+        if request.arrivals > 1 {
+            self.again.push((now, request.service));
+        }
         if self.epochs[entry] == epoch {
             self.record_attempt(entry, started, &self.check(upstream), true);
         }
@@ -609,17 +634,40 @@
         if kind == Kind::ConnectFailed {
             self.record_attempt(entry, started, &check, false);
         }
+        let policy_service = check.service.clone();
         let Check { service, upstream: name } = check;
         self.observe(entry, Observation { is_trial, kind, latency, service, upstream: name });
-        let is_unsent = matches!(kind, Kind::ConnectFailed | Kind::Refused);
-        let request_state = &mut self.requests[request];
-        request_state.avoid.push(upstream);
-        let has_time = now + Duration::from_millis(300) < request_state.sent_at + DEADLINE;
-        let is_retried = is_unsent || (request_state.is_idempotent && kind == Kind::Cut);
-        match kind {
-            Kind::Success => request_state.ended = Some((now, true)),
-            _ if is_retried && has_time && request_state.tries < MAX_TRIES => self.attempt(request),
-            _ => self.lose(request),
+        self.requests[request].avoid.push(upstream);
+        let outcome = match kind {
+            Kind::Success => return self.requests[request].ended = Some((now, true)),
+            Kind::ConnectFailed => retry::Outcome::ConnectFailed,
+            Kind::Refused => retry::Outcome::RefusedNotRun,
+            Kind::Cut => retry::Outcome::Cut,
+            _ => retry::Outcome::Deadline,
+        };
+        let Request { arrivals, is_idempotent, sent_at, tries, .. } = self.requests[request];
+        let failed = retry::Attempt {
+            body_kept: true,
+            head_sent: false,
+            idempotent: is_idempotent,
+            limit: MAX_TRIES as u32,
+            outcome,
+            remaining: (sent_at + DEADLINE).saturating_sub(now),
+            sends: arrivals as u32,
+            sent: kind != Kind::ConnectFailed,
+            tries: tries as u32,
+        };
+        let Some(running) = &mut self.processes[entry] else { return };
+        let is_unreached = arrivals == 0 && running.monitor.is_lost(&policy_service);
+        let policy = running.policy(now, &policy_service);
+        if is_unreached {
+            policy.withdraw_first();
+            self.requests[request].tries = 0;
+            self.attempt(request);
+        } else if matches!(policy.decide(&failed), Decision::Again { .. }) {
+            self.attempt(request);
+        } else {
+            self.lose(request);
         }
     }
 
