Count arrivals at the upstreams of real processes against the retry budget

Real controls and entries, callers at a steady pace, upstreams that break every answer after four calm seconds, and record each arrival by request id.

--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -10,5 +10,6 @@
 mod platform;
 mod record;
 mod refusal;
+mod repeats;
 pub(crate) mod site;
 mod upload;
--- a/tests/suite/process/site.rs
+++ b/tests/suite/process/site.rs
@@ -34,6 +34,8 @@
     /// Limits of the entries, in the format of the settings.
     limits: &'static str,
     net: String,
+    /// Retry budget of the entries, in the format of the settings.
+    retry: &'static str,
 }
 
 impl Site {
@@ -41,7 +43,7 @@
         let number = NETS.fetch_add(1, Ordering::Relaxed) % 200;
         let net = format!("127.{}.{number}", 16 + std::process::id() % 200);
         let children = (0..CONTROLS + ENTRIES).map(|_| None).collect();
-        Self { children, folder: TempDir::new().unwrap(), limits, net }
+        Self { children, folder: TempDir::new().unwrap(), limits, net, retry: "{}" }
     }
 
     /// Starts the processes in this order.
@@ -56,6 +58,14 @@
         site
     }
 
+    /// Starts the processes in this order, the entries with this retry budget.
+    pub(crate) fn start_with_retries(retry: &'static str, order: &[usize]) -> Self {
+        let mut site = Self::new("{}");
+        site.retry = retry;
+        order.iter().for_each(|at| site.run(*at, true));
+        site
+    }
+
     pub(crate) fn ip(&self, at: usize) -> String {
         format!("{}.{}", self.net, at + 1)
     }
@@ -98,9 +108,10 @@
         } else {
             format!(
                 "listen: {{callers: \"{ip}:{FRONT}\", orders: [\"{ip}:{ORDERS}\"], links: \"{ip}:{LINKS}\", \
-                 peers: \"{ip}:{PEERS}\"}}\nlimits: {limits}\n\
+                 peers: \"{ip}:{PEERS}\"}}\nlimits: {limits}\nretry: {retry}\n\
                  shutdown: {{limit: 5500ms, notice: 500ms}}\n",
-                limits = self.limits
+                limits = self.limits,
+                retry = self.retry
             )
         };
         let file = self.folder.path().join(format!("settings-{at}.yaml"));
