--- a/src/breaker/group.rs
+++ b/src/breaker/group.rs
@@ -11,7 +11,7 @@
 use super::OutageHistory;
 use super::State;
 use super::member::Member;
-use crate::balance::Place;
+use crate::balance::Rank;
 use crate::clock::Moment;
 use crate::id::UpstreamId;
 
@@ -97,9 +97,9 @@
     }
 
     /// Sets the place of this entry among those that make trials of an upstream.
-    pub fn set_place(&mut self, upstream: &UpstreamId, place: Place) {
+    pub fn set_rank(&mut self, upstream: &UpstreamId, rank: Rank) {
         if let Some(member) = self.members.get_mut(upstream) {
-            member.place = place;
+            member.rank = rank;
         }
     }
 
--- a/src/breaker/member.rs
+++ b/src/breaker/member.rs
@@ -7,7 +7,7 @@
 use super::Counts;
 use super::OutageHistory;
 use super::State;
-use crate::balance::Place;
+use crate::balance::Rank;
 use crate::clock::Moment;
 
 /// Likelihood that an outage is over from which on idempotent requests make trials: they can be
@@ -28,11 +28,11 @@
 /// Longest time from a successful trial to the next one, while requests that may be lost are not yet
 /// used for trials.
 const NEXT_TRIAL_DELAY_MAX: Duration = Duration::from_secs(1);
-/// Time after which the next entry in line makes a trial. Other entries hear within it that one began.
+/// Time after which the next entry in the order makes a trial. Other entries hear within it that one began.
 const TURN_DELAY: Duration = Duration::from_millis(250);
 /// Turns after which all entries may make a trial: the first ones have no requests.
 const MAX_TURNS: u32 = 4;
-/// Time without an outcome of an upstream in use after which the first entry in line sends it a request,
+/// Time without an outcome of an upstream in use after which the first entry in the order sends it a request,
 /// and after which each other one does. Outcomes of other entries arrive up to a second late, and
 /// operators want most sound upstreams in use within any 2 s.
 const NEGLECT_DELAY: Duration = Duration::from_millis(800);
@@ -59,7 +59,7 @@
     pub(super) idempotent_from: Moment,
     /// When this entry last opened no connection for a trial.
     pub(super) missed_at: Option<Moment>,
-    pub(super) place: Place,
+    pub(super) rank: Rank,
     /// Failed trials since the breaker opened. Each is followed by that of another entry, as the
     /// path of one may be at fault.
     pub(super) round: u32,
@@ -83,7 +83,7 @@
             error_at: None,
             idempotent_from: Moment::MAX,
             missed_at: None,
-            place: Place::ALONE,
+            rank: Rank::ALONE,
             round: 0,
             slots,
             trial: None,
@@ -146,7 +146,7 @@
             0 => (self.idempotent_from, self.any_from),
             _ => (passed_at, self.any_from.clamp(passed_at, passed_at + NEXT_TRIAL_DELAY_MAX)),
         };
-        let delay = TURN_DELAY * self.place.turn(self.round).min(MAX_TURNS);
+        let delay = TURN_DELAY * self.rank.turn(self.round).min(MAX_TURNS);
         let begun_until = self.begun_at.map_or(Moment::ZERO, |at| at + TRIAL_TIMEOUT);
         let missed_until = self.missed_at.map_or(Moment::ZERO, |at| at + MISSED_DELAY);
         let held_until = begun_until.max(missed_until);
@@ -155,12 +155,12 @@
 
     /// Whether this entry is due to send a request to an upstream in use that has had none.
     pub(super) fn is_neglected(&self, now: Moment) -> bool {
-        let delay = NEGLECT_TURN_DELAY * self.place.turn(0).min(MAX_TURNS);
+        let delay = NEGLECT_TURN_DELAY * self.rank.turn(0).min(MAX_TURNS);
         let is_unused = self.used_at.is_none_or(|at| now >= at + NEGLECT_DELAY + delay);
         // Those that usually send it requests may be the ones that can't reach it.
         let is_unreached = self.unreached_at.is_some_and(|at| now >= at + delay);
         let is_closed = self.circuit.state() == State::Closed;
-        is_closed && self.place.is_in_line() && (is_unused || is_unreached)
+        is_closed && self.rank.is_listed() && (is_unused || is_unreached)
     }
 
     /// Whether a trial is due at this entry, and if so whether any request may make it.
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -12,6 +12,7 @@
 mod control;
 mod doubt;
 mod entry;
+mod failover;
 mod input;
 mod message;
 mod poll;
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -4,10 +4,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 
-use super::Control;
 use super::Entry;
 use super::Input;
 use super::Message;
@@ -18,6 +16,7 @@
 use super::Update;
 use super::answer_timer::AnswerTimer;
 use super::entry;
+use super::failover::Failover;
 use super::table_load::TableLoad;
 use super::transfer::ChangeId;
 use super::transfer::Download;
@@ -29,7 +28,6 @@
 use crate::config::Head;
 use crate::config::Version;
 use crate::fleet::State;
-use crate::id::DomainId;
 use crate::id::Index;
 use crate::id::NodeId;
 use crate::id::ServiceId;
@@ -39,8 +37,6 @@
 /// Interval between two polls. A change must be in force within 2 s of its acknowledgement
 /// even if its push was lost, which leaves time for three polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a failed control is polled only after all others.
-const FAILURE_COOLDOWN: Duration = Duration::from_secs(3);
 /// Shortest interval between two polls that report broken answers. When many upstreams fail,
 /// several reports share one poll.
 const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(30);
@@ -75,16 +71,12 @@
     /// Whether a change could not be applied, so that the whole document is needed.
     needs_document: bool,
     in_flight: Option<(u64, Moment)>,
-    controls: BTreeSet<Control>,
-    current: Option<NodeId>,
+    failover: Failover,
     poll_at: Moment,
-    failed_at: BTreeMap<NodeId, Moment>,
     fresh_at: Option<Moment>,
     known: Index,
     me: Entry,
     named_digest: u64,
-    random: ChaCha8Rng,
-    seeds: Vec<NodeId>,
     sequence: u64,
     tallies: Tallies,
     polled_at: Moment,
@@ -106,16 +98,12 @@
             has_upstreams: false,
             needs_document: false,
             in_flight: None,
-            controls: BTreeSet::new(),
-            current: None,
+            failover: Failover::new(me.domain.clone(), seeds, random),
             poll_at: now,
-            failed_at: BTreeMap::new(),
             fresh_at: None,
             known: 0,
             me,
             named_digest: 0,
-            random,
-            seeds,
             sequence: 0,
             tallies: Tallies::default(),
             polled_at: now,
@@ -182,7 +170,7 @@
 
     /// Replaces the seeds, which are polled along with the known controls.
     pub fn set_seeds(&mut self, seeds: Vec<NodeId>) {
-        self.seeds = seeds;
+        self.failover.set_seeds(seeds);
     }
 
     /// The upstreams that this entry follows.
@@ -192,7 +180,7 @@
 
     /// The control that is polled now.
     pub fn current(&self) -> Option<&NodeId> {
-        self.current.as_ref()
+        self.failover.current()
     }
 
     /// For how long this entry has known of a newer configuration than the one held.
@@ -230,15 +218,15 @@
         let is_stale = update.known < self.known;
         if update.fresh && !is_stale {
             self.fresh_at = Some(now);
-            self.failed_at.remove(from);
-        } else if self.current.as_ref() == Some(from) {
+            self.failover.mark_usable(from);
+        } else if self.failover.current() == Some(from) {
             // The control may be partitioned from the others, which carry on without it. The
             // delay keeps each entry from polling leaderless controls once per round trip.
             self.mark_failed(now);
             self.poll_at = now + RETRY_DELAY;
         }
         if !update.controls.is_empty() {
-            self.controls = update.controls.iter().cloned().collect();
+            self.failover.set_controls(&update.controls);
         }
         if !update.tallies.is_empty() {
             outputs.push(Output::Record(update.tallies.clone()));
@@ -247,7 +235,9 @@
             self.asked.clone_from(&update.doubted);
             outputs.push(Output::Ask(self.asked.clone()));
         }
-        self.prefer_local_control(now);
+        if self.in_flight.is_none() {
+            self.failover.prefer_local(now);
+        }
         if let Some(offer) = update.configuration.take() {
             self.receive_offer(now, offer, outputs);
         }
@@ -360,11 +350,8 @@
     }
 
     fn request_part_if_due(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.current.is_none() && self.download.is_some() {
-            self.current = self.choose_control(now);
-        }
-        let Some(to) = self.current.clone() else { return };
         let Some(download) = &mut self.download else { return };
+        let Some(to) = self.failover.choose(now) else { return };
         while let Some(request) = download.request(now) {
             outputs.push(Output::Send(to.clone(), Message::Request(request)));
         }
@@ -375,24 +362,6 @@
         self.configuration.as_ref().map(|(head, _)| *head)
     }
 
-    /// Drops a control in another failure domain once one in this domain is usable. Entries learn
-    /// the domains of controls only from the first update, and until then updates may cross
-    /// failure domains.
-    fn prefer_local_control(&mut self, now: Moment) {
-        let current = self.current.as_ref();
-        let is_local = |control: &&Control| control.domain == self.me.domain;
-        let local = self.controls.iter().filter(is_local);
-        let usable = |control: &&Control| !self.is_cooling_down(now, &control.id);
-        let is_remote = !local.clone().any(|control| Some(&control.id) == current);
-        if self.in_flight.is_none() && is_remote && local.clone().any(|control| usable(&control)) {
-            self.current = None;
-        }
-    }
-
-    fn is_cooling_down(&self, now: Moment, id: &NodeId) -> bool {
-        self.failed_at.get(id).is_some_and(|at| now < *at + FAILURE_COOLDOWN)
-    }
-
     /// Turns to another control if the current one leaves a poll or a request unanswered.
     fn check_timeouts(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let poll = self.in_flight.map(|(_, at)| now.saturating_sub(at));
@@ -400,7 +369,7 @@
         let poll = poll.filter(|waited| *waited >= timeout);
         let part = self.download.as_mut().and_then(|download| download.give_up_part(now, timeout));
         let Some(waited) = poll.or(part) else { return };
-        let silent = self.current.clone();
+        let silent = self.failover.current().cloned();
         outputs.extend(silent.map(|id| Output::Unanswered(id, waited)));
         self.mark_failed(now);
     }
@@ -409,10 +378,7 @@
         if self.in_flight.is_some() || now < self.poll_at {
             return;
         }
-        if self.current.is_none() {
-            self.current = self.choose_control(now);
-        }
-        let Some(to) = self.current.clone() else {
+        let Some(to) = self.failover.choose(now) else {
             self.poll_at = now + RETRY_DELAY;
             return;
         };
@@ -437,27 +403,6 @@
     fn mark_failed(&mut self, now: Moment) {
         self.in_flight = None;
         self.poll_at = now;
-        if let Some(control) = self.current.take() {
-            self.failed_at.insert(control, now);
-        }
-    }
-
-    /// Chooses the control to poll. One that has not failed recently comes first, then one in
-    /// the same failure domain, because answers would cross failure domains otherwise.
-    fn choose_control(&mut self, now: Moment) -> Option<NodeId> {
-        self.failed_at.retain(|_, at| now < *at + FAILURE_COOLDOWN);
-        let mut known: Vec<Control> = self.controls.iter().cloned().collect();
-        for id in &self.seeds {
-            if !known.iter().any(|control| control.id == *id) {
-                known.push(Control { domain: DomainId::default(), id: id.clone() });
-            }
-        }
-        let rank = |control: &Control| {
-            let failed = self.failed_at.get(&control.id).copied();
-            (failed, control.domain != self.me.domain)
-        };
-        let best = known.iter().map(rank).min()?;
-        let chosen = known.iter().filter(|control| rank(control) == best);
-        chosen.choose(&mut self.random).map(|control| control.id.clone())
+        self.failover.mark_failed(now);
     }
 }
--- a/src/node/feed_core/breakers.rs
+++ b/src/node/feed_core/breakers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::balance::Place;
+use crate::balance::Rank;
 use crate::breaker::Cause;
 use crate::breaker::Counts;
 use crate::breaker::Group;
@@ -120,9 +120,9 @@
     }
 
     /// Sets the place of this entry among those that make trials of an upstream.
-    pub(super) fn set_place(&mut self, service: &ServiceId, upstream: &UpstreamId, place: Place) {
+    pub(super) fn set_rank(&mut self, service: &ServiceId, upstream: &UpstreamId, rank: Rank) {
         if let Some(group) = self.groups.get_mut(service) {
-            group.set_place(upstream, place);
+            group.set_rank(upstream, rank);
         }
     }
 
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -102,7 +102,7 @@
 #[derive(Clone, Debug)]
 struct Known {
     announcement: Announcement,
-    place: balance::Place,
+    rank: balance::Rank,
     /// When this entry first learned of its incarnation.
     since: Moment,
 }
@@ -419,17 +419,17 @@
             // apply to this one.
             self.remove(&announcement.upstream);
         }
-        let place = self.listing.place(&self.id, &announcement);
+        let rank = self.listing.rank(&self.id, &announcement);
         self.upstreams.insert(
             announcement.upstream.clone(),
-            Known { announcement: announcement.clone(), place, since },
+            Known { announcement: announcement.clone(), rank, since },
         );
         self.is_dirty = true;
         let floor = self.floor(&announcement.service);
         if announcement.state == registry::State::Ready {
             let Announcement { service, slots, upstream, .. } = announcement;
             self.breakers.join(&service, upstream.clone(), slots, floor);
-            self.breakers.set_place(&service, &upstream, place);
+            self.breakers.set_rank(&service, &upstream, rank);
         } else {
             self.breakers.leave(&announcement.upstream);
         }
@@ -439,9 +439,9 @@
     fn update_places(&mut self) {
         for known in self.upstreams.values_mut() {
             let announcement = &known.announcement;
-            known.place = self.listing.place(&self.id, announcement);
+            known.rank = self.listing.rank(&self.id, announcement);
             let (service, upstream) = (&announcement.service, &announcement.upstream);
-            self.breakers.set_place(service, upstream, known.place);
+            self.breakers.set_rank(service, upstream, known.rank);
         }
     }
 
--- a/src/node/feed_core/listing.rs
+++ b/src/node/feed_core/listing.rs
@@ -39,10 +39,10 @@
         self.entries.iter().any(|entry| entry.id == *id)
     }
 
-    /// Place of process `me` in the line of the entries for an upstream.
-    pub(super) fn place(&self, me: &NodeId, announcement: &Announcement) -> balance::Place {
+    /// Rank of process `me` among the entries for an upstream.
+    pub(super) fn rank(&self, me: &NodeId, announcement: &Announcement) -> balance::Rank {
         let entries = self.entries.iter().map(|entry| (&entry.id, &entry.domain));
-        balance::Place::of(me, entries, &announcement.upstream, &announcement.domain)
+        balance::Rank::of(me, entries, &announcement.upstream, &announcement.domain)
     }
 
     /// Whether a view has this listing.
--- a/tests/suite/breaker/group.rs
+++ b/tests/suite/breaker/group.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hemlockfield::balance::Place;
+use hemlockfield::balance::Rank;
 use hemlockfield::breaker::Counts;
 use hemlockfield::breaker::Group;
 use hemlockfield::breaker::State;
@@ -234,9 +234,9 @@
 }
 
 /// A group that knows of requests at all upstreams but one.
-fn group_with_idle(place: Place, idle: usize) -> Group {
+fn group_with_idle(rank: Rank, idle: usize) -> Group {
     let mut group = group(0.5);
-    (0..COUNT).for_each(|at| group.set_place(&name(at), place));
+    (0..COUNT).for_each(|at| group.set_rank(&name(at), rank));
     for round in 0..10 {
         for at in (0..COUNT).filter(|at| *at != idle || round == 0) {
             group.record(ms(round * 200), &name(at), &outcome(Kind::Success));
@@ -249,7 +249,7 @@
 // as it is in use, and nobody sent it a request for seconds.
 #[test]
 fn neglected_idle() {
-    let group = group_with_idle(Place::ALONE, 5);
+    let group = group_with_idle(Rank::ALONE, 5);
     assert!(group.neglected(ms(700)).is_empty());
     assert_eq!(group.neglected(ms(1_900)), [name(5)].into());
 }
@@ -259,7 +259,7 @@
 #[test]
 fn neglected_few_requests() {
     let mut group = group(0.5);
-    (0..COUNT).for_each(|at| group.set_place(&name(at), Place::ALONE));
+    (0..COUNT).for_each(|at| group.set_rank(&name(at), Rank::ALONE));
     group.record(ms(0), &name(1), &outcome(Kind::Success));
     assert!(group.neglected(ms(2_000)).is_empty());
 }
@@ -267,6 +267,6 @@
 // An entry that callers are not told of gets few requests, and leaves idle upstreams to the others.
 #[test]
 fn neglected_outside_of_line() {
-    let group = group_with_idle(Place::default(), 5);
+    let group = group_with_idle(Rank::default(), 5);
     assert!(group.neglected(ms(1_900)).is_empty());
 }
--- a/tests/suite/breaker/non_idempotent.rs
+++ b/tests/suite/breaker/non_idempotent.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use hemlockfield::balance::Place;
+use hemlockfield::balance::Rank;
 use hemlockfield::breaker::Counts;
 use hemlockfield::breaker::Group;
 use hemlockfield::health::Kind;
@@ -48,11 +48,11 @@
     compact_str::format_compact!("desk-{at:02}")
 }
 
-/// Place of an entry in the line for an upstream; callers are told of all entries.
-fn place(entry: usize, upstream: usize) -> Place {
+/// Rank of an entry for an upstream; callers are told of all entries.
+fn rank(entry: usize, upstream: usize) -> Rank {
     let ids: Vec<NodeId> = (0..ENTRIES).map(|at| compact_str::format_compact!("e{at}")).collect();
     let domain = DomainId::default();
-    Place::of(&ids[entry], ids.iter().map(|id| (id, &domain)), &name(upstream), &domain)
+    Rank::of(&ids[entry], ids.iter().map(|id| (id, &domain)), &name(upstream), &domain)
 }
 
 /// Share of upstreams with a weak link that leaves about eight sound ones.
@@ -101,7 +101,7 @@
         let group = |at| {
             let mut group = Group::new(0.5);
             (0..UPSTREAMS).for_each(|at| group.join(name(at), 3));
-            (0..UPSTREAMS).for_each(|it| group.set_place(&name(it), place(at as usize, it)));
+            (0..UPSTREAMS).for_each(|it| group.set_rank(&name(it), rank(at as usize, it)));
             group
         };
         Self {
--- a/tests/suite/breaker/outage_history.rs
+++ b/tests/suite/breaker/outage_history.rs
@@ -1,6 +1,6 @@
 //! Tests of when trials begin, given the duration of past outages.
 
-use hemlockfield::balance::Place;
+use hemlockfield::balance::Rank;
 use hemlockfield::breaker::Counts;
 use hemlockfield::breaker::Group;
 use hemlockfield::breaker::OutageHistory;
@@ -119,12 +119,12 @@
     let domain = DomainId::default();
     let ids: Vec<NodeId> = (0..3).map(|at| compact_str::format_compact!("e{at}")).collect();
     let upstream: UpstreamId = "hull-1".into();
-    let place = |id| Place::of(id, ids.iter().map(|it| (it, &domain)), &upstream, &domain);
-    let place = ids.iter().map(place).find(|place| place.turn(0) == rank as u32).expect("a place");
+    let rank_of = |id| Rank::of(id, ids.iter().map(|it| (it, &domain)), &upstream, &domain);
+    let rank = ids.iter().map(rank_of).find(|it| it.turn(0) == rank as u32).expect("a rank");
     let mut group = Group::new(0.5);
     group.join(upstream.clone(), 4);
     group.join("hull-2".into(), 4);
-    group.set_place(&upstream, place);
+    group.set_rank(&upstream, rank);
     group.record(ms(0), &upstream, &outcome(Kind::Cut));
     group
 }
@@ -138,7 +138,7 @@
 }
 
 // An entry without requests lets its trial lapse, and an upstream had none for seconds. The next
-// entry in line must take over soon, and all before the upstream must have had a request.
+// entry in the order must take over soon, and all before the upstream must have had a request.
 #[rstest]
 #[case::first(0, 3_000)]
 #[case::second(1, 3_250)]
@@ -147,7 +147,7 @@
     assert_eq!(first_trial(&mut group_at(rank), 0), Some(due));
 }
 
-// Two entries made the same trial, and both lost a request. Told that one began, the next in line
+// Two entries made the same trial, and both lost a request. Told that one began, the next in the order
 // must wait for its outcome; if none comes, as the entry was killed, it must take over.
 #[test]
 fn trials_begun_elsewhere() {
@@ -169,7 +169,7 @@
     assert_eq!(first_trial(&mut group, 3_410), Some(3_410));
 }
 
-// The first entry in line lost a request by its trial, perhaps because of its own path. The next
+// The first entry in the order lost a request by its trial, perhaps because of its own path. The next
 // trial must be that of the second one.
 #[test]
 fn trials_next_round() {
