--- a/src/feed/failover.rs
+++ b/src/feed/failover.rs
@@ -82,7 +82,7 @@
         let current = self.current.as_ref();
         let local = || self.controls.iter().filter(|control| control.domain == self.domain);
         let is_local = local().any(|control| Some(&control.id) == current);
-        let is_usable = |id| !self.failed_at.get(id).is_some_and(|at| now < *at + FAILURE_COOLDOWN);
+        let is_usable = |id| self.failed_at.get(id).is_none_or(|at| now >= *at + FAILURE_COOLDOWN);
         if !is_local && local().any(|control| is_usable(&control.id)) {
             self.current = None;
         }
