--- a/src/breaker/group.rs
+++ b/src/breaker/group.rs
@@ -96,7 +96,7 @@
         self.members.entry(upstream).or_insert(member).slots = slots;
     }
 
-    /// Sets the place of this entry among those that make trials of an upstream.
+    /// Sets the rank of this entry among those that make trials of an upstream.
     pub fn set_rank(&mut self, upstream: &UpstreamId, rank: Rank) {
         if let Some(member) = self.members.get_mut(upstream) {
             member.rank = rank;
--- a/src/breaker/member.rs
+++ b/src/breaker/member.rs
@@ -28,7 +28,7 @@
 /// Longest time from a successful trial to the next one, while requests that may be lost are not yet
 /// used for trials.
 const NEXT_TRIAL_DELAY_MAX: Duration = Duration::from_secs(1);
-/// Time after which the next entry in the order makes a trial. Other entries hear within it that one began.
+/// Time after which the next entry in the order makes a trial. Others hear within it that one began.
 const TURN_DELAY: Duration = Duration::from_millis(250);
 /// Turns after which all entries may make a trial: the first ones have no requests.
 const MAX_TURNS: u32 = 4;
@@ -43,6 +43,7 @@
 /// How long a trial of which no outcome is known holds back others. One that hangs is known as
 /// overdue by then; of one whose entry was killed nothing follows.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(1200);
+
 /// The circuit breaker of one upstream in its service, with the trials that this entry makes of it.
 #[derive(Clone, Debug)]
 pub(super) struct Member {
--- a/src/node/feed_core/breakers.rs
+++ b/src/node/feed_core/breakers.rs
@@ -119,7 +119,7 @@
         self.leave(upstream);
     }
 
-    /// Sets the place of this entry among those that make trials of an upstream.
+    /// Sets the rank of this entry among those that make trials of an upstream.
     pub(super) fn set_rank(&mut self, service: &ServiceId, upstream: &UpstreamId, rank: Rank) {
         if let Some(group) = self.groups.get_mut(service) {
             group.set_rank(upstream, rank);
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -332,7 +332,7 @@
                 feed::Output::Advertise(entries) => {
                     self.listing = Listing::new(&self.id, &entries, self.listing.is_settled);
                     self.is_dirty = true;
-                    self.update_places();
+                    self.update_ranks();
                 }
                 feed::Output::Record(tallies) => self.record_others(now, &tallies, outputs),
                 feed::Output::Send(to, message) => {
@@ -435,8 +435,8 @@
         }
     }
 
-    /// Updates the places of this entry after the entries that callers are told of have changed.
-    fn update_places(&mut self) {
+    /// Updates the ranks of this entry after the entries that callers are told of have changed.
+    fn update_ranks(&mut self) {
         for known in self.upstreams.values_mut() {
             let announcement = &known.announcement;
             known.rank = self.listing.rank(&self.id, announcement);
