Wait 1.6 s before an upstream in use counts as neglected; say what that still costs

Cause: entries hear of each other's outcomes up to a second late, so at 116 entries most upstreams seemed neglected after 0.8 s and got requests past the choice by cost.

--- a/src/breaker/member.rs
+++ b/src/breaker/member.rs
@@ -35,7 +35,7 @@
 /// Time without an outcome of an upstream in use after which the first entry in the order sends it a request,
 /// and after which each other one does. Outcomes of other entries arrive up to a second late, and
 /// operators want most sound upstreams in use within any 2 s.
-const NEGLECT_DELAY: Duration = Duration::from_millis(800);
+const NEGLECT_DELAY: Duration = Duration::from_millis(1600);
 const NEGLECT_TURN_DELAY: Duration = Duration::from_millis(150);
 /// How long an entry that opened no connection for a trial leaves trials to the others, whose paths
 /// may be there.
