--- a/src/balance/pick.rs
+++ b/src/balance/pick.rs
@@ -6,6 +6,8 @@
 pub struct Pick {
     /// Connections that this entry may hold to the upstream, idle ones included.
     pub connections: u32,
+    /// Whether it was chosen because it had had no request for some time, and not by its cost.
+    pub is_directed: bool,
     /// Must be passed to [`crate::balance::Picker::finish`], whatever the outcome.
     pub ticket: Ticket,
     /// Upstream.
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -129,10 +129,13 @@
     /// are full.
     pub fn pick(&mut self, now: Moment, request: &Request<'_>) -> Option<Pick> {
         self.working_set.record_in_flight(now, self.near_in_flight() + 1);
-        let directed = self.explore(now, request).or_else(|| self.neglected(now, request));
-        if let Some(position) = directed {
+        if let Some(position) = self.explore(now, request) {
             return Some(self.begin(now, position, request.is_long));
         }
+        if let Some(position) = self.neglected(now, request) {
+            let pick = self.begin(now, position, request.is_long);
+            return Some(Pick { is_directed: true, ..pick });
+        }
         let total = self.gather_candidates(now, request);
         let first = self.draw(total)?;
         let second = self.draw(total)?;
@@ -155,6 +158,7 @@
         load.begin(request, now, is_long);
         Pick {
             connections: load.connection_cap(),
+            is_directed: false,
             ticket: Ticket { member: load.number(), request, since: now },
             upstream: load.member().upstream.clone(),
         }
--- a/src/node/traffic/reservation.rs
+++ b/src/node/traffic/reservation.rs
@@ -39,6 +39,9 @@
         request: &Request<'_>,
     ) -> Option<Self> {
         let pick = service.pick(proxy.now(), view, request)?;
+        if pick.is_directed {
+            proxy.metrics.count("request.directed");
+        }
         Self::at(proxy, service, view, pick)
     }
 
