--- a/tests/suite/fleet_model/judge.rs
+++ b/tests/suite/fleet_model/judge.rs
@@ -112,7 +112,8 @@
             let is_reached = busy.iter().any(|entry| !self.was_cut(*entry, *number, from, to));
             let failures = &self.upstreams[*number].failures;
             let has_failed = within(failures, from.saturating_sub(SOUND_AFTER));
-            self.services[*number] == service && is_reached && !has_failed
+            let is_there = self.upstreams[*number].born_at <= from;
+            self.services[*number] == service && is_there && is_reached && !has_failed
         };
         let sound: Vec<usize> = (0..self.upstreams.len()).filter(is_sound).collect();
         let is_used = |number: &&usize| within(&self.upstreams[**number].arrivals, from);
--- a/tests/suite/fleet_model/plan.rs
+++ b/tests/suite/fleet_model/plan.rs
@@ -35,8 +35,10 @@
 pub(super) enum Step {
     /// Some entries lose the path to some upstreams.
     Cut { entries: Vec<usize>, upstreams: Vec<usize>, until: Moment },
-    /// A share of a service's upstreams fails all requests.
-    Fail { service: usize, share: f64, until: Moment },
+    /// Upstreams of a service start, and are slow for some time.
+    Add { service: usize, count: usize, cold: Duration },
+    /// A share of a service's upstreams fails requests, each with the probability `loss`.
+    Fail { service: usize, share: f64, loss: f64, until: Moment },
     /// An entry is killed and starts again.
     Kill { entry: usize, down: Duration },
     /// Callers fill the links of all entries, so that each message waits this long.
@@ -120,7 +122,7 @@
             let at = Duration::from_millis(random.random_range(12_000..22_000));
             let until = at + Duration::from_millis(random.random_range(4_000..10_000));
             let share = if random.random_bool(0.5) { 1.0 } else { random.random_range(0.5..1.0) };
-            steps.push((at, Step::Fail { service: 0, share, until }));
+            steps.push((at, Step::Fail { service: 0, share, loss: 1.0, until }));
             let gap = Duration::from_millis(random.random_range(0..400));
             for time in 0..random.random_range(1..=2) {
                 let from = at + Duration::from_millis(random.random_range(500..2_500)) * (time + 1);
@@ -139,6 +141,68 @@
         Self { entries, end, link: WIDE_LINK, seed, services, steps }
     }
 
+    /// Requests that take long, at upstreams with room for two to three times as many.
+    pub(super) fn long_work(seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let entries = random.random_range(24..=40);
+        let service = |name, upstreams, rate, idempotent| Service {
+            idempotent,
+            name,
+            rate,
+            slots: 6,
+            upstreams,
+            work: Duration::from_millis(650),
+        };
+        let services = vec![service("desk", 85, 265.0, 0.3), service("archive", 14, 45.0, 0.0)];
+        let end = Duration::from_secs(20);
+        Self { entries, end, link: WIDE_LINK, seed, services, steps: Vec::new() }
+    }
+
+    /// A third as many upstreams are added at once, cold.
+    pub(super) fn additions(seed: u64) -> Self {
+        let mut plan = Self::short_work(seed);
+        let cold = Duration::from_secs(4);
+        plan.steps.push((Duration::from_secs(12), Step::Add { service: 0, count: 20, cold }));
+        plan.end = Duration::from_secs(22);
+        plan
+    }
+
+    /// Most upstreams of a service fail two requests in five, while most entries are killed at once.
+    pub(super) fn scarce(seed: u64) -> Self {
+        let mut plan = Self::short_work(seed);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let until = Duration::from_secs(22);
+        let loss = random.random_range(0.3..0.6);
+        let share = random.random_range(0.6..0.9);
+        let fail = Step::Fail { service: 0, share, loss, until };
+        plan.steps.push((Duration::from_secs(8), fail));
+        let killed = plan.entries * 7 / 10;
+        for entry in (0..plan.entries).choose_multiple(&mut random, killed) {
+            let down = Duration::from_millis(random.random_range(300..800));
+            plan.steps.push((Duration::from_secs(14), Step::Kill { entry, down }));
+        }
+        plan.steps.sort_by_key(|(at, _)| *at);
+        plan.end = Duration::from_secs(26);
+        plan
+    }
+
+    /// Two services at two fifths of what their upstreams can serve.
+    fn short_work(seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let entries = random.random_range(24..=40);
+        let service = |name, upstreams, rate, idempotent| Service {
+            idempotent,
+            name,
+            rate,
+            slots: 3,
+            upstreams,
+            work: Duration::from_millis(260),
+        };
+        let services = vec![service("desk", 60, 300.0, 0.3), service("archive", 12, 60.0, 0.0)];
+        let end = Duration::from_secs(20);
+        Self { entries, end, link: WIDE_LINK, seed, services, steps: Vec::new() }
+    }
+
     /// Operators add many routes and change small things at once, while callers fill narrow links.
     pub(super) fn changes(seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/tests/suite/fleet_model/promise.rs
+++ b/tests/suite/fleet_model/promise.rs
@@ -21,6 +21,34 @@
     assert!(left >= 0.0, "{left:.2} below the floor: {what}");
 }
 
+// Two entries that stood first for an upstream had lost the path to it, or had no callers.
+#[rstest]
+fn floor_held_amid_lost_paths(#[values(6, 31, 53)] seed: u64) {
+    let Margin { left, what } = World::run(Plan::restarts(seed)).floor_margin();
+    assert!(left >= 0.0, "{left:.2} below the floor: {what}");
+}
+
+// A quarter of the requests was lost while a third of the sound upstreams had none for 2 s.
+#[rstest]
+fn floor_held_most_out(#[values(0, 6)] seed: u64) {
+    let Margin { left, what } = World::run(Plan::scarce(seed)).floor_margin();
+    assert!(left >= 0.0, "{left:.2} below the floor: {what}");
+}
+
+// Upstreams that had just started got the requests of all entries at once, and were cold.
+#[test]
+fn floor_held_amid_additions() {
+    let Margin { left, what } = World::run(Plan::additions(5)).floor_margin();
+    assert!(left >= 0.0, "{left:.2} below the floor: {what}");
+}
+
+// Work took longer than what others sent was waited for, so every upstream seemed to have nothing.
+#[test]
+fn floor_held_long_work() {
+    let Margin { left, what } = World::run(Plan::long_work(0)).floor_margin();
+    assert!(left >= 0.0, "{left:.2} below the floor: {what}");
+}
+
 // Processes are killed, and callers move, while most upstreams of a service fail.
 #[rstest]
 fn budget_held_amid_kills(#[values(1, 3, 7, 17, 19)] seed: u64) {
@@ -47,6 +75,14 @@
         for seed in (0..seeds).filter(|seed| seed % workers == worker) {
             let restarts = World::run(Plan::restarts(seed));
             results.push(("restarts", seed, restarts.floor_margin(), restarts.served(), 0.0));
+            for (name, plan) in [
+                ("long work", Plan::long_work(seed)),
+                ("additions", Plan::additions(seed)),
+                ("scarce", Plan::scarce(seed)),
+            ] {
+                let world = World::run(plan);
+                results.push((name, seed, world.floor_margin(), world.served(), 0.0));
+            }
             results.push(("restarts, budget", seed, restarts.budget_margin(), 0.0, 0.0));
             let outages = World::run(Plan::outages(seed));
             results.push(("outages", seed, outages.budget_margin(), outages.served(), 0.0));
@@ -61,7 +97,9 @@
         let threads: Vec<_> = (0..workers).map(|worker| scope.spawn(move || run(worker))).collect();
         threads.into_iter().for_each(|it| results.extend(it.join().expect("a run")));
     });
-    for plan in ["restarts", "restarts, budget", "outages", "changes"] {
+    let plans =
+        ["restarts", "long work", "additions", "scarce", "restarts, budget", "outages", "changes"];
+    for plan in plans {
         let mut of_plan: Vec<_> = results.iter().filter(|it| it.0 == plan).collect();
         of_plan.sort_by(|a, b| a.2.left.total_cmp(&b.2.left));
         let broken = of_plan.iter().filter(|it| it.2.left < 0.0).count();
--- a/tests/suite/fleet_model/upstream.rs
+++ b/tests/suite/fleet_model/upstream.rs
@@ -41,8 +41,12 @@
     /// When it failed a request.
     pub(super) failures: Vec<Moment>,
     faults: Vec<(Moment, Moment, Fault)>,
-    /// From when and until when it fails all requests.
-    outage: Option<(Moment, Moment)>,
+    /// When it started.
+    pub(super) born_at: Moment,
+    /// Until when its work takes longer.
+    pub(super) cold_until: Moment,
+    /// From when and until when it fails a share of all requests.
+    outage: Option<(Moment, Moment, f64)>,
     pub(super) queue: VecDeque<usize>,
     pub(super) running: u32,
     slots: u32,
@@ -61,6 +65,8 @@
         }
         Self {
             arrivals: Vec::new(),
+            born_at: Moment::ZERO,
+            cold_until: Moment::ZERO,
             failures: Vec::new(),
             faults,
             outage: None,
@@ -70,15 +76,19 @@
         }
     }
 
-    /// Fails all requests from a time until another.
-    pub(super) fn fail(&mut self, from: Moment, until: Moment) {
-        self.outage = Some((from, until));
+    /// Fails a share of all requests from a time until another.
+    pub(super) fn fail(&mut self, from: Moment, until: Moment, loss: f64) {
+        self.outage = Some((from, until, loss));
     }
 
     /// Takes a request that arrives now.
     pub(super) fn take(&mut self, now: Moment, request: usize, random: &mut ChaCha8Rng) -> Taken {
         self.arrivals.push(now);
-        if self.outage.is_some_and(|(from, until)| from <= now && now < until) {
+        if let Some((from, until, loss)) = self.outage
+            && from <= now
+            && now < until
+            && random.random_bool(loss)
+        {
             self.failures.push(now);
             return Taken::Failed(Fault::Cuts);
         }
--- a/tests/suite/fleet_model/world.rs
+++ b/tests/suite/fleet_model/world.rs
@@ -62,6 +62,8 @@
 /// Requests of a kind that one request in a hundred is, and how much longer they take.
 const SLOW_SHARE: f64 = 0.01;
 const SLOW_FACTOR: f64 = 5.0;
+/// How much longer work takes at an upstream that has just started.
+const COLD_FACTOR: f64 = 3.0;
 /// Longest time that an entry has for its requests when it is told to leave.
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -305,27 +307,42 @@
         }
         self.at(self.now + Duration::from_millis(500), Event::Announce);
         for number in 0..self.upstreams.len() {
-            let service = &self.plan.services[self.services[number]];
-            let announcement = Announcement {
-                address: address(CONTROLS + self.plan.entries + number),
-                connections: 390,
-                domain: DOMAINS[number % DOMAINS.len()].into(),
-                incarnation: 1,
-                lease: Duration::from_secs(3_600),
-                service: service.name.into(),
-                slots: service.slots,
-                state: registry::State::Ready,
-                upstream: upstream_name(number),
-                warm_up: Duration::ZERO,
-            };
-            let change = catalog::Change { announcement, sequence: 1 };
-            self.input(0, Input::Catalog(number as u64, Action::Announce(change)));
+            self.announce_upstream(number, Duration::ZERO);
         }
         if self.acknowledged.is_empty() {
             self.submit(10);
         }
     }
 
+    fn announce_upstream(&mut self, number: usize, warm_up: Duration) {
+        let service = &self.plan.services[self.services[number]];
+        let announcement = Announcement {
+            address: address(CONTROLS + self.plan.entries + number),
+            connections: 390,
+            domain: DOMAINS[number % DOMAINS.len()].into(),
+            incarnation: 1,
+            lease: Duration::from_secs(3_600),
+            service: service.name.into(),
+            slots: service.slots,
+            state: registry::State::Ready,
+            upstream: upstream_name(number),
+            warm_up,
+        };
+        let change = catalog::Change { announcement, sequence: 1 };
+        self.input(0, Input::Catalog(number as u64, Action::Announce(change)));
+    }
+
+    /// Starts an upstream that is slow for some time.
+    fn add_upstream(&mut self, service: usize, cold: Duration) {
+        let slots = self.plan.services[service].slots;
+        let mut upstream = Upstream::new(slots, self.plan.end, &mut self.random);
+        upstream.born_at = self.now;
+        upstream.cold_until = self.now + cold;
+        self.upstreams.push(upstream);
+        self.services.push(service);
+        self.announce_upstream(self.upstreams.len() - 1, cold);
+    }
+
     /// Submits a configuration to a control.
     fn submit(&mut self, routes: usize) {
         self.version += 1;
@@ -345,12 +362,15 @@
                 let upstreams = upstreams.into_iter().collect();
                 self.cuts.push(Cut { entries, from: self.now, until, upstreams });
             }
-            Step::Fail { service, share, until } => {
+            Step::Add { service, count, cold } => {
+                (0..count).for_each(|_| self.add_upstream(service, cold));
+            }
+            Step::Fail { service, share, loss, until } => {
                 let now = self.now;
                 let of_service = self.services.iter().zip(&mut self.upstreams);
                 for (_, upstream) in of_service.filter(|(of, _)| **of == service) {
                     if self.random.random_bool(share) {
-                        upstream.fail(now, until);
+                        upstream.fail(now, until, loss);
                     }
                 }
             }
@@ -602,7 +622,9 @@
     fn work(&mut self, attempt: usize) {
         let service = self.services[self.attempts[attempt].upstream];
         let mean = self.plan.services[service].work;
+        let is_cold = self.now < self.upstreams[self.attempts[attempt].upstream].cold_until;
         let factor = if self.random.random_bool(SLOW_SHARE) { SLOW_FACTOR } else { 1.0 };
+        let factor = if is_cold { COLD_FACTOR * factor } else { factor };
         let time = mean.mul_f64(factor * self.random.random_range(0.5..1.5));
         self.at(self.now + time, Event::Done(attempt));
     }
