Have few entries keep an upstream in use, each by the requests it sent itself

Cause: an upstream counted as neglected 1.6 s after an entry had heard of an outcome. Work takes 0.45 to 0.73 s there, and what other entries count arrives up to 1.5 s later; a full upstream refuses, which is no outcome at all. So upstreams seemed neglected all the time; 0.6 s later every entry of the line was due, and each sent its requests to the first one of the same list. Some got 40 requests a second where the mean is 4, filled, refused, and seemed neglected still.

Change: the first entry of an upstream's line has a duty to it and counts the requests that it sent itself: one at the latest each 1.3 s. The second one has it too, each 1.6 s, where few outcomes are known, none for 0.8 s, or an entry lost the path; the third and fourth where none is known for 1.2 s. At most every second request is directed, to the one owed for longest, and none where an entry gets too few for its duties. A trial whose upstream has no room no longer keeps the other trials that are due from being made.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,12 +14,14 @@
 
 mod completion;
 mod coverage;
+mod duty;
 mod health;
 mod limit;
 mod load;
 mod member;
 mod owner;
 mod pick;
+mod pick_rate;
 mod picker;
 mod rank;
 mod report;
@@ -32,6 +34,7 @@
 
 pub use completion::Completion;
 pub use coverage::Coverage;
+pub use duty::Duty;
 pub use health::Health;
 pub use limit::Limit;
 pub use member::Member;
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -1,10 +1,11 @@
+use crate::balance::Duty;
 use crate::health::Monitor;
 
 /// Health of upstreams as the balancer needs it.
 pub trait Health {
-    /// Whether this entry is due to send an upstream a request, as no entry has for some time.
-    fn is_neglected(&self, _upstream: &str) -> bool {
-        false
+    /// Duty of this entry to send an upstream a request in time.
+    fn duty(&self, _upstream: &str) -> Option<Duty> {
+        None
     }
 
     /// Whether an upstream gets requests only where no other has room.
--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::balance::Completion;
+use crate::balance::Duty;
 use crate::balance::Member;
 use crate::balance::Report;
 use crate::balance::Setup;
@@ -14,11 +15,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Load {
     sharing_entries: f64,
+    /// Duty of this entry to send it a request in time, and since when.
+    duty: Option<(Duty, Moment)>,
     full_until: Moment,
     health: f64,
     is_near: bool,
-    /// Whether this entry is due to send it a request, as no entry has for some time.
-    is_neglected: bool,
     is_suspect: bool,
     /// Whether it started recently and this entry has sent it no request yet.
     is_untried: bool,
@@ -73,18 +74,16 @@
     const REFUSAL_COST: f64 = 5.0;
     /// Age at which a refusal has lost two thirds of its weight, as bursts are short.
     const REFUSAL_DECAY: Duration = Duration::from_secs(5);
-    /// Shortest time after a request of this entry from which on it may count as neglected.
-    const NEGLECT_MIN: Duration = Duration::from_millis(800);
     /// Age at which a reported load has lost two thirds of its weight.
     const REPORT_DECAY: Duration = Duration::from_millis(250);
 
     pub(crate) fn new(number: u64, rank: u64, is_near: bool, member: Member) -> Self {
         Self {
             sharing_entries: 1.0,
+            duty: None,
             full_until: Moment::ZERO,
             health: 1.0,
             is_near,
-            is_neglected: false,
             is_suspect: false,
             is_untried: false,
             latency: None,
@@ -105,7 +104,6 @@
 
     pub(crate) fn begin(&mut self, request: u64, now: Moment, is_long: bool) {
         self.is_untried = false;
-        self.is_neglected = false;
         self.used_at = Some(now);
         if let Some(throttle) = &mut self.throttle {
             throttle.take(now);
@@ -262,16 +260,25 @@
         self.sharing_entries = sharing_entries;
     }
 
-    /// Whether this entry is due to send it a request. The outcome of one that it has just sent is not
-    /// known yet.
-    pub(crate) fn is_neglected(&self, now: Moment) -> bool {
-        let is_in_use = self.used_at.is_some_and(|at| now < at + Self::NEGLECT_MIN);
-        self.is_neglected && !is_in_use
+    /// When this entry has to have sent it another request; `None` without a duty.
+    pub(crate) fn due_at(&self) -> Option<Moment> {
+        let (duty, since) = self.duty?;
+        Some(self.used_at.unwrap_or(since) + duty.interval())
     }
 
-    /// Sets whether this entry is due to send it a request.
-    pub(crate) fn set_neglected(&mut self, is_neglected: bool) {
-        self.is_neglected = is_neglected;
+    /// Duty of this entry to send it a request in time.
+    pub(crate) fn duty(&self) -> Option<Duty> {
+        self.duty.map(|(duty, _)| duty)
+    }
+
+    /// Sets the duty of this entry from `now` on. The second entry has none at an upstream that is slow
+    /// or starting, where each request costs more.
+    pub(crate) fn set_duty(&mut self, now: Moment, duty: Option<Duty>) {
+        let is_costly =
+            self.health < 1.0 || matches!(self.member.state, crate::balance::State::Warm { .. });
+        let duty = duty.filter(|duty| *duty == Duty::First || !is_costly);
+        let since = self.duty.map_or(now, |(_, since)| since);
+        self.duty = duty.map(|duty| (duty, since));
     }
 
     /// Sets whether it gets requests only where no sound upstream has room.
--- a/src/balance/rank.rs
+++ b/src/balance/rank.rs
@@ -44,6 +44,11 @@
         self.before < self.count
     }
 
+    /// Entries before this one; `None` if callers are not told of it.
+    pub fn place(self) -> Option<u32> {
+        self.is_listed().then_some(self.before)
+    }
+
     /// Entries before this one after `round` entries have had their turn.
     pub fn turn(self, round: u32) -> u32 {
         if !self.is_listed() {
--- a/src/bench/balance/picked.rs
+++ b/src/bench/balance/picked.rs
@@ -35,8 +35,8 @@
         self.chooser.pick(now, avoid)
     }
 
-    fn tick(&mut self, _now: Moment) -> Vec<(Option<usize>, Digest)> {
-        self.chooser.picker.refresh(&AllSound);
+    fn tick(&mut self, now: Moment) -> Vec<(Option<usize>, Digest)> {
+        self.chooser.picker.refresh(now, &AllSound);
         Vec::new()
     }
 }
--- a/src/bench/health/entry.rs
+++ b/src/bench/health/entry.rs
@@ -120,13 +120,13 @@
                     judge.handle(now, Input::Pending { ages, upstream });
                 }
                 let outputs = judge.handle(now, Input::Tick);
-                self.chooser.picker.refresh(judge.as_ref());
+                self.chooser.picker.refresh(now, judge.as_ref());
                 self.route(outputs)
             }
             Detection::None => Vec::new(),
             Detection::Simple { out, .. } => {
                 out.now = now;
-                self.chooser.picker.refresh(out);
+                self.chooser.picker.refresh(now, out);
                 Vec::new()
             }
         }
--- a/src/breaker/group.rs
+++ b/src/breaker/group.rs
@@ -11,13 +11,11 @@
 use super::OutageHistory;
 use super::State;
 use super::member::Member;
+use crate::balance::Duty;
 use crate::balance::Rank;
 use crate::clock::Moment;
 use crate::id::UpstreamId;
 
-/// Known requests for each upstream of a service, within the window of outcomes, from which on there
-/// are enough for all upstreams.
-const REQUESTS_PER_UPSTREAM_MIN: usize = 2;
 /// Factor over the mean latency of the median upstream above which an upstream is slow. Sound
 /// ones differ by less, even when some are busy.
 const SLOW_FACTOR: f64 = 2.2;
@@ -127,11 +125,10 @@
     pub fn record(&mut self, now: Moment, upstream: &UpstreamId, counts: &Counts) -> bool {
         self.detect_overload(now, upstream, counts);
         self.record_error_series(now, upstream, counts);
-        let changed = self.update(now, upstream, counts, |circuit| circuit.record(now, counts));
         if let Some(member) = self.members.get_mut(upstream).filter(|_| counts.unreached > 0) {
-            member.unreached_at.get_or_insert(now);
+            member.unreached_at = Some(now);
         }
-        changed
+        self.update(now, upstream, counts, |circuit| circuit.record(now, counts))
     }
 
     /// Whether other entries recently got complete answers, and lost no more than this one saw.
@@ -185,7 +182,6 @@
         let Some(member) = self.members.get_mut(upstream) else { return false };
         if counts.ended() > 0 {
             member.used_at = Some(now);
-            member.unreached_at = None;
         }
         let before = member.circuit.state();
         member.circuit.set_opens_on_error(self.errors.is_recurring());
@@ -268,15 +264,10 @@
         self.unclosed().map(|(id, _)| id).filter(|id| !ejected.contains(id)).cloned().collect()
     }
 
-    /// Upstreams in use that no entry is known to have sent a request to for some time, where this entry
-    /// is due to send one. None where the service gets too few requests for that.
-    pub fn neglected(&self, now: Moment) -> BTreeSet<UpstreamId> {
-        let ended = self.members.values().map(|member| member.circuit.recent().ended() as usize);
-        if ended.sum::<usize>() < REQUESTS_PER_UPSTREAM_MIN * self.members.len() {
-            return BTreeSet::new();
-        }
-        let due = self.members.iter().filter(|(_, member)| member.is_neglected(now));
-        due.map(|(id, _)| id.clone()).collect()
+    /// Upstreams to which this entry has to send requests in time while they are in use.
+    pub fn duties(&self, now: Moment) -> BTreeMap<UpstreamId, Duty> {
+        let duties = self.members.iter().filter_map(|(id, member)| Some((id, member.duty(now)?)));
+        duties.map(|(id, duty)| (id.clone(), duty)).collect()
     }
 
     /// Upstreams of which no outcome was recorded for `span`.
--- a/src/breaker/member.rs
+++ b/src/breaker/member.rs
@@ -7,6 +7,7 @@
 use super::Counts;
 use super::OutageHistory;
 use super::State;
+use crate::balance::Duty;
 use crate::balance::Rank;
 use crate::clock::Moment;
 
@@ -32,11 +33,18 @@
 const TURN_DELAY: Duration = Duration::from_millis(250);
 /// Turns after which all entries may make a trial: the first ones have no requests.
 const MAX_TURNS: u32 = 4;
-/// Time without an outcome of an upstream in use after which the first entry in the order sends it a request,
-/// and after which each other one does. Outcomes of other entries arrive up to a second late, and
-/// operators want most sound upstreams in use within any 2 s.
-const NEGLECT_DELAY: Duration = Duration::from_millis(1600);
-const NEGLECT_TURN_DELAY: Duration = Duration::from_millis(150);
+/// Known requests of an upstream within the window of outcomes from which on it gets enough of all
+/// entries together.
+const BUSY_REQUESTS: u32 = 5;
+/// Time without an outcome after which the second entry sees to it that an upstream gets requests, and
+/// after which the ones behind it do. Outcomes of other entries arrive up to 1.5 s late.
+const QUIET_DELAY: Duration = Duration::from_millis(800);
+const LONG_QUIET_DELAY: Duration = Duration::from_millis(1200);
+/// How long a connection that another entry could not open shows that those who usually send to an
+/// upstream may have lost the path.
+const UNREACHED_AGE: Duration = Duration::from_secs(3);
+/// Entries that see to it that an upstream gets requests. If all did, they would fill it.
+const DUTY_PLACES: u32 = 4;
 /// How long an entry that opened no connection for a trial leaves trials to the others, whose paths
 /// may be there.
 const MISSED_DELAY: Duration = Duration::from_secs(2);
@@ -67,7 +75,7 @@
     pub(super) slots: u32,
     /// The trial that is due at this entry.
     pub(super) trial: Option<u64>,
-    /// When another entry opened no connection to it, if no outcome was recorded since.
+    /// When another entry last opened no connection to it.
     pub(super) unreached_at: Option<Moment>,
     /// When an outcome of a request to it was last recorded, of any entry.
     pub(super) used_at: Option<Moment>,
@@ -154,14 +162,17 @@
         (idempotent.max(held_until) + delay, any.max(held_until) + delay)
     }
 
-    /// Whether this entry is due to send a request to an upstream in use that has had none.
-    pub(super) fn is_neglected(&self, now: Moment) -> bool {
-        let delay = NEGLECT_TURN_DELAY * self.rank.turn(0).min(MAX_TURNS);
-        let is_unused = self.used_at.is_none_or(|at| now >= at + NEGLECT_DELAY + delay);
-        // Those that usually send it requests may be the ones that can't reach it.
-        let is_unreached = self.unreached_at.is_some_and(|at| now >= at + delay);
-        let is_closed = self.circuit.state() == State::Closed;
-        is_closed && self.rank.is_listed() && (is_unused || is_unreached)
+    /// Duty of this entry to send it requests in time while it is in use.
+    pub(super) fn duty(&self, now: Moment) -> Option<Duty> {
+        let is_quiet = |delay| self.used_at.is_none_or(|at| now >= at + delay);
+        let is_unreached = self.unreached_at.is_some_and(|at| now < at + UNREACHED_AGE);
+        let is_busy = self.circuit.recent().ended() >= BUSY_REQUESTS;
+        let is_needed = match self.rank.place().filter(|place| *place < DUTY_PLACES)? {
+            0 => return Some(Duty::First),
+            1 => !is_busy || is_unreached || is_quiet(QUIET_DELAY),
+            _ => is_unreached || is_quiet(LONG_QUIET_DELAY),
+        };
+        is_needed.then_some(Duty::Second)
     }
 
     /// Whether a trial is due at this entry, and if so whether any request may make it.
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -558,7 +558,7 @@
             service.weights = group.weights().into_iter().collect();
             service.trials = group.trials();
             service.suspects = group.suspects();
-            service.neglected = group.neglected(now);
+            service.duties = group.duties(now);
             service.update_state(!service.suspects.is_empty());
         }
         services
--- a/src/routing/selector.rs
+++ b/src/routing/selector.rs
@@ -70,7 +70,7 @@
             self.picker.set_members(&service.members);
             self.members.clone_from(&service.members);
         }
-        self.picker.refresh(service);
+        self.picker.refresh(now, service);
         self.picker.set_rates(now, |upstream| Some(service.limits.get(upstream)?.rate));
         self.set_trials(&service.trials);
         self.slots = slots(service);
@@ -97,9 +97,13 @@
         // With upstreams to spare, a request that may be lost is not needed to find one more.
         let has_spare = self.picker.has_spare();
         let accepts = |trial: &&Trial| is_repeatable || (trial.allows_any && !has_spare);
-        let trial = service.trials.iter().filter(accepts).find(is_unsent)?;
-        let pick = self.picker.pick_only(now, &trial.upstream, false)?;
-        self.sent_trials.insert(trial.number);
+        let trials = service.trials.iter().filter(accepts).filter(is_unsent);
+        let mut picks = trials.filter_map(|trial| {
+            let pick = self.picker.pick_only(now, &trial.upstream, false)?;
+            Some((trial.number, pick))
+        });
+        let (number, pick) = picks.next()?;
+        self.sent_trials.insert(number);
         Some(pick)
     }
 
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -1,5 +1,6 @@
 //! The upstreams of one service, as an entry's traffic threads see them.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -25,6 +26,8 @@
     pub coverage: balance::Coverage,
     /// Addresses of its upstreams.
     pub addresses: HashMap<UpstreamId, SocketAddr>,
+    /// Upstreams to which this entry has to send requests in time.
+    pub duties: BTreeMap<UpstreamId, balance::Duty>,
     /// Number of entries that share the upstreams.
     pub entries: usize,
     /// Number of entries that follow the same upstream.
@@ -33,8 +36,6 @@
     pub limits: HashMap<UpstreamId, Limit>,
     /// Upstreams as candidates of the load balancer.
     pub members: Vec<balance::Member>,
-    /// Upstreams in use that no entry has sent a request to for some time, where this one is due to.
-    pub neglected: BTreeSet<UpstreamId>,
     /// This entry's part of the burst of retries.
     pub retry_part: f64,
     /// State of the service, which rules may match on.
@@ -69,7 +70,7 @@
             && self.addresses == before.addresses
             && self.limits == before.limits
             && self.suspects == before.suspects
-            && self.neglected == before.neglected
+            && self.duties == before.duties
             && self.trials == before.trials
             && self.weights == before.weights
             && self.coverage == before.coverage
@@ -80,8 +81,8 @@
 }
 
 impl balance::Health for Service {
-    fn is_neglected(&self, upstream: &str) -> bool {
-        self.neglected.contains(upstream)
+    fn duty(&self, upstream: &str) -> Option<balance::Duty> {
+        self.duties.get(upstream).copied()
     }
 
     fn is_suspect(&self, upstream: &str) -> bool {
