Give trials the time that the share of upstreams that are out allows, and pass on the turn of a lost one

Cause: a trial comes at the latest 3 s after the last failure and holds the others for 1.2 s. Where its entry is killed, the first one in line has its turn again, so the next comes 4.45 s after the failure, and the promise ends after 4 s.

Change: a trial without an outcome for 1 s passes the turn on; the second trial after a success comes within 0.4 s. The bound of the first one follows from the share that is out. Up to three in ten, less three upstreams, all of them may be idle: 5 s. Up to half: 3 s, as before. Beyond: 2.1 s, which leaves time for a second one: 0.15 s until all know of the failure, 2.1 s, 0.25 s until the entry has a request, 0.1 s until all know of the trial, 1 s, 0.25 s until the next has a request: 3.85 s of 4.

--- a/src/breaker/group.rs
+++ b/src/breaker/group.rs
@@ -11,11 +11,20 @@
 use super::OutageHistory;
 use super::State;
 use super::member::Member;
+use super::member::TRIAL_DELAY_MAX;
+use super::member::TRIAL_DELAY_MAX_FEW;
+use super::member::TRIAL_DELAY_MAX_MOST;
 use crate::balance::Duty;
 use crate::balance::Rank;
 use crate::clock::Moment;
 use crate::id::UpstreamId;
 
+/// Share of the upstreams that may be out and idle, as operators want seven in ten sound ones in use,
+/// and how many of these may be others that get no request by chance.
+const IDLE_SHARE_MAX: f64 = 0.3;
+const IDLE_BY_CHANCE: f64 = 3.0;
+/// Share of the upstreams above which most are out.
+const MOST: f64 = 0.5;
 /// Factor over the mean latency of the median upstream above which an upstream is slow. Sound
 /// ones differ by less, even when some are busy.
 const SLOW_FACTOR: f64 = 2.2;
@@ -205,7 +214,9 @@
     /// Advances all breakers and schedules trials; returns whether anything changed.
     pub fn tick(&mut self, now: Moment) -> bool {
         let mut changed = false;
+        let delay_max = self.trial_delay_max();
         for member in self.members.values_mut() {
+            member.delay_max = delay_max;
             let before = member.circuit.state();
             member.circuit.tick(now);
             let after = member.circuit.state();
@@ -229,6 +240,16 @@
         changed
     }
 
+    /// Longest time from the last failure of an upstream until any request may make a trial of it.
+    fn trial_delay_max(&self) -> Duration {
+        let (out, all) = (self.unclosed().count() as f64, self.members.len() as f64);
+        match out {
+            _ if out <= IDLE_SHARE_MAX * all - IDLE_BY_CHANCE => TRIAL_DELAY_MAX_FEW,
+            _ if out > MOST * all => TRIAL_DELAY_MAX_MOST,
+            _ => TRIAL_DELAY_MAX,
+        }
+    }
+
     /// When [`Self::tick`] is next needed.
     pub fn wake(&self) -> Option<Moment> {
         let due = |member: &Member| match member.circuit.state() {
--- a/src/breaker/member.rs
+++ b/src/breaker/member.rs
@@ -22,13 +22,17 @@
 /// Likelihood that an outage is over from which on any request may make trials.
 const TRIAL_LIKELIHOOD: f64 = 0.5;
 /// Bounds of the time from the last failure until any request may make a trial. Operators count an
-/// upstream as sound 2 s after its last failure, and the upper one leaves it another second until it
-/// must have had a request.
+/// upstream as sound 2 s after its last failure, whatever it does, and as idle without a request in
+/// the 2 s after that. Each trial of a faulty one loses a request.
 const TRIAL_DELAY_MIN: Duration = Duration::from_secs(1);
-const TRIAL_DELAY_MAX: Duration = Duration::from_secs(3);
+pub(super) const TRIAL_DELAY_MAX: Duration = Duration::from_secs(3);
+/// The upper bound where so few are out that all of them may be idle.
+pub(super) const TRIAL_DELAY_MAX_FEW: Duration = Duration::from_secs(5);
+/// The upper bound where most are out. It leaves time for a second trial if the first one is lost.
+pub(super) const TRIAL_DELAY_MAX_MOST: Duration = Duration::from_millis(2100);
 /// Longest time from a successful trial to the next one, while requests that may be lost are not yet
 /// used for trials.
-const NEXT_TRIAL_DELAY_MAX: Duration = Duration::from_secs(1);
+const NEXT_TRIAL_DELAY_MAX: Duration = Duration::from_millis(400);
 /// Time after which the next entry in the order makes a trial. Others hear within it that one began.
 const TURN_DELAY: Duration = Duration::from_millis(250);
 /// Turns after which all entries may make a trial: the first ones have no requests.
@@ -50,7 +54,7 @@
 const MISSED_DELAY: Duration = Duration::from_secs(2);
 /// How long a trial of which no outcome is known holds back others. One that hangs is known as
 /// overdue by then; of one whose entry was killed nothing follows.
-const TRIAL_TIMEOUT: Duration = Duration::from_millis(1200);
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The circuit breaker of one upstream in its service, with the trials that this entry makes of it.
 #[derive(Clone, Debug)]
@@ -62,6 +66,8 @@
     /// When a trial began of which no outcome is known.
     pub(super) begun_at: Option<Moment>,
     pub(super) circuit: Circuit,
+    /// Longest time from the last failure until any request may make a trial.
+    pub(super) delay_max: Duration,
     /// Time of the last answer if it was an error that followed no other.
     pub(super) error_at: Option<Moment>,
     /// When idempotent requests may make trials, at the entry whose turn is first.
@@ -89,6 +95,7 @@
             any_from: Moment::MAX,
             begun_at: None,
             circuit: Circuit::default(),
+            delay_max: TRIAL_DELAY_MAX,
             error_at: None,
             idempotent_from: Moment::MAX,
             missed_at: None,
@@ -110,6 +117,7 @@
         after: State,
     ) {
         if counts.begun > 0 {
+            self.round += u32::from(self.begun_at.is_some());
             self.begun_at = Some(now);
             self.trial = None;
         }
@@ -138,11 +146,11 @@
             // Nothing is lost with a connection that does not open, and the path of one entry may be
             // all that is cut.
             Cause::Unreached => failed_at,
-            _ => over_at(TRIAL_LIKELIHOOD).unwrap_or(failed_at + TRIAL_DELAY_MAX),
+            _ => over_at(TRIAL_LIKELIHOOD).unwrap_or(Moment::MAX),
         };
         self.idempotent_from =
             idempotent.min(failed_at + IDEMPOTENT_DELAY_MAX).max(now + IDEMPOTENT_DELAY_MIN);
-        self.any_from = any.clamp(failed_at + TRIAL_DELAY_MIN, failed_at + TRIAL_DELAY_MAX);
+        self.any_from = any.max(failed_at + TRIAL_DELAY_MIN);
     }
 
     /// When idempotent requests of this entry, and when any of them, may make the next trial.
@@ -151,11 +159,15 @@
             return (Moment::MAX, Moment::MAX);
         };
         let passed_at = self.circuit.passed_at();
+        let (_, failed_at) = self.circuit.outage();
+        let any_from = self.any_from.min(failed_at + self.delay_max);
         let (idempotent, any) = match passed {
-            0 => (self.idempotent_from, self.any_from),
-            _ => (passed_at, self.any_from.clamp(passed_at, passed_at + NEXT_TRIAL_DELAY_MAX)),
+            0 => (self.idempotent_from, any_from),
+            _ => (passed_at, any_from.clamp(passed_at, passed_at + NEXT_TRIAL_DELAY_MAX)),
         };
-        let delay = TURN_DELAY * self.rank.turn(self.round).min(MAX_TURNS);
+        // The entry whose trial has no outcome yet had its turn, and may be killed.
+        let round = self.round + u32::from(self.begun_at.is_some());
+        let delay = TURN_DELAY * self.rank.turn(round).min(MAX_TURNS);
         let begun_until = self.begun_at.map_or(Moment::ZERO, |at| at + TRIAL_TIMEOUT);
         let missed_until = self.missed_at.map_or(Moment::ZERO, |at| at + MISSED_DELAY);
         let held_until = begun_until.max(missed_until);
