--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -11,5 +11,6 @@
 mod record;
 mod refusal;
 mod repeats;
+mod rest;
 pub(crate) mod site;
 mod upload;
