Leave an upstream alone that asked this entry for rest, or said that it leaves

What upstreams saw: one that asked an entry for 3 s of rest got up to 364 requests from two entries meanwhile, and one that said that it leaves got all of its work until the table said so too.

Cause: nobody read `Retry-After` of an upstream, nor `Server-Leaving`. Class: a signal of backpressure that nobody reads, as with limits before. The same elsewhere: our own `x-draining` was read in answers that were relayed, and dropped by entries that subscribe to a feed.

Change: the boundary reads all three from the head of any answer (balance::Backpressure). The entry that got it is bound at once, by its own clock: such an upstream has no room (balance::Hold), whichever way would choose it, also after its connection was opened; apart from the table, which may drop an upstream and name it again. After a rest it gets one request at a time at first. If all rest, callers are refused at once with the time until the first has rested and some spread; others than those usually used are taken before that. One that leaves goes from breakers and floor too. An entry that passes a request on is told by the one that serves it. A rest has an upper bound of 300 s; what is no time, negative or no number is none; of two the longest counts. Our own stand-in for an upstream no longer asks for rest when it is only full.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -12,10 +12,12 @@
 //! taken. This costs a fraction of a microsecond and does not make all entries pick the same
 //! upstream. `docs/design/balance.md` has the figures and the alternatives considered.
 
+mod backpressure;
 mod completion;
 mod coverage;
 mod duty;
 mod health;
+mod hold;
 mod limit;
 mod load;
 mod member;
@@ -32,6 +34,7 @@
 mod throttle;
 mod working_set;
 
+pub use backpressure::Backpressure;
 pub use completion::Completion;
 pub use coverage::Coverage;
 pub use duty::Duty;
--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -6,6 +6,7 @@
 use crate::balance::Report;
 use crate::balance::Setup;
 use crate::balance::Ticket;
+use crate::balance::hold::Hold;
 use crate::balance::throttle::Throttle;
 use crate::clock::Moment;
 use crate::health::Kind;
@@ -19,6 +20,8 @@
     duty: Option<(Duty, Moment)>,
     full_until: Moment,
     health: f64,
+    /// What it asked this entry for.
+    hold: Hold,
     is_near: bool,
     is_suspect: bool,
     /// Whether it started recently and this entry has sent it no request yet.
@@ -83,6 +86,7 @@
             duty: None,
             full_until: Moment::ZERO,
             health: 1.0,
+            hold: Hold::default(),
             is_near,
             is_suspect: false,
             is_untried: false,
@@ -170,7 +174,25 @@
     pub(crate) fn has_room(&self, now: Moment) -> bool {
         let cap = self.limit.min(f64::from(self.connection_cap()));
         let has_token = self.throttle.is_none_or(|throttle| throttle.has_token(now));
-        has_token && now >= self.full_until && (self.in_flight() as f64) < cap.max(1.0).floor()
+        let is_held = self.hold.is_on(now, self.member.incarnation);
+        !is_held
+            && has_token
+            && now >= self.full_until
+            && (self.in_flight() as f64) < cap.max(1.0).floor()
+    }
+
+    /// Sets what it asked this entry for. After a rest it gets one request at a time at first: all that
+    /// wait would be too many at once.
+    pub(crate) fn set_hold(&mut self, hold: Hold) {
+        if hold.rests_until() > self.hold.rests_until() {
+            self.limit = 1.0;
+        }
+        self.hold = hold;
+    }
+
+    /// Until when it rests.
+    pub(crate) fn rests_until(&self) -> Moment {
+        self.hold.rests_until()
     }
 
     /// Sets the requests per second that this entry may send; `None` for no limit.
@@ -214,7 +236,9 @@
 
     /// Whether it may get requests at all.
     pub(crate) fn is_usable(&self) -> bool {
-        self.health > 0.0 && self.member.state != crate::balance::State::Draining
+        let is_leaving = self.member.state == crate::balance::State::Draining
+            || self.hold.is_leaving(self.member.incarnation);
+        self.health > 0.0 && !is_leaving
     }
 
     pub(crate) fn latency(&self) -> Option<f64> {
--- a/src/balance/member.rs
+++ b/src/balance/member.rs
@@ -12,6 +12,9 @@
     pub connections: u32,
     /// Failure domain that it runs in.
     pub domain: DomainId,
+    /// Start of its process; a later one is another process with the same name.
+    #[serde(default)]
+    pub incarnation: u64,
     /// Requests that it runs at once; zero counts as one.
     pub slots: u32,
     /// Lifecycle state.
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -13,6 +13,7 @@
 use crate::balance::Request;
 use crate::balance::Setup;
 use crate::balance::Ticket;
+use crate::balance::hold::Holds;
 use crate::balance::load::Load;
 use crate::balance::load::Record;
 use crate::balance::pick_rate::PickRate;
@@ -37,6 +38,7 @@
     near: Vec<usize>,
     near_slots: f64,
     coverage: Coverage,
+    holds: Holds,
     /// Upstreams that this entry has a duty to.
     duties: Vec<usize>,
     /// Requests per second that its duties as the first entry need at most.
@@ -89,6 +91,7 @@
             near: Vec::new(),
             near_slots: 0.0,
             coverage: Coverage::default(),
+            holds: Holds::default(),
             duties: Vec::new(),
             duty_rate: 0.0,
             is_last_directed: false,
@@ -161,6 +164,48 @@
         Some(self.begin(now, position, request.is_long))
     }
 
+    /// Records that an upstream wants no requests of this entry for some time.
+    pub fn rest(&mut self, now: Moment, upstream: &UpstreamId, span: Duration) {
+        let hold = self.holds.rest(upstream, now + span);
+        if let Some(load) = self.load_mut(upstream) {
+            load.set_hold(hold);
+        }
+    }
+
+    /// Records that an upstream is leaving; returns whether that is new.
+    pub fn leave(&mut self, now: Moment, upstream: &UpstreamId) -> bool {
+        let incarnation = self.load_mut(upstream).map_or(0, |load| load.member().incarnation);
+        if !self.holds.leave(now, upstream, incarnation) {
+            return false;
+        }
+        let hold = self.holds.get(upstream);
+        if let Some(load) = self.load_mut(upstream) {
+            load.set_hold(hold);
+        }
+        self.choose_subset();
+        true
+    }
+
+    /// Whether an upstream wants no request now.
+    #[must_use]
+    pub fn is_held(&self, now: Moment, upstream: &str) -> bool {
+        let load = self.loads.iter().find(|load| load.member().upstream == upstream);
+        let incarnation = load.map_or(0, |load| load.member().incarnation);
+        self.holds.get(upstream).is_on(now, incarnation)
+    }
+
+    /// Time until the first upstream has rested, if all of them rest.
+    #[must_use]
+    pub fn rest_left(&self, now: Moment) -> Option<Duration> {
+        let usable = self.loads.iter().filter(|load| load.is_usable());
+        let first = usable.map(Load::rests_until).min()?;
+        first.checked_sub(now).filter(|left| !left.is_zero())
+    }
+
+    fn load_mut(&mut self, upstream: &str) -> Option<&mut Load> {
+        self.loads.iter_mut().find(|load| load.member().upstream == upstream)
+    }
+
     /// Picks the given upstream regardless of its health, if it has room.
     pub fn pick_only(&mut self, now: Moment, upstream: &UpstreamId, is_long: bool) -> Option<Pick> {
         let wanted = |load: &Load| load.member().upstream == *upstream && load.has_room(now);
@@ -185,6 +230,7 @@
     /// each of its outputs that concerns an upstream.
     pub fn refresh(&mut self, now: Moment, health: &dyn Health) {
         let mut is_changed = false;
+        self.holds.expire(now);
         for load in &mut self.loads {
             let weight = health.weight(&load.member().upstream);
             is_changed |= load.set_health(weight);
@@ -238,6 +284,7 @@
             let rank = subset::rank(&self.setup.entry, upstream);
             let is_near = member.domain == self.setup.domain;
             let mut load = Load::new(self.next_member, rank, is_near, member.clone());
+            load.set_hold(self.holds.get(upstream));
             if !is_first {
                 load.set_untried();
             }
@@ -356,7 +403,21 @@
         if total > 0.0 {
             return total;
         }
-        self.gather_where(now, request, |_| true)
+        let total = self.gather_where(now, request, |_| true);
+        if total > 0.0 || !self.used().any(|load| now < load.rests_until()) {
+            return total;
+        }
+        self.gather_others(now, request)
+    }
+
+    /// Collects upstreams that this entry does not use otherwise, as some of those that it uses rest.
+    fn gather_others(&mut self, now: Moment, request: &Request<'_>) -> f64 {
+        let used = std::mem::take(&mut self.subset.positions);
+        let others = (0..self.loads.len()).filter(|at| !used.contains(at));
+        self.subset.positions = others.filter(|at| self.loads[*at].is_usable()).collect();
+        let total = self.gather_where(now, request, |_| true);
+        self.subset.positions = used;
+        total
     }
 
     /// Collects sound near upstreams. If not all are needed, those that have served recently come
--- a/src/bench/health/judged.rs
+++ b/src/bench/health/judged.rs
@@ -57,6 +57,7 @@
     let member = |position| Member {
         connections: plan.connections,
         domain: plan.domain(position).clone(),
+        incarnation: 0,
         slots: plan.slots,
         state: State::Ready,
         upstream: upstream_name(position),
--- a/src/boundary.rs
+++ b/src/boundary.rs
@@ -22,7 +22,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use crate::balance;
+use crate::balance::Backpressure;
 use crate::exchange::Refusal;
 use crate::exchange::Request;
 use crate::exchange::Response;
@@ -44,8 +44,8 @@
     /// Classifies an upstream's response by its head.
     fn classify(&self, service: Option<&rule::Service>, response: &Response) -> Classification;
 
-    /// Reads the limit on requests from all entries together that an upstream names in a response.
-    fn upstream_limit(&self, response: &Response) -> Option<balance::Limit>;
+    /// Reads what an upstream asks, with a response, of those that send to it.
+    fn backpressure(&self, response: &Response) -> Backpressure;
 
     /// Builds the response for a refused request.
     fn refuse(&self, refusal: &Refusal) -> Response;
--- a/src/boundary/native.rs
+++ b/src/boundary/native.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use compact_str::ToCompactString;
 use http::HeaderName;
@@ -13,7 +14,8 @@
 use super::Metadata;
 use super::Operation;
 use super::Reply;
-use crate::balance;
+use crate::balance::Backpressure;
+use crate::balance::Limit;
 use crate::exchange;
 use crate::exchange::Outcome;
 use crate::exchange::Refusal;
@@ -22,6 +24,7 @@
 use crate::rule;
 use crate::rule::Rules;
 use crate::team::Secret;
+use crate::upstream::DRAINING_HEADER;
 
 const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 /// The caller's API key, which is not passed on to upstreams.
@@ -82,8 +85,14 @@
         }
     }
 
-    fn upstream_limit(&self, response: &Response) -> Option<balance::Limit> {
-        balance::Limit::new(response.header(UPSTREAM_LIMIT_HEADER.as_str())?.parse().ok()?)
+    fn backpressure(&self, response: &Response) -> Backpressure {
+        let limit = response.header(UPSTREAM_LIMIT_HEADER.as_str());
+        let limit = limit.and_then(|text| text.parse().ok());
+        Backpressure {
+            is_leaving: response.header(DRAINING_HEADER) == Some("true"),
+            limit: limit.and_then(Limit::new),
+            rest: exchange::rest(response, SystemTime::now()),
+        }
     }
 
     fn refuse(&self, refusal: &Refusal) -> Response {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -23,6 +23,7 @@
 mod request_reader;
 mod response;
 mod response_writer;
+mod rest;
 mod socket;
 mod transmission;
 
@@ -61,4 +62,5 @@
 pub use request_reader::RequestReader;
 pub use response::Response;
 pub use response_writer::ResponseWriter;
+pub use rest::rest;
 pub use socket::Socket;
--- a/src/exchange/failure.rs
+++ b/src/exchange/failure.rs
@@ -33,6 +33,9 @@
     /// The body was already streamed to an upstream; nothing was sent.
     #[error("the body can't be sent again")]
     Spent,
+    /// The upstream asked for no requests before this one was sent; nothing was sent.
+    #[error("the upstream rests or leaves")]
+    Withheld,
     /// The caller's upload was incomplete or exceeded its limit; the upstream is not at fault.
     #[error("upload failed: `{0}`")]
     Upload(String),
@@ -41,7 +44,7 @@
 impl Failure {
     /// Whether the request certainly did not reach the upstream.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Spent)
+        matches!(self, Self::Connect(_) | Self::Spent | Self::Withheld)
     }
 
     /// Whether the failure counts against the upstream's health. A caller that disconnects or
@@ -49,7 +52,11 @@
     pub fn is_upstream_fault(&self) -> bool {
         !matches!(
             self,
-            Self::CallerGone | Self::Closed { reused: true } | Self::Spent | Self::Upload(_)
+            Self::CallerGone
+                | Self::Closed { reused: true }
+                | Self::Spent
+                | Self::Upload(_)
+                | Self::Withheld
         )
     }
 }
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -107,6 +107,7 @@
     balance::Member {
         connections: announcement.connections,
         domain: announcement.domain.clone(),
+        incarnation: announcement.incarnation,
         slots: announcement.slots,
         state: warm_up_state(now, found),
         upstream: announcement.upstream.clone(),
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -102,6 +102,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     announcement: Announcement,
+    /// Whether it said in an answer that it leaves. The table may not know yet.
+    is_leaving: bool,
     rank: balance::Rank,
     /// When this entry first learned of its incarnation.
     since: Moment,
@@ -170,6 +172,7 @@
             Input::Frame(_, Frame::Feed(Message::Grant { ticket, grant })) => {
                 outputs.push(Output::QuotaGranted(*ticket, grant.clone()));
             }
+            Input::Probed(_, upstream, Some(true), _) => self.note_leaving(upstream, &mut outputs),
             Input::Quota(ticket, demand) => {
                 // Without a control it is dropped; the limiter repeats it.
                 let message = Message::Ask { ticket: *ticket, ask: demand.clone() };
@@ -414,6 +417,7 @@
             known.filter(|known| known.announcement.incarnation == announcement.incarnation);
         let is_new = known.is_none();
         let since = known.map_or(now, |known| known.since);
+        let is_leaving = known.is_some_and(|known| known.is_leaving);
         if is_new {
             // The upstream may have restarted; what was observed of its previous process does not
             // apply to this one.
@@ -422,11 +426,11 @@
         let rank = self.listing.rank(&self.id, &announcement);
         self.upstreams.insert(
             announcement.upstream.clone(),
-            Known { announcement: announcement.clone(), rank, since },
+            Known { announcement: announcement.clone(), is_leaving, rank, since },
         );
         self.is_dirty = true;
         let floor = self.floor(&announcement.service);
-        if announcement.state == registry::State::Ready {
+        if announcement.state == registry::State::Ready && !is_leaving {
             let Announcement { service, slots, upstream, .. } = announcement;
             self.breakers.join(&service, upstream.clone(), slots, floor);
             self.breakers.set_rank(&service, &upstream, rank);
@@ -481,6 +485,17 @@
         }
     }
 
+    /// Takes out an upstream that said in an answer that it leaves.
+    fn note_leaving(&mut self, upstream: &UpstreamId, outputs: &mut Vec<Output>) {
+        let Some(known) = self.upstreams.get_mut(upstream).filter(|known| !known.is_leaving) else {
+            return;
+        };
+        known.is_leaving = true;
+        self.breakers.leave(upstream);
+        self.is_dirty = true;
+        outputs.push(Output::Event(events::leaving(&self.id, upstream)));
+    }
+
     /// Records the limit that an upstream named to this entry, and reports a new one.
     fn record_limit(
         &mut self,
@@ -539,7 +554,9 @@
     fn services(&self, now: Moment) -> BTreeMap<ServiceId, routing::Service> {
         let mut services: BTreeMap<ServiceId, routing::Service> = BTreeMap::new();
         let retry_part = self.participants.part(now);
-        let ready = |known: &&Known| known.announcement.state == registry::State::Ready;
+        let ready = |known: &&Known| {
+            known.announcement.state == registry::State::Ready && !known.is_leaving
+        };
         for known in self.upstreams.values().filter(ready) {
             let announcement = &known.announcement;
             let service = services.entry(announcement.service.clone()).or_default();
@@ -581,6 +598,7 @@
         balance::Member {
             connections: connections.map_or(announcement.connections, |count| count as u32),
             domain: announcement.domain.clone(),
+            incarnation: announcement.incarnation,
             slots: announcement.slots,
             state: if now < until { warm } else { balance::State::Ready },
             upstream: announcement.upstream.clone(),
--- a/src/node/feed_core/events.rs
+++ b/src/node/feed_core/events.rs
@@ -66,6 +66,11 @@
     }
 }
 
+/// Event for an upstream that said in an answer that it leaves.
+pub(super) fn leaving(vm: &NodeId, upstream: &UpstreamId) -> Event {
+    event(vm, Kind::Other("upstream-leaving".into())).upstream(upstream.clone())
+}
+
 /// Event for a configuration that took effect `behind` after this entry first heard of a newer one
 /// than it held.
 pub(super) fn configuration(vm: &NodeId, version: &Version, behind: Duration) -> Event {
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -5,6 +5,8 @@
 use compact_str::CompactString;
 use http::Method;
 
+use crate::boundary::Boundary;
+use crate::boundary::Native;
 use crate::exchange::Body;
 use crate::exchange::Connection;
 use crate::exchange::Request;
@@ -16,8 +18,6 @@
 use super::Input;
 use super::InputSender;
 
-/// Header of any answer by which an upstream reports that it is draining.
-pub(super) const DRAINING_HEADER: &str = "x-draining";
 /// Timeout of a probe, which usually takes 25 ms.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -30,7 +30,7 @@
     upstream: UpstreamId,
 ) {
     let report = timeout(TIMEOUT, fetch_report(address, &path)).await.ok().flatten();
-    let draining = report.as_ref().map(is_draining);
+    let draining = report.as_ref().map(|report| Native.backpressure(report).is_leaving);
     let healthy = report.is_some_and(|response| response.is_success());
     let probed = Input::Probed { draining, healthy, service, upstream };
     if control.try_send(probed).is_err() {
@@ -38,11 +38,6 @@
     }
 }
 
-/// Whether an answer reports that its upstream is draining.
-pub(super) fn is_draining(response: &Response) -> bool {
-    response.header(DRAINING_HEADER) == Some("true")
-}
-
 async fn fetch_report(address: SocketAddr, path: &str) -> Option<Response> {
     let timeouts = Timeouts { connect: TIMEOUT, first_byte: TIMEOUT, idle: TIMEOUT };
     let connection = Connection::connect(address, TIMEOUT).await.ok()?;
--- a/src/node/traffic/attempt.rs
+++ b/src/node/traffic/attempt.rs
@@ -39,6 +39,9 @@
     ) -> Self {
         let target = reservation.target();
         let round_trip = RoundTrip::run(proxy, request, payload, &target, idempotent, left).await;
+        if let Ok(answer) = &round_trip.result {
+            reservation.note(proxy.boundary.backpressure(&answer.response));
+        }
         Self { round_trip, is_misdirected: false, reservation }
     }
 
@@ -93,7 +96,6 @@
             Ok(answer) => answer,
             Err(failure) => return Some(outcome_of(failure)),
         };
-        self.reservation.note_limit(boundary.upstream_limit(&answer.response));
         let classification = boundary.classify(service, &answer.response);
         self.is_misdirected = classification == Classification::Misdirected;
         match classification {
@@ -147,7 +149,7 @@
 
 fn outcome_of(failure: &Failure) -> retry::Outcome {
     match failure {
-        Failure::Connect(_) => retry::Outcome::ConnectFailed,
+        Failure::Connect(_) | Failure::Withheld => retry::Outcome::ConnectFailed,
         Failure::Expired(_) => retry::Outcome::Deadline,
         Failure::Silent(_) => retry::Outcome::Silent,
         Failure::CallerGone
--- a/src/node/traffic/attempts.rs
+++ b/src/node/traffic/attempts.rs
@@ -1,5 +1,7 @@
 //! Sends a job to upstreams, with retries, until one answers or no retry is allowed.
 
+use std::time::Duration;
+
 use async_std::task;
 use futures::FutureExt;
 use futures::pin_mut;
@@ -27,7 +29,13 @@
     /// The caller disconnected.
     CallerGone { may_have_run: bool },
     /// The entry answers the caller itself.
-    LocalReply { answer: retry::Answer, reason: String, status: u16 },
+    LocalReply {
+        answer: retry::Answer,
+        reason: String,
+        /// Time until the first upstream has rested, if all of them rest.
+        rest_left: Option<Duration>,
+        status: u16,
+    },
     /// No upstream can be reached from here, and the job was sent to none.
     Unreached,
 }
@@ -67,7 +75,8 @@
             let answer = failure_answer(may_have_run, job);
             let unavailable = || (format!("no upstream of `{}` is free", job.service), 503);
             let (reason, status) = last_failure.take().unwrap_or_else(unavailable);
-            return Resolution::LocalReply { answer, reason, status };
+            let rest_left = service.rest_left(proxy.now());
+            return Resolution::LocalReply { answer, reason, rest_left, status };
         };
         tries += 1;
         let is_stream = job.payload.is_stream();
@@ -108,6 +117,7 @@
             return Resolution::LocalReply {
                 answer: failure_answer(may_have_run, job),
                 reason,
+                rest_left: None,
                 status: 400,
             };
         }
@@ -139,7 +149,8 @@
                 let status = status_of(outcome);
                 attempt.fail(outcome, job.terms.long);
                 let answer = correct_for_earlier_attempts(answer, may_have_run, job);
-                return Resolution::LocalReply { answer, reason, status };
+                let rest_left = service.rest_left(proxy.now());
+                return Resolution::LocalReply { answer, reason, rest_left, status };
             }
         }
     }
@@ -177,7 +188,8 @@
 
 fn missing_answer<'a>() -> Resolution<'a> {
     let reason = "answer is missing".to_owned();
-    Resolution::LocalReply { answer: retry::Answer::Unknown, reason, status: 502 }
+    let answer = retry::Answer::Unknown;
+    Resolution::LocalReply { answer, reason, rest_left: None, status: 502 }
 }
 
 fn status_of(outcome: retry::Outcome) -> u16 {
--- a/src/node/traffic/dispatch.rs
+++ b/src/node/traffic/dispatch.rs
@@ -5,6 +5,7 @@
 use futures::FutureExt;
 use futures::pin_mut;
 use futures::select;
+use rand::Rng;
 
 use crate::admission;
 use crate::admission::Arrival;
@@ -28,6 +29,9 @@
 
 /// Retry-after when every upstream is busy.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time over which callers return after a rest, as a share of it, and the least one.
+const REST_SPREAD: f64 = 0.25;
+const REST_MARGIN: Duration = Duration::from_millis(20);
 /// Retry-after when a service has no upstream.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -53,6 +57,13 @@
         return;
     }
     service.refresh(proxy.now(), &upstreams);
+    if let Some(left) = service.rest_left(proxy.now()) {
+        let text = format!("all upstreams of `{}` rest", job.service);
+        job.refund();
+        proxy.metrics.count("request.refused");
+        let refusal = Refusal::not_run(503, text, after_rest(left));
+        return send_local_reply(proxy, &job, writer, &refusal).await;
+    }
     if proxy.reach.is_lost(&job.service) {
         match pass_on(proxy, view, &mut job, writer).await {
             Forwarded::Done => return,
@@ -118,7 +129,7 @@
                 send_local_reply(proxy, &job, writer, &forward::unreached(&job)).await;
             }
         }
-        Resolution::LocalReply { answer, reason, status } => {
+        Resolution::LocalReply { answer, reason, rest_left, status } => {
             let is_not_run = answer == retry::Answer::NotRun;
             if is_not_run {
                 job.refund();
@@ -127,7 +138,8 @@
                 if is_not_run { admission::Outcome::Shed } else { admission::Outcome::Failed };
             permit.finish(outcome);
             claim.into_iter().for_each(|claim| settle_claim(claim, !is_not_run));
-            let refusal = refusal_for(answer, reason, status);
+            let after = rest_left.map_or(BUSY_RETRY_AFTER, after_rest);
+            let refusal = refusal_for(answer, reason, status, after);
             send_local_reply(proxy, &job, writer, &refusal).await;
         }
     }
@@ -187,13 +199,18 @@
     }
 }
 
+/// Retry-after while all upstreams rest. Callers that all return at the end of the rest would be too many.
+fn after_rest(left: Duration) -> Duration {
+    left.mul_f64(1.0 + rand::rng().random_range(0.0..REST_SPREAD)) + REST_MARGIN
+}
+
 /// The entry's own answer for a job that no upstream answered.
-fn refusal_for(answer: retry::Answer, reason: String, status: u16) -> Refusal {
+fn refusal_for(answer: retry::Answer, reason: String, status: u16, after: Duration) -> Refusal {
     match answer {
         retry::Answer::Failed => Refusal::new(status, Outcome::Failed, reason),
         retry::Answer::NotRun => {
             let status = if status == 400 { 400 } else { 503 };
-            Refusal::not_run(status, reason, BUSY_RETRY_AFTER)
+            Refusal::not_run(status, reason, after)
         }
         retry::Answer::Unknown => Refusal::new(status, Outcome::Unknown, reason),
     }
--- a/src/node/traffic/forward.rs
+++ b/src/node/traffic/forward.rs
@@ -21,6 +21,7 @@
 use crate::exchange::Response;
 use crate::exchange::ResponseWriter;
 use crate::exchange::Timeouts;
+use crate::id::UpstreamId;
 use crate::node::View;
 use crate::reach::Peer;
 
@@ -33,6 +34,8 @@
 const CALLER_ADDRESS_HEADER: HeaderName = HeaderName::from_static("x-hemlockfield-caller-address");
 /// Marks a refusal of an entry that does not reach the upstreams either.
 const UNREACHED_HEADER: HeaderName = HeaderName::from_static("x-hemlockfield-unreached");
+/// Upstream that answered another entry and is leaving.
+const LEAVING_HEADER: HeaderName = HeaderName::from_static("x-hemlockfield-leaving");
 /// Most entries that a request is passed on to. If two do not reach the upstreams, most do not, and
 /// the caller's time is better spent on a new list.
 const MAX_PEERS: usize = 2;
@@ -69,6 +72,12 @@
     response.set_header(UNREACHED_HEADER, "true");
 }
 
+/// Names the upstream that answered and is leaving, to the entry that passed the request on: it passes on
+/// the answer too, and must not send that upstream any more requests of its own.
+pub(super) fn mark_leaving(response: &mut Response, upstream: &UpstreamId) {
+    response.set_header(LEAVING_HEADER, upstream.as_str());
+}
+
 /// How a request that was to be passed on ended.
 pub(super) enum Forwarded {
     /// The caller has its answer, or is gone.
@@ -168,7 +177,12 @@
     writer: &mut ResponseWriter,
 ) {
     proxy.metrics.count("forward.answered");
-    let (response, mut exchange) = answer.split();
+    let (mut response, mut exchange) = answer.split();
+    if let Some(upstream) = response.headers.remove(&LEAVING_HEADER)
+        && let Ok(upstream) = upstream.to_str()
+    {
+        proxy.note_leaving(&proxy.service(&job.service), &upstream.into());
+    }
     job.log(proxy, view, "answered by another entry", response.status);
     proxy.count_bytes(response.body.len().unwrap_or_default());
     if let Err(error) = exchange.relay(response, writer, job.left(proxy.now())).await {
--- a/src/node/traffic/relay.rs
+++ b/src/node/traffic/relay.rs
@@ -3,13 +3,13 @@
 use crate::exchange::Answer;
 use crate::exchange::ResponseWriter;
 use crate::health;
-use crate::node::Input;
-use crate::node::probe::is_draining;
 
 use super::Proxy;
+use super::Source;
 use super::attempt::Attempt;
 use super::claims;
 use super::claims::Claim;
+use super::forward;
 use super::job::Job;
 
 /// Relays an answer. The upstream's success is recorded, and its connection reused, only after the
@@ -22,14 +22,13 @@
     claim: Option<Claim<'_>>,
     writer: &mut ResponseWriter,
 ) {
-    let (response, mut exchange) = answer.split();
+    let (mut response, mut exchange) = answer.split();
     proxy.count_bytes(response.body.len().unwrap_or_default());
     if let Some(claim) = claim {
         claim.end(claims::outcome(&response));
     }
-    if is_draining(&response) {
-        let (service, upstream) = (job.service.clone(), attempt.upstream());
-        proxy.try_notify(Input::Probed { draining: Some(true), healthy: true, service, upstream });
+    if job.source == Source::Peer && proxy.boundary.backpressure(&response).is_leaving {
+        forward::mark_leaving(&mut response, &attempt.upstream());
     }
     let failed = response.status >= 500;
     let sent = exchange.relay(response, writer, job.left(proxy.now())).await;
--- a/src/node/traffic/reservation.rs
+++ b/src/node/traffic/reservation.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use crate::balance;
+use crate::balance::Backpressure;
 use crate::balance::Completion;
 use crate::balance::Pick;
 use crate::balance::Request;
@@ -81,10 +82,10 @@
     }
 
     /// The upstream, for a request to it.
-    pub(super) fn target(&self) -> Target {
+    pub(super) fn target(&self) -> Target<'a> {
         let service = self.service.name.clone();
         let check = Check { service, upstream: self.upstream.clone() };
-        Target { address: self.address, check }
+        Target { address: self.address, check, service: self.service }
     }
 
     /// Releases the slot and reports the outcome to outlier detection. A success of a long job is
@@ -105,12 +106,19 @@
         });
     }
 
-    /// Reports the limit that the upstream names in an answer, if it is new to this entry. An
-    /// answer without one lifts only a limit that was known when the request was sent: an answer
-    /// from before the limit may arrive later than others.
-    pub(super) fn note_limit(&self, named: Option<balance::Limit>) {
-        if named != self.limit {
-            self.proxy.try_notify(Input::UpstreamLimit(self.upstream.clone(), named));
+    /// Notes what the upstream asks with an answer. An answer without a limit lifts only one that was
+    /// known when the request was sent: an answer from before the limit may arrive later than others.
+    pub(super) fn note(&self, asked: Backpressure) {
+        let Backpressure { is_leaving, limit, rest } = asked;
+        if limit != self.limit {
+            self.proxy.try_notify(Input::UpstreamLimit(self.upstream.clone(), limit));
+        }
+        if let Some(rest) = rest {
+            self.proxy.metrics.count("upstream.rest");
+            self.service.rest(self.proxy.now(), &self.upstream, rest);
+        }
+        if is_leaving {
+            self.proxy.note_leaving(self.service, &self.upstream);
         }
     }
 
@@ -123,6 +131,18 @@
     }
 }
 
+impl Proxy {
+    /// Notes that an upstream is leaving, and tells the control thread if that is new.
+    pub(super) fn note_leaving(&self, service: &Service, upstream: &UpstreamId) {
+        if service.leave(self.now(), upstream) {
+            self.metrics.count("upstream.leaving");
+            let (service, upstream) = (service.name.clone(), upstream.clone());
+            let (draining, healthy) = (Some(true), true);
+            self.notify(Input::Probed { draining, healthy, service, upstream });
+        }
+    }
+}
+
 impl Drop for Reservation<'_> {
     /// An attempt that was cancelled says nothing about the upstream, so nothing is reported.
     fn drop(&mut self) {
--- a/src/node/traffic/round_trip.rs
+++ b/src/node/traffic/round_trip.rs
@@ -13,14 +13,16 @@
 use crate::reach::Check;
 
 use super::Proxy;
+use super::service::Service;
 
 /// Longest wait between two bytes of an answer body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Upstream that a request is sent to.
-pub(super) struct Target {
+pub(super) struct Target<'a> {
     pub(super) address: SocketAddr,
     pub(super) check: Check,
+    pub(super) service: &'a Service,
 }
 
 /// Result of sending one request to an upstream.
@@ -37,7 +39,7 @@
         proxy: &Proxy,
         request: Request,
         payload: &mut Payload,
-        target: &Target,
+        target: &Target<'_>,
         idempotent: bool,
         left: Duration,
     ) -> Self {
@@ -54,11 +56,16 @@
     proxy: &Proxy,
     request: Request,
     payload: &mut Payload,
-    target: &Target,
+    target: &Target<'_>,
     idempotent: bool,
     left: Duration,
 ) -> Result<Answer, Failure> {
     let connection = acquire_connection(proxy, target, idempotent, left).await?;
+    // It may have asked for rest while the connection was opened.
+    if target.service.is_held(proxy.now(), &target.check.upstream) {
+        proxy.pool.put(target.address, connection);
+        return Err(Failure::Withheld);
+    }
     let first_byte = proxy.settings.limits.first_byte.min(left);
     let connect = proxy.settings.limits.connect;
     let timeouts = Timeouts { connect, first_byte, idle: BODY_IDLE_TIMEOUT };
@@ -71,7 +78,7 @@
 /// it ran.
 async fn acquire_connection(
     proxy: &Proxy,
-    target: &Target,
+    target: &Target<'_>,
     idempotent: bool,
     left: Duration,
 ) -> Result<Connection, Failure> {
--- a/src/node/traffic/service.rs
+++ b/src/node/traffic/service.rs
@@ -81,6 +81,26 @@
         self.lock().finish(now, ticket, completion);
     }
 
+    /// Records that an upstream wants no requests of this entry for some time.
+    pub(super) fn rest(&self, now: Moment, upstream: &UpstreamId, span: Duration) {
+        self.lock().rest(now, upstream, span);
+    }
+
+    /// Records that an upstream is leaving; returns whether that is new.
+    pub(super) fn leave(&self, now: Moment, upstream: &UpstreamId) -> bool {
+        self.lock().leave(now, upstream)
+    }
+
+    /// Whether an upstream wants no request now, because it rests or leaves.
+    pub(super) fn is_held(&self, now: Moment, upstream: &UpstreamId) -> bool {
+        self.lock().is_held(now, upstream)
+    }
+
+    /// Time until the first upstream has rested, if all of them rest.
+    pub(super) fn rest_left(&self, now: Moment) -> Option<Duration> {
+        self.lock().rest_left(now)
+    }
+
     /// The retry policy and its budget, advanced to `now`.
     pub(super) fn policy(&self, now: Moment) -> MutexGuard<'_, Policy> {
         let mut policy = self.policy.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/routing/selector.rs
+++ b/src/routing/selector.rs
@@ -107,6 +107,26 @@
         Some(pick)
     }
 
+    /// Records that an upstream wants no requests of this entry for some time.
+    pub fn rest(&mut self, now: Moment, upstream: &UpstreamId, span: Duration) {
+        self.picker.rest(now, upstream, span);
+    }
+
+    /// Records that an upstream is leaving; returns whether that is new.
+    pub fn leave(&mut self, now: Moment, upstream: &UpstreamId) -> bool {
+        self.picker.leave(now, upstream)
+    }
+
+    /// Whether an upstream wants no request now, because it rests or leaves.
+    pub fn is_held(&self, now: Moment, upstream: &str) -> bool {
+        self.picker.is_held(now, upstream)
+    }
+
+    /// Time until the first upstream has rested, if all of them rest.
+    pub fn rest_left(&self, now: Moment) -> Option<Duration> {
+        self.picker.rest_left(now)
+    }
+
     /// Records the completion of a request.
     pub fn finish(&mut self, now: Moment, ticket: Ticket, completion: Completion) {
         self.picker.finish(now, ticket, completion);
--- a/src/upstream/server.rs
+++ b/src/upstream/server.rs
@@ -16,7 +16,7 @@
 use futures::pin_mut;
 use futures::select;
 use http::HeaderName;
-use http::header;
+
 use rand::Rng;
 
 use crate::exchange;
@@ -282,7 +282,6 @@
 fn shed_response() -> Response {
     let mut response = Response::new(503);
     response.set_header(HeaderName::from_static(NOT_RUN_HEADER), "true");
-    response.set_header(header::RETRY_AFTER, "1");
     response.body = "full\n".into();
     response
 }
--- a/tests/suite/balance.rs
+++ b/tests/suite/balance.rs
@@ -2,6 +2,7 @@
 
 mod limit;
 mod near;
+mod rest;
 mod share;
 mod subset;
 mod working_set;
@@ -27,6 +28,7 @@
     Member {
         connections: 400,
         domain: DOMAINS[upstream % 4].into(),
+        incarnation: 0,
         slots: 4,
         state,
         upstream: name(upstream).into(),
--- a/tests/suite/balance/limit.rs
+++ b/tests/suite/balance/limit.rs
@@ -39,6 +39,7 @@
     Member {
         connections: 390,
         domain: "north".into(),
+        incarnation: 0,
         slots: 4,
         state: State::Ready,
         upstream: upstream.into(),
--- a/tests/suite/platform/responses.rs
+++ b/tests/suite/platform/responses.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hemlockfield::balance::Backpressure;
 use hemlockfield::balance::Limit;
 use hemlockfield::boundary::Boundary;
 use hemlockfield::boundary::Classification;
@@ -11,6 +12,7 @@
 use hemlockfield::exchange::Response;
 use hemlockfield::platform::Platform;
 use http::HeaderName;
+use http::header;
 use rstest::rstest;
 
 const DIGEST: &str = "hemlockfield-response-signature";
@@ -79,6 +81,46 @@
     assert!(response.header("retry-after").is_some());
 }
 
+// An upstream's request for rest was read by nobody. What is no time must be no rest, and none may stop
+// the entry or keep it away for good.
+#[rstest]
+#[case::whole(503, &["3"], Some(3.0))]
+#[case::fraction(503, &[" 1.5 "], Some(1.5))]
+#[case::longest(503, &["1", "3"], Some(3.0))]
+#[case::date(503, &["Tue, 15 Nov 1994 08:12:33 GMT"], Some(2.0))]
+#[case::past(503, &["Tue, 15 Nov 1994 08:12:30 GMT"], None)]
+#[case::zero(503, &["0"], None)]
+#[case::text(503, &["abc"], None)]
+#[case::negative(503, &["-1"], None)]
+#[case::not_a_number(503, &["nan"], None)]
+#[case::infinite(503, &["inf"], None)]
+#[case::exponent(503, &["1e300"], None)]
+#[case::dots(503, &["1.2.3"], None)]
+#[case::huge(503, &["99999999999999999999999999999"], Some(300.0))]
+#[case::served(200, &["3"], None)]
+#[case::limited(429, &["3"], None)]
+fn rest(#[case] status: u16, #[case] values: &[&str], #[case] seconds: Option<f64>) {
+    let mut response = Response::new(status);
+    response.set_header(header::DATE, "Tue, 15 Nov 1994 08:12:31 GMT");
+    for value in values {
+        response.headers.append(header::RETRY_AFTER, value.parse().expect("a header"));
+    }
+    let expected = seconds.map(Duration::from_secs_f64);
+    assert_eq!(Platform.backpressure(&response).rest, expected);
+}
+
+// An upstream that leaves says so in any answer.
+#[rstest]
+#[case::served(200, "1", true)]
+#[case::refused(503, "1", true)]
+#[case::misdirected(421, "1", true)]
+#[case::other(200, "0", false)]
+fn leaving(#[case] status: u16, #[case] value: &str, #[case] expected: bool) {
+    let mut response = Response::new(status);
+    response.set_header(HeaderName::from_static("server-leaving"), value);
+    assert_eq!(Platform.backpressure(&response).is_leaving, expected);
+}
+
 // A damaged limit must not be taken for zero, which would take the upstream out.
 #[rstest]
 #[case::fraction("1.9", Limit::new(1.9))]
@@ -91,6 +133,6 @@
 fn upstream_limit(#[case] value: &str, #[case] expected: Option<Limit>) {
     let mut response = Response::new(200);
     response.set_header(HeaderName::from_static("server-limit"), value);
-    assert_eq!(Platform.upstream_limit(&response), expected);
-    assert_eq!(Platform.upstream_limit(&Response::new(200)), None);
+    assert_eq!(Platform.backpressure(&response).limit, expected);
+    assert_eq!(Platform.backpressure(&Response::new(200)), Backpressure::default());
 }
--- a/tests/suite/reach/monitor.rs
+++ b/tests/suite/reach/monitor.rs
@@ -70,6 +70,7 @@
     let member = |at: usize| Member {
         connections: 400,
         domain: compact_str::format_compact!("domain-{}", at % domains),
+        incarnation: 0,
         slots: 4,
         state: State::Ready,
         upstream: compact_str::format_compact!("hull-{at}"),
