End an answer whose body stalls when its route's time is over

Cause: the time that is left bounded the exchange until the head, and not the body that is streamed after it.

Change: a streamed body that is not whole when the time is over ends the caller's connection short of its end, and counts as silence of the upstream. A whole answer is still delivered, also late.

--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -6,6 +6,7 @@
 use async_std::future::timeout;
 use futures::join;
 
+use super::Body;
 use super::Connection;
 use super::Progress;
 use super::Response;
@@ -77,16 +78,34 @@
     }
 
     /// Sends the answer to the caller. If it came before the request's end, and the upstream goes on
-    /// reading, the rest of the request is sent meanwhile, and for at most `limit` afterwards.
+    /// reading, the rest of the request is sent meanwhile, and for at most `limit` afterwards. A body
+    /// that has not arrived whole within `limit` is given up, and the caller's connection closed.
     ///
     /// # Errors
     ///
-    /// If writing to the caller or reading the answer fails.
+    /// If writing to the caller or reading the answer fails, or the body takes too long.
     pub async fn relay(
         &mut self,
         response: Response,
         writer: &mut ResponseWriter,
         limit: Duration,
+    ) -> io::Result<()> {
+        let is_whole = matches!(response.body, Body::Buffered(_));
+        if is_whole {
+            return self.relay_body(response, writer, limit).await;
+        }
+        let relayed = timeout(limit, self.relay_body(response, writer, limit)).await;
+        relayed.unwrap_or_else(|_| {
+            writer.abort();
+            Err(io::ErrorKind::TimedOut.into())
+        })
+    }
+
+    async fn relay_body(
+        &mut self,
+        response: Response,
+        writer: &mut ResponseWriter,
+        limit: Duration,
     ) -> io::Result<()> {
         let transmission = &mut self.upload.transmission;
         if !transmission.is_open() {
--- a/src/exchange/response_writer.rs
+++ b/src/exchange/response_writer.rs
@@ -58,12 +58,17 @@
         }
         let sent = self.write(response).await;
         if sent.is_err() {
-            self.close = true;
-            self.socket.close();
+            self.abort();
         }
         sent
     }
 
+    /// Closes the connection within a response, so that the caller notices that it is incomplete.
+    pub fn abort(&mut self) {
+        self.close = true;
+        self.socket.close();
+    }
+
     /// Waits until the caller has closed its connection.
     pub async fn caller_gone(&self) {
         self.socket.closed().await;
--- a/src/node/traffic/relay.rs
+++ b/src/node/traffic/relay.rs
@@ -1,5 +1,7 @@
 //! Relays an upstream's answer to the caller.
 
+use std::io;
+
 use crate::exchange::Answer;
 use crate::exchange::ResponseWriter;
 use crate::health;
@@ -32,11 +34,13 @@
     }
     let failed = response.status >= 500;
     let sent = exchange.relay(response, writer, job.left(proxy.now())).await;
+    let is_late = sent.as_ref().err().is_some_and(|error| error.kind() == io::ErrorKind::TimedOut);
     if let Err(error) = sent {
         tracing::debug!(target: "hemlockfield::exchange", "answer was not relayed: {error}");
     }
     let kind = match failed {
         _ if exchange.is_broken() => health::Kind::Cut,
+        _ if is_late => health::Kind::Silent,
         true => health::Kind::ServerError,
         false => health::Kind::Success,
     };
--- a/tests/suite/entry/answers.rs
+++ b/tests/suite/entry/answers.rs
@@ -1,14 +1,19 @@
 //! Answers that callers receive when upstreams fail.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use async_std::io::WriteExt;
 use async_std::task;
 use async_std::task::block_on;
+use rstest::rstest;
 
 use super::fixture::Fixture;
 use super::fixture::Script;
 
+/// Deadline of lookups in the default rules, and what a caller may wait beyond it.
+const DEADLINE: Duration = Duration::from_secs(2);
+const SLACK: Duration = Duration::from_millis(500);
 const CUT_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort";
 const CUT_LARGE_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\nshort";
 const NOT_RUN_ANSWER: &str =
@@ -41,6 +46,21 @@
     });
 }
 
+// The body of an answer stalls after its head was relayed. The caller was left waiting far beyond the
+// time that its rule allows; its connection must close short of the answer's end.
+#[rstest]
+#[case::chunked("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n")]
+#[case::large("HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\nshort")]
+fn get_body_stalls(#[case] answer: &'static str) {
+    block_on(async {
+        let fixture = Fixture::start(&[Script::WriteAndHold(answer)]).await;
+        let started = Instant::now();
+        let answer = fixture.get("/hulls/1").await;
+        assert!(started.elapsed() < DEADLINE + SLACK, "{:?}: {answer}", started.elapsed());
+        assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+    });
+}
+
 // The answer to a request that is not idempotent is cut off or missing. The request may have run:
 // the caller must be told `unknown`, not `not-run`, and no other upstream may get the request.
 #[test]
--- a/tests/suite/entry/fixture.rs
+++ b/tests/suite/entry/fixture.rs
@@ -68,6 +68,8 @@
     AnswerTogether(usize),
     /// Reads the head, writes these bytes and closes the connection.
     Write(&'static str),
+    /// Reads the head, writes these bytes and keeps the connection open.
+    WriteAndHold(&'static str),
 }
 
 /// What all scripted upstreams have received.
@@ -251,6 +253,10 @@
             stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.ok();
         }
         Script::Write(text) => drop(stream.write_all(text.as_bytes()).await),
+        Script::WriteAndHold(text) => {
+            stream.write_all(text.as_bytes()).await.ok();
+            stream.read(&mut [0]).await.ok();
+        }
     }
 }
 
