--- a/tests/suite/process/site.rs
+++ b/tests/suite/process/site.rs
@@ -121,6 +121,14 @@
         self.children[at] = Some(child.unwrap());
     }
 
+    /// Value of a metric of a process.
+    pub(crate) fn metric(&self, at: usize, kind: &str) -> usize {
+        let (_, text) = ask(&format!("{}:{METRICS}", self.ip(at)), "GET /metrics", "", "");
+        let wanted = format!("{{kind=\"{kind}\"}} ");
+        let line = text.lines().find_map(|line| Some(line.split_once(&wanted)?.1.to_owned()));
+        line.map_or(0, |value| value.parse().unwrap())
+    }
+
     pub(crate) fn kill(&mut self, at: usize) {
         let mut child = self.children[at].take().unwrap();
         child.kill().unwrap();
--- a/tests/suite/reach/cut.rs
+++ b/tests/suite/reach/cut.rs
@@ -86,6 +86,21 @@
     assert_eq!([out(0), out(1), out(2), out(3)], [0; 4]);
 }
 
+// An entry passed on an answer of an upstream that leaves, and would have sent it requests of its own once
+// it reached it again.
+#[test]
+fn learn_leaving_of_others() {
+    let fleet = Fleet::start();
+    fleet.cut(&[0], Form::Hang, None);
+    wait_for("another entry's answer", || {
+        fleet.look(0, "hull") == 200 && fleet.metric(0, "forward.answered") > 0
+    });
+    assert_eq!(fleet.metric(0, "upstream.leaving"), 0);
+    fleet.set_leaving("hull");
+    assert_eq!(fleet.look(0, "hull"), 200);
+    wait_for("word of it", || fleet.metric(0, "upstream.leaving") > 0);
+}
+
 // No entry reaches the upstreams: callers are still told of entries, as there are no better ones,
 // are refused at once, and are served as soon as the upstreams are back.
 #[rstest]
--- a/tests/suite/reach/fleet.rs
+++ b/tests/suite/reach/fleet.rs
@@ -123,6 +123,12 @@
         upstreams.map(|(_, upstream)| upstream.count_arrivals(span)).sum()
     }
 
+    /// Has the upstreams of a service say that they leave.
+    pub(super) fn set_leaving(&self, service: &str) {
+        let upstreams = self.upstreams.iter().filter(|(name, _)| *name == service);
+        upstreams.for_each(|(_, upstream)| upstream.set_leaving());
+    }
+
     /// Value of a metric of an entry.
     pub(crate) fn metric(&self, entry: usize, kind: &str) -> usize {
         let address = format!("{}:{METRICS}", ip(&self.net, entry + 1));
