Believe only entries what entries tell each other in answers

An upstream's answer that bore `x-hemlockfield-unreached`, passed on by the entry that served another's request, was taken for that entry's own: the request went to a third entry, a request that may run once ran twice, and its caller was told 503, not run.

The entry that has the upstream's answer removes both before it says anything itself. Test: reach::cut::sign_once_by_upstream_with_headers_of_entries, 503 before in place of 200.

--- a/src/node/traffic/forward.rs
+++ b/src/node/traffic/forward.rs
@@ -72,6 +72,12 @@
     response.set_header(UNREACHED_HEADER, "true");
 }
 
+/// Removes from an upstream's answer what only entries may state.
+pub(super) fn clean_answer(response: &mut Response) {
+    response.headers.remove(&LEAVING_HEADER);
+    response.headers.remove(&UNREACHED_HEADER);
+}
+
 /// Names the upstream that answered and is leaving, to the entry that passed the request on: it passes on
 /// the answer too, and must not send that upstream any more requests of its own.
 pub(super) fn mark_leaving(response: &mut Response, upstream: &UpstreamId) {
--- a/src/node/traffic/relay.rs
+++ b/src/node/traffic/relay.rs
@@ -29,6 +29,7 @@
     if let Some(claim) = claim {
         claim.end(claims::outcome(&response));
     }
+    forward::clean_answer(&mut response);
     if job.source == Source::Peer && proxy.boundary.backpressure(&response).is_leaving {
         forward::mark_leaving(&mut response, &attempt.upstream());
     }
--- a/tests/suite/reach/cut.rs
+++ b/tests/suite/reach/cut.rs
@@ -86,21 +86,40 @@
     assert_eq!([out(0), out(1), out(2), out(3)], [0; 4]);
 }
 
-// An entry passed on an answer of an upstream that leaves, and would have sent it requests of its own once
-// it reached it again.
-#[test]
-fn learn_leaving_of_others() {
+/// A fleet whose first entry passes its callers' requests on to another one.
+fn fleet_with_forwarding() -> Fleet {
     let fleet = Fleet::start();
     fleet.cut(&[0], Form::Hang, None);
     wait_for("another entry's answer", || {
         fleet.look(0, "hull") == 200 && fleet.metric(0, "forward.answered") > 0
     });
+    fleet
+}
+
+// An entry passed on an answer of an upstream that leaves, and would have sent it requests of its own once
+// it reached it again.
+#[test]
+fn learn_leaving_of_others() {
+    let fleet = fleet_with_forwarding();
     assert_eq!(fleet.metric(0, "upstream.leaving"), 0);
-    fleet.set_leaving("hull");
+    fleet.set_lines("hull", "Server-Leaving: 1\r\n");
     assert_eq!(fleet.look(0, "hull"), 200);
     wait_for("word of it", || fleet.metric(0, "upstream.leaving") > 0);
 }
 
+// An upstream's answer has the headers by which entries tell each other that nothing was sent, or who leaves.
+// A request that may run once ran twice, and another upstream was left alone.
+#[test]
+fn sign_once_by_upstream_with_headers_of_entries() {
+    let fleet = fleet_with_forwarding();
+    fleet.set_lines("hull", "x-hemlockfield-unreached: true\r\nx-hemlockfield-leaving: i-0\r\n");
+    let arrivals = || fleet.count_arrivals("hull", Duration::from_secs(60));
+    let before = arrivals();
+    assert_eq!(fleet.sign(0, "hull"), 200);
+    assert_eq!(arrivals() - before, 1);
+    assert_eq!(fleet.metric(0, "upstream.leaving"), 0);
+}
+
 // No entry reaches the upstreams: callers are still told of entries, as there are no better ones,
 // are refused at once, and are served as soon as the upstreams are back.
 #[rstest]
--- a/tests/suite/reach/fleet.rs
+++ b/tests/suite/reach/fleet.rs
@@ -124,10 +124,10 @@
         upstreams.map(|(_, upstream)| upstream.count_arrivals(span)).sum()
     }
 
-    /// Has the upstreams of a service say that they leave.
-    pub(super) fn set_leaving(&self, service: &str) {
+    /// Adds these lines to the heads of the answers of a service's upstreams.
+    pub(super) fn set_lines(&self, service: &str, lines: &'static str) {
         let upstreams = self.upstreams.iter().filter(|(name, _)| *name == service);
-        upstreams.for_each(|(_, upstream)| upstream.set_leaving());
+        upstreams.for_each(|(_, upstream)| upstream.set_lines(lines));
     }
 
     /// Value of a metric of an entry.
--- a/tests/suite/stand_in.rs
+++ b/tests/suite/stand_in.rs
@@ -25,8 +25,8 @@
 #[derive(Default)]
 struct Behaviour {
     arrivals: Vec<Instant>,
-    /// Whether it says in its answers that it leaves.
-    is_leaving: bool,
+    /// Further lines of the heads of its answers.
+    lines: &'static str,
     /// Requests per second that it takes from all entries together, if it names a limit.
     limit: Option<f64>,
 }
@@ -50,8 +50,8 @@
         self.behaviour.lock().unwrap().limit = limit;
     }
 
-    pub(crate) fn set_leaving(&self) {
-        self.behaviour.lock().unwrap().is_leaving = true;
+    pub(crate) fn set_lines(&self, lines: &'static str) {
+        self.behaviour.lock().unwrap().lines = lines;
     }
 
     /// Requests that arrived within the last `span`.
@@ -71,15 +71,15 @@
             id = text.trim().to_owned();
         }
         if lower.is_empty() {
-            let (limit, leaving) = {
+            let (limit, lines) = {
                 let mut behaviour = behaviour.lock().unwrap();
                 behaviour.arrivals.push(Instant::now());
-                let leaving = if behaviour.is_leaving { "Server-Leaving: 1\r\n" } else { "" };
-                (behaviour.limit.map(|limit| format!("Server-Limit: {limit}\r\n")), leaving)
+                let limit = behaviour.limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+                (limit, behaviour.lines)
             };
             let limit = limit.unwrap_or_default();
             let text = format!(
-                "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nHemlockfield-Request-Id: {id}\r\n{limit}{leaving}\
+                "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nHemlockfield-Request-Id: {id}\r\n{limit}{lines}\
                  Hemlockfield-Response-Signature: 1\r\n\r\nhull"
             );
             if (&mut &*stream).write_all(text.as_bytes()).is_err() {
