Move what an entry owes its upstreams out of the picker

The picker had grown by the duties' list, their rate, the rate of picks and the last one's kind, which are one thing: how many of its requests an entry may direct, and where. No decision changes; the picker's and the model's tests are as they were.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -15,6 +15,7 @@
 mod backpressure;
 mod completion;
 mod coverage;
+mod duties;
 mod duty;
 mod health;
 mod hold;
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -6,17 +6,16 @@
 
 use crate::balance::Completion;
 use crate::balance::Coverage;
-use crate::balance::Duty;
 use crate::balance::Health;
 use crate::balance::Member;
 use crate::balance::Pick;
 use crate::balance::Request;
 use crate::balance::Setup;
 use crate::balance::Ticket;
+use crate::balance::duties::Duties;
 use crate::balance::hold::Holds;
 use crate::balance::load::Load;
 use crate::balance::load::Record;
-use crate::balance::pick_rate::PickRate;
 use crate::balance::subset;
 use crate::balance::subset::Subset;
 use crate::balance::working_set::WorkingSet;
@@ -39,13 +38,7 @@
     near_slots: f64,
     coverage: Coverage,
     holds: Holds,
-    /// Upstreams that this entry has a duty to.
-    duties: Vec<usize>,
-    /// Requests per second that its duties as the first entry need at most.
-    duty_rate: f64,
-    /// Whether the last request was directed.
-    is_last_directed: bool,
-    pick_rate: PickRate,
+    duties: Duties,
     working_set: WorkingSet,
     candidates: Vec<(usize, f64)>,
     random: ChaCha8Rng,
@@ -92,10 +85,7 @@
             near_slots: 0.0,
             coverage: Coverage::default(),
             holds: Holds::default(),
-            duties: Vec::new(),
-            duty_rate: 0.0,
-            is_last_directed: false,
-            pick_rate: PickRate::default(),
+            duties: Duties::default(),
             working_set: WorkingSet::default(),
             candidates: Vec::new(),
             random,
@@ -149,13 +139,11 @@
             return Some(self.begin(now, position, request.is_long));
         }
         let due = self.due(now, request);
-        self.pick_rate.add(now);
+        self.duties.record(now, due.is_some());
         if let Some(position) = due {
-            self.is_last_directed = true;
             let pick = self.begin(now, position, request.is_long);
             return Some(Pick { is_directed: true, ..pick });
         }
-        self.is_last_directed = false;
         let total = self.gather_candidates(now, request);
         let first = self.draw(total)?;
         let second = self.draw(total)?;
@@ -243,7 +231,7 @@
             load.set_suspect(health.is_suspect(&load.member().upstream));
             load.set_duty(now, health.duty(&load.member().upstream));
         }
-        self.collect_duties();
+        self.duties.update(&self.loads);
         if is_changed {
             self.choose_subset();
         }
@@ -297,7 +285,7 @@
             self.loads.push(load);
             self.next_member += 1;
         }
-        self.collect_duties();
+        self.duties.update(&self.loads);
         self.choose_subset();
     }
 
@@ -357,27 +345,16 @@
     }
 
     /// The upstream to which this entry has owed a request for longest. Chosen by cost alone, one that
-    /// is slow, far or unlucky gets none for seconds. At most every second request is directed, and none
-    /// where this entry gets too few for its duties: there the working set decides.
+    /// is slow, far or unlucky gets none for seconds. None where the working set decides.
     fn due(&self, now: Moment, request: &Request<'_>) -> Option<usize> {
-        let has_requests = self.duty_rate <= self.pick_rate.per_second(now);
-        if request.is_long || self.is_last_directed || !has_requests || !self.needs_all() {
+        if request.is_long || !self.needs_all() {
             return None;
         }
         let is_free = |load: &Load| load.is_usable() && load.is_sound() && load.has_room(now);
         let is_avoided = |load: &Load| request.avoid.contains(&load.member().upstream);
         let is_wanted =
             |load: &Load| is_free(load) && load.record(now) != Record::Lost && !is_avoided(load);
-        let due_at = |at: &usize| self.loads[*at].due_at().filter(|due_at| *due_at <= now);
-        let due = self.duties.iter().filter_map(|at| Some((due_at(at)?, *at)));
-        due.filter(|(_, at)| is_wanted(&self.loads[*at])).min().map(|(_, at)| at)
-    }
-
-    fn collect_duties(&mut self) {
-        let duty = |at: &usize| self.loads[*at].duty();
-        self.duties = (0..self.loads.len()).filter(|at| duty(at).is_some()).collect();
-        let first = self.duties.iter().filter(|at| duty(at) == Some(Duty::First)).count();
-        self.duty_rate = first as f64 / Duty::First.interval().as_secs_f64();
+        self.duties.due(now, &self.loads, is_wanted)
     }
 
     fn near_in_flight(&self) -> usize {
