Start the tests' process only once its first configuration is in force

Cause: a process acknowledges its first configuration before its entry has it in force. Fixture::start waited for that only by way of its upstreams, and this test has none. Ruled out: that the cut configuration was taken (the number would be 2) and the broken connection (the answer had been checked before).

The fixture now waits until the first configuration is in force. The test's own checks are unchanged.

--- a/tests/suite/entry/fixture.rs
+++ b/tests/suite/entry/fixture.rs
@@ -114,6 +114,9 @@
         settings.listen.links = any;
         let node = Node::start(settings, true).await.unwrap();
         while !node.submit(Version::new(1, "first".into(), rules)).await {}
+        while node.configuration_number() != Some(1) {
+            task::sleep(Duration::from_millis(10)).await;
+        }
         let received = Arc::new(Mutex::new(Received::default()));
         for (at, script) in scripts.iter().enumerate() {
             let address = upstream(*script, Arc::clone(&received)).await;
