Show that sound upstreams are idle after a failure, and that stragglers put off trials

The judge of the fleet model now asks for the stricter reading. It was wrong, as the trace shows: all upstreams idle from 18 to 20 s had failed their last request between 16.9 and 17.9 s. No check is weaker than before. The model can also fail requests by never answering them.

--- a/tests/suite/breaker/circuit.rs
+++ b/tests/suite/breaker/circuit.rs
@@ -108,6 +108,21 @@
     assert_eq!(circuit.outage(), (ms(0), ms(2_100)));
 }
 
+// Requests that hung from before the trials began put off the next trial each time one of their callers
+// gave up.
+#[test]
+fn record_hung_sent_before_trials() {
+    let mut circuit = Circuit::default();
+    circuit.record(ms(1_000), &Counts { hung: 1, waited: 1_000, ..Counts::default() });
+    circuit.tick(ms(1_500));
+    let half_open = circuit.state();
+    for sent_at in [400, 800, 900] {
+        circuit.record(ms(sent_at + 2_000), &Counts::from_outcome(Kind::Timeout, ms(2_000)));
+        assert_eq!(circuit.state(), half_open);
+        assert_eq!(circuit.outage(), (ms(0), ms(sent_at)));
+    }
+}
+
 // A service has no idempotent requests, and nobody has tried its upstream. The breaker must not
 // close with time alone, as the fault may last.
 #[test]
--- a/tests/suite/fleet_model/judge.rs
+++ b/tests/suite/fleet_model/judge.rs
@@ -14,7 +14,7 @@
 /// Share of the sound upstreams that get requests in any window.
 pub(super) const FLOOR: f64 = 0.7;
 const WINDOW: Duration = Duration::from_secs(2);
-/// An upstream counts as sound this long after it last failed a request.
+/// An upstream counts as sound this long after it last failed a request, also if it had none since.
 const SOUND_AFTER: Duration = Duration::from_secs(2);
 /// Shares of lost requests between which the floor is promised.
 const LOST_SHARE: std::ops::Range<f64> = 0.1..0.5;
@@ -111,7 +111,7 @@
         let is_sound = |number: &usize| {
             let is_reached = busy.iter().any(|entry| !self.was_cut(*entry, *number, from, to));
             let failures = &self.upstreams[*number].failures;
-            let has_failed = within(failures, from.saturating_sub(SOUND_AFTER));
+            let has_failed = within(failures, to.saturating_sub(SOUND_AFTER));
             let is_there = self.upstreams[*number].born_at <= from;
             self.services[*number] == service && is_there && is_reached && !has_failed
         };
--- a/tests/suite/fleet_model/plan.rs
+++ b/tests/suite/fleet_model/plan.rs
@@ -8,6 +8,8 @@
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 
+use super::upstream::Fault;
+
 /// When callers begin, after entries and upstreams are known.
 pub(super) const CALLERS_FROM: Duration = Duration::from_secs(4);
 /// Link of an entry in bytes per second: 3.9 Mbit/s.
@@ -38,7 +40,7 @@
     /// Upstreams of a service start, and are slow for some time.
     Add { service: usize, count: usize, cold: Duration },
     /// A share of a service's upstreams fails requests, each with the probability `loss`.
-    Fail { service: usize, share: f64, loss: f64, until: Moment },
+    Fail { service: usize, share: f64, fault: Fault, loss: f64, until: Moment },
     /// An entry is killed and starts again.
     Kill { entry: usize, down: Duration },
     /// Callers fill the links of all entries, so that each message waits this long.
@@ -122,7 +124,8 @@
             let at = Duration::from_millis(random.random_range(12_000..22_000));
             let until = at + Duration::from_millis(random.random_range(4_000..10_000));
             let share = if random.random_bool(0.5) { 1.0 } else { random.random_range(0.5..1.0) };
-            steps.push((at, Step::Fail { service: 0, share, loss: 1.0, until }));
+            let fault = Fault::Cuts;
+            steps.push((at, Step::Fail { service: 0, share, fault, loss: 1.0, until }));
             let gap = Duration::from_millis(random.random_range(0..400));
             for time in 0..random.random_range(1..=2) {
                 let from = at + Duration::from_millis(random.random_range(500..2_500)) * (time + 1);
@@ -165,12 +168,21 @@
 
     /// Most upstreams of a service fail two requests in five, while most entries are killed at once.
     pub(super) fn scarce(seed: u64) -> Self {
+        Self::most_out(seed, Fault::Cuts)
+    }
+
+    /// The same, where the requests that fail are never answered.
+    pub(super) fn hanging(seed: u64) -> Self {
+        Self::most_out(seed, Fault::Hangs)
+    }
+
+    fn most_out(seed: u64, fault: Fault) -> Self {
         let mut plan = Self::short_work(seed);
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let until = Duration::from_secs(22);
         let loss = random.random_range(0.3..0.6);
         let share = random.random_range(0.6..0.9);
-        let fail = Step::Fail { service: 0, share, loss, until };
+        let fail = Step::Fail { service: 0, share, fault, loss, until };
         plan.steps.push((Duration::from_secs(8), fail));
         let killed = plan.entries * 7 / 10;
         for entry in (0..plan.entries).choose_multiple(&mut random, killed) {
--- a/tests/suite/fleet_model/promise.rs
+++ b/tests/suite/fleet_model/promise.rs
@@ -30,12 +30,24 @@
     check_floor(Plan::restarts(seed));
 }
 
+// Upstreams that had failed a request had none in the 2 s after it, in services with few.
+#[rstest]
+fn floor_held_after_failures(#[values(12, 19, 33, 38, 39)] seed: u64) {
+    check_floor(Plan::restarts(seed));
+}
+
 // A quarter of the requests was lost while a third of the sound upstreams had none for 2 s.
 #[rstest]
-fn floor_held_most_out(#[values(0, 6)] seed: u64) {
+fn floor_held_most_out(#[values(0, 6, 24, 29)] seed: u64) {
     check_floor(Plan::scarce(seed));
 }
 
+// Requests that hung from before an outage counted as failed trials, and put off the next one.
+#[rstest]
+fn floor_held_most_hanging(#[values(0, 24)] seed: u64) {
+    check_floor(Plan::hanging(seed));
+}
+
 // Upstreams that had just started got the requests of all entries at once, and were cold.
 #[test]
 fn floor_held_amid_additions() {
@@ -43,9 +55,9 @@
 }
 
 // Work took longer than what others sent was waited for, so every upstream seemed to have nothing.
-#[test]
-fn floor_held_long_work() {
-    check_floor(Plan::long_work(0));
+#[rstest]
+fn floor_held_long_work(#[values(0, 4, 35)] seed: u64) {
+    check_floor(Plan::long_work(seed));
 }
 
 // Processes are killed, and callers move, while most upstreams of a service fail.
@@ -78,6 +90,7 @@
                 ("long work", Plan::long_work(seed)),
                 ("additions", Plan::additions(seed)),
                 ("scarce", Plan::scarce(seed)),
+                ("hanging", Plan::hanging(seed)),
             ] {
                 let world = World::run(plan);
                 results.push((name, seed, world.floor_margin(), world.served(), 0.0));
@@ -96,8 +109,16 @@
         let threads: Vec<_> = (0..workers).map(|worker| scope.spawn(move || run(worker))).collect();
         threads.into_iter().for_each(|it| results.extend(it.join().expect("a run")));
     });
-    let plans =
-        ["restarts", "long work", "additions", "scarce", "restarts, budget", "outages", "changes"];
+    let plans = [
+        "restarts",
+        "long work",
+        "additions",
+        "scarce",
+        "hanging",
+        "restarts, budget",
+        "outages",
+        "changes",
+    ];
     for plan in plans {
         let mut of_plan: Vec<_> = results.iter().filter(|it| it.0 == plan).collect();
         of_plan.sort_by(|a, b| a.2.left.total_cmp(&b.2.left));
--- a/tests/suite/fleet_model/upstream.rs
+++ b/tests/suite/fleet_model/upstream.rs
@@ -33,6 +33,15 @@
     Started,
 }
 
+/// Time in which an upstream fails a share of all requests.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Outage {
+    pub(super) fault: Fault,
+    pub(super) from: Moment,
+    pub(super) share: f64,
+    pub(super) until: Moment,
+}
+
 /// An upstream with slots, a queue and faults of its own.
 #[derive(Clone, Debug)]
 pub(super) struct Upstream {
@@ -45,8 +54,7 @@
     pub(super) born_at: Moment,
     /// Until when its work takes longer.
     pub(super) cold_until: Moment,
-    /// From when and until when it fails a share of all requests.
-    outage: Option<(Moment, Moment, f64)>,
+    outage: Option<Outage>,
     pub(super) queue: VecDeque<usize>,
     pub(super) running: u32,
     slots: u32,
@@ -76,21 +84,20 @@
         }
     }
 
-    /// Fails a share of all requests from a time until another.
-    pub(super) fn fail(&mut self, from: Moment, until: Moment, loss: f64) {
-        self.outage = Some((from, until, loss));
+    /// Fails a share of all requests for some time.
+    pub(super) fn fail(&mut self, outage: Outage) {
+        self.outage = Some(outage);
     }
 
     /// Takes a request that arrives now.
     pub(super) fn take(&mut self, now: Moment, request: usize, random: &mut ChaCha8Rng) -> Taken {
         self.arrivals.push(now);
-        if let Some((from, until, loss)) = self.outage
-            && from <= now
-            && now < until
-            && random.random_bool(loss)
+        if let Some(outage) = self.outage
+            && (outage.from..outage.until).contains(&now)
+            && random.random_bool(outage.share)
         {
             self.failures.push(now);
-            return Taken::Failed(Fault::Cuts);
+            return Taken::Failed(outage.fault);
         }
         let current = self.faults.iter().find(|(from, to, _)| *from <= now && now < *to);
         if let Some((.., fault)) = current
--- a/tests/suite/fleet_model/world.rs
+++ b/tests/suite/fleet_model/world.rs
@@ -43,6 +43,7 @@
 use super::process::Process;
 use super::process::Start;
 use super::upstream::Fault;
+use super::upstream::Outage;
 use super::upstream::Taken;
 use super::upstream::Upstream;
 
@@ -365,12 +366,12 @@
             Step::Add { service, count, cold } => {
                 (0..count).for_each(|_| self.add_upstream(service, cold));
             }
-            Step::Fail { service, share, loss, until } => {
-                let now = self.now;
+            Step::Fail { service, share, fault, loss, until } => {
+                let outage = Outage { fault, from: self.now, share: loss, until };
                 let of_service = self.services.iter().zip(&mut self.upstreams);
                 for (_, upstream) in of_service.filter(|(of, _)| **of == service) {
                     if self.random.random_bool(share) {
-                        upstream.fail(now, until, loss);
+                        upstream.fail(outage);
                     }
                 }
             }
