Count only what was sent since the trials began as a failed trial

Callers lost requests while upstreams that had recovered had none: an upstream that hangs is found out after a second or two, and the requests that it held until then end one after the other, each 2 s after it was sent. Each one counted as a failed trial: a pause of 0.3 s more, and the turn went on to another entry, so that entries that heard of different numbers of them disagreed whose turn it was.

A hung request that was sent before the trials began now only moves the time of the last failure to when it was sent. One sent later is a failed trial as before.

Ruled out: that the failure was dated by its end (it is dated by its start), and entries without requests (3.3 a second each).

--- a/src/breaker/circuit.rs
+++ b/src/breaker/circuit.rs
@@ -247,15 +247,18 @@
                 self.state = State::Open { until: until.max(fault_at + OPEN_PAUSE) };
             }
             State::Open { .. } => {}
-            State::HalfOpen { .. } if counts.losses() + unreached > 0 => {
-                // A hung request sent before the last failure is not a failed trial. Counted as
-                // one, each caller that gave up delayed the next trial by seconds.
+            State::HalfOpen { since, .. } if counts.losses() + unreached > 0 => {
                 self.confirm_fault(counts);
-                if fault_at > self.failed_at {
+                if fault_at <= self.failed_at {
+                    return;
+                }
+                self.failed_at = fault_at;
+                // A hung request from before the trials is not a failed one. Counted as one, each
+                // caller that gave up delayed the next trial.
+                if fault_at >= since {
                     self.cause = Cause::from_counts(counts);
                     self.overdue_wait = None;
                     self.has_single_error = false;
-                    self.failed_at = fault_at;
                     self.state = State::Open { until: now + FAILED_TRIAL_PAUSE };
                 }
             }
