--- a/src/breaker/member.rs
+++ b/src/breaker/member.rs
@@ -22,14 +22,13 @@
 /// Likelihood that an outage is over from which on any request may make trials.
 const TRIAL_LIKELIHOOD: f64 = 0.5;
 /// Bounds of the time from the last failure until any request may make a trial. Operators count an
-/// upstream as sound 2 s after its last failure, whatever it does, and as idle without a request in
-/// the 2 s after that. Each trial of a faulty one loses a request.
+/// upstream as sound 2 s after its last failure, and as idle if it had no request since. Each trial of
+/// a faulty one loses a request, so not all are tried by then.
 const TRIAL_DELAY_MIN: Duration = Duration::from_secs(1);
 pub(super) const TRIAL_DELAY_MAX: Duration = Duration::from_secs(3);
 /// The upper bound where so few are out that all of them may be idle.
 pub(super) const TRIAL_DELAY_MAX_FEW: Duration = Duration::from_secs(5);
-/// The upper bound where most are out, or each one counts. It leaves time for a second trial if the first
-/// one is lost.
+/// The upper bound where most are out, or each one counts.
 pub(super) const TRIAL_DELAY_MAX_TIGHT: Duration = Duration::from_millis(2100);
 /// Longest time from a successful trial to the next one, while requests that may be lost are not yet
 /// used for trials.
