Count requests that are given up before any sign of their upstream

`attempt.abandoned` counts what a hedge, a deadline or a caller that left gave up without an answer and without the end of the connection. No decision changes.

--- a/src/node/traffic/round_trip.rs
+++ b/src/node/traffic/round_trip.rs
@@ -69,7 +69,26 @@
     let first_byte = proxy.settings.limits.first_byte.min(left);
     let connect = proxy.settings.limits.connect;
     let timeouts = Timeouts { connect, first_byte, idle: BODY_IDLE_TIMEOUT };
-    connection.send(request, payload.begin()?, timeouts).await
+    let body = payload.begin()?;
+    let mut sign = Sign { is_seen: false, proxy };
+    let answer = connection.send(request, body, timeouts).await;
+    sign.is_seen = !matches!(answer, Err(Failure::Silent(_)));
+    answer
+}
+
+/// Whether the upstream gave any sign of a request: an answer, or the end of the connection.
+struct Sign<'a> {
+    is_seen: bool,
+    proxy: &'a Proxy,
+}
+
+impl Drop for Sign<'_> {
+    /// Counts a request that was given up without a sign, and may not have arrived yet.
+    fn drop(&mut self) {
+        if !self.is_seen {
+            self.proxy.metrics.count("attempt.abandoned");
+        }
+    }
 }
 
 /// Takes a pooled connection or opens a new one. Requests that are not idempotent use only
