Keep what was paid for a copy until the copy can't arrive any more

Cause: the sum of repeats was kept over sends and is judged over arrivals. A payment covered a tenth of a window for the way; a copy held up on a silent path for seconds counted when it arrived, beside what the next window paid for, and the burst was free again a window after it was spent. And what was given up still arrived: closing a connection leaves the system to deliver what it holds. Class: a bound that is paid at sending and counted at arrival.

Change: a payment stays open until its copies have arrived or can't arrive any more (an answer, the end of the connection, or 0.9 of a window). While it is open its part of the burst stays spent, and what it took of the earned is paid again once a window has passed since that was earned; what is missing is owed by the next earnings. Hedges take the newest earnings, as the slower of two copies seldom gives a sign. A request that is given up before an answer resets its connection.

--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -32,9 +32,12 @@
 }
 
 /// A request on its way to an upstream. When it is dropped the connection is closed, which cancels
-/// the work; within the request it is reset, so that no upstream takes the end of the connection for
-/// the end of the body.
+/// the work. Before an answer it is reset: the system would go on sending what a silent path has not
+/// delivered, and the request would arrive after it was given up. Within the request too, so that no
+/// upstream takes the end of the connection for the end of the body.
 pub(super) struct Upload {
+    /// Whether the head of the answer has arrived.
+    pub(super) is_answered: bool,
     is_released: bool,
     socket: Socket,
     pub(super) transmission: Transmission,
@@ -42,7 +45,7 @@
 
 impl Upload {
     pub(super) fn new(socket: Socket, transmission: Transmission) -> Self {
-        Self { is_released: false, socket, transmission }
+        Self { is_answered: false, is_released: false, socket, transmission }
     }
 }
 
@@ -51,7 +54,7 @@
         if self.is_released {
             return;
         }
-        if self.transmission.is_finished() {
+        if self.is_answered && self.transmission.is_finished() {
             self.socket.close();
         } else {
             self.socket.reset();
--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -163,6 +163,7 @@
         let echo = request.expected_echo();
         let receive = self.read_head(echo.as_ref(), timeouts, reused);
         let response = send_and_receive(&mut upload.transmission, receive, timeouts).await?;
+        upload.is_answered = true;
         self.idle_limit = head::idle_limit(&response.headers);
         if is_last(&response)? || response.status >= FIRST_ERROR_STATUS {
             upload.transmission.break_off();
--- a/src/node/traffic/attempt.rs
+++ b/src/node/traffic/attempt.rs
@@ -70,6 +70,11 @@
         !matches!(&self.round_trip.result, Err(failure) if failure.is_not_run())
     }
 
+    /// Whether it ended without any sign of the upstream, which may get the request yet.
+    pub(super) fn is_abandoned(&self) -> bool {
+        matches!(self.round_trip.result, Err(Failure::Expired(_) | Failure::Silent(_)))
+    }
+
     /// Whether no connection to the upstream could be opened.
     pub(super) fn is_unconnected(&self) -> bool {
         matches!(self.round_trip.result, Err(Failure::Connect(_)))
--- a/src/node/traffic/attempts.rs
+++ b/src/node/traffic/attempts.rs
@@ -40,7 +40,8 @@
     Unreached,
 }
 
-/// Attempts a job at upstreams until one answers or the retry policy stops.
+/// Attempts a job at upstreams until one answers or the retry policy stops, and settles the payments
+/// for copies that can't arrive any more. A caller that leaves settles none: its copies were in flight.
 pub(super) async fn run_attempts<'a>(
     proxy: &'a Proxy,
     service: &'a Service,
@@ -48,6 +49,24 @@
     view: &View,
     job: &mut Job,
     writer: &ResponseWriter,
+) -> Resolution<'a> {
+    let mut copies = retry::Copies::default();
+    let resolution = attempt_all(proxy, service, upstreams, view, job, writer, &mut copies).await;
+    if !matches!(resolution, Resolution::CallerGone { .. }) {
+        let mut policy = service.policy(proxy.now());
+        copies.settled().iter().for_each(|payment| policy.settle(*payment));
+    }
+    resolution
+}
+
+async fn attempt_all<'a>(
+    proxy: &'a Proxy,
+    service: &'a Service,
+    upstreams: &routing::Service,
+    view: &View,
+    job: &mut Job,
+    writer: &ResponseWriter,
+    copies: &mut retry::Copies,
 ) -> Resolution<'a> {
     let mut avoid = Vec::new();
     let mut last_failure = None;
@@ -82,7 +101,8 @@
         let is_stream = job.payload.is_stream();
         let mut attempt = {
             let hedged =
-                hedged_attempt(proxy, service, upstreams, job, reservation, &mut sends).fuse();
+                hedged_attempt(proxy, service, upstreams, job, reservation, &mut sends, copies)
+                    .fuse();
             let gone = caller_gone(is_stream, writer).fuse();
             pin_mut!(hedged, gone);
             select! {
@@ -94,6 +114,9 @@
         let outcome = attempt.outcome(proxy.boundary.as_ref(), rule_service);
         job.record_step(&attempt.upstream(), outcome, attempt.latency());
         sends += u32::from(attempt.is_sent());
+        if attempt.is_abandoned() {
+            copies.abandon();
+        }
         let Some(outcome) = outcome else {
             return attempt.into_answer().map_or_else(missing_answer, |(attempt, answer)| {
                 service.policy(proxy.now()).record_latency(attempt.latency());
@@ -127,7 +150,11 @@
             service.policy(proxy.now()).withdraw_first();
             return Resolution::Unreached;
         }
-        let decision = service.policy(proxy.now()).decide(&failed);
+        let (decision, payment) = {
+            let mut policy = service.policy(proxy.now());
+            (policy.decide(&failed), policy.take_payment())
+        };
+        payment.into_iter().for_each(|payment| copies.add_payment(payment));
         match decision {
             Decision::Again { after } => {
                 let kind = if failed.sent { "retry.sent" } else { "retry.unsent" };
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -11,6 +11,7 @@
 use crate::health;
 use crate::health::Observation;
 use crate::id::UpstreamId;
+use crate::retry;
 use crate::routing;
 
 use super::Proxy;
@@ -29,6 +30,7 @@
     job: &mut Job,
     reservation: Reservation<'a>,
     sends: &mut u32,
+    copies: &mut retry::Copies,
 ) -> Attempt<'a> {
     let now = proxy.now();
     let started = now;
@@ -38,8 +40,8 @@
     let request = job.request(now, proxy.boundary.as_ref(), &reservation.upstream);
     let primary = reservation.upstream.clone();
     let (idempotent, left) = (job.is_idempotent(), job.left(now));
-    let copies = after.and_then(|_| Some((job.payload.duplicate()?, job.payload.duplicate()?)));
-    let (Some(after), Some((mut payload, mut second_payload))) = (after, copies) else {
+    let payloads = after.and_then(|_| Some((job.payload.duplicate()?, job.payload.duplicate()?)));
+    let (Some(after), Some((mut payload, mut second_payload))) = (after, payloads) else {
         let payload = &mut job.payload;
         return Attempt::run(proxy, request, payload, reservation, idempotent, left).await;
     };
@@ -53,9 +55,12 @@
     }
     let now = proxy.now();
     let left = job.left(now);
-    if !service.policy(proxy.now()).try_hedge(left) {
-        return first.await;
-    }
+    let payment = {
+        let mut policy = service.policy(proxy.now());
+        if policy.try_hedge(left) { policy.take_payment() } else { None }
+    };
+    let Some(payment) = payment else { return first.await };
+    copies.add_payment(payment);
     let avoid = std::slice::from_ref(&primary);
     let other = Request { avoid, ..Request::default() };
     let Some(reservation) = Reservation::take(proxy, service, upstreams, &other) else {
@@ -78,8 +83,12 @@
         report_late_primary(proxy, job, primary, proxy.now().saturating_sub(started));
     }
     if attempt.is_success(proxy.boundary.as_ref()) {
+        copies.abandon();
         return attempt;
     }
+    if attempt.is_abandoned() {
+        copies.abandon();
+    }
     if hedge_won { first.await } else { second.await }
 }
 
--- a/src/replay/input.rs
+++ b/src/replay/input.rs
@@ -7,6 +7,7 @@
 use crate::health;
 use crate::retry::Attempt;
 use crate::retry::Limits;
+use crate::retry::payment;
 
 /// Input of one of the machines.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -46,6 +47,11 @@
         /// Time since the start of the attempt.
         time: Duration,
     },
+    /// No copy of a retry or hedge can arrive any more.
+    Settle {
+        /// Payment for it.
+        payment: payment::Number,
+    },
     /// The first attempt of a request that was received `waited` ago was sent.
     Waited {
         /// Time since the request was received.
--- a/src/replay/instance.rs
+++ b/src/replay/instance.rs
@@ -65,6 +65,7 @@
         Retry::Hedged { won } => policy.record_hedge(won),
         Retry::Limit(limits) => policy.set_limits(limits),
         Retry::Note { time } => policy.record_latency(time),
+        Retry::Settle { payment } => policy.settle(payment),
         Retry::Waited { waited } => policy.record_first(waited),
         Retry::Withdraw => policy.withdraw_first(),
     }
--- a/src/replay/policy.rs
+++ b/src/replay/policy.rs
@@ -13,6 +13,7 @@
 use crate::retry::Attempt;
 use crate::retry::Decision;
 use crate::retry::Usage;
+use crate::retry::payment;
 
 /// A [`retry::Policy`] that records its inputs.
 #[derive(Clone, Debug)]
@@ -67,6 +68,17 @@
         self.policy.try_hedge(remaining)
     }
 
+    /// Calls [`retry::Policy::take_payment`].
+    pub fn take_payment(&mut self) -> Option<payment::Number> {
+        self.policy.take_payment()
+    }
+
+    /// Records the input and calls [`retry::Policy::settle`].
+    pub fn settle(&mut self, payment: payment::Number) {
+        self.record(|| Retry::Settle { payment });
+        self.policy.settle(payment);
+    }
+
     /// Calls [`retry::Policy::hedge_after`].
     pub fn hedge_after(&self) -> Option<Duration> {
         self.policy.hedge_after()
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -6,12 +6,16 @@
 //! make up to three times the load and keep the service from recovering. With the budget there are
 //! at most 1.1 attempts per request.
 //!
+//! A retry counts when it reaches an upstream. [`Copies`] tells which payments of a request must stay
+//! open because a copy that was given up may still arrive.
+//!
 //! Hedges (a second copy of an idempotent lookup that is late) are paid from the same budget and
 //! are suspended while they rarely win.
 
 mod answer;
 mod attempt;
 mod budget;
+mod copies;
 mod decide;
 mod decision;
 mod hedge;
@@ -20,6 +24,7 @@
 mod max_attempts;
 mod outcome;
 mod participants;
+pub mod payment;
 mod policy;
 mod simulation;
 mod usage;
@@ -28,6 +33,7 @@
 pub use answer::Answer;
 pub use attempt::Attempt;
 pub use budget::Budget;
+pub use copies::Copies;
 pub use decide::Decide;
 pub use decision::Decision;
 pub use hedge::Hedge;
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -2,6 +2,7 @@
 
 use super::Limits;
 use super::Window;
+use super::payment;
 use crate::clock::Moment;
 
 /// Tokens that a first attempt adds, and maximum number of saved tokens. Over any 40 requests of an
@@ -81,15 +82,35 @@
         }
     }
 
-    /// Pays for a retry or a hedge; returns `false` if the budget doesn't allow it.
-    pub fn try_take(&mut self) -> bool {
+    /// Pays for a retry; `None` if the budget doesn't allow it.
+    pub fn try_take(&mut self) -> Option<payment::Number> {
         match self {
-            Self::Bucket { tokens, .. } if *tokens >= 1.0 => {
-                *tokens -= 1.0;
-                true
-            }
-            Self::Bucket { .. } => false,
+            Self::Bucket { tokens, .. } => try_take_token(tokens),
             Self::Window(window) => window.try_take(),
         }
     }
+
+    /// Pays for a hedge; `None` if the budget doesn't allow it.
+    pub fn try_take_hedge(&mut self) -> Option<payment::Number> {
+        match self {
+            Self::Bucket { tokens, .. } => try_take_token(tokens),
+            Self::Window(window) => window.try_take_hedge(),
+        }
+    }
+
+    /// Settles a payment of which no copy can arrive any more.
+    pub fn settle(&mut self, number: payment::Number) {
+        if let Self::Window(window) = self {
+            window.settle(number);
+        }
+    }
+}
+
+/// Takes a token, if there is one. Payments of a bucket are never open, so they need no number.
+fn try_take_token(tokens: &mut f64) -> Option<payment::Number> {
+    if *tokens < 1.0 {
+        return None;
+    }
+    *tokens -= 1.0;
+    Some(0)
 }
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -11,6 +11,7 @@
 use super::Latency;
 use super::Limits;
 use super::Usage;
+use super::payment;
 use crate::clock::Moment;
 
 /// Longest backoff before the second attempt; doubles with each further one. Long compared to the 1
@@ -34,6 +35,7 @@
     free_connects: bool,
     hedge: Hedge,
     latency: Latency,
+    paid: Option<payment::Number>,
     rng: ChaCha8Rng,
     usage: Usage,
 }
@@ -46,6 +48,7 @@
             free_connects: false,
             hedge: Hedge::default(),
             latency: Latency::default(),
+            paid: None,
             rng,
             usage: Usage::default(),
         }
@@ -77,6 +80,7 @@
 
     /// Decides what follows a failed attempt.
     pub fn decide(&mut self, attempt: &Attempt) -> Decision {
+        self.paid = None;
         let stop = Decision::Stop { answer: attempt.answer() };
         let is_exhausted = attempt.tries >= TRIES_MAX || attempt.sends >= attempt.limit;
         if !attempt.is_retryable() || is_exhausted {
@@ -86,7 +90,7 @@
         // A retry that can't finish in time only adds load.
         let median = self.latency.median().unwrap_or_default();
         let is_free = self.free_connects && !attempt.sent;
-        if attempt.remaining <= after + median || !(is_free || self.try_take()) {
+        if attempt.remaining <= after + median || !(is_free || self.pay(Budget::try_take)) {
             return stop;
         }
         self.usage.free += u32::from(is_free);
@@ -113,7 +117,18 @@
     /// charged and [`Self::record_hedge`] must follow.
     pub fn try_hedge(&mut self, remaining: Duration) -> bool {
         let median = self.latency.median().unwrap_or_default();
-        self.hedge.is_enabled() && remaining > median && self.try_take()
+        self.hedge.is_enabled() && remaining > median && self.pay(Budget::try_take_hedge)
+    }
+
+    /// Takes the payment that the last decision made, if it made one.
+    pub fn take_payment(&mut self) -> Option<payment::Number> {
+        self.paid.take()
+    }
+
+    /// Settles a payment of which no copy can arrive any more. Without it, a payment is open for the
+    /// longest time that a copy may be on its way.
+    pub fn settle(&mut self, number: payment::Number) {
+        self.budget.settle(number);
     }
 
     /// Records whether the hedge responded first.
@@ -131,8 +146,9 @@
         self.budget.remaining()
     }
 
-    fn try_take(&mut self) -> bool {
-        let is_taken = self.budget.try_take();
+    fn pay(&mut self, take: fn(&mut Budget) -> Option<payment::Number>) -> bool {
+        self.paid = take(&mut self.budget);
+        let is_taken = self.paid.is_some();
         self.usage.paid += u32::from(is_taken);
         self.usage.denied += u32::from(!is_taken);
         is_taken
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -2,6 +2,8 @@
 use std::time::Duration;
 
 use super::Limits;
+use super::payment;
+use super::payment::Payment;
 use crate::clock::Moment;
 
 /// Number of buckets in a window.
@@ -12,10 +14,22 @@
 /// How long an earned retry can be spent, as a part of the window. The rest is for the way of a
 /// request to this entry and of its retry to the upstream.
 const LIFETIME_PART: f64 = 0.9;
+/// How long a copy that gave no sign of arriving may be on its way, as a part of the window.
+const DELIVERY_PART: f64 = 0.9;
 
 /// Largest error of a sum of earned parts.
 const ROUNDING: f64 = 1e-6;
 
+/// Retries by the time of the first one in a bucket.
+type Bucket = (Moment, f64);
+type Buckets = VecDeque<Bucket>;
+
+/// What was taken from buckets, and the time of the oldest one of them.
+struct Taken {
+    amount: f64,
+    oldest: Option<Moment>,
+}
+
 /// Retry budget of one entry, out of what all entries may spend together in any window.
 ///
 /// **Load pattern.** Every request to a service fails. Processes are killed in the midst of it and
@@ -29,14 +43,22 @@
 /// within a window. All retries of a window are thus paid by first attempts of two windows, whoever
 /// received them, and one that ends takes what it has not spent with it. The burst is a sliding count,
 /// and no part of it belongs to a process that has just started.
+///
+/// A retry counts when it arrives, which may be long after it was sent. So a payment stays open until
+/// its copies have arrived or can't arrive any more: what it took of the burst stays spent, and what
+/// it took of the earned is paid again once a window has passed since that was earned.
 #[derive(Clone, Debug)]
 pub struct Window {
-    burst_spent: VecDeque<(Moment, f64)>,
-    earned: VecDeque<(Moment, f64)>,
+    burst_spent: Buckets,
+    earned: Buckets,
     limits: Limits,
     now: Moment,
-    /// Earned for requests that other entries handle, and spent before that was known.
+    /// Payments whose copies may still arrive, in order.
+    open: VecDeque<Payment>,
+    /// Earned for requests that other entries handle, or for payments that were to be paid again, and
+    /// spent before.
     owed: f64,
+    payments: payment::Number,
     started_at: Option<Moment>,
 }
 
@@ -48,7 +70,9 @@
             earned: VecDeque::new(),
             limits,
             now: Moment::ZERO,
+            open: VecDeque::new(),
             owed: 0.0,
+            payments: 0,
             started_at: None,
         }
     }
@@ -71,6 +95,11 @@
         while self.burst_spent.front().is_some_and(|(at, _)| now >= *at + retention) {
             self.burst_spent.pop_front();
         }
+        let delivery = self.window_length().mul_f64(DELIVERY_PART);
+        while self.open.front().is_some_and(|payment| now >= payment.at + delivery) {
+            self.open.pop_front().into_iter().for_each(|payment| self.close(&payment));
+        }
+        self.renew();
     }
 
     /// Records the first attempt of a request that was received `waited` ago.
@@ -87,25 +116,66 @@
     /// Takes back what a first attempt earned, because another entry handles its request.
     pub fn withdraw_first(&mut self) {
         let earned = EARNED_PART * self.limits.share;
-        self.owed += earned - take(&mut self.earned, earned);
+        self.owed += earned - take_oldest(&mut self.earned, earned).amount;
+    }
+
+    /// Pays for a retry; `None` if the budget doesn't allow it.
+    pub fn try_take(&mut self) -> Option<payment::Number> {
+        self.pay(take_oldest)
+    }
+
+    /// Pays for a hedge; `None` if the budget doesn't allow it. The slower one of two copies seldom
+    /// gives a sign, so it is paid with what would have to be paid again latest.
+    pub fn try_take_hedge(&mut self) -> Option<payment::Number> {
+        self.pay(take_newest)
+    }
+
+    /// Settles a payment of which no copy can arrive any more.
+    pub fn settle(&mut self, number: payment::Number) {
+        let found = self.open.binary_search_by_key(&number, |payment| payment.number);
+        let payment = found.ok().and_then(|position| self.open.remove(position));
+        payment.into_iter().for_each(|payment| self.close(&payment));
+    }
+
+    /// Number of retries that the budget still allows.
+    pub fn remaining(&self) -> f64 {
+        let open: f64 = self.open.iter().map(|payment| payment.burst).sum();
+        sum(&self.earned) + (self.burst() - sum(&self.burst_spent) - open).max(0.0)
     }
 
-    /// Pays for a retry or a hedge; returns `false` if the budget doesn't allow it.
-    pub fn try_take(&mut self) -> bool {
+    fn pay(&mut self, take: fn(&mut Buckets, f64) -> Taken) -> Option<payment::Number> {
         if self.remaining() < 1.0 - ROUNDING {
-            return false;
+            return None;
         }
-        let from_burst = 1.0 - take(&mut self.earned, 1.0);
-        if from_burst > ROUNDING {
+        let Taken { amount, oldest } = take(&mut self.earned, 1.0);
+        let burst = if amount < 1.0 - ROUNDING { 1.0 - amount } else { 0.0 };
+        self.payments += 1;
+        let earned_at = oldest.unwrap_or(self.now);
+        let payment =
+            Payment { at: self.now, burst, earned: amount, earned_at, number: self.payments };
+        self.open.push_back(payment);
+        Some(self.payments)
+    }
+
+    fn close(&mut self, payment: &Payment) {
+        if payment.burst > 0.0 {
             let bucket_length = self.bucket_length();
-            add(&mut self.burst_spent, self.now, bucket_length, from_burst);
+            add(&mut self.burst_spent, self.now, bucket_length, payment.burst);
         }
-        true
     }
 
-    /// Number of retries that the budget still allows.
-    pub fn remaining(&self) -> f64 {
-        sum(&self.earned) + (self.burst() - sum(&self.burst_spent)).max(0.0)
+    /// Pays again for open payments with what was earned too long ago. What is missing is owed.
+    fn renew(&mut self) {
+        let (now, window) = (self.now, self.window_length());
+        for payment in &mut self.open {
+            if payment.earned <= 0.0 || now < payment.earned_at + window {
+                continue;
+            }
+            let Taken { amount, oldest } = take_newest(&mut self.earned, payment.earned);
+            self.owed += payment.earned - amount;
+            payment.earned = amount;
+            payment.earned_at = oldest.unwrap_or(now);
+        }
     }
 
     fn burst(&self) -> f64 {
@@ -128,7 +198,7 @@
 }
 
 /// Adds to the bucket of a time, which may be older than the newest one.
-fn add(buckets: &mut VecDeque<(Moment, f64)>, at: Moment, bucket_length: Duration, amount: f64) {
+fn add(buckets: &mut Buckets, at: Moment, bucket_length: Duration, amount: f64) {
     let next = buckets.partition_point(|(since, _)| *since <= at);
     match next.checked_sub(1).and_then(|last| buckets.get_mut(last)) {
         Some((since, sum)) if at < *since + bucket_length => *sum += amount,
@@ -136,21 +206,36 @@
     }
 }
 
-/// Takes at most `amount` from the oldest buckets; returns what was taken.
-fn take(buckets: &mut VecDeque<(Moment, f64)>, amount: f64) -> f64 {
-    let mut missing = amount;
-    while let Some((_, sum)) = buckets.front_mut() {
-        let taken = missing.min(*sum);
-        *sum -= taken;
-        missing -= taken;
-        if *sum > 0.0 {
+/// Takes at most `amount` from the oldest buckets.
+fn take_oldest(buckets: &mut Buckets, amount: f64) -> Taken {
+    take(buckets, amount, |buckets| buckets.front_mut(), |buckets| buckets.pop_front())
+}
+
+/// Takes at most `amount` from the newest buckets.
+fn take_newest(buckets: &mut Buckets, amount: f64) -> Taken {
+    take(buckets, amount, |buckets| buckets.back_mut(), |buckets| buckets.pop_back())
+}
+
+fn take(
+    buckets: &mut Buckets,
+    amount: f64,
+    next: fn(&mut Buckets) -> Option<&mut Bucket>,
+    remove: fn(&mut Buckets) -> Option<Bucket>,
+) -> Taken {
+    let mut taken = Taken { amount: 0.0, oldest: None };
+    while let Some((since, left)) = next(buckets) {
+        let part = (amount - taken.amount).min(*left);
+        *left -= part;
+        taken.amount += part;
+        taken.oldest = Some(taken.oldest.map_or(*since, |oldest| oldest.min(*since)));
+        if *left > 0.0 {
             break;
         }
-        buckets.pop_front();
+        remove(buckets);
     }
-    amount - missing
+    taken
 }
 
-fn sum(buckets: &VecDeque<(Moment, f64)>) -> f64 {
+fn sum(buckets: &Buckets) -> f64 {
     buckets.iter().map(|(_, amount)| amount).sum()
 }
--- a/tests/suite/exchange.rs
+++ b/tests/suite/exchange.rs
@@ -1,5 +1,6 @@
 //! Tests of `hemlockfield::exchange`: callers get a complete answer or a visible failure.
 
+mod abandoned;
 mod callers;
 mod endless;
 mod heads;
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -303,6 +303,8 @@
         policy.record_first(Duration::ZERO);
         if at >= 200 && matches!(policy.decide(&cut), Decision::Again { .. }) {
             retried.push(at);
+            let payment = policy.take_payment().unwrap();
+            policy.settle(payment);
         }
     }
     let count_from =
