Quarantine requests under which three upstreams ended

Cause: nothing told one request from another. What a connection carried when it broke was known at one entry, for the time of one request. Class: a fault that belongs to the request is charged to the upstream alone.

Ruled out: that entries notice and don't tell (nothing is kept by request); trials of breakers as the main source (the first three deaths come before any trial).

Change (slice poison): an entry whose connection ends before any byte of an answer looks whether the upstream still takes connections. If not, it reports the death with the fingerprints of what it had in flight there. The feed brings this to all controls and entries, each of which adds it up. Three upstreams ended, none has answered since, a second has passed for an answer to come in: all entries refuse the request, as not run, for a minute; then one entry at a time may send it once, and the quarantine grows fourfold if it ends another. After two deaths it is sent once a time, without retry or hedge. An answer acquits. Where upstreams end without the request too, up to two more deaths are asked for; deaths that another request explains don't count. Quarantines travel whole where digests differ, so entries and controls that start anew learn them before they serve. Tables are bounded (512 suspects, 256 quarantines, 32 fingerprints a death and entry); a quarantine costs 20 bytes at a start, digests 8 bytes a poll.

--- a/src/feed/input.rs
+++ b/src/feed/input.rs
@@ -13,6 +13,7 @@
 use crate::id::NodeId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::poison;
 
 /// Event that a subscriber handles.
 #[derive(Clone, Debug)]
@@ -36,6 +37,8 @@
     Advertise(Vec<Entry>),
     /// Record the results that callers of other entries received.
     Record(Tallies),
+    /// Treat requests by this list.
+    Quarantine(poison::List),
     /// Send a message to a control.
     Send(NodeId, Message),
     /// A control did not answer a poll or send a part for this long, and another one is polled.
--- a/src/feed/poll.rs
+++ b/src/feed/poll.rs
@@ -8,6 +8,7 @@
 use super::Tallies;
 use crate::config::Head;
 use crate::id::Index;
+use crate::poison;
 
 /// Request of an entry for all changes since a log index.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -25,6 +26,8 @@
     pub loading: Option<Index>,
     /// Digest of the entries that it advertises to callers.
     pub named: u64,
+    /// Quarantined requests that it knows.
+    pub quarantine: poison::Report,
     /// Upstreams that the entry follows.
     pub selection: Selection,
     /// Sequence number of the poll.
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -28,6 +28,7 @@
 use crate::config::Version;
 use crate::id::Index;
 use crate::id::NodeId;
+use crate::poison;
 use crate::registry::Announcement;
 
 /// Shortest interval between two pushes. When changes are frequent, several of them share one
@@ -80,6 +81,7 @@
     byte_rate: Rate,
     unforwarded: Tallies,
     has_changed_entries: bool,
+    poison: poison::Ledger,
     /// Digest of the entries in the last report.
     reported_digest: u64,
     reports: Reports,
@@ -117,6 +119,9 @@
         let tallies = before.map(|before| before.tallies).unwrap_or_default();
         let position = Position::of(&poll, snapshot);
         let (named, sequence) = (poll.named, poll.sequence);
+        self.poison.advance(now);
+        self.poison.merge(now, &poll.quarantine);
+        let quarantine = self.poison.report(now, Some(poll.quarantine.digest));
         let subscription = Subscription {
             asked: BTreeSet::new(),
             configuration: poll.configuration,
@@ -135,6 +140,7 @@
         self.note_sent(&id, &update);
         update.configuration = self.offer_to(&id);
         update.named = self.changed_advertised(now, named);
+        update.quarantine = quarantine;
         vec![(id, Message::News(Box::new(update)))]
     }
 
@@ -164,6 +170,7 @@
         if tallies.is_empty() {
             return;
         }
+        self.poison.record(now, &tallies.poison);
         self.request_rate.add(now, u64::from(tallies.arrivals));
         self.byte_rate.add(now, tallies.bytes);
         let urgent = tallies.urgent();
@@ -330,6 +337,7 @@
             is_settled: roster.is_settled,
             known: end.unwrap_or(snapshot.applied),
             named: None,
+            quarantine: poison::Report::default(),
             selection: selection.digest(),
             sequence: 0,
             serving: roster.serving,
--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -32,6 +32,7 @@
 use crate::id::NodeId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::poison;
 use crate::reach::Verdict;
 
 /// Interval between two polls. A change must be in force within 2 s of its acknowledgement
@@ -77,9 +78,14 @@
     known: Index,
     me: Entry,
     named_digest: u64,
+    /// Whether the control doesn't know all quarantined requests that this entry knows.
+    is_control_behind: bool,
+    poison: poison::Ledger,
     sequence: u64,
     tallies: Tallies,
     polled_at: Moment,
+    /// What traffic threads were last told of suspected and quarantined requests.
+    poison_list: poison::List,
 }
 
 impl Subscriber {
@@ -104,9 +110,12 @@
             known: 0,
             me,
             named_digest: 0,
+            is_control_behind: false,
+            poison: poison::Ledger::default(),
             sequence: 0,
             tallies: Tallies::default(),
             polled_at: now,
+            poison_list: poison::List::default(),
         }
     }
 
@@ -120,6 +129,7 @@
         }
         self.check_timeouts(now, &mut outputs);
         self.poll_if_due(now, &mut outputs);
+        self.update_quarantine(now, &mut outputs);
         self.request_part_if_due(now, &mut outputs);
         outputs
     }
@@ -162,6 +172,13 @@
         self.poll_at = self.poll_at.min(now.max(self.polled_at + MIN_URGENT_INTERVAL));
     }
 
+    /// Records evidence of this entry about requests under which upstreams end. It is reported at once.
+    pub fn record_poison(&mut self, now: Moment, evidence: &poison::Evidence) {
+        self.tallies.poison.add(evidence);
+        self.poison.record(now, evidence);
+        self.poll_at = self.poll_at.min(now.max(self.polled_at + MIN_URGENT_INTERVAL));
+    }
+
     /// Records requests that callers sent and bytes that were transferred.
     pub fn record_traffic(&mut self, arrivals: u32, bytes: u64) {
         self.tallies.arrivals += arrivals;
@@ -228,6 +245,11 @@
         if !update.controls.is_empty() {
             self.failover.set_controls(&update.controls);
         }
+        self.poison.record(now, &update.tallies.poison);
+        if is_answer {
+            self.poison.merge(now, &update.quarantine);
+            self.is_control_behind = self.poison.digest() != update.quarantine.digest;
+        }
         if !update.tallies.is_empty() {
             outputs.push(Output::Record(update.tallies.clone()));
         }
@@ -393,6 +415,7 @@
             known: self.known,
             loading: self.load.as_ref().map(|load| load.from),
             named: self.named_digest,
+            quarantine: self.known_quarantines(now),
             selection: self.selection.clone(),
             sequence: self.sequence,
             tallies: std::mem::take(&mut self.tallies),
@@ -400,6 +423,21 @@
         outputs.push(Output::Send(to, Message::Poll(Box::new(poll))));
     }
 
+    /// The quarantined requests for a poll, all of them if the control doesn't know them.
+    fn known_quarantines(&self, now: Moment) -> poison::Report {
+        let known = (!self.is_control_behind).then(|| self.poison.digest());
+        self.poison.report(now, known)
+    }
+
+    fn update_quarantine(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        self.poison.advance(now);
+        let list = self.poison.list();
+        if self.poison_list != list {
+            self.poison_list.clone_from(&list);
+            outputs.push(Output::Quarantine(list));
+        }
+    }
+
     fn mark_failed(&mut self, now: Moment) {
         self.in_flight = None;
         self.poll_at = now;
--- a/src/feed/update.rs
+++ b/src/feed/update.rs
@@ -13,6 +13,7 @@
 use crate::catalog::Delta;
 use crate::id::Index;
 use crate::id::ServiceId;
+use crate::poison;
 
 /// Changes since the log index that an entry knows.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -45,6 +46,8 @@
     pub known: Index,
     /// Entries to advertise to callers, if the list differs from the one that the entry knows.
     pub named: Option<Vec<Entry>>,
+    /// Quarantined requests, all of them if the entry knows others.
+    pub quarantine: poison::Report,
     /// Digest of the selection whose upstreams the changes are about.
     pub selection: u64,
     /// Number of all serving entries. Those that are not advertised may get requests as well.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod node;
 #[path = "../platform/mod.rs"]
 pub mod platform;
+pub mod poison;
 pub mod quorum;
 pub mod quota;
 pub mod reach;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -36,6 +36,7 @@
 use crate::id::NodeId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::poison;
 use crate::quorum;
 use crate::quorum::Record;
 use crate::quota;
@@ -99,6 +100,8 @@
     Outcome(ServiceId, UpstreamId, health::Kind, Duration),
     /// Ages of the requests that an upstream has left unanswered for unusually long.
     Overdue(ServiceId, UpstreamId, Vec<Duration>),
+    /// What this entry saw of requests under which upstreams end.
+    Poison(poison::Evidence),
     /// Result of a probe: whether the upstream is draining, `None` without an answer, and
     /// whether it is healthy.
     Probed(ServiceId, UpstreamId, Option<bool>, bool),
@@ -268,6 +271,7 @@
             }
             Input::ReadConfiguration(ticket) => outputs.push(Output::Configuration(ticket, None)),
             Input::Throughput(..)
+            | Input::Poison(_)
             | Input::Reach(_)
             | Input::Seeds(_)
             | Input::TrialBegan(..)
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -21,6 +21,7 @@
         }
         self.is_view_stale = false;
         Some(View {
+            poison: Arc::default(),
             asked: Arc::default(),
             peers: Arc::default(),
             is_settled: true,
--- a/src/node/feed_core.rs
+++ b/src/node/feed_core.rs
@@ -59,6 +59,7 @@
             | Input::Drain
             | Input::Outcome(..)
             | Input::Overdue(..)
+            | Input::Poison(_)
             | Input::Probed(..)
             | Input::Quota(..)
             | Input::Reach(_)
--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -31,6 +31,7 @@
 use crate::node::core::Input;
 use crate::node::core::Output;
 use crate::node::status;
+use crate::poison;
 use crate::reach::Verdict;
 use crate::registry;
 use crate::registry::Announcement;
@@ -87,6 +88,7 @@
     service_version: u64,
     rules: Option<Arc<Rules>>,
     participants: Participants,
+    poison: Arc<poison::List>,
     /// What was last reported of the paths to the services.
     reach: BTreeMap<ServiceId, Verdict>,
     standing: Standing,
@@ -143,6 +145,7 @@
             service_version: 0,
             rules: None,
             participants: Participants::new(setup.retry_window, setup.is_first),
+            poison: Arc::default(),
             reach: BTreeMap::new(),
             standing: Standing::Starting,
             subscriber: Subscriber::new(now, me, setup.seeds.clone(), draw()),
@@ -172,6 +175,11 @@
             Input::Frame(_, Frame::Feed(Message::Grant { ticket, grant })) => {
                 outputs.push(Output::QuotaGranted(*ticket, grant.clone()));
             }
+            // Broken connections show nothing of upstreams while this entry's own network breaks them.
+            Input::Poison(evidence) if !self.has_local_fault => {
+                self.subscriber.record_poison(now, evidence);
+                self.step_subscriber(now, feed::Input::Tick, &mut outputs);
+            }
             Input::Probed(_, upstream, Some(true), _) => self.note_leaving(upstream, &mut outputs),
             Input::Quota(ticket, demand) => {
                 // Without a control it is dropped; the limiter repeats it.
@@ -241,6 +249,7 @@
             is_settled: self.listing.is_settled,
             is_leaving: self.is_leaving,
             number: self.version.as_ref().map(|version| version.number),
+            poison: Arc::clone(&self.poison),
             rules: self.rules.clone(),
             services: last.next_services(services, &mut self.service_version),
             standing: self.standing,
@@ -337,6 +346,10 @@
                     self.is_dirty = true;
                     self.update_ranks();
                 }
+                feed::Output::Quarantine(list) => {
+                    self.poison = Arc::new(list);
+                    self.is_dirty = true;
+                }
                 feed::Output::Record(tallies) => self.record_others(now, &tallies, outputs),
                 feed::Output::Send(to, message) => {
                     outputs.push(Output::Send(to, None, Frame::Feed(message)));
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -10,6 +10,7 @@
 use crate::id::NodeId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::poison;
 use crate::quorum;
 use crate::quota;
 use crate::reach;
@@ -38,6 +39,8 @@
     Frame(NodeId, Vec<u8>),
     /// Ages of the requests that have waited unusually long for an upstream's first byte.
     Overdue(ServiceId, UpstreamId, Vec<Duration>),
+    /// What this entry saw of requests under which upstreams end.
+    Poison(poison::Evidence),
     /// Result of a probe of an upstream.
     Probed {
         /// Whether it reports that it is draining; `None` if it did not answer.
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -153,6 +153,7 @@
         if let Some(listener) = callers {
             runtime::spawn(traffic::listen(listener, Arc::clone(&proxy), Source::Caller));
             runtime::spawn(traffic::watch_paths(Arc::clone(&proxy)));
+            runtime::spawn(traffic::watch_upstreams(Arc::clone(&proxy)));
             runtime::spawn(traffic::poll_queues(Arc::clone(&proxy)));
             runtime::spawn(traffic::renew_quota(Arc::clone(&proxy)));
         }
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -225,6 +225,7 @@
                 self.tickets.grants.insert(ticket, sender);
                 core::Input::Quota(ticket, ask)
             }
+            Input::Poison(evidence) => core::Input::Poison(evidence),
             Input::Reach(verdicts) => core::Input::Reach(verdicts),
             Input::ReadConfiguration(sender) => {
                 let ticket = self.tickets.next();
--- a/src/node/traffic/attempt.rs
+++ b/src/node/traffic/attempt.rs
@@ -75,6 +75,11 @@
         matches!(self.round_trip.result, Err(Failure::Expired(_) | Failure::Silent(_)))
     }
 
+    /// Whether the connection ended before any byte of an answer.
+    pub(super) fn is_broken_off(&self) -> bool {
+        matches!(self.round_trip.result, Err(Failure::Closed { .. }))
+    }
+
     /// Whether no connection to the upstream could be opened.
     pub(super) fn is_unconnected(&self) -> bool {
         matches!(self.round_trip.result, Err(Failure::Connect(_)))
--- a/src/node/traffic/attempts.rs
+++ b/src/node/traffic/attempts.rs
@@ -19,6 +19,7 @@
 use super::attempt::Attempt;
 use super::hedge::hedged_attempt;
 use super::job::Job;
+use super::poison;
 use super::reservation::Reservation;
 use super::service::Service;
 
@@ -117,6 +118,7 @@
         if attempt.is_abandoned() {
             copies.abandon();
         }
+        poison::note_failure(proxy, job, &attempt);
         let Some(outcome) = outcome else {
             return attempt.into_answer().map_or_else(missing_answer, |(attempt, answer)| {
                 service.policy(proxy.now()).record_latency(attempt.latency());
@@ -127,7 +129,7 @@
             body_kept: job.payload.is_available(),
             head_sent: false,
             idempotent: job.is_idempotent() && job.terms.retry,
-            limit: job.terms.attempts,
+            limit: if poison::allows_retry(proxy, job) { job.terms.attempts } else { 0 },
             outcome,
             remaining: job.left(proxy.now()),
             sends,
--- a/src/node/traffic/dispatch.rs
+++ b/src/node/traffic/dispatch.rs
@@ -24,6 +24,7 @@
 use super::forward;
 use super::forward::Forwarded;
 use super::job::Job;
+use super::poison;
 use super::queue::Admission;
 use super::relay::relay_answer;
 
@@ -32,6 +33,8 @@
 /// Time over which callers return after a rest, as a share of it, and the least one.
 const REST_SPREAD: f64 = 0.25;
 const REST_MARGIN: Duration = Duration::from_millis(20);
+/// What a caller is told whose request is in quarantine.
+const QUARANTINED: &str = "upstreams ended under requests like this one";
 /// Retry-after when a service has no upstream.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -56,6 +59,12 @@
         .await;
         return;
     }
+    if let Some(after) = poison::quarantine(proxy, view, &mut job) {
+        job.refund();
+        proxy.metrics.count("request.quarantined");
+        let refusal = Refusal::not_run(503, QUARANTINED, after);
+        return send_local_reply(proxy, &job, writer, &refusal).await;
+    }
     service.refresh(proxy.now(), &upstreams);
     if let Some(left) = service.rest_left(proxy.now()) {
         let text = format!("all upstreams of `{}` rest", job.service);
--- a/src/node/traffic/hedge.rs
+++ b/src/node/traffic/hedge.rs
@@ -17,6 +17,7 @@
 use super::Proxy;
 use super::attempt::Attempt;
 use super::job::Job;
+use super::poison;
 use super::reservation::Reservation;
 use super::service::Service;
 
@@ -36,6 +37,7 @@
     let started = now;
     let may_send_again = *sends + 1 < job.terms.attempts;
     let may_hedge = may_send_again && job.terms.hedge && job.is_idempotent();
+    let may_hedge = may_hedge && poison::allows_retry(proxy, job);
     let after = if may_hedge { service.policy(proxy.now()).hedge_after() } else { None };
     let request = job.request(now, proxy.boundary.as_ref(), &reservation.upstream);
     let primary = reservation.upstream.clone();
@@ -89,6 +91,7 @@
     if attempt.is_abandoned() {
         copies.abandon();
     }
+    poison::note_failure(proxy, job, &attempt);
     if hedge_won { first.await } else { second.await }
 }
 
--- a/src/node/traffic/job.rs
+++ b/src/node/traffic/job.rs
@@ -24,6 +24,7 @@
 use crate::id::TeamId;
 use crate::id::UpstreamId;
 use crate::node::View;
+use crate::poison;
 use crate::reach::Peer;
 use crate::retry;
 use crate::rule::Terms;
@@ -41,6 +42,8 @@
     pub(super) headers: HeaderMap,
     pub(super) id: RequestId,
     pub(super) key: Option<Key>,
+    /// Length of the body, if it is known before it is sent.
+    pub(super) length: Option<u64>,
     pub(super) method: Method,
     /// Charge against the team's rate limit.
     pub(super) charge: Option<Charge>,
@@ -172,12 +175,23 @@
         if let Some(bytes) = self.payload.bytes() {
             hash.update(bytes);
         }
-        let length = self.payload.len();
-        hash.update(&[u8::from(length.is_some())]);
-        hash.update(&length.unwrap_or_default().to_le_bytes());
+        hash.update(&[u8::from(self.length.is_some())]);
+        hash.update(&self.length.unwrap_or_default().to_le_bytes());
         hash.digest128()
     }
 
+    /// What this request has in common with others that an upstream can't tell from it.
+    pub(super) fn fingerprint(&self) -> poison::Fingerprint {
+        let mut hash = Xxh3::new();
+        let team = self.team.as_ref().unwrap_or(&self.caller);
+        for part in [self.service.as_bytes(), team.as_bytes()] {
+            hash.update(&part.len().to_le_bytes());
+            hash.update(part);
+        }
+        hash.update(&self.digest().to_le_bytes());
+        hash.digest()
+    }
+
     /// The key that admission limits the concurrency of: the idempotency key. The path of a lookup
     /// is no such key. A limit per path refused requests for popular pages while slots were idle.
     pub(super) fn admission_key(&self) -> Option<CompactString> {
--- /dev/null
+++ b/src/node/traffic/poison.rs
@@ -0,0 +1,155 @@
+//! Finds out which upstreams ended under requests, and refuses requests in quarantine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_std::channel::Receiver;
+use async_std::channel::Sender;
+use async_std::channel::bounded;
+use async_std::future::timeout;
+use async_std::task;
+
+use crate::balance::Rank;
+use crate::config::Standing;
+use crate::exchange::Connection;
+use crate::id::DomainId;
+use crate::id::UpstreamId;
+use crate::node::Input;
+use crate::node::View;
+use crate::poison::Evidence;
+use crate::poison::Fingerprint;
+use crate::poison::Trials;
+use crate::poison::Verdict;
+use crate::poison::Witness;
+use crate::reach::Check;
+use crate::runtime;
+
+use super::Proxy;
+use super::attempt::Attempt;
+use super::job::Job;
+
+/// Upstreams that wait to be checked. Those beyond are not; a fatal request ends others soon.
+const MAX_CHECKS: usize = 64;
+/// Number of attempts to connect to an upstream whose connection ended, and the pause between them: one
+/// that is ending may still accept connections for a moment.
+const CONNECTS: usize = 2;
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for an upstream to check, so that the loop notices when the process stops.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// An upstream that may have ended.
+struct Doubt {
+    address: SocketAddr,
+    check: Check,
+}
+
+/// What the traffic threads know of requests under which upstreams end.
+pub(super) struct Poison {
+    doubts: (Sender<Doubt>, Receiver<Doubt>),
+    trials: Mutex<Trials>,
+    witness: Mutex<Witness>,
+}
+
+impl Poison {
+    pub(super) fn new() -> Self {
+        Self { doubts: bounded(MAX_CHECKS), trials: Mutex::default(), witness: Mutex::default() }
+    }
+
+    fn take_suspects(&self, upstream: &UpstreamId) -> Vec<Fingerprint> {
+        self.witness.lock().unwrap_or_else(PoisonError::into_inner).take(upstream)
+    }
+}
+
+/// Has an upstream checked if its connection ended before any byte of an answer to a job.
+pub(super) fn note_failure(proxy: &Proxy, job: &Job, attempt: &Attempt<'_>) {
+    if !attempt.is_broken_off() {
+        return;
+    }
+    let (poison, upstream) = (&proxy.poison, attempt.upstream());
+    let mut witness = poison.witness.lock().unwrap_or_else(PoisonError::into_inner);
+    if !witness.record(&upstream, job.fingerprint()) {
+        return;
+    }
+    let check = Check { service: job.service.clone(), upstream: upstream.clone() };
+    let doubt = Doubt { address: attempt.address(), check };
+    if poison.doubts.0.try_send(doubt).is_err() {
+        witness.take(&upstream);
+    }
+}
+
+/// Reports a whole answer to a suspected job.
+pub(super) fn note_answer(proxy: &Proxy, job: &Job) {
+    let view = proxy.view.load();
+    if !view.poison.is_empty() && view.poison.is_suspected(job.fingerprint()) {
+        proxy.try_notify(Input::Poison(Evidence::of_answer(job.fingerprint())));
+    }
+}
+
+/// Whether a job may be sent to a second upstream.
+pub(super) fn allows_retry(proxy: &Proxy, job: &Job) -> bool {
+    let view = proxy.view.load();
+    view.poison.is_empty() || view.poison.allows_retry(job.fingerprint())
+}
+
+/// When the caller of a job in quarantine may return; `None` if the job may be sent. A trial is sent
+/// once.
+pub(super) fn quarantine(proxy: &Proxy, view: &View, job: &mut Job) -> Option<Duration> {
+    if view.poison.is_empty() {
+        return None;
+    }
+    let fingerprint = job.fingerprint();
+    let is_turn = |turn| {
+        let entries = view.entries.iter().map(|entry| (&entry.id, &entry.domain));
+        let key = format!("{fingerprint:016x}");
+        let rank = Rank::of(&proxy.settings.node.id, entries, &key, &DomainId::default());
+        view.standing == Standing::Serving && rank.is_listed() && rank.turn(turn) == 0
+    };
+    match view.poison.judge(proxy.now(), fingerprint, is_turn) {
+        Verdict::Refuse { after } => Some(after),
+        Verdict::Send => None,
+        Verdict::Try { since, after } => {
+            let mut trials = proxy.poison.trials.lock().unwrap_or_else(PoisonError::into_inner);
+            trials.retain(|other| view.poison.is_suspected(other));
+            job.terms.attempts = 1;
+            job.terms.hedge = false;
+            (!trials.try_take(fingerprint, since)).then_some(after)
+        }
+    }
+}
+
+/// Checks upstreams whose connections ended, until the process stops.
+pub(in crate::node) async fn watch_upstreams(proxy: Arc<Proxy>) {
+    while !proxy.done.is_closed() {
+        if let Ok(Ok(doubt)) = timeout(MAX_WAIT, proxy.poison.doubts.1.recv()).await {
+            runtime::spawn(check(Arc::clone(&proxy), doubt));
+        }
+    }
+}
+
+/// Reports an upstream as ended if no connection to it can be opened.
+async fn check(proxy: Arc<Proxy>, doubt: Doubt) {
+    let Doubt { address, check } = doubt;
+    let limit = proxy.settings.limits.connect;
+    let mut is_ended = false;
+    for number in 0..CONNECTS {
+        if number > 0 {
+            task::sleep(PAUSE).await;
+        }
+        match Connection::open(proxy.connector.as_ref(), address, limit).await {
+            Ok(connection) => proxy.pool.put(address, connection),
+            Err(_) => is_ended = true,
+        }
+        if is_ended {
+            break;
+        }
+    }
+    let suspects = proxy.poison.take_suspects(&check.upstream);
+    // An entry that lost its path to a service sees all of its upstreams end.
+    if is_ended && !proxy.reach.is_lost(&check.service) {
+        proxy.metrics.count("upstream.ended");
+        proxy.notify(Input::Poison(Evidence::of_death(check.upstream, suspects)));
+    }
+}
--- a/src/node/traffic/proxy.rs
+++ b/src/node/traffic/proxy.rs
@@ -40,6 +40,7 @@
 use crate::runtime;
 use crate::settings::Settings;
 
+use super::poison::Poison;
 use super::rate_limiter::RateLimiter;
 use super::reach::Reach;
 use super::service::Service;
@@ -64,6 +65,7 @@
 
 /// State of the proxy in one process, shared by its traffic threads.
 pub(in crate::node) struct Proxy {
+    pub(super) poison: Poison,
     pub(super) rate_limiter: Arc<RateLimiter>,
     pub(super) reach: Reach,
     arrivals: AtomicU32,
@@ -106,6 +108,7 @@
         let directory = Directory::new(settings.node.region.clone(), settings.directory.lifetime);
         let rate_limiter = RateLimiter::new(settings.node.id.clone(), settings.quota);
         Self {
+            poison: Poison::new(),
             rate_limiter: Arc::new(rate_limiter),
             reach: Reach::new(crate::node::incarnation()),
             body_memory: Memory::new(settings.limits.body_memory),
--- a/src/node/traffic/relay.rs
+++ b/src/node/traffic/relay.rs
@@ -13,6 +13,7 @@
 use super::claims::Claim;
 use super::forward;
 use super::job::Job;
+use super::poison;
 
 /// Relays an answer. The upstream's success is recorded, and its connection reused, only after the
 /// whole answer has passed through.
@@ -45,6 +46,9 @@
         true => health::Kind::ServerError,
         false => health::Kind::Success,
     };
+    if matches!(kind, health::Kind::ServerError | health::Kind::Success) {
+        poison::note_answer(proxy, job);
+    }
     let address = attempt.address();
     attempt.finish(kind, job.terms.long);
     if let Some(connection) = exchange.release() {
--- a/src/node/traffic/serve.rs
+++ b/src/node/traffic/serve.rs
@@ -276,6 +276,7 @@
         headers: request.headers,
         id: metadata.id.unwrap_or(generated_id),
         key,
+        length: payload.len(),
         method: request.method,
         charge: None,
         payload,
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -6,6 +6,7 @@
 use crate::directory;
 use crate::id::ConfigNumber;
 use crate::id::ServiceId;
+use crate::poison;
 use crate::reach::Peer;
 use crate::reach::Upstreams;
 use crate::routing::Service;
@@ -28,6 +29,8 @@
     pub number: Option<ConfigNumber>,
     /// Entries that take requests that this one can't serve.
     pub peers: Arc<Vec<Peer>>,
+    /// Requests under which upstreams end.
+    pub poison: Arc<poison::List>,
     /// Rules in force.
     pub rules: Option<Arc<Rules>>,
     /// Upstreams by service.
@@ -89,6 +92,7 @@
             is_leaving: false,
             number: None,
             peers: Arc::default(),
+            poison: Arc::default(),
             rules: None,
             services: BTreeMap::new(),
             standing: Standing::Starting,
--- /dev/null
+++ b/src/poison/quarantine.rs
@@ -0,0 +1,43 @@
+//! Quarantines, as processes tell them to each other.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Fingerprint;
+
+/// Length of the first quarantine, and of the longest one.
+const FIRST: Duration = Duration::from_secs(60);
+const LONGEST: Duration = Duration::from_secs(3_600);
+/// Ratio of a quarantine to the one before it.
+const GROWTH: u32 = 4;
+/// Time after the end of a quarantine for which it is remembered, so that a trial that ends another
+/// upstream makes it grow.
+pub(super) const MEMORY: Duration = Duration::from_secs(600);
+
+/// A request that no entry sends on for some time.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Quarantine {
+    /// Time until it is forgotten.
+    pub expires_in: Duration,
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Number of quarantines of this request so far.
+    pub strikes: u32,
+}
+
+/// Quarantines that a process knows, told to one that may know others.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// Digest of the quarantines.
+    pub digest: u64,
+    /// The quarantines; `None` if the receiver knows them.
+    pub quarantines: Option<Vec<Quarantine>>,
+}
+
+/// Length of a quarantine after this many strikes.
+pub(super) fn length(strikes: u32) -> Duration {
+    let factor = GROWTH.saturating_pow(strikes.saturating_sub(1));
+    FIRST.saturating_mul(factor).min(LONGEST)
+}
--- a/tests/suite/feed/budget.rs
+++ b/tests/suite/feed/budget.rs
@@ -13,6 +13,7 @@
 use hemlockfield::feed::Snapshot;
 use hemlockfield::feed::Tallies;
 use hemlockfield::fleet::State;
+use hemlockfield::poison;
 use hemlockfield::retry::Attempt;
 use hemlockfield::retry::Decision;
 use hemlockfield::retry::Limits;
@@ -90,6 +91,7 @@
             known: 0,
             loading: None,
             named: 0,
+            quarantine: poison::Report::default(),
             selection: Selection::default(),
             sequence: 1,
             tallies: Tallies::default(),
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -18,6 +18,7 @@
 use hemlockfield::feed::Update;
 use hemlockfield::fleet::State;
 use hemlockfield::health::Kind;
+use hemlockfield::poison;
 use rstest::rstest;
 
 const NORTH_ENTRIES: usize = 12;
@@ -51,6 +52,7 @@
         known: 0,
         loading: None,
         named: 0,
+        quarantine: poison::Report::default(),
         selection: Selection::default(),
         sequence: 1,
         tallies,
--- a/tests/suite/feed/reach.rs
+++ b/tests/suite/feed/reach.rs
@@ -17,6 +17,7 @@
 use hemlockfield::feed::Update;
 use hemlockfield::fleet::State;
 use hemlockfield::id::ServiceId;
+use hemlockfield::poison;
 use hemlockfield::reach::Verdict;
 
 const DOMAINS: [&str; 4] = ["north", "south", "east", "west"];
@@ -100,6 +101,7 @@
             known: 0,
             loading: None,
             named: 0,
+            quarantine: poison::Report::default(),
             selection: Selection::default(),
             sequence: 1,
             tallies: Tallies { arrivals: 1, ..Tallies::default() },
--- a/tests/suite/feed/slow_link.rs
+++ b/tests/suite/feed/slow_link.rs
@@ -255,6 +255,7 @@
                 Output::Advertise(_)
                 | Output::Ask(_)
                 | Output::Narrow(_)
+                | Output::Quarantine(_)
                 | Output::Record(_)
                 | Output::Retain(_)
                 | Output::Unanswered(..) => (),
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -20,6 +20,7 @@
 use hemlockfield::feed::Update;
 use hemlockfield::fleet::State;
 use hemlockfield::health::Kind;
+use hemlockfield::poison;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -65,6 +66,7 @@
         is_settled: true,
         known,
         named: None,
+        quarantine: poison::Report::default(),
         selection: Selection::default().digest(),
         sequence,
         serving: 1,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod keys;
 mod link;
 mod platform;
+mod poison;
 mod process;
 mod quorum;
 mod quota;
--- /dev/null
+++ b/tests/suite/poison.rs
@@ -0,0 +1,194 @@
+//! Tests of `hemlockfield::poison`.
+
+use std::time::Duration;
+
+use compact_str::format_compact;
+use hemlockfield::clock::Moment;
+use hemlockfield::poison::Evidence;
+use hemlockfield::poison::Fingerprint;
+use hemlockfield::poison::Ledger;
+use hemlockfield::poison::Report;
+use hemlockfield::poison::Trials;
+use hemlockfield::poison::Verdict;
+use hemlockfield::poison::Witness;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const FATAL: Fingerprint = 1;
+const HOT: Fingerprint = 2;
+
+fn at(millis: u64) -> Moment {
+    Duration::from_millis(millis)
+}
+
+fn death(ledger: &mut Ledger, millis: u64, upstream: usize, suspects: &[Fingerprint]) {
+    let upstream = format_compact!("i-{upstream}");
+    ledger.record(at(millis), &Evidence::of_death(upstream, suspects.to_vec()));
+}
+
+fn is_refused(ledger: &mut Ledger, millis: u64, fingerprint: Fingerprint) -> bool {
+    ledger.advance(at(millis));
+    let verdict = ledger.list().judge(at(millis), fingerprint, |_| false);
+    matches!(verdict, Verdict::Refuse { .. })
+}
+
+/// A ledger of which one request is in quarantine.
+fn convicted(fingerprint: Fingerprint) -> Ledger {
+    let mut ledger = Ledger::default();
+    (0..3).for_each(|number| death(&mut ledger, 400 * number as u64, number, &[fingerprint]));
+    ledger.advance(at(2_000));
+    ledger
+}
+
+// A request ended three upstreams and was sent on to all others.
+#[test]
+fn judge_three_deaths() {
+    let mut ledger = Ledger::default();
+    (0..2).for_each(|number| death(&mut ledger, 400 * number as u64, number, &[FATAL]));
+    assert!(!is_refused(&mut ledger, 5_000, FATAL));
+    death(&mut ledger, 6_000, 2, &[FATAL]);
+    assert!(is_refused(&mut ledger, 7_000, FATAL));
+    assert!(!is_refused(&mut ledger, 7_000, HOT));
+}
+
+// Several entries report one death, and controls bring a report twice.
+#[test]
+fn judge_same_death() {
+    let mut ledger = Ledger::default();
+    for millis in [0, 20, 600, 1_400] {
+        death(&mut ledger, millis, 1, &[FATAL]);
+    }
+    death(&mut ledger, 1_400, 2, &[FATAL]);
+    assert!(!is_refused(&mut ledger, 4_000, FATAL));
+}
+
+// A hot path is in flight whenever an upstream ends, and other upstreams answer it.
+#[test]
+fn judge_answered() {
+    let mut ledger = Ledger::default();
+    for number in 0..3 {
+        death(&mut ledger, 100 * number as u64, number, &[FATAL, HOT]);
+    }
+    ledger.record(at(900), &Evidence::of_answer(HOT));
+    assert!(!is_refused(&mut ledger, 1_500, HOT));
+    assert!(is_refused(&mut ledger, 1_500, FATAL));
+}
+
+// A request was in flight at three of the upstreams that another one ended.
+#[test]
+fn judge_explained() {
+    let mut ledger = Ledger::default();
+    death(&mut ledger, 0, 0, &[FATAL]);
+    for number in 1..4 {
+        death(&mut ledger, 100 * number as u64, number, &[FATAL, HOT]);
+    }
+    assert!(!is_refused(&mut ledger, 1_400, HOT));
+    assert!(is_refused(&mut ledger, 1_400, FATAL));
+}
+
+// The quarantine of a request is over; one entry tries it, and it ends another upstream.
+#[test]
+fn judge_trial() {
+    let mut ledger = convicted(FATAL);
+    let since = at(62_000);
+    assert!(is_refused(&mut ledger, 61_900, FATAL));
+    let verdict = ledger.list().judge(since, FATAL, |turn| turn == 0);
+    assert!(matches!(verdict, Verdict::Try { .. }), "{verdict:?}");
+    let mut trials = Trials::default();
+    assert!(trials.try_take(FATAL, since) && !trials.try_take(FATAL, since));
+    death(&mut ledger, 62_500, 9, &[FATAL]);
+    death(&mut ledger, 62_520, 9, &[FATAL]);
+    assert!(is_refused(&mut ledger, 62_500 + 239_000, FATAL));
+    ledger.record(at(303_000), &Evidence::of_answer(FATAL));
+    assert!(!is_refused(&mut ledger, 303_000, FATAL));
+}
+
+// A process starts anew and is told of quarantines; one that has heard of an acquittal is not.
+#[test]
+fn merge_told() {
+    let known = convicted(FATAL);
+    let report = known.report(at(2_000), Some(0));
+    let mut started = Ledger::default();
+    started.merge(at(500), &report);
+    assert!(is_refused(&mut started, 600, FATAL));
+    assert_eq!(started.digest(), known.digest());
+    assert_eq!(started.report(at(500), Some(known.digest())).quarantines, None);
+    started.record(at(700), &Evidence::of_answer(FATAL));
+    started.merge(at(800), &report);
+    assert!(!is_refused(&mut started, 900, FATAL));
+}
+
+// Two processes that told each other of a quarantine would have kept it for ever.
+#[test]
+fn merge_forgotten() {
+    let (mut one, mut other) = (convicted(FATAL), Ledger::default());
+    for second in 0..700 {
+        let now = at(2_000 + 1_000 * second);
+        other.merge(now, &one.report(now, None));
+        one.merge(now, &other.report(now, None));
+        one.advance(now);
+        other.advance(now);
+    }
+    assert_eq!((one.digest(), other.digest()), (0, 0));
+}
+
+// Callers fill the table with requests of their own that are in flight wherever an upstream ends.
+#[rstest]
+fn record_flooded(#[values(1, 2, 3)] seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut ledger = Ledger::default();
+    for number in 0..300 {
+        let noise = (0..40).map(|_| random.random::<u64>());
+        let mut suspects: Vec<Fingerprint> = noise.chain([FATAL]).collect();
+        suspects.truncate(31);
+        suspects.push(FATAL);
+        death(&mut ledger, 50 * number as u64, number, &suspects);
+    }
+    assert!(is_refused(&mut ledger, 20_000, FATAL));
+    let size = ledger.report(at(20_000), None).quarantines.map_or(0, |all| all.len());
+    assert!(size <= 256, "{size}");
+    assert!(format!("{:?}", ledger.list()).len() < 64 * 1024);
+}
+
+// Upstreams end at random, each with what is in flight there; most requests are answered elsewhere.
+#[rstest]
+fn judge_random_deaths(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    const CALLERS: u64 = 200;
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut ledger = Ledger::default();
+    let mut refused = 0;
+    for step in 0..3_000_usize {
+        let now = 100 * step as u64;
+        if random.random_bool(0.1) {
+            let suspects: Vec<_> = (0..5).map(|_| random.random_range(0..CALLERS)).collect();
+            death(&mut ledger, now, step, &suspects);
+        }
+        for fingerprint in 0..CALLERS {
+            if random.random_bool(0.1) {
+                refused += usize::from(is_refused(&mut ledger, now, fingerprint));
+                if ledger.list().is_suspected(fingerprint) {
+                    ledger.record(at(now), &Evidence::of_answer(fingerprint));
+                }
+            }
+        }
+    }
+    assert_eq!(refused, 0);
+}
+
+// One check serves all requests that were in flight at an upstream.
+#[test]
+fn record_in_flight() {
+    let mut witness = Witness::default();
+    assert!(witness.record(&"i-1".into(), FATAL));
+    assert!(!witness.record(&"i-1".into(), HOT));
+    assert_eq!(witness.take(&"i-1".into()), [FATAL, HOT]);
+    assert!(witness.record(&"i-1".into(), HOT));
+}
+
+#[test]
+fn report_unknown() {
+    let ledger = Ledger::default();
+    assert_eq!(ledger.report(at(0), Some(0)), Report::default());
+}
