Move request handling out of node into a slice of its own

Files were moved and visibilities named; no behaviour changed. Besides, an entry logs how many requests are in quarantine whenever that changes.

--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -432,10 +432,15 @@
     fn update_quarantine(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         self.poison.advance(now);
         let list = self.poison.list();
-        if self.poison_list != list {
-            self.poison_list.clone_from(&list);
-            outputs.push(Output::Quarantine(list));
+        if self.poison_list == list {
+            return;
+        }
+        let (before, after) = (self.poison_list.quarantined(), list.quarantined());
+        if before != after {
+            tracing::warn!(target: "hemlockfield::poison", before, after, "requests in quarantine");
         }
+        self.poison_list.clone_from(&list);
+        outputs.push(Output::Quarantine(list));
     }
 
     fn mark_failed(&mut self, now: Moment) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod keys;
 pub mod link;
 pub mod load;
+pub mod metrics;
 pub mod model;
 pub mod node;
 #[path = "../platform/mod.rs"]
@@ -43,5 +44,6 @@
 pub mod storage;
 pub mod team;
 pub mod timeline;
+mod traffic;
 pub mod upstream;
 pub mod wire;
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -188,7 +188,7 @@
     }
 
     async fn fetch_entries(&self, entry: SocketAddr) -> Option<directory::Answer> {
-        let path = crate::node::DIRECTORY_PATH;
+        let path = crate::traffic::DIRECTORY_PATH;
         let mut request = Request::new(Method::GET, &format!("{path}?caller={}", self.name));
         request.set_header(header::HOST, entry.to_string());
         let timeouts = Timeouts {
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,10 +12,9 @@
 mod feed_core;
 mod forwarder;
 mod input;
-mod input_channel;
+pub(crate) mod input_channel;
 mod links;
 mod logs;
-mod metrics;
 mod metrics_server;
 mod monitors;
 mod null_recorder;
@@ -26,7 +25,6 @@
 mod state_machine;
 mod status;
 mod thread;
-mod traffic;
 mod view;
 
 #[allow(clippy::module_inception)]
@@ -50,7 +48,6 @@
 pub use state_machine::StateMachine;
 pub use status::Report;
 pub use status::Status;
-pub use traffic::DIRECTORY_PATH;
 pub use view::View;
 
 use crate::id::Incarnation;
--- a/src/node/error.rs
+++ b/src/node/error.rs
@@ -23,17 +23,9 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
-    /// Metrics can't be registered or encoded.
-    #[error("metrics: {0}")]
-    MetricsRegistry(#[from] prometheus::Error),
-    /// Metrics can't be sent to the collector.
-    #[error("can't send metrics to `{address}`: {source}")]
-    MetricsCollector {
-        /// Address of the collector.
-        address: SocketAddr,
-        /// Error of the operating system.
-        source: std::io::Error,
-    },
+    /// Metrics can't be published.
+    #[error(transparent)]
+    Metrics(#[from] crate::metrics::Error),
     /// Only a control has a log.
     #[error("this process is not a control and has no log")]
     NoLog,
--- a/src/node/input_channel.rs
+++ b/src/node/input_channel.rs
@@ -26,14 +26,14 @@
 
 /// Receiving end.
 #[derive(Debug)]
-pub(super) struct InputReceiver {
+pub(crate) struct InputReceiver {
     receiver: mpsc::Receiver<Input>,
     waiting: Arc<AtomicUsize>,
 }
 
 /// Reason why an input was not sent.
 #[derive(Debug)]
-pub(super) enum SendError {
+pub(crate) enum SendError {
     /// The control thread has ended.
     Closed,
     /// The channel is full; the input is returned.
@@ -41,14 +41,14 @@
 }
 
 impl InputSender {
-    pub(super) fn new() -> (Self, InputReceiver) {
+    pub(crate) fn new() -> (Self, InputReceiver) {
         let (sender, receiver) = mpsc::channel();
         let waiting = Arc::new(AtomicUsize::new(0));
         (Self { sender, waiting: Arc::clone(&waiting) }, InputReceiver { receiver, waiting })
     }
 
     /// Sends an input unless the channel is full.
-    pub(super) fn try_send(&self, input: Input) -> Result<(), SendError> {
+    pub(crate) fn try_send(&self, input: Input) -> Result<(), SendError> {
         if self.waiting.load(Ordering::Relaxed) >= CAPACITY {
             return Err(SendError::Full(Box::new(input)));
         }
@@ -58,7 +58,7 @@
 
     /// Sends an input, waiting while the channel is full. Returns `false` if the control thread
     /// has ended.
-    pub(super) async fn send(&self, input: Input) -> bool {
+    pub(crate) async fn send(&self, input: Input) -> bool {
         let mut next = input;
         loop {
             match self.try_send(next) {
@@ -73,7 +73,7 @@
 
 impl InputReceiver {
     /// Waits for the next input; `None` after `wait`, and an error once all senders are gone.
-    pub(super) fn receive(&self, wait: Duration) -> Result<Option<Input>, ()> {
+    pub(crate) fn receive(&self, wait: Duration) -> Result<Option<Input>, ()> {
         match self.receiver.recv_timeout(wait) {
             Ok(input) => Ok(Some(self.release_slot(input))),
             Err(RecvTimeoutError::Timeout) => Ok(None),
@@ -82,7 +82,7 @@
     }
 
     /// Returns the next input if there is one.
-    pub(super) fn try_receive(&self) -> Option<Input> {
+    pub(crate) fn try_receive(&self) -> Option<Input> {
         self.receiver.try_recv().ok().map(|input| self.release_slot(input))
     }
 
--- a/src/node/metrics_server.rs
+++ b/src/node/metrics_server.rs
@@ -7,7 +7,7 @@
 use tide::Response;
 use tide::StatusCode;
 
-use super::traffic::Proxy;
+use crate::traffic::Proxy;
 
 /// Path of the metrics.
 const PATH: &str = "/metrics";
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -14,12 +14,16 @@
 use crate::exchange::Connector;
 use crate::exchange::Network;
 use crate::id::ConfigNumber;
+use crate::metrics::Metrics;
 use crate::replay;
 use crate::runtime;
 use crate::settings::Settings;
 use crate::timeline::FileRecorder;
 use crate::timeline::Journal;
 use crate::timeline::Kind;
+use crate::traffic;
+use crate::traffic::Proxy;
+use crate::traffic::Source;
 use crate::wire::Verdict;
 
 use super::Error;
@@ -28,7 +32,6 @@
 use super::builder;
 use super::builder::Components;
 use super::links;
-use super::metrics::Metrics;
 use super::metrics_server;
 use super::null_recorder::NullRecorder;
 use super::operations;
@@ -37,9 +40,6 @@
 use super::thread::Thread;
 use super::thread::Tickets;
 use super::thread::wall_clock;
-use super::traffic;
-use super::traffic::Proxy;
-use super::traffic::Source;
 
 /// A running process.
 pub struct Node {
--- a/src/node/operations.rs
+++ b/src/node/operations.rs
@@ -15,7 +15,6 @@
 
 use super::Input;
 use super::InputSender;
-use super::traffic::Proxy;
 use crate::boundary::Operation;
 use crate::boundary::Reply;
 use crate::catalog::Action;
@@ -30,6 +29,7 @@
 use crate::exchange::ResponseWriter;
 use crate::feed;
 use crate::runtime;
+use crate::traffic::Proxy;
 use crate::wire::Verdict;
 
 /// Largest body of an operation, in bytes: many times the planned size of a configuration.
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -18,11 +18,11 @@
 use crate::quorum::DiskId;
 use crate::registry::Announcement;
 use crate::rule::Rules;
+use crate::traffic::Proxy;
 use crate::wire::Verdict;
 
 use super::Input;
 use super::InputSender;
-use super::traffic::Proxy;
 
 /// Largest configuration, in bytes: 4,200 routes and 37,000 teams take about 1.5 MB.
 const MAX_CONFIGURATION_BYTES: usize = 8 * 1024 * 1024;
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -15,8 +15,7 @@
 use crate::link;
 use crate::link::Transport;
 use crate::quorum;
-
-use super::traffic::Proxy;
+use crate::traffic::Proxy;
 
 /// Status of a process, for operators.
 #[derive(Clone, Debug, Serialize)]
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -22,6 +22,7 @@
 use crate::timeline::Event;
 use crate::timeline::Journal;
 use crate::timeline::Kind;
+use crate::traffic::Proxy;
 use crate::wire::Envelope;
 use crate::wire::Frame;
 use crate::wire::Verdict;
@@ -37,7 +38,6 @@
 use super::input_channel::InputReceiver;
 use super::probe::probe;
 use super::state_machine::StateMachine;
-use super::traffic::Proxy;
 
 /// Most inputs handled before one sync of the disk for all of them.
 const MAX_BATCH: usize = 512;
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -41,7 +41,7 @@
 
 impl View {
     /// Upstreams of a service, as far as they tell whether it is reached.
-    pub(super) fn upstreams(&self, service: &ServiceId) -> Option<Upstreams<'_>> {
+    pub(crate) fn upstreams(&self, service: &ServiceId) -> Option<Upstreams<'_>> {
         let service = self.services.get(service)?;
         Some(Upstreams { members: &service.members, health: service.as_ref() })
     }
--- a/src/poison/list.rs
+++ b/src/poison/list.rs
@@ -41,6 +41,11 @@
 }
 
 impl List {
+    /// Number of requests in quarantine.
+    pub fn quarantined(&self) -> usize {
+        self.quarantined.len()
+    }
+
     /// Whether no request has to be looked up.
     pub fn is_empty(&self) -> bool {
         self.quarantined.is_empty() && self.suspects.is_empty()
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -208,12 +208,12 @@
 
 /// Takes at most `amount` from the oldest buckets.
 fn take_oldest(buckets: &mut Buckets, amount: f64) -> Taken {
-    take(buckets, amount, |buckets| buckets.front_mut(), |buckets| buckets.pop_front())
+    take(buckets, amount, VecDeque::front_mut, VecDeque::pop_front)
 }
 
 /// Takes at most `amount` from the newest buckets.
 fn take_newest(buckets: &mut Buckets, amount: f64) -> Taken {
-    take(buckets, amount, |buckets| buckets.back_mut(), |buckets| buckets.pop_back())
+    take(buckets, amount, VecDeque::back_mut, VecDeque::pop_back)
 }
 
 fn take(
--- a/src/node/traffic.rs
+++ b/src/traffic.rs
@@ -21,14 +21,14 @@
 mod serve;
 mod service;
 
-pub(super) use checks::watch_paths;
-pub(super) use forward::Source;
-pub(super) use listener::listen;
-pub(super) use poison::watch_upstreams;
-pub(super) use proxy::Proxy;
-pub(super) use proxy::Setup;
-pub(super) use queue::poll_queues;
-pub(super) use rate_limiter::renew_quota;
+pub(crate) use checks::watch_paths;
+pub(crate) use forward::Source;
+pub(crate) use listener::listen;
+pub(crate) use poison::watch_upstreams;
+pub(crate) use proxy::Proxy;
+pub(crate) use proxy::Setup;
+pub(crate) use queue::poll_queues;
+pub(crate) use rate_limiter::renew_quota;
 
 /// Path at which every entry tells callers which entries to use.
-pub const DIRECTORY_PATH: &str = "/.well-known/hemlockfield/entries";
+pub(crate) const DIRECTORY_PATH: &str = "/.well-known/hemlockfield/entries";
--- a/src/node/traffic/checks.rs
+++ b/src/traffic/checks.rs
@@ -15,7 +15,7 @@
 const MAX_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Checks paths in doubt, and tells the control thread of them, until the process stops.
-pub(in crate::node) async fn watch_paths(proxy: Arc<Proxy>) {
+pub(crate) async fn watch_paths(proxy: Arc<Proxy>) {
     while !proxy.done.is_closed() {
         start_checks(&proxy);
         proxy.report_reach();
--- a/src/node/traffic/claims.rs
+++ b/src/traffic/claims.rs
@@ -16,8 +16,8 @@
 use crate::exchange::Body;
 use crate::exchange::Response;
 use crate::exchange::refuse;
+use crate::node::ClaimDecision;
 use crate::node::Input;
-use crate::node::input::ClaimDecision;
 
 use super::Proxy;
 use super::job::Job;
--- a/src/node/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -46,7 +46,7 @@
 
 /// Who sent a request to this entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(in crate::node) enum Source {
+pub(crate) enum Source {
     /// A caller.
     Caller,
     /// Another entry, which does not reach the upstreams.
--- a/src/node/traffic/listener.rs
+++ b/src/traffic/listener.rs
@@ -25,7 +25,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts connections of callers or other entries until the process stops serving.
-pub(in crate::node) async fn listen(listener: TcpListener, proxy: Arc<Proxy>, source: Source) {
+pub(crate) async fn listen(listener: TcpListener, proxy: Arc<Proxy>, source: Source) {
     loop {
         let accepted = {
             let accept = listener.accept().fuse();
--- a/src/node/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -121,7 +121,7 @@
 }
 
 /// Checks upstreams whose connections ended, until the process stops.
-pub(in crate::node) async fn watch_upstreams(proxy: Arc<Proxy>) {
+pub(crate) async fn watch_upstreams(proxy: Arc<Proxy>) {
     while !proxy.done.is_closed() {
         if let Ok(Ok(doubt)) = timeout(MAX_WAIT, proxy.poison.doubts.1.recv()).await {
             runtime::spawn(check(Arc::clone(&proxy), doubt));
--- a/src/node/traffic/proxy.rs
+++ b/src/traffic/proxy.rs
@@ -31,11 +31,11 @@
 use crate::health::Observation;
 use crate::id::RequestId;
 use crate::id::ServiceId;
+use crate::metrics::Metrics;
 use crate::node::Input;
 use crate::node::InputSender;
 use crate::node::View;
 use crate::node::input_channel::SendError;
-use crate::node::metrics::Metrics;
 use crate::replay::Recorder;
 use crate::runtime;
 use crate::settings::Settings;
@@ -50,45 +50,45 @@
 const MAX_PENDING_OBSERVATIONS: usize = 10_000;
 
 /// What a [`Proxy`] is made of.
-pub(in crate::node) struct Setup {
-    pub(in crate::node) boundary: Arc<dyn Boundary>,
+pub(crate) struct Setup {
+    pub(crate) boundary: Arc<dyn Boundary>,
     /// Opens connections to upstreams.
-    pub(in crate::node) connector: Arc<dyn Connector>,
-    pub(in crate::node) control: InputSender,
+    pub(crate) connector: Arc<dyn Connector>,
+    pub(crate) control: InputSender,
     /// Closed when the process stops serving.
-    pub(in crate::node) done: Receiver<()>,
-    pub(in crate::node) metrics: Metrics,
-    pub(in crate::node) recorder: Recorder,
-    pub(in crate::node) settings: Settings,
-    pub(in crate::node) started: Instant,
+    pub(crate) done: Receiver<()>,
+    pub(crate) metrics: Metrics,
+    pub(crate) recorder: Recorder,
+    pub(crate) settings: Settings,
+    pub(crate) started: Instant,
 }
 
 /// State of the proxy in one process, shared by its traffic threads.
-pub(in crate::node) struct Proxy {
+pub(crate) struct Proxy {
     pub(super) poison: Poison,
     pub(super) rate_limiter: Arc<RateLimiter>,
     pub(super) reach: Reach,
     arrivals: AtomicU32,
     bytes: AtomicU64,
     pub(super) body_memory: Memory,
-    pub(in crate::node) connections: AtomicUsize,
+    pub(crate) connections: AtomicUsize,
     /// Opens connections to upstreams.
     pub(super) connector: Arc<dyn Connector>,
     closed: (Sender<()>, Receiver<()>),
-    pub(in crate::node) boundary: Arc<dyn Boundary>,
+    pub(crate) boundary: Arc<dyn Boundary>,
     control: InputSender,
-    pub(in crate::node) directory: Mutex<Directory>,
+    pub(crate) directory: Mutex<Directory>,
     /// Closed when the process stops serving.
-    pub(in crate::node) done: Receiver<()>,
+    pub(crate) done: Receiver<()>,
     drain: (Sender<()>, Receiver<()>),
-    pub(in crate::node) in_flight: AtomicUsize,
-    pub(in crate::node) open_claims: AtomicUsize,
+    pub(crate) in_flight: AtomicUsize,
+    pub(crate) open_claims: AtomicUsize,
     /// Whether each connection closes after its current request.
-    pub(in crate::node) closing: AtomicBool,
+    pub(crate) closing: AtomicBool,
     leaving_since: Mutex<Option<Moment>>,
     poll_signal: (Sender<()>, Receiver<()>),
     lost_outcomes: AtomicU64,
-    pub(in crate::node) metrics: Metrics,
+    pub(crate) metrics: Metrics,
     next_request: AtomicU64,
     observations: Mutex<Vec<Observation>>,
     pub(super) pool: Pool,
@@ -96,13 +96,13 @@
     ready: (Sender<()>, Receiver<()>),
     recorder: Recorder,
     services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
-    pub(in crate::node) settings: Settings,
+    pub(crate) settings: Settings,
     started: Instant,
-    pub(in crate::node) view: ArcSwap<View>,
+    pub(crate) view: ArcSwap<View>,
 }
 
 impl Proxy {
-    pub(in crate::node) fn new(setup: Setup) -> Self {
+    pub(crate) fn new(setup: Setup) -> Self {
         let Setup { settings, started, boundary, connector, control, done, metrics, recorder } =
             setup;
         let directory = Directory::new(settings.node.region.clone(), settings.directory.lifetime);
@@ -142,7 +142,7 @@
     }
 
     /// Serves callers by this view from now on.
-    pub(in crate::node) fn set_view(&self, view: View) {
+    pub(crate) fn set_view(&self, view: View) {
         let serves = view.serves();
         let is_asked = *view.asked != *self.view.load().asked;
         self.view.store(Arc::new(view));
@@ -160,13 +160,13 @@
     }
 
     /// Time since the process started, on the control thread's clock.
-    pub(in crate::node) fn now(&self) -> Moment {
+    pub(crate) fn now(&self) -> Moment {
         self.started.elapsed()
     }
 
     /// Sends to the control thread. If its channel is full, the input is dropped and counted,
     /// because traffic never waits for control.
-    pub(in crate::node) fn try_notify(&self, input: Input) {
+    pub(crate) fn try_notify(&self, input: Input) {
         if self.control.try_send(input).is_err() {
             self.lost_outcomes.fetch_add(1, Ordering::Relaxed);
         }
@@ -189,7 +189,7 @@
     /// Records how an upstream handled a request, for the control thread to read at its next
     /// turn. A failure or a trial wakes it at once, because the next request may go to the same
     /// upstream.
-    pub(in crate::node) fn observe(&self, observation: Observation) {
+    pub(crate) fn observe(&self, observation: Observation) {
         let evidence = self.reach.judge(self.now(), observation);
         if evidence.is_empty() {
             self.metrics.count("path.held");
@@ -225,17 +225,17 @@
     }
 
     /// Takes the requests and body bytes counted since the last call.
-    pub(in crate::node) fn take_throughput(&self) -> (u32, u64) {
+    pub(crate) fn take_throughput(&self) -> (u32, u64) {
         (self.arrivals.swap(0, Ordering::Relaxed), self.bytes.swap(0, Ordering::Relaxed))
     }
 
     /// Takes the recorded observations.
-    pub(in crate::node) fn take_observations(&self) -> Vec<Observation> {
+    pub(crate) fn take_observations(&self) -> Vec<Observation> {
         std::mem::take(&mut *self.observations.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Inputs and observations that were dropped.
-    pub(in crate::node) fn lost(&self) -> u64 {
+    pub(crate) fn lost(&self) -> u64 {
         self.lost_outcomes.load(Ordering::Relaxed)
     }
 
@@ -251,25 +251,25 @@
     }
 
     /// All services that have had a request.
-    pub(in crate::node) fn services(&self) -> Vec<Arc<Service>> {
+    pub(crate) fn services(&self) -> Vec<Arc<Service>> {
         let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         services.values().cloned().collect()
     }
 
     /// The entries that a caller should use.
-    pub(in crate::node) fn entries(&self, caller: &str) -> Answer {
+    pub(crate) fn entries(&self, caller: &str) -> Answer {
         let view = self.view.load();
         let mut directory = self.directory.lock().unwrap_or_else(PoisonError::into_inner);
         directory.answer(self.now(), caller, &view.entries)
     }
 
     /// Longest time that leaving may take.
-    pub(in crate::node) fn limit(&self) -> Duration {
+    pub(crate) fn limit(&self) -> Duration {
         self.settings.shutdown.limit
     }
 
     /// Starts to drain the process.
-    pub(in crate::node) fn request_drain(&self) {
+    pub(crate) fn request_drain(&self) {
         let mut leaving = self.leaving_since.lock().unwrap_or_else(PoisonError::into_inner);
         leaving.get_or_insert(self.now());
         drop(leaving);
@@ -291,7 +291,7 @@
     }
 
     /// Waits until a drain is requested.
-    pub(in crate::node) async fn drain_requested(&self) {
+    pub(crate) async fn drain_requested(&self) {
         self.drain.1.recv().await.ok();
     }
 
@@ -302,7 +302,7 @@
 
     /// Waits until no caller can still use this entry, then until no request is in flight and
     /// control has the outcome of every claim.
-    pub(in crate::node) async fn drained(&self) {
+    pub(crate) async fn drained(&self) {
         while !self.is_unlisted() {
             task::sleep(Self::DRAIN_POLL_INTERVAL).await;
         }
@@ -346,5 +346,5 @@
     }
 
     /// Interval of polling for the end of requests in flight.
-    pub(in crate::node) const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+    pub(crate) const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 }
--- a/src/node/traffic/queue.rs
+++ b/src/traffic/queue.rs
@@ -38,7 +38,7 @@
 const IDLE_POLL_INTERVAL: Duration = health::Config::TICK;
 
 /// Admission queue of one service: its gate and the waiting requests.
-pub(in crate::node) struct Queue {
+pub(crate) struct Queue {
     seed: u64,
     state: Mutex<State>,
 }
@@ -76,7 +76,7 @@
     }
 
     /// Number of waiting requests.
-    pub(in crate::node) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.lock().waiting.len()
     }
 
@@ -193,7 +193,7 @@
 
 /// Polls all queues until the process stops, and reports to control the requests that have waited
 /// unusually long for an upstream.
-pub(in crate::node) async fn poll_queues(proxy: Arc<Proxy>) {
+pub(crate) async fn poll_queues(proxy: Arc<Proxy>) {
     let mut overdue_at = Moment::ZERO;
     let mut gauges_at = Moment::ZERO;
     while !proxy.done.is_closed() {
--- a/src/node/traffic/rate_limiter.rs
+++ b/src/traffic/rate_limiter.rs
@@ -28,7 +28,7 @@
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
 /// This entry's quota of each team's rate limit.
-pub(in crate::node) struct RateLimiter {
+pub(crate) struct RateLimiter {
     limiter: Mutex<Limiter>,
     wakeup: (Sender<()>, Receiver<()>),
     config: Config,
@@ -139,7 +139,7 @@
 }
 
 /// Requests quota from control whenever that is due, until the process stops.
-pub(in crate::node) async fn renew_quota(proxy: Arc<Proxy>) {
+pub(crate) async fn renew_quota(proxy: Arc<Proxy>) {
     let rate_limiter = Arc::clone(&proxy.rate_limiter);
     while !proxy.done.is_closed() {
         let now = proxy.now();
--- a/src/node/traffic/service.rs
+++ b/src/traffic/service.rs
@@ -27,13 +27,13 @@
 use super::queue::Queue;
 
 /// State of one service, shared by the traffic threads of this process.
-pub(in crate::node) struct Service {
+pub(crate) struct Service {
     /// Whether the whole fleet starts for the first time.
     is_first: bool,
-    pub(in crate::node) name: ServiceId,
+    pub(crate) name: ServiceId,
     selector: Mutex<Selector>,
     policy: Mutex<Policy>,
-    pub(in crate::node) queue: Queue,
+    pub(crate) queue: Queue,
     retry: settings::Retry,
 }
 
@@ -109,7 +109,7 @@
     }
 
     /// Ages of requests that have waited unusually long for an upstream's first byte.
-    pub(in crate::node) fn overdue(&self, now: Moment) -> Vec<(UpstreamId, Vec<Duration>)> {
+    pub(crate) fn overdue(&self, now: Moment) -> Vec<(UpstreamId, Vec<Duration>)> {
         self.lock().overdue(now)
     }
 
