Report deaths of upstreams also where an entry suspects its own network

Cause: an entry whose answers break off at many upstreams takes its own network for the cause and withheld its evidence, and a fatal request looks like that. The check of the connection and the lost path guard against the entry's own network already, so this condition goes.

--- a/src/node/feed_core/entry_role.rs
+++ b/src/node/feed_core/entry_role.rs
@@ -175,8 +175,7 @@
             Input::Frame(_, Frame::Feed(Message::Grant { ticket, grant })) => {
                 outputs.push(Output::QuotaGranted(*ticket, grant.clone()));
             }
-            // Broken connections show nothing of upstreams while this entry's own network breaks them.
-            Input::Poison(evidence) if !self.has_local_fault => {
+            Input::Poison(evidence) => {
                 self.subscriber.record_poison(now, evidence);
                 self.step_subscriber(now, feed::Input::Tick, &mut outputs);
             }
--- a/tests/suite/fleet_model/plan.rs
+++ b/tests/suite/fleet_model/plan.rs
@@ -39,6 +39,16 @@
     Cut { entries: Vec<usize>, upstreams: Vec<usize>, until: Moment },
     /// Upstreams of a service start, and are slow for some time.
     Add { service: usize, count: usize, cold: Duration },
+    /// An upstream ends by itself, and is back after some time.
+    Crash(usize),
+    /// A fatal request comes again and again.
+    Fatal { service: usize, gap: Duration, until: Moment },
+    /// No process reaches these entries, which still serve.
+    Isolate { entries: Vec<usize>, until: Moment },
+    /// A control is killed and starts again.
+    KillControl { control: usize, down: Duration },
+    /// An upstream resets its connections and lives on.
+    Reset(usize),
     /// A share of a service's upstreams fails requests, each with the probability `loss`.
     Fail { service: usize, share: f64, fault: Fault, loss: f64, until: Moment },
     /// An entry is killed and starts again.
@@ -60,6 +70,8 @@
     pub(super) entries: usize,
     /// When the run ends. Whatever is in flight then is lost, as when all entries are killed.
     pub(super) end: Moment,
+    /// Whether requests differ for entries that look for fatal ones.
+    pub(super) has_fatal: bool,
     pub(super) link: f64,
     pub(super) seed: u64,
     pub(super) services: Vec<Service>,
@@ -104,7 +116,15 @@
             let step = Step::Cut { entries: cut_entries, upstreams: cut_upstreams, until };
             steps.push((at, step));
         }
-        Self { entries, end, link: WIDE_LINK, seed, services: vec![desk, archive], steps }
+        Self {
+            entries,
+            end,
+            has_fatal: false,
+            link: WIDE_LINK,
+            seed,
+            services: vec![desk, archive],
+            steps,
+        }
     }
 
     /// Most upstreams of a service fail for some seconds, while entries are killed at once or one after
@@ -143,7 +163,44 @@
         let cut_upstreams = (0..32).choose_multiple(&mut random, 16);
         steps.push((at, Step::Cut { entries: cut_entries, upstreams: cut_upstreams, until }));
         let end = Duration::from_secs(34);
-        Self { entries, end, link: WIDE_LINK, seed, services, steps }
+        Self { entries, end, has_fatal: false, link: WIDE_LINK, seed, services, steps }
+    }
+
+    /// A fatal request comes, while entries and controls are killed and some entries are cut off.
+    pub(super) fn fatal(seed: u64, entries: usize) -> Self {
+        let mut plan = Self::crashes(seed, entries, 0);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let at = Duration::from_secs(8);
+        let gap = Duration::from_millis(random.random_range(100..600));
+        plan.steps.push((at, Step::Fatal { service: 0, gap, until: plan.end }));
+        let cut_off = (0..entries).choose_multiple(&mut random, entries / 4);
+        let from = at + Duration::from_millis(random.random_range(0..4_000));
+        let until = from + Duration::from_secs(6);
+        plan.steps.push((from, Step::Isolate { entries: cut_off, until }));
+        for second in 0..4 {
+            let at = at + Duration::from_millis(random.random_range(0..8_000));
+            let down = Duration::from_millis(random.random_range(300..1_500));
+            plan.steps.push((at, Step::Kill { entry: random.random_range(0..entries), down }));
+            let at = Duration::from_secs(9 + 3 * second);
+            let control = (second % 3) as usize;
+            plan.steps.push((at, Step::KillControl { control, down }));
+        }
+        plan.steps.sort_by_key(|(at, _)| *at);
+        plan
+    }
+
+    /// Upstreams end by themselves or reset their connections, this many times in a service.
+    pub(super) fn crashes(seed: u64, entries: usize, count: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut plan = Self::short_work(seed);
+        let upstreams = plan.services[0].upstreams;
+        for _ in 0..count {
+            let at = Duration::from_millis(random.random_range(6_000..24_000));
+            plan.steps.push((at, Step::Crash(random.random_range(0..upstreams))));
+            plan.steps.push((at, Step::Reset(random.random_range(0..upstreams))));
+        }
+        plan.steps.sort_by_key(|(at, _)| *at);
+        Self { end: Duration::from_secs(26), entries, has_fatal: true, ..plan }
     }
 
     /// All upstreams of a service fail, and for the first seconds the paths to them deliver late; some
@@ -173,7 +230,15 @@
             }
         }
         steps.sort_by_key(|(at, _)| *at);
-        Self { entries, end: until, link: WIDE_LINK, seed, services: vec![desk], steps }
+        Self {
+            entries,
+            end: until,
+            has_fatal: false,
+            link: WIDE_LINK,
+            seed,
+            services: vec![desk],
+            steps,
+        }
     }
 
     /// Requests that take long, at upstreams with room for two to three times as many.
@@ -244,7 +309,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let entries = random.random_range(24..=40);
         let end = Duration::from_secs(20);
-        Self { entries, end, link: WIDE_LINK, seed, services, steps: Vec::new() }
+        Self { entries, end, has_fatal: false, link: WIDE_LINK, seed, services, steps: Vec::new() }
     }
 
     /// Operators add many routes and change small things at once, while callers fill narrow links.
@@ -279,6 +344,14 @@
             at += Duration::from_millis(random.random_range(2_000..5_000));
         }
         let end = end + Duration::from_secs(6);
-        Self { entries: 16, end, link: NARROW_LINK, seed, services: vec![desk], steps }
+        Self {
+            entries: 16,
+            end,
+            has_fatal: false,
+            link: NARROW_LINK,
+            seed,
+            services: vec![desk],
+            steps,
+        }
     }
 }
--- a/tests/suite/fleet_model/promise.rs
+++ b/tests/suite/fleet_model/promise.rs
@@ -75,6 +75,26 @@
     assert!(left >= 0.0, "{left:.2} of the budget left: {what}");
 }
 
+// A request ends each upstream that runs it and comes at any entry, while entries and controls are
+// killed. A hot path is in flight at most of these deaths.
+#[rstest]
+fn fatal_request_quarantined(#[values(2, 12, 116)] entries: usize, #[values(0, 1, 2)] seed: u64) {
+    let world = World::run(Plan::fatal(seed, entries));
+    let seen = &world.seen;
+    let (ended, late, innocent) = (seen.ends.len(), seen.late(), seen.innocent);
+    println!("{ended} ended, {late} sent late, {innocent} others refused");
+    assert!(ended >= 3 && late <= 3 && innocent == 0, "{ended} {late} {innocent}");
+}
+
+// Upstreams end by themselves and reset connections all day, with all that is in flight there.
+#[rstest]
+fn innocent_requests_served(#[values(20, 120)] crashes: usize, #[values(0, 1, 2)] seed: u64) {
+    let world = World::run(Plan::crashes(seed, 24, crashes));
+    let seen = &world.seen;
+    println!("{} ended, {} refused, {:.3} served", seen.ends.len(), seen.innocent, world.served());
+    assert!(seen.ends.len() >= crashes / 2 && seen.innocent == 0, "{seen:?}");
+}
+
 // A small change waited for a large one that was under way, over links that callers fill.
 #[rstest]
 fn change_in_force_on_full_links(#[values(8, 13, 25, 35)] seed: u64) {
@@ -147,3 +167,24 @@
         }
     }
 }
+
+/// Runs `FLEET_MODEL_SEEDS` days with a fatal request and as many with crashes alone, and prints the worst.
+#[test]
+#[ignore = "takes minutes"]
+fn fatal_many_seeds() {
+    let seeds = std::env::var("FLEET_MODEL_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 0..seeds.unwrap_or(50) {
+        for entries in [2, 12, 40] {
+            let seen = World::run(Plan::fatal(seed, entries)).seen;
+            let (ended, late, innocent) = (seen.ends.len(), seen.late(), seen.innocent);
+            if late > 3 || innocent > 0 || ended > 12 {
+                println!("{entries} entries, seed {seed}: {ended} {late} {innocent}");
+            }
+        }
+        let crashes = 20 + 4 * seed as usize;
+        let seen = World::run(Plan::crashes(seed, 24, crashes)).seen;
+        if seen.innocent > 0 {
+            println!("{crashes} crashes, seed {seed}: {} innocent", seen.innocent);
+        }
+    }
+}
--- a/tests/suite/fleet_model/upstream.rs
+++ b/tests/suite/fleet_model/upstream.rs
@@ -117,6 +117,12 @@
         Taken::Queued
     }
 
+    /// Drops all that it holds.
+    pub(super) fn restart(&mut self) {
+        self.queue.clear();
+        self.running = 0;
+    }
+
     /// Frees a slot; returns the request that starts in it.
     pub(super) fn free(&mut self) -> Option<usize> {
         let next = self.queue.pop_front();
--- a/tests/suite/fleet_model/world.rs
+++ b/tests/suite/fleet_model/world.rs
@@ -1,5 +1,7 @@
 //! Runs a plan.
 
+mod fatal;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -22,6 +24,8 @@
 use hemlockfield::node::Output;
 use hemlockfield::node::StateMachine;
 use hemlockfield::node::core::Input;
+use hemlockfield::poison::Evidence;
+use hemlockfield::poison::Fingerprint;
 use hemlockfield::reach;
 use hemlockfield::reach::Check;
 use hemlockfield::registry;
@@ -75,7 +79,17 @@
     Announce,
     Arrive(usize),
     Call(usize),
-    Checked { check: Check, epoch: u32, is_open: bool, process: usize, started: Moment },
+    /// An upstream ends; `true` if under a fatal request.
+    Die(usize, bool),
+    Evidence(usize, Evidence),
+    Fatal(usize, Duration, Moment),
+    Checked {
+        check: Check,
+        epoch: u32,
+        is_open: bool,
+        process: usize,
+        started: Moment,
+    },
     Done(usize),
     End(usize, u32, Duration),
     Finish(usize, Kind),
@@ -97,6 +111,7 @@
     /// When it ended, and whether it was served.
     pub(super) ended: Option<(Moment, bool)>,
     pub(super) entry: usize,
+    fingerprint: Fingerprint,
     /// Copies that are held up on their way.
     held: usize,
     hops: usize,
@@ -111,6 +126,7 @@
 struct Attempt {
     entry: usize,
     epoch: u32,
+    is_over: bool,
     request: usize,
     started: Moment,
     ticket: balance::Ticket,
@@ -149,6 +165,8 @@
     /// Arrivals beyond the first of their request, with the service.
     pub(super) again: Vec<(Moment, usize)>,
     attempts: Vec<Attempt>,
+    /// Until when upstreams that ended are away.
+    away_until: BTreeMap<usize, Moment>,
     callers: Callers,
     cuts: Vec<Cut>,
     disks: Vec<Disk>,
@@ -156,6 +174,10 @@
     hold: Option<Hold>,
     events: BinaryHeap<Reverse<(Moment, u64)>>,
     ids: Vec<NodeId>,
+    /// Attempts in flight by upstream.
+    in_flight: BTreeMap<usize, BTreeSet<usize>>,
+    /// Processes that no other one reaches, until a time.
+    isolated: (BTreeSet<usize>, Moment),
     /// Numbers of the configurations in force at each entry, since when, by start.
     pub(super) in_force: Vec<Vec<(Moment, u32, ConfigNumber)>>,
     leaving: BTreeSet<usize>,
@@ -169,6 +191,7 @@
     processes: Vec<Option<Process>>,
     random: ChaCha8Rng,
     pub(super) requests: Vec<Request>,
+    pub(super) seen: fatal::Seen,
     sequence: u64,
     /// Times at which each process started and stopped.
     pub(super) starts: Vec<Vec<(Moment, bool)>>,
@@ -233,6 +256,7 @@
             acknowledged: Vec::new(),
             again: Vec::new(),
             attempts: Vec::new(),
+            away_until: BTreeMap::new(),
             callers: Callers::new(),
             cuts: Vec::new(),
             disks: (0..CONTROLS as u64).map(Disk::new).collect(),
@@ -240,6 +264,8 @@
             hold: None,
             events: BinaryHeap::new(),
             ids: (0..count).map(|at| NodeId::from(format!("n{at:03}"))).collect(),
+            in_flight: BTreeMap::new(),
+            isolated: Default::default(),
             in_force: vec![Vec::new(); count],
             leaving: BTreeSet::new(),
             listings: Vec::new(),
@@ -251,6 +277,7 @@
             processes: (0..count).map(|_| None).collect(),
             random,
             requests: Vec::new(),
+            seen: fatal::Seen::default(),
             sequence: 0,
             starts: vec![Vec::new(); count],
             submitted: BTreeMap::new(),
@@ -277,6 +304,9 @@
                     self.record_attempt(process, started, &check, is_open);
                 }
             }
+            Event::Die(upstream, is_fatal) => self.die(upstream, is_fatal),
+            Event::Evidence(entry, evidence) => self.input(entry, Input::Poison(evidence)),
+            Event::Fatal(service, gap, until) => self.call_fatal(service, gap, until),
             Event::Done(attempt) => self.done(attempt),
             Event::End(process, epoch, down) => self.end(process, epoch, down),
             Event::Finish(attempt, kind) => self.finish(attempt, kind),
@@ -393,6 +423,17 @@
                     }
                 }
             }
+            Step::Crash(upstream) => self.die(upstream, false),
+            Step::Fatal { service, gap, until } => self.call_fatal(service, gap, until),
+            Step::Isolate { entries, until } => {
+                self.isolated = (entries.into_iter().map(|it| it + CONTROLS).collect(), until);
+            }
+            Step::KillControl { control, down } => {
+                if self.processes[control].is_some() {
+                    self.end(control, self.epochs[control], down);
+                }
+            }
+            Step::Reset(upstream) => drop(self.break_connections(upstream)),
             Step::Fill(wait) => {
                 self.links.iter_mut().skip(CONTROLS).for_each(|(down, _)| down.wait = wait);
             }
@@ -485,6 +526,10 @@
 
     fn send(&mut self, from: usize, to: &NodeId, frame: Frame) {
         let Some(to) = self.ids.iter().position(|id| id == to) else { return };
+        let (isolated, until) = &self.isolated;
+        if self.now < *until && (isolated.contains(&from) || isolated.contains(&to)) {
+            return;
+        }
         let bytes = Envelope { frame, stamp: Stamp::default() }.encode().expect("encoded");
         let is_lost = self.loss > 0.0 && self.random.random_bool(self.loss);
         let arrives_at = match (Self::is_control(from), Self::is_control(to)) {
@@ -522,6 +567,12 @@
         let gap = -self.random.random::<f64>().max(1e-9).ln() / self.plan.services[service].rate;
         self.at(now + Duration::from_secs_f64(gap), Event::Call(service));
         let is_idempotent = self.random.random_bool(self.plan.services[service].idempotent);
+        let fingerprint = if self.plan.has_fatal { self.draw_fingerprint() } else { 1_000 };
+        self.request(service, is_idempotent, fingerprint);
+    }
+
+    fn request(&mut self, service: usize, is_idempotent: bool, fingerprint: Fingerprint) {
+        let now = self.now;
         let listed = self.listed();
         if self.listings.last().is_none_or(|(_, last)| *last != listed) {
             self.listings.push((now, listed.clone()));
@@ -537,6 +588,7 @@
             copies: retry::Copies::default(),
             ended: entry.is_none().then_some((now, false)),
             entry: entry.unwrap_or_default(),
+            fingerprint,
             held: 0,
             hops: 0,
             is_idempotent,
@@ -557,6 +609,9 @@
     fn attempt(&mut self, number: usize) {
         let now = self.now;
         let request = self.requests[number].clone();
+        if self.is_refused(number) {
+            return self.lose(number);
+        }
         let service = self.plan.services[request.service].name.into();
         let Some(running) = &mut self.processes[request.entry] else { return self.lose(number) };
         if running.monitor.is_lost(&service) {
@@ -594,6 +649,7 @@
         self.attempts.push(Attempt {
             entry,
             epoch: self.epochs[entry],
+            is_over: false,
             request: number,
             started: now,
             ticket: pick.ticket,
@@ -604,7 +660,9 @@
         if is_trial {
             self.input(entry, Input::TrialBegan(service, pick.upstream));
         }
-        if self.is_cut(entry, upstream) {
+        if self.is_away(upstream) {
+            self.at(now + 2 * LATENCY, Event::Finish(attempt, Kind::ConnectFailed));
+        } else if self.is_cut(entry, upstream) {
             self.at(now + CONNECT_TIMEOUT, Event::Finish(attempt, Kind::ConnectFailed));
         } else if let Some(until) = self.held_until(number) {
             self.requests[number].held += 1;
@@ -652,7 +710,11 @@
     fn arrive(&mut self, number: usize) {
         let now = self.now;
         let Attempt { entry, epoch, request, started, upstream, .. } = self.attempts[number];
+        if self.is_away(upstream) {
+            return self.at(now + LATENCY, Event::Finish(number, Kind::ConnectFailed));
+        }
         self.count_arrival(request);
+        self.note_arrival(number);
         if self.epochs[entry] == epoch {
             self.record_attempt(entry, started, &self.check(upstream), true);
         }
@@ -680,6 +742,10 @@
     fn done(&mut self, number: usize) {
         let now = self.now;
         let Attempt { started, upstream, .. } = self.attempts[number];
+        let is_there = self.in_flight.get(&upstream).is_some_and(|all| all.contains(&number));
+        if !is_there {
+            return;
+        }
         if let Some(next) = self.upstreams[upstream].free() {
             self.work(next);
         }
@@ -690,9 +756,13 @@
     /// An attempt ends at its entry.
     fn finish(&mut self, number: usize, kind: Kind) {
         let now = self.now;
-        let Attempt { entry, epoch, is_trial, request, started, ticket, upstream } =
+        let Attempt { entry, epoch, is_over, is_trial, request, started, ticket, upstream } =
             self.attempts[number].clone();
-        if self.epochs[entry] != epoch {
+        self.attempts[number].is_over = true;
+        if let Some(in_flight) = self.in_flight.get_mut(&upstream) {
+            in_flight.remove(&number);
+        }
+        if is_over || self.epochs[entry] != epoch {
             return;
         }
         let check = self.check(upstream);
@@ -713,6 +783,7 @@
         }
         let outcome = match kind {
             Kind::Success => {
+                self.note_answer(request);
                 self.settle(request, entry, &policy_service);
                 return self.requests[request].ended = Some((now, true));
             }
@@ -734,6 +805,8 @@
             sent: kind != Kind::ConnectFailed,
             tries: tries as u32,
         };
+        let limit = if self.allows_retry(request) { MAX_TRIES } else { 0 };
+        let failed = retry::Attempt { limit: limit as u32, ..failed };
         let Some(running) = &mut self.processes[entry] else { return };
         let is_unreached = sends == 0 && running.monitor.is_lost(&policy_service);
         let policy = running.policy(now, &policy_service);
