Split the check of an upstream; stop taking earnings once a payment is whole

`take` looked at one bucket more where a payment emptied one, and took its time for that of the payment, so that it was paid again too early by half a second at most; nothing was spent that isn't there.

--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -223,7 +223,9 @@
     remove: fn(&mut Buckets) -> Option<Bucket>,
 ) -> Taken {
     let mut taken = Taken { amount: 0.0, oldest: None };
-    while let Some((since, left)) = next(buckets) {
+    while taken.amount < amount
+        && let Some((since, left)) = next(buckets)
+    {
         let part = (amount - taken.amount).min(*left);
         *left -= part;
         taken.amount += part;
--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -132,24 +132,26 @@
 /// Reports an upstream as ended if no connection to it can be opened.
 async fn check(proxy: Arc<Proxy>, doubt: Doubt) {
     let Doubt { address, check } = doubt;
+    let is_ended = is_ended(&proxy, address).await;
+    let suspects = proxy.poison.take_suspects(&check.upstream);
+    // An entry that lost its path to a service sees all of its upstreams end.
+    if is_ended && !proxy.reach.is_lost(&check.service) {
+        proxy.metrics.count("upstream.ended");
+        proxy.notify(Input::Poison(Evidence::of_death(check.upstream, suspects)));
+    }
+}
+
+/// Whether an upstream takes no more connections.
+async fn is_ended(proxy: &Proxy, address: SocketAddr) -> bool {
     let limit = proxy.settings.limits.connect;
-    let mut is_ended = false;
     for number in 0..CONNECTS {
         if number > 0 {
             task::sleep(PAUSE).await;
         }
         match Connection::open(proxy.connector.as_ref(), address, limit).await {
             Ok(connection) => proxy.pool.put(address, connection),
-            Err(_) => is_ended = true,
+            Err(_) => return true,
         }
-        if is_ended {
-            break;
-        }
-    }
-    let suspects = proxy.poison.take_suspects(&check.upstream);
-    // An entry that lost its path to a service sees all of its upstreams end.
-    if is_ended && !proxy.reach.is_lost(&check.service) {
-        proxy.metrics.count("upstream.ended");
-        proxy.notify(Input::Poison(Evidence::of_death(check.upstream, suspects)));
     }
+    false
 }
