--- a/src/poison.rs
+++ b/src/poison.rs
@@ -7,30 +7,30 @@
 //! there. A few such requests a second end a whole service.
 //!
 //! **How.** An entry whose connection ends before any byte of an answer looks whether the upstream can
-//! still be connected to. If not, it reports the death with the [`Fingerprint`]s of the requests that
+//! still be connected to. If not, it reports the crash with the [`Fingerprint`]s of the requests that
 //! it had in flight there; the feed brings that to all entries. A request under which three upstreams
 //! ended, and that none has answered since, is quarantined: refused by all entries for a time that
 //! grows. Then one entry at a time may send it once.
 //!
-//! Whatever is in flight at a death is suspected with the request that caused it. One whole answer
-//! acquits it, and there is time for that between the third death and the quarantine. What is in
-//! flight at some deaths of a request that has more is not quarantined for these.
+//! Whatever is in flight at a crash is suspected with the request that caused it. One whole answer
+//! clears it, and there is time for that between the third crash and the quarantine. What is in
+//! flight at some crashes of a request that has more is not quarantined for these.
 
+mod checks;
 mod evidence;
 mod fingerprint;
 mod ledger;
 mod list;
 mod quarantine;
 mod trials;
-mod witness;
 
-pub use evidence::Death;
+pub use checks::Checks;
+pub use evidence::Crash;
 pub use evidence::Evidence;
 pub use fingerprint::Fingerprint;
 pub use ledger::Ledger;
+pub use list::Decision;
 pub use list::List;
-pub use list::Verdict;
 pub use quarantine::Quarantine;
 pub use quarantine::Report;
 pub use trials::Trials;
-pub use witness::Witness;
--- a/src/poison/witness.rs
+++ b/src/poison/checks.rs
@@ -6,9 +6,9 @@
 /// Connections to upstreams that ended before any byte of an answer, until it is known whether the
 /// upstream did.
 #[derive(Clone, Debug, Default)]
-pub struct Witness(BTreeMap<UpstreamId, Vec<Fingerprint>>);
+pub struct Checks(BTreeMap<UpstreamId, Vec<Fingerprint>>);
 
-impl Witness {
+impl Checks {
     /// Records that a connection ended under a request. Returns whether the upstream is to be checked:
     /// one check serves all requests that were in flight there.
     pub fn record(&mut self, upstream: &UpstreamId, fingerprint: Fingerprint) -> bool {
--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -6,15 +6,15 @@
 use super::Fingerprint;
 use crate::id::UpstreamId;
 
-/// Most fingerprints that one death is blamed on, at one entry. An upstream has few slots.
+/// Most fingerprints that one entry reports with a crash. An upstream has few slots.
 const MAX_SUSPECTS: usize = 32;
-/// Most deaths and most answers in one report.
-const MAX_DEATHS: usize = 64;
+/// Most crashes and most answers in one report.
+const MAX_CRASHES: usize = 64;
 const MAX_ANSWERS: usize = 256;
 
 /// An upstream that ended while requests were in flight there.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Death {
+pub struct Crash {
     /// Requests of one entry that were in flight there and got no byte of an answer.
     pub suspects: Vec<Fingerprint>,
     /// The upstream.
@@ -27,16 +27,16 @@
     /// Suspected requests that an upstream answered.
     pub answered: Vec<Fingerprint>,
     /// Upstreams that ended.
-    pub deaths: Vec<Death>,
+    pub crashes: Vec<Crash>,
 }
 
 impl Evidence {
-    /// Evidence of one death.
-    pub fn of_death(upstream: UpstreamId, mut suspects: Vec<Fingerprint>) -> Self {
+    /// Evidence of one crash.
+    pub fn of_crash(upstream: UpstreamId, mut suspects: Vec<Fingerprint>) -> Self {
         suspects.sort_unstable();
         suspects.dedup();
         suspects.truncate(MAX_SUSPECTS);
-        Self { deaths: vec![Death { suspects, upstream }], ..Self::default() }
+        Self { crashes: vec![Crash { suspects, upstream }], ..Self::default() }
     }
 
     /// Evidence of one whole answer.
@@ -51,12 +51,12 @@
                 self.answered.push(*fingerprint);
             }
         }
-        let room = MAX_DEATHS.saturating_sub(self.deaths.len());
-        self.deaths.extend(other.deaths.iter().take(room).cloned());
+        let room = MAX_CRASHES.saturating_sub(self.crashes.len());
+        self.crashes.extend(other.crashes.iter().take(room).cloned());
     }
 
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
-        self.answered.is_empty() && self.deaths.is_empty()
+        self.answered.is_empty() && self.crashes.is_empty()
     }
 }
--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -1,4 +1,4 @@
-//! Deaths of upstreams by request, and the quarantines that follow from them.
+//! Crashes of upstreams by request, and the quarantines that follow from them.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -6,7 +6,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::Death;
+use super::Crash;
 use super::Evidence;
 use super::Fingerprint;
 use super::List;
@@ -17,37 +17,37 @@
 use crate::id::UpstreamId;
 
 /// Upstreams that may end under a request before it is quarantined.
-const DEATHS_MAX: usize = 3;
+const CRASHES_MAX: usize = 3;
 /// How many more may while upstreams end without it too, so that it may just be in flight when they do.
 const UNRELATED_MAX: usize = 2;
-/// Time for which such a death counts, and most that are remembered.
+/// Time for which such a crash counts, and most that are remembered.
 const UNRELATED_SPAN: Duration = Duration::from_secs(60);
 const MAX_RECENT: usize = 64;
-/// Most requests in flight at a death that are remembered, over all entries.
+/// Most requests in flight at a crash that are remembered, over all entries.
 const MAX_IN_FLIGHT: usize = 128;
-/// Time from the last of these deaths to the quarantine, in which an answer to the same request acquits
+/// Time from the last of these crashes to the quarantine, in which an answer to the same request clears
 /// it. What is sent meanwhile ends more upstreams, so it is short.
-const DELIBERATION: Duration = Duration::from_secs(1);
-/// Time within which two reports of an upstream's death are about the same one.
-const SAME_DEATH: Duration = Duration::from_millis(1_500);
+const GRACE: Duration = Duration::from_secs(1);
+/// Time within which two reports of an upstream's crash are about the same one.
+const SAME_CRASH: Duration = Duration::from_millis(1_500);
 /// Time after which a request is not suspected any more if no upstream ended under it since.
 const SUSPICION: Duration = Duration::from_secs(300);
-/// Time for which an acquittal outweighs the quarantines of processes that have not heard of it.
-const ACQUITTAL: Duration = Duration::from_secs(10);
+/// Time for which an answer outweighs the quarantines of processes that have not heard of it.
+const CLEARED: Duration = Duration::from_secs(10);
 /// Most suspected and quarantined requests. Callers can add some only as fast as upstreams end.
 const MAX_SUSPECTS: usize = 512;
 const MAX_QUARANTINES: usize = 256;
-/// Most deaths that are remembered of a request.
-const MAX_DEATHS: usize = 8;
+/// Most crashes that are remembered of a request.
+const MAX_CRASHES: usize = 8;
 
 /// What one process knows of requests under which upstreams ended.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     /// Requests that an upstream answered, and when.
-    acquitted: BTreeMap<Fingerprint, Moment>,
-    /// The last deaths, each with the requests that were in flight.
+    cleared: BTreeMap<Fingerprint, Moment>,
+    /// The last crashes, each with the requests that were in flight.
     recent: VecDeque<(Ended, Vec<Fingerprint>)>,
-    sentences: BTreeMap<Fingerprint, Sentence>,
+    quarantined: BTreeMap<Fingerprint, Quarantined>,
     suspects: BTreeMap<Fingerprint, Vec<Ended>>,
 }
 
@@ -59,22 +59,22 @@
 }
 
 impl Ended {
-    /// Whether two reports are about the same death. Entries report one at slightly different times.
+    /// Whether two reports are about the same crash. Entries report one at slightly different times.
     fn is_same(&self, other: &Self) -> bool {
-        self.upstream == other.upstream && self.at.abs_diff(other.at) < SAME_DEATH
+        self.upstream == other.upstream && self.at.abs_diff(other.at) < SAME_CRASH
     }
 }
 
 /// A request in quarantine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Sentence {
-    strikes: u32,
+struct Quarantined {
+    count: u32,
     until: Moment,
 }
 
-impl Sentence {
-    fn new(now: Moment, strikes: u32) -> Self {
-        Self { strikes, until: now + quarantine::length(strikes) }
+impl Quarantined {
+    fn new(now: Moment, count: u32) -> Self {
+        Self { count, until: now + quarantine::length(count) }
     }
 
     fn expires_at(&self) -> Moment {
@@ -85,29 +85,29 @@
 impl Ledger {
     /// Records evidence of any entry.
     pub fn record(&mut self, now: Moment, evidence: &Evidence) {
-        evidence.answered.iter().for_each(|fingerprint| self.acquit(now, *fingerprint));
-        evidence.deaths.iter().for_each(|death| self.record_death(now, death));
+        evidence.answered.iter().for_each(|fingerprint| self.clear(now, *fingerprint));
+        evidence.crashes.iter().for_each(|crash| self.record_crash(now, crash));
         self.advance(now);
     }
 
     /// Advances the time to `now`; returns whether a request was quarantined or forgotten.
     pub fn advance(&mut self, now: Moment) -> bool {
-        let before = self.sentences.len();
-        self.acquitted.retain(|_, at| now < *at + ACQUITTAL);
+        let before = self.quarantined.len();
+        self.cleared.retain(|_, at| now < *at + CLEARED);
         self.suspects.retain(|_, ended| ended.last().is_some_and(|it| now < it.at + SUSPICION));
-        self.sentences.retain(|_, sentence| now < sentence.expires_at());
-        let is_forgotten = self.sentences.len() < before;
+        self.quarantined.retain(|_, held| now < held.expires_at());
+        let is_forgotten = self.quarantined.len() < before;
         let due = self.due(now);
         for fingerprint in &due {
             self.suspects.remove(fingerprint);
-            self.sentence(now, *fingerprint, 1);
+            self.quarantine(now, *fingerprint, 1);
         }
         is_forgotten || !due.is_empty()
     }
 
     /// What the traffic threads go by.
     pub fn list(&self) -> List {
-        let quarantined = self.sentences.iter().map(|(of, sentence)| (*of, sentence.until));
+        let quarantined = self.quarantined.iter().map(|(of, held)| (*of, held.until));
         let suspects = self.suspects.iter().map(|(of, ended)| (*of, ended.len()));
         List { quarantined: quarantined.collect(), suspects: suspects.collect() }
     }
@@ -115,79 +115,79 @@
     /// Digest of the quarantines, the same in all processes that know the same ones.
     pub fn digest(&self) -> u64 {
         let mut hash = Xxh3::new();
-        for (fingerprint, sentence) in &self.sentences {
+        for (fingerprint, held) in &self.quarantined {
             hash.update(&fingerprint.to_le_bytes());
-            hash.update(&sentence.strikes.to_le_bytes());
+            hash.update(&held.count.to_le_bytes());
         }
-        if self.sentences.is_empty() { 0 } else { hash.digest() }
+        if self.quarantined.is_empty() { 0 } else { hash.digest() }
     }
 
     /// The quarantines, for a process whose own ones have the digest `known`; all of them without it.
     pub fn report(&self, now: Moment, known: Option<u64>) -> Report {
         let digest = self.digest();
-        let quarantine = |(fingerprint, sentence): (&Fingerprint, &Sentence)| Quarantine {
-            expires_in: sentence.expires_at().saturating_sub(now),
+        let quarantine = |(fingerprint, held): (&Fingerprint, &Quarantined)| Quarantine {
+            expires_in: held.expires_at().saturating_sub(now),
             fingerprint: *fingerprint,
-            strikes: sentence.strikes,
+            count: held.count,
         };
         let quarantines =
-            (Some(digest) != known).then(|| self.sentences.iter().map(quarantine).collect());
+            (Some(digest) != known).then(|| self.quarantined.iter().map(quarantine).collect());
         Report { digest, quarantines }
     }
 
     /// Adds quarantines that another process tells of. Of two for one request the later one counts.
     pub fn merge(&mut self, now: Moment, report: &Report) {
         for told in report.quarantines.iter().flatten() {
-            let known = self.sentences.get(&told.fingerprint).map_or(0, |it| it.strikes);
-            if known >= told.strikes || self.acquitted.contains_key(&told.fingerprint) {
+            let known = self.quarantined.get(&told.fingerprint).map_or(0, |it| it.count);
+            if known >= told.count || self.cleared.contains_key(&told.fingerprint) {
                 continue;
             }
-            let longest = quarantine::length(told.strikes) + quarantine::MEMORY;
+            let longest = quarantine::length(told.count) + quarantine::MEMORY;
             let expires_at = now + told.expires_in.min(longest);
             let until = expires_at.saturating_sub(quarantine::MEMORY);
             self.suspects.remove(&told.fingerprint);
-            self.insert(told.fingerprint, Sentence { strikes: told.strikes, until });
+            self.insert(told.fingerprint, Quarantined { count: told.count, until });
         }
     }
 
-    fn acquit(&mut self, now: Moment, fingerprint: Fingerprint) {
+    fn clear(&mut self, now: Moment, fingerprint: Fingerprint) {
         let was_suspected = self.suspects.remove(&fingerprint).is_some();
-        let was_quarantined = self.sentences.remove(&fingerprint).is_some();
-        if (was_suspected || was_quarantined) && self.acquitted.len() < MAX_SUSPECTS {
-            self.acquitted.insert(fingerprint, now);
+        let was_quarantined = self.quarantined.remove(&fingerprint).is_some();
+        if (was_suspected || was_quarantined) && self.cleared.len() < MAX_SUSPECTS {
+            self.cleared.insert(fingerprint, now);
         }
     }
 
-    fn record_death(&mut self, now: Moment, death: &Death) {
-        self.note_recent(now, death);
-        for fingerprint in &death.suspects {
-            if let Some(sentence) = self.sentences.get(fingerprint).copied() {
+    fn record_crash(&mut self, now: Moment, crash: &Crash) {
+        self.note_recent(now, crash);
+        for fingerprint in &crash.suspects {
+            if let Some(held) = self.quarantined.get(fingerprint).copied() {
                 // What was in flight when the quarantine began shows nothing new; a trial does.
-                if now >= sentence.until {
-                    self.sentence(now, *fingerprint, sentence.strikes + 1);
+                if now >= held.until {
+                    self.quarantine(now, *fingerprint, held.count + 1);
                 }
                 continue;
             }
             let known = self.suspects.entry(*fingerprint).or_default();
-            let ended = Ended { at: now, upstream: death.upstream.clone() };
+            let ended = Ended { at: now, upstream: crash.upstream.clone() };
             let is_known = known.iter().any(|other| other.is_same(&ended));
-            if !is_known && known.len() < MAX_DEATHS {
+            if !is_known && known.len() < MAX_CRASHES {
                 known.push(ended);
             }
         }
         self.limit_suspects();
     }
 
-    /// Notes a death with the requests that were in flight, as far as one entry knows them.
-    fn note_recent(&mut self, now: Moment, death: &Death) {
-        let ended = Ended { at: now, upstream: death.upstream.clone() };
+    /// Notes a crash with the requests that were in flight, as far as one entry knows them.
+    fn note_recent(&mut self, now: Moment, crash: &Crash) {
+        let ended = Ended { at: now, upstream: crash.upstream.clone() };
         if let Some((_, suspects)) = self.recent.iter_mut().find(|(other, _)| other.is_same(&ended))
         {
             let room = MAX_IN_FLIGHT.saturating_sub(suspects.len());
-            suspects.extend(death.suspects.iter().take(room));
+            suspects.extend(crash.suspects.iter().take(room));
             return;
         }
-        self.recent.push_back((ended, death.suspects.clone()));
+        self.recent.push_back((ended, crash.suspects.clone()));
         let is_over = |(ended, _): &(Ended, _)| now >= ended.at + UNRELATED_SPAN;
         while self.recent.len() > MAX_RECENT || self.recent.front().is_some_and(is_over) {
             self.recent.pop_front();
@@ -197,25 +197,25 @@
     /// Requests to quarantine now.
     fn due(&self, now: Moment) -> Vec<Fingerprint> {
         let is_due = |(fingerprint, ended): &(&Fingerprint, &Vec<Ended>)| {
-            let last = ended.get(DEATHS_MAX - 1 + self.unrelated(now, **fingerprint));
-            last.is_some_and(|last| now >= last.at + DELIBERATION)
+            let last = ended.get(CRASHES_MAX - 1 + self.unrelated(now, **fingerprint));
+            last.is_some_and(|last| now >= last.at + GRACE)
                 && !self.is_explained(**fingerprint, ended)
         };
         self.suspects.iter().filter(is_due).map(|(fingerprint, _)| *fingerprint).collect()
     }
 
-    /// Recent deaths, up to a limit, without this request in flight or another one that explains them.
+    /// Recent crashes, up to a limit, without this request in flight or another one that explains them.
     fn unrelated(&self, now: Moment, fingerprint: Fingerprint) -> usize {
         let explains = |one: &Fingerprint| {
-            let deaths = self.suspects.get(one).map_or(0, Vec::len);
-            *one == fingerprint || deaths >= DEATHS_MAX || self.sentences.contains_key(one)
+            let crashes = self.suspects.get(one).map_or(0, Vec::len);
+            *one == fingerprint || crashes >= CRASHES_MAX || self.quarantined.contains_key(one)
         };
         let recent = self.recent.iter().filter(|(ended, _)| now < ended.at + UNRELATED_SPAN);
         let unrelated = recent.filter(|(_, suspects)| !suspects.iter().any(explains));
         unrelated.count().min(UNRELATED_MAX)
     }
 
-    /// Whether another request had more deaths, those under this one among them. This one was just in
+    /// Whether another request had more crashes, those under this one among them. This one was just in
     /// flight beside it.
     fn is_explained(&self, fingerprint: Fingerprint, ended: &[Ended]) -> bool {
         self.suspects.iter().any(|(other, others)| {
@@ -224,22 +224,22 @@
         })
     }
 
-    fn sentence(&mut self, now: Moment, fingerprint: Fingerprint, strikes: u32) {
-        self.insert(fingerprint, Sentence::new(now, strikes));
+    fn quarantine(&mut self, now: Moment, fingerprint: Fingerprint, count: u32) {
+        self.insert(fingerprint, Quarantined::new(now, count));
     }
 
     /// Adds a quarantine, in place of the one that ends first if there are too many.
-    fn insert(&mut self, fingerprint: Fingerprint, sentence: Sentence) {
-        self.sentences.insert(fingerprint, sentence);
-        if self.sentences.len() > MAX_QUARANTINES {
-            let first = self.sentences.iter().min_by_key(|(_, sentence)| sentence.until);
+    fn insert(&mut self, fingerprint: Fingerprint, held: Quarantined) {
+        self.quarantined.insert(fingerprint, held);
+        if self.quarantined.len() > MAX_QUARANTINES {
+            let first = self.quarantined.iter().min_by_key(|(_, held)| held.until);
             if let Some(first) = first.map(|(fingerprint, _)| *fingerprint) {
-                self.sentences.remove(&first);
+                self.quarantined.remove(&first);
             }
         }
     }
 
-    /// Forgets the suspected requests with the fewest deaths, the oldest first, if there are too many.
+    /// Forgets the suspected requests with the fewest crashes, the oldest first, if there are too many.
     fn limit_suspects(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS {
             let key = |ended: &Vec<Ended>| (ended.len(), ended.last().map(|it| it.at));
--- a/src/poison/list.rs
+++ b/src/poison/list.rs
@@ -6,9 +6,9 @@
 use super::Fingerprint;
 use crate::clock::Moment;
 
-/// Deaths under a suspected request from which on it is sent once at most: a retry would probably end
+/// Crashes under a suspected request from which on it is sent once at most: a retry would probably end
 /// one more.
-const DEATHS_WITHOUT_RETRY: usize = 2;
+const CRASHES_WITHOUT_RETRY: usize = 2;
 /// For how long one entry alone may send a request whose quarantine is over.
 pub(super) const TURN: Duration = Duration::from_secs(10);
 
@@ -23,7 +23,7 @@
 
 /// What to do with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
+pub enum Decision {
     /// Refuse it, as not run.
     Refuse {
         /// When the caller may return.
@@ -32,7 +32,7 @@
     /// Send it on.
     Send,
     /// Send it on as a trial, if no trial was made since the quarantine ended.
-    Try {
+    Trial {
         /// End of the quarantine.
         since: Moment,
         /// When a caller that is refused may return.
@@ -58,28 +58,28 @@
 
     /// Whether a request may be sent to a second upstream after it failed at one.
     pub fn allows_retry(&self, fingerprint: Fingerprint) -> bool {
-        let deaths = self.suspects.get(&fingerprint).copied().unwrap_or_default();
-        deaths < DEATHS_WITHOUT_RETRY && !self.quarantined.contains_key(&fingerprint)
+        let crashes = self.suspects.get(&fingerprint).copied().unwrap_or_default();
+        crashes < CRASHES_WITHOUT_RETRY && !self.quarantined.contains_key(&fingerprint)
     }
 
     /// What to do with a request. `is_turn` says whether it is this entry's turn, given the number of
     /// turns since a quarantine ended.
-    pub fn judge(
+    pub fn decide(
         &self,
         now: Moment,
         fingerprint: Fingerprint,
         is_turn: impl Fn(u32) -> bool,
-    ) -> Verdict {
+    ) -> Decision {
         let Some(until) = self.quarantined.get(&fingerprint).copied() else {
-            return Verdict::Send;
+            return Decision::Send;
         };
         if now < until {
-            return Verdict::Refuse { after: until - now };
+            return Decision::Refuse { after: until - now };
         }
         let turn = (now - until).as_millis() / TURN.as_millis();
         match is_turn(turn as u32) {
-            true => Verdict::Try { since: until, after: TURN },
-            false => Verdict::Refuse { after: TURN },
+            true => Decision::Trial { since: until, after: TURN },
+            false => Decision::Refuse { after: TURN },
         }
     }
 }
--- a/src/poison/quarantine.rs
+++ b/src/poison/quarantine.rs
@@ -24,7 +24,7 @@
     /// The request.
     pub fingerprint: Fingerprint,
     /// Number of quarantines of this request so far.
-    pub strikes: u32,
+    pub count: u32,
 }
 
 /// Quarantines that a process knows, told to one that may know others.
@@ -36,8 +36,8 @@
     pub quarantines: Option<Vec<Quarantine>>,
 }
 
-/// Length of a quarantine after this many strikes.
-pub(super) fn length(strikes: u32) -> Duration {
-    let factor = GROWTH.saturating_pow(strikes.saturating_sub(1));
+/// Length of the quarantine with this number.
+pub(super) fn length(count: u32) -> Duration {
+    let factor = GROWTH.saturating_pow(count.saturating_sub(1));
     FIRST.saturating_mul(factor).min(LONGEST)
 }
--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -19,11 +19,11 @@
 use crate::id::UpstreamId;
 use crate::node::Input;
 use crate::node::View;
+use crate::poison::Checks;
+use crate::poison::Decision;
 use crate::poison::Evidence;
 use crate::poison::Fingerprint;
 use crate::poison::Trials;
-use crate::poison::Verdict;
-use crate::poison::Witness;
 use crate::reach::Check;
 use crate::runtime;
 
@@ -50,16 +50,16 @@
 pub(super) struct Poison {
     doubts: (Sender<Doubt>, Receiver<Doubt>),
     trials: Mutex<Trials>,
-    witness: Mutex<Witness>,
+    checks: Mutex<Checks>,
 }
 
 impl Poison {
     pub(super) fn new() -> Self {
-        Self { doubts: bounded(MAX_CHECKS), trials: Mutex::default(), witness: Mutex::default() }
+        Self { doubts: bounded(MAX_CHECKS), trials: Mutex::default(), checks: Mutex::default() }
     }
 
     fn take_suspects(&self, upstream: &UpstreamId) -> Vec<Fingerprint> {
-        self.witness.lock().unwrap_or_else(PoisonError::into_inner).take(upstream)
+        self.checks.lock().unwrap_or_else(PoisonError::into_inner).take(upstream)
     }
 }
 
@@ -69,14 +69,14 @@
         return;
     }
     let (poison, upstream) = (&proxy.poison, attempt.upstream());
-    let mut witness = poison.witness.lock().unwrap_or_else(PoisonError::into_inner);
-    if !witness.record(&upstream, job.fingerprint()) {
+    let mut checks = poison.checks.lock().unwrap_or_else(PoisonError::into_inner);
+    if !checks.record(&upstream, job.fingerprint()) {
         return;
     }
     let check = Check { service: job.service.clone(), upstream: upstream.clone() };
     let doubt = Doubt { address: attempt.address(), check };
     if poison.doubts.0.try_send(doubt).is_err() {
-        witness.take(&upstream);
+        checks.take(&upstream);
     }
 }
 
@@ -107,10 +107,10 @@
         let rank = Rank::of(&proxy.settings.node.id, entries, &key, &DomainId::default());
         view.standing == Standing::Serving && rank.is_listed() && rank.turn(turn) == 0
     };
-    match view.poison.judge(proxy.now(), fingerprint, is_turn) {
-        Verdict::Refuse { after } => Some(after),
-        Verdict::Send => None,
-        Verdict::Try { since, after } => {
+    match view.poison.decide(proxy.now(), fingerprint, is_turn) {
+        Decision::Refuse { after } => Some(after),
+        Decision::Send => None,
+        Decision::Trial { since, after } => {
             let mut trials = proxy.poison.trials.lock().unwrap_or_else(PoisonError::into_inner);
             trials.retain(|other| view.poison.is_suspected(other));
             job.terms.attempts = 1;
@@ -137,7 +137,7 @@
     // An entry that lost its path to a service sees all of its upstreams end.
     if is_ended && !proxy.reach.is_lost(&check.service) {
         proxy.metrics.count("upstream.ended");
-        proxy.notify(Input::Poison(Evidence::of_death(check.upstream, suspects)));
+        proxy.notify(Input::Poison(Evidence::of_crash(check.upstream, suspects)));
     }
 }
 
--- a/tests/suite/fleet_model/world/fatal.rs
+++ b/tests/suite/fleet_model/world/fatal.rs
@@ -6,9 +6,9 @@
 use hemlockfield::clock::Moment;
 use hemlockfield::health::Kind;
 use hemlockfield::node::core::Input;
+use hemlockfield::poison::Decision as PoisonDecision;
 use hemlockfield::poison::Evidence;
 use hemlockfield::poison::Fingerprint;
-use hemlockfield::poison::Verdict;
 use rand::Rng;
 
 use super::Event;
@@ -70,8 +70,8 @@
     pub(super) fn is_refused(&mut self, number: usize) -> bool {
         let Request { entry, fingerprint, .. } = self.requests[number];
         let Some(running) = &self.processes[entry] else { return false };
-        let verdict = running.view.poison.judge(self.now, fingerprint, |_| false);
-        let is_refused = matches!(verdict, Verdict::Refuse { .. });
+        let verdict = running.view.poison.decide(self.now, fingerprint, |_| false);
+        let is_refused = matches!(verdict, PoisonDecision::Refuse { .. });
         self.seen.innocent += usize::from(is_refused && fingerprint != FATAL);
         is_refused
     }
@@ -121,7 +121,7 @@
             suspects.entry(entry).or_default().push(self.requests[request].fingerprint);
         }
         for (entry, suspects) in suspects {
-            let evidence = Evidence::of_death(upstream_name(upstream), suspects);
+            let evidence = Evidence::of_crash(upstream_name(upstream), suspects);
             self.at(self.now + LATENCY + CHECK, Event::Evidence(entry, evidence));
         }
     }
--- a/tests/suite/poison.rs
+++ b/tests/suite/poison.rs
@@ -4,13 +4,13 @@
 
 use compact_str::format_compact;
 use hemlockfield::clock::Moment;
+use hemlockfield::poison::Checks;
+use hemlockfield::poison::Decision;
 use hemlockfield::poison::Evidence;
 use hemlockfield::poison::Fingerprint;
 use hemlockfield::poison::Ledger;
 use hemlockfield::poison::Report;
 use hemlockfield::poison::Trials;
-use hemlockfield::poison::Verdict;
-use hemlockfield::poison::Witness;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -23,53 +23,53 @@
     Duration::from_millis(millis)
 }
 
-fn death(ledger: &mut Ledger, millis: u64, upstream: usize, suspects: &[Fingerprint]) {
+fn crash(ledger: &mut Ledger, millis: u64, upstream: usize, suspects: &[Fingerprint]) {
     let upstream = format_compact!("i-{upstream}");
-    ledger.record(at(millis), &Evidence::of_death(upstream, suspects.to_vec()));
+    ledger.record(at(millis), &Evidence::of_crash(upstream, suspects.to_vec()));
 }
 
 fn is_refused(ledger: &mut Ledger, millis: u64, fingerprint: Fingerprint) -> bool {
     ledger.advance(at(millis));
-    let verdict = ledger.list().judge(at(millis), fingerprint, |_| false);
-    matches!(verdict, Verdict::Refuse { .. })
+    let verdict = ledger.list().decide(at(millis), fingerprint, |_| false);
+    matches!(verdict, Decision::Refuse { .. })
 }
 
 /// A ledger of which one request is in quarantine.
-fn convicted(fingerprint: Fingerprint) -> Ledger {
+fn quarantined(fingerprint: Fingerprint) -> Ledger {
     let mut ledger = Ledger::default();
-    (0..3).for_each(|number| death(&mut ledger, 400 * number as u64, number, &[fingerprint]));
+    (0..3).for_each(|number| crash(&mut ledger, 400 * number as u64, number, &[fingerprint]));
     ledger.advance(at(2_000));
     ledger
 }
 
 // A request ended three upstreams and was sent on to all others.
 #[test]
-fn judge_three_deaths() {
+fn decide_three_crashes() {
     let mut ledger = Ledger::default();
-    (0..2).for_each(|number| death(&mut ledger, 400 * number as u64, number, &[FATAL]));
+    (0..2).for_each(|number| crash(&mut ledger, 400 * number as u64, number, &[FATAL]));
     assert!(!is_refused(&mut ledger, 5_000, FATAL));
-    death(&mut ledger, 6_000, 2, &[FATAL]);
+    crash(&mut ledger, 6_000, 2, &[FATAL]);
     assert!(is_refused(&mut ledger, 7_000, FATAL));
     assert!(!is_refused(&mut ledger, 7_000, HOT));
 }
 
-// Several entries report one death, and controls bring a report twice.
+// Several entries report one crash, and controls bring a report twice.
 #[test]
-fn judge_same_death() {
+fn decide_same_crash() {
     let mut ledger = Ledger::default();
     for millis in [0, 20, 600, 1_400] {
-        death(&mut ledger, millis, 1, &[FATAL]);
+        crash(&mut ledger, millis, 1, &[FATAL]);
     }
-    death(&mut ledger, 1_400, 2, &[FATAL]);
+    crash(&mut ledger, 1_400, 2, &[FATAL]);
     assert!(!is_refused(&mut ledger, 4_000, FATAL));
 }
 
 // A hot path is in flight whenever an upstream ends, and other upstreams answer it.
 #[test]
-fn judge_answered() {
+fn decide_answered() {
     let mut ledger = Ledger::default();
     for number in 0..3 {
-        death(&mut ledger, 100 * number as u64, number, &[FATAL, HOT]);
+        crash(&mut ledger, 100 * number as u64, number, &[FATAL, HOT]);
     }
     ledger.record(at(900), &Evidence::of_answer(HOT));
     assert!(!is_refused(&mut ledger, 1_500, HOT));
@@ -78,11 +78,11 @@
 
 // A request was in flight at three of the upstreams that another one ended.
 #[test]
-fn judge_explained() {
+fn decide_explained() {
     let mut ledger = Ledger::default();
-    death(&mut ledger, 0, 0, &[FATAL]);
+    crash(&mut ledger, 0, 0, &[FATAL]);
     for number in 1..4 {
-        death(&mut ledger, 100 * number as u64, number, &[FATAL, HOT]);
+        crash(&mut ledger, 100 * number as u64, number, &[FATAL, HOT]);
     }
     assert!(!is_refused(&mut ledger, 1_400, HOT));
     assert!(is_refused(&mut ledger, 1_400, FATAL));
@@ -90,25 +90,25 @@
 
 // The quarantine of a request is over; one entry tries it, and it ends another upstream.
 #[test]
-fn judge_trial() {
-    let mut ledger = convicted(FATAL);
+fn decide_trial() {
+    let mut ledger = quarantined(FATAL);
     let since = at(62_000);
     assert!(is_refused(&mut ledger, 61_900, FATAL));
-    let verdict = ledger.list().judge(since, FATAL, |turn| turn == 0);
-    assert!(matches!(verdict, Verdict::Try { .. }), "{verdict:?}");
+    let verdict = ledger.list().decide(since, FATAL, |turn| turn == 0);
+    assert!(matches!(verdict, Decision::Trial { .. }), "{verdict:?}");
     let mut trials = Trials::default();
     assert!(trials.try_take(FATAL, since) && !trials.try_take(FATAL, since));
-    death(&mut ledger, 62_500, 9, &[FATAL]);
-    death(&mut ledger, 62_520, 9, &[FATAL]);
+    crash(&mut ledger, 62_500, 9, &[FATAL]);
+    crash(&mut ledger, 62_520, 9, &[FATAL]);
     assert!(is_refused(&mut ledger, 62_500 + 239_000, FATAL));
     ledger.record(at(303_000), &Evidence::of_answer(FATAL));
     assert!(!is_refused(&mut ledger, 303_000, FATAL));
 }
 
-// A process starts anew and is told of quarantines; one that has heard of an acquittal is not.
+// A process starts anew and is told of quarantines; one that has heard of an answer is not.
 #[test]
 fn merge_told() {
-    let known = convicted(FATAL);
+    let known = quarantined(FATAL);
     let report = known.report(at(2_000), Some(0));
     let mut started = Ledger::default();
     started.merge(at(500), &report);
@@ -123,7 +123,7 @@
 // Two processes that told each other of a quarantine would have kept it for ever.
 #[test]
 fn merge_forgotten() {
-    let (mut one, mut other) = (convicted(FATAL), Ledger::default());
+    let (mut one, mut other) = (quarantined(FATAL), Ledger::default());
     for second in 0..700 {
         let now = at(2_000 + 1_000 * second);
         other.merge(now, &one.report(now, None));
@@ -144,7 +144,7 @@
         let mut suspects: Vec<Fingerprint> = noise.chain([FATAL]).collect();
         suspects.truncate(31);
         suspects.push(FATAL);
-        death(&mut ledger, 50 * number as u64, number, &suspects);
+        crash(&mut ledger, 50 * number as u64, number, &suspects);
     }
     assert!(is_refused(&mut ledger, 20_000, FATAL));
     let size = ledger.report(at(20_000), None).quarantines.map_or(0, |all| all.len());
@@ -154,7 +154,7 @@
 
 // Upstreams end at random, each with what is in flight there; most requests are answered elsewhere.
 #[rstest]
-fn judge_random_deaths(#[values(1, 2, 3, 4, 5)] seed: u64) {
+fn decide_random_crashes(#[values(1, 2, 3, 4, 5)] seed: u64) {
     const CALLERS: u64 = 200;
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut ledger = Ledger::default();
@@ -163,7 +163,7 @@
         let now = 100 * step as u64;
         if random.random_bool(0.1) {
             let suspects: Vec<_> = (0..5).map(|_| random.random_range(0..CALLERS)).collect();
-            death(&mut ledger, now, step, &suspects);
+            crash(&mut ledger, now, step, &suspects);
         }
         for fingerprint in 0..CALLERS {
             if random.random_bool(0.1) {
@@ -180,11 +180,11 @@
 // One check serves all requests that were in flight at an upstream.
 #[test]
 fn record_in_flight() {
-    let mut witness = Witness::default();
-    assert!(witness.record(&"i-1".into(), FATAL));
-    assert!(!witness.record(&"i-1".into(), HOT));
-    assert_eq!(witness.take(&"i-1".into()), [FATAL, HOT]);
-    assert!(witness.record(&"i-1".into(), HOT));
+    let mut checks = Checks::default();
+    assert!(checks.record(&"i-1".into(), FATAL));
+    assert!(!checks.record(&"i-1".into(), HOT));
+    assert_eq!(checks.take(&"i-1".into()), [FATAL, HOT]);
+    assert!(checks.record(&"i-1".into(), HOT));
 }
 
 #[test]
