Take an upstream for ended only while another one of its service can be reached

Cause: resets and refused connections of all upstreams looked as if all had ended under what was in flight, and no answer could clear the requests while the paths were lost. A service with one upstream has no quarantine.

--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -11,6 +11,7 @@
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::task;
+use rand::seq::IteratorRandom;
 
 use crate::balance::Rank;
 use crate::config::Standing;
@@ -37,6 +38,9 @@
 /// that is ending may still accept connections for a moment.
 const CONNECTS: usize = 2;
 const PAUSE: Duration = Duration::from_millis(100);
+/// Most other upstreams that are tried to tell the end of one from the loss of a path. Some of them may have
+/// ended under the same request.
+const MAX_OTHERS: usize = 5;
 /// Longest wait for an upstream to check, so that the loop notices when the process stops.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
@@ -132,15 +136,31 @@
 /// Reports an upstream as ended if no connection to it can be opened.
 async fn check(proxy: Arc<Proxy>, doubt: Doubt) {
     let Doubt { address, check } = doubt;
-    let is_ended = is_ended(&proxy, address).await;
-    let suspects = proxy.poison.take_suspects(&check.upstream);
     // An entry that lost its path to a service sees all of its upstreams end.
-    if is_ended && !proxy.reach.is_lost(&check.service) {
+    let is_ended = is_ended(&proxy, address).await && reaches_another(&proxy, &check).await;
+    let suspects = proxy.poison.take_suspects(&check.upstream);
+    if is_ended {
         proxy.metrics.count("upstream.ended");
         proxy.notify(Input::Poison(Evidence::of_crash(check.upstream, suspects)));
     }
 }
 
+/// Whether this entry can connect to another upstream of the service.
+async fn reaches_another(proxy: &Proxy, check: &Check) -> bool {
+    let view = proxy.view.load_full();
+    let Some(service) = view.services.get(&check.service) else { return false };
+    let others = service.addresses.iter().filter(|(id, _)| **id != check.upstream);
+    let others = others.map(|(_, address)| *address).choose_multiple(&mut rand::rng(), MAX_OTHERS);
+    for address in others {
+        let limit = proxy.settings.limits.connect;
+        if let Ok(connection) = Connection::open(proxy.connector.as_ref(), address, limit).await {
+            proxy.pool.put(address, connection);
+            return true;
+        }
+    }
+    false
+}
+
 /// Whether an upstream takes no more connections.
 async fn is_ended(proxy: &Proxy, address: SocketAddr) -> bool {
     let limit = proxy.settings.limits.connect;
--- a/tests/suite/reach/cut.rs
+++ b/tests/suite/reach/cut.rs
@@ -172,3 +172,20 @@
     let checks = fleet.opened(0) - opened;
     assert!((2..=6).contains(&checks), "{checks} connections");
 }
+
+// All paths break at once, as if all upstreams had ended under what was in flight. After that the callers'
+// requests were refused for a minute.
+#[test]
+fn quarantine_none() {
+    let fleet = Fleet::start();
+    let callers = fleet.callers();
+    for _ in 0..3 {
+        fleet.cut(&[0, 1, 2, 3], Form::Reset, None);
+        thread::sleep(BOUND / 2);
+        fleet.heal();
+        wait_for("answers", || (0..4).all(|entry| fleet.look(entry, "hull") == 200));
+    }
+    drop(callers);
+    let count = |kind| (0..4).map(|entry| fleet.metric(entry, kind)).sum::<usize>();
+    assert_eq!([count("upstream.ended"), count("request.quarantined")], [0, 0]);
+}
