Look for unrelated crashes only where a request has three

The ledger went over the last 64 crashes for each suspected request at each step of the control thread, also for those with one or two crashes, of which there may be 512; it does so for candidates alone now. The value that `advance` returned was read by nobody. Behaviour is the same: a request with fewer than three crashes was never due.

--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -90,19 +90,15 @@
         self.advance(now);
     }
 
-    /// Advances the time to `now`; returns whether a request was quarantined or forgotten.
-    pub fn advance(&mut self, now: Moment) -> bool {
-        let before = self.quarantined.len();
+    /// Advances the time to `now`.
+    pub fn advance(&mut self, now: Moment) {
         self.cleared.retain(|_, at| now < *at + CLEARED);
         self.suspects.retain(|_, ended| ended.last().is_some_and(|it| now < it.at + SUSPICION));
         self.quarantined.retain(|_, held| now < held.expires_at());
-        let is_forgotten = self.quarantined.len() < before;
-        let due = self.due(now);
-        for fingerprint in &due {
-            self.suspects.remove(fingerprint);
-            self.quarantine(now, *fingerprint, 1);
+        for fingerprint in self.due(now) {
+            self.suspects.remove(&fingerprint);
+            self.quarantine(now, fingerprint, 1);
         }
-        is_forgotten || !due.is_empty()
     }
 
     /// What the traffic threads go by.
@@ -201,7 +197,8 @@
             last.is_some_and(|last| now >= last.at + GRACE)
                 && !self.is_explained(**fingerprint, ended)
         };
-        self.suspects.iter().filter(is_due).map(|(fingerprint, _)| *fingerprint).collect()
+        let candidates = self.suspects.iter().filter(|(_, ended)| ended.len() >= CRASHES_MAX);
+        candidates.filter(is_due).map(|(fingerprint, _)| *fingerprint).collect()
     }
 
     /// Recent crashes, up to a limit, without this request in flight or another one that explains them.
