Draw each port of the demo once

Cause: 18 ports are drawn at random from 20,000, each one is free when it is drawn, and nothing remembers those that were drawn before; two alike on TCP or UDP come in 0.4 of 100 demos (66 and 15 pairs of 20,000), and the second process can't listen. That the run which was refused had this cause is not shown (its log has one port only); what else could hold a port of that range then, nothing is known to.

--- a/src/demo.rs
+++ b/src/demo.rs
@@ -5,9 +5,11 @@
 
 mod baseline;
 mod error;
+mod ports;
 mod run;
 mod site;
 
 pub use error::Error;
+pub use ports::Ports;
 pub use run::Outcome;
 pub use run::run;
--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -2,8 +2,6 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -21,15 +19,13 @@
 use crate::upstream::Setup;
 
 use super::Error;
+use super::Ports;
 
 const DOMAINS: [&str; 4] = ["halle-nord", "halle-sued", "keller-alt", "werft-ost"];
 /// Longest that the site may take to be ready.
 const READY: Duration = Duration::from_secs(10);
 /// How long the demo's certificates hold.
 const VALID: Duration = Duration::from_secs(3600);
-/// Where the demo's processes listen, and how often a port is drawn before giving up.
-const PORTS: std::ops::Range<u16> = 10_000..30_000;
-const PORT_TRIES: usize = 100;
 const CONTROLS: usize = 3;
 const ENTRIES: usize = 3;
 
@@ -69,12 +65,13 @@
 
 impl Site {
     pub(super) async fn start(folder: &Path) -> Result<Self, Error> {
+        let mut ports = Ports::new(rand::rng());
         let mut plans = Vec::new();
         for at in 1..=CONTROLS {
-            plans.push(Plan::new("control", at)?);
+            plans.push(Plan::new("control", at, &mut ports)?);
         }
         for at in 1..=ENTRIES {
-            plans.push(Plan::new("entry", at)?);
+            plans.push(Plan::new("entry", at, &mut ports)?);
         }
         make_keys(folder, &plans)?;
         let mut site = Self { entries: Vec::new(), controls: Vec::new(), events: Vec::new() };
@@ -150,9 +147,13 @@
 }
 
 impl Plan {
-    fn new(role: &'static str, at: usize) -> Result<Self, Error> {
+    fn new(
+        role: &'static str,
+        at: usize,
+        ports: &mut Ports<impl Rng>,
+    ) -> Result<Self, Error> {
         let id = format!("{role}-{at}");
-        let (callers, operators, links) = (free_port()?, free_port()?, free_port()?);
+        let (callers, operators, links) = (ports.draw()?, ports.draw()?, ports.draw()?);
         Ok(Self { callers, id, links, operators, role })
     }
 
@@ -208,18 +209,3 @@
     }
     Ok(())
 }
-
-/// A port that nobody has, for TCP and UDP alike. It lies below those that the system gives
-/// to outgoing connections, which could take it before a process of the demo listens.
-fn free_port() -> Result<SocketAddr, Error> {
-    let mut last = std::io::ErrorKind::AddrInUse.into();
-    for _ in 0..PORT_TRIES {
-        let port = rand::rng().random_range(PORTS);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        match TcpListener::bind(address).and_then(|_| UdpSocket::bind(address)) {
-            Ok(_) => return Ok(address),
-            Err(error) => last = error,
-        }
-    }
-    Err(Error::Io { what: "find a free port", source: last })
-}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod config;
 mod core_fleet;
 mod delivery;
+mod demo;
 mod directory;
 mod entry;
 mod exchange;
