Check an upstream whose connection broke by one connection at most

Cause: the check opened a connection at once and another one 100 ms later, whatever was known already.

Change: the check waits 100 ms and looks at the pool first. An idle connection that is still open shows that the process lives, as one that ends closes all of them; only without one a connection is opened, and kept for the next request.

--- a/src/exchange/pool.rs
+++ b/src/exchange/pool.rs
@@ -55,12 +55,19 @@
 
     /// Keeps a connection whose last answer was read completely.
     pub fn put(&self, address: SocketAddr, connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(address).or_default();
-        connections.retain(|(since, connection)| self.is_fresh(*since, connection));
-        if connections.len() < MAX_IDLE_PER_UPSTREAM {
-            connections.push((Instant::now(), connection));
+        self.keep(address, Instant::now(), connection);
+    }
+
+    /// Whether an idle connection to an upstream is still open. It stays in the pool; closed ones are dropped.
+    pub async fn has_open(&self, address: SocketAddr) -> bool {
+        while let Some((since, connection)) = self.pop(address, self.idle_timeout) {
+            if self.is_fresh(since, &connection) && connection.is_idle().await {
+                self.keep(address, since, connection);
+                return true;
+            }
+            connection.close();
         }
+        false
     }
 
     /// Drops all connections to an upstream that was removed.
@@ -68,6 +75,16 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
     }
 
+    /// Keeps a connection that is idle since `since`.
+    fn keep(&self, address: SocketAddr, since: Instant, connection: Connection) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.entry(address).or_default();
+        connections.retain(|(since, connection)| self.is_fresh(*since, connection));
+        if connections.len() < MAX_IDLE_PER_UPSTREAM {
+            connections.push((since, connection));
+        }
+    }
+
     fn is_fresh(&self, since: Instant, connection: &Connection) -> bool {
         let peer_limit = connection
             .idle_limit()
--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -34,9 +34,8 @@
 
 /// Upstreams that wait to be checked. Those beyond are not; a fatal request ends others soon.
 const MAX_CHECKS: usize = 64;
-/// Number of attempts to connect to an upstream whose connection ended, and the pause between them: one
-/// that is ending may still accept connections for a moment.
-const CONNECTS: usize = 2;
+/// How long after the end of a connection its upstream is checked: one that is ending may still accept
+/// connections for a moment.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Most other upstreams that are tried to tell the end of one from the loss of a path. Some of them may have
 /// ended under the same request.
@@ -161,17 +160,18 @@
     false
 }
 
-/// Whether an upstream takes no more connections.
+/// Whether an upstream takes no more connections. An idle one that is still open shows that it lives, and
+/// costs the upstream nothing.
 async fn is_ended(proxy: &Proxy, address: SocketAddr) -> bool {
+    task::sleep(PAUSE).await;
+    if proxy.pool.has_open(address).await {
+        return false;
+    }
     let limit = proxy.settings.limits.connect;
-    for number in 0..CONNECTS {
-        if number > 0 {
-            task::sleep(PAUSE).await;
-        }
-        match Connection::open(proxy.connector.as_ref(), address, limit).await {
-            Ok(connection) => proxy.pool.put(address, connection),
-            Err(_) => return true,
-        }
+    let opened = Connection::open(proxy.connector.as_ref(), address, limit).await;
+    let is_ended = opened.is_err();
+    if let Ok(connection) = opened {
+        proxy.pool.put(address, connection);
     }
-    false
+    is_ended
 }
--- a/tests/suite/entry/answers.rs
+++ b/tests/suite/entry/answers.rs
@@ -34,6 +34,24 @@
     });
 }
 
+// An upstream that lives closes connections without an answer. Each check whether it had ended opened two
+// more, which upstreams count.
+#[test]
+fn get_upstream_hangs_up() {
+    block_on(async {
+        let fixture = Fixture::start(&[Script::HangUp]).await;
+        let opened_before = fixture.received.lock().unwrap().connections;
+        for _ in 0..8 {
+            fixture.get("/hulls/1").await;
+            task::sleep(Duration::from_millis(250)).await;
+        }
+        let opened = fixture.received.lock().unwrap().connections - opened_before;
+        let sends = fixture.request_count();
+        // Paths to an upstream that is out are checked too.
+        assert!(opened <= sends + sends / 2, "{opened} connections for {sends} requests");
+    });
+}
+
 // A large answer is cut off after its head was relayed. The entry closes the caller's connection
 // short of the declared length, which is how HTTP signals a truncated answer.
 #[test]
--- a/tests/suite/entry/fixture.rs
+++ b/tests/suite/entry/fixture.rs
@@ -79,6 +79,8 @@
     pub(super) bodies: Vec<usize>,
     /// Connections that the other end closed.
     pub(super) closed: usize,
+    /// Connections that were opened.
+    pub(super) connections: usize,
     /// Request heads.
     pub(super) heads: Vec<String>,
     /// Bodies within which the other end reset the connection.
@@ -196,6 +198,7 @@
     let address = listener.local_addr().unwrap();
     task::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
+            received.lock().unwrap().connections += 1;
             task::spawn(run_script(stream, script, Arc::clone(&received)));
         }
     });
