--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -2,6 +2,7 @@
 
 mod claim;
 mod configuration;
+mod cut_answers;
 mod fatal;
 pub(crate) mod fleet;
 mod kill;
