--- a/src/demo/site.rs
+++ b/src/demo/site.rs
@@ -147,11 +147,7 @@
 }
 
 impl Plan {
-    fn new(
-        role: &'static str,
-        at: usize,
-        ports: &mut Ports<impl Rng>,
-    ) -> Result<Self, Error> {
+    fn new(role: &'static str, at: usize, ports: &mut Ports<impl Rng>) -> Result<Self, Error> {
         let id = format!("{role}-{at}");
         let (callers, operators, links) = (ports.draw()?, ports.draw()?, ports.draw()?);
         Ok(Self { callers, id, links, operators, role })
