Move the controls' replicated state, the roles and the operators' HTTP out of node

`controller` has what controls replicate, and forwards orders to the leader; `role` has the control state of a control and of an entry (`role::Control`, `role::Entry`, before `node::feed_core::ControlRole` and `EntryRole`); `operator` has the orders, the status and the metrics that are asked over HTTP. Files were moved, types renamed and visibilities named; no behaviour changed.

--- a/src/node/controller.rs
+++ b/src/controller.rs
@@ -1,3 +1,8 @@
+//! State that controls replicate: a replica of the quorum log, and what its committed entries produce.
+
+pub(crate) mod forwarder;
+mod snapshot;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -23,9 +28,9 @@
 use crate::wire::Frame;
 use crate::wire::Verdict;
 
-use super::snapshot::Body;
-use super::snapshot::Command;
-use super::snapshot::Snapshot;
+use self::snapshot::Body;
+use self::snapshot::Command;
+use self::snapshot::Snapshot;
 
 /// Log entries applied between two snapshots; a restart replays at most these.
 const SNAPSHOT_INTERVAL: Index = 5_000;
--- a/src/node/forwarder.rs
+++ b/src/controller/forwarder.rs
@@ -26,7 +26,7 @@
 /// An order may reach the leader several times. That is safe, since submissions are idempotent by
 /// id, announcements and demands by number, and reads change nothing.
 #[derive(Debug, Default)]
-pub(super) struct Forwarder {
+pub(crate) struct Forwarder {
     controls: Vec<NodeId>,
     /// Index of the presumed leader in `controls`.
     leader: usize,
@@ -44,7 +44,7 @@
 
 /// Effect that the caller of a [`Forwarder`] carries out.
 #[derive(Debug)]
-pub(super) enum Output {
+pub(crate) enum Output {
     /// Final answer to the order with this ticket.
     Answer(u64, Verdict),
     /// Frame to send to a control.
@@ -52,7 +52,7 @@
 }
 
 impl Forwarder {
-    pub(super) fn set_controls(&mut self, controls: Vec<NodeId>) {
+    pub(crate) fn set_controls(&mut self, controls: Vec<NodeId>) {
         if self.controls != controls {
             self.controls = controls;
             self.leader = 0;
@@ -60,18 +60,18 @@
     }
 
     /// Sets the control that orders are sent to first.
-    pub(super) fn set_leader(&mut self, leader: &NodeId) {
+    pub(crate) fn set_leader(&mut self, leader: &NodeId) {
         if let Some(at) = self.controls.iter().position(|control| control == leader) {
             self.leader = at;
         }
     }
 
-    pub(super) fn submit(&mut self, now: Moment, ticket: u64, version: Version) -> Vec<Output> {
+    pub(crate) fn submit(&mut self, now: Moment, ticket: u64, version: Version) -> Vec<Output> {
         self.forward(now, ticket, Order::Submit(version), SUBMIT_TIMEOUT)
     }
 
     /// Forwards an order, and retries it for at most `timeout`.
-    pub(super) fn forward(
+    pub(crate) fn forward(
         &mut self,
         now: Moment,
         ticket: u64,
@@ -85,7 +85,7 @@
         self.tick(now)
     }
 
-    pub(super) fn handle_verdict(
+    pub(crate) fn handle_verdict(
         &mut self,
         now: Moment,
         ticket: u64,
@@ -112,11 +112,11 @@
     }
 
     /// When the next [`Self::tick`] is due.
-    pub(super) fn next_at(&self) -> Option<Moment> {
+    pub(crate) fn next_at(&self) -> Option<Moment> {
         self.pending.values().map(|pending| pending.next_send_at.min(pending.deadline)).min()
     }
 
-    pub(super) fn tick(&mut self, now: Moment) -> Vec<Output> {
+    pub(crate) fn tick(&mut self, now: Moment) -> Vec<Output> {
         let mut outputs = Vec::new();
         let expired: Vec<u64> = self
             .pending
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,24 +6,17 @@
 
 mod builder;
 mod config_store;
-mod controller;
 pub mod core;
 mod error;
-mod feed_core;
-mod forwarder;
 mod input;
 pub(crate) mod input_channel;
 mod links;
 mod logs;
-mod metrics_server;
 mod monitors;
 mod null_recorder;
-mod operations;
-mod operators;
 mod probe;
-mod snapshot;
 mod state_machine;
-mod status;
+pub(crate) mod status;
 mod thread;
 mod view;
 
@@ -33,10 +26,7 @@
 pub use self::core::Core;
 pub use self::core::Output;
 pub use self::core::Setup;
-pub use controller::Controller;
 pub use error::Error;
-pub use feed_core::FeedCore;
-pub use feed_core::Setup as FeedSetup;
 pub use input::ClaimDecision;
 pub use input::Input;
 pub use input_channel::InputSender;
--- a/src/node/builder.rs
+++ b/src/node/builder.rs
@@ -10,6 +10,7 @@
 use crate::boundary::Native;
 use crate::clock::Moment;
 use crate::config;
+use crate::controller::Controller;
 use crate::feed::Capacity;
 use crate::fleet;
 use crate::id::NodeId;
@@ -17,19 +18,17 @@
 use crate::quorum;
 use crate::quorum::Membership;
 use crate::replay::Recorder;
+use crate::role;
 use crate::settings::Interface;
 use crate::settings::Role;
 use crate::settings::Settings;
 use crate::storage::Folder;
 use crate::storage::Log;
 
-use super::Controller;
 use super::Core;
 use super::Error;
 use super::config_store::ConfigStore;
 use super::core::Setup;
-use super::feed_core;
-use super::feed_core::FeedCore;
 use super::state_machine::StateMachine;
 use super::thread::Opener;
 
@@ -70,7 +69,7 @@
     let opened = open_controller(settings, founders.clone(), false)?;
     let (controller, log) =
         opened.map_or((None, None), |(controller, log)| (Some(controller), Some(log)));
-    let setup = feed_core::Setup {
+    let setup = role::Setup {
         boundary,
         callers: callers.unwrap_or_else(unspecified_address),
         domain: settings.node.failure_domain.clone(),
@@ -90,7 +89,7 @@
         let opened = open_controller(&settings, None, false)?;
         opened.ok_or_else(|| Error::NoLog)
     });
-    let state = Box::new(FeedCore::new(now, setup));
+    let state = Box::new(role::Core::new(now, setup));
     Ok(Components { config_store: None, log, state, opener: Some(opener) })
 }
 
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -28,6 +28,9 @@
 use crate::config::Replicator;
 use crate::config::Standing;
 use crate::config::Version;
+use crate::controller;
+use crate::controller::Controller;
+use crate::controller::forwarder::Forwarder;
 use crate::directory;
 use crate::fleet;
 use crate::fleet::Member;
@@ -52,9 +55,6 @@
 use crate::wire::Order;
 use crate::wire::Verdict;
 
-use super::Controller;
-use super::controller;
-use super::forwarder::Forwarder;
 use super::input::ClaimDecision;
 use super::monitors::Monitors;
 
--- a/src/node/core/claims.rs
+++ b/src/node/core/claims.rs
@@ -1,7 +1,7 @@
 use crate::claim;
 use crate::clock::Moment;
+use crate::controller;
 use crate::id::NodeId;
-use crate::node::controller;
 use crate::node::core::Core;
 use crate::node::core::Output;
 use crate::node::input::ClaimDecision;
--- a/src/node/core/state_machine.rs
+++ b/src/node/core/state_machine.rs
@@ -2,9 +2,9 @@
 
 use crate::clock::Epoch;
 use crate::clock::Moment;
+use crate::controller::Controller;
 use crate::fleet;
 use crate::id::NodeId;
-use crate::node::Controller;
 use crate::node::View;
 use crate::node::core::Core;
 use crate::node::core::Input;
--- a/src/node/core/view.rs
+++ b/src/node/core/view.rs
@@ -3,9 +3,9 @@
 
 use crate::balance;
 use crate::clock::Moment;
+use crate::controller::Controller;
 use crate::health;
 use crate::id::ServiceId;
-use crate::node::Controller;
 use crate::node::View;
 use crate::node::core::Core;
 use crate::node::status;
@@ -57,10 +57,7 @@
             return None;
         }
         Some(status::Control {
-            claims: self
-                .controller
-                .as_ref()
-                .map_or(0, super::super::controller::Controller::remembered_claims),
+            claims: self.controller.as_ref().map_or(0, Controller::remembered_claims),
             log: self.controller.as_ref().map(|controller| controller.status(now)),
             stopped: self.stop_reason.clone(),
         })
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -15,6 +15,7 @@
 use crate::exchange::Network;
 use crate::id::ConfigNumber;
 use crate::metrics::Metrics;
+use crate::operator;
 use crate::replay;
 use crate::runtime;
 use crate::settings::Settings;
@@ -32,11 +33,7 @@
 use super::builder;
 use super::builder::Components;
 use super::links;
-use super::metrics_server;
 use super::null_recorder::NullRecorder;
-use super::operations;
-use super::operators;
-use super::operators::Operators;
 use super::thread::Thread;
 use super::thread::Tickets;
 use super::thread::wall_clock;
@@ -137,18 +134,18 @@
             })
             .map_err(Error::Thread)?;
         if let Some(listener) = operators {
-            let state = Operators { control: control.clone(), proxy: Arc::clone(&proxy) };
+            let state = operator::State { control: control.clone(), proxy: Arc::clone(&proxy) };
             runtime::spawn(async move {
-                if let Err(error) = operators::app(state).listen(listener).await {
+                if let Err(error) = operator::app(state).listen(listener).await {
                     tracing::error!(target: "hemlockfield::node", "operator API stopped: {error}");
                 }
             });
         }
         if let Some(listener) = metrics_listener {
-            runtime::spawn(metrics_server::serve(listener, Arc::clone(&proxy)));
+            runtime::spawn(operator::serve_metrics(listener, Arc::clone(&proxy)));
         }
         for listener in operation_listeners {
-            runtime::spawn(operations::serve(listener, control.clone(), Arc::clone(&proxy)));
+            runtime::spawn(operator::serve_orders(listener, control.clone(), Arc::clone(&proxy)));
         }
         if let Some(listener) = callers {
             runtime::spawn(traffic::listen(listener, Arc::clone(&proxy), Source::Caller));
--- a/src/node/state_machine.rs
+++ b/src/node/state_machine.rs
@@ -2,13 +2,13 @@
 
 use std::fmt::Debug;
 
-use super::Controller;
 use super::View;
 use super::core::Input;
 use super::core::Output;
 use super::status::Report;
 use crate::clock::Epoch;
 use crate::clock::Moment;
+use crate::controller::Controller;
 use crate::id::NodeId;
 
 /// Control state of a process: handles inputs and returns outputs to carry out.
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -127,7 +127,7 @@
 }
 
 impl Configuration {
-    pub(super) fn of(version: &Version) -> Self {
+    pub(crate) fn of(version: &Version) -> Self {
         Self { number: version.number, submission: version.submission.clone() }
     }
 }
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -13,6 +13,7 @@
 use crate::clock::Epoch;
 use crate::clock::Moment;
 use crate::config::Version;
+use crate::controller::Controller;
 use crate::health::Observation;
 use crate::link::Transport;
 use crate::quorum::Record;
@@ -27,7 +28,6 @@
 use crate::wire::Frame;
 use crate::wire::Verdict;
 
-use super::Controller;
 use super::Error;
 use super::Input;
 use super::InputSender;
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -52,7 +52,7 @@
     }
 
     /// Whether `services` equal those of this view, apart from their versions.
-    pub(super) fn has_same_services(&self, services: &BTreeMap<ServiceId, Service>) -> bool {
+    pub(crate) fn has_same_services(&self, services: &BTreeMap<ServiceId, Service>) -> bool {
         services.len() == self.services.len()
             && services.iter().zip(&self.services).all(|((name, service), (other, before))| {
                 name == other && service.is_unchanged(before)
@@ -61,7 +61,7 @@
 
     /// Services of the next view. Unchanged ones are reused; each changed one gets the next
     /// `version`.
-    pub(super) fn next_services(
+    pub(crate) fn next_services(
         &self,
         services: BTreeMap<ServiceId, Service>,
         version: &mut u64,
--- a/src/node/metrics_server.rs
+++ b/src/operator/metrics.rs
@@ -13,7 +13,7 @@
 const PATH: &str = "/metrics";
 
 /// Serves the metrics until the process stops.
-pub(super) async fn serve(listener: TcpListener, proxy: Arc<Proxy>) {
+pub(crate) async fn serve(listener: TcpListener, proxy: Arc<Proxy>) {
     let mut app = tide::with_state(proxy);
     app.at(PATH).get(serve_metrics);
     if let Err(error) = app.listen(listener).await {
--- a/src/node/operations.rs
+++ b/src/operator/orders.rs
@@ -13,8 +13,6 @@
 use async_std::net::TcpStream;
 use async_std::task;
 
-use super::Input;
-use super::InputSender;
 use crate::boundary::Operation;
 use crate::boundary::Reply;
 use crate::catalog::Action;
@@ -28,6 +26,8 @@
 use crate::exchange::RequestReader;
 use crate::exchange::ResponseWriter;
 use crate::feed;
+use crate::node::Input;
+use crate::node::InputSender;
 use crate::runtime;
 use crate::traffic::Proxy;
 use crate::wire::Verdict;
@@ -45,7 +45,7 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
 /// Serves the operations that arrive at `listener`.
-pub(super) async fn serve(listener: TcpListener, control: InputSender, proxy: Arc<Proxy>) {
+pub(crate) async fn serve(listener: TcpListener, control: InputSender, proxy: Arc<Proxy>) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
--- a/src/node/operators.rs
+++ b/src/operator/server.rs
@@ -14,6 +14,8 @@
 use crate::config::Version;
 use crate::id::NodeId;
 use crate::id::SubmissionId;
+use crate::node::Input;
+use crate::node::InputSender;
 use crate::quorum::Change;
 use crate::quorum::DiskId;
 use crate::registry::Announcement;
@@ -21,9 +23,6 @@
 use crate::traffic::Proxy;
 use crate::wire::Verdict;
 
-use super::Input;
-use super::InputSender;
-
 /// Largest configuration, in bytes: 4,200 routes and 37,000 teams take about 1.5 MB.
 const MAX_CONFIGURATION_BYTES: usize = 8 * 1024 * 1024;
 /// Largest announcement, in bytes.
@@ -31,9 +30,9 @@
 
 /// State of the operator API.
 #[derive(Clone)]
-pub(super) struct Operators {
-    pub(super) control: InputSender,
-    pub(super) proxy: Arc<Proxy>,
+pub(crate) struct State {
+    pub(crate) control: InputSender,
+    pub(crate) proxy: Arc<Proxy>,
 }
 
 #[derive(Deserialize)]
@@ -61,7 +60,7 @@
 }
 
 /// Builds the routes of the operator API.
-pub(super) fn app(operators: Operators) -> tide::Server<Operators> {
+pub(crate) fn app(operators: State) -> tide::Server<State> {
     let mut app = tide::with_state(operators);
     app.at("/v1/status").get(status);
     app.at("/v1/configuration/:number").put(submit);
@@ -72,14 +71,14 @@
     app
 }
 
-async fn status(request: Request<Operators>) -> tide::Result {
+async fn status(request: Request<State>) -> tide::Result {
     let (sender, receiver) = bounded(1);
     let status = request_answer(request.state(), Input::Status(sender), &receiver).await?;
     let text = serde_json::to_string_pretty(&status)?;
     Ok(json_response(StatusCode::Ok, text))
 }
 
-async fn submit(mut request: Request<Operators>) -> tide::Result {
+async fn submit(mut request: Request<State>) -> tide::Result {
     let number = match request.param("number")?.parse() {
         Ok(number) if number > 0 => number,
         _ => {
@@ -118,13 +117,13 @@
     Ok(json_response(status, serde_json::to_string(&SubmissionReply { verdict })?))
 }
 
-async fn drain(request: Request<Operators>) -> tide::Result {
+async fn drain(request: Request<State>) -> tide::Result {
     send(request.state(), Input::Drain).await?;
     request.state().proxy.request_drain();
     Ok(text_response(StatusCode::Ok, "leaving"))
 }
 
-async fn members(request: Request<Operators>) -> tide::Result {
+async fn members(request: Request<State>) -> tide::Result {
     let members: MembersQuery = request.query()?;
     let change = match (members.add, members.disk, members.promote, members.remove) {
         (Some(node), Some(disk), None, None) => Change::AddLearner { disk, node },
@@ -144,7 +143,7 @@
     })
 }
 
-async fn announce(mut request: Request<Operators>) -> tide::Result {
+async fn announce(mut request: Request<State>) -> tide::Result {
     let body = match read_body(&mut request, "announcement", MAX_ANNOUNCEMENT_BYTES).await? {
         Ok(bytes) => bytes,
         Err(response) => return Ok(response),
@@ -164,7 +163,7 @@
     })
 }
 
-async fn entries(request: Request<Operators>) -> tide::Result {
+async fn entries(request: Request<State>) -> tide::Result {
     let query: EntriesQuery = request.query()?;
     let answer = request.state().proxy.entries(&query.caller.unwrap_or_default());
     Ok(json_response(StatusCode::Ok, serde_json::to_string(&answer)?))
@@ -173,7 +172,7 @@
 /// Reads a body of a declared length, or returns the refusal. The library takes a body for complete
 /// that was cut short of its length.
 async fn read_body(
-    request: &mut Request<Operators>,
+    request: &mut Request<State>,
     what: &str,
     max: usize,
 ) -> tide::Result<Result<Vec<u8>, Response>> {
@@ -191,16 +190,12 @@
     Ok(Ok(body))
 }
 
-async fn request_answer<T>(
-    state: &Operators,
-    input: Input,
-    answer: &Receiver<T>,
-) -> tide::Result<T> {
+async fn request_answer<T>(state: &State, input: Input, answer: &Receiver<T>) -> tide::Result<T> {
     send(state, input).await?;
     Ok(answer.recv().await?)
 }
 
-async fn send(state: &Operators, input: Input) -> tide::Result<()> {
+async fn send(state: &State, input: Input) -> tide::Result<()> {
     if state.control.send(input).await {
         return Ok(());
     }
--- a/src/node/feed_core.rs
+++ b/src/role.rs
@@ -1,12 +1,12 @@
 //! Control state of a process in a fleet whose entries subscribe to the controls' feed.
 //!
 //! Everything acknowledged, upstreams included, is in the quorum log of the controls; entries
-//! poll the controls for it twice a second. [`ControlRole`] is the state of a control and
-//! [`EntryRole`] that of an entry. A process may have both roles.
+//! poll the controls for it twice a second. [`Control`] is the state of a control and
+//! [`Entry`] that of an entry. A process may have both roles.
 
 mod breakers;
-mod control_role;
-mod entry_role;
+mod control;
+mod entry;
 mod events;
 mod limits;
 mod listing;
@@ -21,35 +21,35 @@
 use crate::clock::Epoch;
 use crate::clock::Moment;
 use crate::config::Standing;
+use crate::controller::Controller;
 use crate::directory;
 use crate::feed;
 use crate::id::NodeId;
 use crate::id::RegionId;
+use crate::node::Report;
+use crate::node::StateMachine;
+use crate::node::View;
+use crate::node::core::Input;
+use crate::node::core::Output;
 use crate::wire::Frame;
 
-use super::Controller;
-use super::View;
-use super::core::Input;
-use super::core::Output;
-use super::state_machine::StateMachine;
-use super::status::Report;
-use control_role::ControlRole;
-use entry_role::EntryRole;
+use control::Control;
+use entry::Entry;
 
 /// Control state of a process in a fleet whose entries subscribe to the controls' feed.
 #[derive(Debug)]
-pub struct FeedCore {
-    control: Option<ControlRole>,
+pub struct Core {
+    control: Option<Control>,
     id: NodeId,
-    entry: Option<EntryRole>,
+    entry: Option<Entry>,
 }
 
-impl FeedCore {
+impl Core {
     /// Creates the state of a process that has just started.
     pub fn new(now: Moment, setup: Setup) -> Self {
         let id = setup.id.clone();
-        let entry = setup.is_entry.then(|| EntryRole::new(now, &setup));
-        let control = setup.is_control.then(|| ControlRole::new(now, setup));
+        let entry = setup.is_entry.then(|| Entry::new(now, &setup));
+        let control = setup.is_control.then(|| Control::new(now, setup));
         Self { control, id, entry }
     }
 
@@ -68,7 +68,7 @@
             | Input::TrialBegan(..)
             | Input::TrialOutcome(..)
             | Input::UpstreamLimit(..) => true,
-            Input::Frame(_, Frame::Feed(message)) => entry_role::is_for_entry(message),
+            Input::Frame(_, Frame::Feed(message)) => entry::is_for_entry(message),
             _ => false,
         };
         let mut outputs = Vec::new();
@@ -84,7 +84,7 @@
     }
 }
 
-impl StateMachine for FeedCore {
+impl StateMachine for Core {
     fn handle(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
         let mut outputs = Vec::new();
         let mut inputs = VecDeque::from([input]);
@@ -103,7 +103,7 @@
 
     fn next_at(&self, now: Moment) -> Moment {
         let control = self.control.as_ref().map(|control| control.next_at(now));
-        let entry = self.entry.as_ref().map(EntryRole::next_at);
+        let entry = self.entry.as_ref().map(Entry::next_at);
         control.into_iter().chain(entry).min().unwrap_or(now)
     }
 
@@ -126,16 +126,15 @@
     fn report(&self, now: Moment) -> Report {
         let control = self.control.as_ref();
         let entry = self.entry.as_ref();
-        let version =
-            entry.and_then(EntryRole::version).or_else(|| control.and_then(ControlRole::version));
+        let version = entry.and_then(Entry::version).or_else(|| control.and_then(Control::version));
         Report {
-            configuration: version.map(super::status::Configuration::of),
+            configuration: version.map(crate::node::status::Configuration::of),
             control: control.map(|control| control.status(now)),
             id: self.id.clone(),
             members: Vec::new(),
             open_claims: 0,
             services: entry.map(|entry| entry.upstreams(now)).unwrap_or_default(),
-            standing: entry.map_or(Standing::Serving, EntryRole::standing),
+            standing: entry.map_or(Standing::Serving, Entry::standing),
         }
     }
 
@@ -170,7 +169,7 @@
         Input::ChangeMembers(ticket, _) => Some(Output::MembersChanged(ticket, Err(text()))),
         Input::Claim(ticket, _, _) => {
             let after = std::time::Duration::from_secs(1);
-            Some(Output::ClaimDecision(ticket, super::ClaimDecision::Refused(after)))
+            Some(Output::ClaimDecision(ticket, crate::node::ClaimDecision::Refused(after)))
         }
         Input::ReadConfiguration(ticket) => Some(Output::Configuration(ticket, None)),
         Input::Submit(ticket, _) => {
--- a/src/node/feed_core/control_role.rs
+++ b/src/role/control.rs
@@ -12,19 +12,19 @@
 use crate::clock::Epoch;
 use crate::clock::Moment;
 use crate::config::Version;
-use crate::feed::Control;
+use crate::controller;
+use crate::controller::Controller;
+use crate::controller::forwarder;
+use crate::controller::forwarder::Forwarder;
+use crate::feed;
 use crate::feed::Message;
 use crate::feed::Publisher;
 use crate::feed::Report;
 use crate::feed::Snapshot;
 use crate::id::NodeId;
-use crate::node::Controller;
 use crate::node::View;
-use crate::node::controller;
 use crate::node::core::Input;
 use crate::node::core::Output;
-use crate::node::forwarder;
-use crate::node::forwarder::Forwarder;
 use crate::node::status;
 use crate::quorum::repair;
 use crate::quota;
@@ -57,7 +57,7 @@
 
 /// State of a control.
 #[derive(Debug)]
-pub(super) struct ControlRole {
+pub(super) struct Control {
     /// Entries that the last event about them named.
     advertised: Vec<NodeId>,
     announcements: catalog::Batcher,
@@ -88,9 +88,9 @@
     Submit,
 }
 
-impl ControlRole {
+impl Control {
     pub(super) fn new(now: Moment, setup: Setup) -> Self {
-        let me = Control { domain: setup.domain, id: setup.id };
+        let me = feed::Control { domain: setup.domain, id: setup.id };
         let mut role = Self {
             advertised: Vec::new(),
             announcements: catalog::Batcher::default(),
@@ -516,7 +516,7 @@
     now: Moment,
     controller: Option<&'a Controller>,
     empty: &'a Catalog,
-    controls: Vec<Control>,
+    controls: Vec<feed::Control>,
 ) -> Snapshot<'a> {
     let Some(controller) = controller else {
         return Snapshot { applied: 0, catalog: empty, controls, fresh: false };
--- a/src/node/feed_core/control_role/announcements.rs
+++ b/src/role/control/announcements.rs
@@ -5,11 +5,11 @@
 use crate::node::core::Output;
 use crate::wire::Order;
 
-use super::ControlRole;
+use super::Control;
 use super::ORDER_TIMEOUT;
 use super::Pending;
 
-impl ControlRole {
+impl Control {
     /// Takes an announcement that reached this control.
     pub(super) fn forward_announcement(
         &mut self,
--- a/src/node/feed_core/control_role/reads.rs
+++ b/src/role/control/reads.rs
@@ -1,11 +1,11 @@
 //! Reads of the configuration that wait for the log.
 
 use crate::clock::Moment;
+use crate::controller::Controller;
 use crate::id::Index;
-use crate::node::Controller;
 use crate::node::core::Output;
 
-use super::ControlRole;
+use super::Control;
 
 /// A read that waits until this replica has applied the log up to `index`.
 #[derive(Clone, Copy, Debug)]
@@ -15,7 +15,7 @@
     pub(super) deadline: Moment,
 }
 
-impl ControlRole {
+impl Control {
     /// Answers the reads whose index is applied, and those that waited too long.
     pub(super) fn answer_reads(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         if self.reads.is_empty() {
--- a/src/node/feed_core/entry_role.rs
+++ b/src/role/entry.rs
@@ -64,7 +64,7 @@
 
 /// State of an entry.
 #[derive(Debug)]
-pub(super) struct EntryRole {
+pub(super) struct Entry {
     /// Services that a control asks about.
     asked: Arc<BTreeSet<ServiceId>>,
     breakers: Breakers,
@@ -116,7 +116,7 @@
     matches!(message, Message::Grant { .. } | Message::News(_) | Message::Part(_))
 }
 
-impl EntryRole {
+impl Entry {
     pub(super) fn new(now: Moment, setup: &Setup) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(setup.seed);
         let mut draw = || ChaCha8Rng::seed_from_u64(random.next_u64());
--- a/src/node/feed_core/setup.rs
+++ b/src/role/setup.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use crate::boundary::Boundary;
+use crate::controller::Controller;
 use crate::feed::Capacity;
 use crate::id::DomainId;
 use crate::id::NodeId;
-use crate::node::Controller;
 
-/// Initial values of a [`super::FeedCore`].
+/// Initial values of a [`super::Core`].
 #[derive(Debug)]
 pub struct Setup {
     /// Compiles configurations.
--- a/tests/suite/fleet_model/process.rs
+++ b/tests/suite/fleet_model/process.rs
@@ -8,13 +8,11 @@
 use hemlockfield::boundary::Native;
 use hemlockfield::clock::Epoch;
 use hemlockfield::clock::Moment;
+use hemlockfield::controller::Controller;
 use hemlockfield::fake::Disk;
 use hemlockfield::feed::Capacity;
 use hemlockfield::id::NodeId;
 use hemlockfield::id::ServiceId;
-use hemlockfield::node::Controller;
-use hemlockfield::node::FeedCore;
-use hemlockfield::node::FeedSetup;
 use hemlockfield::node::Output;
 use hemlockfield::node::StateMachine;
 use hemlockfield::node::View;
@@ -24,6 +22,7 @@
 use hemlockfield::reach;
 use hemlockfield::retry;
 use hemlockfield::retry::Limits;
+use hemlockfield::role;
 use hemlockfield::routing::Selector;
 use hemlockfield::storage::Log;
 use rand::SeedableRng;
@@ -53,7 +52,7 @@
 
 /// A process that runs.
 pub(super) struct Process {
-    pub(super) core: FeedCore,
+    pub(super) core: role::Core,
     log: Option<Log>,
     pub(super) monitor: reach::Monitor,
     pub(super) peers: reach::Peers,
@@ -79,7 +78,7 @@
         let is_control = opened.is_some();
         let (controller, log) = opened.unzip();
         let megabits = start.link * 8.0 / 1e6;
-        let setup = FeedSetup {
+        let setup = role::Setup {
             boundary: Arc::new(Native),
             callers: address(start.number),
             controller,
@@ -98,7 +97,7 @@
         balance.local = true;
         let random = ChaCha8Rng::seed_from_u64(start.seed);
         Self {
-            core: FeedCore::new(now, setup),
+            core: role::Core::new(now, setup),
             log,
             monitor: reach::Monitor::new(random.clone()),
             peers: reach::Peers::new(random),
