--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -66,9 +66,6 @@
     const PROVEN_AGE: Duration = Duration::from_secs(5);
     /// How long an upstream that lost a request is passed over.
     const LOST_AGE: Duration = Duration::from_secs(2);
-    /// How long after a lost request an upstream is passed over for any sound one. The breaker knows of the loss
-    /// only once the control thread has read it.
-    const LOST_PAUSE: Duration = Duration::from_millis(100);
     /// Time after which a mean latency without new answers has lost two thirds of its weight.
     /// Without this decay a slow upstream that recovered would lose every comparison, get no
     /// requests, and so never be measured again.
@@ -216,11 +213,6 @@
         !self.is_suspect
     }
 
-    /// Whether it is sound and lost none of this entry's requests a moment ago.
-    pub(crate) fn is_trusted(&self, now: Moment) -> bool {
-        self.is_sound() && self.lost_at.is_none_or(|at| now >= at + Self::LOST_PAUSE)
-    }
-
     /// What this entry's last requests showed.
     pub(crate) fn record(&self, now: Moment) -> Record {
         if self.proven_at.is_some_and(|at| now < at + Self::PROVEN_AGE) {
--- a/src/balance/picker.rs
+++ b/src/balance/picker.rs
@@ -382,11 +382,6 @@
             }
         }
         // A suspect upstream breaks most requests, and non-idempotent ones are lost there.
-        let is_trusted = |load: &Load| load.is_trusted(now);
-        let total = self.gather_where(now, request, is_trusted);
-        if total > 0.0 {
-            return total;
-        }
         let total = self.gather_where(now, request, Load::is_sound);
         if total > 0.0 {
             return total;
@@ -411,7 +406,7 @@
     /// Collects sound near upstreams. If not all are needed, those that have served recently come
     /// first: what a faulty one loses is lost to the caller, unless it can be repeated.
     fn gather_near(&mut self, now: Moment, request: &Request<'_>) -> f64 {
-        let is_near = |load: &Load| load.is_near() && load.is_trusted(now);
+        let is_near = |load: &Load| load.is_near() && load.is_sound();
         if self.needs_all() {
             return self.gather_where(now, request, is_near);
         }
