Tell a control that starts of the quarantines that other controls know

With two entries three controls have at most two that poll them; one that started at 9.81 s was polled by none. An entry that started at 12.28 s polled that one, was told of no quarantine and sent the request on; all others refused it.

Ruled out: evidence that is lost with a killed entry (the controls had all three crashes at 9.0 s), a quarantine that forms late (it refused from 9.2 s on).

Change: greetings of controls (each 500 ms, and at once at a start) carry the digest of their quarantines, 8 bytes; a control whose own digest differs answers with its list. So a control that starts knows it one round trip later.

--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -10,6 +10,7 @@
 use super::Update;
 use super::transfer;
 use crate::id::NodeId;
+use crate::poison;
 use crate::quorum::DiskId;
 use crate::quota;
 
@@ -22,6 +23,8 @@
         control: Control,
         /// Identity of its disk, once it has one.
         disk: Option<DiskId>,
+        /// Digest of the quarantines that it knows.
+        quarantined: u64,
         /// The entries that poll it.
         ready: Report,
     },
@@ -38,6 +41,8 @@
     Poll(Box<Poll>),
     /// Results that callers of the sender's entries received, forwarded to another control.
     Tallies(Tallies),
+    /// A control sends another one quarantines that it doesn't know.
+    Quarantine(poison::Report),
     /// A control asks another one for the entries that poll it.
     ReportWanted,
     /// An entry requests different shares of quota allowances.
--- a/src/feed/publisher.rs
+++ b/src/feed/publisher.rs
@@ -119,8 +119,7 @@
         let tallies = before.map(|before| before.tallies).unwrap_or_default();
         let position = Position::of(&poll, snapshot);
         let (named, sequence) = (poll.named, poll.sequence);
-        self.poison.advance(now);
-        self.poison.merge(now, &poll.quarantine);
+        self.merge_quarantine(now, &poll.quarantine);
         let quarantine = self.poison.report(now, Some(poll.quarantine.digest));
         let subscription = Subscription {
             asked: BTreeSet::new(),
@@ -165,6 +164,24 @@
         effect != Effect::Unknown
     }
 
+    /// Digest of the quarantines that this control knows.
+    pub fn quarantine_digest(&self) -> u64 {
+        self.poison.digest()
+    }
+
+    /// The quarantines, for another control whose own ones have the digest `known`; `None` if it has nothing
+    /// to learn.
+    pub fn quarantine_for(&self, now: Moment, known: u64) -> Option<poison::Report> {
+        let report = self.poison.report(now, Some(known));
+        report.quarantines.as_ref().is_some_and(|all| !all.is_empty()).then_some(report)
+    }
+
+    /// Adds quarantines that another control tells of.
+    pub fn merge_quarantine(&mut self, now: Moment, report: &poison::Report) {
+        self.poison.advance(now);
+        self.poison.merge(now, report);
+    }
+
     /// Adds tallies. `is_local` says that an entry which polls this control reported them.
     pub fn add_tallies(&mut self, now: Moment, tallies: &Tallies, is_local: bool) {
         if tallies.is_empty() {
--- a/src/role/control.rs
+++ b/src/role/control.rs
@@ -247,7 +247,7 @@
                     self.forwarder.set_leader(&leader);
                 }
             }
-            Message::Hello { control, disk, ready } => {
+            Message::Hello { control, disk, quarantined, ready } => {
                 let has_greeted = self.peers.has_greeted(&from);
                 if self.peers.record_greeting(now, control, disk) {
                     self.update_forwarder();
@@ -256,6 +256,10 @@
                 if !is_known {
                     outputs.push(send(from.clone(), Message::ReportWanted));
                 }
+                // A control that has just started would tell entries of none.
+                let unknown = self.publisher.quarantine_for(now, quarantined);
+                outputs
+                    .extend(unknown.map(|report| send(from.clone(), Message::Quarantine(report))));
                 if !has_greeted {
                     let controls = self.peers.live(now);
                     let leader = self.controller.as_ref().and_then(Controller::leader);
@@ -264,6 +268,7 @@
             }
             Message::Ask { ticket, ask } => self.forward_demand(now, from, ticket, ask, outputs),
             Message::Grant { .. } | Message::News(_) | Message::Part(_) => (),
+            Message::Quarantine(report) => self.publisher.merge_quarantine(now, &report),
             Message::Request(request) => {
                 outputs.push(send(from, Message::Part(self.publisher.part(&request))));
             }
@@ -331,7 +336,8 @@
     fn greeting(&self, ready: Report) -> Message {
         let disk =
             self.controller.as_ref().and_then(|controller| controller.replica().synced_disk());
-        Message::Hello { control: self.peers.me().clone(), disk, ready }
+        let quarantined = self.publisher.quarantine_digest();
+        Message::Hello { control: self.peers.me().clone(), disk, quarantined, ready }
     }
 
     /// Changes the log's members if this control leads and the set of live controls calls for it.
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -346,3 +346,19 @@
     let heard = poll_update(&mut publisher, Duration::from_millis(1_200), idle).tallies;
     assert_eq!(heard.limits.get("hull-01"), Some(&Limit::new(2.0)));
 }
+
+// A control started anew, and entries that it answered knew of no quarantine.
+#[test]
+fn quarantine_for_started() {
+    let mut known = Publisher::default();
+    for number in 0..3 {
+        let crash = poison::Evidence::of_crash(compact_str::format_compact!("i-{number}"), vec![7]);
+        known.add_tallies(secs(1), &Tallies { poison: crash, ..Tallies::default() }, true);
+    }
+    known.merge_quarantine(secs(3), &poison::Report::default());
+    let mut started = Publisher::default();
+    let report = known.quarantine_for(secs(3), started.quarantine_digest()).expect("a quarantine");
+    started.merge_quarantine(secs(3), &report);
+    assert_eq!(started.quarantine_digest(), known.quarantine_digest());
+    assert_eq!(known.quarantine_for(secs(3), started.quarantine_digest()), None);
+}
--- a/tests/suite/fleet_model/promise.rs
+++ b/tests/suite/fleet_model/promise.rs
@@ -86,6 +86,13 @@
     assert!(ended >= 3 && late <= 3 && innocent == 0, "{ended} {late} {innocent}");
 }
 
+// A control that had just started told an entry that had, too, of no quarantine, and the request was sent on.
+#[rstest]
+fn fatal_request_quarantined_after_restarts(#[values(3, 10, 11)] seed: u64) {
+    let seen = World::run(Plan::fatal(seed, 2, 1)).seen;
+    assert!(seen.late() <= 3 && seen.innocent == 0, "{} {}", seen.late(), seen.innocent);
+}
+
 // Two requests end upstreams at the same time. Those of each are to be told from those of the other.
 #[rstest]
 fn fatal_requests_quarantined(#[values(2, 12, 40)] entries: usize, #[values(0, 1, 2)] seed: u64) {
