Count only crashes that no quarantined request explains

Change: the requests that are due go into quarantine one after the other, the one with the most crashes first; what is in flight at a crash of a quarantined request is not charged with that crash. A suspicion that requests with more crashes explain wholly waits as before.

Ruled out: the reverse, that a hot request explains a fatal one's crashes for ever: it is refused then, so that the fatal one's next crashes are its own.

--- a/src/bench/feed.rs
+++ b/src/bench/feed.rs
@@ -296,7 +296,12 @@
 }
 
 fn greeting(ready: crate::feed::Report) -> Message {
-    Message::Hello { control: Control { domain: domain(0), id: control(0) }, disk: None, quarantined: 0, ready }
+    Message::Hello {
+        control: Control { domain: domain(0), id: control(0) },
+        disk: None,
+        quarantined: 0,
+        ready,
+    }
 }
 
 fn encode(message: &Message) -> Vec<u8> {
--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -113,7 +113,7 @@
         self.cleared.retain(|_, at| now < *at + CLEARED);
         self.suspects.retain(|_, ended| ended.last().is_some_and(|it| now < it.at + SUSPICION));
         self.quarantined.retain(|_, held| now < held.expires_at());
-        for fingerprint in self.due(now) {
+        while let Some(fingerprint) = self.due(now) {
             let crashes = self.suspects.remove(&fingerprint).unwrap_or_default();
             self.insert(fingerprint, Quarantined::new(now, 1, crashes));
         }
@@ -207,15 +207,27 @@
         }
     }
 
-    /// Requests to quarantine now.
-    fn due(&self, now: Moment) -> Vec<Fingerprint> {
-        let is_due = |(fingerprint, ended): &(&Fingerprint, &Vec<Ended>)| {
-            let last = ended.get(CRASHES_MAX - 1 + self.unrelated(now, **fingerprint));
-            last.is_some_and(|last| now >= last.at + GRACE)
-                && !self.is_explained(**fingerprint, ended)
-        };
+    /// The request to quarantine now: the one with the most crashes that no quarantined request explains. Once it
+    /// is quarantined, it may explain those of others.
+    fn due(&self, now: Moment) -> Option<Fingerprint> {
         let candidates = self.suspects.iter().filter(|(_, ended)| ended.len() >= CRASHES_MAX);
-        candidates.filter(is_due).map(|(fingerprint, _)| *fingerprint).collect()
+        let due = candidates.filter_map(|(fingerprint, ended)| {
+            let open = self.unexplained(ended);
+            let last = open.get(CRASHES_MAX - 1 + self.unrelated(now, *fingerprint))?;
+            let is_due = now >= last.at + GRACE && !self.is_beside_others(*fingerprint, &open);
+            is_due.then_some((open.len(), *fingerprint))
+        });
+        due.max().map(|(_, fingerprint)| fingerprint)
+    }
+
+    /// Crashes at which no quarantined request was in flight.
+    fn unexplained<'a>(&self, ended: &'a [Ended]) -> Vec<&'a Ended> {
+        let explains = |one: &Ended| {
+            self.quarantined
+                .values()
+                .any(|held| held.crashes.iter().any(|other| other.is_same(one)))
+        };
+        ended.iter().filter(|one| !explains(one)).collect()
     }
 
     /// Recent crashes, up to a limit, without this request in flight or another one that explains them.
@@ -229,16 +241,13 @@
         unrelated.count().min(UNRELATED_MAX)
     }
 
-    /// Whether requests that had more crashes, or are in quarantine, were in flight at all crashes of this one.
-    fn is_explained(&self, fingerprint: Fingerprint, ended: &[Ended]) -> bool {
-        let suspects = self
-            .suspects
-            .iter()
-            .filter(|(other, others)| **other != fingerprint && others.len() > ended.len());
-        let suspected = suspects.flat_map(|(_, others)| others);
-        let quarantined = self.quarantined.values().flat_map(|held| &held.crashes);
-        let others: Vec<&Ended> = suspected.chain(quarantined).collect();
-        ended.iter().all(|one| others.iter().any(|other| other.is_same(one)))
+    /// Whether suspected requests that had more crashes were in flight at all of these. This one was just in flight
+    /// beside them.
+    fn is_beside_others(&self, fingerprint: Fingerprint, open: &[&Ended]) -> bool {
+        let crashes = self.suspects.get(&fingerprint).map_or(0, Vec::len);
+        let others = self.suspects.values().filter(|others| others.len() > crashes);
+        let others: Vec<&Ended> = others.flatten().collect();
+        open.iter().all(|one| others.iter().any(|other| other.is_same(one)))
     }
 
     /// Adds a quarantine, in place of the one that ends first if there are too many.
--- a/tests/suite/poison.rs
+++ b/tests/suite/poison.rs
@@ -119,6 +119,26 @@
     assert!(is_refused(&mut ledger, 3_000, FATAL) && is_refused(&mut ledger, 3_000, OTHER_FATAL));
 }
 
+// One that was in flight at some crashes of two requests has as many as one of them, and they are all due at once.
+#[test]
+fn decide_due_at_once() {
+    const OTHER_FATAL: Fingerprint = 3;
+    let mut ledger = Ledger::default();
+    for number in 0..5 {
+        crash(&mut ledger, 0, number, if number == 0 { &[FATAL, HOT] } else { &[FATAL] });
+    }
+    for number in 10..13 {
+        crash(
+            &mut ledger,
+            0,
+            number,
+            if number < 12 { &[OTHER_FATAL, HOT] } else { &[OTHER_FATAL] },
+        );
+    }
+    assert!(is_refused(&mut ledger, 2_000, FATAL) && is_refused(&mut ledger, 2_000, OTHER_FATAL));
+    assert!(!is_refused(&mut ledger, 2_000, HOT));
+}
+
 // The quarantine of a request is over; one entry tries it, and it ends another upstream.
 #[test]
 fn decide_trial() {
