Wait for an answer longer where two requests were in flight at the same crashes

Cause, traced: the entry was told of three crashes in one batch and cut off at once; the hot request and a fatal one had been in flight at the same three, nothing tells one from the other but an answer, and the entry's own callers did not ask for it within the second that it waits.

Change: requests with the same crashes wait two seconds in place of one, and go into quarantine together if no answer came. Two seconds are within the three in which all entries have to know.

poison::decide_tied (written with the change; on the code before it was not run, the trace above shows the fault).

--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -28,6 +28,9 @@
 /// Time from the last of these crashes to the quarantine, in which an answer to the same request clears
 /// it. What is sent meanwhile ends more upstreams, so it is short.
 const GRACE: Duration = Duration::from_secs(1);
+/// The same while another suspected request was in flight at all of these crashes: an answer to one of the two
+/// tells which. An entry that is cut off hears only of answers of its own.
+const GRACE_IF_TIED: Duration = Duration::from_secs(2);
 /// Time within which two reports of an upstream's crash are about the same one.
 const SAME_CRASH: Duration = Duration::from_millis(1_500);
 /// Time after which a request is not suspected any more if no upstream ended under it since.
@@ -113,9 +116,15 @@
         self.cleared.retain(|_, at| now < *at + CLEARED);
         self.suspects.retain(|_, ended| ended.last().is_some_and(|it| now < it.at + SUSPICION));
         self.quarantined.retain(|_, held| now < held.expires_at());
-        while let Some(fingerprint) = self.due(now) {
-            let crashes = self.suspects.remove(&fingerprint).unwrap_or_default();
-            self.insert(fingerprint, Quarantined::new(now, 1, crashes));
+        loop {
+            let due = self.due(now);
+            if due.is_empty() {
+                return;
+            }
+            for fingerprint in due {
+                let crashes = self.suspects.remove(&fingerprint).unwrap_or_default();
+                self.insert(fingerprint, Quarantined::new(now, 1, crashes));
+            }
         }
     }
 
@@ -207,17 +216,23 @@
         }
     }
 
-    /// The request to quarantine now: the one with the most crashes that no quarantined request explains. Once it
-    /// is quarantined, it may explain those of others.
-    fn due(&self, now: Moment) -> Option<Fingerprint> {
+    /// Requests to quarantine now: the one with the most crashes that no quarantined request explains, and those
+    /// with the same ones. Once they are quarantined, they may explain those of others.
+    fn due(&self, now: Moment) -> Vec<Fingerprint> {
         let candidates = self.suspects.iter().filter(|(_, ended)| ended.len() >= CRASHES_MAX);
         let due = candidates.filter_map(|(fingerprint, ended)| {
             let open = self.unexplained(ended);
             let last = open.get(CRASHES_MAX - 1 + self.unrelated(now, *fingerprint))?;
-            let is_due = now >= last.at + GRACE && !self.is_beside_others(*fingerprint, &open);
-            is_due.then_some((open.len(), *fingerprint))
+            let grace = if self.is_tied(*fingerprint, &open) { GRACE_IF_TIED } else { GRACE };
+            let is_due = now >= last.at + grace && !self.is_beside_others(*fingerprint, &open);
+            is_due.then_some((open, *fingerprint))
         });
-        due.max().map(|(_, fingerprint)| fingerprint)
+        let due: Vec<(Vec<&Ended>, Fingerprint)> = due.collect();
+        let Some((most, _)) = due.iter().max_by_key(|(open, _)| open.len()) else {
+            return Vec::new();
+        };
+        let has_same = |open: &[&Ended]| open.len() == most.len() && includes(open, most);
+        due.iter().filter(|(open, _)| has_same(open)).map(|(_, fingerprint)| *fingerprint).collect()
     }
 
     /// Crashes at which no quarantined request was in flight.
@@ -247,7 +262,15 @@
         let crashes = self.suspects.get(&fingerprint).map_or(0, Vec::len);
         let others = self.suspects.values().filter(|others| others.len() > crashes);
         let others: Vec<&Ended> = others.flatten().collect();
-        open.iter().all(|one| others.iter().any(|other| other.is_same(one)))
+        includes(&others, open)
+    }
+
+    /// Whether another suspected request was in flight at all of these crashes.
+    fn is_tied(&self, fingerprint: Fingerprint, open: &[&Ended]) -> bool {
+        self.suspects.iter().any(|(other, others)| {
+            let others: Vec<&Ended> = others.iter().collect();
+            *other != fingerprint && includes(&others, open)
+        })
     }
 
     /// Adds a quarantine, in place of the one that ends first if there are too many.
@@ -271,3 +294,8 @@
         }
     }
 }
+
+/// Whether all of `some` are among `all`.
+fn includes(all: &[&Ended], some: &[&Ended]) -> bool {
+    some.iter().all(|one| all.iter().any(|other| other.is_same(one)))
+}
--- a/tests/suite/poison.rs
+++ b/tests/suite/poison.rs
@@ -139,6 +139,21 @@
     assert!(!is_refused(&mut ledger, 2_000, HOT));
 }
 
+// Two requests were in flight at the same crashes, and an answer to one comes late.
+#[rstest]
+#[case::answered(true)]
+#[case::silent(false)]
+fn decide_tied(#[case] is_answered: bool) {
+    let mut ledger = Ledger::default();
+    (0..3).for_each(|number| crash(&mut ledger, 0, number, &[FATAL, HOT]));
+    assert!(!is_refused(&mut ledger, 1_500, HOT) && !is_refused(&mut ledger, 1_500, FATAL));
+    if is_answered {
+        ledger.record(at(1_600), &Evidence::of_answer(HOT));
+    }
+    assert!(is_refused(&mut ledger, 2_000, FATAL));
+    assert_eq!(is_refused(&mut ledger, 2_000, HOT), !is_answered);
+}
+
 // The quarantine of a request is over; one entry tries it, and it ends another upstream.
 #[test]
 fn decide_trial() {
