--- a/tests/suite/balance/rest.rs
+++ b/tests/suite/balance/rest.rs
@@ -65,6 +65,19 @@
     assert!(is_picked(&mut picker, REST, &name(1)));
 }
 
+// The owner of an upstream's limit has budget left for it, but the upstream asked this entry for rest.
+#[test]
+fn pick_resting_with_limit() {
+    let mut picker = picker(1, 1, &ready(3));
+    picker.set_rates(Duration::ZERO, |_| Some(50.0));
+    picker.rest(Duration::ZERO, &id(1), REST);
+    for millis in [0, 500, 2_999] {
+        let now = Duration::from_millis(millis);
+        assert!(!is_picked(&mut picker, now, &name(1)), "{millis} ms");
+    }
+    assert!(is_picked(&mut picker, REST, &name(1)));
+}
+
 // A rest that is named later and ends sooner must not end the first one.
 #[test]
 fn pick_resting_longest() {
