--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -223,15 +223,17 @@
         let due = candidates.filter_map(|(fingerprint, ended)| {
             let open = self.unexplained(ended);
             let last = open.get(CRASHES_MAX - 1 + self.unrelated(now, *fingerprint))?;
-            let grace = if self.is_tied(*fingerprint, &open) { GRACE_IF_TIED } else { GRACE };
-            let is_due = now >= last.at + grace && !self.is_beside_others(*fingerprint, &open);
+            let is_over = now >= last.at + GRACE_IF_TIED
+                || now >= last.at + GRACE && !self.is_tied(*fingerprint, &open);
+            let is_due = is_over && !self.is_beside_others(*fingerprint, &open);
             is_due.then_some((open, *fingerprint))
         });
         let due: Vec<(Vec<&Ended>, Fingerprint)> = due.collect();
         let Some((most, _)) = due.iter().max_by_key(|(open, _)| open.len()) else {
             return Vec::new();
         };
-        let has_same = |open: &[&Ended]| open.len() == most.len() && includes(open, most);
+        let has_same =
+            |open: &[&Ended]| open.len() == most.len() && includes(open.iter().copied(), most);
         due.iter().filter(|(open, _)| has_same(open)).map(|(_, fingerprint)| *fingerprint).collect()
     }
 
@@ -261,16 +263,14 @@
     fn is_beside_others(&self, fingerprint: Fingerprint, open: &[&Ended]) -> bool {
         let crashes = self.suspects.get(&fingerprint).map_or(0, Vec::len);
         let others = self.suspects.values().filter(|others| others.len() > crashes);
-        let others: Vec<&Ended> = others.flatten().collect();
-        includes(&others, open)
+        includes(others.flatten(), open)
     }
 
     /// Whether another suspected request was in flight at all of these crashes.
     fn is_tied(&self, fingerprint: Fingerprint, open: &[&Ended]) -> bool {
-        self.suspects.iter().any(|(other, others)| {
-            let others: Vec<&Ended> = others.iter().collect();
-            *other != fingerprint && includes(&others, open)
-        })
+        self.suspects
+            .iter()
+            .any(|(other, others)| *other != fingerprint && includes(others.iter(), open))
     }
 
     /// Adds a quarantine, in place of the one that ends first if there are too many.
@@ -296,6 +296,6 @@
 }
 
 /// Whether all of `some` are among `all`.
-fn includes(all: &[&Ended], some: &[&Ended]) -> bool {
-    some.iter().all(|one| all.iter().any(|other| other.is_same(one)))
+fn includes<'a>(all: impl Iterator<Item = &'a Ended> + Clone, some: &[&Ended]) -> bool {
+    some.iter().all(|one| all.clone().any(|other| other.is_same(one)))
 }
