Ask for one crash more where two requests were in flight at the same ones

Cause: time tells nothing there, a crash does. The next one of the fatal request has another one in flight beside it.

Change: requests with just the same crashes need four in place of three; the longer wait goes.

--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -28,9 +28,9 @@
 /// Time from the last of these crashes to the quarantine, in which an answer to the same request clears
 /// it. What is sent meanwhile ends more upstreams, so it is short.
 const GRACE: Duration = Duration::from_secs(1);
-/// The same while another suspected request was in flight at all of these crashes: an answer to one of the two
-/// tells which. An entry that is cut off hears only of answers of its own.
-const GRACE_IF_TIED: Duration = Duration::from_secs(2);
+/// How many more may while another suspected request was in flight at all of these crashes. An answer to one of
+/// the two tells which, but an entry that is cut off hears of none; the next crash is of the fatal one alone.
+const TIED_MAX: usize = 1;
 /// Time within which two reports of an upstream's crash are about the same one.
 const SAME_CRASH: Duration = Duration::from_millis(1_500);
 /// Time after which a request is not suspected any more if no upstream ended under it since.
@@ -222,10 +222,11 @@
         let candidates = self.suspects.iter().filter(|(_, ended)| ended.len() >= CRASHES_MAX);
         let due = candidates.filter_map(|(fingerprint, ended)| {
             let open = self.unexplained(ended);
-            let last = open.get(CRASHES_MAX - 1 + self.unrelated(now, *fingerprint))?;
-            let is_over = now >= last.at + GRACE_IF_TIED
-                || now >= last.at + GRACE && !self.is_tied(*fingerprint, &open);
-            let is_due = is_over && !self.is_beside_others(*fingerprint, &open);
+            let needed = CRASHES_MAX + self.unrelated(now, *fingerprint);
+            let last = open.get(needed - 1)?;
+            let is_over = now >= last.at + GRACE;
+            let is_tied = open.len() < needed + TIED_MAX && self.is_tied(*fingerprint, &open);
+            let is_due = is_over && !is_tied && !self.is_beside_others(*fingerprint, &open);
             is_due.then_some((open, *fingerprint))
         });
         let due: Vec<(Vec<&Ended>, Fingerprint)> = due.collect();
--- a/tests/suite/fleet_model/promise.rs
+++ b/tests/suite/fleet_model/promise.rs
@@ -106,6 +106,14 @@
     assert!(ended >= 3 && late <= 3 && seen.innocent == 0, "{ended} {late} {}", seen.innocent);
 }
 
+// An entry is cut off within the second in which upstreams end, and hears of no answer to a hot request that was in
+// flight at just the crashes of a fatal one.
+#[test]
+fn fatal_requests_quarantined_cut_off() {
+    let seen = World::run(Plan::fatal(8, 12, 2)).seen;
+    assert!(seen.late() <= 3 && seen.innocent == 0, "{} {}", seen.late(), seen.innocent);
+}
+
 // Upstreams end by themselves and reset connections all day, with all that is in flight there.
 #[rstest]
 fn innocent_requests_served(#[values(20, 120)] crashes: usize, #[values(0, 1, 2)] seed: u64) {
