Log what of an entry's retries was paid with the burst, and its part of the burst

All hypotheses on the burst (kept settings, starts apart, a late configuration) differ in just that. No decision changed.

--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Retries that were paid for with the burst since the last call.
+    pub fn take_burst_paid(&mut self) -> f64 {
+        match self {
+            Self::Bucket { .. } => 0.0,
+            Self::Window(window) => window.take_burst_paid(),
+        }
+    }
+
     /// Settles a payment of which no copy can arrive any more.
     pub fn settle(&mut self, number: payment::Number) {
         if let Self::Window(window) = self {
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -138,7 +138,7 @@
 
     /// Takes the counts since the last call.
     pub fn take_usage(&mut self) -> Usage {
-        std::mem::take(&mut self.usage)
+        Usage { burst: self.budget.take_burst_paid(), ..std::mem::take(&mut self.usage) }
     }
 
     /// Retries that the budget still allows.
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -49,6 +49,8 @@
 /// it took of the earned is paid again once a window has passed since that was earned.
 #[derive(Clone, Debug)]
 pub struct Window {
+    /// Retries paid for with the burst that were not reported yet.
+    burst_paid: f64,
     burst_spent: Buckets,
     earned: Buckets,
     limits: Limits,
@@ -66,6 +68,7 @@
     /// Creates a window in which nothing was earned or spent.
     pub fn new(limits: Limits) -> Self {
         Self {
+            burst_paid: 0.0,
             burst_spent: VecDeque::new(),
             earned: VecDeque::new(),
             limits,
@@ -143,12 +146,18 @@
         sum(&self.earned) + (self.burst() - sum(&self.burst_spent) - open).max(0.0)
     }
 
+    /// Retries that were paid for with the burst since the last call.
+    pub fn take_burst_paid(&mut self) -> f64 {
+        std::mem::take(&mut self.burst_paid)
+    }
+
     fn pay(&mut self, take: fn(&mut Buckets, f64) -> Taken) -> Option<payment::Number> {
         if self.remaining() < 1.0 - ROUNDING {
             return None;
         }
         let Taken { amount, oldest } = take(&mut self.earned, 1.0);
         let burst = if amount < 1.0 - ROUNDING { 1.0 - amount } else { 0.0 };
+        self.burst_paid += burst;
         self.payments += 1;
         let earned_at = oldest.unwrap_or(self.now);
         let payment =
--- a/src/traffic/queue.rs
+++ b/src/traffic/queue.rs
@@ -243,15 +243,17 @@
 /// process, so that the retries of all processes that ran in a window can be added up.
 fn report_retries(proxy: &Proxy, service: &super::service::Service) {
     let mut policy = service.policy(proxy.now());
-    let Usage { denied, firsts, free, paid } = policy.take_usage();
+    let Usage { burst, denied, firsts, free, paid } = policy.take_usage();
     let left = policy.remaining() as u64;
     drop(policy);
     proxy.metrics.add("retry.denied", denied.into());
     if paid + denied + free > 0 {
         let (service, age_ms) = (&service.name, proxy.now().as_millis() as u64);
+        let view = proxy.view.load();
+        let part = view.services.get(service).map_or(0.0, |service| service.retry_part);
         tracing::info!(
             target: "hemlockfield::retry",
-            %service, firsts, paid, free, denied, left, age_ms, "retries"
+            %service, firsts, paid, burst, part, free, denied, left, age_ms, "retries"
         );
     }
 }
