Show by real processes that restarts with kept settings break the retry budget

HEMLOCKFIELD_BINARY plays another build.

Proxy and judge of process::repeats move to files of their own, unchanged but that windows are judged from the first request on.

--- a/tests/suite/delivery/stage.rs
+++ b/tests/suite/delivery/stage.rs
@@ -12,6 +12,7 @@
 use crate::process::site::CONTROLS;
 use crate::process::site::ENTRIES;
 use crate::process::site::FRONT;
+use crate::process::site::Layout;
 use crate::process::site::Site;
 use crate::reach::fleet::Fleet;
 use crate::reach::network::Form;
@@ -87,7 +88,8 @@
 
 impl Processes {
     fn start(faults: Faults, servers: &[Server]) -> Self {
-        let site = Site::start_with_limits(LIMITS, &[0, 1, 2, 3, 4]);
+        let site =
+            Site::start_with(Layout { limits: LIMITS, ..Layout::default() }, &[0, 1, 2, 3, 4]);
         let submit = |at| site.submit_document(at, CONFIGURATION);
         wait_for("a configuration", || (0..CONTROLS).any(submit));
         for (at, server) in servers.iter().enumerate() {
--- a/tests/suite/feed/budget.rs
+++ b/tests/suite/feed/budget.rs
@@ -67,16 +67,24 @@
 struct Sender {
     entry: Entry,
     policy: Policy,
+    /// Whether its settings say that the fleet starts for the first time.
+    is_first: bool,
     /// Whether the last list of a control names it.
     is_listed: bool,
     participants: Participants,
+    /// When it starts, in milliseconds.
+    started_at: u64,
 }
 
 impl Sender {
     fn new(at: u64) -> Self {
+        Self::start(at, 0, false)
+    }
+
+    fn start(at: u64, started_at: u64, is_first: bool) -> Self {
         let policy = Policy::new(ChaCha8Rng::seed_from_u64(at));
-        let participants = Participants::new(WINDOW, false);
-        Self { entry: entry(at), policy, is_listed: false, participants }
+        let participants = Participants::new(WINDOW, is_first);
+        Self { entry: entry(at), policy, is_first, is_listed: false, participants, started_at }
     }
 
     /// Polls a control that has run for `age`.
@@ -116,7 +124,8 @@
     fn update_limits(&mut self, now: Duration, burst: f64) {
         self.policy.advance(now);
         let part = self.participants.part(now);
-        self.policy.set_limits(Limits::per_entry(SHARE, burst, WINDOW, part));
+        let limits = Limits::per_entry(SHARE, burst, WINDOW, part);
+        self.policy.set_limits(Limits { is_first: self.is_first, ..limits });
     }
 
     /// Sends a request to a dead upstream. Returns whether it is retried.
@@ -172,15 +181,17 @@
         let age = ms(now - self.started_at);
         for (at, sender) in self.senders.iter_mut().enumerate() {
             // The entries poll one after the other.
-            let is_due = now % POLL == at as u64 * STEP % POLL;
-            if is_due && !(is_cut && at < CUT_OFF) {
+            let is_due = now % POLL == at as u64 * STEP % POLL || now == sender.started_at;
+            let is_running = now >= sender.started_at;
+            if is_running && is_due && !(is_cut && at < CUT_OFF) {
                 sender.poll(ms(now), age, &mut self.publisher);
             }
             sender.update_limits(ms(now), self.burst);
         }
         let roster = self.publisher.roster(age);
         let named: Vec<_> = roster.advertised().iter().map(|it| it.id.clone()).collect();
-        for sender in &mut self.senders {
+        let serving = self.senders.iter_mut().filter(|it| now >= it.started_at);
+        for sender in serving.filter(|it| it.entry.state == State::Serving) {
             let interval = if named.contains(&sender.entry.id) {
                 self.intervals.named
             } else {
@@ -246,6 +257,44 @@
     fleet.check();
 }
 
+// All entries are killed again and again, and their settings still say that the fleet starts for the first
+// time.
+#[test]
+fn budget_crash_loop() {
+    let mut fleet = Fleet::new(LARGE_BURST, Intervals { named: 100, other: 100 });
+    for now in (0..30_000).step_by(STEP as usize) {
+        if now % 600 == 0 {
+            fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, now, true)).collect();
+        }
+        fleet.step(now, false);
+    }
+    fleet.check();
+}
+
+// Entries start seconds apart. The first ones are told that they are few.
+#[rstest]
+fn budget_starts_apart(#[values(100, 300)] gap: u64) {
+    let mut fleet = Fleet::new(LARGE_BURST, Intervals { named: 50, other: 50 });
+    fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, at * gap, true)).collect();
+    (0..40_000).step_by(STEP as usize).for_each(|now| fleet.step(now, false));
+    fleet.check();
+}
+
+// Entries wait for their first configuration, and none is counted as serving. Then all serve at once.
+#[rstest]
+fn budget_late_configuration(#[values(false, true)] is_first: bool) {
+    let mut fleet = Fleet::new(LARGE_BURST, Intervals { named: 10, other: 10 });
+    fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, 0, is_first)).collect();
+    fleet.senders.iter_mut().for_each(|it| it.entry.state = State::Starting);
+    for now in (0..50_000).step_by(STEP as usize) {
+        if now == 20_010 / STEP * STEP {
+            fleet.senders.iter_mut().for_each(|it| it.entry.state = State::Serving);
+        }
+        fleet.step(now, false);
+    }
+    fleet.check();
+}
+
 /// A part of all listed entries and of all serving ones, as [`Participants::part`] gives it.
 fn part(listed: f64, serving: f64) -> f64 {
     0.75 / listed + 0.25 / serving
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -1,15 +1,18 @@
 //! Tests of separately started processes on loopback.
 
+mod budget;
 mod claim;
 mod configuration;
 mod cut_answers;
 mod fatal;
 pub(crate) mod fleet;
+mod judge;
 mod kill;
 mod leave;
 mod member;
 mod path;
 mod platform;
+mod proxy;
 mod record;
 mod refusal;
 mod repeats;
--- a/tests/suite/process/repeats.rs
+++ b/tests/suite/process/repeats.rs
@@ -1,11 +1,8 @@
 //! Arrivals at upstreams of real processes, counted there by request, against the retry budget.
 
-use std::collections::BTreeSet;
 use std::io::BufRead;
 use std::io::BufReader;
-use std::io::Read;
 use std::io::Write;
-use std::net::Shutdown;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -20,15 +17,16 @@
 use serde_json::Value;
 
 use super::fleet::wait_for;
+use super::judge;
+use super::proxy::Proxy;
 use super::site::CONTROLS;
 use super::site::ENTRIES;
 use super::site::FRONT;
+use super::site::Layout;
 use super::site::Site;
 
 const SHARE: f64 = 0.2;
 const BURST: f64 = 8.0;
-/// Interval at which windows are judged.
-const STEP: Duration = Duration::from_millis(50);
 const BRIEF: Setup = Setup {
     callers: 8,
     deadline: Duration::from_millis(1_500),
@@ -123,45 +121,6 @@
     }
 }
 
-/// A proxy before an upstream. While it is silent it takes bytes and hands on none; later it delivers them.
-struct Proxy {
-    address: String,
-}
-
-impl Proxy {
-    fn start(upstream: &str, is_silent: &Arc<AtomicBool>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap().to_string();
-        let (upstream, is_silent) = (upstream.to_owned(), Arc::clone(is_silent));
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let Ok(onward) = TcpStream::connect(&upstream) else { continue };
-                let pairs =
-                    [(stream.try_clone().unwrap(), onward.try_clone().unwrap()), (onward, stream)];
-                for (from, to) in pairs {
-                    let is_silent = Arc::clone(&is_silent);
-                    thread::spawn(move || pump(&from, &to, &is_silent));
-                }
-            }
-        });
-        Self { address }
-    }
-}
-
-/// Hands on what arrives, once the proxy isn't silent, also if the sender has reset its connection since.
-fn pump(mut from: &TcpStream, mut to: &TcpStream, is_silent: &AtomicBool) {
-    let mut bytes = [0; 4_096];
-    while let Ok(count @ 1..) = from.read(&mut bytes) {
-        while is_silent.load(Ordering::Acquire) {
-            thread::sleep(Duration::from_millis(5));
-        }
-        if to.write_all(&bytes[..count]).is_err() {
-            break;
-        }
-    }
-    to.shutdown(Shutdown::Write).ok();
-}
-
 /// Entries before upstreams, and callers that send requests at a steady pace.
 struct Run {
     arrivals: Vec<(Instant, String)>,
@@ -173,7 +132,8 @@
 /// Sends requests for some seconds, of which all fail after the calm ones; `disturb` acts on the
 /// processes and on the proxies before the upstreams meanwhile.
 fn run(setup: Setup, disturb: impl Fn(&mut Site, &AtomicBool)) -> Run {
-    let mut site = Site::start_with_limits_and_retries(setup.limits, setup.retry, &[0, 1, 2, 3, 4]);
+    let layout = Layout { limits: setup.limits, retry: setup.retry, ..Layout::default() };
+    let mut site = Site::start_with(layout, &[0, 1, 2, 3, 4]);
     let is_silent = Arc::new(AtomicBool::new(false));
     let upstreams: Vec<Upstream> = (0..4).map(|_| Upstream::start()).collect();
     wait_for("a configuration", || (0..CONTROLS).any(|at| site.submit_document(at, CONFIGURATION)));
@@ -221,28 +181,13 @@
 impl Run {
     /// Arrivals beyond the first of each request.
     fn again(&self) -> Vec<Instant> {
-        let mut known = BTreeSet::new();
-        let again = self.arrivals.iter().filter(|(_, id)| !known.insert(id.as_str()));
-        again.map(|(at, _)| *at).collect()
+        judge::retries(&self.arrivals)
     }
 
     /// Highest share of what is allowed that arrived in a window.
     fn worst(&self) -> f64 {
-        let again = self.again();
-        let window = self.window;
-        let (first, last) = (self.sent[0], *self.sent.iter().max().unwrap());
-        let within = |times: &[Instant], from: Instant| {
-            times.iter().filter(|at| from <= **at && **at < from + window).count() as f64
-        };
-        let mut worst: f64 = 0.0;
-        let mut from = first + window;
-        while from < last {
-            let windows = [from, from - window / 2, from - window];
-            let asked = windows.iter().map(|at| within(&self.sent, *at)).fold(0.0, f64::max);
-            worst = worst.max(within(&again, from) / (SHARE * asked + BURST));
-            from += STEP;
-        }
-        worst
+        let budget = judge::Budget { burst: BURST, share: SHARE, window: self.window };
+        budget.worst(&self.sent, &self.again()).share()
     }
 
     /// Sum of a field of the lines on retries, over all entries.
--- a/tests/suite/process/site.rs
+++ b/tests/suite/process/site.rs
@@ -18,64 +18,75 @@
 use crate::stand_in::metric;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_hemlockfield");
+/// Environment variable with the path of another build to run, such as one of an earlier commit.
+const BINARY_VARIABLE: &str = "HEMLOCKFIELD_BINARY";
 pub(crate) const CONTROLS: usize = 3;
 pub(crate) const ENTRIES: usize = 2;
 pub(crate) const FRONT: u16 = 18_080;
 pub(crate) const ORDERS: u16 = 18_081;
+const DOMAINS: [&str; 4] = ["north", "south", "east", "west"];
 const LINKS: u16 = 18_082;
 pub(crate) const METRICS: u16 = 18_083;
 const PEERS: u16 = 18_084;
 
 static NETS: AtomicUsize = AtomicUsize::new(0);
 
+/// Number of entries of a site, and what their settings say.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Layout {
+    pub(crate) domains: usize,
+    pub(crate) entries: usize,
+    /// Limits of the entries, in the format of the settings.
+    pub(crate) limits: &'static str,
+    /// Retry budget of the entries, in the format of the settings.
+    pub(crate) retry: &'static str,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self { domains: 1, entries: ENTRIES, limits: "{}", retry: "{}" }
+    }
+}
+
 /// Controls first, then entries: each has a loopback address, which is its id.
 pub(crate) struct Site {
     pub(crate) children: Vec<Option<Child>>,
     pub(crate) folder: TempDir,
-    /// Limits of the entries, in the format of the settings.
-    limits: &'static str,
+    layout: Layout,
     net: String,
-    /// Retry budget of the entries, in the format of the settings.
-    retry: &'static str,
 }
 
 impl Site {
-    fn new(limits: &'static str) -> Self {
+    /// A site of which no process runs yet.
+    pub(crate) fn new(layout: Layout) -> Self {
         let number = NETS.fetch_add(1, Ordering::Relaxed) % 200;
         let net = format!("127.{}.{number}", 16 + std::process::id() % 200);
-        let children = (0..CONTROLS + ENTRIES).map(|_| None).collect();
-        Self { children, folder: TempDir::new().unwrap(), limits, net, retry: "{}" }
+        let children = (0..CONTROLS + layout.entries).map(|_| None).collect();
+        Self { children, folder: TempDir::new().unwrap(), layout, net }
     }
 
     /// Starts the processes in this order.
     pub(crate) fn start(order: &[usize]) -> Self {
-        Self::start_with_limits("{}", order)
-    }
-
-    /// Starts the processes in this order, the entries with these limits.
-    pub(crate) fn start_with_limits(limits: &'static str, order: &[usize]) -> Self {
-        let mut site = Self::new(limits);
-        order.iter().for_each(|at| site.run(*at, true));
-        site
+        Self::start_with(Layout::default(), order)
     }
 
     /// Starts the processes in this order, the entries with this retry budget.
     pub(crate) fn start_with_retries(retry: &'static str, order: &[usize]) -> Self {
-        Self::start_with_limits_and_retries("{}", retry, order)
+        Self::start_with(Layout { retry, ..Layout::default() }, order)
     }
 
-    /// Starts the processes in this order, the entries with these limits and this retry budget.
-    pub(crate) fn start_with_limits_and_retries(
-        limits: &'static str,
-        retry: &'static str,
-        order: &[usize],
-    ) -> Self {
-        let mut site = Self::new(limits);
-        site.retry = retry;
+    /// Starts the processes of a layout in this order.
+    pub(crate) fn start_with(layout: Layout, order: &[usize]) -> Self {
+        let mut site = Self::new(layout);
         order.iter().for_each(|at| site.run(*at, true));
         site
     }
 
+    /// Failure domain of a process.
+    pub(crate) fn domain(&self, at: usize) -> String {
+        DOMAINS[at % self.layout.domains].to_owned()
+    }
+
     pub(crate) fn ip(&self, at: usize) -> String {
         format!("{}.{}", self.net, at + 1)
     }
@@ -104,9 +115,10 @@
             (0..CONTROLS).map(|at| format!("\"{}:{ORDERS}\"", self.ip(at))).collect();
         let role = if at < CONTROLS { "control" } else { "entry" };
         let mut settings = format!(
-            "node: {{id: \"{ip}\", region: here, failure_domain: north}}\nroles: [{role}]\n\
+            "node: {{id: \"{ip}\", region: here, failure_domain: {}}}\nroles: [{role}]\n\
              interface: platform\ntrusted_network: true\nseeds: [{}]\nfirst_start: {first}\n\
              metrics: {{listen: \"{ip}:{METRICS}\"}}\n",
+            self.domain(at),
             seeds.join(", ")
         );
         settings += &if at < CONTROLS {
@@ -120,14 +132,14 @@
                 "listen: {{callers: \"{ip}:{FRONT}\", orders: [\"{ip}:{ORDERS}\"], links: \"{ip}:{LINKS}\", \
                  peers: \"{ip}:{PEERS}\"}}\nlimits: {limits}\nretry: {retry}\n\
                  shutdown: {{limit: 5500ms, notice: 500ms}}\n",
-                limits = self.limits,
-                retry = self.retry
+                limits = self.layout.limits,
+                retry = self.layout.retry
             )
         };
         let file = self.folder.path().join(format!("settings-{at}.yaml"));
         fs::write(&file, settings).unwrap();
         let log = File::options().create(true).append(true).open(self.log(at)).unwrap();
-        let child = Command::new(BINARY).arg("run").arg(&file).stdout(Stdio::from(log)).spawn();
+        let child = Command::new(binary()).arg("run").arg(&file).stdout(Stdio::from(log)).spawn();
         self.children[at] = Some(child.unwrap());
     }
 
@@ -198,6 +210,10 @@
     }
 }
 
+fn binary() -> String {
+    std::env::var(BINARY_VARIABLE).unwrap_or_else(|_| BINARY.to_owned())
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         for child in self.children.iter_mut().flatten() {
