Give no entry a part of the burst before a window and a lease have passed, whatever its settings say

Cause: the exemption at a fleet's first start rested on a flag of the settings file alone, in retry::Window and in retry::Participants. A service manager restarts a process with the file that is there, and nothing a process knows of itself tells its first start from a later one. Class: what a process may spend rests on something that outlives it unchanged.

Ruled out: the founding as a replicated fact (an entry that started before the first configuration was committed can have no predecessor that spent). It is exact as long as one control keeps its disk, and needs the same wait otherwise.

Change: no exemption is left, nor the flag in retry::Limits, role::Setup and traffic::Service. feed::budget::budget_crash_loop, red before, is green. retry::decide_pooled_first_start asked for the old rule; feed::budget asks for none before 15 s in its place. Two sites of tests never share addresses any more (a run of the rig beside another one had counted the other's requests).

--- a/src/node/builder.rs
+++ b/src/node/builder.rs
@@ -79,7 +79,6 @@
         peers: settings.listen.peers.filter(|_| settings.has_role(Role::Entry)),
         controller,
         room: Capacity::new(settings.limits.processor, settings.limits.link),
-        is_first: settings.first_start,
         retry_window: settings.retry.window,
         seed: rand::random(),
         seeds: seed_ids(settings),
--- a/src/retry/limits.rs
+++ b/src/retry/limits.rs
@@ -8,10 +8,6 @@
 pub struct Limits {
     /// Whether a retry is free after an attempt that sent nothing to an upstream.
     pub free_connects: bool,
-    /// Whether no earlier process can have spent anything, because the whole fleet starts for the
-    /// first time.
-    #[serde(default)]
-    pub is_first: bool,
     /// Retries allowed in addition to `share`: the saved tokens, or the burst of a window.
     pub most: f64,
     /// Retries per first attempt.
@@ -30,6 +26,6 @@
     /// retry at most `share` of their first attempts plus `burst`, of which this one has a `part`.
     pub fn per_entry(share: f64, burst: f64, window: Duration, part: f64) -> Self {
         let most = Self::USABLE_BURST * burst * part;
-        Self { free_connects: true, is_first: false, most, share, window: Some(window) }
+        Self { free_connects: true, most, share, window: Some(window) }
     }
 }
--- a/src/retry/participants.rs
+++ b/src/retry/participants.rs
@@ -44,13 +44,12 @@
 ///
 /// The highest recent count is used. An entry that joins, or is updated again after its lease
 /// expired, waits for a whole window and a lease. All that spend within one window were then
-/// members together at its start, and were counted together.
+/// members together at its start, and were counted together. A process that has just started waits
+/// too, whatever its settings say: an earlier one may have spent its part.
 #[derive(Clone, Debug)]
 struct Group {
     /// Counts, each with the time when it was first reported. The last one is current.
     counts: VecDeque<(Moment, usize)>,
-    /// Whether this entry need not wait.
-    is_exempt: bool,
     /// Since when this entry has been a member without a gap.
     member_since: Option<Moment>,
     updated_at: Option<Moment>,
@@ -58,10 +57,9 @@
 }
 
 impl Participants {
-    /// Creates a counter; retries are limited over `window`. `is_first` says that the whole fleet
-    /// starts for the first time, so that nobody has spent anything before the first list.
-    pub fn new(window: Duration, is_first: bool) -> Self {
-        Self { listed: Group::new(window, is_first), serving: Group::new(window, true) }
+    /// Creates a counter; retries are limited over `window`.
+    pub fn new(window: Duration) -> Self {
+        Self { listed: Group::new(window), serving: Group::new(window) }
     }
 
     /// Records a listing that is reported by a control in contact with the others.
@@ -81,16 +79,16 @@
 }
 
 impl Group {
-    fn new(window: Duration, is_exempt: bool) -> Self {
-        Self { counts: VecDeque::new(), is_exempt, member_since: None, updated_at: None, window }
+    fn new(window: Duration) -> Self {
+        Self { counts: VecDeque::new(), member_since: None, updated_at: None, window }
     }
 
     fn update(&mut self, now: Moment, count: usize, is_member: bool) {
         if self.updated_at.is_some_and(|at| now >= at + LEASE) {
-            self.leave();
+            self.member_since = None;
         }
         if !is_member {
-            self.leave();
+            self.member_since = None;
         } else if self.member_since.is_none() {
             self.member_since = Some(now);
         }
@@ -101,16 +99,11 @@
         self.remove_outdated(now);
     }
 
-    fn leave(&mut self) {
-        self.member_since = None;
-        self.is_exempt = false;
-    }
-
     /// Number of members; `None` while this entry has no part.
     fn count(&self, now: Moment) -> Option<usize> {
         let updated_at = self.updated_at?;
         let member_since = self.member_since?;
-        let is_waiting = !self.is_exempt && now < member_since + self.retention();
+        let is_waiting = now < member_since + self.retention();
         if is_waiting || now >= updated_at + LEASE {
             return None;
         }
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -189,7 +189,7 @@
 
     fn burst(&self) -> f64 {
         let is_young = self.started_at.is_none_or(|at| self.now < at + self.window_length());
-        if is_young && !self.limits.is_first { 0.0 } else { self.limits.most }
+        if is_young { 0.0 } else { self.limits.most }
     }
 
     /// How long an earned retry can be spent.
--- a/src/role/entry.rs
+++ b/src/role/entry.rs
@@ -144,7 +144,7 @@
             listing: Listing::default(),
             service_version: 0,
             rules: None,
-            participants: Participants::new(setup.retry_window, setup.is_first),
+            participants: Participants::new(setup.retry_window),
             poison: Arc::default(),
             reach: BTreeMap::new(),
             standing: Standing::Starting,
--- a/src/role/setup.rs
+++ b/src/role/setup.rs
@@ -21,8 +21,6 @@
     pub domain: DomainId,
     /// Id of this process: the address of its VM.
     pub id: NodeId,
-    /// Whether the whole fleet starts for the first time.
-    pub is_first: bool,
     /// Whether this process is a control.
     pub is_control: bool,
     /// Whether this process is an entry.
--- a/src/traffic/service.rs
+++ b/src/traffic/service.rs
@@ -28,8 +28,6 @@
 
 /// State of one service, shared by the traffic threads of this process.
 pub(crate) struct Service {
-    /// Whether the whole fleet starts for the first time.
-    is_first: bool,
     pub(crate) name: ServiceId,
     selector: Mutex<Selector>,
     policy: Mutex<Policy>,
@@ -49,7 +47,6 @@
         let selector = Selector::new(setup, ChaCha8Rng::seed_from_u64(seed));
         let queue = Queue::new(seed, machine_recorder("gate"));
         Self {
-            is_first: settings.first_start,
             name,
             selector: Mutex::new(selector),
             policy: Mutex::new(policy),
@@ -146,7 +143,6 @@
         if self.retry.pooled {
             let settings::Retry { burst, share, window, .. } = self.retry;
             let limits = retry::Limits::per_entry(share, burst, window, retry_part);
-            let limits = retry::Limits { is_first: self.is_first, ..limits };
             self.policy(now).set_limits(limits);
         }
     }
--- a/tests/suite/feed/budget.rs
+++ b/tests/suite/feed/budget.rs
@@ -67,8 +67,6 @@
 struct Sender {
     entry: Entry,
     policy: Policy,
-    /// Whether its settings say that the fleet starts for the first time.
-    is_first: bool,
     /// Whether the last list of a control names it.
     is_listed: bool,
     participants: Participants,
@@ -78,13 +76,13 @@
 
 impl Sender {
     fn new(at: u64) -> Self {
-        Self::start(at, 0, false)
+        Self::start(at, 0)
     }
 
-    fn start(at: u64, started_at: u64, is_first: bool) -> Self {
+    fn start(at: u64, started_at: u64) -> Self {
         let policy = Policy::new(ChaCha8Rng::seed_from_u64(at));
-        let participants = Participants::new(WINDOW, is_first);
-        Self { entry: entry(at), policy, is_first, is_listed: false, participants, started_at }
+        let participants = Participants::new(WINDOW);
+        Self { entry: entry(at), policy, is_listed: false, participants, started_at }
     }
 
     /// Polls a control that has run for `age`.
@@ -124,8 +122,7 @@
     fn update_limits(&mut self, now: Duration, burst: f64) {
         self.policy.advance(now);
         let part = self.participants.part(now);
-        let limits = Limits::per_entry(SHARE, burst, WINDOW, part);
-        self.policy.set_limits(Limits { is_first: self.is_first, ..limits });
+        self.policy.set_limits(Limits::per_entry(SHARE, burst, WINDOW, part));
     }
 
     /// Sends a request to a dead upstream. Returns whether it is retried.
@@ -257,14 +254,13 @@
     fleet.check();
 }
 
-// All entries are killed again and again, and their settings still say that the fleet starts for the first
-// time.
+// All entries are killed again and again. None of the processes knows what the ones before it spent.
 #[test]
 fn budget_crash_loop() {
     let mut fleet = Fleet::new(LARGE_BURST, Intervals { named: 100, other: 100 });
     for now in (0..30_000).step_by(STEP as usize) {
         if now % 600 == 0 {
-            fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, now, true)).collect();
+            fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, now)).collect();
         }
         fleet.step(now, false);
     }
@@ -275,16 +271,16 @@
 #[rstest]
 fn budget_starts_apart(#[values(100, 300)] gap: u64) {
     let mut fleet = Fleet::new(LARGE_BURST, Intervals { named: 50, other: 50 });
-    fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, at * gap, true)).collect();
+    fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, at * gap)).collect();
     (0..40_000).step_by(STEP as usize).for_each(|now| fleet.step(now, false));
     fleet.check();
 }
 
 // Entries wait for their first configuration, and none is counted as serving. Then all serve at once.
-#[rstest]
-fn budget_late_configuration(#[values(false, true)] is_first: bool) {
+#[test]
+fn budget_late_configuration() {
     let mut fleet = Fleet::new(LARGE_BURST, Intervals { named: 10, other: 10 });
-    fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, 0, is_first)).collect();
+    fleet.senders = (0..ENTRIES).map(|at| Sender::start(at, 0)).collect();
     fleet.senders.iter_mut().for_each(|it| it.entry.state = State::Starting);
     for now in (0..50_000).step_by(STEP as usize) {
         if now == 20_010 / STEP * STEP {
@@ -305,7 +301,7 @@
 #[test]
 fn participants_updated_again() {
     let listing = Listing { entries: 32, is_listed: true, is_settled: true, serving: 32 };
-    let mut participants = Participants::new(WINDOW, true);
+    let mut participants = Participants::new(WINDOW);
     (0..20).for_each(|second| participants.update(ms(second * 1_000), listing));
     assert_eq!(participants.part(ms(19_000)), part(32.0, 32.0));
     assert_eq!(participants.part(ms(24_000)), 0.0);
@@ -319,14 +315,15 @@
 #[test]
 fn participants_few_listed() {
     let listed = Listing { entries: 60, is_listed: true, is_settled: true, serving: 985 };
-    let mut participants = Participants::new(WINDOW, false);
+    let mut participants = Participants::new(WINDOW);
     let unsettled = Listing { entries: 985, is_settled: false, ..listed };
     let others = part(f64::INFINITY, 985.0);
-    participants.update(ms(0), unsettled);
-    assert_eq!(participants.part(ms(0)), others);
-    (1..30).for_each(|second| participants.update(ms(second * 1_000), listed));
-    assert_eq!(participants.part(ms(15_999)), others);
-    assert_eq!(participants.part(ms(29_000)), part(60.0, 985.0));
-    participants.update(ms(29_500), Listing { is_listed: false, ..listed });
-    assert_eq!(participants.part(ms(29_500)), others);
+    (0..16).for_each(|second| participants.update(ms(second * 1_000), unsettled));
+    assert_eq!(participants.part(ms(14_999)), 0.0);
+    assert_eq!(participants.part(ms(15_000)), others);
+    (16..32).for_each(|second| participants.update(ms(second * 1_000), listed));
+    assert_eq!(participants.part(ms(30_999)), others);
+    assert_eq!(participants.part(ms(31_000)), part(60.0, 985.0));
+    participants.update(ms(31_500), Listing { is_listed: false, ..listed });
+    assert_eq!(participants.part(ms(31_500)), others);
 }
--- a/tests/suite/fleet_model/process.rs
+++ b/tests/suite/fleet_model/process.rs
@@ -86,7 +86,6 @@
             id: start.id.clone(),
             is_control,
             is_entry: !is_control,
-            is_first: start.is_first,
             peers: (!is_control).then(|| address(start.number)),
             retry_window: RETRY_WINDOW,
             room: Capacity::new(0.2, Some(megabits)),
--- a/tests/suite/process/site.rs
+++ b/tests/suite/process/site.rs
@@ -3,6 +3,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -28,6 +29,7 @@
 const LINKS: u16 = 18_082;
 pub(crate) const METRICS: u16 = 18_083;
 const PEERS: u16 = 18_084;
+const CLAIM: u16 = 18_085;
 
 static NETS: AtomicUsize = AtomicUsize::new(0);
 
@@ -51,6 +53,8 @@
 /// Controls first, then entries: each has a loopback address, which is its id.
 pub(crate) struct Site {
     pub(crate) children: Vec<Option<Child>>,
+    /// Keeps other test processes away from the addresses.
+    _claim: TcpListener,
     pub(crate) folder: TempDir,
     layout: Layout,
     net: String,
@@ -59,10 +63,9 @@
 impl Site {
     /// A site of which no process runs yet.
     pub(crate) fn new(layout: Layout) -> Self {
-        let number = NETS.fetch_add(1, Ordering::Relaxed) % 200;
-        let net = format!("127.{}.{number}", 16 + std::process::id() % 200);
+        let (net, claim) = claim_net();
         let children = (0..CONTROLS + layout.entries).map(|_| None).collect();
-        Self { children, folder: TempDir::new().unwrap(), layout, net }
+        Self { children, _claim: claim, folder: TempDir::new().unwrap(), layout, net }
     }
 
     /// Starts the processes in this order.
@@ -210,6 +213,17 @@
     }
 }
 
+/// Addresses that no other site uses, also of another test process, and what keeps them.
+fn claim_net() -> (String, TcpListener) {
+    loop {
+        let number = NETS.fetch_add(1, Ordering::Relaxed) % 200;
+        let net = format!("127.{}.{number}", 16 + std::process::id() % 200);
+        if let Ok(claim) = TcpListener::bind(format!("{net}.254:{CLAIM}")) {
+            return (net, claim);
+        }
+    }
+}
+
 fn binary() -> String {
     std::env::var(BINARY_VARIABLE).unwrap_or_else(|_| BINARY.to_owned())
 }
--- a/tests/suite/retry.rs
+++ b/tests/suite/retry.rs
@@ -323,18 +323,6 @@
     assert!(lookups(&mut policy, 0, 10, 0..10) <= 1);
 }
 
-// The whole fleet starts for the first time, and a third of the upstreams cut off the first
-// responses. No earlier process can have spent anything, so the burst is available from the first
-// second, beside what the requests earn.
-#[test]
-fn decide_pooled_first_start() {
-    let limits = Limits::per_entry(0.2, 20.0, Duration::from_secs(10), 0.1);
-    let mut policy = policy(3);
-    policy.advance(Duration::ZERO);
-    policy.set_limits(Limits { is_first: true, ..limits });
-    assert_eq!(lookups(&mut policy, 0, 10, 0..10), 2);
-}
-
 // Lookups probe failing upstreams. Once only one retry is left no lookup is risked: it would be
 // lost, where another upstream would have served it.
 #[test]
