Count an entry for the burst from when it serves, not from when it is first told

Entries that wait for their first configuration are told of the fleet, but no control counts them as serving. After a window and a lease they had their part by counts of 0: where a configuration came 20 s after them, all had a quarter of the burst at once until the next update.

Cause: membership in the serving group began with the first update, whether or not others counted this entry. A listing says now whether the entry serves. feed::budget::budget_late_configuration, red before, is green.

--- a/src/retry/participants.rs
+++ b/src/retry/participants.rs
@@ -17,6 +17,8 @@
     pub entries: usize,
     /// Whether this entry is one of them.
     pub is_listed: bool,
+    /// Whether this entry serves. Before, it is not counted among those that do.
+    pub is_serving: bool,
     /// Whether the load is known. Before, far more entries are listed than will be.
     pub is_settled: bool,
     /// Number of all entries that serve.
@@ -64,7 +66,7 @@
 
     /// Records a listing that is reported by a control in contact with the others.
     pub fn update(&mut self, now: Moment, listing: Listing) {
-        self.serving.update(now, listing.serving, true);
+        self.serving.update(now, listing.serving, listing.is_serving);
         if listing.is_settled {
             self.listed.update(now, listing.entries, listing.is_listed);
         }
--- a/src/role/entry.rs
+++ b/src/role/entry.rs
@@ -373,6 +373,7 @@
             let listing = retry::Listing {
                 entries: news.entries,
                 is_listed,
+                is_serving: self.standing.serves(),
                 is_settled: news.is_settled,
                 serving: news.serving,
             };
--- a/tests/suite/feed/budget.rs
+++ b/tests/suite/feed/budget.rs
@@ -112,6 +112,7 @@
         let listing = Listing {
             entries: update.entries,
             is_listed: self.is_listed,
+            is_serving: self.entry.state == State::Serving,
             is_settled: update.is_settled,
             serving: update.serving,
         };
@@ -300,7 +301,8 @@
 // others may just have spent its part.
 #[test]
 fn participants_updated_again() {
-    let listing = Listing { entries: 32, is_listed: true, is_settled: true, serving: 32 };
+    let listing =
+        Listing { entries: 32, is_listed: true, is_serving: true, is_settled: true, serving: 32 };
     let mut participants = Participants::new(WINDOW);
     (0..20).for_each(|second| participants.update(ms(second * 1_000), listing));
     assert_eq!(participants.part(ms(19_000)), part(32.0, 32.0));
@@ -314,7 +316,8 @@
 // upstreams left each of the sixty one retry.
 #[test]
 fn participants_few_listed() {
-    let listed = Listing { entries: 60, is_listed: true, is_settled: true, serving: 985 };
+    let listed =
+        Listing { entries: 60, is_listed: true, is_serving: true, is_settled: true, serving: 985 };
     let mut participants = Participants::new(WINDOW);
     let unsettled = Listing { entries: 985, is_settled: false, ..listed };
     let others = part(f64::INFINITY, 985.0);
