Let requests earn retries from when they may have been sent, not from when a stopped process read them

An entry that stands still reads, when it runs again, what callers sent meanwhile. Those requests earned from that moment on, for 0.9 of a window: retries of one window were paid by requests of up to three and a half.

Cause: a budget counted by when a request is read, and judged by when it was sent.

Change: retry::Standstill knows the last turns of the process. What is read now came after the last four of them but for the usual; a request earns as if it had waited so long. Costs nothing while turns come on time. A clock that stands still while a VM is suspended is not covered: std's clock doesn't count that time, and its use of the one that does is not checked here.

--- a/src/retry.rs
+++ b/src/retry.rs
@@ -27,6 +27,7 @@
 pub mod payment;
 mod policy;
 mod simulation;
+mod standstill;
 mod usage;
 mod window;
 
@@ -47,5 +48,6 @@
 pub use simulation::Outage;
 pub use simulation::Report;
 pub use simulation::Simulation;
+pub use standstill::Standstill;
 pub use usage::Usage;
 pub use window::Window;
--- a/src/traffic/attempts.rs
+++ b/src/traffic/attempts.rs
@@ -74,7 +74,7 @@
     let mut may_have_run = false;
     let mut tries = 0;
     let mut sends = 0;
-    let waited = proxy.now().saturating_sub(job.received_at);
+    let waited = proxy.now().saturating_sub(job.sent_at);
     service.policy(proxy.now()).record_first(waited);
     loop {
         // If every other upstream is busy or already failed, retry one that failed before.
--- a/src/traffic/job.rs
+++ b/src/traffic/job.rs
@@ -48,7 +48,8 @@
     /// Charge against the team's rate limit.
     pub(super) charge: Option<Charge>,
     pub(super) payload: Payload,
-    pub(super) received_at: Moment,
+    /// Earliest time at which its caller may have sent it.
+    pub(super) sent_at: Moment,
     /// The team that the request's API key proves. Upstreams are told no other.
     pub(super) verified_team: Option<TeamId>,
     pub(super) rule: RuleId,
--- a/src/traffic/proxy.rs
+++ b/src/traffic/proxy.rs
@@ -2,6 +2,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
@@ -28,6 +29,7 @@
 use crate::exchange::Connector;
 use crate::exchange::Memory;
 use crate::exchange::Pool;
+use crate::health;
 use crate::health::Observation;
 use crate::id::RequestId;
 use crate::id::ServiceId;
@@ -37,6 +39,7 @@
 use crate::node::View;
 use crate::node::input_channel::SendError;
 use crate::replay::Recorder;
+use crate::retry::Standstill;
 use crate::runtime;
 use crate::settings::Settings;
 
@@ -49,6 +52,9 @@
 /// many times the highest request rate of one entry.
 const MAX_PENDING_OBSERVATIONS: usize = 10_000;
 
+/// Interval at which a process that runs records a turn. Queues are polled at least as often.
+const TURN_INTERVAL: Duration = health::Config::TICK;
+
 /// What a [`Proxy`] is made of.
 pub(crate) struct Setup {
     pub(crate) boundary: Arc<dyn Boundary>,
@@ -96,6 +102,7 @@
     ready: (Sender<()>, Receiver<()>),
     recorder: Recorder,
     services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
+    standstill: Mutex<Standstill>,
     pub(crate) settings: Settings,
     started: Instant,
     pub(crate) view: ArcSwap<View>,
@@ -135,6 +142,7 @@
             ready: bounded(1),
             recorder,
             services: Mutex::default(),
+            standstill: Mutex::new(Standstill::new(TURN_INTERVAL)),
             settings,
             started,
             view: ArcSwap::from_pointee(View::default()),
@@ -280,6 +288,20 @@
         self.drain.0.close();
     }
 
+    /// Records that everything that was ready has run since the last call.
+    pub(super) fn record_turn(&self, now: Moment) {
+        self.lock_standstill().record_turn(now);
+    }
+
+    /// Longest time that a request may have waited, beyond the usual, that is read now.
+    pub(super) fn longest_wait(&self, now: Moment) -> Duration {
+        self.lock_standstill().waited(now)
+    }
+
+    fn lock_standstill(&self) -> MutexGuard<'_, Standstill> {
+        self.standstill.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Requests that the queues are polled soon.
     pub(super) fn request_poll(&self) {
         self.poll_signal.0.try_send(()).ok();
--- a/src/traffic/queue.rs
+++ b/src/traffic/queue.rs
@@ -204,6 +204,7 @@
             proxy.request_poll();
         }
         let now = proxy.now();
+        proxy.record_turn(now);
         services.iter().for_each(|service| service.queue.tick(now));
         if now >= overdue_at {
             overdue_at = now + health::Config::TICK;
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -78,12 +78,13 @@
     }
     proxy.count_bytes(payload.len().unwrap_or_default());
     let received_at = proxy.now();
+    let sent_at = received_at.saturating_sub(proxy.longest_wait(received_at));
     if !wait_for_configuration(proxy, &request, &payload, writer, peer).await {
         return;
     }
     let view = proxy.view.load_full();
     match accept(proxy, &view, request, payload, peer, received_at).await {
-        Ok(job) => dispatch::dispatch(proxy, &view, Job { source, ..job }, writer).await,
+        Ok(job) => dispatch::dispatch(proxy, &view, Job { sent_at, source, ..job }, writer).await,
         Err(refusal) => {
             proxy.metrics.count("request.refused");
             send(proxy.boundary.refuse(&refusal), writer).await;
@@ -280,7 +281,7 @@
         method: request.method,
         charge: None,
         payload,
-        received_at,
+        sent_at: received_at,
         verified_team,
         rule,
         service,
--- a/tests/suite/retry/fleet.rs
+++ b/tests/suite/retry/fleet.rs
@@ -8,6 +8,7 @@
 use hemlockfield::retry::Limits;
 use hemlockfield::retry::Outcome;
 use hemlockfield::retry::Policy;
+use hemlockfield::retry::Standstill;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -19,6 +20,8 @@
 /// Interval at which windows are judged.
 const JUDGE_STEP: Duration = Duration::from_millis(100);
 const MAX_TRIES: u32 = 4;
+/// Interval at which a process that runs records a turn.
+const TURN: Duration = Duration::from_millis(100);
 
 /// Requests per second of a span, and the share of them that fails.
 #[derive(Clone, Copy, Debug)]
@@ -100,6 +103,7 @@
     pub(super) fn run(&self) -> Record {
         let mut random = ChaCha8Rng::seed_from_u64(self.seed);
         let mut policies: Vec<Policy> = (0..self.entries).map(|_| self.policy(true)).collect();
+        let mut turns = vec![Standstill::new(TURN); self.entries];
         let mut record = Record { again: Vec::new(), firsts: Vec::new() };
         let mut now = Duration::ZERO;
         let mut kills = self.kills.iter().peekable();
@@ -108,6 +112,11 @@
             while let Some((_, entry)) = kills.next_if(|(at, _)| *at <= now) {
                 policies[*entry] = self.policy(false);
             }
+            let stands = |entry: usize| {
+                self.pauses.iter().any(|it| it.2 == entry && it.0 <= now && now < it.1)
+            };
+            let running = turns.iter_mut().enumerate().filter(|(entry, _)| !stands(*entry));
+            running.for_each(|(_, turns)| turns.record_turn(now));
             let span = self.spans.iter().rev().find(|span| span.from <= now).unwrap();
             due += span.rate * STEP.as_secs_f64();
             while due >= 1.0 {
@@ -119,7 +128,8 @@
                 let handled = self.pauses.iter().find(stands).map_or(now, |(_, until, _)| *until);
                 record.firsts.push(now);
                 let fails = random.random_bool(span.fail);
-                self.request(&mut policies[entry], handled, fails, &mut record);
+                let waited = turns[entry].waited(handled);
+                self.request(&mut policies[entry], (handled, waited), fails, &mut record);
             }
             now += STEP;
         }
@@ -142,9 +152,16 @@
         }
     }
 
-    fn request(&self, policy: &mut Policy, now: Moment, fails: bool, record: &mut Record) {
+    /// Handles a request, some time after it may have come.
+    fn request(
+        &self,
+        policy: &mut Policy,
+        (now, waited): (Moment, Duration),
+        fails: bool,
+        record: &mut Record,
+    ) {
         policy.advance(now);
-        policy.record_first(Duration::ZERO);
+        policy.record_first(waited);
         for tries in 1..=MAX_TRIES {
             let attempt = Attempt {
                 body_kept: true,
--- a/tests/suite/retry/shared.rs
+++ b/tests/suite/retry/shared.rs
@@ -4,6 +4,7 @@
 
 use hemlockfield::retry::Limits;
 use hemlockfield::retry::Policy;
+use hemlockfield::retry::Standstill;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -47,6 +48,41 @@
     assert_kept(&Plan { spans, ..Plan::outage(entries, rate, seed) });
 }
 
+// Half of the entries are stopped for up to a window and longer, and all requests fail afterwards. What was sent to them meanwhile earns when they
+// read it, beside what came in the windows before and after.
+#[rstest]
+fn budget_stopped_long(#[values(8_000, 14_000, 25_000)] span: u64, #[values(1, 2)] seed: u64) {
+    let mut plan = Plan::outage(44, 300.0, seed);
+    let span_from = |from, fail| Span { fail, from: ms(from), rate: 300.0, half: None };
+    plan.spans = vec![span_from(0, 0.0), span_from(20_000 + span, 1.0)];
+    plan.end = ms(80_000);
+    plan.pauses = (0..22).map(|entry| (ms(20_000), ms(20_000 + span), entry)).collect();
+    assert_kept(&plan);
+}
+
+/// Turns of a process that stands still from 10 s on, for a while.
+fn standstill(span: u64) -> Standstill {
+    let mut turns = Standstill::new(ms(100));
+    (0..=100).for_each(|turn| turns.record_turn(ms(turn * 100)));
+    turns.record_turn(ms(10_000 + span));
+    turns
+}
+
+#[rstest]
+#[case::runs(100, 10_150, 0)]
+#[case::stopped(6_000, 16_050, 5_850)]
+fn waited_cases(#[case] span: u64, #[case] now: u64, #[case] waited: u64) {
+    assert_eq!(standstill(span).waited(ms(now)), ms(waited));
+}
+
+// A process that runs again reads what waited in several turns. Once it has read all, nothing waited.
+#[test]
+fn waited_after_turns() {
+    let mut turns = standstill(6_000);
+    (161..=163).for_each(|turn| turns.record_turn(ms(turn * 100)));
+    assert_eq!(turns.waited(ms(16_350)), Duration::ZERO);
+}
+
 // Entries that don't reach the upstreams pass requests on to others, which record them again. Both would
 // earn a retry for one request.
 #[test]
