Show that a control with a lost disk and kept settings votes as a founder

A seed with an empty disk and first_start founds the log anew. With another control that missed the newest change it forms a majority: callers of operators read an older configuration back, which was acknowledged as replaced. Settings that are written anew at each start don't.

--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -6,6 +6,7 @@
 mod cut_answers;
 mod fatal;
 pub(crate) mod fleet;
+mod founding;
 mod judge;
 mod kill;
 mod leave;
