Have a founder with an empty log elect nobody that has one

What operators saw in process::founding: a control whose disk was lost and whose settings still said first_start came back as a founder, formed a majority with a control that had missed the newest change, and an older configuration was read back after the newer one had been acknowledged.

Cause: the founders' identity comes from a flag that the settings keep. A wiped folder gets the same identity again, which the log's protection against lost disks (DiskId) was to rule out.

Change: a replica with a founder's identity and an empty log grants no vote to a candidate with entries. At a first start all candidates' logs are empty. A late founder, and one that was wiped, vote again once a leader has sent them the log. Price: while a founder has never got an entry, it does not help to elect one that has.

What remains: a founder that was wiped and has got a part of the log votes before it has all of it; settings written anew don't make it a founder.

--- a/src/quorum/election.rs
+++ b/src/quorum/election.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeSet;
 
+use super::membership::FOUNDER_DISK;
 use super::message::Body;
 use super::message::Message;
 use super::output::Output;
@@ -163,7 +164,15 @@
     }
 
     fn is_candidate_up_to_date(&self, last: (Term, Index)) -> bool {
-        last >= (self.log.last_term(), self.log.last_index())
+        last >= (self.log.last_term(), self.log.last_index()) && !self.may_have_forgotten(last)
+    }
+
+    /// Whether this replica may have lost its disk since it was founded. An empty log under a founder's
+    /// identity is either as old as the group or was written anew by settings of the first start; others
+    /// can't tell, and what it acknowledged before may be missing in the candidate's log too. A leader
+    /// sends it all that is committed, and it votes again.
+    fn may_have_forgotten(&self, last: (Term, Index)) -> bool {
+        self.disk == FOUNDER_DISK && self.log.last_index() == 0 && last.1 > 0
     }
 
     fn other_voters(&self) -> Vec<(NodeId, u64)> {
--- a/tests/suite/quorum/cluster.rs
+++ b/tests/suite/quorum/cluster.rs
@@ -271,10 +271,12 @@
     }
 }
 
-/// Makes a vote or pre-vote request claim the longest possible log.
+/// Makes a vote or pre-vote request of a candidate with a log claim the longest possible one. An empty one
+/// is left, since founders elect nobody with a log.
 pub(super) fn inflate_log(message: &mut Message) {
     if let Body::PreVote { last_index, last_term } | Body::Vote { last_index, last_term } =
         &mut message.body
+        && *last_index > 0
     {
         *last_index = u64::MAX;
         *last_term = u64::MAX;
