--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -57,7 +57,7 @@
     thread::sleep(Duration::from_secs(1));
 
     // The control that is cut off must not lead; the leader is found by its log.
-    let Some(cut) = follower(fleet) else { return NOT_RUN };
+    let Some(cut) = fleet.follower() else { return NOT_RUN };
     let others: Vec<usize> = (0..3).filter(|at| *at != cut).collect();
     let cut_at = fleet.log.now();
     if has_trouble() {
@@ -123,15 +123,3 @@
         answered
     })
 }
-
-/// A control that does not lead.
-fn follower(fleet: &Fleet) -> Option<usize> {
-    let is_leader = |at: usize| {
-        let text = std::fs::read_to_string(fleet.process_log(at)).unwrap_or_default();
-        let last = text.lines().filter(|line| line.contains("election")).next_back();
-        last.is_some_and(|line| line.contains("Leader"))
-    };
-    let leaders: Vec<usize> = (0..3).filter(|at| is_leader(*at)).collect();
-    fleet.log.say(&format!("leading controls by their logs: {leaders:?}"));
-    (0..3).find(|at| !leaders.contains(at)).filter(|_| leaders.len() == 1)
-}
--- a/review/harness.rs
+++ b/review/harness.rs
@@ -18,6 +18,7 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -40,6 +41,9 @@
 const LINKS: u16 = 18_200;
 const TARGET: u16 = 18_080;
 const CLAIM: u16 = 18_999;
+/// Requests that a server works on at once, and that wait in its queue.
+const SLOTS: usize = 4;
+const QUEUE: usize = 4;
 /// A script may take 120 s.
 const LONGEST_RUN: Duration = Duration::from_secs(110);
 
@@ -236,6 +240,18 @@
         }
     }
 
+    /// A control that does not lead, by the logs.
+    pub fn follower(&self) -> Option<usize> {
+        let is_leader = |at: usize| {
+            let text = fs::read_to_string(self.process_log(at)).unwrap_or_default();
+            let last = text.lines().filter(|line| line.contains("election")).next_back();
+            last.is_some_and(|line| line.contains("Leader"))
+        };
+        let leaders: Vec<usize> = (0..self.layout.controls).filter(|at| is_leader(*at)).collect();
+        self.log.say(&format!("leading controls by their logs: {leaders:?}"));
+        (0..self.layout.controls).find(|at| !leaders.contains(at)).filter(|_| leaders.len() == 1)
+    }
+
     /// Cuts or joins the path between two processes, both ways.
     pub fn set_cut(&self, one: usize, other: usize, is_cut: bool) {
         self.mesh.set_cut(one, other, is_cut);
@@ -376,6 +392,8 @@
     beats: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
     log: Log,
+    /// Requests that it works on, and that wait for one of its slots.
+    load: Arc<(Mutex<(usize, usize)>, Condvar)>,
     work: Duration,
 }
 
@@ -396,6 +414,7 @@
             beats: Arc::new(AtomicBool::new(false)),
             sequence: Arc::new(AtomicU64::new(0)),
             log: fleet.log.clone(),
+            load: Arc::default(),
             work: Duration::from_millis(work_ms),
         };
         let own = server.clone();
@@ -500,6 +519,28 @@
         }
     }
 
+    /// Waits for a slot; `false` if too many wait already.
+    fn take_slot(&self) -> bool {
+        let (load, freed) = &*self.load;
+        let mut load = load.lock().unwrap();
+        if load.0 >= SLOTS && load.1 >= QUEUE {
+            return false;
+        }
+        load.1 += 1;
+        while load.0 >= SLOTS {
+            load = freed.wait(load).unwrap();
+        }
+        load.1 -= 1;
+        load.0 += 1;
+        true
+    }
+
+    fn give_slot(&self) {
+        let (load, freed) = &*self.load;
+        load.lock().unwrap().0 -= 1;
+        freed.notify_one();
+    }
+
     fn answer(&self, head: &Head, body: usize) -> String {
         let id = head.get("hemlockfield-request-id").unwrap_or_default();
         if head.line.starts_with("GET /health ") {
@@ -515,10 +556,18 @@
                  Hemlockfield-Request-Id: {id}\r\ncontent-length: 0\r\n\r\n"
             );
         }
+        if !self.take_slot() {
+            self.log.line(&format!("{} rejects {id}: 503, full", self.name));
+            return format!(
+                "HTTP/1.1 503 Service Unavailable\r\nHemlockfield-Not-Executed: 1\r\n\
+                 Hemlockfield-Request-Id: {id}\r\ncontent-length: 0\r\n\r\n"
+            );
+        }
         let run = Run { at: self.log.now(), id: id.clone(), line: head.line.clone(), body };
         self.log.line(&format!("{} runs {id} {} ({body} bytes)", self.name, head.line));
         self.runs.lock().unwrap().push(run);
         thread::sleep(self.work);
+        self.give_slot();
         let text = format!("{} did {id}", self.name);
         format!(
             "HTTP/1.1 200 OK\r\nHemlockfield-Request-Id: {id}\r\nHemlockfield-Response-Signature: s-{id}\r\n\
