--- a/review/harness.rs
+++ b/review/harness.rs
@@ -153,6 +153,10 @@
         format!("{}:{CONTROL}", self.ip(at))
     }
 
+    pub fn directory(&self, at: usize) -> String {
+        format!("{}:{DIRECTORY}", self.ip(at))
+    }
+
     pub fn front(&self, entry: usize) -> String {
         format!("{}:{FRONT}", self.ip(self.layout.controls + entry))
     }
