--- a/review/harness.rs
+++ b/review/harness.rs
@@ -547,6 +547,9 @@
                 return;
             }
             let Some(body) = head.read_body(&mut reader) else { return };
+            if !self.is_alive.load(Ordering::Acquire) {
+                return;
+            }
             let answer = self.answer(&head, body.len());
             if !self.is_alive.load(Ordering::Acquire) {
                 self.log.line(&format!("{} ended at work on {}", self.name, head.line));
