--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -19,4 +19,5 @@
 mod repeats;
 mod rest;
 pub(crate) mod site;
+mod stop;
 mod upload;
--- a/tests/suite/process/site.rs
+++ b/tests/suite/process/site.rs
@@ -28,7 +28,7 @@
 const DOMAINS: [&str; 4] = ["north", "south", "east", "west"];
 const LINKS: u16 = 18_082;
 pub(crate) const METRICS: u16 = 18_083;
-const PEERS: u16 = 18_084;
+pub(crate) const PEERS: u16 = 18_084;
 const CLAIM: u16 = 18_085;
 
 static NETS: AtomicUsize = AtomicUsize::new(0);
@@ -42,11 +42,24 @@
     pub(crate) limits: &'static str,
     /// Retry budget of the entries, in the format of the settings.
     pub(crate) retry: &'static str,
+    /// Graceful shutdown of the entries, in the format of the settings.
+    pub(crate) shutdown: &'static str,
+}
+
+impl Layout {
+    /// Graceful shutdown that leaves callers' requests no more time than tests need.
+    pub(crate) const BRIEF_SHUTDOWN: &'static str = "{limit: 5500ms, notice: 500ms}";
 }
 
 impl Default for Layout {
     fn default() -> Self {
-        Self { domains: 1, entries: ENTRIES, limits: "{}", retry: "{}" }
+        Self {
+            domains: 1,
+            entries: ENTRIES,
+            limits: "{}",
+            retry: "{}",
+            shutdown: Self::BRIEF_SHUTDOWN,
+        }
     }
 }
 
@@ -134,9 +147,10 @@
             format!(
                 "listen: {{callers: \"{ip}:{FRONT}\", orders: [\"{ip}:{ORDERS}\"], links: \"{ip}:{LINKS}\", \
                  peers: \"{ip}:{PEERS}\"}}\nlimits: {limits}\nretry: {retry}\n\
-                 shutdown: {{limit: 5500ms, notice: 500ms}}\n",
+                 shutdown: {shutdown}\n",
                 limits = self.layout.limits,
-                retry = self.layout.retry
+                retry = self.layout.retry,
+                shutdown = self.layout.shutdown
             )
         };
         let file = self.folder.path().join(format!("settings-{at}.yaml"));
