Log what paid for the copies of each request

A repeat that arrives at an upstream could not be held against what paid for it: the line of a request names its attempts, not its payments. Each line has the number of payments now. No decision changed.

--- a/src/retry/copies.rs
+++ b/src/retry/copies.rs
@@ -14,6 +14,11 @@
         self.payments.push(number);
     }
 
+    /// Number of payments for further copies.
+    pub fn paid(&self) -> usize {
+        self.payments.len()
+    }
+
     /// Records that a copy was given up without a sign of its upstream.
     pub fn abandon(&mut self) {
         self.abandoned += 1;
--- a/src/traffic/attempts.rs
+++ b/src/traffic/attempts.rs
@@ -53,6 +53,7 @@
 ) -> Resolution<'a> {
     let mut copies = retry::Copies::default();
     let resolution = attempt_all(proxy, service, upstreams, view, job, writer, &mut copies).await;
+    job.paid = copies.paid();
     if !matches!(resolution, Resolution::CallerGone { .. }) {
         let mut policy = service.policy(proxy.now());
         copies.settled().iter().for_each(|payment| policy.settle(*payment));
--- a/src/traffic/job.rs
+++ b/src/traffic/job.rs
@@ -45,6 +45,8 @@
     /// Length of the body, if it is known before it is sent.
     pub(super) length: Option<u64>,
     pub(super) method: Method,
+    /// Payments for copies beyond the first, for the log.
+    pub(super) paid: usize,
     /// Charge against the team's rate limit.
     pub(super) charge: Option<Charge>,
     pub(super) payload: Payload,
@@ -115,6 +117,7 @@
             rule = %self.rule,
             service = %self.service,
             steps = self.steps,
+            paid = self.paid,
             status,
             left_ms = left,
             framing = self.payload.framing(),
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -279,6 +279,7 @@
         key,
         length: payload.len(),
         method: request.method,
+        paid: 0,
         charge: None,
         payload,
         sent_at: received_at,
