Hand nothing on in a planned stop that the entry can't finish

Callers saw requests that came late in the grace cut without an answer at its end, after they had been handed to an upstream; those that may not be repeated were lost.

Cause: no request knew the end of its entry. The listener asks whether connections close only while one is idle; from the first byte of a head on a request was sent with its caller's whole time, 0.3 s before the process ended. Ruled out: the listener alone (retries and requests that another entry passes on were cut too), and answers that came in time but were not written (the upstream still worked).

Now the end of the process bounds every request from SIGTERM on: before one is handed on, whether it can still be finished is asked. While the notice lasts that is whether requests of the service usually take less than what is left; after it only requests whose own deadline comes first are handed on. The check stands where the first byte is sent, so it holds for first attempts, retries, hedges, trials, requests out of the queue, those that other entries pass on, and uploads. A refusal to another entry is marked, so that it asks the next one.

All that are read whole are answered.

--- a/src/exchange/failure.rs
+++ b/src/exchange/failure.rs
@@ -24,6 +24,9 @@
     /// The request's own deadline, this long, passed.
     #[error("deadline passed after `{} ms`", .0.as_millis())]
     Expired(Duration),
+    /// This process leaves and would not finish the request; nothing was sent.
+    #[error("this process leaves")]
+    Leaving,
     /// The answer is not HTTP/1.1 in the form supported here.
     #[error("answer can't be read: `{0}`")]
     Malformed(String),
@@ -44,7 +47,7 @@
 impl Failure {
     /// Whether the request certainly did not reach the upstream.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Spent | Self::Withheld)
+        matches!(self, Self::Connect(_) | Self::Leaving | Self::Spent | Self::Withheld)
     }
 
     /// Whether the failure counts against the upstream's health. A caller that disconnects or
@@ -54,6 +57,7 @@
             self,
             Self::CallerGone
                 | Self::Closed { reused: true }
+                | Self::Leaving
                 | Self::Spent
                 | Self::Upload(_)
                 | Self::Withheld
--- a/src/replay/policy.rs
+++ b/src/replay/policy.rs
@@ -84,6 +84,11 @@
         self.policy.hedge_after()
     }
 
+    /// Calls [`retry::Policy::usual_latency`].
+    pub fn usual_latency(&self) -> Option<Duration> {
+        self.policy.usual_latency()
+    }
+
     /// Records the input and calls [`retry::Policy::record_hedge`].
     pub fn record_hedge(&mut self, won: bool) {
         self.record(|| Retry::Hedged { won });
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -113,6 +113,11 @@
         self.hedge.is_enabled().then(|| self.latency.p95()).flatten()
     }
 
+    /// Time within which nineteen of twenty complete responses came; `None` while it is unknown.
+    pub fn usual_latency(&self) -> Option<Duration> {
+        self.latency.p95()
+    }
+
     /// Whether to send a hedge now, with `remaining` time left. If `true`, the budget has been
     /// charged and [`Self::record_hedge`] must follow.
     pub fn try_hedge(&mut self, remaining: Duration) -> bool {
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod checks;
 mod claims;
+mod departure;
 mod dispatch;
 mod forward;
 mod hedge;
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -160,7 +160,8 @@
 fn outcome_of(failure: &Failure) -> retry::Outcome {
     match failure {
         Failure::Connect(_) | Failure::Withheld => retry::Outcome::ConnectFailed,
-        Failure::Expired(_) => retry::Outcome::Deadline,
+        // The end of this process is the last deadline of all its requests.
+        Failure::Expired(_) | Failure::Leaving => retry::Outcome::Deadline,
         Failure::Silent(_) => retry::Outcome::Silent,
         Failure::CallerGone
         | Failure::Closed { .. }
--- a/src/traffic/attempts.rs
+++ b/src/traffic/attempts.rs
@@ -126,11 +126,12 @@
                 Resolution::Answer(Box::new((attempt, answer)))
             });
         };
+        let may_retry = poison::allows_retry(proxy, job) && proxy.can_finish_job(job);
         let failed = retry::Attempt {
             body_kept: job.payload.is_available(),
             head_sent: false,
             idempotent: job.is_idempotent() && job.terms.retry,
-            limit: if poison::allows_retry(proxy, job) { job.terms.attempts } else { 0 },
+            limit: if may_retry { job.terms.attempts } else { 0 },
             outcome,
             remaining: job.left(proxy.now()),
             sends,
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -21,6 +21,7 @@
 use super::attempts::caller_gone;
 use super::attempts::run_attempts;
 use super::claims::Claim;
+use super::departure;
 use super::forward;
 use super::forward::Forwarded;
 use super::job::Job;
@@ -45,6 +46,9 @@
     mut job: Job,
     writer: &mut ResponseWriter,
 ) {
+    if !proxy.can_finish_job(&job) {
+        return refuse_leaving(proxy, view, job, writer).await;
+    }
     let service = proxy.service(&job.service);
     let upstreams = view.services.get(&job.service).cloned().unwrap_or_default();
     if upstreams.members.is_empty() {
@@ -95,19 +99,25 @@
         }
     };
     let classes = view.rules.as_ref().map(|rules| rules.classes()).unwrap_or_default();
-    let (admission, permit) = {
+    let entered = {
         let enter = service.queue.enter(proxy, classes, arrival(&job)).fuse();
         let gone = caller_gone(job.payload.is_stream(), writer).fuse();
-        pin_mut!(enter, gone);
+        let unfinishable = proxy.unfinishable(job.deadline).fuse();
+        pin_mut!(enter, gone, unfinishable);
         select! {
-            entered = enter => entered,
+            entered = enter => Some(entered),
             () = gone => {
                 job.refund();
                 claim.into_iter().for_each(Claim::abandon);
                 return;
             }
+            () = unfinishable => None,
         }
     };
+    let Some((admission, permit)) = entered else {
+        claim.into_iter().for_each(Claim::abandon);
+        return refuse_leaving(proxy, view, job, writer).await;
+    };
     if let Admission::Refuse(reason, after) = admission {
         job.refund();
         claim.into_iter().for_each(Claim::abandon);
@@ -166,16 +176,20 @@
         return forward::forward(proxy, view, job, writer).await;
     }
     job.refund();
-    let refusal = forward::unreached(job);
-    job.log(proxy, view, &refusal.reason, refusal.status);
-    let mut response = proxy.boundary.refuse(&refusal);
-    forward::mark_unreached(&mut response);
-    if let Err(error) = writer.send(response).await {
-        tracing::debug!(target: "hemlockfield::exchange", "entry disconnected: {error}");
-    }
+    send_refusal(proxy, view, job, writer, &forward::unreached(job), true).await;
     Forwarded::Done
 }
 
+/// Refuses a job that this process would not finish. One that another entry passed on is marked, so that
+/// it is passed on to another one.
+async fn refuse_leaving(proxy: &Proxy, view: &View, mut job: Job, writer: &mut ResponseWriter) {
+    job.refund();
+    proxy.metrics.count("request.leaving");
+    writer.close_after();
+    let refusal = Refusal::not_run(503, departure::REASON, departure::RETRY_AFTER);
+    send_refusal(proxy, view, &job, writer, &refusal, job.source == Source::Peer).await;
+}
+
 fn settle_claim(claim: Claim<'_>, may_have_run: bool) {
     if may_have_run {
         claim.end(crate::claim::Outcome::Unknown);
@@ -191,8 +205,24 @@
     writer: &mut ResponseWriter,
     refusal: &Refusal,
 ) {
-    job.log(proxy, &proxy.view.load(), &refusal.reason, refusal.status);
-    if let Err(error) = writer.send(proxy.boundary.refuse(refusal)).await {
+    send_refusal(proxy, &proxy.view.load(), job, writer, refusal, false).await;
+}
+
+/// Answers with a refusal. A marked one has the entry that passed the job on ask another one.
+async fn send_refusal(
+    proxy: &Proxy,
+    view: &View,
+    job: &Job,
+    writer: &mut ResponseWriter,
+    refusal: &Refusal,
+    is_marked: bool,
+) {
+    job.log(proxy, view, &refusal.reason, refusal.status);
+    let mut response = proxy.boundary.refuse(refusal);
+    if is_marked {
+        forward::mark_unreached(&mut response);
+    }
+    if let Err(error) = writer.send(response).await {
         tracing::debug!(target: "hemlockfield::exchange", "caller disconnected: {error}");
     }
 }
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -100,6 +100,9 @@
     writer: &mut ResponseWriter,
 ) -> Forwarded {
     for _ in 0..MAX_PEERS {
+        if !proxy.can_finish_job(job) {
+            break;
+        }
         let now = proxy.now();
         let Some(peer) = proxy.reach.choose_peer(now, &job.service, view) else { break };
         let asked = {
--- a/src/traffic/hedge.rs
+++ b/src/traffic/hedge.rs
@@ -57,6 +57,9 @@
     }
     let now = proxy.now();
     let left = job.left(now);
+    if !proxy.can_finish_job(job) {
+        return first.await;
+    }
     let payment = {
         let mut policy = service.policy(proxy.now());
         if policy.try_hedge(left) { policy.take_payment() } else { None }
--- a/src/traffic/proxy.rs
+++ b/src/traffic/proxy.rs
@@ -322,6 +322,20 @@
         self.closed.1.recv().await.ok();
     }
 
+    /// Whether connections may close.
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.1.is_closed()
+    }
+
+    /// When requests in flight are aborted, once the process leaves.
+    pub(super) fn ends_at(&self) -> Option<Moment> {
+        if !self.drain.1.is_closed() {
+            return None;
+        }
+        let since = *self.leaving_since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.map(|since| since + self.limit())
+    }
+
     /// Waits until no caller can still use this entry, then until no request is in flight and
     /// control has the outcome of every claim.
     pub(crate) async fn drained(&self) {
--- a/src/traffic/round_trip.rs
+++ b/src/traffic/round_trip.rs
@@ -61,10 +61,9 @@
     left: Duration,
 ) -> Result<Answer, Failure> {
     let connection = acquire_connection(proxy, target, idempotent, left).await?;
-    // It may have asked for rest while the connection was opened.
-    if target.service.is_held(proxy.now(), &target.check.upstream) {
+    if let Err(failure) = check(proxy, target, left) {
         proxy.pool.put(target.address, connection);
-        return Err(Failure::Withheld);
+        return Err(failure);
     }
     let first_byte = proxy.settings.limits.first_byte.min(left);
     let connect = proxy.settings.limits.connect;
@@ -76,6 +75,19 @@
     answer
 }
 
+/// Last check before the first byte of a request is sent, whichever way it came. What led to this
+/// upstream may have changed while a body arrived or a connection was opened.
+fn check(proxy: &Proxy, target: &Target<'_>, left: Duration) -> Result<(), Failure> {
+    let now = proxy.now();
+    if !proxy.can_finish(now + left, target.service.usual_latency(now)) {
+        return Err(Failure::Leaving);
+    }
+    if target.service.is_held(now, &target.check.upstream) {
+        return Err(Failure::Withheld);
+    }
+    Ok(())
+}
+
 /// Whether the upstream gave any sign of a request: an answer, or the end of the connection.
 struct Sign<'a> {
     is_seen: bool,
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -37,6 +37,7 @@
 use super::Proxy;
 use super::Source;
 use super::attempts::caller_gone;
+use super::departure;
 use super::dispatch;
 use super::forward;
 use super::job::Job;
@@ -310,17 +311,31 @@
         size: routing.terms.body,
     };
     let left = deadline.saturating_sub(proxy.now());
-    let (status, reason) = match timeout(left, payload.receive(bounds)).await {
-        Ok(Ok(())) => return Ok(()),
-        Ok(Err(error)) => (error.status(), error.to_string()),
-        Err(_) => (408, format!("body was not received within `{} ms`", left.as_millis())),
+    let received = {
+        let receive = timeout(left, payload.receive(bounds)).fuse();
+        let unfinishable = proxy.unfinishable(deadline).fuse();
+        pin_mut!(receive, unfinishable);
+        select! {
+            received = receive => Some(received),
+            () = unfinishable => None,
+        }
+    };
+    let (status, reason) = match received {
+        Some(Ok(Ok(()))) => return Ok(()),
+        Some(Ok(Err(error))) => (error.status(), error.to_string()),
+        Some(Err(_)) => (408, format!("body was not received within `{} ms`", left.as_millis())),
+        None => (503, departure::REASON.to_owned()),
     };
     proxy.metrics.count("body.refused");
     let Routing { metadata, rule, .. } = routing;
     let (id, framing) = (metadata.id.as_deref(), payload.framing());
     let received = payload.progress().received();
     tracing::info!(target: "hemlockfield::request", id, %rule, framing, received, status, "{reason}");
-    Err(Refusal::new(status, Outcome::NotRun, reason))
+    Err(if status == 503 {
+        Refusal::not_run(status, reason, departure::RETRY_AFTER)
+    } else {
+        Refusal::new(status, Outcome::NotRun, reason)
+    })
 }
 
 /// Whether HTTP defines the method as safe (read-only).
--- a/src/traffic/service.rs
+++ b/src/traffic/service.rs
@@ -105,6 +105,11 @@
         policy
     }
 
+    /// Time within which most of its requests are answered; zero until it is known.
+    pub(super) fn usual_latency(&self, now: Moment) -> Duration {
+        self.policy(now).usual_latency().unwrap_or_default()
+    }
+
     /// Ages of requests that have waited unusually long for an upstream's first byte.
     pub(crate) fn overdue(&self, now: Moment) -> Vec<(UpstreamId, Vec<Duration>)> {
         self.lock().overdue(now)
--- a/tests/suite/process/stop.rs
+++ b/tests/suite/process/stop.rs
@@ -52,13 +52,7 @@
 /// Stops the first entry, has each caller call at that time, and counts the requests that an upstream got and
 /// that ended without an answer.
 fn count_cut(site: &mut Site, upstreams: &[Upstream], calls: Vec<Call>) -> usize {
-    let stopped_at = Instant::now();
-    site.signal(CONTROLS, "TERM");
-    let running = calls.into_iter().map(|call| thread::spawn(move || call.send_at(stopped_at)));
-    let running: Vec<_> = running.collect();
-    let endings: Vec<Ending> = running.into_iter().map(|it| it.join().unwrap()).collect();
-    let child = site.children[CONTROLS].as_mut().unwrap();
-    wait_for("the end of the entry", || child.try_wait().unwrap().is_some());
+    let endings = stop_amid(site, calls);
     let arrived = |id: u64| upstreams.iter().any(|upstream| upstream.has(id));
     for ending in &endings {
         let is_not_run = ending.is_answered(503) && !ending.line.starts_with("GET");
@@ -69,6 +63,18 @@
     cut.len()
 }
 
+/// Stops the first entry, has each caller call at that time, and waits until all have ended.
+fn stop_amid(site: &mut Site, calls: Vec<Call>) -> Vec<Ending> {
+    let stopped_at = Instant::now();
+    site.signal(CONTROLS, "TERM");
+    let running = calls.into_iter().map(|call| thread::spawn(move || call.send_at(stopped_at)));
+    let running: Vec<_> = running.collect();
+    let endings: Vec<Ending> = running.into_iter().map(|it| it.join().unwrap()).collect();
+    let child = site.children[CONTROLS].as_mut().unwrap();
+    wait_for("the end of the entry", || child.try_wait().unwrap().is_some());
+    endings
+}
+
 fn spread(from: Duration, to: Duration, at: u64) -> Duration {
     from + (to - from).mul_f64(at as f64 / (CALLERS - 1) as f64)
 }
@@ -91,6 +97,21 @@
     assert_eq!(count_cut(&mut site, &upstreams, calls), 0);
 }
 
+// Requests that were read whole in a planned stop get no answer.
+#[test]
+fn leave_late_requests_answered() {
+    let (mut site, _upstreams) = start(&[20, 20]);
+    let calls = (0..CALLERS).map(|at| {
+        let ended = spread(Duration::from_millis(500), Duration::from_millis(5_200), at);
+        let call = Call::new(&front(&site), "POST /sign/1", 0x1000 + at).with_body(2_000);
+        call.begun_at(Duration::from_millis(100)).ended_at(ended)
+    });
+    let calls = calls.collect();
+    let endings = stop_amid(&mut site, calls);
+    let is_answered = |it: &&Ending| matches!(it.status, 200 | 503);
+    assert_eq!(endings.iter().filter(is_answered).count(), endings.len(), "{endings:?}");
+}
+
 // Requests that wait for a slot are handed on so late in a planned stop that they are cut at its end.
 #[test]
 fn leave_queued_requests() {
