Have a process that leaves finish the operations that it has begun to read

An upstream or operator whose call a control had begun to read at SIGTERM got a closed connection: operations were not counted as in flight, so a control, which has no callers to wait for, ended at once. They are counted now, from their first byte, and end with the process's limit.

process::stop::leave_operations_of_control: red before, green now.

--- a/src/operator/orders.rs
+++ b/src/operator/orders.rs
@@ -29,6 +29,7 @@
 use crate::node::Input;
 use crate::node::InputSender;
 use crate::runtime;
+use crate::traffic::InFlight;
 use crate::traffic::Proxy;
 use crate::wire::Verdict;
 
@@ -66,7 +67,9 @@
     proxy: Arc<Proxy>,
 ) {
     let mut reader = RequestReader::new(stream, peer);
-    while let Ok(Some(received)) = reader.next(IDLE_TIMEOUT).await {
+    while timeout(IDLE_TIMEOUT, reader.readable()).await.is_ok() {
+        let _in_flight = InFlight::new(&proxy);
+        let Ok(Some(received)) = reader.next(IDLE_TIMEOUT).await else { return };
         let Received { payload, request, mut writer } = received;
         serve_operation(request, payload, &mut writer, &control, &proxy).await;
         if writer.is_closing() {
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -24,6 +24,7 @@
 
 pub(crate) use checks::watch_paths;
 pub(crate) use forward::Source;
+pub(crate) use listener::InFlight;
 pub(crate) use listener::listen;
 pub(crate) use poison::watch_upstreams;
 pub(crate) use proxy::Proxy;
--- a/src/traffic/listener.rs
+++ b/src/traffic/listener.rs
@@ -111,10 +111,10 @@
 }
 
 /// Counts a request as in flight until dropped.
-struct InFlight<'a>(&'a Proxy);
+pub(crate) struct InFlight<'a>(&'a Proxy);
 
 impl<'a> InFlight<'a> {
-    fn new(proxy: &'a Proxy) -> Self {
+    pub(crate) fn new(proxy: &'a Proxy) -> Self {
         proxy.in_flight.fetch_add(1, Ordering::AcqRel);
         Self(proxy)
     }
