Play all ways of failing, all kinds of requests and mixed stops on the budget's rig

Upstreams of the rig failed in one way, a refusal, and callers sent one kind of request. With mixed() upstreams fail by 429, an end or a reset before the answer, silence, slowness that draws hedges, 500, a cut body, garbage, a missing signature, 503 with a rest, and 421; callers send requests that may and may not be repeated and uploads, to two services of which one route is split, a tenth leave early and a fifth repeat at once. New troubles: SIGTERM in turn, SIGHUP, upstreams with another id at their address, upstreams that stand still in turn and go on together, and while entries are killed. Each repeat that arrived is held against the payments in the entries' logs.

--- a/tests/suite/process/budget.rs
+++ b/tests/suite/process/budget.rs
@@ -2,6 +2,8 @@
 //! of entries of whole deployments.
 
 mod callers;
+mod failure;
+mod payments;
 mod plan;
 mod run;
 mod upstream;
@@ -31,8 +33,15 @@
     assert_held(&Plan::new(Deployment::SMALL, Trouble::StartsApart, 1));
 }
 
+// Upstreams fail in many ways at once and stand still in turn, all kinds of requests come, and callers leave
+// early or repeat at once. Copies without a sign keep payments open that others close.
+#[test]
+fn budget_held_mixed_failures() {
+    assert_held(&Plan::new(Deployment::FEW, Trouble::UpstreamsStopped, 2).mixed());
+}
+
 /// Plays `BUDGET_SEEDS` seeds of each trouble, or of the one named by `BUDGET_TROUBLE`, on both deployments,
-/// and prints the window that came nearest to the budget.
+/// with failures and requests of all kinds if `BUDGET_MIXED` is set, and prints the window that came nearest to the budget.
 #[rstest]
 #[ignore = "takes an hour"]
 fn budget_many_seeds(
@@ -41,10 +50,12 @@
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
     let (first, count) = (number("BUDGET_FIRST").unwrap_or(1), number("BUDGET_SEEDS").unwrap_or(5));
     let wanted = std::env::var("BUDGET_TROUBLE").unwrap_or_default();
+    let is_mixed = std::env::var("BUDGET_MIXED").is_ok();
     let mut broken = 0;
     for seed in first..first + count {
         for trouble in Trouble::ALL {
             let plan = Plan::new(deployment, trouble, seed);
+            let plan = if is_mixed { plan.mixed() } else { plan };
             if format!("{trouble:?}").contains(&wanted) {
                 let window = run::play(&plan);
                 println!("{}", plan.describe(&window));
--- a/tests/suite/process/budget/plan.rs
+++ b/tests/suite/process/budget/plan.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::failure::Failures;
 use crate::process::judge::Budget;
 use crate::process::judge::Window;
 use crate::process::site::Layout;
@@ -90,12 +91,22 @@
     ControlsGone,
     /// Far more threads run than the machine has cores.
     FullMachine,
+    /// Entries are told to leave one after the other, and start again.
+    Rolled,
+    /// All processes are told again and again that their settings have changed.
+    Reloaded,
+    /// Upstreams start again at their address with another id, one after the other.
+    Reborn,
+    /// Upstreams stand still one after the other, each longer than a window, and go on together.
+    StoppedInTurn,
+    /// Upstreams stand still while entries are killed one after the other.
+    StoppedAmidKills,
     /// Three of the others in a row.
     Mixed,
 }
 
 impl Trouble {
-    pub(super) const ALL: [Self; 16] = [
+    pub(super) const ALL: [Self; 21] = [
         Self::CrashLoop { is_kept: true },
         Self::StartsApart,
         Self::LateConfiguration,
@@ -107,6 +118,11 @@
         Self::AllKilled { is_kept: true },
         Self::KilledInTurn { is_kept: true },
         Self::FullMachine,
+        Self::Rolled,
+        Self::Reloaded,
+        Self::Reborn,
+        Self::StoppedInTurn,
+        Self::StoppedAmidKills,
         Self::Mixed,
         Self::None,
         Self::CrashLoop { is_kept: false },
@@ -114,7 +130,7 @@
         Self::KilledInTurn { is_kept: false },
     ];
     /// Those that a mix is drawn from: they come when the fleet is up.
-    const LATER: [Self; 9] = [
+    const LATER: [Self; 14] = [
         Self::CrashLoop { is_kept: true },
         Self::KilledInTurn { is_kept: true },
         Self::AllKilled { is_kept: true },
@@ -124,6 +140,11 @@
         Self::SilentPaths,
         Self::ControlsGone,
         Self::FullMachine,
+        Self::Rolled,
+        Self::Reloaded,
+        Self::Reborn,
+        Self::StoppedInTurn,
+        Self::StoppedAmidKills,
     ];
 }
 
@@ -135,10 +156,10 @@
     pub(super) gap: Duration,
     /// Time from the start of the entries to the first configuration.
     pub(super) configured_after: Duration,
+    /// How upstreams fail requests.
+    pub(super) failures: Failures,
     /// Requests per second.
     pub(super) rate: f64,
-    /// Requests out of ten that every upstream fails, by their ids.
-    pub(super) refused: u64,
     pub(super) seed: u64,
     /// Time before the troubles in which requests fail already.
     pub(super) start_up: Duration,
@@ -161,23 +182,38 @@
         Self {
             configured_after: if is_late { wait } else { Duration::ZERO },
             deployment,
+            failures: Failures::Refusals(0),
             gap: if is_apart { gap } else { Duration::ZERO },
             rate: random.random_range(30.0..150.0),
-            refused: random.random_range(6..=10),
             seed,
             start_up,
             trouble,
             troubles,
         }
+        .failing(random.random_range(6..=10))
+    }
+
+    fn failing(self, failed: u64) -> Self {
+        Self { failures: Failures::Refusals(failed), ..self }
+    }
+
+    /// The same with upstreams that fail in all ways, and callers that send all kinds of requests.
+    pub(super) fn mixed(self) -> Self {
+        let (Failures::Mixed(failed) | Failures::Refusals(failed)) = self.failures;
+        Self { failures: Failures::Mixed(failed), ..self }
+    }
+
+    pub(super) fn is_mixed(&self) -> bool {
+        matches!(self.failures, Failures::Mixed(_))
     }
 
     /// One line on a run.
     pub(super) fn describe(&self, window: &Window) -> String {
-        let Self { deployment, rate, refused, seed, trouble, .. } = self;
+        let Self { deployment, rate, failures, seed, trouble, .. } = self;
         let Window { allowed, from, retries } = window;
         format!(
             "{:.2} {retries} of {allowed:.0} in the window from {from:.1?} on; {}, {trouble:?}, \
-             seed {seed}, {rate:.0} a second, {refused} in ten refused",
+             seed {seed}, {rate:.0} a second, {failures:?} in ten",
             window.share(),
             deployment.name,
         )
--- a/tests/suite/process/budget/run.rs
+++ b/tests/suite/process/budget/run.rs
@@ -1,10 +1,12 @@
 //! Plays a plan with real processes.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -13,6 +15,7 @@
 
 use super::callers::CALLERS;
 use super::callers::Callers;
+use super::payments;
 use super::plan::Deployment;
 use super::plan::Plan;
 use super::plan::Trouble;
@@ -25,9 +28,16 @@
 use crate::process::site::ORDERS;
 use crate::process::site::Site;
 
-const CONFIGURATION: &str = r#"{"version":"1","services":[{"name":"hull"}],"hosts":[{"host":"yard.example",
-    "paths":[{"name":"look","pathPrefix":"/","routeType":"safe","service":"hull","timeoutS":2,"maxAttempts":4}]}]}"#;
+const CONFIGURATION: &str = r#"{"version":"1","services":[{"name":"hull"},{"name":"certificate"}],"hosts":[{"host":"yard.example","paths":[
+    {"name":"look","pathPrefix":"/","routeType":"safe","service":"hull","timeoutS":2,"maxAttempts":4},
+    {"name":"sign","pathPrefix":"/sign/","routeType":"unsafe","service":"hull","timeoutS":2,"maxAttempts":4},
+    {"name":"certify","pathPrefix":"/certificate/","routeType":"safe","service":"certificate","timeoutS":2,"maxAttempts":4},
+    {"name":"file","pathPrefix":"/file/","routeType":"upload","timeoutS":2,"maxAttempts":4,
+     "trafficSplit":[{"service":"hull","weight":80},{"service":"certificate","weight":20}]}]}]}"#;
+const SERVICES: [&str; 2] = ["hull", "certificate"];
+/// Upstreams of the first service, and those of both.
 const UPSTREAMS: usize = 6;
+const ALL_UPSTREAMS: usize = 8;
 /// Interval at which upstreams announce themselves.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Time in which what was paid for arrives.
@@ -44,12 +54,13 @@
     upstreams: Vec<Upstream>,
 }
 
-/// Plays a plan; returns the window that came nearest to the budget.
+/// Plays a plan; returns the window of a service that came nearest to the budget.
 pub(super) fn play(plan: &Plan) -> Window {
     let Deployment { layout, slots, .. } = plan.deployment;
     let mut site = Site::new(layout);
     (0..CONTROLS).for_each(|at| site.run(at, true));
-    let upstreams: Vec<Upstream> = (0..UPSTREAMS).map(|_| Upstream::start(plan.refused)).collect();
+    let start = |at: usize| Upstream::start(&format!("i-{at}"), plan.failures);
+    let upstreams: Vec<Upstream> = (0..ALL_UPSTREAMS).map(start).collect();
     let is_silent: Vec<Arc<AtomicBool>> = upstreams.iter().map(|_| Arc::default()).collect();
     let proxies = upstreams.iter().zip(&is_silent);
     let addresses: Vec<String> =
@@ -58,7 +69,7 @@
     let directories = (0..CONTROLS + layout.entries).map(orders).collect();
     let domains = (0..layout.domains).map(|at| site.domain(at)).collect();
     let controls: Vec<String> = (0..CONTROLS).map(orders).collect();
-    let callers = Callers::new(directories, domains);
+    let callers = Callers::new(directories, domains, plan.is_mixed());
     let configure = |site: &Site| (0..CONTROLS).any(|at| site.submit_document(at, CONFIGURATION));
     if plan.configured_after.is_zero() {
         wait_for("a configuration", || configure(&site));
@@ -68,7 +79,9 @@
     let mut stage = Stage { entries, is_silent, random, site, upstreams };
     let pace = Duration::from_secs_f64(CALLERS as f64 / plan.rate);
     thread::scope(|scope| {
-        scope.spawn(|| announce(&controls, &addresses, slots, &callers.is_over));
+        let announced = stage.upstreams.clone();
+        let is_over = &callers.is_over;
+        scope.spawn(move || announce(&controls, &announced, &addresses, slots, is_over));
         scope.spawn(|| callers.refresh());
         for caller in 0..CALLERS as u64 {
             let callers = &callers;
@@ -86,23 +99,42 @@
         callers.is_over.store(true, Ordering::Release);
     });
     thread::sleep(ARRIVAL);
-    let arrivals = stage.upstreams.iter().flat_map(|it| it.arrivals.lock().unwrap().clone());
+    let sent = callers.sent.into_inner().unwrap();
+    let (hull, certificate) = stage.upstreams.split_at(UPSTREAMS);
+    payments::check(&stage.site, &arrivals(&stage.upstreams));
+    let windows = [hull, certificate].into_iter().enumerate().map(|(service, upstreams)| {
+        let sent = sent.iter().filter(|(_, kind)| kind.leads_to(service));
+        let sent: Vec<_> = sent.map(|(at, _)| *at).collect();
+        plan.deployment.budget.worst(&sent, &judge::retries(&arrivals(upstreams)))
+    });
+    windows.max_by(|one, other| one.share().total_cmp(&other.share())).unwrap()
+}
+
+/// Arrivals at upstreams, in order of time.
+fn arrivals(upstreams: &[Upstream]) -> Vec<(Instant, String)> {
+    let arrivals = upstreams.iter().flat_map(|it| it.arrivals.lock().unwrap().clone());
     let mut arrivals: Vec<_> = arrivals.collect();
     arrivals.sort();
-    let sent = callers.sent.into_inner().unwrap();
-    plan.deployment.budget.worst(&sent, &judge::retries(&arrivals))
+    arrivals
 }
 
 /// Announces all upstreams again and again.
-fn announce(controls: &[String], addresses: &[String], slots: u32, is_over: &AtomicBool) {
+fn announce(
+    controls: &[String],
+    upstreams: &[Upstream],
+    addresses: &[String],
+    slots: u32,
+    is_over: &AtomicBool,
+) {
     let mut sequence = 0;
     while !is_over.load(Ordering::Acquire) {
         sequence += 1;
-        for (at, address) in addresses.iter().enumerate() {
+        for (at, (upstream, address)) in upstreams.iter().zip(addresses).enumerate() {
+            let service = SERVICES[usize::from(at >= UPSTREAMS)];
             let body = format!(
-                r#"{{"address":"{address}","sequence":{sequence},"service":"hull","slots":{slots},"state":"ready","zone":"north"}}"#
+                r#"{{"address":"{address}","sequence":{sequence},"service":"{service}","slots":{slots},"state":"ready","zone":"north"}}"#
             );
-            let line = format!("PUT /hemlockfield/instances/i-{at}");
+            let line = format!("PUT /hemlockfield/instances/{}", upstream.id.lock().unwrap());
             controls.iter().any(|control| crate::stand_in::ask(control, &line, "", &body).0 == 200);
         }
         thread::sleep(HEARTBEAT);
@@ -127,6 +159,11 @@
             Trouble::SilentPaths => self.silence(),
             Trouble::ControlsGone => self.remove_controls(),
             Trouble::FullMachine => self.fill_machine(),
+            Trouble::Rolled => self.roll(),
+            Trouble::Reloaded => self.reload(),
+            Trouble::Reborn => self.bear_again(),
+            Trouble::StoppedInTurn => self.stop_in_turn(),
+            Trouble::StoppedAmidKills => self.stop_amid_kills(),
             Trouble::Mixed => (),
         }
         let settle = self.draw(4_000, 11_000);
@@ -179,6 +216,61 @@
         thread::sleep(pause);
     }
 
+    /// Tells each entry to leave, and starts it again when it has.
+    fn roll(&mut self) {
+        for at in self.entries.clone() {
+            self.site.signal(at, "TERM");
+            let child = self.site.children[at].as_mut().unwrap();
+            wait_for("an entry to end", || child.try_wait().unwrap().is_some());
+            self.site.run(at, true);
+        }
+    }
+
+    fn reload(&mut self) {
+        for _ in 0..self.random.random_range(5..15) {
+            (0..CONTROLS + self.entries.len()).for_each(|at| self.site.signal(at, "HUP"));
+            let pause = self.draw(200, 1_500);
+            thread::sleep(pause);
+        }
+    }
+
+    /// Gives each upstream another id at its address.
+    fn bear_again(&mut self) {
+        for round in 0..2 {
+            for at in 0..ALL_UPSTREAMS {
+                *self.upstreams[at].id.lock().unwrap() = format!("i-{at}-{round}");
+                let pause = self.draw(100, 1_500);
+                thread::sleep(pause);
+            }
+        }
+    }
+
+    fn set_stopped(&self, upstreams: Range<usize>, is_stopped: bool) {
+        let each = self.upstreams[upstreams].iter();
+        each.for_each(|it| it.is_stopped.store(is_stopped, Ordering::Release));
+    }
+
+    fn stop_in_turn(&mut self) {
+        for at in 0..UPSTREAMS - 1 {
+            self.set_stopped(at..at + 1, true);
+            let span = self.draw(4_000, 11_000);
+            thread::sleep(span);
+        }
+        self.set_stopped(0..UPSTREAMS, false);
+        thread::sleep(Duration::from_secs(1));
+    }
+
+    fn stop_amid_kills(&mut self) {
+        let count = self.random.random_range(2..UPSTREAMS);
+        self.set_stopped(0..count, true);
+        let span = self.draw(2_000, 8_000);
+        thread::sleep(span);
+        self.kill_in_turn(true);
+        thread::sleep(span);
+        self.set_stopped(0..count, false);
+        thread::sleep(Duration::from_secs(1));
+    }
+
     fn stop_upstreams(&mut self) {
         for _ in 0..2 {
             let count = self.random.random_range(1..=UPSTREAMS);
