--- a/tests/suite/retry/late.rs
+++ b/tests/suite/retry/late.rs
@@ -23,8 +23,9 @@
 use super::fleet::ms;
 
 const MAX_TRIES: u32 = 4;
-const OUTAGE: std::ops::Range<Duration> = Duration::from_secs(20)..Duration::from_secs(40);
-const END: Duration = Duration::from_secs(45);
+const OUTAGE_START: Duration = Duration::from_secs(20);
+/// Time for which requests go on after an outage.
+const CALM: Duration = Duration::from_secs(5);
 /// How long an entry waits for a sign of an upstream.
 const PATIENCE: Duration = Duration::from_millis(500);
 
@@ -32,6 +33,7 @@
 struct Plan {
     entries: usize,
     late: Duration,
+    outage: Duration,
     rate: f64,
     seed: u64,
     share: f64,
@@ -101,14 +103,14 @@
 
     fn receive(&mut self) {
         let gap = Duration::from_secs_f64(1.0 / self.plan.rate);
-        if self.now + gap < END {
+        if self.now + gap < OUTAGE_START + self.plan.outage + CALM {
             self.at(self.now + gap, Event::Receive);
         }
         let entry = self.random.random_range(0..self.plan.entries);
         self.record.firsts.push(self.now);
         self.policies[entry].advance(self.now);
         self.policies[entry].record_first(Duration::ZERO);
-        if OUTAGE.contains(&self.now) {
+        if (OUTAGE_START..OUTAGE_START + self.plan.outage).contains(&self.now) {
             self.requests.push(Request { arrivals: 0, copies: Copies::default(), entry, tries: 0 });
             self.send(self.requests.len() - 1);
         }
@@ -116,7 +118,7 @@
 
     fn send(&mut self, request: usize) {
         self.requests[request].tries += 1;
-        let heals_at = OUTAGE.start + self.plan.late;
+        let heals_at = OUTAGE_START + self.plan.late;
         if self.now < heals_at && self.random.random_bool(self.plan.share) {
             self.at(heals_at, Event::Arrive(request));
             self.at(self.now + PATIENCE, Event::End(request, true));
@@ -170,12 +172,22 @@
 // Copies are held up on a path and arrive when it heals, next to what was sent since.
 #[rstest]
 fn budget_delivered_late(#[values(0, 2, 5, 8)] seconds: u64) {
-    let late = Duration::from_secs(seconds);
+    assert_held(Duration::from_secs(seconds), Duration::from_secs(20));
+}
+
+// An upstream that stands still for longer than a window reads all at once what was sent to it meanwhile.
+#[rstest]
+fn budget_delivered_after_window(#[values(12, 16, 25, 40)] seconds: u64) {
+    assert_held(Duration::from_secs(seconds), Duration::from_secs(60));
+}
+
+fn assert_held(late: Duration, outage: Duration) {
     let mut nearest = (0.0, String::new());
     let plans = SHARES.iter().flat_map(|share| SIZES.map(|size| (*share, size)));
     for (share, (entries, rate)) in plans {
         for seed in 0..SEEDS {
-            let (worst, from) = World::run(Plan { entries, late, rate, seed, share }).worst();
+            let (worst, from) =
+                World::run(Plan { entries, late, outage, rate, seed, share }).worst();
             if worst > nearest.0 {
                 let what = format!("{share} late, {entries} entries, seed {seed}, from {from:?}");
                 nearest = (worst, what);
@@ -235,6 +247,7 @@
         let plan = Plan {
             entries: random.random_range(2..60),
             late: ms(random.random_range(0..9_000)),
+            outage: Duration::from_secs(20),
             rate: random.random_range(20.0..400.0),
             seed,
             share: random.random_range(0.05..=1.0),
