Keep payments for copies open while an upstream that may hold them stands still

A service got more repeats than allowed where upstreams stood still for longer than a window: they read at once what was sent to them meanwhile, next to what was sent since.

Cause: a payment for a copy without a sign was closed after 0.9 of a window, as if the copy could not arrive later. It can: the system delivers it to the process when that goes on, also from a connection that was reset. Class: a lifetime by the clock for a fact that an event decides.

A request's copies are now known by their upstreams. A payment stays open until each upstream that gave no sign of its copy has answered a later request, at most six windows. While it is open it is paid again before anything else is paid, so that all that may arrive at once is covered by the last window. A caller that leaves settles now what has arrived, too.

retry::late::budget_delivered_after_window: red before, green now.

--- a/src/replay/input.rs
+++ b/src/replay/input.rs
@@ -4,7 +4,9 @@
 use serde::Serialize;
 
 use crate::admission;
+use crate::clock::Moment;
 use crate::health;
+use crate::id::UpstreamId;
 use crate::retry::Attempt;
 use crate::retry::Limits;
 use crate::retry::payment;
@@ -40,6 +42,13 @@
         /// Whether the hedge responded first.
         won: bool,
     },
+    /// Copies were given up that upstreams may hold.
+    Hold {
+        /// Payment for them.
+        payment: payment::Number,
+        /// The upstreams.
+        silent: Vec<UpstreamId>,
+    },
     /// The limits changed.
     Limit(Limits),
     /// A complete response was received.
@@ -52,6 +61,13 @@
         /// Payment for it.
         payment: payment::Number,
     },
+    /// An upstream that may hold copies answered.
+    Sign {
+        /// When the request was sent that it answered.
+        sent_at: Moment,
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// The first attempt of a request that was received `waited` ago was sent.
     Waited {
         /// Time since the request was received.
--- a/src/replay/instance.rs
+++ b/src/replay/instance.rs
@@ -65,7 +65,9 @@
         Retry::Hedged { won } => policy.record_hedge(won),
         Retry::Limit(limits) => policy.set_limits(limits),
         Retry::Note { time } => policy.record_latency(time),
+        Retry::Hold { payment, silent } => policy.hold(payment, silent),
         Retry::Settle { payment } => policy.settle(payment),
+        Retry::Sign { sent_at, upstream } => policy.record_sign(&upstream, sent_at),
         Retry::Waited { waited } => policy.record_first(waited),
         Retry::Withdraw => policy.withdraw_first(),
     }
--- a/src/replay/policy.rs
+++ b/src/replay/policy.rs
@@ -9,8 +9,10 @@
 use super::Retry;
 use crate::clock::Advancing;
 use crate::clock::Moment;
+use crate::id::UpstreamId;
 use crate::retry;
 use crate::retry::Attempt;
+use crate::retry::Copies;
 use crate::retry::Decision;
 use crate::retry::Usage;
 use crate::retry::payment;
@@ -79,6 +81,26 @@
         self.policy.settle(payment);
     }
 
+    /// Settles the payments for copies of a request that can't arrive any more, and holds the others.
+    pub fn close(&mut self, copies: &Copies) {
+        copies.settled().iter().for_each(|payment| self.settle(*payment));
+        copies.open().for_each(|(payment, silent)| self.hold(payment, silent));
+    }
+
+    /// Records the input and calls [`retry::Policy::hold`].
+    pub fn hold(&mut self, payment: payment::Number, silent: Vec<UpstreamId>) {
+        self.record(|| Retry::Hold { payment, silent: silent.clone() });
+        self.policy.hold(payment, silent);
+    }
+
+    /// Records the input and calls [`retry::Policy::record_sign`], if that changes anything.
+    pub fn record_sign(&mut self, upstream: &UpstreamId, sent_at: Moment) {
+        if self.policy.is_held_by(upstream) {
+            self.record(|| Retry::Sign { sent_at, upstream: upstream.clone() });
+            self.policy.record_sign(upstream, sent_at);
+        }
+    }
+
     /// Calls [`retry::Policy::hedge_after`].
     pub fn hedge_after(&self) -> Option<Duration> {
         self.policy.hedge_after()
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -4,6 +4,7 @@
 use super::Window;
 use super::payment;
 use crate::clock::Moment;
+use crate::id::UpstreamId;
 
 /// Tokens that a first attempt adds, and maximum number of saved tokens. Over any 40 requests of an
 /// entry, about a second at 45 per second, there are thus at most 1 + 0.05 + 2/40 = 1.1 attempts
@@ -106,6 +107,25 @@
         }
     }
 
+    /// Keeps a payment open, as these upstreams may hold copies that were given up.
+    pub fn hold(&mut self, number: payment::Number, silent: Vec<UpstreamId>) {
+        if let Self::Window(window) = self {
+            window.hold(number, silent);
+        }
+    }
+
+    /// Records that an upstream answered a request that was sent at `sent_at`.
+    pub fn record_sign(&mut self, upstream: &UpstreamId, sent_at: Moment) {
+        if let Self::Window(window) = self {
+            window.record_sign(upstream, sent_at);
+        }
+    }
+
+    /// Whether payments stay open as an upstream may hold copies that were given up.
+    pub fn is_held_by(&self, upstream: &UpstreamId) -> bool {
+        matches!(self, Self::Window(window) if window.is_held_by(upstream))
+    }
+
     /// Settles a payment of which no copy can arrive any more.
     pub fn settle(&mut self, number: payment::Number) {
         if let Self::Window(window) = self {
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -13,6 +13,7 @@
 use super::Usage;
 use super::payment;
 use crate::clock::Moment;
+use crate::id::UpstreamId;
 
 /// Longest backoff before the second attempt; doubles with each further one. Long compared to the 1
 /// ms of a new connection, short compared to any deadline.
@@ -136,6 +137,22 @@
         self.budget.settle(number);
     }
 
+    /// Keeps a payment open until these upstreams have been seen to run again: they may hold copies that
+    /// were given up.
+    pub fn hold(&mut self, number: payment::Number, silent: Vec<UpstreamId>) {
+        self.budget.hold(number, silent);
+    }
+
+    /// Records that an upstream answered a request that was sent at `sent_at`.
+    pub fn record_sign(&mut self, upstream: &UpstreamId, sent_at: Moment) {
+        self.budget.record_sign(upstream, sent_at);
+    }
+
+    /// Whether payments stay open as an upstream may hold copies that were given up.
+    pub fn is_held_by(&self, upstream: &UpstreamId) -> bool {
+        self.budget.is_held_by(upstream)
+    }
+
     /// Records whether the hedge responded first.
     pub fn record_hedge(&mut self, won: bool) {
         self.hedge.record(won);
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -5,6 +5,7 @@
 use super::payment;
 use super::payment::Payment;
 use crate::clock::Moment;
+use crate::id::UpstreamId;
 
 /// Number of buckets in a window.
 const BUCKETS: u32 = 20;
@@ -16,6 +17,8 @@
 const LIFETIME_PART: f64 = 0.9;
 /// How long a copy that gave no sign of arriving may be on its way, as a part of the window.
 const DELIVERY_PART: f64 = 0.9;
+/// Longest standstill of an upstream after which it may read what it was sent before, in windows.
+const STANDSTILL_WINDOWS: u32 = 6;
 
 /// Largest error of a sum of earned parts.
 const ROUNDING: f64 = 1e-6;
@@ -46,7 +49,9 @@
 ///
 /// A retry counts when it arrives, which may be long after it was sent. So a payment stays open until
 /// its copies have arrived or can't arrive any more: what it took of the burst stays spent, and what
-/// it took of the earned is paid again once a window has passed since that was earned.
+/// it took of the earned is paid again once a window has passed since that was earned. An upstream that
+/// stands still reads what it was sent when it goes on, also from connections that were closed since:
+/// payments for copies that it holds stay open until it has answered a later request.
 #[derive(Clone, Debug)]
 pub struct Window {
     /// Retries paid for with the burst that were not reported yet.
@@ -99,8 +104,14 @@
             self.burst_spent.pop_front();
         }
         let delivery = self.window_length().mul_f64(DELIVERY_PART);
-        while self.open.front().is_some_and(|payment| now >= payment.at + delivery) {
-            self.open.pop_front().into_iter().for_each(|payment| self.close(&payment));
+        let standstill = self.window_length() * STANDSTILL_WINDOWS;
+        let is_over = |payment: &Payment| {
+            let longest = if payment.is_held() { standstill } else { delivery };
+            now >= payment.at + longest
+        };
+        while let Some(position) = self.open.iter().position(is_over) {
+            let payment = self.open.remove(position);
+            payment.into_iter().for_each(|payment| self.close(&payment));
         }
         self.renew();
     }
@@ -111,8 +122,10 @@
         let kept = (earned - self.owed).max(0.0);
         self.owed -= earned - kept;
         if waited < self.lifetime() {
+            let at = self.now.saturating_sub(waited);
+            let kept = self.renew_held(at, kept);
             let bucket_length = self.bucket_length();
-            add(&mut self.earned, self.now.saturating_sub(waited), bucket_length, kept);
+            add(&mut self.earned, at, bucket_length, kept);
         }
     }
 
@@ -140,6 +153,27 @@
         payment.into_iter().for_each(|payment| self.close(&payment));
     }
 
+    /// Keeps a payment open, as these upstreams may hold copies that were given up.
+    pub fn hold(&mut self, number: payment::Number, silent: Vec<UpstreamId>) {
+        let found = self.open.binary_search_by_key(&number, |payment| payment.number);
+        if let Some(payment) = found.ok().and_then(|position| self.open.get_mut(position)) {
+            payment.given_up_at = self.now;
+            payment.silent = silent;
+        }
+    }
+
+    /// Records that an upstream answered a request that was sent at `sent_at`: it has read what it was
+    /// sent before.
+    pub fn record_sign(&mut self, upstream: &UpstreamId, sent_at: Moment) {
+        let earlier = self.open.iter_mut().filter(|payment| payment.given_up_at < sent_at);
+        earlier.for_each(|payment| payment.silent.retain(|silent| silent != upstream));
+    }
+
+    /// Whether payments stay open as an upstream may hold copies that were given up.
+    pub fn is_held_by(&self, upstream: &UpstreamId) -> bool {
+        self.open.iter().any(|payment| payment.silent.contains(upstream))
+    }
+
     /// Number of retries that the budget still allows.
     pub fn remaining(&self) -> f64 {
         let open: f64 = self.open.iter().map(|payment| payment.burst).sum();
@@ -160,23 +194,44 @@
         self.burst_paid += burst;
         self.payments += 1;
         let earned_at = oldest.unwrap_or(self.now);
-        let payment =
-            Payment { at: self.now, burst, earned: amount, earned_at, number: self.payments };
-        self.open.push_back(payment);
+        self.open.push_back(Payment {
+            at: self.now,
+            burst,
+            earned: amount,
+            earned_at,
+            number: self.payments,
+            silent: Vec::new(),
+            given_up_at: self.now,
+            renewal: (0.0, self.now),
+        });
         Some(self.payments)
     }
 
     fn close(&mut self, payment: &Payment) {
+        if self.now >= payment.earned_at + self.window_length() {
+            self.owed += payment.earned - payment.renewal.0;
+        }
         if payment.burst > 0.0 {
             let bucket_length = self.bucket_length();
             add(&mut self.burst_spent, self.now, bucket_length, payment.burst);
         }
     }
 
+    /// Pays again for payments whose copies upstreams may hold, before anything else is paid with what
+    /// was earned at `at`: they may all arrive at once. Returns what is left of `earned`.
+    fn renew_held(&mut self, at: Moment, earned: f64) -> f64 {
+        let (now, half) = (self.now, self.window_length() / 2);
+        let is_due = |payment: &&mut Payment| {
+            payment.is_held() && payment.earned > 0.0 && now >= payment.earned_at + half
+        };
+        let due = self.open.iter_mut().filter(is_due);
+        due.fold(earned, |left, payment| payment.renew(left, at))
+    }
+
     /// Pays again for open payments with what was earned too long ago. What is missing is owed.
     fn renew(&mut self) {
         let (now, window) = (self.now, self.window_length());
-        for payment in &mut self.open {
+        for payment in self.open.iter_mut().filter(|payment| !payment.is_held()) {
             if payment.earned <= 0.0 || now < payment.earned_at + window {
                 continue;
             }
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -42,6 +42,11 @@
         if let Ok(answer) = &round_trip.result {
             reservation.note(proxy.boundary.backpressure(&answer.response));
         }
+        if round_trip.has_sign() {
+            let now = proxy.now();
+            let sent_at = now.saturating_sub(round_trip.latency);
+            target.service.policy(now).record_sign(&target.check.upstream, sent_at);
+        }
         Self { round_trip, is_misdirected: false, reservation }
     }
 
--- a/src/traffic/attempts.rs
+++ b/src/traffic/attempts.rs
@@ -42,7 +42,7 @@
 }
 
 /// Attempts a job at upstreams until one answers or the retry policy stops, and settles the payments
-/// for copies that can't arrive any more. A caller that leaves settles none: its copies were in flight.
+/// for copies that can't arrive any more.
 pub(super) async fn run_attempts<'a>(
     proxy: &'a Proxy,
     service: &'a Service,
@@ -54,9 +54,8 @@
     let mut copies = retry::Copies::default();
     let resolution = attempt_all(proxy, service, upstreams, view, job, writer, &mut copies).await;
     job.paid = copies.paid();
-    if !matches!(resolution, Resolution::CallerGone { .. }) {
-        let mut policy = service.policy(proxy.now());
-        copies.settled().iter().for_each(|payment| policy.settle(*payment));
+    if job.paid > 0 {
+        service.policy(proxy.now()).close(&copies);
     }
     resolution
 }
@@ -116,8 +115,8 @@
         let outcome = attempt.outcome(proxy.boundary.as_ref(), rule_service);
         job.record_step(&attempt.upstream(), outcome, attempt.latency());
         sends += u32::from(attempt.is_sent());
-        if attempt.is_abandoned() {
-            copies.abandon();
+        if !attempt.is_abandoned() {
+            copies.arrive(&attempt.upstream());
         }
         poison::note_failure(proxy, job, &attempt);
         let Some(outcome) = outcome else {
--- a/src/traffic/hedge.rs
+++ b/src/traffic/hedge.rs
@@ -41,6 +41,7 @@
     let after = if may_hedge { service.policy(proxy.now()).hedge_after() } else { None };
     let request = job.request(now, proxy.boundary.as_ref(), &reservation.upstream);
     let primary = reservation.upstream.clone();
+    copies.send(primary.clone());
     let (idempotent, left) = (job.is_idempotent(), job.left(now));
     let payloads = after.and_then(|_| Some((job.payload.duplicate()?, job.payload.duplicate()?)));
     let (Some(after), Some((mut payload, mut second_payload))) = (after, payloads) else {
@@ -74,6 +75,7 @@
     };
     let request = job.request(now, proxy.boundary.as_ref(), &reservation.upstream);
     *sends += 1;
+    copies.send(reservation.upstream.clone());
     proxy.metrics.count("retry.hedge");
     let second = Attempt::run(proxy, request, &mut second_payload, reservation, true, left).fuse();
     pin_mut!(second);
@@ -88,11 +90,10 @@
         report_late_primary(proxy, job, primary, proxy.now().saturating_sub(started));
     }
     if attempt.is_success(proxy.boundary.as_ref()) {
-        copies.abandon();
         return attempt;
     }
-    if attempt.is_abandoned() {
-        copies.abandon();
+    if !attempt.is_abandoned() {
+        copies.arrive(&attempt.upstream());
     }
     poison::note_failure(proxy, job, &attempt);
     if hedge_won { first.await } else { second.await }
--- a/src/traffic/round_trip.rs
+++ b/src/traffic/round_trip.rs
@@ -48,6 +48,14 @@
         let result = timeout(left, sending).await.unwrap_or(Err(Failure::Expired(left)));
         Self { result, latency: started.elapsed() }
     }
+
+    /// Whether the upstream has run since the request was sent: it answered, or closed the connection.
+    pub(super) fn has_sign(&self) -> bool {
+        matches!(
+            self.result,
+            Ok(_) | Err(Failure::Closed { .. } | Failure::Cut(_) | Failure::Malformed(_))
+        )
+    }
 }
 
 /// The body leaves the payload only for an open connection: one that could not be opened costs
--- a/tests/suite/fleet_model/world.rs
+++ b/tests/suite/fleet_model/world.rs
@@ -645,6 +645,7 @@
             running.policy(now, &service).record_first(now - request.sent_at);
         }
         self.requests[number].tries += 1;
+        self.requests[number].copies.send(pick.upstream.clone());
         let upstream = upstream_number(&pick.upstream);
         let entry = request.entry;
         self.attempts.push(Attempt {
@@ -779,8 +780,12 @@
         let Check { service, upstream: name } = check;
         self.observe(entry, Observation { is_trial, kind, latency, service, upstream: name });
         self.requests[request].avoid.push(upstream);
-        if kind == Kind::Silent {
-            self.requests[request].copies.abandon();
+        if kind != Kind::Silent {
+            self.requests[request].copies.arrive(&upstream_name(upstream));
+        }
+        if !matches!(kind, Kind::Silent | Kind::ConnectFailed) {
+            let Some(running) = &mut self.processes[entry] else { return };
+            running.policy(now, &policy_service).record_sign(&upstream_name(upstream), started);
         }
         let outcome = match kind {
             Kind::Success => {
@@ -836,6 +841,8 @@
         let policy = running.policy(now, service);
         let settled = self.requests[request].copies.settled();
         settled.iter().for_each(|payment| policy.settle(*payment));
+        let open = self.requests[request].copies.open();
+        open.for_each(|(payment, silent)| policy.hold(payment, silent));
     }
 
     fn check(&self, upstream: usize) -> Check {
--- a/tests/suite/retry/late.rs
+++ b/tests/suite/retry/late.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hemlockfield::clock::Moment;
+use hemlockfield::id::UpstreamId;
 use hemlockfield::retry::Attempt;
 use hemlockfield::retry::Copies;
 use hemlockfield::retry::Decision;
@@ -44,6 +45,8 @@
     arrivals: u32,
     copies: Copies,
     entry: usize,
+    /// When the last copy was sent, and to which upstream.
+    sent: (Moment, UpstreamId),
     tries: u32,
 }
 
@@ -111,15 +114,26 @@
         self.policies[entry].advance(self.now);
         self.policies[entry].record_first(Duration::ZERO);
         if (OUTAGE_START..OUTAGE_START + self.plan.outage).contains(&self.now) {
-            self.requests.push(Request { arrivals: 0, copies: Copies::default(), entry, tries: 0 });
+            self.requests.push(Request {
+                arrivals: 0,
+                copies: Copies::default(),
+                entry,
+                sent: (self.now, UpstreamId::default()),
+                tries: 0,
+            });
             self.send(self.requests.len() - 1);
         }
     }
 
     fn send(&mut self, request: usize) {
-        self.requests[request].tries += 1;
+        let is_late = self.random.random_bool(self.plan.share);
+        let Request { copies, sent, tries, .. } = &mut self.requests[request];
+        let upstream = UpstreamId::new(if is_late { "late" } else { "live" });
+        copies.send(upstream.clone());
+        *sent = (self.now, upstream);
+        *tries += 1;
         let heals_at = OUTAGE_START + self.plan.late;
-        if self.now < heals_at && self.random.random_bool(self.plan.share) {
+        if self.now < heals_at && is_late {
             self.at(heals_at, Event::Arrive(request));
             self.at(self.now + PATIENCE, Event::End(request, true));
         } else {
@@ -129,11 +143,9 @@
     }
 
     fn end(&mut self, request: usize, is_silent: bool) {
-        let Request { copies, entry, tries, .. } = &mut self.requests[request];
+        let Request { copies, entry, sent: (sent_at, upstream), tries, .. } =
+            &mut self.requests[request];
         let (entry, tries) = (*entry, *tries);
-        if is_silent {
-            copies.abandon();
-        }
         let failed = Attempt {
             body_kept: true,
             head_sent: false,
@@ -147,6 +159,10 @@
         };
         let policy = &mut self.policies[entry];
         policy.advance(self.now);
+        if !is_silent {
+            copies.arrive(upstream);
+            policy.record_sign(upstream, *sent_at);
+        }
         let is_again =
             tries < MAX_TRIES && matches!(policy.decide(&failed), Decision::Again { .. });
         policy.take_payment().into_iter().for_each(|payment| copies.add_payment(payment));
@@ -154,6 +170,7 @@
             self.send(request);
         } else {
             copies.settled().iter().for_each(|payment| policy.settle(*payment));
+            copies.open().for_each(|(payment, silent)| policy.hold(payment, silent));
         }
     }
 }
