Answer a request that was passed on by its deadline, whatever the other entry does

Callers of uploads that one entry passes on to another that stands still had no answer at the route's timeout, nor half a second later: the limit on the first byte of the answer begins when the body has been written, which a peer that does not read prevents. Whoever holds the caller's connection owns the deadline: it is around the whole of passing on now, as around sending to an upstream, and an entry that failed so is avoided for a second.

--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use futures::FutureExt;
 use futures::pin_mut;
 use futures::select;
@@ -107,11 +108,12 @@
         let Some(peer) = proxy.reach.choose_peer(now, &job.service, view) else { break };
         let asked = {
             let is_stream = job.payload.is_stream();
-            let ask = ask(proxy, job, &peer).fuse();
+            let left = job.left(now);
+            let ask = timeout(left, ask(proxy, job, &peer)).fuse();
             let gone = caller_gone(is_stream, writer).fuse();
             pin_mut!(ask, gone);
             select! {
-                asked = ask => asked,
+                asked = ask => asked.unwrap_or(Err(Failure::Expired(left))),
                 () = gone => Err(Failure::CallerGone),
             }
         };
@@ -136,6 +138,7 @@
             Err(Failure::CallerGone) => job.log(proxy, view, "caller is gone", 0),
             Err(failure) => {
                 proxy.metrics.count("forward.failed");
+                proxy.reach.avoid_peer(proxy.now(), &peer, &job.service);
                 send_local_reply(proxy, job, writer, &refusal_for(job, &failure)).await;
             }
         }
