Look once more at an upstream before a request is handed on

Uploads whose bodies took seconds were sent to an upstream that had left meanwhile, and lost: the view was read before the body, and the same one served the retries. The upstreams are read now when an attempt begins, and where the first byte is sent the last check asks whether the upstream is still there, at the address that was meant, takes requests, and whether this process can finish the request.

--- a/src/exchange/failure.rs
+++ b/src/exchange/failure.rs
@@ -36,8 +36,8 @@
     /// The body was already streamed to an upstream; nothing was sent.
     #[error("the body can't be sent again")]
     Spent,
-    /// The upstream asked for no requests before this one was sent; nothing was sent.
-    #[error("the upstream rests or leaves")]
+    /// The upstream asked for no requests before this one was sent, or is gone; nothing was sent.
+    #[error("the upstream rests, leaves or is gone")]
     Withheld,
     /// The caller's upload was incomplete or exceeded its limit; the upstream is not at fault.
     #[error("upload failed: `{0}`")]
--- a/src/traffic/attempts.rs
+++ b/src/traffic/attempts.rs
@@ -10,10 +10,8 @@
 use crate::balance::Request;
 use crate::exchange::Answer;
 use crate::exchange::ResponseWriter;
-use crate::node::View;
 use crate::retry;
 use crate::retry::Decision;
-use crate::routing;
 
 use super::Proxy;
 use super::attempt::Attempt;
@@ -46,13 +44,11 @@
 pub(super) async fn run_attempts<'a>(
     proxy: &'a Proxy,
     service: &'a Service,
-    upstreams: &routing::Service,
-    view: &View,
     job: &mut Job,
     writer: &ResponseWriter,
 ) -> Resolution<'a> {
     let mut copies = retry::Copies::default();
-    let resolution = attempt_all(proxy, service, upstreams, view, job, writer, &mut copies).await;
+    let resolution = attempt_all(proxy, service, job, writer, &mut copies).await;
     job.paid = copies.paid();
     if job.paid > 0 {
         service.policy(proxy.now()).close(&copies);
@@ -63,8 +59,6 @@
 async fn attempt_all<'a>(
     proxy: &'a Proxy,
     service: &'a Service,
-    upstreams: &routing::Service,
-    view: &View,
     job: &mut Job,
     writer: &ResponseWriter,
     copies: &mut retry::Copies,
@@ -77,6 +71,9 @@
     let waited = proxy.now().saturating_sub(job.sent_at);
     service.policy(proxy.now()).record_first(waited);
     loop {
+        let view = proxy.view.load_full();
+        let upstreams = view.services.get(&job.service).cloned().unwrap_or_default();
+        let upstreams = upstreams.as_ref();
         // If every other upstream is busy or already failed, retry one that failed before.
         let is_long = job.terms.long;
         let can_risk = job.is_resendable() && service.policy(proxy.now()).has_spare_retries();
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -126,7 +126,7 @@
         return send_local_reply(proxy, &job, writer, &Refusal::not_run(503, text, after)).await;
     }
     let started = proxy.now();
-    let resolution = run_attempts(proxy, &service, &upstreams, view, &mut job, writer).await;
+    let resolution = run_attempts(proxy, &service, &mut job, writer).await;
     proxy.metrics.time("request.upstream", proxy.now().saturating_sub(started));
     match resolution {
         Resolution::Answer(answered) => {
--- a/src/traffic/round_trip.rs
+++ b/src/traffic/round_trip.rs
@@ -90,7 +90,10 @@
     if !proxy.can_finish(now + left, target.service.usual_latency(now)) {
         return Err(Failure::Leaving);
     }
-    if target.service.is_held(now, &target.check.upstream) {
+    let Check { service, upstream } = &target.check;
+    let view = proxy.view.load();
+    let known = view.services.get(service).and_then(|service| service.addresses.get(upstream));
+    if known != Some(&target.address) || target.service.is_held(now, upstream) {
         return Err(Failure::Withheld);
     }
     Ok(())
--- a/src/traffic/serve.rs
+++ b/src/traffic/serve.rs
@@ -85,7 +85,11 @@
     }
     let view = proxy.view.load_full();
     match accept(proxy, &view, request, payload, peer, received_at).await {
-        Ok(job) => dispatch::dispatch(proxy, &view, Job { sent_at, source, ..job }, writer).await,
+        // Its body may have taken seconds.
+        Ok(job) => {
+            let view = proxy.view.load_full();
+            dispatch::dispatch(proxy, &view, Job { sent_at, source, ..job }, writer).await;
+        }
         Err(refusal) => {
             proxy.metrics.count("request.refused");
             send(proxy.boundary.refuse(&refusal), writer).await;
--- a/tests/suite/process/stop.rs
+++ b/tests/suite/process/stop.rs
@@ -181,3 +181,27 @@
     let ending = running.join().unwrap();
     assert_ne!(ending.status, 0, "{ending:?}");
 }
+
+// Uploads whose bodies arrive while an upstream leaves are sent to it later than it was told to be let go.
+#[test]
+fn leave_of_upstream_amid_uploads() {
+    let (site, upstreams) = start(&[20, 20]);
+    let started_at = Instant::now();
+    let running = (0..CALLERS).map(|at| {
+        let call = Call::new(&front(&site), "POST /file/1", 0x1000 + at).with_body(60_000);
+        let call = call.begun_at(Duration::from_millis(100)).ended_at(Duration::from_secs(4));
+        thread::spawn(move || call.send_at(started_at))
+    });
+    let running: Vec<_> = running.collect();
+    thread::sleep(Duration::from_millis(400));
+    let body = format!(
+        r#"{{"address":"{}","sequence":2,"service":"hull","slots":20,"state":"draining","zone":"north"}}"#,
+        upstreams[0].address
+    );
+    let line = "PUT /hemlockfield/instances/i-0";
+    wait_for("the departure", || site.order(0, line, &body).0 == 200);
+    let endings: Vec<Ending> = running.into_iter().map(|it| it.join().unwrap()).collect();
+    assert!(endings.iter().all(|it| it.is_answered(200)), "{endings:?}");
+    let late = endings.iter().filter(|it| upstreams[0].has(it.id)).count();
+    assert_eq!(late, 0, "uploads at the upstream that left");
+}
--- a/tests/suite/process/stop/caller.rs
+++ b/tests/suite/process/stop/caller.rs
@@ -94,6 +94,7 @@
         wait(self.begun);
         let mut stream = kept.map_or_else(|| TcpStream::connect(&self.address), Ok)?;
         stream.set_read_timeout(Some(DEADLINE))?;
+        stream.set_write_timeout(Some(DEADLINE))?;
         let head = format!(
             "{} HTTP/1.1\r\nhost: yard.example\r\ncontent-length: {}\r\nconnection: close\r\n\
              Hemlockfield-Request-Id: {:x}\r\nHemlockfield-Deadline-Ms: {}\r\n\r\n",
--- a/tests/suite/process/stop/upstream.rs
+++ b/tests/suite/process/stop/upstream.rs
@@ -72,7 +72,8 @@
             return thread::sleep(after);
         }
         thread::sleep(work);
-        let head = format!("content-length: 4\r\nHemlockfield-Request-Id: {id:x}");
+        let head =
+            format!("content-length: 4\r\nconnection: close\r\nHemlockfield-Request-Id: {id:x}");
         let answer =
             format!("HTTP/1.1 200 OK\r\n{head}\r\nHemlockfield-Response-Signature: 1\r\n\r\nhull");
         if stream.write_all(answer.as_bytes()).is_err() {
