--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -4,6 +4,7 @@
 mod claim;
 mod configuration;
 mod cut_answers;
+mod endless;
 mod fatal;
 pub(crate) mod fleet;
 mod founding;
