Bound the memory of all operations that a process receives at once

Many peers that sent announcements or configurations without end took 384 MB of a control or an entry, each within the limit of one (16 MiB); the process would end for want of memory, and the requests of others with it. Class: a limit for each peer and none for all. Bodies of operations share 32 MiB now; who finds it full is refused at once, as not run, and may return after 0.5 s. An announced length above the limit of one is refused before a byte is read, as before.

--- a/src/operator/orders.rs
+++ b/src/operator/orders.rs
@@ -12,12 +12,14 @@
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
 use async_std::task;
+use bytes::Bytes;
 
 use crate::boundary::Operation;
 use crate::boundary::Reply;
 use crate::catalog::Action;
 use crate::directory;
 use crate::exchange::BodyError;
+use crate::exchange::Bounds;
 use crate::exchange::Outcome;
 use crate::exchange::Payload;
 use crate::exchange::Received;
@@ -35,6 +37,9 @@
 
 /// Largest body of an operation, in bytes: many times the planned size of a configuration.
 const BODY_BYTES_MAX: u64 = 16 << 20;
+/// What a client is told while others' operations fill the memory for them, and when it may return.
+const NO_MEMORY: &str = "operations of others fill the memory for them";
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest pause within a request, and longest time for which a connection stays idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest wait for an answer of the control thread; clients give up sooner.
@@ -81,16 +86,16 @@
 
 async fn serve_operation(
     request: Request,
-    payload: Payload,
+    mut payload: Payload,
     writer: &mut ResponseWriter,
     control: &InputSender,
     proxy: &Proxy,
 ) {
-    let body = match payload.read_all(BODY_BYTES_MAX, IDLE_TIMEOUT).await {
-        Ok(body) => body,
-        Err(error) => return refuse(&error, writer, proxy).await,
+    let operation = match receive(&mut payload, proxy).await {
+        Ok(body) => proxy.boundary.parse_operation(&request, &body),
+        Err(refusal) => Err(refusal),
     };
-    let response = match proxy.boundary.parse_operation(&request, &body) {
+    let response = match operation {
         Ok(operation) => proxy.boundary.respond(execute(operation, control, proxy).await),
         Err(refusal) => proxy.boundary.refuse(&refusal),
     };
@@ -99,13 +104,26 @@
     }
 }
 
-async fn refuse(error: &BodyError, writer: &mut ResponseWriter, proxy: &Proxy) {
+/// Receives the body of an operation whole, if there is memory for it beside those of others.
+async fn receive(payload: &mut Payload, proxy: &Proxy) -> Result<Bytes, Refusal> {
+    let bounds = Bounds {
+        buffer: BODY_BYTES_MAX,
+        idle: IDLE_TIMEOUT,
+        memory: &proxy.operation_memory,
+        size: BODY_BYTES_MAX,
+    };
+    let received = match payload.len() {
+        Some(length) if length > BODY_BYTES_MAX => Err(BodyError::Limit(BODY_BYTES_MAX)),
+        _ => payload.receive(bounds).await,
+    };
+    let refusal = match (received, payload.bytes()) {
+        (Ok(()), Some(body)) => return Ok(body.clone()),
+        (Ok(()), None) => Refusal::not_run(503, NO_MEMORY, NO_MEMORY_RETRY_AFTER),
+        (Err(error), _) => Refusal::new(error.status(), Outcome::NotRun, error.to_string()),
+    };
     proxy.metrics.count("body.refused");
-    tracing::info!(target: "hemlockfield::node", "body of an operation refused: {error}");
-    let refusal = Refusal::new(error.status(), Outcome::NotRun, error.to_string());
-    if let Err(error) = writer.send(proxy.boundary.refuse(&refusal)).await {
-        tracing::debug!(target: "hemlockfield::node", "client is gone: {error}");
-    }
+    tracing::info!(target: "hemlockfield::node", "body of an operation refused: {}", refusal.reason);
+    Err(refusal)
 }
 
 async fn execute(operation: Operation, control: &InputSender, proxy: &Proxy) -> Reply {
--- a/src/traffic/proxy.rs
+++ b/src/traffic/proxy.rs
@@ -52,6 +52,9 @@
 /// many times the highest request rate of one entry.
 const MAX_PENDING_OBSERVATIONS: usize = 10_000;
 
+/// Memory for bodies of operations, in bytes: two of the largest configurations at once.
+const MAX_OPERATION_BYTES: u64 = 32 << 20;
+
 /// Interval at which a process that runs records a turn. Queues are polled at least as often.
 const TURN_INTERVAL: Duration = health::Config::TICK;
 
@@ -77,6 +80,8 @@
     arrivals: AtomicU32,
     bytes: AtomicU64,
     pub(super) body_memory: Memory,
+    /// For bodies of operations, so that callers' uploads hold up no operator.
+    pub(crate) operation_memory: Memory,
     pub(crate) connections: AtomicUsize,
     /// Opens connections to upstreams.
     pub(super) connector: Arc<dyn Connector>,
@@ -119,6 +124,7 @@
             rate_limiter: Arc::new(rate_limiter),
             reach: Reach::new(crate::node::incarnation()),
             body_memory: Memory::new(settings.limits.body_memory),
+            operation_memory: Memory::new(MAX_OPERATION_BYTES),
             boundary,
             closed: bounded(1),
             closing: AtomicBool::new(false),
--- a/tests/suite/process/endless.rs
+++ b/tests/suite/process/endless.rs
@@ -56,7 +56,7 @@
         for mut connection in listener.incoming().flatten() {
             thread::spawn(move || {
                 let part = stream.part.repeat(PART / stream.part.len());
-                connection.read(&mut [0; 4_096]).ok();
+                connection.read_exact(&mut [0; 64]).ok();
                 connection.write_all(stream.begin.as_bytes()).ok();
                 while connection.write_all(part.as_bytes()).is_ok() {}
             });
