--- a/tests/suite/platform/configuration.rs
+++ b/tests/suite/platform/configuration.rs
@@ -105,6 +105,8 @@
 #[case::huge_time(&DOCUMENT.replace("\"timeoutS\": 3", "\"timeoutS\": 1e300"))]
 #[case::no_weight(&DOCUMENT.replace("\"weight\": 9", "\"weight\": 0").replace("\"weight\": 1}", "\"weight\": 0}"))]
 #[case::negative_weight(&DOCUMENT.replace("\"weight\": 9", "\"weight\": -9"))]
+#[case::prefix_without_end(&DOCUMENT.replace("/look/", "/look"))]
+#[case::prefix_without_start(&DOCUMENT.replace("/look/", "look/"))]
 #[case::same_location(&DOCUMENT.replace("/look/", "/"))]
 #[case::over_ten_minutes(&DOCUMENT.replace("\"timeoutS\": 3", "\"timeoutS\": 600.1"))]
 #[case::shared_key(&with_teams(r#"{"name": "a", "apiKeys": ["k1", "k2"]}, {"name": "b", "apiKeys": ["k2"]}"#))]
