Read the limits of a kept connection when its next request begins

They were read before the wait for it, so a request could be judged by limits of a configuration that was no longer in force. Not shown by a test: only the order of two reads changes.

--- a/src/traffic/listener.rs
+++ b/src/traffic/listener.rs
@@ -15,6 +15,7 @@
 use crate::exchange::Error;
 use crate::exchange::Received;
 use crate::exchange::RequestReader;
+use crate::rule;
 use crate::runtime;
 
 use super::Proxy;
@@ -73,12 +74,9 @@
 async fn serve_connection(mut reader: RequestReader, proxy: &Arc<Proxy>, source: Source) {
     let limits = &proxy.settings.limits;
     loop {
-        let rule_limits = proxy.view.load().rules.as_ref().map(|rules| rules.limits());
-        let rule_limits = rule_limits.unwrap_or_default();
-        reader.set_max_head_bytes(rule_limits.head.unwrap_or(limits.head as usize));
         let readable = {
-            let readable =
-                timeout(rule_limits.idle.unwrap_or(limits.idle), reader.readable()).fuse();
+            let idle = rule_limits(proxy).idle.unwrap_or(limits.idle);
+            let readable = timeout(idle, reader.readable()).fuse();
             let closing = proxy.closed().fuse();
             pin_mut!(readable, closing);
             select! {
@@ -90,6 +88,9 @@
             return;
         }
         let _in_flight = InFlight::new(proxy);
+        // A configuration may have come in force while the connection was idle.
+        let rule_limits = rule_limits(proxy);
+        reader.set_max_head_bytes(rule_limits.head.unwrap_or(limits.head as usize));
         let head_time = rule_limits.head_time.unwrap_or(limits.head_time);
         let Received { payload, request, mut writer } = match reader.next(head_time).await {
             Ok(Some(received)) => received,
@@ -110,6 +111,11 @@
     }
 }
 
+/// Limits of callers' requests that the configuration in force sets.
+fn rule_limits(proxy: &Proxy) -> rule::Limits {
+    proxy.view.load().rules.as_ref().map(|rules| rules.limits()).unwrap_or_default()
+}
+
 /// Counts a request as in flight until dropped.
 pub(crate) struct InFlight<'a>(&'a Proxy);
 
