--- a/src/operator/orders.rs
+++ b/src/operator/orders.rs
@@ -95,6 +95,10 @@
         Ok(body) => proxy.boundary.parse_operation(&request, &body),
         Err(refusal) => Err(refusal),
     };
+    if let Ok(Operation::Leave(upstream)) = &operation {
+        let is_waiting = !writer.is_caller_gone().await;
+        tracing::info!(target: "hemlockfield::catalog", %upstream, is_waiting, "departure read");
+    }
     let response = match operation {
         Ok(operation) => proxy.boundary.respond(execute(operation, control, proxy).await),
         Err(refusal) => proxy.boundary.refuse(&refusal),
--- a/src/role/control/announcements.rs
+++ b/src/role/control/announcements.rs
@@ -2,10 +2,12 @@
 
 use crate::catalog::Action;
 use crate::clock::Moment;
+use crate::controller::Controller;
 use crate::node::core::Output;
 use crate::wire::Order;
 
 use super::Control;
+use super::FRESH_TIMEOUT;
 use super::ORDER_TIMEOUT;
 use super::Pending;
 
@@ -23,6 +25,7 @@
             return;
         };
         if !controller.catalog().would_change(&action) {
+            log_own_answer(now, controller, &action);
             outputs.push(Output::Announced(ticket, Ok(())));
             return;
         }
@@ -57,3 +60,16 @@
         }
     }
 }
+
+/// Logs a departure that is answered from this control's own table, which may be old.
+fn log_own_answer(now: Moment, controller: &Controller, action: &Action) {
+    let Action::Leave(upstream) = action else { return };
+    let is_in_touch = controller.replica().is_current(now, FRESH_TIMEOUT);
+    tracing::info!(
+        target: "hemlockfield::catalog",
+        %upstream,
+        applied = controller.applied(),
+        is_in_touch,
+        "departure answered from the own table"
+    );
+}
