Hold a departure to be old that was read without the newest word of its upstream

A departure names no start. The DELETE of the first start lay at a frozen control; as it woke it passed it on (log line: its sender no longer waited), and the leader removed the second start, whose tombstone then made all later pings late. Ruled out: that the awake control's acknowledgement was lost (the first start was gone in all tables before the second came).

A control gives each departure the index up to which it had applied the log as it read it. A word of the upstream that is in the log only after that can't be what leaves: the departure is held to be old, and a sender that still waits asks the next control. A control that was out of touch uses the index of then for what it reads in the first 250 ms. An event whose sender has closed its connection before anything was done for it is dropped (announcement.abandoned): the sender has told another control, or has ended.

Tests depart_read_late (the leader or a follower frozen, events or frames read first; red on for events first) and the guard announce_late_after_departure (green before and after).

--- a/src/boundary/operation.rs
+++ b/src/boundary/operation.rs
@@ -27,6 +27,17 @@
     SubmitConfiguration(Version),
 }
 
+impl Operation {
+    /// The upstream that reports an event of its own.
+    pub fn upstream(&self) -> Option<&UpstreamId> {
+        match self {
+            Self::Announce(change) => Some(&change.announcement.upstream),
+            Self::Leave(upstream) => Some(upstream),
+            _ => None,
+        }
+    }
+}
+
 /// Result of an operation.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
--- a/src/catalog/action.rs
+++ b/src/catalog/action.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::Change;
+use super::Departure;
 use super::Outcome;
 use crate::id::UpstreamId;
 use crate::registry::State;
@@ -13,8 +14,11 @@
 pub enum Action {
     /// The upstream announced its state.
     Announce(Change),
-    /// The upstream reported that it is leaving.
+    /// The upstream reported that it is leaving. Logs hold this only if an earlier build wrote it;
+    /// a control that reads it makes it a [`Self::Depart`].
     Leave(UpstreamId),
+    /// The upstream reported that it is leaving, as a control read it.
+    Depart(Departure),
 }
 
 impl Action {
@@ -22,6 +26,7 @@
     pub fn upstream(&self) -> &UpstreamId {
         match self {
             Self::Announce(change) => &change.announcement.upstream,
+            Self::Depart(departure) => &departure.upstream,
             Self::Leave(upstream) => upstream,
         }
     }
@@ -40,7 +45,7 @@
     fn is_ready(&self) -> bool {
         match self {
             Self::Announce(change) => change.announcement.state == State::Ready,
-            Self::Leave(_) => false,
+            Self::Depart(_) | Self::Leave(_) => false,
         }
     }
 }
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -8,6 +8,7 @@
 use super::Action;
 use super::Change;
 use super::Delta;
+use super::Departure;
 use super::Outcome;
 use super::Sizes;
 use super::order::Order;
@@ -86,7 +87,7 @@
                 }
                 self.insert(change, index);
             }
-            Action::Leave(id) => {
+            Action::Depart(Departure { upstream: id, .. }) | Action::Leave(id) => {
                 self.remove(id, index);
                 self.evict_tombstones();
             }
@@ -98,6 +99,7 @@
     pub fn outcome(&self, action: &Action) -> Outcome {
         match action {
             Action::Announce(change) => self.announcement_outcome(change),
+            Action::Depart(departure) => self.departure_outcome(departure),
             Action::Leave(id) if self.gone.contains_key(id) => Outcome::Kept,
             Action::Leave(_) => Outcome::Changed,
         }
@@ -200,6 +202,18 @@
         if is_known { Outcome::Kept } else { Outcome::Stale(known) }
     }
 
+    fn departure_outcome(&self, departure: &Departure) -> Outcome {
+        let Some(known) = self.upstreams.get(&departure.upstream) else {
+            let is_gone = self.gone.contains_key(&departure.upstream);
+            return if is_gone { Outcome::Kept } else { Outcome::Changed };
+        };
+        // It was read without the newest word of this upstream, so it may be about an earlier start.
+        if known.changed > departure.seen {
+            return Outcome::Stale(known.change.life());
+        }
+        Outcome::Changed
+    }
+
     /// The newest event known of an upstream.
     fn life(&self, id: &UpstreamId) -> Option<Life> {
         let known = self.upstreams.get(id).map(|entry| entry.change.life());
--- a/src/exchange/response_writer.rs
+++ b/src/exchange/response_writer.rs
@@ -74,6 +74,13 @@
         self.socket.closed().await;
     }
 
+    /// Whether the caller has closed its connection.
+    pub async fn is_caller_gone(&self) -> bool {
+        let closed = self.socket.closed();
+        futures::pin_mut!(closed);
+        futures::poll!(closed).is_ready()
+    }
+
     async fn write(&self, response: Response) -> io::Result<()> {
         let wants_body = self.method != Method::HEAD;
         let head = response.encode(wants_body);
--- a/src/operator/orders.rs
+++ b/src/operator/orders.rs
@@ -95,6 +95,15 @@
         Ok(body) => proxy.boundary.parse_operation(&request, &body),
         Err(refusal) => Err(refusal),
     };
+    if let Ok(operation) = &operation
+        && let Some(upstream) = operation.upstream()
+        && writer.is_caller_gone().await
+    {
+        // Its sender has told another control since, or has ended.
+        proxy.metrics.count("announcement.abandoned");
+        tracing::info!(target: "hemlockfield::catalog", %upstream, "event dropped, its sender is gone");
+        return;
+    }
     let response = match operation {
         Ok(operation) => proxy.boundary.respond(execute(operation, control, proxy).await),
         Err(refusal) => proxy.boundary.refuse(&refusal),
--- a/src/role/control.rs
+++ b/src/role/control.rs
@@ -37,6 +37,7 @@
 use super::events;
 use super::listing::Listing;
 use super::peers::Peers;
+use announcements::Absence;
 use reads::Read;
 
 /// A control marks its news as fresh if its log was in touch with the leader, or with a majority
@@ -60,6 +61,7 @@
 pub(super) struct Control {
     /// Entries that the last event about them named.
     advertised: Vec<NodeId>,
+    absence: Option<Absence>,
     announcements: catalog::Batcher,
     /// Orders that the forwarder has not answered, by ticket.
     pending: BTreeMap<u64, Pending>,
@@ -93,6 +95,7 @@
         let me = feed::Control { domain: setup.domain, id: setup.id };
         let mut role = Self {
             advertised: Vec::new(),
+            absence: None,
             announcements: catalog::Batcher::default(),
             pending: BTreeMap::new(),
             forwarder: Forwarder::default(),
@@ -112,6 +115,7 @@
     }
 
     pub(super) fn handle(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
+        self.record_absence(now);
         let mut outputs = Vec::new();
         match input {
             Input::Catalog(ticket, action) => {
--- a/src/role/events.rs
+++ b/src/role/events.rs
@@ -5,6 +5,7 @@
 use crate::balance;
 use crate::breaker;
 use crate::catalog::Action;
+use crate::catalog::Departure;
 use crate::config::Version;
 use crate::id::NodeId;
 use crate::id::ServiceId;
@@ -117,7 +118,9 @@
                 .service(announcement.service.clone())
                 .detail("address", announcement.address.to_string())
         }
-        Action::Leave(id) => event(vm, Kind::UpstreamExpired).upstream(id.clone()),
+        Action::Depart(Departure { upstream: id, .. }) | Action::Leave(id) => {
+            event(vm, Kind::UpstreamExpired).upstream(id.clone())
+        }
     }
 }
 
@@ -126,6 +129,7 @@
     let event = event(vm, Kind::Other("upstream-event-stale".into()));
     let position = match action {
         Action::Announce(change) => change.life().to_string(),
+        Action::Depart(departure) => format!("departure seen at {}", departure.seen),
         Action::Leave(_) => "departure".to_owned(),
     };
     let event = event.upstream(action.upstream().clone());
--- a/tests/suite/announcements.rs
+++ b/tests/suite/announcements.rs
@@ -49,3 +49,43 @@
     fleet.run_ms(5_000);
     assert!(fleet.usable().is_empty());
 }
+
+// A departure that lay at a frozen control ended the next start of its upstream for good.
+#[rstest]
+fn depart_read_late(#[values(false, true)] leads: bool, #[values(false, true)] events_first: bool) {
+    let mut fleet = Controls::start();
+    fleet.report_until_acknowledged(0, &ready("x", 1, 1));
+    fleet.run_ms(1_000);
+    let frozen = pick(&fleet, leads);
+    let other = (frozen + 1) % CONTROLS;
+    fleet.freeze(frozen);
+    fleet.report(frozen, &leave("x"));
+    fleet.run_ms(if leads { 6_000 } else { 1_000 });
+    fleet.report_until_acknowledged(other, &leave("x"));
+    fleet.report_until_acknowledged(other, &ready("x", 2, 1));
+    fleet.run_ms(1_000);
+    fleet.wake(frozen, events_first);
+    fleet.run_ms(3_000);
+    assert!(fleet.usable().contains("x"));
+}
+
+// Announcements that lay at a frozen control bring back an upstream that has left.
+#[rstest]
+fn announce_late_after_departure(#[values(false, true)] events_first: bool) {
+    let mut fleet = Controls::start();
+    fleet.report_until_acknowledged(0, &ready("x", 1, 1));
+    fleet.run_ms(1_000);
+    let frozen = pick(&fleet, false);
+    let other = (frozen + 1) % CONTROLS;
+    fleet.freeze(frozen);
+    for sequence in 2..=4 {
+        fleet.report(frozen, &ready("x", 1, sequence));
+        fleet.run_ms(1_500);
+    }
+    fleet.report_until_acknowledged(other, &leave("x"));
+    fleet.wake(frozen, events_first);
+    for _ in 0..100 {
+        fleet.run_ms(50);
+        assert!(fleet.usable().is_empty());
+    }
+}
--- a/tests/suite/announcements/controls.rs
+++ b/tests/suite/announcements/controls.rs
@@ -73,6 +73,8 @@
     /// Controls that no other process reaches.
     cut: BTreeSet<usize>,
     frames: VecDeque<(Moment, usize, usize, Vec<u8>)>,
+    /// Controls that stand still, with what arrives meanwhile.
+    frozen: BTreeMap<usize, VecDeque<Input>>,
     ids: Vec<NodeId>,
     now: Moment,
     processes: Vec<Process>,
@@ -101,6 +103,7 @@
             answers: BTreeMap::new(),
             cut: BTreeSet::new(),
             frames: VecDeque::new(),
+            frozen: BTreeMap::new(),
             ids,
             now: Moment::ZERO,
             processes,
@@ -123,7 +126,9 @@
                 self.input(to, Input::Frame(self.ids[from].clone(), frame));
             }
             for at in 0..self.processes.len() {
-                if self.processes[at].core.next_at(self.now) <= self.now {
+                if !self.frozen.contains_key(&at)
+                    && self.processes[at].core.next_at(self.now) <= self.now
+                {
                     self.input(at, Input::Tick);
                 }
             }
@@ -182,6 +187,20 @@
         }
     }
 
+    /// Stops a control as SIGSTOP does.
+    pub(super) fn freeze(&mut self, control: usize) {
+        self.frozen.insert(control, VecDeque::new());
+    }
+
+    /// Continues a control, which reads the events or the frames first that lie there.
+    pub(super) fn wake(&mut self, control: usize, reads_events_first: bool) {
+        let inputs = self.frozen.remove(&control).unwrap_or_default();
+        let is_event = |input: &Input| matches!(input, Input::Catalog(..));
+        let (events, frames): (Vec<_>, Vec<_>) = inputs.into_iter().partition(is_event);
+        let ordered = if reads_events_first { [events, frames] } else { [frames, events] };
+        ordered.into_iter().flatten().for_each(|input| self.input(control, input));
+    }
+
     /// Upstreams that the entry may send requests to.
     pub(super) fn usable(&self) -> BTreeSet<UpstreamId> {
         let services = self.processes[ENTRY].view.services.values();
@@ -189,6 +208,10 @@
     }
 
     fn input(&mut self, at: usize, input: Input) {
+        if let Some(waiting) = self.frozen.get_mut(&at) {
+            waiting.push_back(input);
+            return;
+        }
         for output in self.processes[at].handle(self.now, input) {
             match output {
                 Output::Announced(ticket, result) => {
