Bring an upstream back that goes on announcing itself, and give an address to who started later

Two ids at one address were not ordered at all, and a tombstone was final whatever its upstream went on to say: the accepted registration was lost. The same holds for every departure that is taken for the wrong start, for a clock that was set back between two starts, and for a departure of an id that was never known.

Of two upstreams at one address the one that started later keeps it, where start times are told; both are named in the log (address taken over). The leader brings a start back that the table holds to be over once it announces itself a second time at the pace of a live upstream, a second or more after the first: late announcements arrive together. Until then its announcements are refused, so that none of them is an accepted registration that is lost.

A property found on the way: a follower that is 200 ms behind may answer one more renewal of who has just been removed; the next one puts it right.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -12,6 +12,7 @@
 mod departure;
 mod order;
 mod outcome;
+mod returns;
 mod sizes;
 mod table;
 
@@ -21,5 +22,6 @@
 pub use delta::Delta;
 pub use departure::Departure;
 pub use outcome::Outcome;
+pub use returns::Returns;
 pub use sizes::Sizes;
 pub use table::Catalog;
--- a/src/catalog/action.rs
+++ b/src/catalog/action.rs
@@ -19,13 +19,15 @@
     Leave(UpstreamId),
     /// The upstream reported that it is leaving, as a control read it.
     Depart(Departure),
+    /// A start of the upstream that the table holds to be over goes on announcing itself.
+    Return(Change),
 }
 
 impl Action {
     /// The upstream that it is about.
     pub fn upstream(&self) -> &UpstreamId {
         match self {
-            Self::Announce(change) => &change.announcement.upstream,
+            Self::Announce(change) | Self::Return(change) => &change.announcement.upstream,
             Self::Depart(departure) => &departure.upstream,
             Self::Leave(upstream) => upstream,
         }
@@ -44,7 +46,9 @@
     /// Whether an upstream says that it takes requests.
     fn is_ready(&self) -> bool {
         match self {
-            Self::Announce(change) => change.announcement.state == State::Ready,
+            Self::Announce(change) | Self::Return(change) => {
+                change.announcement.state == State::Ready
+            }
             Self::Depart(_) | Self::Leave(_) => false,
         }
     }
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -80,7 +80,7 @@
             return outcome;
         }
         match action {
-            Action::Announce(change) => {
+            Action::Announce(change) | Action::Return(change) => {
                 self.remove_tombstone(&change.announcement.upstream);
                 if self.is_new_incarnation(&change.announcement) {
                     self.remove_at_address_of(&change.announcement, index);
@@ -102,6 +102,10 @@
             Action::Depart(departure) => self.departure_outcome(departure),
             Action::Leave(id) if self.gone.contains_key(id) => Outcome::Kept,
             Action::Leave(_) => Outcome::Changed,
+            Action::Return(change) if self.is_new_incarnation(&change.announcement) => {
+                Outcome::Changed
+            }
+            Action::Return(change) => self.announcement_outcome(change),
         }
     }
 
@@ -186,6 +190,7 @@
         match self.life(&announced.upstream) {
             Some(known) if known >= change.life() => self.older_outcome(announced, known),
             Some(_) if self.is_renewal(announced) => Outcome::Kept,
+            _ if self.is_new_incarnation(announced) => self.takeover_outcome(announced),
             _ => Outcome::Changed,
         }
     }
@@ -202,6 +207,18 @@
         if is_known { Outcome::Kept } else { Outcome::Stale(known) }
     }
 
+    /// Outcome of the first announcement of a start: where another upstream has the address, the one
+    /// that started later keeps it. Without start times that is the one announced later.
+    fn takeover_outcome(&self, announced: &Announcement) -> Outcome {
+        let others = self.others_at_address(announced);
+        let lives = others.iter().filter_map(|id| self.life(id));
+        let newest = lives.max().filter(|life| life.incarnation > announced.incarnation);
+        match newest.filter(|_| announced.incarnation > 0) {
+            Some(life) => Outcome::Stale(life),
+            None => Outcome::Changed,
+        }
+    }
+
     fn departure_outcome(&self, departure: &Departure) -> Outcome {
         let Some(known) = self.upstreams.get(&departure.upstream) else {
             let is_gone = self.gone.contains_key(&departure.upstream);
@@ -245,8 +262,8 @@
         if let Some(old) = &removed {
             self.order.remove(old.changed, &old.change.announcement);
         }
-        // If the upstream was never known, none of its announcements is accepted any more,
-        // because a late first one must not add it.
+        // If the upstream was never known, a late first announcement must not add it; if it lives, it
+        // returns by the second.
         let incarnation =
             removed.map_or(Incarnation::MAX, |entry| entry.change.announcement.incarnation);
         self.remove_tombstone(id);
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -9,6 +9,7 @@
 use crate::catalog::Action;
 use crate::catalog::Catalog;
 use crate::catalog::Outcome;
+use crate::catalog::Returns;
 use crate::claim;
 use crate::claim::Batcher;
 use crate::claim::Ledger;
@@ -26,6 +27,7 @@
 use crate::quorum::Replica;
 use crate::quota;
 use crate::quota::Coordinator;
+use crate::registry::State;
 use crate::wire::Frame;
 use crate::wire::Verdict;
 
@@ -72,6 +74,8 @@
     replica: Replica,
     /// Replies to submitted configurations, by log index.
     config_replies: BTreeMap<Index, Verdict>,
+    /// Upstreams that announce themselves although the table holds them to be gone.
+    returns: Returns,
     /// Log index of the last snapshot.
     snapshot_index: Index,
 }
@@ -167,6 +171,7 @@
             replica: Replica::new(setup, recovered, seed),
             catalog_replies: BTreeMap::new(),
             config_replies: BTreeMap::new(),
+            returns: Returns::default(),
             snapshot_index: 0,
         }
     }
@@ -299,6 +304,8 @@
             outputs.push(verdict_output(from, *ticket, Verdict::NotLeader(self.leader())));
             return;
         }
+        let actions: Vec<Action> =
+            actions.into_iter().map(|action| self.detect_return(now, action)).collect();
         let outcomes: Vec<Outcome> =
             actions.iter().map(|action| self.catalog.outcome(action)).collect();
         let needs_commit =
@@ -310,6 +317,21 @@
         }
     }
 
+    /// Turns an announcement that the table holds to be old into a return if its sender is alive.
+    fn detect_return(&mut self, now: Moment, action: Action) -> Action {
+        let is_stale = matches!(self.catalog.outcome(&action), Outcome::Stale(_));
+        match action {
+            Action::Announce(change)
+                if is_stale
+                    && change.announcement.state == State::Ready
+                    && self.returns.hear(now, &change) =>
+            {
+                Action::Return(change)
+            }
+            action => action,
+        }
+    }
+
     fn read(&mut self, now: Moment, from: NodeId, ticket: u64, outputs: &mut Vec<Output>) {
         let ticket = self.track(Proposal::Read { from, ticket });
         self.step_replica(now, quorum::Input::Read { ticket }, outputs);
@@ -429,6 +451,7 @@
                 self.quota_coordinator.clear();
                 self.quota_replies.clear();
                 self.catalog_replies.clear();
+                self.returns.clear();
                 outputs.push(Output::Leadership(false));
                 outputs.push(Output::RoleChanged(quorum::Role::Follower, term));
             }
@@ -476,7 +499,7 @@
         let mut outcomes = Vec::with_capacity(actions.len());
         let mut changed = Vec::new();
         for action in actions {
-            let outcome = self.catalog.apply(index, &action);
+            let outcome = self.apply_event(index, &action);
             outcomes.push(outcome);
             if outcome.is_changed() {
                 changed.push(action);
@@ -491,6 +514,22 @@
         }
     }
 
+    /// Applies one event about an upstream, and logs whose address the upstream takes over.
+    fn apply_event(&mut self, index: Index, action: &Action) -> Outcome {
+        let others = match action {
+            Action::Announce(change) | Action::Return(change) => {
+                self.catalog.others_at_address(&change.announcement)
+            }
+            Action::Depart(_) | Action::Leave(_) => Vec::new(),
+        };
+        let outcome = self.catalog.apply(index, action);
+        for other in others.iter().filter(|id| self.catalog.get(id).is_none()) {
+            let upstream = action.upstream();
+            tracing::info!(target: "hemlockfield::catalog", %upstream, %other, "address taken over");
+        }
+        outcome
+    }
+
     fn handle_accepted(&mut self, ticket: u64, index: Index, outputs: &mut Vec<Output>) {
         let verdict = self.config_replies.remove(&index);
         match self.proposals.remove(&ticket) {
--- a/src/role/events.rs
+++ b/src/role/events.rs
@@ -107,7 +107,7 @@
 /// Event for a committed change of an upstream.
 fn upstream(vm: &NodeId, action: &Action) -> Event {
     match action {
-        Action::Announce(change) => {
+        Action::Announce(change) | Action::Return(change) => {
             let announcement = &change.announcement;
             let kind = match announcement.state {
                 registry::State::Ready => Kind::UpstreamAnnounced,
@@ -128,7 +128,7 @@
 pub(super) fn stale(vm: &NodeId, action: &Action, known: &registry::Life) -> Event {
     let event = event(vm, Kind::Other("upstream-event-stale".into()));
     let position = match action {
-        Action::Announce(change) => change.life().to_string(),
+        Action::Announce(change) | Action::Return(change) => change.life().to_string(),
         Action::Depart(departure) => format!("departure seen at {}", departure.seen),
         Action::Leave(_) => "departure".to_owned(),
     };
--- a/tests/suite/announcements.rs
+++ b/tests/suite/announcements.rs
@@ -1,6 +1,7 @@
 //! Events about upstreams that controls hear late, twice, out of order or while they are cut off.
 
 mod controls;
+mod orders;
 
 use hemlockfield::catalog::Action;
 use hemlockfield::registry::State;
@@ -69,6 +70,31 @@
     assert!(fleet.usable().contains("x"));
 }
 
+// The late first announcement of an upstream that crashed took the place of the live one at its address for good.
+#[test]
+fn announce_late_address_taken() {
+    let mut fleet = Controls::start();
+    fleet.report_until_acknowledged(0, &ready("second", 0, 1));
+    fleet.report(1, &ready("first", 0, 1));
+    fleet.run_ms(1_500);
+    for sequence in 2..=3 {
+        fleet.report(0, &ready("second", 0, sequence));
+        fleet.run_ms(1_500);
+    }
+    assert_eq!(fleet.usable(), ["second".into()].into());
+}
+
+// The late first announcement of an upstream that started earlier took the address of a later one.
+#[test]
+fn announce_late_address_of_later_start() {
+    let mut fleet = Controls::start();
+    fleet.report_until_acknowledged(0, &ready("second", 2, 1));
+    let ticket = fleet.report(1, &ready("first", 1, 1));
+    fleet.run_ms(1_500);
+    assert_eq!(fleet.is_acknowledged(ticket), Some(false));
+    assert_eq!(fleet.usable(), ["second".into()].into());
+}
+
 // Announcements that lay at a frozen control bring back an upstream that has left.
 #[rstest]
 fn announce_late_after_departure(#[values(false, true)] events_first: bool) {
@@ -89,3 +115,29 @@
         assert!(fleet.usable().is_empty());
     }
 }
+
+// A start by a clock that was set back was held to be old for good.
+#[test]
+fn announce_clock_set_back() {
+    let mut fleet = Controls::start();
+    fleet.report_until_acknowledged(0, &ready("x", 9, 1));
+    fleet.run_ms(500);
+    fleet.report_until_acknowledged(0, &leave("x"));
+    for sequence in 1..=2 {
+        fleet.report(0, &ready("x", 5, sequence));
+        fleet.run_ms(1_500);
+    }
+    assert!(fleet.usable().contains("x"));
+}
+
+// A departure of an upstream that was never known kept all its later starts out.
+#[test]
+fn depart_unknown_then_start() {
+    let mut fleet = Controls::start();
+    fleet.report_until_acknowledged(0, &leave("x"));
+    for sequence in 1..=2 {
+        fleet.report(0, &ready("x", 5, sequence));
+        fleet.run_ms(1_500);
+    }
+    assert!(fleet.usable().contains("x"));
+}
