Remember the end of an upstream's lease also where its start was not heard yet

An entry that heard that a lease had expired before it heard the announcement dropped the end, and took the late announcement for a live upstream: callers of that entry were sent to one that is gone until digests repaired it.

Cause: apply returned early for a change to gone of an upstream that is not known. The record of the end is kept now as for known ones (an hour), so the greatest position counts in every order. Found by the property test, not by a run of a fleet.

Test registry::receive_all_orders, all orders of five and six changes: case gone red before ([4, 3, 2, 1, 0]: ready, gone expected), green now; registry and core_fleet green.

--- a/src/registry/machine/apply.rs
+++ b/src/registry/machine/apply.rs
@@ -26,9 +26,6 @@
     ) {
         let upstream = change.announcement.upstream.clone();
         let known = self.upstreams.get(&upstream);
-        if known.is_none() && change.announcement.state == State::Gone {
-            return;
-        }
         let life = known.map(|known| known.change(now).life());
         if life.is_some_and(|life| life >= change.life()) {
             if let Some(from) = from
--- a/tests/suite/announcements.rs
+++ b/tests/suite/announcements.rs
@@ -1,7 +1,7 @@
 //! Events about upstreams that controls hear late, twice, out of order or while they are cut off.
 
 mod controls;
-mod orders;
+pub(crate) mod orders;
 
 use hemlockfield::catalog::Action;
 use hemlockfield::registry::State;
--- a/tests/suite/announcements/orders.rs
+++ b/tests/suite/announcements/orders.rs
@@ -87,7 +87,7 @@
 }
 
 /// All orders of the numbers below `count`.
-fn orders(count: usize) -> Vec<Vec<usize>> {
+pub(crate) fn orders(count: usize) -> Vec<Vec<usize>> {
     let mut all = vec![Vec::new()];
     for number in 0..count {
         let insert = |order: &Vec<usize>, at: usize| {
--- a/tests/suite/registry.rs
+++ b/tests/suite/registry.rs
@@ -7,14 +7,20 @@
 use hemlockfield::fleet;
 use hemlockfield::id::NodeId;
 use hemlockfield::registry::Announcement;
+use hemlockfield::registry::Change;
 use hemlockfield::registry::Input;
+use hemlockfield::registry::Message;
 use hemlockfield::registry::Output;
 use hemlockfield::registry::Refusal;
 use hemlockfield::registry::Registry;
 use hemlockfield::registry::Simulation;
 use hemlockfield::registry::State;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
+use crate::announcements::orders::orders;
+
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Creates 44 entries and 30 upstreams that all entries use.
@@ -315,3 +321,30 @@
     simulation.run(SECOND * 10);
     assert_eq!(simulation.users(&Simulation::announcement(4).upstream).len(), 44);
 }
+
+/// A change of the first upstream.
+fn change(incarnation: u64, revision: u32, state: State) -> Change {
+    let announcement = Announcement { incarnation, state, ..Simulation::announcement(0) };
+    Change { age: Duration::ZERO, announcement, revision }
+}
+
+// Which of two starts of an upstream entries knew depended on the order in which they heard the same changes.
+#[rstest]
+#[case::gone(&[(1, 0, State::Ready), (1, 0, State::Draining), (1, 0, State::Gone), (1, 1, State::Ready), (1, 1, State::Gone)])]
+#[case::restarted(&[(1, 0, State::Ready), (1, 1, State::Draining), (1, 1, State::Gone), (2, 0, State::Ready), (2, 0, State::Ready), (2, 0, State::Draining)])]
+fn receive_all_orders(#[case] changes: &[(u64, u32, State)]) {
+    let upstream = Simulation::announcement(0).upstream;
+    let newest = changes.iter().copied().max().unwrap();
+    for order in orders(changes.len()) {
+        let random = ChaCha8Rng::seed_from_u64(1);
+        let mut registry = Registry::new(Duration::ZERO, "e1".into(), random);
+        for number in &order {
+            let (incarnation, revision, state) = changes[*number];
+            let message = Message::Changes(vec![change(incarnation, revision, state)]);
+            registry.handle(Duration::ZERO, Input::Receive { from: "e2".into(), message });
+        }
+        let known = registry.get(&upstream).map(|known| &known.announcement);
+        let known = known.map(|known| (known.incarnation, known.state));
+        assert_eq!(known, Some((newest.0, newest.2)), "{order:?}");
+    }
+}
