Show that requests passed on to an entry that stands still are answered by their deadline

It asserts that some had to wait for the entry that stands still: with three entries, or with all entries named to callers, none is passed on there.

--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod fatal;
 pub(crate) mod fleet;
+mod forward;
 mod founding;
 mod judge;
 mod kill;
