--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,6 +1,9 @@
 //! State that controls replicate: a replica of the quorum log, and what its committed entries produce.
 
+mod events;
 pub(crate) mod forwarder;
+mod proposals;
+mod replies;
 mod snapshot;
 
 use std::collections::BTreeMap;
@@ -15,8 +18,6 @@
 use crate::claim::Ledger;
 use crate::clock::Epoch;
 use crate::clock::Moment;
-use crate::config;
-use crate::config::Patch;
 use crate::config::Submissions;
 use crate::config::Version;
 use crate::id::Index;
@@ -27,13 +28,13 @@
 use crate::quorum::Replica;
 use crate::quota;
 use crate::quota::Coordinator;
-use crate::registry::State;
 use crate::wire::Frame;
 use crate::wire::Verdict;
 
+use self::replies::verdict_for;
+use self::replies::verdict_output;
 use self::snapshot::Body;
 use self::snapshot::Command;
-use self::snapshot::Snapshot;
 
 /// Log entries applied between two snapshots; a restart replays at most these.
 const SNAPSHOT_INTERVAL: Index = 5_000;
@@ -246,20 +247,6 @@
         }
     }
 
-    fn queue_claims(
-        &mut self,
-        from: NodeId,
-        actions: Vec<claim::Action>,
-        outputs: &mut Vec<Output>,
-    ) {
-        if self.is_leader {
-            self.claim_batcher.push(&from, actions);
-            return;
-        }
-        let message = claim::Message::Redirect(self.leader());
-        outputs.push(Output::Send(from, Box::new(Frame::Claim(message))));
-    }
-
     /// The leader, as far as this replica knows.
     pub fn leader(&self) -> Option<NodeId> {
         self.replica.leader().cloned()
@@ -290,106 +277,6 @@
         if self.is_leader { now.saturating_sub(self.leader_since) } else { Duration::ZERO }
     }
 
-    /// Proposes changes of the table of upstreams.
-    fn propose_catalog(
-        &mut self,
-        now: Moment,
-        wall: Epoch,
-        proposal: Proposal,
-        actions: Vec<Action>,
-        outputs: &mut Vec<Output>,
-    ) {
-        let Proposal::Catalog { from, ticket } = &proposal else { return };
-        if !self.is_leader {
-            outputs.push(verdict_output(from, *ticket, Verdict::NotLeader(self.leader())));
-            return;
-        }
-        let actions: Vec<Action> =
-            actions.into_iter().map(|action| self.detect_return(now, action)).collect();
-        let outcomes: Vec<Outcome> =
-            actions.iter().map(|action| self.catalog.outcome(action)).collect();
-        let needs_commit =
-            actions.iter().zip(&outcomes).any(|(action, outcome)| action.needs_commit(*outcome));
-        if needs_commit {
-            self.propose(now, wall, proposal, Body::Catalogs(actions), outputs);
-        } else {
-            outputs.push(verdict_output(from, *ticket, Verdict::Recorded(outcomes)));
-        }
-    }
-
-    /// Turns an announcement that the table holds to be old into a return if its sender is alive.
-    fn detect_return(&mut self, now: Moment, action: Action) -> Action {
-        let is_stale = matches!(self.catalog.outcome(&action), Outcome::Stale(_));
-        match action {
-            Action::Announce(change)
-                if is_stale
-                    && change.announcement.state == State::Ready
-                    && self.returns.hear(now, &change) =>
-            {
-                Action::Return(change)
-            }
-            action => action,
-        }
-    }
-
-    fn read(&mut self, now: Moment, from: NodeId, ticket: u64, outputs: &mut Vec<Output>) {
-        let ticket = self.track(Proposal::Read { from, ticket });
-        self.step_replica(now, quorum::Input::Read { ticket }, outputs);
-    }
-
-    /// Proposes a configuration, as a patch to the one in force where that is smaller.
-    fn submit(&mut self, now: Moment, wall: Epoch, proposal: Proposal, outputs: &mut Vec<Output>) {
-        let Proposal::Submit { from, ticket, version } = &proposal else { return };
-        if !self.is_leader {
-            let verdict = Verdict::NotLeader(self.leader());
-            outputs.push(verdict_output(from, *ticket, verdict));
-            return;
-        }
-        let command = match self.submissions.in_force() {
-            Some(base) => smaller_command(Patch::between(base, version), version),
-            None => config::Command::Submit(version.clone()),
-        };
-        self.propose(now, wall, proposal, Body::Config(command), outputs);
-    }
-
-    fn propose_claims(&mut self, now: Moment, wall: Epoch, outputs: &mut Vec<Output>) {
-        while self.is_leader && self.claim_batches < CLAIM_BATCHES_MAX {
-            let Some(command) = self.claim_batcher.take() else { return };
-            self.claim_batches += 1;
-            self.propose(now, wall, Proposal::Claims, Body::Claims(command), outputs);
-        }
-    }
-
-    fn queue_demand(
-        &mut self,
-        now: Moment,
-        from: NodeId,
-        ticket: u64,
-        demand: quota::Demand,
-        outputs: &mut Vec<Output>,
-    ) {
-        if self.is_leader {
-            self.quota_coordinator.push(now, from, ticket, demand);
-        } else {
-            outputs.push(verdict_output(&from, ticket, Verdict::NotLeader(self.leader())));
-        }
-    }
-
-    fn propose_quotas(&mut self, now: Moment, wall: Epoch, outputs: &mut Vec<Output>) {
-        if !self.is_leader {
-            return;
-        }
-        let (pending, mut actions) = self.quota_coordinator.take(now, &self.quota_ledger);
-        let mut requesters = Vec::with_capacity(pending.len());
-        for (from, ticket, demand) in pending {
-            requesters.push((from, ticket));
-            actions.push(quota::Action::Ask(demand));
-        }
-        if !actions.is_empty() {
-            self.propose(now, wall, Proposal::Quota(requesters), Body::Quota(actions), outputs);
-        }
-    }
-
     fn propose(
         &mut self,
         now: Moment,
@@ -494,182 +381,4 @@
             }
         }
     }
-
-    fn apply_catalog(&mut self, index: Index, actions: Vec<Action>, outputs: &mut Vec<Output>) {
-        let mut outcomes = Vec::with_capacity(actions.len());
-        let mut changed = Vec::new();
-        for action in actions {
-            let outcome = self.apply_event(index, &action);
-            outcomes.push(outcome);
-            if outcome.is_changed() {
-                changed.push(action);
-            }
-        }
-        if self.is_leader {
-            self.catalog_replies.insert(index, outcomes);
-            self.catalog_replies.retain(|at, _| index - at < REPLIES_MAX);
-        }
-        if !changed.is_empty() {
-            outputs.push(Output::UpstreamsChanged(changed));
-        }
-    }
-
-    /// Applies one event about an upstream, and logs whose address the upstream takes over.
-    fn apply_event(&mut self, index: Index, action: &Action) -> Outcome {
-        let others = match action {
-            Action::Announce(change) | Action::Return(change) => {
-                self.catalog.others_at_address(&change.announcement)
-            }
-            Action::Depart(_) | Action::Leave(_) => Vec::new(),
-        };
-        let outcome = self.catalog.apply(index, action);
-        for other in others.iter().filter(|id| self.catalog.get(id).is_none()) {
-            let upstream = action.upstream();
-            tracing::info!(target: "hemlockfield::catalog", %upstream, %other, "address taken over");
-        }
-        outcome
-    }
-
-    fn handle_accepted(&mut self, ticket: u64, index: Index, outputs: &mut Vec<Output>) {
-        let verdict = self.config_replies.remove(&index);
-        match self.proposals.remove(&ticket) {
-            Some(Proposal::Catalog { from, ticket }) => {
-                let outcomes = self.catalog_replies.remove(&index).unwrap_or_default();
-                outputs.push(verdict_output(&from, ticket, Verdict::Recorded(outcomes)));
-            }
-            Some(Proposal::Change(ticket)) => outputs.push(Output::Changed(ticket, Ok(index))),
-            Some(Proposal::Claims) => self.claim_batches = self.claim_batches.saturating_sub(1),
-            Some(Proposal::Submit { from, ticket, .. }) => {
-                let verdict = verdict.unwrap_or(Verdict::Unconfirmed);
-                outputs.push(verdict_output(&from, ticket, verdict));
-            }
-            Some(Proposal::Quota(requesters)) => {
-                let grants = self.quota_replies.remove(&index).unwrap_or_default();
-                outputs.extend(grant_outputs(requesters, grants));
-            }
-            Some(Proposal::LeadershipCheck | Proposal::Read { .. }) | None => (),
-        }
-    }
-
-    fn handle_refused(
-        &mut self,
-        ticket: u64,
-        reason: quorum::Reason,
-        leader: Option<NodeId>,
-        outputs: &mut Vec<Output>,
-    ) {
-        match self.proposals.remove(&ticket) {
-            Some(Proposal::Change(ticket)) => {
-                let text = match leader {
-                    Some(leader) => format!("{reason:?}; `{leader}` leads"),
-                    None => format!("{reason:?}"),
-                };
-                outputs.push(Output::Changed(ticket, Err(text)));
-            }
-            Some(Proposal::Claims) => self.claim_batches = self.claim_batches.saturating_sub(1),
-            Some(Proposal::LeadershipCheck) => outputs.push(Output::Leadership(false)),
-            Some(Proposal::Quota(requesters)) => {
-                let verdict = |(to, ticket): &(NodeId, u64)| {
-                    verdict_output(to, *ticket, Verdict::NotLeader(leader.clone()))
-                };
-                outputs.extend(requesters.iter().map(verdict));
-            }
-            Some(
-                Proposal::Catalog { from, ticket }
-                | Proposal::Read { from, ticket }
-                | Proposal::Submit { from, ticket, .. },
-            ) => outputs.push(verdict_output(&from, ticket, Verdict::NotLeader(leader))),
-            None => (),
-        }
-    }
-
-    /// Handles a proposal that may or may not be committed. The process that forwarded it sends it
-    /// again, which is safe since submissions and announcements are idempotent.
-    fn handle_uncertain(&mut self, ticket: u64, outputs: &mut Vec<Output>) {
-        match self.proposals.remove(&ticket) {
-            Some(
-                Proposal::Catalog { from, ticket }
-                | Proposal::Read { from, ticket }
-                | Proposal::Submit { from, ticket, .. },
-            ) => {
-                let verdict = Verdict::NotLeader(self.leader());
-                outputs.push(verdict_output(&from, ticket, verdict));
-            }
-            Some(Proposal::Change(ticket)) => {
-                let text = "leadership was lost; look at the status and ask again".to_owned();
-                outputs.push(Output::Changed(ticket, Err(text)));
-            }
-            Some(Proposal::Claims) => self.claim_batches = self.claim_batches.saturating_sub(1),
-            // Entries repeat their demands, and a demand already in the log is answered again.
-            Some(Proposal::LeadershipCheck | Proposal::Quota(_)) | None => (),
-        }
-    }
-
-    fn install(&mut self, snapshot: &quorum::Snapshot, outputs: &mut Vec<Output>) {
-        let Some(state) = Snapshot::decode(&snapshot.bytes) else {
-            tracing::error!(target: "hemlockfield::quorum", "snapshot can't be decoded");
-            return;
-        };
-        self.submissions = state.book;
-        self.catalog = state.catalog;
-        self.claim_ledger = state.ledger;
-        self.quota_ledger = state.quotas;
-        self.applied = snapshot.index;
-        self.snapshot_index = snapshot.index;
-        outputs.extend(self.submissions.in_force().cloned().map(Output::Committed));
-        outputs.push(Output::SnapshotInstalled);
-    }
-
-    /// Takes a snapshot if enough entries were applied since the last, so that the log can be
-    /// truncated.
-    fn compact_log(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.applied < self.snapshot_index + SNAPSHOT_INTERVAL {
-            return;
-        }
-        self.snapshot_index = self.applied;
-        let encoded = Snapshot::encode(
-            &self.submissions,
-            &self.claim_ledger,
-            &self.catalog,
-            &self.quota_ledger,
-        );
-        let Some(bytes) = encoded else { return };
-        let index = self.applied;
-        self.step_replica(now, quorum::Input::Snapshot { index, bytes }, outputs);
-    }
-}
-
-fn smaller_command(patch: Patch, version: &Version) -> config::Command {
-    let size = postcard::to_stdvec(&patch).map_or(usize::MAX, |bytes| bytes.len());
-    if size < version.document.len() {
-        return config::Command::Amend(patch);
-    }
-    config::Command::Submit(version.clone())
-}
-
-fn verdict_for(reply: config::Reply, before: Option<u64>) -> Verdict {
-    match reply {
-        config::Reply::Accepted(head) if Some(head.number) <= before => {
-            Verdict::AlreadyAccepted(head.number)
-        }
-        config::Reply::Accepted(head) => Verdict::Accepted(head.number),
-        config::Reply::Rebase => Verdict::NotLeader(None),
-        config::Reply::Refused { number, submission } => Verdict::Refused { number, submission },
-        config::Reply::Reused(head) => Verdict::Reused(head.number),
-    }
-}
-
-/// Answers the demands of a log entry. The entry may contain other actions; the demands are its
-/// last ones.
-fn grant_outputs(requesters: Vec<(NodeId, u64)>, grants: Vec<Option<quota::Grant>>) -> Vec<Output> {
-    let first = grants.len().saturating_sub(requesters.len());
-    let answers = requesters.into_iter().zip(grants.into_iter().skip(first));
-    let answer = |((to, ticket), grant): ((NodeId, u64), Option<quota::Grant>)| {
-        Some(verdict_output(&to, ticket, Verdict::Granted(grant?)))
-    };
-    answers.filter_map(answer).collect()
-}
-
-fn verdict_output(to: &NodeId, ticket: u64, verdict: Verdict) -> Output {
-    Output::Send(to.clone(), Box::new(Frame::Verdict { ticket, verdict }))
 }
--- a/src/controller/snapshot.rs
+++ b/src/controller/snapshot.rs
@@ -4,9 +4,15 @@
 use crate::catalog;
 use crate::claim;
 use crate::clock::Epoch;
+use crate::clock::Moment;
 use crate::config;
+use crate::quorum;
 use crate::quota;
 
+use super::Controller;
+use super::Output;
+use super::SNAPSHOT_INTERVAL;
+
 /// Application command in an entry of the quorum log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(super) struct Command {
@@ -74,3 +80,38 @@
         })
     }
 }
+
+impl Controller {
+    pub(super) fn install(&mut self, snapshot: &quorum::Snapshot, outputs: &mut Vec<Output>) {
+        let Some(state) = Snapshot::decode(&snapshot.bytes) else {
+            tracing::error!(target: "hemlockfield::quorum", "snapshot can't be decoded");
+            return;
+        };
+        self.submissions = state.book;
+        self.catalog = state.catalog;
+        self.claim_ledger = state.ledger;
+        self.quota_ledger = state.quotas;
+        self.applied = snapshot.index;
+        self.snapshot_index = snapshot.index;
+        outputs.extend(self.submissions.in_force().cloned().map(Output::Committed));
+        outputs.push(Output::SnapshotInstalled);
+    }
+
+    /// Takes a snapshot if enough entries were applied since the last, so that the log can be
+    /// truncated.
+    pub(super) fn compact_log(&mut self, now: Moment, outputs: &mut Vec<Output>) {
+        if self.applied < self.snapshot_index + SNAPSHOT_INTERVAL {
+            return;
+        }
+        self.snapshot_index = self.applied;
+        let encoded = Snapshot::encode(
+            &self.submissions,
+            &self.claim_ledger,
+            &self.catalog,
+            &self.quota_ledger,
+        );
+        let Some(bytes) = encoded else { return };
+        let index = self.applied;
+        self.step_replica(now, quorum::Input::Snapshot { index, bytes }, outputs);
+    }
+}
--- a/src/role/control.rs
+++ b/src/role/control.rs
@@ -2,36 +2,32 @@
 //! of the log's members.
 
 mod announcements;
+mod news;
+mod orders;
 mod reads;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::catalog;
-use crate::catalog::Catalog;
 use crate::clock::Epoch;
 use crate::clock::Moment;
 use crate::config::Version;
 use crate::controller;
 use crate::controller::Controller;
-use crate::controller::forwarder;
 use crate::controller::forwarder::Forwarder;
 use crate::feed;
 use crate::feed::Message;
 use crate::feed::Publisher;
-use crate::feed::Report;
-use crate::feed::Snapshot;
 use crate::id::NodeId;
 use crate::node::View;
 use crate::node::core::Input;
 use crate::node::core::Output;
 use crate::node::status;
 use crate::quorum::repair;
-use crate::quota;
 use crate::timeline::Kind;
 use crate::wire::Frame;
 use crate::wire::Order;
-use crate::wire::Verdict;
 
 use super::Setup;
 use super::events;
@@ -234,63 +230,6 @@
         }
     }
 
-    fn receive_feed(
-        &mut self,
-        now: Moment,
-        from: NodeId,
-        message: Message,
-        outputs: &mut Vec<Output>,
-    ) {
-        match message {
-            Message::Controls { controls, leader } => {
-                let added = controls.into_iter().filter(|it| self.peers.add(it.clone())).count();
-                if added > 0 {
-                    self.update_forwarder();
-                }
-                if let Some(leader) = leader {
-                    self.forwarder.set_leader(&leader);
-                }
-            }
-            Message::Hello { control, disk, quarantined, ready } => {
-                let has_greeted = self.peers.has_greeted(&from);
-                if self.peers.record_greeting(now, control, disk) {
-                    self.update_forwarder();
-                }
-                let is_known = self.publisher.record_report(now, &from, ready);
-                if !is_known {
-                    outputs.push(send(from.clone(), Message::ReportWanted));
-                }
-                // A control that has just started would tell entries of none.
-                let unknown = self.publisher.quarantine_for(now, quarantined);
-                outputs
-                    .extend(unknown.map(|report| send(from.clone(), Message::Quarantine(report))));
-                if !has_greeted {
-                    let controls = self.peers.live(now);
-                    let leader = self.controller.as_ref().and_then(Controller::leader);
-                    outputs.push(send(from, Message::Controls { controls, leader }));
-                }
-            }
-            Message::Ask { ticket, ask } => self.forward_demand(now, from, ticket, ask, outputs),
-            Message::Grant { .. } | Message::News(_) | Message::Part(_) => (),
-            Message::Quarantine(report) => self.publisher.merge_quarantine(now, &report),
-            Message::Request(request) => {
-                outputs.push(send(from, Message::Part(self.publisher.part(&request))));
-            }
-            Message::ReportWanted => {
-                let ready = self.publisher.whole_report();
-                outputs.push(send(from, self.greeting(ready)));
-            }
-            Message::Tallies(tallies) => self.publisher.add_tallies(now, &tallies, false),
-            Message::Poll(poll) => {
-                let controls = self.peers.live(now);
-                let empty = Catalog::default();
-                let ledger = ledger(now, self.controller.as_ref(), &empty, controls);
-                let sends = self.publisher.poll(now, *poll, &ledger);
-                outputs.extend(sends.into_iter().map(|(to, message)| send(to, message)));
-            }
-        }
-    }
-
     fn tick(&mut self, now: Moment, wall: Epoch, outputs: &mut Vec<Output>) {
         self.step_controller(now, wall, controller::Input::Tick, outputs);
         let effects = self.forwarder.tick(now);
@@ -301,49 +240,6 @@
         self.note_advertised(now, outputs);
     }
 
-    fn note_advertised(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        let roster = self.publisher.roster(now);
-        let is_same = roster.advertised().iter().map(|entry| &entry.id).eq(&self.advertised);
-        if is_same {
-            return;
-        }
-        let after: Vec<NodeId> = roster.advertised().iter().map(|entry| entry.id.clone()).collect();
-        let event = events::advertised(&self.peers.me().id, &self.advertised, &after);
-        outputs.push(Output::Event(event));
-        self.advertised = after;
-    }
-
-    fn publish(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if now < self.publisher.wake() {
-            return;
-        }
-        let controls = self.peers.live(now);
-        let empty = Catalog::default();
-        let ledger = ledger(now, self.controller.as_ref(), &empty, controls);
-        let sends = self.publisher.tick(now, &ledger);
-        outputs.extend(sends.into_iter().map(|(to, message)| send(to, message)));
-    }
-
-    /// Greets the other controls and sends them the entries that poll this one.
-    fn greet(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if now < self.hello_at && !self.publisher.has_changed_entries() {
-            return;
-        }
-        self.hello_at = now + HELLO_INTERVAL;
-        self.peers.remove_silent(now, self.members());
-        let ready = self.publisher.report(now);
-        for id in self.peers.others() {
-            outputs.push(send(id.clone(), self.greeting(ready.clone())));
-        }
-    }
-
-    fn greeting(&self, ready: Report) -> Message {
-        let disk =
-            self.controller.as_ref().and_then(|controller| controller.replica().synced_disk());
-        let quarantined = self.publisher.quarantine_digest();
-        Message::Hello { control: self.peers.me().clone(), disk, quarantined, ready }
-    }
-
     /// Changes the log's members if this control leads and the set of live controls calls for it.
     fn change_members(&mut self, now: Moment, wall: Epoch, outputs: &mut Vec<Output>) {
         let Some(controller) = self.controller.as_ref().filter(|controller| controller.is_leader())
@@ -366,100 +262,6 @@
         }
     }
 
-    /// Ticket for an order of this control itself.
-    fn next_ticket(&mut self) -> u64 {
-        self.last_ticket += 1;
-        self.last_ticket
-    }
-
-    /// Forwards a demand of an entry; an entry may demand only for itself.
-    fn forward_demand(
-        &mut self,
-        now: Moment,
-        from: NodeId,
-        ticket: u64,
-        demand: quota::Demand,
-        outputs: &mut Vec<Output>,
-    ) {
-        if demand.holder != from {
-            tracing::warn!(target: "hemlockfield::link", peer = %from, holder = %demand.holder, "quota demand for another entry");
-            return;
-        }
-        let kind = Pending::Quota(from, ticket);
-        let order = Order::Quota(demand);
-        let ticket = self.next_ticket();
-        self.forward(now, ticket, kind, order, quota::Limiter::RESEND_INTERVAL, outputs);
-    }
-
-    fn submit(&mut self, now: Moment, ticket: u64, version: Version, outputs: &mut Vec<Output>) {
-        let in_force = self.version().map(|version| version.number);
-        if let Some(number) = in_force.filter(|number| *number >= version.number) {
-            // Already committed, or older than the committed one.
-            outputs.push(Output::Verdict(ticket, Verdict::AlreadyAccepted(number)));
-            return;
-        }
-        let order = Order::Submit(version);
-        self.forward(now, ticket, Pending::Submit, order, SUBMIT_TIMEOUT, outputs);
-    }
-
-    fn forward(
-        &mut self,
-        now: Moment,
-        ticket: u64,
-        kind: Pending,
-        order: Order,
-        timeout: Duration,
-        outputs: &mut Vec<Output>,
-    ) {
-        if let Some(leader) = self.controller.as_ref().and_then(Controller::leader) {
-            self.forwarder.set_leader(&leader);
-        }
-        self.pending.insert(ticket, kind);
-        let effects = self.forwarder.forward(now, ticket, order, timeout);
-        self.handle_effects(now, effects, outputs);
-    }
-
-    fn handle_effects(
-        &mut self,
-        now: Moment,
-        effects: Vec<forwarder::Output>,
-        outputs: &mut Vec<Output>,
-    ) {
-        for output in effects {
-            match output {
-                forwarder::Output::Answer(ticket, verdict) => {
-                    self.answer(now, ticket, verdict, outputs);
-                }
-                forwarder::Output::Send(to, frame) => outputs.push(Output::Send(to, None, *frame)),
-            }
-        }
-    }
-
-    fn answer(&mut self, now: Moment, ticket: u64, verdict: Verdict, outputs: &mut Vec<Output>) {
-        match (self.pending.remove(&ticket), verdict) {
-            (Some(Pending::Catalog(actions)), verdict) => {
-                let outcomes = match &verdict {
-                    Verdict::Recorded(outcomes) => Some(outcomes.as_slice()),
-                    _ => None,
-                };
-                self.answer_announcements(&actions, outcomes, outputs);
-                self.forward_announcements(now, outputs);
-            }
-            (Some(Pending::Quota(to, ticket)), Verdict::Granted(grant)) => {
-                outputs.push(send(to, Message::Grant { ticket, grant }));
-            }
-            // The entry repeats its demand.
-            (Some(Pending::Quota(..)), _) => (),
-            (Some(Pending::Read), Verdict::Readable(index)) => {
-                self.reads.push(Read { index, ticket, deadline: now + ORDER_TIMEOUT });
-            }
-            (Some(Pending::Read), _) => outputs.push(Output::Configuration(ticket, None)),
-            (Some(Pending::Submit) | None, verdict) => {
-                outputs.push(Output::Verdict(ticket, verdict));
-            }
-        }
-    }
-
     fn step_controller(
         &mut self,
         now: Moment,
@@ -523,23 +325,6 @@
     }
 }
 
-fn ledger<'a>(
-    now: Moment,
-    controller: Option<&'a Controller>,
-    empty: &'a Catalog,
-    controls: Vec<feed::Control>,
-) -> Snapshot<'a> {
-    let Some(controller) = controller else {
-        return Snapshot { applied: 0, catalog: empty, controls, fresh: false };
-    };
-    Snapshot {
-        applied: controller.applied(),
-        catalog: controller.catalog(),
-        controls,
-        fresh: controller.replica().is_current(now, FRESH_TIMEOUT),
-    }
-}
-
 fn send(to: NodeId, message: Message) -> Output {
     Output::Send(to, None, Frame::Feed(message))
 }
