Look up what the log makes of an event once, and log a taken address where it is taken

The leader asked the table twice for each action of an order, and each replica looked up the other upstreams of an address for every event to find out afterwards which had been removed. The ledger's record of an entry that has sent a demand is a Requester.

--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -109,12 +109,6 @@
         }
     }
 
-    /// Upstreams at the address of an announced one, besides itself.
-    pub fn others_at_address(&self, announced: &Announcement) -> Vec<UpstreamId> {
-        let ids = self.order.at_address(announced.address).into_iter();
-        ids.filter(|id| *id != announced.upstream).collect()
-    }
-
     /// Changes after the index `base`.
     pub fn since(&self, base: Index) -> Delta {
         if !self.holds_removals_since(base) {
@@ -275,12 +269,20 @@
     /// report it. Otherwise the new upstream refuses every request that is sent there for the
     /// old one; when addresses were reused, this affected half the requests of one service.
     fn remove_at_address_of(&mut self, new: &Announcement, index: Index) {
-        for id in self.others_at_address(new) {
-            self.remove(&id, index);
+        for other in self.others_at_address(new) {
+            let upstream = &new.upstream;
+            tracing::info!(target: "hemlockfield::catalog", %upstream, %other, "address taken over");
+            self.remove(&other, index);
         }
         self.evict_tombstones();
     }
 
+    /// Upstreams at the address of an announced one, besides itself.
+    fn others_at_address(&self, announced: &Announcement) -> Vec<UpstreamId> {
+        let ids = self.order.at_address(announced.address).into_iter();
+        ids.filter(|id| *id != announced.upstream).collect()
+    }
+
     fn remove_tombstone(&mut self, id: &UpstreamId) {
         if let Some(tombstone) = self.gone.remove(id) {
             self.order.remove_removal(tombstone.index, id);
--- a/src/controller/events.rs
+++ b/src/controller/events.rs
@@ -30,10 +30,8 @@
             outputs.push(verdict_output(from, *ticket, Verdict::NotLeader(self.leader())));
             return;
         }
-        let actions: Vec<Action> =
-            actions.into_iter().map(|action| self.detect_return(now, action)).collect();
-        let outcomes: Vec<Outcome> =
-            actions.iter().map(|action| self.catalog.outcome(action)).collect();
+        let (actions, outcomes): (Vec<Action>, Vec<Outcome>) =
+            actions.into_iter().map(|action| self.detect_return(now, action)).unzip();
         let needs_commit =
             actions.iter().zip(&outcomes).any(|(action, outcome)| action.needs_commit(*outcome));
         if needs_commit {
@@ -43,18 +41,19 @@
         }
     }
 
-    /// Turns an announcement that the table holds to be old into a return if its sender is alive.
-    fn detect_return(&mut self, now: Moment, action: Action) -> Action {
-        let is_stale = matches!(self.catalog.outcome(&action), Outcome::Stale(_));
+    /// What the log will make of an action. An announcement that the table holds to be old becomes a
+    /// return if its sender is alive.
+    fn detect_return(&mut self, now: Moment, action: Action) -> (Action, Outcome) {
+        let outcome = self.catalog.outcome(&action);
         match action {
             Action::Announce(change)
-                if is_stale
+                if matches!(outcome, Outcome::Stale(_))
                     && change.announcement.state == State::Ready
                     && self.returns.hear(now, &change) =>
             {
-                Action::Return(change)
+                (Action::Return(change), Outcome::Changed)
             }
-            action => action,
+            action => (action, outcome),
         }
     }
 
@@ -67,7 +66,7 @@
         let mut outcomes = Vec::with_capacity(actions.len());
         let mut changed = Vec::new();
         for action in actions {
-            let outcome = self.apply_event(index, &action);
+            let outcome = self.catalog.apply(index, &action);
             outcomes.push(outcome);
             if outcome.is_changed() {
                 changed.push(action);
@@ -81,20 +80,4 @@
             outputs.push(Output::UpstreamsChanged(changed));
         }
     }
-
-    /// Applies one event about an upstream, and logs whose address the upstream takes over.
-    fn apply_event(&mut self, index: Index, action: &Action) -> Outcome {
-        let others = match action {
-            Action::Announce(change) | Action::Return(change) => {
-                self.catalog.others_at_address(&change.announcement)
-            }
-            Action::Depart(_) | Action::Leave(_) => Vec::new(),
-        };
-        let outcome = self.catalog.apply(index, action);
-        for other in others.iter().filter(|id| self.catalog.get(id).is_none()) {
-            let upstream = action.upstream();
-            tracing::info!(target: "hemlockfield::catalog", %upstream, %other, "address taken over");
-        }
-        outcome
-    }
 }
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -17,13 +17,13 @@
 /// Replicated state of all allowances and the shares of them that entries hold.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ledger {
-    holders: BTreeMap<NodeId, Holder>,
+    requesters: BTreeMap<NodeId, Requester>,
     holdings: BTreeMap<Subject, Holding>,
 }
 
 /// An entry that has sent a demand.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct Holder {
+struct Requester {
     /// Whether this incarnation has ended.
     has_ended: bool,
     incarnation: Incarnation,
@@ -50,7 +50,7 @@
 
     /// Whether no entry has sent a demand.
     pub fn is_empty(&self) -> bool {
-        self.holders.is_empty()
+        self.requesters.is_empty()
     }
 
     /// Ended incarnations whose shares still count.
@@ -60,7 +60,7 @@
 
     /// Entries that may hold shares, with their current incarnations.
     pub fn holders(&self) -> impl Iterator<Item = (&NodeId, Incarnation)> {
-        let current = self.holders.iter().filter(|(_, holder)| !holder.has_ended);
+        let current = self.requesters.iter().filter(|(_, holder)| !holder.has_ended);
         current.map(|(id, holder)| (id, holder.incarnation))
     }
 
@@ -82,14 +82,14 @@
 
     /// Whether a demand comes from an incarnation that was presumed to have ended.
     fn has_ended(&self, demand: &Demand) -> bool {
-        let known = self.holders.get(&demand.holder);
+        let known = self.requesters.get(&demand.holder);
         known.is_some_and(|known| known.has_ended && known.incarnation == demand.incarnation)
     }
 
     /// Records a demand and returns `true`, unless it is older than the newest one of its entry. A
     /// demand of a newer incarnation ends the previous one.
     fn accept(&mut self, demand: &Demand) -> bool {
-        let known = self.holders.get(&demand.holder).copied();
+        let known = self.requesters.get(&demand.holder).copied();
         if let Some(known) = known {
             if (demand.incarnation, demand.sequence) < (known.incarnation, known.sequence) {
                 return false;
@@ -100,7 +100,8 @@
         }
         let Demand { holder, incarnation, sequence, .. } = demand;
         let (incarnation, sequence) = (*incarnation, *sequence);
-        self.holders.insert(holder.clone(), Holder { has_ended: false, incarnation, sequence });
+        self.requesters
+            .insert(holder.clone(), Requester { has_ended: false, incarnation, sequence });
         true
     }
 
@@ -113,7 +114,7 @@
     }
 
     fn end(&mut self, holder: &NodeId, incarnation: Incarnation) {
-        let Some(known) = self.holders.get_mut(holder) else { return };
+        let Some(known) = self.requesters.get_mut(holder) else { return };
         if known.incarnation != incarnation || known.has_ended {
             return;
         }
