--- a/tests/suite/announcements.rs
+++ b/tests/suite/announcements.rs
@@ -30,6 +30,16 @@
     if leads { leader } else { (leader + 1) % CONTROLS }
 }
 
+/// A fleet that knows `x`, a control of it that stands still, and one that does not.
+fn frozen(leads: bool) -> (Controls, usize, usize) {
+    let mut fleet = Controls::start();
+    fleet.report_until_acknowledged(0, &ready("x", 1, 1));
+    fleet.run_ms(1_000);
+    let frozen = pick(&fleet, leads);
+    fleet.freeze(frozen);
+    (fleet, frozen, (frozen + 1) % CONTROLS)
+}
+
 // A control that is cut off acknowledged a departure from its old table, and the upstream went on getting requests.
 #[rstest]
 fn depart_control_cut_off(#[values(false, true)] leads: bool) {
@@ -54,12 +64,7 @@
 // A departure that lay at a frozen control ended the next start of its upstream for good.
 #[rstest]
 fn depart_read_late(#[values(false, true)] leads: bool, #[values(false, true)] events_first: bool) {
-    let mut fleet = Controls::start();
-    fleet.report_until_acknowledged(0, &ready("x", 1, 1));
-    fleet.run_ms(1_000);
-    let frozen = pick(&fleet, leads);
-    let other = (frozen + 1) % CONTROLS;
-    fleet.freeze(frozen);
+    let (mut fleet, frozen, other) = frozen(leads);
     fleet.report(frozen, &leave("x"));
     fleet.run_ms(if leads { 6_000 } else { 1_000 });
     fleet.report_until_acknowledged(other, &leave("x"));
@@ -98,12 +103,7 @@
 // Announcements that lay at a frozen control bring back an upstream that has left.
 #[rstest]
 fn announce_late_after_departure(#[values(false, true)] events_first: bool) {
-    let mut fleet = Controls::start();
-    fleet.report_until_acknowledged(0, &ready("x", 1, 1));
-    fleet.run_ms(1_000);
-    let frozen = pick(&fleet, false);
-    let other = (frozen + 1) % CONTROLS;
-    fleet.freeze(frozen);
+    let (mut fleet, frozen, other) = frozen(false);
     for sequence in 2..=4 {
         fleet.report(frozen, &ready("x", 1, sequence));
         fleet.run_ms(1_500);
--- a/tests/suite/process/forward.rs
+++ b/tests/suite/process/forward.rs
@@ -37,7 +37,9 @@
 /// Far more than the sockets between two processes hold.
 const LARGE: usize = 12 << 20;
 const CONFIGURATION: &str = r#"{"version":"1","services":[{"name":"hull"}],"hosts":[{"host":"yard.example","paths":[
-    {"name":"file","pathPrefix":"/file/","routeType":"upload","service":"hull","timeoutS":1.5,"maxAttempts":2}]}]}"#;
+    {"name":"file","pathPrefix":"/file/","routeType":"upload","service":"hull","timeoutS":1.5,"maxAttempts":2},
+    {"name":"sign","pathPrefix":"/sign/","routeType":"unsafe","service":"hull","timeoutS":1.5,"maxAttempts":2},
+    {"name":"look","pathPrefix":"/look/","routeType":"safe","service":"hull","timeoutS":1.5,"maxAttempts":2}]}]}"#;
 
 /// An upstream that answers each request on a connection of its own, until it ends.
 struct Upstream {
@@ -90,14 +92,14 @@
     write!(stream, "{head}{stamps}\r\n\r\nhull").ok();
 }
 
-/// Uploads a file; the status, 0 without one, and the time that it took.
-fn upload(address: &str, size: usize) -> (u16, Duration) {
+/// Sends a request with a body; the status, 0 without one, and the time that it took.
+fn call(address: &str, line: &str, size: usize) -> (u16, Duration) {
     let started = Instant::now();
     let mut stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(DEADLINE)).unwrap();
     let mut writer = stream.try_clone().unwrap();
     let head = format!(
-        "POST /file/1 HTTP/1.1\r\nhost: yard.example\r\nconnection: close\r\ncontent-length: {size}\r\n\
+        "{line} HTTP/1.1\r\nhost: yard.example\r\nconnection: close\r\ncontent-length: {size}\r\n\
          Hemlockfield-Request-Id: 7\r\nHemlockfield-Deadline-Ms: {}\r\n\r\n",
         DEADLINE.as_millis()
     );
@@ -114,7 +116,11 @@
 
 // Requests that were passed on to an entry that stands still were answered by nobody at their deadline.
 #[rstest]
-fn pass_on_entry_frozen(#[values(700, LARGE)] size: usize) {
+#[case::lookup("GET /look/1", 0)]
+#[case::unsafe_request("POST /sign/1", 700)]
+#[case::upload("POST /file/1", 700)]
+#[case::large_upload("POST /file/1", LARGE)]
+fn pass_on_entry_frozen(#[case] line: &'static str, #[case] size: usize) {
     let order: Vec<usize> = (0..CONTROLS + ENTRIES).collect();
     let site =
         Site::start_with(Layout { entries: ENTRIES, limits: LIMITS, ..Layout::default() }, &order);
@@ -123,11 +129,11 @@
     wait_for("the upstream", || site.announce_address("i-1", &upstream.address));
     let front = |entry: usize| format!("{}:{FRONT}", site.ip(CONTROLS + entry));
     for entry in 0..ENTRIES {
-        wait_for("an answer", || upload(&front(entry), 10).0 == 200);
+        wait_for("an answer", || call(&front(entry), "POST /file/1", 10).0 == 200);
     }
     thread::sleep(SETTLED);
-    let line = "GET /hemlockfield/resolve?name=yard.example&region=here&zone=north";
-    let named = site.order(0, line, "").1;
+    let resolve = "GET /hemlockfield/resolve?name=yard.example&region=here&zone=north";
+    let named = site.order(0, resolve, "").1;
     let mut listed = (0..ENTRIES).filter(|entry| named.contains(&format!("\"{}\"", front(*entry))));
     let (used, frozen) = (listed.next().unwrap(), listed.next().unwrap());
     upstream.end();
@@ -136,7 +142,7 @@
     let callers = (0..CALLERS).map(|_| {
         let address = front(used);
         thread::sleep(Duration::from_millis(30));
-        thread::spawn(move || upload(&address, size))
+        thread::spawn(move || call(&address, line, size))
     });
     let callers: Vec<_> = callers.collect();
     let answers: Vec<_> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
--- a/tests/suite/process/stop.rs
+++ b/tests/suite/process/stop.rs
@@ -79,6 +79,17 @@
     from + (to - from).mul_f64(at as f64 / (CALLERS - 1) as f64)
 }
 
+/// Calls that begin early in the grace and end late in it.
+fn calls_ending_late(address: &str, line: &'static str, body: usize) -> Vec<Call> {
+    let call = |at: u64| {
+        let call = Call::new(address, line, 0x1000 + at).with_body(body);
+        let begun = spread(Duration::from_millis(100), Duration::from_millis(300), at);
+        let ended = spread(Duration::from_millis(4_300), Duration::from_millis(5_200), at);
+        call.begun_at(begun).ended_at(ended)
+    };
+    (0..CALLERS).map(call).collect()
+}
+
 // Heads or bodies that begin early in a planned stop and end late are handed on, and cut at its end.
 #[rstest]
 #[case::unsafe_heads("POST /sign/1", 0)]
@@ -87,13 +98,7 @@
 #[case::uploads("POST /file/1", 60_000)]
 fn leave_late_requests(#[case] line: &'static str, #[case] body: usize) {
     let (mut site, upstreams) = start(&[20, 20]);
-    let calls = (0..CALLERS).map(|at| {
-        let call = Call::new(&front(&site), line, 0x1000 + at).with_body(body);
-        let begun = spread(Duration::from_millis(100), Duration::from_millis(300), at);
-        let ended = spread(Duration::from_millis(4_300), Duration::from_millis(5_200), at);
-        call.begun_at(begun).ended_at(ended)
-    });
-    let calls = calls.collect();
+    let calls = calls_ending_late(&front(&site), line, body);
     assert_eq!(count_cut(&mut site, &upstreams, calls), 0);
 }
 
@@ -154,13 +159,7 @@
 fn leave_passed_on_requests() {
     let (mut site, upstreams) = start(&[20, 20]);
     let peers = format!("{}:{}", site.ip(CONTROLS), super::site::PEERS);
-    let calls = (0..CALLERS).map(|at| {
-        let call = Call::new(&peers, "POST /sign/1", 0x1000 + at).with_body(2_000);
-        let begun = spread(Duration::from_millis(100), Duration::from_millis(300), at);
-        let ended = spread(Duration::from_millis(4_300), Duration::from_millis(5_200), at);
-        call.begun_at(begun).ended_at(ended)
-    });
-    let calls = calls.collect();
+    let calls = calls_ending_late(&peers, "POST /sign/1", 2_000);
     assert_eq!(count_cut(&mut site, &upstreams, calls), 0);
 }
 
