Log why a request is quarantined or is not

Logs told neither which request an upstream ended under, nor whether it was looked at, what the look found, what was suspected and what cleared it. Lines of target hemlockfield::poison tell each step; upstream.alive and upstream.unconfirmed count looks without evidence.

--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -123,6 +123,12 @@
             }
             for fingerprint in due {
                 let crashes = self.suspects.remove(&fingerprint).unwrap_or_default();
+                tracing::warn!(
+                    target: "hemlockfield::poison",
+                    fingerprint = %format_args!("{fingerprint:016x}"),
+                    crashes = crashes.len(),
+                    "request quarantined"
+                );
                 self.insert(fingerprint, Quarantined::new(now, 1, crashes));
             }
         }
@@ -178,6 +184,14 @@
     fn clear(&mut self, now: Moment, fingerprint: Fingerprint) {
         let was_suspected = self.suspects.remove(&fingerprint).is_some();
         let was_quarantined = self.quarantined.remove(&fingerprint).is_some();
+        if was_suspected || was_quarantined {
+            tracing::info!(
+                target: "hemlockfield::poison",
+                fingerprint = %format_args!("{fingerprint:016x}"),
+                was_quarantined,
+                "request cleared by an answer"
+            );
+        }
         if (was_suspected || was_quarantined) && self.cleared.len() < MAX_SUSPECTS {
             self.cleared.insert(fingerprint, now);
         }
@@ -195,6 +209,13 @@
             let is_known = known.iter().any(|other| other.is_same(&ended));
             if !is_known && known.len() < MAX_CRASHES {
                 known.push(ended);
+                tracing::info!(
+                    target: "hemlockfield::poison",
+                    fingerprint = %format_args!("{fingerprint:016x}"),
+                    upstream = %crash.upstream,
+                    crashes = known.len(),
+                    "request suspected"
+                );
             }
         }
         self.limit_suspects();
--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -69,9 +69,13 @@
 /// Has an upstream checked if its connection ended before any byte of an answer to a job.
 pub(super) fn note_failure(proxy: &Proxy, job: &Job, attempt: &Attempt<'_>) {
     if !attempt.is_broken_off() {
+        if attempt.is_lost() {
+            log_loss(job, attempt, false);
+        }
         return;
     }
     let (poison, upstream) = (&proxy.poison, attempt.upstream());
+    log_loss(job, attempt, true);
     let mut checks = poison.checks.lock().unwrap_or_else(PoisonError::into_inner);
     if !checks.record(&upstream, job.fingerprint()) {
         return;
@@ -83,6 +87,20 @@
     }
 }
 
+/// Logs that a job got no whole answer from an upstream, and whether the upstream is looked at for it.
+fn log_loss(job: &Job, attempt: &Attempt<'_>, is_checked: bool) {
+    tracing::info!(
+        target: "hemlockfield::poison",
+        id = %job.id,
+        service = %job.service,
+        upstream = %attempt.upstream(),
+        fingerprint = %format_args!("{:016x}", job.fingerprint()),
+        is_checked,
+        reason = attempt.reason(),
+        "answer lost"
+    );
+}
+
 /// Reports a whole answer to a suspected job.
 pub(super) fn note_answer(proxy: &Proxy, job: &Job) {
     let view = proxy.view.load();
@@ -132,15 +150,43 @@
     }
 }
 
+/// What a look at an upstream found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Finding {
+    /// It takes connections.
+    Alive,
+    Ended,
+    /// Neither it nor another upstream of its service takes connections: the path may be lost.
+    Unconfirmed,
+}
+
 /// Reports an upstream as ended if no connection to it can be opened.
 async fn check(proxy: Arc<Proxy>, doubt: Doubt) {
-    let Doubt { address, check } = doubt;
+    let finding = look(&proxy, &doubt).await;
+    let Check { service, upstream } = doubt.check;
+    let suspects = proxy.poison.take_suspects(&upstream);
+    let count = suspects.len();
+    tracing::info!(
+        target: "hemlockfield::poison", %service, %upstream, ?finding, suspects = count, "upstream looked at"
+    );
+    match finding {
+        Finding::Alive => proxy.metrics.count("upstream.alive"),
+        Finding::Unconfirmed => proxy.metrics.count("upstream.unconfirmed"),
+        Finding::Ended => {
+            proxy.metrics.count("upstream.ended");
+            proxy.notify(Input::Poison(Evidence::of_crash(upstream, suspects)));
+        }
+    }
+}
+
+async fn look(proxy: &Proxy, doubt: &Doubt) -> Finding {
+    if !is_ended(proxy, doubt.address).await {
+        return Finding::Alive;
+    }
     // An entry that lost its path to a service sees all of its upstreams end.
-    let is_ended = is_ended(&proxy, address).await && reaches_another(&proxy, &check).await;
-    let suspects = proxy.poison.take_suspects(&check.upstream);
-    if is_ended {
-        proxy.metrics.count("upstream.ended");
-        proxy.notify(Input::Poison(Evidence::of_crash(check.upstream, suspects)));
+    match reaches_another(proxy, &doubt.check).await {
+        true => Finding::Ended,
+        false => Finding::Unconfirmed,
     }
 }
 
