--- a/tests/suite/process/fatal.rs
+++ b/tests/suite/process/fatal.rs
@@ -2,7 +2,9 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
 use std::io::Write;
+use std::net::Ipv4Addr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -23,55 +25,110 @@
 use super::site::ENTRIES;
 use super::site::FRONT;
 use super::site::Site;
-use crate::stand_in::ask;
+use crate::stand_in::ask_from;
 
 const CONFIGURATION: &str = r#"{"version":"1","services":[{"name":"hull"}],"hosts":[{"host":"yard.example",
-    "paths":[{"name":"look","pathPrefix":"/","routeType":"safe","service":"hull","timeoutS":2,"maxAttempts":2}]}]}"#;
+    "paths":[{"name":"look","pathPrefix":"/","routeType":"safe","service":"hull","timeoutS":2,"maxAttempts":2},
+    {"name":"sign","pathPrefix":"/sign/","routeType":"unsafe","service":"hull","timeoutS":2,"maxAttempts":2},
+    {"name":"load","pathPrefix":"/load/","routeType":"upload","service":"hull","timeoutS":2,"maxAttempts":2}]}]}"#;
 const RETRY: &str = "{share: 0.5, burst: 1000, pooled: true, window: 2s}";
-const UPSTREAMS: usize = 6;
 const HOT_CALLERS: usize = 50;
 const HOT_PACE: Duration = Duration::from_millis(150);
-const FATAL_PACE: Duration = Duration::from_millis(400);
 const SPAN: Duration = Duration::from_secs(16);
-/// How long an upstream is away once it has ended.
-const AWAY: Duration = Duration::from_secs(2);
 /// How long the work on a request takes, so that some are in flight whenever an upstream ends.
 const WORK: Duration = Duration::from_millis(30);
+/// How long an upstream goes on after it has begun an answer that it will not end.
+const BEGUN: Duration = Duration::from_millis(20);
+/// How long callers wait, and for how much longer an upstream works on a request that ends it late.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+const IMPATIENCE: Duration = Duration::from_millis(500);
+const LATER: Duration = Duration::from_millis(200);
 /// Upstreams that a request may end, and the time in which all entries learn of it.
 const ENDS_MAX: usize = 3;
 const REACH: Duration = Duration::from_secs(3);
 /// Times that it may be sent later than that.
 const SENDS_MAX: usize = 3;
+/// Line of the head by which a request is fatal where its path alone is not.
+const FATAL_LINE: &str = "X-Fatal: 1\r\n";
+const UPLOAD_BYTES: usize = 3_000_000;
 
-/// An upstream that ends under some path, and is back after some time.
-struct Upstream {
-    address: SocketAddr,
-    /// When it ended.
-    ends: Arc<Mutex<Vec<Instant>>>,
-    /// When a request for the fatal path arrived.
-    fatal: Arc<Mutex<Vec<Instant>>>,
-}
-
-impl Upstream {
-    fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let upstream = Self { address, ends: Arc::default(), fatal: Arc::default() };
-        let (ends, fatal) = (Arc::clone(&upstream.ends), Arc::clone(&upstream.fatal));
-        thread::spawn(move || {
-            serve(listener, &fatal);
-            loop {
-                ends.lock().unwrap().push(Instant::now());
-                thread::sleep(AWAY);
-                serve(TcpListener::bind(address).unwrap(), &fatal);
-            }
-        });
-        upstream
-    }
+/// How an upstream ends under a fatal request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+    /// Before any byte of an answer.
+    Silent,
+    /// Within the head of an answer.
+    InHead,
+    /// Within a body that an entry receives whole before it passes it on.
+    InBody,
+    /// Within a body that is passed on as it comes.
+    InLongBody,
+    /// Once the caller has given up.
+    Late,
+    /// Once a part of an upload has been read.
+    InUpload,
+}
+
+/// Who sends the fatal request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Sender {
+    One,
+    /// Each time another caller.
+    Many,
+    /// One caller, whose requests for a path are fatal that others ask for too.
+    OneOfPath,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    away: Duration,
+    disturbance: Disturbance,
+    ending: Ending,
+    line: &'static str,
+    pace: Duration,
+    sender: Sender,
+    upstreams: usize,
+}
+
+const PLAN: Plan = Plan {
+    away: Duration::from_secs(2),
+    disturbance: Disturbance::None,
+    ending: Ending::Silent,
+    line: "GET /hull/fatal",
+    pace: Duration::from_millis(400),
+    sender: Sender::One,
+    upstreams: 6,
+};
+const AWAY_LONG: Duration = Duration::from_secs(3);
+const OFTEN: Duration = Duration::from_millis(100);
+
+/// What upstreams count of fatal requests.
+#[derive(Default)]
+struct Counts {
+    /// When upstreams ended.
+    ends: Mutex<Vec<Instant>>,
+    /// When a fatal request arrived.
+    fatal: Mutex<Vec<Instant>>,
+}
+
+/// Starts an upstream that ends under fatal requests, and is back after some time.
+fn start_upstream(plan: Plan, counts: &Arc<Counts>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let counts = Arc::clone(counts);
+    thread::spawn(move || {
+        serve(listener, plan, &counts);
+        loop {
+            counts.ends.lock().unwrap().push(Instant::now());
+            thread::sleep(plan.away);
+            serve(TcpListener::bind(address).unwrap(), plan, &counts);
+        }
+    });
+    address
 }
 
 /// Takes requests until one is fatal; ends all connections then, after the listener.
-fn serve(listener: TcpListener, fatal: &Arc<Mutex<Vec<Instant>>>) {
+fn serve(listener: TcpListener, plan: Plan, counts: &Arc<Counts>) {
     listener.set_nonblocking(true).unwrap();
     let is_over = Arc::new(AtomicBool::new(false));
     let mut streams = Vec::new();
@@ -82,45 +139,93 @@
         };
         stream.set_nonblocking(false).unwrap();
         streams.push(stream.try_clone().unwrap());
-        let (is_over, fatal) = (Arc::clone(&is_over), Arc::clone(fatal));
-        thread::spawn(move || respond(&stream, &is_over, &fatal));
+        let (is_over, counts) = (Arc::clone(&is_over), Arc::clone(counts));
+        thread::spawn(move || respond(&stream, plan, &is_over, &counts));
     }
     drop(listener);
     streams.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
 }
 
-fn respond(stream: &TcpStream, is_over: &AtomicBool, fatal: &Mutex<Vec<Instant>>) {
-    let (mut id, mut path) = (String::new(), String::new());
-    for line in BufReader::new(stream).lines().map_while(Result::ok) {
-        if line.starts_with("GET ") {
+/// Head of a request, as far as an upstream looks at it.
+#[derive(Default)]
+struct Head {
+    id: String,
+    is_fatal: bool,
+    length: usize,
+}
+
+/// Reads the head of the next request; `None` at the end of the connection.
+fn read_head(reader: &mut impl BufRead, plan: Plan) -> Option<Head> {
+    let mut head = Head::default();
+    let mut path = String::new();
+    for line in reader.lines().map_while(Result::ok) {
+        if line.is_empty() {
+            return Some(head);
+        }
+        if line.ends_with(" HTTP/1.1") {
             line.split(' ').nth(1).unwrap_or_default().clone_into(&mut path);
+            head.is_fatal = path.ends_with("/fatal") && plan.sender != Sender::OneOfPath;
         }
-        if let Some(text) = line.to_lowercase().strip_prefix("hemlockfield-request-id:") {
-            text.trim().clone_into(&mut id);
+        let lower = line.to_lowercase();
+        head.is_fatal |= lower == FATAL_LINE.trim().to_lowercase();
+        if let Some(text) = lower.strip_prefix("hemlockfield-request-id:") {
+            text.trim().clone_into(&mut head.id);
         }
-        if !line.is_empty() {
-            continue;
+        if let Some(text) = lower.strip_prefix("content-length:") {
+            head.length = text.trim().parse().unwrap();
         }
-        if path == "/hull/fatal" {
-            fatal.lock().unwrap().push(Instant::now());
-            thread::sleep(WORK / 2);
+    }
+    None
+}
+
+fn respond(stream: &TcpStream, plan: Plan, is_over: &AtomicBool, counts: &Counts) {
+    let mut reader = BufReader::new(stream);
+    while let Some(head) = read_head(&mut reader, plan) {
+        if head.is_fatal {
+            counts.fatal.lock().unwrap().push(Instant::now());
+            begin_answer(stream, plan.ending, &head);
             is_over.store(true, Ordering::Release);
             return;
         }
+        let mut body = vec![0; head.length];
+        if reader.read_exact(&mut body).is_err() {
+            return;
+        }
         thread::sleep(WORK);
         if is_over.load(Ordering::Acquire) {
             return;
         }
-        let text = format!(
-            "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nHemlockfield-Request-Id: {id}\r\n\
-             Hemlockfield-Response-Signature: 1\r\n\r\nhull"
-        );
-        if (&mut &*stream).write_all(text.as_bytes()).is_err() {
+        let answer = answer_head(&head, "4") + "hull";
+        if (&mut &*stream).write_all(answer.as_bytes()).is_err() {
             return;
         }
     }
 }
 
+fn answer_head(head: &Head, length: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nHemlockfield-Request-Id: {}\r\n\
+         Hemlockfield-Response-Signature: 1\r\n\r\n",
+        head.id
+    )
+}
+
+/// Does what an upstream does of a fatal request before it ends.
+fn begin_answer(mut stream: &TcpStream, ending: Ending, head: &Head) {
+    let part = match ending {
+        Ending::Silent | Ending::InUpload => String::new(),
+        Ending::InHead => "HTTP/1.1 200 OK\r\nx-begun: 1\r\n".to_owned(),
+        Ending::InBody => answer_head(head, "40") + "hull",
+        Ending::InLongBody => answer_head(head, "400000") + "hull",
+        Ending::Late => return thread::sleep(IMPATIENCE + LATER),
+    };
+    thread::sleep(WORK / 2);
+    stream.write_all(part.as_bytes()).ok();
+    if !part.is_empty() {
+        thread::sleep(BEGUN);
+    }
+}
+
 /// What is done to the processes some seconds after the first death.
 #[derive(Clone, Copy, Debug)]
 enum Disturbance {
@@ -150,9 +255,9 @@
 struct Run {
     ends: Vec<Instant>,
     fatal: Vec<Instant>,
-    /// Answers to callers of the hot path, by status.
+    /// Answers to other callers, by status.
     hot: Vec<u16>,
-    /// Hot requests that were refused for ending upstreams.
+    /// Requests of other callers that were refused for ending upstreams.
     refused_hot: usize,
     /// Answers to the fatal request: status, and how long it took.
     told: Vec<(u16, Duration)>,
@@ -160,12 +265,12 @@
 
 const REASON: &str = "upstreams ended under";
 
-fn run(disturbance: Disturbance) -> Run {
+fn run(plan: Plan) -> Run {
     let mut site = Site::start_with_retries(RETRY, &[0, 1, 2, 3, 4]);
-    let upstreams: Vec<Upstream> = (0..UPSTREAMS).map(|_| Upstream::start()).collect();
+    let counts = Arc::new(Counts::default());
     wait_for("a configuration", || (0..CONTROLS).any(|at| site.submit_document(at, CONFIGURATION)));
-    for (at, upstream) in upstreams.iter().enumerate() {
-        let address = upstream.address.to_string();
+    for at in 0..plan.upstreams {
+        let address = start_upstream(plan, &counts).to_string();
         wait_for("an upstream", || site.announce_slots(&format!("i-{at}"), &address, 16));
     }
     for entry in 0..ENTRIES {
@@ -175,18 +280,29 @@
         (0..ENTRIES).map(|at| format!("{}:{FRONT}", site.ip(CONTROLS + at))).collect();
     let (next, refused_hot) = (AtomicU64::new(1_000), AtomicU64::new(0));
     let (hot, told) = (Mutex::new(Vec::new()), Mutex::new(Vec::new()));
-    let send = |path: &str| {
+    let send = |caller: Ipv4Addr, line: &str, more: &str, body: &str| {
         let id = next.fetch_add(1, Ordering::Relaxed);
-        let headers =
-            format!("Hemlockfield-Request-Id: {id}\r\nHemlockfield-Deadline-Ms: 1500\r\n");
-        ask(&fronts[id as usize % ENTRIES], &format!("GET {path}"), &headers, "")
+        let is_impatient = plan.ending == Ending::Late && line == plan.line;
+        let patience = if is_impatient { IMPATIENCE } else { PATIENCE }.as_millis();
+        let headers = format!(
+            "Hemlockfield-Request-Id: {id}\r\nHemlockfield-Deadline-Ms: {patience}\r\n{more}"
+        );
+        ask_from(caller, &fronts[id as usize % ENTRIES], line, &headers, body)
+    };
+    let hot_line = if plan.sender == Sender::OneOfPath { plan.line } else { "GET /hull/hot" };
+    let body = match plan.ending {
+        Ending::InUpload => "u".repeat(UPLOAD_BYTES),
+        _ if plan.line.starts_with("GET") => String::new(),
+        _ => "a finding".to_owned(),
     };
     let started = Instant::now();
     thread::scope(|scope| {
-        for _ in 0..HOT_CALLERS {
-            scope.spawn(|| {
+        for caller in 0..HOT_CALLERS {
+            let (send, hot, refused_hot, body) = (&send, &hot, &refused_hot, &body);
+            scope.spawn(move || {
                 while started.elapsed() < SPAN {
-                    let (status, body) = send("/hull/hot");
+                    let body = if plan.sender == Sender::OneOfPath { body } else { "" };
+                    let (status, body) = send(source(1, caller), hot_line, "", body);
                     hot.lock().unwrap().push(status);
                     let is_refused = body.contains(REASON);
                     refused_hot.fetch_add(u64::from(is_refused), Ordering::Relaxed);
@@ -196,23 +312,30 @@
         }
         scope.spawn(|| {
             thread::sleep(Duration::from_secs(1));
+            let more = if plan.sender == Sender::OneOfPath { FATAL_LINE } else { "" };
+            let mut number = 0;
             while started.elapsed() < SPAN {
                 let sent_at = Instant::now();
-                let (status, _) = send("/hull/fatal");
+                let (status, _) = send(source(2, number), plan.line, more, &body);
                 told.lock().unwrap().push((status, sent_at.elapsed()));
-                thread::sleep(FATAL_PACE);
+                number += usize::from(plan.sender == Sender::Many);
+                thread::sleep(plan.pace);
             }
         });
-        disturb(&mut site, disturbance);
+        disturb(&mut site, plan.disturbance);
     });
-    let mut ends: Vec<_> =
-        upstreams.iter().flat_map(|it| it.ends.lock().unwrap().clone()).collect();
+    let mut ends = counts.ends.lock().unwrap().clone();
     ends.sort();
-    let fatal = upstreams.iter().flat_map(|it| it.fatal.lock().unwrap().clone()).collect();
+    let fatal = counts.fatal.lock().unwrap().clone();
     let (hot, told) = (hot.into_inner().unwrap(), told.into_inner().unwrap());
     Run { ends, fatal, hot, refused_hot: refused_hot.into_inner() as usize, told }
 }
 
+/// Address of a caller.
+fn source(group: u8, number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 8, group, number as u8 + 1)
+}
+
 impl Run {
     /// Times that the fatal request was sent after all entries have learned that it ends upstreams.
     fn sent_late(&self) -> usize {
@@ -224,11 +347,21 @@
 // A request ends each upstream that runs it and comes again and again, beside a hot path that is in
 // flight whenever one ends.
 #[rstest]
-#[case::calm(Disturbance::None)]
-#[case::entries_killed(Disturbance::Entries)]
-#[case::controls_killed(Disturbance::Controls)]
-fn fatal_request_sent_on(#[case] disturbance: Disturbance) {
-    let run = run(disturbance);
+#[case::calm(PLAN)]
+#[case::entries_killed(Plan { disturbance: Disturbance::Entries, ..PLAN })]
+#[case::controls_killed(Plan { disturbance: Disturbance::Controls, ..PLAN })]
+#[case::many_callers(Plan { sender: Sender::Many, ..PLAN })]
+#[case::many_callers_sign(Plan { line: "POST /sign/fatal", sender: Sender::Many, ..PLAN })]
+#[case::one_of_path(Plan { sender: Sender::OneOfPath, ..PLAN })]
+#[case::three_upstreams(Plan { away: AWAY_LONG, pace: OFTEN, upstreams: 3, ..PLAN })]
+#[case::one_upstream(Plan { pace: OFTEN, upstreams: 1, ..PLAN })]
+#[case::in_head(Plan { ending: Ending::InHead, ..PLAN })]
+#[case::in_body(Plan { ending: Ending::InBody, ..PLAN })]
+#[case::in_long_body(Plan { ending: Ending::InLongBody, ..PLAN })]
+#[case::late(Plan { ending: Ending::Late, ..PLAN })]
+#[case::in_upload(Plan { ending: Ending::InUpload, line: "POST /load/fatal", ..PLAN })]
+fn fatal_request_sent_on(#[case] plan: Plan) {
+    let run = run(plan);
     let served = run.hot.iter().filter(|status| **status == 200).count();
     let lost = run.hot.iter().filter(|status| **status == 502).count();
     println!(
--- a/tests/suite/stand_in.rs
+++ b/tests/suite/stand_in.rs
@@ -1,10 +1,13 @@
 //! Stand-ins for what surrounds the fleet: callers, operators and upstreams, by the platform's
 //! protocol.
 
+use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -13,6 +16,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
 /// Long enough for a caller, short enough for a test.
 const PATIENCE: Duration = Duration::from_secs(3);
 
@@ -100,8 +107,31 @@
 
 /// Status and body of an answer; 0 where there is none.
 pub(crate) fn ask(address: &str, line: &str, headers: &str, body: &str) -> (u16, String) {
+    ask_on(TcpStream::connect(address), line, headers, body)
+}
+
+/// Status and body of an answer to a caller with a loopback address of its own; 0 where there is none.
+pub(crate) fn ask_from(
+    caller: Ipv4Addr,
+    address: &str,
+    line: &str,
+    headers: &str,
+    body: &str,
+) -> (u16, String) {
+    ask_on(connect_from(caller, address), line, headers, body)
+}
+
+fn connect_from(caller: Ipv4Addr, address: &str) -> io::Result<TcpStream> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&SocketAddr::from((caller, 0)).into())?;
+    socket.connect(&address.into())?;
+    Ok(socket.into())
+}
+
+fn ask_on(stream: io::Result<TcpStream>, line: &str, headers: &str, body: &str) -> (u16, String) {
     let mut text = String::new();
-    let asked = TcpStream::connect(address).and_then(|mut stream| {
+    let asked = stream.and_then(|mut stream| {
         stream.set_read_timeout(Some(PATIENCE))?;
         let length = body.len();
         let head = format!(
