--- a/src/poison/checks.rs
+++ b/src/poison/checks.rs
@@ -1,24 +1,69 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use super::Fingerprint;
+use super::Identity;
+use crate::clock::Moment;
 use crate::id::UpstreamId;
 
-/// Connections to upstreams that ended before any byte of an answer, until it is known whether the
-/// upstream did.
+/// Time for which a request that got no whole answer is suspected if its upstream turns out to have ended. An
+/// upstream that hangs under a request may end some time after everybody has given up on it.
+const MEMORY: Duration = Duration::from_secs(5);
+/// Most requests that are remembered of one upstream. It has few slots.
+const MAX_LOSSES: usize = 32;
+
+/// Requests that got no whole answer, by upstream, until it is known whether that has ended.
+#[derive(Clone, Debug, Default)]
+pub struct Checks(BTreeMap<UpstreamId, Open>);
+
+/// What is not known of one upstream.
 #[derive(Clone, Debug, Default)]
-pub struct Checks(BTreeMap<UpstreamId, Vec<Fingerprint>>);
+struct Open {
+    /// Whether it is being looked at: one look serves all requests that were in flight there.
+    is_checked: bool,
+    losses: Vec<(Moment, Identity)>,
+}
+
+impl Open {
+    fn forget_old(&mut self, now: Moment) {
+        self.losses.retain(|(at, _)| now < *at + MEMORY);
+    }
+}
 
 impl Checks {
-    /// Records that a connection ended under a request. Returns whether the upstream is to be checked:
-    /// one check serves all requests that were in flight there.
-    pub fn record(&mut self, upstream: &UpstreamId, fingerprint: Fingerprint) -> bool {
-        let is_new = !self.0.contains_key(upstream);
-        self.0.entry(upstream.clone()).or_default().push(fingerprint);
-        is_new
+    /// Records that a request got no whole answer from an upstream.
+    pub fn record(&mut self, now: Moment, upstream: &UpstreamId, identity: Identity) {
+        self.0.retain(|_, open| {
+            open.forget_old(now);
+            open.is_checked || !open.losses.is_empty()
+        });
+        let losses = &mut self.0.entry(upstream.clone()).or_default().losses;
+        losses.push((now, identity));
+        if losses.len() > MAX_LOSSES {
+            losses.remove(0);
+        }
+    }
+
+    /// Begins a look at an upstream. Returns whether one is wanted: a request was lost there, and no look is
+    /// going on.
+    pub fn begin(&mut self, now: Moment, upstream: &UpstreamId) -> bool {
+        let Some(open) = self.0.get_mut(upstream) else { return false };
+        open.forget_old(now);
+        let is_wanted = !open.is_checked && !open.losses.is_empty();
+        open.is_checked |= is_wanted;
+        is_wanted
+    }
+
+    /// Ends a look that found nothing. What was lost there is remembered for some time.
+    pub fn end(&mut self, upstream: &UpstreamId) {
+        if let Some(open) = self.0.get_mut(upstream) {
+            open.is_checked = false;
+        }
     }
 
-    /// Takes the requests that were in flight at an upstream, once it is known whether it ended.
-    pub fn take(&mut self, upstream: &UpstreamId) -> Vec<Fingerprint> {
-        self.0.remove(upstream).unwrap_or_default()
+    /// Takes the requests that were lost at an upstream, once it is known that it ended.
+    pub fn take(&mut self, now: Moment, upstream: &UpstreamId) -> Vec<Identity> {
+        let mut open = self.0.remove(upstream).unwrap_or_default();
+        open.forget_old(now);
+        open.losses.into_iter().map(|(_, identity)| identity).collect()
     }
 }
--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -9,12 +9,16 @@
 use super::Crash;
 use super::Evidence;
 use super::Fingerprint;
+use super::Identity;
 use super::List;
 use super::Quarantine;
 use super::Report;
 use super::quarantine;
+use super::suspect::Ended;
+use super::suspect::Kind;
+use super::suspect::Quarantined;
+use super::suspect::Suspect;
 use crate::clock::Moment;
-use crate::id::UpstreamId;
 
 /// Upstreams that may end under a request before it is quarantined.
 const CRASHES_MAX: usize = 3;
@@ -31,82 +35,29 @@
 /// How many more may while another suspected request was in flight at all of these crashes. An answer to one of
 /// the two tells which, but an entry that is cut off hears of none; the next crash is of the fatal one alone.
 const TIED_MAX: usize = 1;
-/// Time within which two reports of an upstream's crash are about the same one.
-const SAME_CRASH: Duration = Duration::from_millis(1_500);
 /// Time after which a request is not suspected any more if no upstream ended under it since.
 const SUSPICION: Duration = Duration::from_secs(300);
 /// Time for which an answer outweighs the quarantines of processes that have not heard of it.
 const CLEARED: Duration = Duration::from_secs(10);
-/// Most suspected and quarantined requests. Callers can add some only as fast as upstreams end.
-const MAX_SUSPECTS: usize = 512;
+/// Most suspected and quarantined kinds. Callers can add some only as fast as upstreams end.
+const MAX_SUSPECTS: usize = 1_024;
 const MAX_QUARANTINES: usize = 256;
-/// Most crashes that are remembered of a request. Those of a suspected one are its first, as the quarantine
-/// counts from the third.
-const MAX_CRASHES: usize = 8;
 
 /// What one process knows of requests under which upstreams ended.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    /// Requests that an upstream answered, and when.
+    /// Kinds of which an upstream answered one, and when.
     cleared: BTreeMap<Fingerprint, Moment>,
     /// The last crashes, each with the requests that were in flight.
-    recent: VecDeque<(Ended, Vec<Fingerprint>)>,
+    recent: VecDeque<(Ended, Vec<Identity>)>,
     quarantined: BTreeMap<Fingerprint, Quarantined>,
-    suspects: BTreeMap<Fingerprint, Vec<Ended>>,
-}
-
-/// An upstream that ended, and when.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Ended {
-    at: Moment,
-    upstream: UpstreamId,
-}
-
-impl Ended {
-    /// Whether two reports are about the same crash. Entries report one at slightly different times.
-    fn is_same(&self, other: &Self) -> bool {
-        self.upstream == other.upstream && self.at.abs_diff(other.at) < SAME_CRASH
-    }
-}
-
-/// A request in quarantine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Quarantined {
-    count: u32,
-    /// The last upstreams that ended under it, which explain the suspicion of what was in flight there.
-    crashes: VecDeque<Ended>,
-    until: Moment,
-}
-
-impl Quarantined {
-    fn new(now: Moment, count: u32, crashes: Vec<Ended>) -> Self {
-        Self { count, crashes: crashes.into(), until: now + quarantine::length(count) }
-    }
-
-    /// Records a crash. What was in flight when the quarantine began shows nothing new; a trial does.
-    fn record(&mut self, now: Moment, ended: Ended) {
-        if now >= self.until {
-            self.count += 1;
-            self.until = now + quarantine::length(self.count);
-        }
-        if self.crashes.iter().any(|other| other.is_same(&ended)) {
-            return;
-        }
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.pop_front();
-        }
-        self.crashes.push_back(ended);
-    }
-
-    fn expires_at(&self) -> Moment {
-        self.until + quarantine::MEMORY
-    }
+    suspects: BTreeMap<Fingerprint, Suspect>,
 }
 
 impl Ledger {
     /// Records evidence of any entry.
     pub fn record(&mut self, now: Moment, evidence: &Evidence) {
-        evidence.answered.iter().for_each(|fingerprint| self.clear(now, *fingerprint));
+        evidence.answered.iter().for_each(|identity| self.clear(now, identity));
         evidence.crashes.iter().for_each(|crash| self.record_crash(now, crash));
         self.advance(now);
     }
@@ -114,7 +65,7 @@
     /// Advances the time to `now`.
     pub fn advance(&mut self, now: Moment) {
         self.cleared.retain(|_, at| now < *at + CLEARED);
-        self.suspects.retain(|_, ended| ended.last().is_some_and(|it| now < it.at + SUSPICION));
+        self.suspects.retain(|_, it| it.crashes.last().is_some_and(|it| now < it.at + SUSPICION));
         self.quarantined.retain(|_, held| now < held.expires_at());
         loop {
             let due = self.due(now);
@@ -122,14 +73,15 @@
                 return;
             }
             for fingerprint in due {
-                let crashes = self.suspects.remove(&fingerprint).unwrap_or_default();
+                let Some(suspect) = self.suspects.remove(&fingerprint) else { continue };
                 tracing::warn!(
                     target: "hemlockfield::poison",
                     fingerprint = %format_args!("{fingerprint:016x}"),
-                    crashes = crashes.len(),
+                    width = suspect.kind.width(),
+                    crashes = suspect.crashes.len(),
                     "request quarantined"
                 );
-                self.insert(fingerprint, Quarantined::new(now, 1, crashes));
+                self.insert(fingerprint, Quarantined::new(now, suspect));
             }
         }
     }
@@ -137,7 +89,7 @@
     /// What the traffic threads go by.
     pub fn list(&self) -> List {
         let quarantined = self.quarantined.iter().map(|(of, held)| (*of, held.until));
-        let suspects = self.suspects.iter().map(|(of, ended)| (*of, ended.len()));
+        let suspects = self.suspects.iter().map(|(of, suspect)| (*of, suspect.crashes.len()));
         List { quarantined: quarantined.collect(), suspects: suspects.collect() }
     }
 
@@ -174,48 +126,55 @@
             let longest = quarantine::length(told.count) + quarantine::MEMORY;
             let expires_at = now + told.expires_in.min(longest);
             let until = expires_at.saturating_sub(quarantine::MEMORY);
-            let held = self.quarantined.remove(&told.fingerprint).map(|held| held.crashes);
-            let suspected = self.suspects.remove(&told.fingerprint).map(VecDeque::from);
-            let crashes = held.or(suspected).unwrap_or_default();
-            self.insert(told.fingerprint, Quarantined { count: told.count, crashes, until });
+            let held =
+                self.quarantined.remove(&told.fingerprint).map(|held| (held.kind, held.crashes));
+            let suspect = self.suspects.remove(&told.fingerprint);
+            let suspect = suspect.map(|it| (Some(it.kind), VecDeque::from(it.crashes)));
+            let (kind, crashes) = held.or(suspect).unwrap_or_default();
+            self.insert(told.fingerprint, Quarantined { count: told.count, crashes, kind, until });
         }
     }
 
-    fn clear(&mut self, now: Moment, fingerprint: Fingerprint) {
-        let was_suspected = self.suspects.remove(&fingerprint).is_some();
-        let was_quarantined = self.quarantined.remove(&fingerprint).is_some();
-        if was_suspected || was_quarantined {
+    fn clear(&mut self, now: Moment, identity: &Identity) {
+        for fingerprint in identity.fingerprints() {
+            let was_suspected = self.suspects.remove(&fingerprint).is_some();
+            let was_quarantined = self.quarantined.remove(&fingerprint).is_some();
+            if !was_suspected && !was_quarantined {
+                continue;
+            }
             tracing::info!(
                 target: "hemlockfield::poison",
                 fingerprint = %format_args!("{fingerprint:016x}"),
                 was_quarantined,
                 "request cleared by an answer"
             );
-        }
-        if (was_suspected || was_quarantined) && self.cleared.len() < MAX_SUSPECTS {
-            self.cleared.insert(fingerprint, now);
+            if self.cleared.len() < MAX_SUSPECTS {
+                self.cleared.insert(fingerprint, now);
+            }
         }
     }
 
     fn record_crash(&mut self, now: Moment, crash: &Crash) {
         self.note_recent(now, crash);
-        for fingerprint in &crash.suspects {
-            let ended = Ended { at: now, upstream: crash.upstream.clone() };
-            if let Some(held) = self.quarantined.get_mut(fingerprint) {
-                held.record(now, ended);
-                continue;
-            }
-            let known = self.suspects.entry(*fingerprint).or_default();
-            let is_known = known.iter().any(|other| other.is_same(&ended));
-            if !is_known && known.len() < MAX_CRASHES {
-                known.push(ended);
-                tracing::info!(
-                    target: "hemlockfield::poison",
-                    fingerprint = %format_args!("{fingerprint:016x}"),
-                    upstream = %crash.upstream,
-                    crashes = known.len(),
-                    "request suspected"
-                );
+        let ended = Ended { at: now, place: crash.place.clone() };
+        for identity in &crash.suspects {
+            for (width, fingerprint) in identity.fingerprints().into_iter().enumerate() {
+                if let Some(held) = self.quarantined.get_mut(&fingerprint) {
+                    held.record(now, &ended);
+                    continue;
+                }
+                let new = || Suspect::new(Kind::new(*identity, width));
+                let suspect = self.suspects.entry(fingerprint).or_insert_with(new);
+                if suspect.record(&ended, identity) && suspect.crashes.len() > 1 {
+                    tracing::info!(
+                        target: "hemlockfield::poison",
+                        fingerprint = %format_args!("{fingerprint:016x}"),
+                        width,
+                        place = ?crash.place,
+                        crashes = suspect.crashes.len(),
+                        "request suspected"
+                    );
+                }
             }
         }
         self.limit_suspects();
@@ -223,7 +182,7 @@
 
     /// Notes a crash with the requests that were in flight, as far as one entry knows them.
     fn note_recent(&mut self, now: Moment, crash: &Crash) {
-        let ended = Ended { at: now, upstream: crash.upstream.clone() };
+        let ended = Ended { at: now, place: crash.place.clone() };
         if let Some((_, suspects)) = self.recent.iter_mut().find(|(other, _)| other.is_same(&ended))
         {
             let room = MAX_IN_FLIGHT.saturating_sub(suspects.len());
@@ -237,18 +196,19 @@
         }
     }
 
-    /// Requests to quarantine now: the one with the most crashes that no quarantined request explains, and those
+    /// Kinds to quarantine now: the one with the most crashes that no quarantined request explains, and those
     /// with the same ones. Once they are quarantined, they may explain those of others.
     fn due(&self, now: Moment) -> Vec<Fingerprint> {
-        let candidates = self.suspects.iter().filter(|(_, ended)| ended.len() >= CRASHES_MAX);
-        let due = candidates.filter_map(|(fingerprint, ended)| {
-            let open = self.unexplained(ended);
-            let needed = CRASHES_MAX + self.unrelated(now, *fingerprint);
+        let candidates = self.suspects.values().filter(|it| it.crashes.len() >= CRASHES_MAX);
+        let candidates = candidates.filter(|it| !it.is_narrower());
+        let due = candidates.filter_map(|suspect| {
+            let open = self.unexplained(suspect);
+            let needed = CRASHES_MAX + self.unrelated(now, suspect);
             let last = open.get(needed - 1)?;
             let is_over = now >= last.at + GRACE;
-            let is_tied = open.len() < needed + TIED_MAX && self.is_tied(*fingerprint, &open);
-            let is_due = is_over && !is_tied && !self.is_beside_others(*fingerprint, &open);
-            is_due.then_some((open, *fingerprint))
+            let is_tied = open.len() < needed + TIED_MAX && self.is_tied(suspect, &open);
+            let is_due = is_over && !is_tied && !self.is_beside_others(suspect, &open);
+            is_due.then_some((open, suspect.kind.fingerprint()))
         });
         let due: Vec<(Vec<&Ended>, Fingerprint)> = due.collect();
         let Some((most, _)) = due.iter().max_by_key(|(open, _)| open.len()) else {
@@ -259,40 +219,49 @@
         due.iter().filter(|(open, _)| has_same(open)).map(|(_, fingerprint)| *fingerprint).collect()
     }
 
-    /// Crashes at which no quarantined request was in flight.
-    fn unexplained<'a>(&self, ended: &'a [Ended]) -> Vec<&'a Ended> {
-        let explains = |one: &Ended| {
-            self.quarantined
-                .values()
-                .any(|held| held.crashes.iter().any(|other| other.is_same(one)))
-        };
-        ended.iter().filter(|one| !explains(one)).collect()
+    /// Crashes at which no quarantined request was in flight. Requests of a narrower kind, which are
+    /// quarantined for these crashes themselves, explain none of them.
+    fn unexplained<'a>(&self, suspect: &'a Suspect) -> Vec<&'a Ended> {
+        let is_within =
+            |held: &Quarantined| held.kind.is_some_and(|it| it.is_within(&suspect.kind));
+        let explains =
+            |one: &Ended| self.quarantined.values().any(|it| !is_within(it) && it.explains(one));
+        suspect.crashes.iter().filter(|one| !explains(one)).collect()
     }
 
     /// Recent crashes, up to a limit, without this request in flight or another one that explains them.
-    fn unrelated(&self, now: Moment, fingerprint: Fingerprint) -> usize {
+    fn unrelated(&self, now: Moment, suspect: &Suspect) -> usize {
         let explains = |one: &Fingerprint| {
-            let crashes = self.suspects.get(one).map_or(0, Vec::len);
-            *one == fingerprint || crashes >= CRASHES_MAX || self.quarantined.contains_key(one)
+            let crashes = self.suspects.get(one).map_or(0, |it| it.crashes.len());
+            let is_known = crashes >= CRASHES_MAX || self.quarantined.contains_key(one);
+            is_known || *one == suspect.kind.fingerprint()
+        };
+        let is_explained = |in_flight: &[Identity]| {
+            in_flight.iter().any(|identity| identity.fingerprints().iter().any(explains))
         };
         let recent = self.recent.iter().filter(|(ended, _)| now < ended.at + UNRELATED_SPAN);
-        let unrelated = recent.filter(|(_, suspects)| !suspects.iter().any(explains));
+        let unrelated = recent.filter(|(_, in_flight)| !is_explained(in_flight));
         unrelated.count().min(UNRELATED_MAX)
     }
 
     /// Whether suspected requests that had more crashes were in flight at all of these. This one was just in flight
     /// beside them.
-    fn is_beside_others(&self, fingerprint: Fingerprint, open: &[&Ended]) -> bool {
-        let crashes = self.suspects.get(&fingerprint).map_or(0, Vec::len);
-        let others = self.suspects.values().filter(|others| others.len() > crashes);
-        includes(others.flatten(), open)
+    fn is_beside_others(&self, suspect: &Suspect, open: &[&Ended]) -> bool {
+        let others = self.others(suspect).filter(|it| it.crashes.len() > suspect.crashes.len());
+        includes(others.flat_map(|it| &it.crashes), open)
     }
 
     /// Whether another suspected request was in flight at all of these crashes.
-    fn is_tied(&self, fingerprint: Fingerprint, open: &[&Ended]) -> bool {
-        self.suspects
-            .iter()
-            .any(|(other, others)| *other != fingerprint && includes(others.iter(), open))
+    fn is_tied(&self, suspect: &Suspect, open: &[&Ended]) -> bool {
+        self.others(suspect).any(|other| includes(other.crashes.iter(), open))
+    }
+
+    /// Suspected kinds that neither contain this one nor are part of it.
+    fn others<'a>(&'a self, suspect: &'a Suspect) -> impl Iterator<Item = &'a Suspect> + Clone {
+        let own = suspect.kind;
+        let is_other =
+            move |kind: &Kind| kind.fingerprint() != own.fingerprint() && !kind.is_related(&own);
+        self.suspects.values().filter(move |it| is_other(&it.kind))
     }
 
     /// Adds a quarantine, in place of the one that ends first if there are too many.
@@ -306,13 +275,18 @@
         }
     }
 
-    /// Forgets the suspected requests with the fewest crashes, the oldest first, if there are too many.
+    /// Forgets the suspected kinds with the fewest crashes, the oldest first, if there are too many.
     fn limit_suspects(&mut self) {
-        while self.suspects.len() > MAX_SUSPECTS {
-            let key = |ended: &Vec<Ended>| (ended.len(), ended.last().map(|it| it.at));
-            let least = self.suspects.iter().min_by_key(|(_, ended)| key(ended));
-            let Some(least) = least.map(|(fingerprint, _)| *fingerprint) else { return };
-            self.suspects.remove(&least);
+        let excess = self.suspects.len().saturating_sub(MAX_SUSPECTS);
+        if excess == 0 {
+            return;
+        }
+        let key =
+            |suspect: &Suspect| (suspect.crashes.len(), suspect.crashes.last().map(|it| it.at));
+        let mut order: Vec<_> = self.suspects.iter().map(|(of, it)| (key(it), *of)).collect();
+        order.sort_unstable();
+        for (_, fingerprint) in order.into_iter().take(excess) {
+            self.suspects.remove(&fingerprint);
         }
     }
 }
--- a/src/poison/list.rs
+++ b/src/poison/list.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Fingerprint;
+use super::Identity;
 use crate::clock::Moment;
 
 /// Crashes under a suspected request from which on it is sent once at most: a retry would probably end
@@ -12,12 +13,12 @@
 /// For how long one entry alone may send a request whose quarantine is over.
 pub(super) const TURN: Duration = Duration::from_secs(10);
 
-/// Suspected and quarantined requests.
+/// Suspected and quarantined kinds of requests.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct List {
     /// End of each quarantine.
     pub(super) quarantined: BTreeMap<Fingerprint, Moment>,
-    /// Number of upstreams that ended under each suspected request.
+    /// Number of crashes at which a request of each suspected kind was in flight.
     pub(super) suspects: BTreeMap<Fingerprint, usize>,
 }
 
@@ -33,6 +34,8 @@
     Send,
     /// Send it on as a trial, if no trial was made since the quarantine ended.
     Trial {
+        /// The kind that is tried.
+        of: Fingerprint,
         /// End of the quarantine.
         since: Moment,
         /// When a caller that is refused may return.
@@ -41,7 +44,7 @@
 }
 
 impl List {
-    /// Number of requests in quarantine.
+    /// Number of kinds in quarantine.
     pub fn quarantined(&self) -> usize {
         self.quarantined.len()
     }
@@ -52,34 +55,67 @@
     }
 
     /// Whether an answer to a request has to be reported.
-    pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
+    pub fn is_suspected(&self, identity: &Identity) -> bool {
+        identity.fingerprints().iter().any(|one| self.is_listed(*one))
+    }
+
+    /// Whether a kind is suspected or quarantined.
+    pub fn is_listed(&self, fingerprint: Fingerprint) -> bool {
         self.suspects.contains_key(&fingerprint) || self.quarantined.contains_key(&fingerprint)
     }
 
-    /// Whether a request may be sent to a second upstream after it failed at one.
-    pub fn allows_retry(&self, fingerprint: Fingerprint) -> bool {
-        let crashes = self.suspects.get(&fingerprint).copied().unwrap_or_default();
-        crashes < CRASHES_WITHOUT_RETRY && !self.quarantined.contains_key(&fingerprint)
+    /// Whether a request may be sent to a second upstream after it failed at one. Other requests for its
+    /// path say little about it.
+    pub fn allows_retry(&self, identity: &Identity) -> bool {
+        let crashes = |one: &Fingerprint| self.suspects.get(one).copied().unwrap_or_default();
+        let is_quarantined =
+            identity.fingerprints().iter().any(|one| self.quarantined.contains_key(one));
+        !is_quarantined && identity.alike().iter().all(|one| crashes(one) < CRASHES_WITHOUT_RETRY)
     }
 
-    /// What to do with a request. `is_turn` says whether it is this entry's turn, given the number of
-    /// turns since a quarantine ended.
+    /// What to do with a request. `is_turn` says whether it is this entry's turn to try a kind, given the
+    /// number of turns since its quarantine ended.
     pub fn decide(
         &self,
         now: Moment,
-        fingerprint: Fingerprint,
-        is_turn: impl Fn(u32) -> bool,
+        identity: &Identity,
+        is_turn: impl Fn(Fingerprint, u32) -> bool,
     ) -> Decision {
-        let Some(until) = self.quarantined.get(&fingerprint).copied() else {
-            return Decision::Send;
-        };
-        if now < until {
-            return Decision::Refuse { after: until - now };
+        let mut decision = Decision::Send;
+        for fingerprint in identity.fingerprints() {
+            let Some(until) = self.quarantined.get(&fingerprint).copied() else { continue };
+            let one = decide_one(now, fingerprint, until, &is_turn);
+            decision = strictest(decision, one);
         }
-        let turn = (now - until).as_millis() / TURN.as_millis();
-        match is_turn(turn as u32) {
-            true => Decision::Trial { since: until, after: TURN },
-            false => Decision::Refuse { after: TURN },
+        decision
+    }
+}
+
+/// What to do with a request of a kind whose quarantine ends at `until`.
+fn decide_one(
+    now: Moment,
+    of: Fingerprint,
+    until: Moment,
+    is_turn: impl Fn(Fingerprint, u32) -> bool,
+) -> Decision {
+    if now < until {
+        return Decision::Refuse { after: until - now };
+    }
+    let turn = (now - until).as_millis() / TURN.as_millis();
+    match is_turn(of, turn as u32) {
+        true => Decision::Trial { of, since: until, after: TURN },
+        false => Decision::Refuse { after: TURN },
+    }
+}
+
+/// Of the decisions on a narrower kind and on a wider one, that which sends less. A trial is one of the wider
+/// kind: its answer clears both.
+fn strictest(narrower: Decision, wider: Decision) -> Decision {
+    match (narrower, wider) {
+        (Decision::Refuse { after: one }, Decision::Refuse { after: other }) => {
+            Decision::Refuse { after: one.max(other) }
         }
+        (Decision::Refuse { .. }, _) | (_, Decision::Send) => narrower,
+        _ => wider,
     }
 }
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -85,18 +85,6 @@
         matches!(self.round_trip.result, Err(Failure::Closed { .. }))
     }
 
-    /// Whether the request was sent and got no whole head or body of an answer.
-    pub(super) fn is_lost(&self) -> bool {
-        matches!(
-            self.round_trip.result,
-            Err(Failure::Closed { .. }
-                | Failure::Cut(_)
-                | Failure::Expired(_)
-                | Failure::Malformed(_)
-                | Failure::Silent(_))
-        )
-    }
-
     /// Whether no connection to the upstream could be opened.
     pub(super) fn is_unconnected(&self) -> bool {
         matches!(self.round_trip.result, Err(Failure::Connect(_)))
--- a/src/traffic/attempts.rs
+++ b/src/traffic/attempts.rs
@@ -122,7 +122,9 @@
                 Resolution::Answer(Box::new((attempt, answer)))
             });
         };
-        let may_retry = poison::allows_retry(proxy, job) && proxy.can_finish_job(job);
+        // No upstream ended under what was not sent.
+        let may_retry = !attempt.is_sent() || poison::allows_retry(proxy, job);
+        let may_retry = may_retry && proxy.can_finish_job(job);
         let failed = retry::Attempt {
             body_kept: job.payload.is_available(),
             head_sent: false,
--- a/src/traffic/job.rs
+++ b/src/traffic/job.rs
@@ -185,15 +185,19 @@
     }
 
     /// What this request has in common with others that an upstream can't tell from it.
-    pub(super) fn fingerprint(&self) -> poison::Fingerprint {
+    pub(super) fn identity(&self) -> poison::Identity {
+        let caller = self.team.as_ref().unwrap_or(&self.caller);
+        let (path, request) = (self.path_digest(), self.digest());
+        poison::Identity::of(&poison::Parts { caller, path, request, service: &self.service })
+    }
+
+    /// Hash of method, host and path without query.
+    fn path_digest(&self) -> u128 {
         let mut hash = Xxh3::new();
-        let team = self.team.as_ref().unwrap_or(&self.caller);
-        for part in [self.service.as_bytes(), team.as_bytes()] {
-            hash.update(&part.len().to_le_bytes());
-            hash.update(part);
-        }
-        hash.update(&self.digest().to_le_bytes());
-        hash.digest()
+        hash.update(self.method.as_str().as_bytes());
+        hash.update(self.headers.get(http::header::HOST).map_or(&[], |host| host.as_bytes()));
+        hash.update(self.target.split('?').next().unwrap_or_default().as_bytes());
+        hash.digest128()
     }
 
     /// The key that admission limits the concurrency of: the idempotency key. The path of a lookup
--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use crate::poison::Decision;
 use crate::poison::Evidence;
 use crate::poison::Fingerprint;
+use crate::poison::Place;
 use crate::poison::Trials;
 use crate::reach::Check;
 use crate::runtime;
@@ -32,15 +34,15 @@
 use super::attempt::Attempt;
 use super::job::Job;
 
-/// Upstreams that wait to be checked. Those beyond are not; a fatal request ends others soon.
+/// Upstreams that wait to be looked at. Those beyond are not; a fatal request ends others soon.
 const MAX_CHECKS: usize = 64;
-/// How long after the end of a connection its upstream is checked: one that is ending may still accept
+/// How long after the end of a connection its upstream is looked at: one that is ending may still accept
 /// connections for a moment.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Most other upstreams that are tried to tell the end of one from the loss of a path. Some of them may have
 /// ended under the same request.
 const MAX_OTHERS: usize = 5;
-/// Longest wait for an upstream to check, so that the loop notices when the process stops.
+/// Longest wait for an upstream to look at, so that the loop notices when the process stops.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
 /// An upstream that may have ended.
@@ -49,6 +51,16 @@
     check: Check,
 }
 
+/// What a look at an upstream found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Finding {
+    /// Something takes connections at its address.
+    Alive,
+    Ended,
+    /// Neither it nor another upstream of its service takes connections: the path may be lost.
+    Unconfirmed,
+}
+
 /// What the traffic threads know of requests under which upstreams end.
 pub(super) struct Poison {
     doubts: (Sender<Doubt>, Receiver<Doubt>),
@@ -61,42 +73,49 @@
         Self { doubts: bounded(MAX_CHECKS), trials: Mutex::default(), checks: Mutex::default() }
     }
 
-    fn take_suspects(&self, upstream: &UpstreamId) -> Vec<Fingerprint> {
-        self.checks.lock().unwrap_or_else(PoisonError::into_inner).take(upstream)
+    fn checks(&self) -> MutexGuard<'_, Checks> {
+        self.checks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Has an upstream checked if its connection ended before any byte of an answer to a job.
+/// Remembers a job that got no whole answer from an upstream, and has the upstream looked at if it ended
+/// the connection. A failed connection shows something only where a job was lost before.
 pub(super) fn note_failure(proxy: &Proxy, job: &Job, attempt: &Attempt<'_>) {
-    if !attempt.is_broken_off() {
-        if attempt.is_lost() {
-            log_loss(job, attempt, false);
-        }
-        return;
+    if attempt.is_broken_off() {
+        note_loss(proxy, job, attempt, &attempt.reason());
+    } else if attempt.is_unconnected() {
+        start_look(proxy, job, attempt);
     }
-    let (poison, upstream) = (&proxy.poison, attempt.upstream());
-    log_loss(job, attempt, true);
-    let mut checks = poison.checks.lock().unwrap_or_else(PoisonError::into_inner);
-    if !checks.record(&upstream, job.fingerprint()) {
+}
+
+fn note_loss(proxy: &Proxy, job: &Job, attempt: &Attempt<'_>, reason: &str) {
+    let upstream = attempt.upstream();
+    log_loss(job, &upstream, reason);
+    proxy.poison.checks().record(proxy.now(), &upstream, job.identity());
+    start_look(proxy, job, attempt);
+}
+
+fn start_look(proxy: &Proxy, job: &Job, attempt: &Attempt<'_>) {
+    let upstream = attempt.upstream();
+    let mut checks = proxy.poison.checks();
+    if !checks.begin(proxy.now(), &upstream) {
         return;
     }
     let check = Check { service: job.service.clone(), upstream: upstream.clone() };
     let doubt = Doubt { address: attempt.address(), check };
-    if poison.doubts.0.try_send(doubt).is_err() {
-        checks.take(&upstream);
+    if proxy.poison.doubts.0.try_send(doubt).is_err() {
+        checks.end(&upstream);
     }
 }
 
-/// Logs that a job got no whole answer from an upstream, and whether the upstream is looked at for it.
-fn log_loss(job: &Job, attempt: &Attempt<'_>, is_checked: bool) {
+fn log_loss(job: &Job, upstream: &UpstreamId, reason: &str) {
     tracing::info!(
         target: "hemlockfield::poison",
         id = %job.id,
         service = %job.service,
-        upstream = %attempt.upstream(),
-        fingerprint = %format_args!("{:016x}", job.fingerprint()),
-        is_checked,
-        reason = attempt.reason(),
+        %upstream,
+        fingerprints = %format_args!("{:016x?}", job.identity().fingerprints()),
+        reason,
         "answer lost"
     );
 }
@@ -104,15 +123,19 @@
 /// Reports a whole answer to a suspected job.
 pub(super) fn note_answer(proxy: &Proxy, job: &Job) {
     let view = proxy.view.load();
-    if !view.poison.is_empty() && view.poison.is_suspected(job.fingerprint()) {
-        proxy.try_notify(Input::Poison(Evidence::of_answer(job.fingerprint())));
+    if view.poison.is_empty() {
+        return;
+    }
+    let identity = job.identity();
+    if view.poison.is_suspected(&identity) {
+        proxy.try_notify(Input::Poison(Evidence::of_answer(identity)));
     }
 }
 
 /// Whether a job may be sent to a second upstream.
 pub(super) fn allows_retry(proxy: &Proxy, job: &Job) -> bool {
     let view = proxy.view.load();
-    view.poison.is_empty() || view.poison.allows_retry(job.fingerprint())
+    view.poison.is_empty() || view.poison.allows_retry(&job.identity())
 }
 
 /// When the caller of a job in quarantine may return; `None` if the job may be sent. A trial is sent
@@ -121,27 +144,26 @@
     if view.poison.is_empty() {
         return None;
     }
-    let fingerprint = job.fingerprint();
-    let is_turn = |turn| {
+    let is_turn = |of: Fingerprint, turn| {
         let entries = view.entries.iter().map(|entry| (&entry.id, &entry.domain));
-        let key = format!("{fingerprint:016x}");
+        let key = format!("{of:016x}");
         let rank = Rank::of(&proxy.settings.node.id, entries, &key, &DomainId::default());
         view.standing == Standing::Serving && rank.is_listed() && rank.turn(turn) == 0
     };
-    match view.poison.decide(proxy.now(), fingerprint, is_turn) {
+    match view.poison.decide(proxy.now(), &job.identity(), is_turn) {
         Decision::Refuse { after } => Some(after),
         Decision::Send => None,
-        Decision::Trial { since, after } => {
+        Decision::Trial { of, since, after } => {
             let mut trials = proxy.poison.trials.lock().unwrap_or_else(PoisonError::into_inner);
-            trials.retain(|other| view.poison.is_suspected(other));
+            trials.retain(|other| view.poison.is_listed(other));
             job.terms.attempts = 1;
             job.terms.hedge = false;
-            (!trials.try_take(fingerprint, since)).then_some(after)
+            (!trials.try_take(of, since)).then_some(after)
         }
     }
 }
 
-/// Checks upstreams whose connections ended, until the process stops.
+/// Looks at upstreams whose connections ended, until the process stops.
 pub(crate) async fn watch_upstreams(proxy: Arc<Proxy>) {
     while !proxy.done.is_closed() {
         if let Ok(Ok(doubt)) = timeout(MAX_WAIT, proxy.poison.doubts.1.recv()).await {
@@ -150,35 +172,36 @@
     }
 }
 
-/// What a look at an upstream found.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Finding {
-    /// It takes connections.
-    Alive,
-    Ended,
-    /// Neither it nor another upstream of its service takes connections: the path may be lost.
-    Unconfirmed,
-}
-
-/// Reports an upstream as ended if no connection to it can be opened.
+/// Reports an upstream as ended if no connection to it can be opened, or a new one has its address.
 async fn check(proxy: Arc<Proxy>, doubt: Doubt) {
+    task::sleep(PAUSE).await;
     let finding = look(&proxy, &doubt).await;
-    let Check { service, upstream } = doubt.check;
-    let suspects = proxy.poison.take_suspects(&upstream);
-    let count = suspects.len();
-    tracing::info!(
-        target: "hemlockfield::poison", %service, %upstream, ?finding, suspects = count, "upstream looked at"
-    );
+    let Check { service, upstream } = doubt.check.clone();
+    tracing::info!(target: "hemlockfield::poison", %service, %upstream, ?finding, "upstream looked at");
     match finding {
-        Finding::Alive => proxy.metrics.count("upstream.alive"),
-        Finding::Unconfirmed => proxy.metrics.count("upstream.unconfirmed"),
         Finding::Ended => {
             proxy.metrics.count("upstream.ended");
-            proxy.notify(Input::Poison(Evidence::of_crash(upstream, suspects)));
+            report_end(&proxy, &upstream, Place::Upstream(upstream.clone()));
+        }
+        Finding::Unconfirmed => {
+            proxy.metrics.count("upstream.unconfirmed");
+            proxy.poison.checks().end(&upstream);
+        }
+        Finding::Alive => {
+            proxy.metrics.count("upstream.alive");
+            proxy.poison.checks().end(&upstream);
         }
     }
 }
 
+/// Reports a crash with the jobs that were lost at an upstream.
+fn report_end(proxy: &Proxy, upstream: &UpstreamId, place: Place) {
+    let suspects = proxy.poison.checks().take(proxy.now(), upstream);
+    if !suspects.is_empty() {
+        proxy.notify(Input::Poison(Evidence::of_crash(place, suspects)));
+    }
+}
+
 async fn look(proxy: &Proxy, doubt: &Doubt) -> Finding {
     if !is_ended(proxy, doubt.address).await {
         return Finding::Alive;
@@ -209,7 +232,6 @@
 /// Whether an upstream takes no more connections. An idle one that is still open shows that it lives, and
 /// costs the upstream nothing.
 async fn is_ended(proxy: &Proxy, address: SocketAddr) -> bool {
-    task::sleep(PAUSE).await;
     if proxy.pool.has_open(address).await {
         return false;
     }
--- a/tests/suite/fleet_model/plan.rs
+++ b/tests/suite/fleet_model/plan.rs
@@ -68,6 +68,8 @@
 /// What happens in a run.
 #[derive(Clone, Debug)]
 pub(super) struct Plan {
+    /// Callers that send each of the requests, in turn.
+    pub(super) callers: u64,
     pub(super) entries: usize,
     /// When the run ends. Whatever is in flight then is lost, as when all entries are killed.
     pub(super) end: Moment,
@@ -120,6 +122,7 @@
         Self {
             entries,
             end,
+            callers: 1,
             has_fatal: false,
             link: WIDE_LINK,
             seed,
@@ -164,7 +167,7 @@
         let cut_upstreams = (0..32).choose_multiple(&mut random, 16);
         steps.push((at, Step::Cut { entries: cut_entries, upstreams: cut_upstreams, until }));
         let end = Duration::from_secs(34);
-        Self { entries, end, has_fatal: false, link: WIDE_LINK, seed, services, steps }
+        Self { callers: 1, entries, end, has_fatal: false, link: WIDE_LINK, seed, services, steps }
     }
 
     /// Fatal requests come, while entries and controls are killed and some entries are cut off.
@@ -237,6 +240,7 @@
         Self {
             entries,
             end: until,
+            callers: 1,
             has_fatal: false,
             link: WIDE_LINK,
             seed,
@@ -313,7 +317,16 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let entries = random.random_range(24..=40);
         let end = Duration::from_secs(20);
-        Self { entries, end, has_fatal: false, link: WIDE_LINK, seed, services, steps: Vec::new() }
+        Self {
+            callers: 1,
+            entries,
+            end,
+            has_fatal: false,
+            link: WIDE_LINK,
+            seed,
+            services,
+            steps: Vec::new(),
+        }
     }
 
     /// Operators add many routes and change small things at once, while callers fill narrow links.
@@ -351,6 +364,7 @@
         Self {
             entries: 16,
             end,
+            callers: 1,
             has_fatal: false,
             link: NARROW_LINK,
             seed,
--- a/tests/suite/fleet_model/promise.rs
+++ b/tests/suite/fleet_model/promise.rs
@@ -78,8 +78,12 @@
 // A request ends each upstream that runs it and comes at any entry, while entries and controls are
 // killed. A hot path is in flight at most of these deaths.
 #[rstest]
-fn fatal_request_quarantined(#[values(2, 12, 116)] entries: usize, #[values(0, 1, 2)] seed: u64) {
-    let world = World::run(Plan::fatal(seed, entries, 1));
+fn fatal_request_quarantined(
+    #[values(2, 12, 116)] entries: usize,
+    #[values(0, 1, 2)] seed: u64,
+    #[values(1, 40)] callers: u64,
+) {
+    let world = World::run(Plan { callers, ..Plan::fatal(seed, entries, 1) });
     let seen = &world.seen;
     let (ended, late, innocent) = (seen.ends.len(), seen.late(), seen.innocent);
     println!("{ended} ended, {late} sent late, {innocent} others refused");
@@ -95,8 +99,12 @@
 
 // Two requests end upstreams at the same time. Those of each are to be told from those of the other.
 #[rstest]
-fn fatal_requests_quarantined(#[values(2, 12, 40)] entries: usize, #[values(0, 1, 2)] seed: u64) {
-    let world = World::run(Plan::fatal(seed, entries, 2));
+fn fatal_requests_quarantined(
+    #[values(2, 12, 40)] entries: usize,
+    #[values(0, 1, 2)] seed: u64,
+    #[values(1, 40)] callers: u64,
+) {
+    let world = World::run(Plan { callers, ..Plan::fatal(seed, entries, 2) });
     let seen = &world.seen;
     let (ended, least, late) = (seen.ends.len(), seen.least_ended(), seen.late());
     println!(
@@ -116,8 +124,12 @@
 
 // Upstreams end by themselves and reset connections all day, with all that is in flight there.
 #[rstest]
-fn innocent_requests_served(#[values(20, 120)] crashes: usize, #[values(0, 1, 2)] seed: u64) {
-    let world = World::run(Plan::crashes(seed, 24, crashes));
+fn innocent_requests_served(
+    #[values(20, 120)] crashes: usize,
+    #[values(0, 1, 2)] seed: u64,
+    #[values(1, 40)] callers: u64,
+) {
+    let world = World::run(Plan { callers, ..Plan::crashes(seed, 24, crashes) });
     let seen = &world.seen;
     println!("{} ended, {} refused, {:.3} served", seen.ends.len(), seen.innocent, world.served());
     assert!(seen.ends.len() >= crashes / 2 && seen.innocent == 0, "{seen:?}");
@@ -216,19 +228,26 @@
 fn fatal_many_seeds() {
     let seeds = std::env::var("FLEET_MODEL_SEEDS").ok().and_then(|text| text.parse().ok());
     for seed in 0..seeds.unwrap_or(50) {
-        for (entries, requests) in [(2, 1), (12, 1), (40, 1), (12, 2), (40, 3)] {
-            let seen = World::run(Plan::fatal(seed, entries, requests)).seen;
-            let (ended, late, innocent) = (seen.ends.len(), seen.late(), seen.innocent);
-            if late > 3 || innocent > 0 || ended > 12 {
-                println!(
-                    "{entries} entries, {requests} fatal, seed {seed}: {ended} {late} {innocent}"
-                );
-            }
+        for callers in [1, 40] {
+            play_fatal(seed, callers);
         }
-        let crashes = 20 + 4 * seed as usize;
-        let seen = World::run(Plan::crashes(seed, 24, crashes)).seen;
-        if seen.innocent > 0 {
-            println!("{crashes} crashes, seed {seed}: {} innocent", seen.innocent);
+    }
+}
+
+fn play_fatal(seed: u64, callers: u64) {
+    for (entries, requests) in [(2, 1), (12, 1), (40, 1), (12, 2), (40, 3)] {
+        let seen = World::run(Plan { callers, ..Plan::fatal(seed, entries, requests) }).seen;
+        let (ended, late, innocent) = (seen.ends.len(), seen.late(), seen.innocent);
+        if late > 3 || innocent > 0 || ended > 12 {
+            println!(
+                "{entries} entries, {requests} fatal, {callers} callers, seed {seed}: \
+                 {ended} {late} {innocent}"
+            );
         }
     }
+    let crashes = 20 + 4 * seed as usize;
+    let seen = World::run(Plan { callers, ..Plan::crashes(seed, 24, crashes) }).seen;
+    if seen.innocent > 0 {
+        println!("{crashes} crashes, {callers} callers, seed {seed}: {} innocent", seen.innocent);
+    }
 }
--- a/tests/suite/fleet_model/world.rs
+++ b/tests/suite/fleet_model/world.rs
@@ -26,6 +26,7 @@
 use hemlockfield::node::core::Input;
 use hemlockfield::poison::Evidence;
 use hemlockfield::poison::Fingerprint;
+use hemlockfield::poison::Identity;
 use hemlockfield::reach;
 use hemlockfield::reach::Check;
 use hemlockfield::registry;
@@ -113,6 +114,7 @@
     pub(super) ended: Option<(Moment, bool)>,
     pub(super) entry: usize,
     fingerprint: Fingerprint,
+    identity: Identity,
     /// Copies that are held up on their way.
     held: usize,
     hops: usize,
@@ -578,6 +580,7 @@
         if self.listings.last().is_none_or(|(_, last)| *last != listed) {
             self.listings.push((now, listed.clone()));
         }
+        let identity = self.identity(fingerprint);
         let processes = &self.processes;
         let accepts = |entry: usize| {
             processes[entry].as_ref().is_some_and(|running| running.view.rules.is_some())
@@ -590,6 +593,7 @@
             ended: entry.is_none().then_some((now, false)),
             entry: entry.unwrap_or_default(),
             fingerprint,
+            identity,
             held: 0,
             hops: 0,
             is_idempotent,
--- a/tests/suite/fleet_model/world/fatal.rs
+++ b/tests/suite/fleet_model/world/fatal.rs
@@ -9,6 +9,8 @@
 use hemlockfield::poison::Decision as PoisonDecision;
 use hemlockfield::poison::Evidence;
 use hemlockfield::poison::Fingerprint;
+use hemlockfield::poison::Identity;
+use hemlockfield::poison::Place;
 use rand::Rng;
 
 use super::Event;
@@ -32,6 +34,8 @@
 /// Requests that come again and again, and their share of all.
 const HOT: std::ops::Range<Fingerprint> = 11..16;
 const HOT_SHARE: f64 = 0.3;
+/// Part of the fingerprint of a path.
+const PATH: Fingerprint = 1 << 62;
 /// How long an upstream is away once it has ended.
 const AWAY: Duration = Duration::from_secs(2);
 /// How long a fatal request runs.
@@ -71,6 +75,12 @@
 }
 
 impl World {
+    /// What the next request has in common with others.
+    pub(super) fn identity(&self, fingerprint: Fingerprint) -> Identity {
+        let caller = 1 + self.requests.len() as u64 % self.plan.callers;
+        Identity::new([caller << 32 | fingerprint, fingerprint, PATH | fingerprint])
+    }
+
     pub(super) fn draw_fingerprint(&mut self) -> Fingerprint {
         let is_hot = self.random.random_bool(HOT_SHARE);
         if is_hot { self.random.random_range(HOT) } else { 1_000 + self.requests.len() as u64 }
@@ -86,26 +96,26 @@
 
     /// Whether an entry refuses a request as fatal.
     pub(super) fn is_refused(&mut self, number: usize) -> bool {
-        let Request { entry, fingerprint, .. } = self.requests[number];
+        let Request { entry, fingerprint, identity, .. } = self.requests[number];
         let Some(running) = &self.processes[entry] else { return false };
-        let verdict = running.view.poison.decide(self.now, fingerprint, |_| false);
+        let verdict = running.view.poison.decide(self.now, &identity, |_, _| false);
         let is_refused = matches!(verdict, PoisonDecision::Refuse { .. });
         self.seen.innocent += usize::from(is_refused && fingerprint >= FATAL_MAX);
         is_refused
     }
 
     pub(super) fn allows_retry(&self, number: usize) -> bool {
-        let Request { entry, fingerprint, .. } = self.requests[number];
+        let Request { entry, identity, .. } = self.requests[number];
         let running = self.processes[entry].as_ref();
-        running.is_none_or(|running| running.view.poison.allows_retry(fingerprint))
+        running.is_none_or(|running| running.view.poison.allows_retry(&identity))
     }
 
     /// Reports a whole answer to a suspected request.
     pub(super) fn note_answer(&mut self, number: usize) {
-        let Request { entry, fingerprint, .. } = self.requests[number];
+        let Request { entry, identity, .. } = self.requests[number];
         let Some(running) = &self.processes[entry] else { return };
-        if running.view.poison.is_suspected(fingerprint) {
-            self.input(entry, Input::Poison(Evidence::of_answer(fingerprint)));
+        if running.view.poison.is_suspected(&identity) {
+            self.input(entry, Input::Poison(Evidence::of_answer(identity)));
         }
     }
 
@@ -134,13 +144,13 @@
         if let Some(fingerprint) = under {
             self.seen.fatal.entry(fingerprint).or_default().0.push(self.now);
         }
-        let mut suspects: BTreeMap<usize, Vec<Fingerprint>> = BTreeMap::new();
+        let mut suspects: BTreeMap<usize, Vec<Identity>> = BTreeMap::new();
         for attempt in self.break_connections(upstream) {
             let (entry, request) = (self.attempts[attempt].entry, self.attempts[attempt].request);
-            suspects.entry(entry).or_default().push(self.requests[request].fingerprint);
+            suspects.entry(entry).or_default().push(self.requests[request].identity);
         }
         for (entry, suspects) in suspects {
-            let evidence = Evidence::of_crash(upstream_name(upstream), suspects);
+            let evidence = Evidence::of_crash(Place::Upstream(upstream_name(upstream)), suspects);
             self.at(self.now + LATENCY + CHECK, Event::Evidence(entry, evidence));
         }
     }
--- a/tests/suite/poison.rs
+++ b/tests/suite/poison.rs
@@ -8,7 +8,10 @@
 use hemlockfield::poison::Decision;
 use hemlockfield::poison::Evidence;
 use hemlockfield::poison::Fingerprint;
+use hemlockfield::poison::Identity;
 use hemlockfield::poison::Ledger;
+use hemlockfield::poison::Parts;
+use hemlockfield::poison::Place;
 use hemlockfield::poison::Report;
 use hemlockfield::poison::Trials;
 use rand::Rng;
@@ -23,14 +26,48 @@
     Duration::from_millis(millis)
 }
 
+/// One caller's request, which has nothing in common with those that have another number.
+fn of(number: Fingerprint) -> Identity {
+    from(0, number)
+}
+
+/// The request with this number of some caller.
+fn from(caller: u64, number: Fingerprint) -> Identity {
+    Identity::of(&Parts {
+        caller: &caller.to_string(),
+        path: number.into(),
+        request: number.into(),
+        service: "hull",
+    })
+}
+
+/// A caller's request for the path with this number, with a body of its own.
+fn with_body(caller: u64, path: u128, body: u128) -> Identity {
+    let request = path << 64 | body;
+    Identity::of(&Parts { caller: &caller.to_string(), path, request, service: "hull" })
+}
+
 fn crash(ledger: &mut Ledger, millis: u64, upstream: usize, suspects: &[Fingerprint]) {
-    let upstream = format_compact!("i-{upstream}");
-    ledger.record(at(millis), &Evidence::of_crash(upstream, suspects.to_vec()));
+    crash_under(ledger, millis, upstream, suspects.iter().map(|number| of(*number)));
+}
+
+fn crash_under(
+    ledger: &mut Ledger,
+    millis: u64,
+    upstream: usize,
+    suspects: impl IntoIterator<Item = Identity>,
+) {
+    let place = Place::Upstream(format_compact!("i-{upstream}"));
+    ledger.record(at(millis), &Evidence::of_crash(place, suspects.into_iter().collect()));
 }
 
-fn is_refused(ledger: &mut Ledger, millis: u64, fingerprint: Fingerprint) -> bool {
+fn is_refused(ledger: &mut Ledger, millis: u64, number: Fingerprint) -> bool {
+    is_refused_from(ledger, millis, &of(number))
+}
+
+fn is_refused_from(ledger: &mut Ledger, millis: u64, identity: &Identity) -> bool {
     ledger.advance(at(millis));
-    let verdict = ledger.list().decide(at(millis), fingerprint, |_| false);
+    let verdict = ledger.list().decide(at(millis), identity, |_, _| false);
     matches!(verdict, Decision::Refuse { .. })
 }
 
@@ -71,7 +108,7 @@
     for number in 0..3 {
         crash(&mut ledger, 100 * number as u64, number, &[FATAL, HOT]);
     }
-    ledger.record(at(900), &Evidence::of_answer(HOT));
+    ledger.record(at(900), &Evidence::of_answer(of(HOT)));
     assert!(!is_refused(&mut ledger, 1_500, HOT));
     assert!(is_refused(&mut ledger, 1_500, FATAL));
 }
@@ -139,6 +176,106 @@
     assert!(!is_refused(&mut ledger, 2_000, HOT));
 }
 
+// Each time another caller sent the request that ended an upstream.
+#[test]
+fn decide_many_callers() {
+    let mut ledger = Ledger::default();
+    for caller in 0..3 {
+        crash_under(&mut ledger, 400 * caller, caller as usize, [from(caller, FATAL)]);
+    }
+    assert!(is_refused_from(&mut ledger, 2_000, &from(7, FATAL)));
+    assert!(!is_refused_from(&mut ledger, 2_000, &from(0, HOT)));
+}
+
+// One caller's requests end upstreams, and others ask for the same and are not answered meanwhile.
+#[test]
+fn decide_one_caller() {
+    let mut ledger = Ledger::default();
+    for number in 0..3 {
+        crash_under(&mut ledger, 400 * number, number as usize, [from(1, FATAL)]);
+    }
+    assert!(is_refused_from(&mut ledger, 2_000, &from(1, FATAL)));
+    assert!(!is_refused_from(&mut ledger, 2_000, &from(2, FATAL)));
+}
+
+// One caller's request is in quarantine, and then another caller's like it ends an upstream.
+#[test]
+fn decide_second_caller() {
+    let mut ledger = Ledger::default();
+    for number in 0..3 {
+        crash_under(&mut ledger, 400 * number, number as usize, [from(1, FATAL)]);
+    }
+    ledger.advance(at(2_000));
+    crash_under(&mut ledger, 9_000, 3, [from(2, FATAL)]);
+    assert!(is_refused_from(&mut ledger, 9_000, &from(3, FATAL)));
+}
+
+// One caller's requests end upstreams, and those of others for the same are answered.
+#[test]
+fn decide_one_caller_others_answered() {
+    let mut ledger = Ledger::default();
+    for number in 0..4 {
+        let millis = 400 * number;
+        crash_under(&mut ledger, millis, number as usize, [from(1, FATAL), from(2, FATAL)]);
+        ledger.record(at(millis + 50), &Evidence::of_answer(from(2, FATAL)));
+    }
+    assert!(is_refused_from(&mut ledger, 3_000, &from(1, FATAL)));
+    assert!(!is_refused_from(&mut ledger, 3_000, &from(2, FATAL)));
+    assert!(!is_refused_from(&mut ledger, 3_000, &from(3, FATAL)));
+}
+
+// Requests for one path end upstreams, each with another query or body; an answer to any of them shows that they
+// need not.
+#[rstest]
+#[case::unanswered(false)]
+#[case::answered(true)]
+fn decide_other_bodies(#[case] is_answered: bool) {
+    let mut ledger = Ledger::default();
+    for number in 0..3_u64 {
+        let identity = with_body(number, 1, number.into());
+        crash_under(&mut ledger, 400 * number, number as usize, [identity]);
+    }
+    if is_answered {
+        ledger.record(at(900), &Evidence::of_answer(with_body(8, 1, 8)));
+    }
+    assert_eq!(is_refused_from(&mut ledger, 2_000, &with_body(9, 1, 9)), !is_answered);
+    assert!(!is_refused_from(&mut ledger, 2_000, &with_body(9, 2, 9)));
+}
+
+// All paths to a service are lost at once, and each entry sees all of its upstreams end.
+#[test]
+fn decide_lost_path() {
+    let mut ledger = Ledger::default();
+    let mut lose = |millis: u64| {
+        let evidence = Evidence::of_crash(Place::Service("hull".into()), vec![of(HOT)]);
+        ledger.record(at(millis), &evidence);
+    };
+    (0..40).for_each(|entry| lose(10 * entry));
+    assert!(!is_refused(&mut ledger, 5_000, HOT));
+}
+
+// The only upstream of a service ends under a request each time it is back.
+#[test]
+fn decide_only_upstream() {
+    let mut ledger = Ledger::default();
+    for millis in [0, 3_000, 6_000] {
+        let evidence = Evidence::of_crash(Place::Service("hull".into()), vec![of(FATAL)]);
+        ledger.record(at(millis), &evidence);
+    }
+    assert!(is_refused(&mut ledger, 7_000, FATAL));
+}
+
+// A request whose path alone is suspected may be tried again elsewhere, one that ended two upstreams may not.
+#[test]
+fn allows_retry_path() {
+    let mut ledger = Ledger::default();
+    crash_under(&mut ledger, 0, 0, [with_body(0, 1, 0)]);
+    crash_under(&mut ledger, 0, 1, [with_body(1, 1, 1)]);
+    assert!(ledger.list().allows_retry(&with_body(0, 1, 0)));
+    crash_under(&mut ledger, 0, 2, [with_body(2, 1, 1)]);
+    assert!(!ledger.list().allows_retry(&with_body(3, 1, 1)));
+}
+
 // Two requests were in flight at the same crashes, and no answer to either is heard of.
 #[test]
 fn decide_tied() {
@@ -163,14 +300,14 @@
     let mut ledger = quarantined(FATAL);
     let since = at(62_000);
     assert!(is_refused(&mut ledger, 61_900, FATAL));
-    let verdict = ledger.list().decide(since, FATAL, |turn| turn == 0);
+    let verdict = ledger.list().decide(since, &of(FATAL), |_, turn| turn == 0);
     assert!(matches!(verdict, Decision::Trial { .. }), "{verdict:?}");
     let mut trials = Trials::default();
     assert!(trials.try_take(FATAL, since) && !trials.try_take(FATAL, since));
     crash(&mut ledger, 62_500, 9, &[FATAL]);
     crash(&mut ledger, 62_520, 9, &[FATAL]);
     assert!(is_refused(&mut ledger, 62_500 + 239_000, FATAL));
-    ledger.record(at(303_000), &Evidence::of_answer(FATAL));
+    ledger.record(at(303_000), &Evidence::of_answer(of(FATAL)));
     assert!(!is_refused(&mut ledger, 303_000, FATAL));
 }
 
@@ -184,7 +321,7 @@
     assert!(is_refused(&mut started, 600, FATAL));
     assert_eq!(started.digest(), known.digest());
     assert_eq!(started.report(at(500), Some(known.digest())).quarantines, None);
-    started.record(at(700), &Evidence::of_answer(FATAL));
+    started.record(at(700), &Evidence::of_answer(of(FATAL)));
     started.merge(at(800), &report);
     assert!(!is_refused(&mut started, 900, FATAL));
 }
@@ -237,8 +374,8 @@
         for fingerprint in 0..CALLERS {
             if random.random_bool(0.1) {
                 refused += usize::from(is_refused(&mut ledger, now, fingerprint));
-                if ledger.list().is_suspected(fingerprint) {
-                    ledger.record(at(now), &Evidence::of_answer(fingerprint));
+                if ledger.list().is_suspected(&of(fingerprint)) {
+                    ledger.record(at(now), &Evidence::of_answer(of(fingerprint)));
                 }
             }
         }
@@ -246,14 +383,29 @@
     assert_eq!(refused, 0);
 }
 
-// One check serves all requests that were in flight at an upstream.
+// One look serves all requests that were lost at an upstream.
+#[test]
+fn begin_twice() {
+    let (mut checks, upstream) = (Checks::default(), "i-1".into());
+    checks.record(at(0), &upstream, of(FATAL));
+    assert!(checks.begin(at(0), &upstream));
+    checks.record(at(10), &upstream, of(HOT));
+    assert!(!checks.begin(at(10), &upstream));
+    assert_eq!(checks.take(at(100), &upstream), [of(FATAL), of(HOT)]);
+    assert!(!checks.begin(at(100), &upstream));
+}
+
+// An upstream hung under a request that was given up, was found alive, and ended some time later.
 #[test]
-fn record_in_flight() {
-    let mut checks = Checks::default();
-    assert!(checks.record(&"i-1".into(), FATAL));
-    assert!(!checks.record(&"i-1".into(), HOT));
-    assert_eq!(checks.take(&"i-1".into()), [FATAL, HOT]);
-    assert!(checks.record(&"i-1".into(), HOT));
+fn take_given_up() {
+    let (mut checks, upstream) = (Checks::default(), "i-1".into());
+    checks.record(at(0), &upstream, of(FATAL));
+    assert!(checks.begin(at(0), &upstream));
+    checks.end(&upstream);
+    assert!(checks.begin(at(2_000), &upstream));
+    assert_eq!(checks.take(at(2_100), &upstream), [of(FATAL)]);
+    checks.record(at(3_000), &upstream, of(FATAL));
+    assert_eq!(checks.take(at(9_000), &upstream), []);
 }
 
 #[test]
--- a/tests/suite/process/fatal.rs
+++ b/tests/suite/process/fatal.rs
@@ -25,7 +25,9 @@
 use super::site::ENTRIES;
 use super::site::FRONT;
 use super::site::Site;
+use super::site::announce_to;
 use crate::stand_in::ask_from;
+use crate::stand_in::connect_from;
 
 const CONFIGURATION: &str = r#"{"version":"1","services":[{"name":"hull"}],"hosts":[{"host":"yard.example",
     "paths":[{"name":"look","pathPrefix":"/","routeType":"safe","service":"hull","timeoutS":2,"maxAttempts":2},
@@ -43,6 +45,8 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 const IMPATIENCE: Duration = Duration::from_millis(500);
 const LATER: Duration = Duration::from_millis(200);
+/// When a caller closes its connection that leaves.
+const LEAVES_AFTER: Duration = Duration::from_millis(100);
 /// Upstreams that a request may end, and the time in which all entries learn of it.
 const ENDS_MAX: usize = 3;
 const REACH: Duration = Duration::from_secs(3);
@@ -63,8 +67,10 @@
     InBody,
     /// Within a body that is passed on as it comes.
     InLongBody,
-    /// Once the caller has given up.
+    /// Once the caller's deadline has passed.
     Late,
+    /// Once the caller has closed its connection.
+    Left,
     /// Once a part of an upload has been read.
     InUpload,
 }
@@ -84,6 +90,8 @@
     away: Duration,
     disturbance: Disturbance,
     ending: Ending,
+    /// Whether an upstream that is back announces itself under a new id.
+    is_reborn: bool,
     line: &'static str,
     pace: Duration,
     sender: Sender,
@@ -94,12 +102,15 @@
     away: Duration::from_secs(2),
     disturbance: Disturbance::None,
     ending: Ending::Silent,
+    is_reborn: false,
     line: "GET /hull/fatal",
     pace: Duration::from_millis(400),
     sender: Sender::One,
     upstreams: 6,
 };
 const AWAY_LONG: Duration = Duration::from_secs(3);
+/// Away for less time than an entry waits before it looks.
+const AWAY_BRIEFLY: Duration = Duration::from_millis(20);
 const OFTEN: Duration = Duration::from_millis(100);
 
 /// What upstreams count of fatal requests.
@@ -112,19 +123,27 @@
 }
 
 /// Starts an upstream that ends under fatal requests, and is back after some time.
-fn start_upstream(plan: Plan, counts: &Arc<Counts>) -> SocketAddr {
+fn start_upstream(
+    plan: Plan,
+    counts: &Arc<Counts>,
+    announce: impl Fn(usize, SocketAddr) + Send + 'static,
+) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let counts = Arc::clone(counts);
+    announce(0, address);
     thread::spawn(move || {
         serve(listener, plan, &counts);
-        loop {
+        for start in 1.. {
             counts.ends.lock().unwrap().push(Instant::now());
             thread::sleep(plan.away);
-            serve(TcpListener::bind(address).unwrap(), plan, &counts);
+            let listener = TcpListener::bind(address).unwrap();
+            if plan.is_reborn {
+                announce(start, address);
+            }
+            serve(listener, plan, &counts);
         }
     });
-    address
 }
 
 /// Takes requests until one is fatal; ends all connections then, after the listener.
@@ -218,6 +237,7 @@
         Ending::InBody => answer_head(head, "40") + "hull",
         Ending::InLongBody => answer_head(head, "400000") + "hull",
         Ending::Late => return thread::sleep(IMPATIENCE + LATER),
+        Ending::Left => return thread::sleep(LEAVES_AFTER + LATER),
     };
     thread::sleep(WORK / 2);
     stream.write_all(part.as_bytes()).ok();
@@ -270,8 +290,12 @@
     let counts = Arc::new(Counts::default());
     wait_for("a configuration", || (0..CONTROLS).any(|at| site.submit_document(at, CONFIGURATION)));
     for at in 0..plan.upstreams {
-        let address = start_upstream(plan, &counts).to_string();
-        wait_for("an upstream", || site.announce_slots(&format!("i-{at}"), &address, 16));
+        let controls = site.controls();
+        start_upstream(plan, &counts, move |start, address| {
+            let (id, address) = (format!("i-{at}-{start}"), address.to_string());
+            let is_taken = || controls.iter().any(|it| announce_to(it, &id, &address, 16));
+            wait_for("an upstream", is_taken);
+        });
     }
     for entry in 0..ENTRIES {
         wait_for("an answer", || site.look(entry).0 == 200);
@@ -287,7 +311,12 @@
         let headers = format!(
             "Hemlockfield-Request-Id: {id}\r\nHemlockfield-Deadline-Ms: {patience}\r\n{more}"
         );
-        ask_from(caller, &fronts[id as usize % ENTRIES], line, &headers, body)
+        let front = &fronts[id as usize % ENTRIES];
+        if plan.ending == Ending::Left && line == plan.line {
+            leave(caller, front, line, &headers);
+            return (0, String::new());
+        }
+        ask_from(caller, front, line, &headers, body)
     };
     let hot_line = if plan.sender == Sender::OneOfPath { plan.line } else { "GET /hull/hot" };
     let body = match plan.ending {
@@ -331,6 +360,14 @@
     Run { ends, fatal, hot, refused_hot: refused_hot.into_inner() as usize, told }
 }
 
+/// Sends a request and closes the connection some time later.
+fn leave(caller: Ipv4Addr, front: &str, line: &str, headers: &str) {
+    let mut stream = connect_from(caller, front).unwrap();
+    let head = format!("{line} HTTP/1.1\r\nhost: yard.example\r\n{headers}\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    thread::sleep(LEAVES_AFTER);
+}
+
 /// Address of a caller.
 fn source(group: u8, number: usize) -> Ipv4Addr {
     Ipv4Addr::new(127, 8, group, number as u8 + 1)
@@ -359,6 +396,8 @@
 #[case::in_body(Plan { ending: Ending::InBody, ..PLAN })]
 #[case::in_long_body(Plan { ending: Ending::InLongBody, ..PLAN })]
 #[case::late(Plan { ending: Ending::Late, ..PLAN })]
+#[case::left(Plan { ending: Ending::Left, ..PLAN })]
+#[case::back_at_once(Plan { away: AWAY_BRIEFLY, is_reborn: true, ..PLAN })]
 #[case::in_upload(Plan { ending: Ending::InUpload, line: "POST /load/fatal", ..PLAN })]
 fn fatal_request_sent_on(#[case] plan: Plan) {
     let run = run(plan);
--- a/tests/suite/process/site.rs
+++ b/tests/suite/process/site.rs
@@ -201,11 +201,12 @@
 
     /// Whether a control takes the announcement of an upstream with this many slots.
     pub(crate) fn announce_slots(&self, id: &str, address: &str, slots: u32) -> bool {
-        let body = format!(
-            r#"{{"address":"{address}","sequence":1,"service":"hull","slots":{slots},"state":"ready","zone":"north"}}"#
-        );
-        let line = format!("PUT /hemlockfield/instances/{id}");
-        (0..CONTROLS).any(|at| self.order(at, &line, &body).0 == 200)
+        self.controls().iter().any(|control| announce_to(control, id, address, slots))
+    }
+
+    /// Addresses at which the controls take announcements.
+    pub(crate) fn controls(&self) -> Vec<String> {
+        (0..CONTROLS).map(|at| format!("{}:{ORDERS}", self.ip(at))).collect()
     }
 
     pub(crate) fn order(&self, at: usize, line: &str, body: &str) -> (u16, String) {
@@ -227,6 +228,14 @@
     }
 }
 
+/// Whether a control takes the announcement of an upstream with this many slots.
+pub(crate) fn announce_to(control: &str, id: &str, address: &str, slots: u32) -> bool {
+    let body = format!(
+        r#"{{"address":"{address}","sequence":1,"service":"hull","slots":{slots},"state":"ready","zone":"north"}}"#
+    );
+    ask(control, &format!("PUT /hemlockfield/instances/{id}"), "", &body).0 == 200
+}
+
 /// Addresses that no other site uses, also of another test process, and what keeps them.
 fn claim_net() -> (String, TcpListener) {
     loop {
--- a/tests/suite/stand_in.rs
+++ b/tests/suite/stand_in.rs
@@ -121,7 +121,8 @@
     ask_on(connect_from(caller, address), line, headers, body)
 }
 
-fn connect_from(caller: Ipv4Addr, address: &str) -> io::Result<TcpStream> {
+/// Opens a connection from a loopback address of the caller's own.
+pub(crate) fn connect_from(caller: Ipv4Addr, address: &str) -> io::Result<TcpStream> {
     let address: SocketAddr = address.parse().map_err(io::Error::other)?;
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.bind(&SocketAddr::from((caller, 0)).into())?;
