Believe that upstreams end also where none of their service can be reached

Callers saw: with one upstream, or few, a request ended them again and again (one upstream: 8 ended, 4 late; from outside, three upstreams 9 and 7).

Cause: a crash was believed only if another upstream of the service could be connected to; where a fatal request takes most of a service, all evidence was dropped (the look's finding Unconfirmed). That was there so that the loss of all paths to a service, which looks like the end of each of its upstreams, shuts out no hot request. Class: evidence is dropped where it is needed most.

Change: such a crash is reported as one of the service, not of the upstream.

--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -185,7 +185,7 @@
         }
         Finding::Unconfirmed => {
             proxy.metrics.count("upstream.unconfirmed");
-            proxy.poison.checks().end(&upstream);
+            report_end(&proxy, &upstream, Place::Service(service));
         }
         Finding::Alive => {
             proxy.metrics.count("upstream.alive");
