Look for the end of an upstream in every way in which an answer is lost

Callers saw: a request that ends upstreams within the head or the body of an answer, after its caller's deadline, after its caller left, or whose upstream is back at once, was sent on without end (18 to 54 sends late in 16 s).

Cause: an upstream was looked at only where the connection ended before the first byte of an answer, 0.1 s later and once; what was in flight counted for that look alone. Class: of the ways in which one thing can end, the code knows the one that was reported first.

Change: every answer that ends early has its upstream looked at, also where it is being passed on; a head that breaks off is a cut answer and no malformed one. What was given up without a sign of the upstream (deadline, caller, hedge) is remembered for 5 s and is suspected with the rest if the upstream proves to have ended, by a broken or a failed connection. An upstream that was found alive counts as ended if two seconds later another one has its address. The test's upstreams have addresses that no outgoing connection takes while they are away: one could not come back once.

--- a/src/exchange/connection.rs
+++ b/src/exchange/connection.rs
@@ -18,6 +18,7 @@
 use super::BodyError;
 use super::BodyReader;
 use super::Connector;
+use super::Error;
 use super::Exchange;
 use super::Failure;
 use super::Framing;
@@ -185,7 +186,7 @@
         let mut skippable = MAX_SKIPPED_BYTES;
         for _ in 0..=MAX_SKIPPED_HEADS {
             let bytes = self.socket.read_head(MAX_HEAD_BYTES).await;
-            let bytes = bytes.map_err(|error| Failure::Malformed(error.to_string()))?;
+            let bytes = bytes.map_err(head_failure)?;
             let response = Response::parse(&bytes.ok_or(Failure::Closed { reused })?)?;
             let is_foreign = echo.is_some_and(|(name, value)| {
                 response.headers.get(name).is_some_and(|echoed| echoed != value)
@@ -269,6 +270,14 @@
     }
 }
 
+/// Why no head of an answer could be read.
+fn head_failure(error: Error) -> Failure {
+    match error {
+        Error::Incomplete => Failure::Cut(error.to_string()),
+        error => Failure::Malformed(error.to_string()),
+    }
+}
+
 /// Whether the upstream closes the connection after this response. Nothing may be written while such
 /// a response is read: a write would consume the error of a reset, and a body that ends with the
 /// connection would look complete.
--- a/src/exchange/error.rs
+++ b/src/exchange/error.rs
@@ -23,6 +23,9 @@
     /// Head larger than the given limit in bytes.
     #[error("head is longer than `{0}` bytes")]
     HeadSize(usize),
+    /// End of the connection within a head.
+    #[error("head breaks off")]
+    Incomplete,
     /// Invalid or contradictory body lengths, as used in request smuggling.
     #[error("header `{0}` states more than one length, or one that is not a number")]
     Length(&'static str),
@@ -46,7 +49,11 @@
         match self {
             Self::BodySize { .. } => 413,
             Self::Connections => 503,
-            Self::HeadByte(_) | Self::Length(_) | Self::Malformed(_) | Self::Path(_) => 400,
+            Self::HeadByte(_)
+            | Self::Incomplete
+            | Self::Length(_)
+            | Self::Malformed(_)
+            | Self::Path(_) => 400,
             Self::HeadSize(_) | Self::HeaderCount(_) => 431,
             Self::Method(_) | Self::TransferCoding(_) => 501,
         }
--- a/src/exchange/socket.rs
+++ b/src/exchange/socket.rs
@@ -76,9 +76,8 @@
             let filled = self.fill().await;
             match filled {
                 Ok(0) | Err(_) if !self.has_buffered() => return Ok(None),
-                Ok(0) => return Err(Error::Malformed("it breaks off".to_owned())),
+                Ok(0) | Err(_) => return Err(Error::Incomplete),
                 Ok(_) => (),
-                Err(error) => return Err(Error::Malformed(error.to_string())),
             }
         }
     }
--- a/src/retry/copies.rs
+++ b/src/retry/copies.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Upstreams that gave no sign of their copies, in the order in which they were sent.
+    pub fn silent(&self) -> &[UpstreamId] {
+        &self.silent
+    }
+
     /// Payments whose copies have all arrived, once no further copy is sent. Each copy that may still
     /// arrive keeps one payment open, the last one first.
     pub fn settled(&self) -> &[payment::Number] {
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -80,9 +80,9 @@
         matches!(self.round_trip.result, Err(Failure::Expired(_) | Failure::Silent(_)))
     }
 
-    /// Whether the connection ended before any byte of an answer.
+    /// Whether the connection ended before a whole answer.
     pub(super) fn is_broken_off(&self) -> bool {
-        matches!(self.round_trip.result, Err(Failure::Closed { .. }))
+        matches!(self.round_trip.result, Err(Failure::Closed { .. } | Failure::Cut(_)))
     }
 
     /// Whether no connection to the upstream could be opened.
--- a/src/traffic/attempts.rs
+++ b/src/traffic/attempts.rs
@@ -49,6 +49,7 @@
 ) -> Resolution<'a> {
     let mut copies = retry::Copies::default();
     let resolution = attempt_all(proxy, service, job, writer, &mut copies).await;
+    copies.silent().iter().for_each(|upstream| poison::note_abandoned(proxy, job, upstream));
     job.paid = copies.paid();
     if job.paid > 0 {
         service.policy(proxy.now()).close(&copies);
--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -39,6 +39,8 @@
 /// How long after the end of a connection its upstream is looked at: one that is ending may still accept
 /// connections for a moment.
 const PAUSE: Duration = Duration::from_millis(100);
+/// How long after a look that found an upstream alive it is known whether that was a new one at its address.
+const REBIRTH: Duration = Duration::from_secs(2);
 /// Most other upstreams that are tried to tell the end of one from the loss of a path. Some of them may have
 /// ended under the same request.
 const MAX_OTHERS: usize = 5;
@@ -88,6 +90,17 @@
     }
 }
 
+/// Remembers a job whose answer an upstream began and did not end, and has the upstream looked at.
+pub(super) fn note_cut(proxy: &Proxy, job: &Job, attempt: &Attempt<'_>) {
+    note_loss(proxy, job, attempt, "answer was cut while it was passed on");
+}
+
+/// Remembers a job that was given up before any sign of an upstream, which may end under it later.
+pub(super) fn note_abandoned(proxy: &Proxy, job: &Job, upstream: &UpstreamId) {
+    log_loss(job, upstream, "given up");
+    proxy.poison.checks().record(proxy.now(), upstream, job.identity());
+}
+
 fn note_loss(proxy: &Proxy, job: &Job, attempt: &Attempt<'_>, reason: &str) {
     let upstream = attempt.upstream();
     log_loss(job, &upstream, reason);
@@ -190,6 +203,11 @@
         Finding::Alive => {
             proxy.metrics.count("upstream.alive");
             proxy.poison.checks().end(&upstream);
+            task::sleep(REBIRTH).await;
+            if is_replaced(&proxy, &doubt) {
+                proxy.metrics.count("upstream.replaced");
+                report_end(&proxy, &upstream, Place::Upstream(upstream.clone()));
+            }
         }
     }
 }
@@ -213,6 +231,14 @@
     }
 }
 
+/// Whether another upstream was announced at the address of this one, which is gone.
+fn is_replaced(proxy: &Proxy, doubt: &Doubt) -> bool {
+    let view = proxy.view.load();
+    let mut all = view.services.values().flat_map(|service| &service.addresses);
+    let is_known = all.clone().any(|(id, _)| *id == doubt.check.upstream);
+    !is_known && all.any(|(_, address)| *address == doubt.address)
+}
+
 /// Whether this entry can connect to another upstream of the service.
 async fn reaches_another(proxy: &Proxy, check: &Check) -> bool {
     let view = proxy.view.load_full();
--- a/src/traffic/relay.rs
+++ b/src/traffic/relay.rs
@@ -46,8 +46,10 @@
         true => health::Kind::ServerError,
         false => health::Kind::Success,
     };
-    if matches!(kind, health::Kind::ServerError | health::Kind::Success) {
-        poison::note_answer(proxy, job);
+    match kind {
+        health::Kind::Cut => poison::note_cut(proxy, job, &attempt),
+        health::Kind::ServerError | health::Kind::Success => poison::note_answer(proxy, job),
+        _ => (),
     }
     let address = attempt.address();
     attempt.finish(kind, job.terms.long);
--- a/tests/suite/process/fatal.rs
+++ b/tests/suite/process/fatal.rs
@@ -6,7 +6,6 @@
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::Shutdown;
-use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -34,6 +33,9 @@
     {"name":"sign","pathPrefix":"/sign/","routeType":"unsafe","service":"hull","timeoutS":2,"maxAttempts":2},
     {"name":"load","pathPrefix":"/load/","routeType":"upload","service":"hull","timeoutS":2,"maxAttempts":2}]}]}"#;
 const RETRY: &str = "{share: 0.5, burst: 1000, pooled: true, window: 2s}";
+/// Port of the upstreams, which no outgoing connection gets while one is away, and number of the first one's address.
+const PORT: u16 = 18_086;
+const FIRST_UPSTREAM: usize = 100;
 const HOT_CALLERS: usize = 50;
 const HOT_PACE: Duration = Duration::from_millis(150);
 const SPAN: Duration = Duration::from_secs(16);
@@ -125,21 +127,21 @@
 /// Starts an upstream that ends under fatal requests, and is back after some time.
 fn start_upstream(
     plan: Plan,
+    address: String,
     counts: &Arc<Counts>,
-    announce: impl Fn(usize, SocketAddr) + Send + 'static,
+    announce: impl Fn(usize, &str) + Send + 'static,
 ) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
+    let listener = TcpListener::bind(&address).unwrap();
     let counts = Arc::clone(counts);
-    announce(0, address);
+    announce(0, &address);
     thread::spawn(move || {
         serve(listener, plan, &counts);
         for start in 1.. {
             counts.ends.lock().unwrap().push(Instant::now());
             thread::sleep(plan.away);
-            let listener = TcpListener::bind(address).unwrap();
+            let listener = TcpListener::bind(&address).unwrap();
             if plan.is_reborn {
-                announce(start, address);
+                announce(start, &address);
             }
             serve(listener, plan, &counts);
         }
@@ -291,9 +293,10 @@
     wait_for("a configuration", || (0..CONTROLS).any(|at| site.submit_document(at, CONFIGURATION)));
     for at in 0..plan.upstreams {
         let controls = site.controls();
-        start_upstream(plan, &counts, move |start, address| {
-            let (id, address) = (format!("i-{at}-{start}"), address.to_string());
-            let is_taken = || controls.iter().any(|it| announce_to(it, &id, &address, 16));
+        let address = format!("{}:{PORT}", site.ip(FIRST_UPSTREAM + at));
+        start_upstream(plan, address, &counts, move |start, address| {
+            let id = format!("i-{at}-{start}");
+            let is_taken = || controls.iter().any(|it| announce_to(it, &id, address, 16));
             wait_for("an upstream", is_taken);
         });
     }
