Send evidence of a crash again if no control took it

Not seen to break a rule by itself: one crash more for each that is lost.

Cause: an entry's evidence left with its poll and was forgotten, also where the control died or was cut off from the others. Class: what is told once is held to be known.

Change: an entry keeps the evidence of the poll in flight and adds it to the next one, unless a control that hears from a leader has answered. A second report comes within the time in which two are about the same crash.

feed::subscriber::record_poison_lost: silent and partitioned red before, green now.

--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -81,6 +81,8 @@
     /// Whether the control doesn't know all quarantined requests that this entry knows.
     is_control_behind: bool,
     poison: poison::Ledger,
+    /// Evidence in the poll in flight, which is sent again if that stays unanswered.
+    sent_evidence: poison::Evidence,
     sequence: u64,
     tallies: Tallies,
     polled_at: Moment,
@@ -112,6 +114,7 @@
             named_digest: 0,
             is_control_behind: false,
             poison: poison::Ledger::default(),
+            sent_evidence: poison::Evidence::default(),
             sequence: 0,
             tallies: Tallies::default(),
             polled_at: now,
@@ -236,6 +239,9 @@
         if update.fresh && !is_stale {
             self.fresh_at = Some(now);
             self.failover.mark_usable(from);
+            if is_answer {
+                self.sent_evidence = poison::Evidence::default();
+            }
         } else if self.failover.current() == Some(from) {
             // The control may be partitioned from the others, which carry on without it. The
             // delay keeps each entry from polling leaderless controls once per round trip.
@@ -406,6 +412,7 @@
         };
         self.sequence += 1;
         self.in_flight = Some((self.sequence, now));
+        self.sent_evidence = self.tallies.poison.clone();
         self.answer_timer.start(now, self.sequence);
         self.polled_at = now;
         let poll = Poll {
@@ -445,6 +452,7 @@
 
     fn mark_failed(&mut self, now: Moment) {
         self.in_flight = None;
+        self.tallies.poison.add(&std::mem::take(&mut self.sent_evidence));
         self.poll_at = now;
         self.failover.mark_failed(now);
     }
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -174,6 +174,30 @@
     assert_eq!(poll.tallies.by_upstream["hull-1"].broken, 1);
 }
 
+// A control that died, or that is cut off from the others, got the evidence of a crash, and no other entry
+// heard of it.
+#[rstest]
+#[case::silent(None)]
+#[case::partitioned(Some(false))]
+#[case::usual(Some(true))]
+fn record_poison_lost(#[case] answered: Option<bool>) {
+    let mut subscriber = subscriber();
+    let place = poison::Place::Upstream("i-1".into());
+    let crash = poison::Evidence::of_crash(place, vec![poison::Identity::new([1, 2, 3])]);
+    subscriber.record_poison(ms(0), &crash);
+    let outputs = subscriber.handle(ms(0), Input::Tick);
+    let (to, poll) = sent_poll(&outputs).expect("a poll");
+    assert_eq!(poll.tallies.poison, crash);
+    let (to, sequence) = (to.to_owned(), poll.sequence);
+    if let Some(fresh) = answered {
+        answer(&mut subscriber, ms(5), &to, Update { fresh, ..update(sequence, 4) });
+    }
+    let outputs = subscriber.handle(subscriber.wake(), Input::Tick);
+    let (_, poll) = sent_poll(&outputs).expect("a poll");
+    let is_sent_again = poll.tallies.poison == crash;
+    assert_eq!(is_sent_again, answered != Some(true));
+}
+
 // Entries advertise entries to callers even while all controls are down. An entry keeps the last
 // list that it got and polls with its digest, so that the list is not sent again.
 #[test]
