Take a status that no answer can have for a malformed answer

Callers got 504 at their deadline where an upstream in trouble answered with status 000, 001, 099 or 101, and the answer itself where it was 600 or 999.

Cause: what is below 200 was taken for an interim answer, and all else for a final one. The head of an answer is now malformed if its status is outside 100 to 599, or 101, which nobody asks for. One place reads it, for upstreams, entries that pass on and probes; the outcome is that of other malformed heads: 502 at once, a lookup is tried elsewhere.

--- a/src/exchange/response.rs
+++ b/src/exchange/response.rs
@@ -1,5 +1,7 @@
 //! A response: its head, and a body that is buffered or still being received.
 
+use std::ops::RangeInclusive;
+
 use http::HeaderMap;
 use http::HeaderName;
 use http::StatusCode;
@@ -21,6 +23,11 @@
     pub status: u16,
 }
 
+/// Statuses that HTTP has.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// Status of a change of protocol. Callers' requests ask for none.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 impl Response {
     /// Creates a response without headers or body.
     pub fn new(status: u16) -> Self {
@@ -39,7 +46,7 @@
     ///
     /// # Errors
     ///
-    /// If it is not exactly one complete HTTP/1.x head.
+    /// If it is not exactly one complete HTTP/1.x head, or its status is none that an answer can have.
     pub(super) fn parse(bytes: &[u8]) -> Result<Self, Failure> {
         let mut headers = [httparse::EMPTY_HEADER; head::MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
@@ -51,6 +58,9 @@
         if length != bytes.len() {
             return Err(malformed("it is not exactly one head".to_owned()));
         }
+        if !STATUSES.contains(&code) || code == SWITCHING_PROTOCOLS {
+            return Err(malformed(format!("status {code:03}")));
+        }
         let headers = head::map(parsed.headers).map_err(|error| malformed(error.to_string()))?;
         Ok(Self { body: Body::empty(), headers, status: code })
     }
--- a/tests/suite/entry/answers.rs
+++ b/tests/suite/entry/answers.rs
@@ -52,6 +52,21 @@
     });
 }
 
+// An upstream in trouble answers with a status that HTTP does not have. The caller waited until its deadline, or got
+// that answer.
+#[rstest]
+#[case::too_low("HTTP/1.1 000 Odd\r\ncontent-length: 0\r\n\r\n")]
+#[case::too_high("HTTP/1.1 999 Odd\r\ncontent-length: 0\r\n\r\n")]
+fn get_invalid_status(#[case] invalid: &'static str) {
+    block_on(async {
+        let fixture = Fixture::start(&[Script::WriteAndHold(invalid)]).await;
+        let started = Instant::now();
+        let answer = fixture.get("/hulls/1").await;
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+        assert!(started.elapsed() < DEADLINE / 2, "{:?}", started.elapsed());
+    });
+}
+
 // A large answer is cut off after its head was relayed. The entry closes the caller's connection
 // short of the declared length, which is how HTTP signals a truncated answer.
 #[test]
--- a/tests/suite/entry/uploads.rs
+++ b/tests/suite/entry/uploads.rs
@@ -79,6 +79,27 @@
     });
 }
 
+// The upstream begins an answer without a length at once, and resets the connection while it is sent the upload. The
+// caller must not take that part for the whole answer.
+#[rstest]
+#[case::plain("HTTP/1.1 200 OK\r\n\r\npart")]
+#[case::closing("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart")]
+fn post_answered_early_cut(#[case] begun: &'static str) {
+    block_on(async {
+        let fixture = Fixture::start(&[Script::Write(begun)]).await;
+        for _ in 0..8 {
+            let mut bytes = head(8 * LARGE_BODY, "connection: close\r\n").into_bytes();
+            bytes.resize(bytes.len() + 8 * LARGE_BODY, b'x');
+            let mut stream = fixture.connect().await;
+            let mut writer = stream.clone();
+            let upload = task::spawn(async move { writer.write_all(&bytes).await });
+            let answer = read_all(&mut stream).await;
+            assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+            upload.cancel().await;
+        }
+    });
+}
+
 // The upstream takes an upload and answers before it has read it. The caller gets the answer at once,
 // and the upstream still gets the whole body.
 #[rstest]
--- a/tests/suite/exchange/upstreams.rs
+++ b/tests/suite/exchange/upstreams.rs
@@ -136,6 +136,30 @@
     });
 }
 
+// An upstream in trouble answers with a status that HTTP does not have, or changes the protocol, which nobody
+// asked for. The caller waited until its deadline, or got it as an answer.
+#[rstest]
+fn send_invalid_status(#[values("000", "001", "099", "101", "600", "999")] status: &str) {
+    let text = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 5\r\n\r\nwhole");
+    let text: &'static str = text.leak();
+    block_on(async {
+        let failure = send(vec![Step::Head, Step::Write(text), Step::Hold]).await.map(drop);
+        assert!(matches!(failure, Err(Failure::Malformed(_))), "{failure:?}");
+    });
+}
+
+// An upstream tells that it has begun, by any interim status, and answers.
+#[rstest]
+fn send_interim(#[values("100", "102", "103", "199")] status: &str) {
+    let text =
+        format!("HTTP/1.1 {status} Odd\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole");
+    let text: &'static str = text.leak();
+    block_on(async {
+        let answer = send(vec![Step::Head, Step::Write(text), Step::Hold]).await.unwrap();
+        assert_eq!(answer.response.into_text().await.unwrap(), "whole");
+    });
+}
+
 // The answer is cut after its head may already have been forwarded. Reading the body fails, so
 // that the caller's connection can be closed before the declared end.
 #[rstest]
