Give each of two requests that nothing tells apart a time for its trial; look at no lost path again

Change: kinds whose quarantines ended at about the same time have two seconds each in turn for their trials.

--- a/src/poison/list.rs
+++ b/src/poison/list.rs
@@ -12,6 +12,8 @@
 const CRASHES_WITHOUT_RETRY: usize = 2;
 /// For how long one entry alone may send a request whose quarantine is over.
 pub(super) const TURN: Duration = Duration::from_secs(10);
+/// Time for the trial of one kind before that of another one.
+const SLOT: Duration = Duration::from_secs(2);
 /// When callers that are refused meanwhile may return: a trial is mostly answered by then.
 const TRIAL: Duration = Duration::from_secs(1);
 
@@ -86,11 +88,25 @@
         let mut decision = Decision::Send;
         for fingerprint in identity.fingerprints() {
             let Some(until) = self.quarantined.get(&fingerprint).copied() else { continue };
-            let one = decide_one(now, fingerprint, until, &is_turn);
-            decision = strictest(decision, one);
+            let may_try = |turn| self.is_slot(now, identity, until) && is_turn(fingerprint, turn);
+            decision = strictest(decision, decide_one(now, fingerprint, until, may_try));
         }
         decision
     }
+
+    /// Whether it is time for a trial of this request, whose quarantine ended at `until`, and not of other ones whose
+    /// quarantines ended at about the same time: a fatal trial would end that of another one, too.
+    fn is_slot(&self, now: Moment, identity: &Identity, until: Moment) -> bool {
+        let own = identity.fingerprints();
+        let is_rival = |(of, end): &(&Fingerprint, &Moment)| {
+            **end <= now && end.abs_diff(until) < TURN && !own.contains(*of)
+        };
+        let rivals = || self.quarantined.iter().filter(is_rival).map(|(_, end)| *end);
+        let first = rivals().min().map_or(until, |end| end.min(until));
+        let slots = rivals().count() + 1;
+        let slot = (now.saturating_sub(first).as_millis() / SLOT.as_millis()) as usize % slots;
+        slot == rivals().filter(|end| *end < until).count()
+    }
 }
 
 /// What to do with a request of a kind whose quarantine ends at `until`.
@@ -98,14 +114,14 @@
     now: Moment,
     of: Fingerprint,
     until: Moment,
-    is_turn: impl Fn(Fingerprint, u32) -> bool,
+    may_try: impl Fn(u32) -> bool,
 ) -> Decision {
     if now < until {
         return Decision::Refuse { after: until - now };
     }
     let turn = ((now - until).as_millis() / TURN.as_millis()) as u32;
     let since = until + TURN * turn;
-    match is_turn(of, turn) {
+    match may_try(turn) {
         true => Decision::Trial { of, since, after: TRIAL },
         false => Decision::Refuse { after: TRIAL },
     }
--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -52,6 +52,8 @@
 struct Doubt {
     address: SocketAddr,
     check: Check,
+    /// Whether a connection to it has just failed.
+    is_unconnected: bool,
 }
 
 /// What a look at an upstream found.
@@ -136,7 +138,8 @@
         return;
     }
     let check = Check { service: job.service.clone(), upstream: upstream.clone() };
-    let doubt = Doubt { address: attempt.address(), check };
+    let is_unconnected = attempt.is_unconnected();
+    let doubt = Doubt { address: attempt.address(), check, is_unconnected };
     if proxy.poison.doubts.0.try_send(doubt).is_err() {
         checks.end(&upstream);
     }
@@ -241,7 +244,7 @@
 }
 
 async fn look(proxy: &Proxy, doubt: &Doubt) -> Finding {
-    if !is_ended(proxy, doubt.address).await {
+    if !doubt.is_unconnected && !is_ended(proxy, doubt.address).await {
         return Finding::Alive;
     }
     // An entry that lost its path to a service sees all of its upstreams end.
@@ -266,6 +269,10 @@
     let others = service.addresses.iter().filter(|(id, _)| **id != check.upstream);
     let others = others.map(|(_, address)| *address).choose_multiple(&mut rand::rng(), MAX_OTHERS);
     for address in others {
+        // Paths that are lost are checked already, by few connections.
+        if proxy.reach.is_lost(&check.service) {
+            return false;
+        }
         let limit = proxy.settings.limits.connect;
         if let Ok(connection) = Connection::open(proxy.connector.as_ref(), address, limit).await {
             proxy.pool.put(address, connection);
