--- a/tests/suite/announcements.rs
+++ b/tests/suite/announcements.rs
@@ -2,6 +2,7 @@
 
 mod controls;
 pub(crate) mod orders;
+mod seeds;
 
 use hemlockfield::catalog::Action;
 use hemlockfield::registry::State;
--- a/tests/suite/announcements/controls.rs
+++ b/tests/suite/announcements/controls.rs
@@ -192,6 +192,15 @@
         self.frozen.insert(control, VecDeque::new());
     }
 
+    /// Drops events that lie at a control that stands still.
+    pub(super) fn drop_lying(&mut self, control: usize, tickets: &BTreeSet<u64>) {
+        let is_dropped =
+            |input: &Input| matches!(input, Input::Catalog(ticket, _) if tickets.contains(ticket));
+        if let Some(waiting) = self.frozen.get_mut(&control) {
+            waiting.retain(|input| !is_dropped(input));
+        }
+    }
+
     /// Continues a control, which reads the events or the frames first that lie there.
     pub(super) fn wake(&mut self, control: usize, reads_events_first: bool) {
         let inputs = self.frozen.remove(&control).unwrap_or_default();
