--- a/tests/suite/process/fatal.rs
+++ b/tests/suite/process/fatal.rs
@@ -1,16 +1,12 @@
 //! Requests under which upstreams end, counted at the upstreams of real processes.
 
-use std::io::BufRead;
-use std::io::BufReader;
-use std::io::Read;
+mod plan;
+mod upstream;
+
 use std::io::Write;
 use std::net::Ipv4Addr;
-use std::net::Shutdown;
-use std::net::TcpListener;
-use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -19,6 +15,22 @@
 
 use rstest::rstest;
 
+use self::plan::AWAY_BRIEFLY;
+use self::plan::AWAY_LONG;
+use self::plan::Disturbance;
+use self::plan::Ending;
+use self::plan::FATAL_LINE;
+use self::plan::IMPATIENCE;
+use self::plan::LEAVES_AFTER;
+use self::plan::LONG_WORK;
+use self::plan::OFTEN;
+use self::plan::PATIENCE;
+use self::plan::PLAN;
+use self::plan::Plan;
+use self::plan::Sender;
+use self::plan::TIED_MAX;
+use self::upstream::Counts;
+use self::upstream::start_upstream;
 use super::fleet::wait_for;
 use super::site::CONTROLS;
 use super::site::ENTRIES;
@@ -39,236 +51,13 @@
 const HOT_CALLERS: usize = 50;
 const HOT_PACE: Duration = Duration::from_millis(150);
 const SPAN: Duration = Duration::from_secs(16);
-/// How long the work on a request takes, so that some are in flight whenever an upstream ends.
-const WORK: Duration = Duration::from_millis(30);
-/// How long an upstream goes on after it has begun an answer that it will not end.
-const BEGUN: Duration = Duration::from_millis(20);
-/// How long callers wait, and for how much longer an upstream works on a request that ends it late.
-const PATIENCE: Duration = Duration::from_millis(1_500);
-const IMPATIENCE: Duration = Duration::from_millis(500);
-const LATER: Duration = Duration::from_millis(200);
-/// When a caller closes its connection that leaves.
-const LEAVES_AFTER: Duration = Duration::from_millis(100);
 /// Upstreams that a request may end, and the time in which all entries learn of it.
 const ENDS_MAX: usize = 3;
 const REACH: Duration = Duration::from_secs(3);
 /// Times that it may be sent later than that.
 const SENDS_MAX: usize = 3;
-/// Line of the head by which a request is fatal where its path alone is not.
-const FATAL_LINE: &str = "X-Fatal: 1\r\n";
 const UPLOAD_BYTES: usize = 3_000_000;
 
-/// How an upstream ends under a fatal request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Ending {
-    /// Before any byte of an answer.
-    Silent,
-    /// Within the head of an answer.
-    InHead,
-    /// Within a body that an entry receives whole before it passes it on.
-    InBody,
-    /// Within a body that is passed on as it comes.
-    InLongBody,
-    /// Once the caller's deadline has passed.
-    Late,
-    /// Once the caller has closed its connection.
-    Left,
-    /// Once a part of an upload has been read.
-    InUpload,
-}
-
-/// Who sends the fatal request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Sender {
-    One,
-    /// Each time another caller.
-    Many,
-    /// One caller, whose requests for a path are fatal that others ask for too.
-    OneOfPath,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Plan {
-    away: Duration,
-    disturbance: Disturbance,
-    ending: Ending,
-    /// Whether an upstream that is back announces itself under a new id.
-    is_reborn: bool,
-    line: &'static str,
-    pace: Duration,
-    sender: Sender,
-    /// For how long other requests may be refused as fatal: nothing tells them from the fatal one where they were in
-    /// flight at each crash and were never answered.
-    tied_max: Duration,
-    upstreams: usize,
-    /// How long the work on other requests takes.
-    work: Duration,
-}
-
-const PLAN: Plan = Plan {
-    away: Duration::from_secs(2),
-    disturbance: Disturbance::None,
-    ending: Ending::Silent,
-    is_reborn: false,
-    line: "GET /hull/fatal",
-    pace: Duration::from_millis(400),
-    sender: Sender::One,
-    tied_max: Duration::ZERO,
-    upstreams: 6,
-    work: WORK,
-};
-/// Work that one upstream never ends before the next fatal request.
-const LONG_WORK: Duration = Duration::from_millis(300);
-/// Two trials, one after the other, and the time for which the upstream may be away.
-const TIED_MAX: Duration = Duration::from_secs(6);
-const AWAY_LONG: Duration = Duration::from_secs(3);
-/// Away for less time than an entry waits before it looks.
-const AWAY_BRIEFLY: Duration = Duration::from_millis(20);
-const OFTEN: Duration = Duration::from_millis(100);
-
-/// What upstreams count of fatal requests.
-#[derive(Default)]
-struct Counts {
-    /// When upstreams ended.
-    ends: Mutex<Vec<Instant>>,
-    /// When a fatal request arrived.
-    fatal: Mutex<Vec<Instant>>,
-}
-
-/// Starts an upstream that ends under fatal requests, and is back after some time.
-fn start_upstream(
-    plan: Plan,
-    address: String,
-    counts: &Arc<Counts>,
-    announce: impl Fn(usize, &str) + Send + 'static,
-) {
-    let listener = TcpListener::bind(&address).unwrap();
-    let counts = Arc::clone(counts);
-    announce(0, &address);
-    thread::spawn(move || {
-        serve(listener, plan, &counts);
-        for start in 1.. {
-            counts.ends.lock().unwrap().push(Instant::now());
-            thread::sleep(plan.away);
-            let listener = TcpListener::bind(&address).unwrap();
-            if plan.is_reborn {
-                announce(start, &address);
-            }
-            serve(listener, plan, &counts);
-        }
-    });
-}
-
-/// Takes requests until one is fatal; ends all connections then, after the listener.
-fn serve(listener: TcpListener, plan: Plan, counts: &Arc<Counts>) {
-    listener.set_nonblocking(true).unwrap();
-    let is_over = Arc::new(AtomicBool::new(false));
-    let mut streams = Vec::new();
-    while !is_over.load(Ordering::Acquire) {
-        let Ok((stream, _)) = listener.accept() else {
-            thread::sleep(Duration::from_millis(1));
-            continue;
-        };
-        stream.set_nonblocking(false).unwrap();
-        streams.push(stream.try_clone().unwrap());
-        let (is_over, counts) = (Arc::clone(&is_over), Arc::clone(counts));
-        thread::spawn(move || respond(&stream, plan, &is_over, &counts));
-    }
-    drop(listener);
-    streams.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
-}
-
-/// Head of a request, as far as an upstream looks at it.
-#[derive(Default)]
-struct Head {
-    id: String,
-    is_fatal: bool,
-    length: usize,
-}
-
-/// Reads the head of the next request; `None` at the end of the connection.
-fn read_head(reader: &mut impl BufRead, plan: Plan) -> Option<Head> {
-    let mut head = Head::default();
-    let mut path = String::new();
-    for line in reader.lines().map_while(Result::ok) {
-        if line.is_empty() {
-            return Some(head);
-        }
-        if line.ends_with(" HTTP/1.1") {
-            line.split(' ').nth(1).unwrap_or_default().clone_into(&mut path);
-            head.is_fatal = path.ends_with("/fatal") && plan.sender != Sender::OneOfPath;
-        }
-        let lower = line.to_lowercase();
-        head.is_fatal |= lower == FATAL_LINE.trim().to_lowercase();
-        if let Some(text) = lower.strip_prefix("hemlockfield-request-id:") {
-            text.trim().clone_into(&mut head.id);
-        }
-        if let Some(text) = lower.strip_prefix("content-length:") {
-            head.length = text.trim().parse().unwrap();
-        }
-    }
-    None
-}
-
-fn respond(stream: &TcpStream, plan: Plan, is_over: &AtomicBool, counts: &Counts) {
-    let mut reader = BufReader::new(stream);
-    while let Some(head) = read_head(&mut reader, plan) {
-        if head.is_fatal {
-            counts.fatal.lock().unwrap().push(Instant::now());
-            begin_answer(stream, plan.ending, &head);
-            is_over.store(true, Ordering::Release);
-            return;
-        }
-        let mut body = vec![0; head.length];
-        if reader.read_exact(&mut body).is_err() {
-            return;
-        }
-        thread::sleep(plan.work);
-        if is_over.load(Ordering::Acquire) {
-            return;
-        }
-        let answer = answer_head(&head, "4") + "hull";
-        if (&mut &*stream).write_all(answer.as_bytes()).is_err() {
-            return;
-        }
-    }
-}
-
-fn answer_head(head: &Head, length: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nHemlockfield-Request-Id: {}\r\n\
-         Hemlockfield-Response-Signature: 1\r\n\r\n",
-        head.id
-    )
-}
-
-/// Does what an upstream does of a fatal request before it ends.
-fn begin_answer(mut stream: &TcpStream, ending: Ending, head: &Head) {
-    let part = match ending {
-        Ending::Silent | Ending::InUpload => String::new(),
-        Ending::InHead => "HTTP/1.1 200 OK\r\nx-begun: 1\r\n".to_owned(),
-        Ending::InBody => answer_head(head, "40") + "hull",
-        Ending::InLongBody => answer_head(head, "400000") + "hull",
-        Ending::Late => return thread::sleep(IMPATIENCE + LATER),
-        Ending::Left => return thread::sleep(LEAVES_AFTER + LATER),
-    };
-    thread::sleep(WORK / 2);
-    stream.write_all(part.as_bytes()).ok();
-    if !part.is_empty() {
-        thread::sleep(BEGUN);
-    }
-}
-
-/// What is done to the processes some seconds after the first death.
-#[derive(Clone, Copy, Debug)]
-enum Disturbance {
-    None,
-    /// Both entries are killed one after the other, and start again.
-    Entries,
-    /// Each control is killed for some time, the leader among them.
-    Controls,
-}
-
 fn disturb(site: &mut Site, disturbance: Disturbance) {
     thread::sleep(Duration::from_secs(5));
     let processes = match disturbance {
