Count what was given up for no crash of a service, and join tied kinds of one request

What was given up without a sign was suspected also where no upstream of the service could be reached. On lost paths that hang every request is given up; a hot path could have been shut for a minute after they were back. Given-up requests now count only where the upstream itself ended (take_broken_given_up; reach::cut::quarantine_none plays paths that hang, too; it was not seen red there). A look opens no connection while all paths are known to be lost, and a failed connection is no proof by itself, as a caller with little time left fails to connect to sound upstreams.

Each of its callers had requests in flight at all of the crashes, so each caller's kind was tied with the fatal one and had a trial of its own, 2 s after the other. Several narrower kinds that were in flight at all crashes explain nothing now, the wider one stands for them (decide_tied_callers: 21 kinds before, 2 now).

--- a/src/poison.rs
+++ b/src/poison.rs
@@ -30,6 +30,7 @@
 mod trials;
 
 pub use checks::Checks;
+pub use checks::How;
 pub use evidence::Crash;
 pub use evidence::Evidence;
 pub use evidence::Place;
--- a/src/poison/checks.rs
+++ b/src/poison/checks.rs
@@ -20,24 +20,40 @@
 struct Open {
     /// Whether it is being looked at: one look serves all requests that were in flight there.
     is_checked: bool,
-    losses: Vec<(Moment, Identity)>,
+    losses: Vec<Loss>,
+}
+
+/// How a request got no whole answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum How {
+    /// The upstream, or the path to it, ended the connection.
+    Broken,
+    /// It was given up without a sign of the upstream. This happens on lost paths, too.
+    GivenUp,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    at: Moment,
+    how: How,
+    identity: Identity,
 }
 
 impl Open {
     fn forget_old(&mut self, now: Moment) {
-        self.losses.retain(|(at, _)| now < *at + MEMORY);
+        self.losses.retain(|loss| now < loss.at + MEMORY);
     }
 }
 
 impl Checks {
     /// Records that a request got no whole answer from an upstream.
-    pub fn record(&mut self, now: Moment, upstream: &UpstreamId, identity: Identity) {
+    pub fn record(&mut self, at: Moment, upstream: &UpstreamId, identity: Identity, how: How) {
         self.0.retain(|_, open| {
-            open.forget_old(now);
+            open.forget_old(at);
             open.is_checked || !open.losses.is_empty()
         });
         let losses = &mut self.0.entry(upstream.clone()).or_default().losses;
-        losses.push((now, identity));
+        losses.push(Loss { at, how, identity });
         if losses.len() > MAX_LOSSES {
             losses.remove(0);
         }
@@ -62,8 +78,23 @@
 
     /// Takes the requests that were lost at an upstream, once it is known that it ended.
     pub fn take(&mut self, now: Moment, upstream: &UpstreamId) -> Vec<Identity> {
+        self.take_losses(now, upstream).map(|loss| loss.identity).collect()
+    }
+
+    /// Takes the requests that were lost at an upstream where it ended or the path to it is lost, but for those
+    /// that were given up.
+    pub fn take_broken(&mut self, now: Moment, upstream: &UpstreamId) -> Vec<Identity> {
+        let losses = self.take_losses(now, upstream);
+        losses.filter(|loss| loss.how == How::Broken).map(|loss| loss.identity).collect()
+    }
+
+    fn take_losses(
+        &mut self,
+        now: Moment,
+        upstream: &UpstreamId,
+    ) -> impl Iterator<Item = Loss> + use<> {
         let mut open = self.0.remove(upstream).unwrap_or_default();
         open.forget_old(now);
-        open.losses.into_iter().map(|(_, identity)| identity).collect()
+        open.losses.into_iter()
     }
 }
--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -210,15 +210,18 @@
             let is_over = now >= last.at + GRACE;
             let is_tied = open.len() < needed + TIED_MAX && self.is_tied(suspect, &open);
             let is_due = is_over && !is_tied && !self.is_beside_others(suspect, &open);
-            is_due.then_some((open, suspect.kind.fingerprint()))
+            is_due.then_some((open, suspect.kind))
         });
-        let due: Vec<(Vec<&Ended>, Fingerprint)> = due.collect();
+        let due: Vec<(Vec<&Ended>, Kind)> = due.collect();
         let Some((most, _)) = due.iter().max_by_key(|(open, _)| open.len()) else {
             return Vec::new();
         };
         let has_same =
             |open: &[&Ended]| open.len() == most.len() && includes(open.iter().copied(), most);
-        due.iter().filter(|(open, _)| has_same(open)).map(|(_, fingerprint)| *fingerprint).collect()
+        let kinds = || due.iter().filter(|(open, _)| has_same(open)).map(|(_, kind)| kind);
+        // A wider kind stands for all that are part of it.
+        let widest = kinds().filter(|kind| !kinds().any(|other| kind.is_within(other)));
+        widest.map(Kind::fingerprint).collect()
     }
 
     /// Crashes at which no quarantined request was in flight. Requests of a narrower kind, which are
--- a/src/poison/suspect.rs
+++ b/src/poison/suspect.rs
@@ -98,10 +98,11 @@
     }
 
     /// Whether a single kind of the next width below was in flight at all of these crashes. If one is fatal it
-    /// is that one, and others of this kind need not be.
+    /// is that one, and others of this kind need not be. Of several nothing tells which.
     pub(super) fn is_narrower(&self) -> bool {
         let Some((first, others)) = self.narrower.split_first() else { return false };
-        first.iter().any(|one| others.iter().all(|other| other.contains(one)))
+        let is_common = |one: &&Fingerprint| others.iter().all(|other| other.contains(*one));
+        first.iter().filter(is_common).count() == 1
     }
 }
 
--- a/src/traffic/poison.rs
+++ b/src/traffic/poison.rs
@@ -26,6 +26,8 @@
 use crate::poison::Decision;
 use crate::poison::Evidence;
 use crate::poison::Fingerprint;
+use crate::poison::How;
+use crate::poison::Identity;
 use crate::poison::Place;
 use crate::poison::Trials;
 use crate::reach::Check;
@@ -52,8 +54,6 @@
 struct Doubt {
     address: SocketAddr,
     check: Check,
-    /// Whether a connection to it has just failed.
-    is_unconnected: bool,
 }
 
 /// What a look at an upstream found.
@@ -121,13 +121,13 @@
 /// Remembers a job that was given up before any sign of an upstream, which may end under it later.
 pub(super) fn note_abandoned(proxy: &Proxy, job: &Job, upstream: &UpstreamId) {
     log_loss(job, upstream, "given up");
-    proxy.poison.checks().record(proxy.now(), upstream, job.identity());
+    proxy.poison.checks().record(proxy.now(), upstream, job.identity(), How::GivenUp);
 }
 
 fn note_loss(proxy: &Proxy, job: &Job, attempt: &Attempt<'_>, reason: &str) {
     let upstream = attempt.upstream();
     log_loss(job, &upstream, reason);
-    proxy.poison.checks().record(proxy.now(), &upstream, job.identity());
+    proxy.poison.checks().record(proxy.now(), &upstream, job.identity(), How::Broken);
     start_look(proxy, job, attempt);
 }
 
@@ -138,8 +138,7 @@
         return;
     }
     let check = Check { service: job.service.clone(), upstream: upstream.clone() };
-    let is_unconnected = attempt.is_unconnected();
-    let doubt = Doubt { address: attempt.address(), check, is_unconnected };
+    let doubt = Doubt { address: attempt.address(), check };
     if proxy.poison.doubts.0.try_send(doubt).is_err() {
         checks.end(&upstream);
     }
@@ -217,11 +216,12 @@
     match finding {
         Finding::Ended => {
             proxy.metrics.count("upstream.ended");
-            report_end(&proxy, &upstream, Place::Upstream(upstream.clone()));
+            report_end(&proxy, upstream);
         }
         Finding::Unconfirmed => {
             proxy.metrics.count("upstream.unconfirmed");
-            report_end(&proxy, &upstream, Place::Service(service));
+            let suspects = proxy.poison.checks().take_broken(proxy.now(), &upstream);
+            report_crash(&proxy, Place::Service(service), suspects);
         }
         Finding::Alive => {
             proxy.metrics.count("upstream.alive");
@@ -229,22 +229,30 @@
             task::sleep(REBIRTH).await;
             if is_replaced(&proxy, &doubt) {
                 proxy.metrics.count("upstream.replaced");
-                report_end(&proxy, &upstream, Place::Upstream(upstream.clone()));
+                report_end(&proxy, upstream);
             }
         }
     }
 }
 
-/// Reports a crash with the jobs that were lost at an upstream.
-fn report_end(proxy: &Proxy, upstream: &UpstreamId, place: Place) {
-    let suspects = proxy.poison.checks().take(proxy.now(), upstream);
+/// Reports the end of an upstream with the jobs that were lost there.
+fn report_end(proxy: &Proxy, upstream: UpstreamId) {
+    let suspects = proxy.poison.checks().take(proxy.now(), &upstream);
+    report_crash(proxy, Place::Upstream(upstream), suspects);
+}
+
+fn report_crash(proxy: &Proxy, place: Place, suspects: Vec<Identity>) {
     if !suspects.is_empty() {
         proxy.notify(Input::Poison(Evidence::of_crash(place, suspects)));
     }
 }
 
 async fn look(proxy: &Proxy, doubt: &Doubt) -> Finding {
-    if !doubt.is_unconnected && !is_ended(proxy, doubt.address).await {
+    // Paths that are lost are checked already, by few connections.
+    if proxy.reach.is_lost(&doubt.check.service) {
+        return Finding::Unconfirmed;
+    }
+    if !is_ended(proxy, doubt.address).await {
         return Finding::Alive;
     }
     // An entry that lost its path to a service sees all of its upstreams end.
@@ -269,7 +277,6 @@
     let others = service.addresses.iter().filter(|(id, _)| **id != check.upstream);
     let others = others.map(|(_, address)| *address).choose_multiple(&mut rand::rng(), MAX_OTHERS);
     for address in others {
-        // Paths that are lost are checked already, by few connections.
         if proxy.reach.is_lost(&check.service) {
             return false;
         }
--- a/tests/suite/poison.rs
+++ b/tests/suite/poison.rs
@@ -8,6 +8,7 @@
 use hemlockfield::poison::Decision;
 use hemlockfield::poison::Evidence;
 use hemlockfield::poison::Fingerprint;
+use hemlockfield::poison::How;
 use hemlockfield::poison::Identity;
 use hemlockfield::poison::Ledger;
 use hemlockfield::poison::Parts;
@@ -334,6 +335,19 @@
     }
 }
 
+// Each of many callers of a hot path had a request in flight at the same crashes as the fatal one; their trials,
+// one after the other, would have taken minutes.
+#[test]
+fn decide_tied_callers() {
+    let mut ledger = Ledger::default();
+    for number in 0..4 {
+        let hot = (0..20).map(|caller| from(caller, HOT));
+        crash_under(&mut ledger, 0, number, hot.chain([of(FATAL)]));
+    }
+    ledger.advance(at(1_000));
+    assert_eq!(ledger.list().quarantined(), 2);
+}
+
 // A trial found no upstream to be sent to; the request was refused until another entry's turn.
 #[test]
 fn give_back_unsent() {
@@ -436,9 +450,9 @@
 #[test]
 fn begin_twice() {
     let (mut checks, upstream) = (Checks::default(), "i-1".into());
-    checks.record(at(0), &upstream, of(FATAL));
+    checks.record(at(0), &upstream, of(FATAL), How::Broken);
     assert!(checks.begin(at(0), &upstream));
-    checks.record(at(10), &upstream, of(HOT));
+    checks.record(at(10), &upstream, of(HOT), How::Broken);
     assert!(!checks.begin(at(10), &upstream));
     assert_eq!(checks.take(at(100), &upstream), [of(FATAL), of(HOT)]);
     assert!(!checks.begin(at(100), &upstream));
@@ -448,15 +462,24 @@
 #[test]
 fn take_given_up() {
     let (mut checks, upstream) = (Checks::default(), "i-1".into());
-    checks.record(at(0), &upstream, of(FATAL));
+    checks.record(at(0), &upstream, of(FATAL), How::GivenUp);
     assert!(checks.begin(at(0), &upstream));
     checks.end(&upstream);
     assert!(checks.begin(at(2_000), &upstream));
     assert_eq!(checks.take(at(2_100), &upstream), [of(FATAL)]);
-    checks.record(at(3_000), &upstream, of(FATAL));
+    checks.record(at(3_000), &upstream, of(FATAL), How::GivenUp);
     assert_eq!(checks.take(at(9_000), &upstream), []);
 }
 
+// All paths to a service were lost without a sign, and what was given up on them was held to be lost at a crash.
+#[test]
+fn take_broken_given_up() {
+    let (mut checks, upstream) = (Checks::default(), "i-1".into());
+    checks.record(at(0), &upstream, of(HOT), How::GivenUp);
+    checks.record(at(0), &upstream, of(FATAL), How::Broken);
+    assert_eq!(checks.take_broken(at(100), &upstream), [of(FATAL)]);
+}
+
 #[test]
 fn report_unknown() {
     let ledger = Ledger::default();
--- a/tests/suite/reach/cut.rs
+++ b/tests/suite/reach/cut.rs
@@ -175,12 +175,12 @@
 
 // All paths break at once, as if all upstreams had ended under what was in flight. After that the callers'
 // requests were refused for a minute.
-#[test]
-fn quarantine_none() {
+#[rstest]
+fn quarantine_none(#[values(Form::Hang, Form::Reset)] form: Form) {
     let fleet = Fleet::start();
     let callers = fleet.callers();
     for _ in 0..3 {
-        fleet.cut(&[0, 1, 2, 3], Form::Reset, None);
+        fleet.cut(&[0, 1, 2, 3], form, None);
         thread::sleep(BOUND / 2);
         fleet.heal();
         wait_for("answers", || (0..4).all(|entry| fleet.look(entry, "hull") == 200));
