--- a/src/poison.rs
+++ b/src/poison.rs
@@ -29,11 +29,11 @@
 mod suspect;
 mod trials;
 
+pub use checks::Cause;
 pub use checks::Checks;
-pub use checks::How;
 pub use evidence::Crash;
 pub use evidence::Evidence;
-pub use evidence::Place;
+pub use evidence::Scope;
 pub use identity::Fingerprint;
 pub use identity::Identity;
 pub use identity::Parts;
--- a/src/poison/checks.rs
+++ b/src/poison/checks.rs
@@ -23,9 +23,9 @@
     losses: Vec<Loss>,
 }
 
-/// How a request got no whole answer.
+/// Why a request got no whole answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum How {
+pub enum Cause {
     /// The upstream, or the path to it, ended the connection.
     Broken,
     /// It was given up without a sign of the upstream. This happens on lost paths, too.
@@ -35,7 +35,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Loss {
     at: Moment,
-    how: How,
+    cause: Cause,
     identity: Identity,
 }
 
@@ -47,13 +47,13 @@
 
 impl Checks {
     /// Records that a request got no whole answer from an upstream.
-    pub fn record(&mut self, at: Moment, upstream: &UpstreamId, identity: Identity, how: How) {
+    pub fn record(&mut self, at: Moment, upstream: &UpstreamId, identity: Identity, cause: Cause) {
         self.0.retain(|_, open| {
             open.forget_old(at);
             open.is_checked || !open.losses.is_empty()
         });
         let losses = &mut self.0.entry(upstream.clone()).or_default().losses;
-        losses.push(Loss { at, how, identity });
+        losses.push(Loss { at, cause, identity });
         if losses.len() > MAX_LOSSES {
             losses.remove(0);
         }
@@ -85,7 +85,7 @@
     /// that were given up.
     pub fn take_broken(&mut self, now: Moment, upstream: &UpstreamId) -> Vec<Identity> {
         let losses = self.take_losses(now, upstream);
-        losses.filter(|loss| loss.how == How::Broken).map(|loss| loss.identity).collect()
+        losses.filter(|loss| loss.cause == Cause::Broken).map(|loss| loss.identity).collect()
     }
 
     fn take_losses(
--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -15,7 +15,7 @@
 
 /// What ended, as far as an entry could find out.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Place {
+pub enum Scope {
     /// No upstream of this service could be reached: some have ended, or the path to all of them is lost. The
     /// reports of one such time count as one crash.
     Service(ServiceId),
@@ -27,7 +27,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Crash {
     /// What ended.
-    pub place: Place,
+    pub scope: Scope,
     /// Requests of one entry that were in flight there and got no whole answer.
     pub suspects: Vec<Identity>,
 }
@@ -43,11 +43,11 @@
 
 impl Evidence {
     /// Evidence of one crash.
-    pub fn of_crash(place: Place, mut suspects: Vec<Identity>) -> Self {
+    pub fn of_crash(scope: Scope, mut suspects: Vec<Identity>) -> Self {
         suspects.sort_unstable();
         suspects.dedup();
         suspects.truncate(MAX_SUSPECTS);
-        Self { crashes: vec![Crash { place, suspects }], ..Self::default() }
+        Self { crashes: vec![Crash { scope, suspects }], ..Self::default() }
     }
 
     /// Evidence of one whole answer.
--- a/src/poison/ledger.rs
+++ b/src/poison/ledger.rs
@@ -158,7 +158,7 @@
 
     fn record_crash(&mut self, now: Moment, crash: &Crash) {
         self.note_recent(now, crash);
-        let ended = Ended { at: now, place: crash.place.clone() };
+        let ended = Ended { at: now, scope: crash.scope.clone() };
         for identity in &crash.suspects {
             for (width, fingerprint) in identity.fingerprints().into_iter().enumerate() {
                 if let Some(held) = self.quarantined.get_mut(&fingerprint) {
@@ -172,7 +172,7 @@
                         target: "hemlockfield::poison",
                         fingerprint = %format_args!("{fingerprint:016x}"),
                         width,
-                        place = ?crash.place,
+                        scope = ?crash.scope,
                         crashes = suspect.crashes.len(),
                         "request suspected"
                     );
@@ -184,7 +184,7 @@
 
     /// Notes a crash with the requests that were in flight, as far as one entry knows them.
     fn note_recent(&mut self, now: Moment, crash: &Crash) {
-        let ended = Ended { at: now, place: crash.place.clone() };
+        let ended = Ended { at: now, scope: crash.scope.clone() };
         if let Some((_, suspects)) = self.recent.iter_mut().find(|(other, _)| other.is_same(&ended))
         {
             let room = MAX_IN_FLIGHT.saturating_sub(suspects.len());
@@ -202,7 +202,7 @@
     /// with the same ones. Once they are quarantined, they may explain those of others.
     fn due(&self, now: Moment) -> Vec<Fingerprint> {
         let candidates = self.suspects.values().filter(|it| it.crashes.len() >= CRASHES_MAX);
-        let candidates = candidates.filter(|it| !it.is_narrower());
+        let candidates = candidates.filter(|it| !it.has_single_narrower());
         let due = candidates.filter_map(|suspect| {
             let open = self.unexplained(suspect);
             let needed = CRASHES_MAX + self.unrelated(now, suspect);
--- a/src/poison/list.rs
+++ b/src/poison/list.rs
@@ -5,6 +5,7 @@
 
 use super::Fingerprint;
 use super::Identity;
+use super::quarantine;
 use crate::clock::Moment;
 
 /// Crashes under a suspected request from which on it is sent once at most: a retry would probably end
@@ -12,10 +13,8 @@
 const CRASHES_WITHOUT_RETRY: usize = 2;
 /// For how long one entry alone may send a request whose quarantine is over.
 pub(super) const TURN: Duration = Duration::from_secs(10);
-/// Time for the trial of one kind before that of another one.
-const SLOT: Duration = Duration::from_secs(2);
 /// When callers that are refused meanwhile may return: a trial is mostly answered by then.
-const TRIAL: Duration = Duration::from_secs(1);
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Suspected and quarantined kinds of requests.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -88,7 +87,8 @@
         let mut decision = Decision::Send;
         for fingerprint in identity.fingerprints() {
             let Some(until) = self.quarantined.get(&fingerprint).copied() else { continue };
-            let may_try = |turn| self.is_slot(now, identity, until) && is_turn(fingerprint, turn);
+            let may_try =
+                |turn| self.may_try_now(now, identity, until) && is_turn(fingerprint, turn);
             decision = strictest(decision, decide_one(now, fingerprint, until, may_try));
         }
         decision
@@ -96,16 +96,18 @@
 
     /// Whether it is time for a trial of this request, whose quarantine ended at `until`, and not of other ones whose
     /// quarantines ended at about the same time: a fatal trial would end that of another one, too.
-    fn is_slot(&self, now: Moment, identity: &Identity, until: Moment) -> bool {
+    fn may_try_now(&self, now: Moment, identity: &Identity, until: Moment) -> bool {
         let own = identity.fingerprints();
-        let is_rival = |(of, end): &(&Fingerprint, &Moment)| {
+        let is_open = |(of, end): &(&Fingerprint, &Moment)| {
             **end <= now && end.abs_diff(until) < TURN && !own.contains(*of)
         };
-        let rivals = || self.quarantined.iter().filter(is_rival).map(|(_, end)| *end);
-        let first = rivals().min().map_or(until, |end| end.min(until));
-        let slots = rivals().count() + 1;
-        let slot = (now.saturating_sub(first).as_millis() / SLOT.as_millis()) as usize % slots;
-        slot == rivals().filter(|end| *end < until).count()
+        let others = || self.quarantined.iter().filter(is_open).map(|(_, end)| *end);
+        let first = others().min().map_or(until, |end| end.min(until));
+        let count = others().count() + 1;
+        let current = (now.saturating_sub(first).as_millis() / quarantine::TRIAL_TIME.as_millis())
+            as usize
+            % count;
+        current == others().filter(|end| *end < until).count()
     }
 }
 
@@ -122,8 +124,8 @@
     let turn = ((now - until).as_millis() / TURN.as_millis()) as u32;
     let since = until + TURN * turn;
     match may_try(turn) {
-        true => Decision::Trial { of, since, after: TRIAL },
-        false => Decision::Refuse { after: TRIAL },
+        true => Decision::Trial { of, since, after: TRIAL_RETRY_AFTER },
+        false => Decision::Refuse { after: TRIAL_RETRY_AFTER },
     }
 }
 
--- a/src/poison/quarantine.rs
+++ b/src/poison/quarantine.rs
@@ -10,9 +10,8 @@
 /// Length of the first quarantine, and of the longest one.
 const FIRST: Duration = Duration::from_secs(60);
 const LONGEST: Duration = Duration::from_secs(3_600);
-/// Length of the first quarantine of kinds that were in flight at the same crashes, for the first of them, and how much
-/// later that of each further one ends: a trial of one after the other tells which is fatal.
-const TIED: Duration = Duration::from_secs(2);
+/// Time for the trial of one kind before that of another one.
+pub(super) const TRIAL_TIME: Duration = Duration::from_secs(2);
 /// Ratio of a quarantine to the one before it.
 const GROWTH: u32 = 4;
 /// Time after the end of a quarantine for which it is remembered, so that a trial that ends another
@@ -45,7 +44,8 @@
     FIRST.saturating_mul(factor).min(LONGEST)
 }
 
-/// Length of the first quarantine of one of `count` kinds that nothing tells apart.
+/// Length of the first quarantine of one of `count` kinds that nothing tells apart. Those of several end one after the
+/// other: a trial of each tells which is fatal.
 pub(super) fn first_length(position: usize, count: usize) -> Duration {
-    if count > 1 { TIED * (position as u32 + 1) } else { length(1) }
+    if count > 1 { TRIAL_TIME * (position as u32 + 1) } else { length(1) }
 }
--- a/src/poison/suspect.rs
+++ b/src/poison/suspect.rs
@@ -6,11 +6,11 @@
 
 use super::Fingerprint;
 use super::Identity;
-use super::Place;
+use super::Scope;
 use super::quarantine;
 use crate::clock::Moment;
 
-/// Time within which two reports of the same place are about the same crash.
+/// Time within which two reports of the same scope are about the same crash.
 const SAME_CRASH: Duration = Duration::from_millis(1_500);
 /// Most crashes that are remembered of a request: its first ones, as the quarantine counts from the third,
 /// and the last one.
@@ -22,13 +22,13 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct Ended {
     pub(super) at: Moment,
-    pub(super) place: Place,
+    pub(super) scope: Scope,
 }
 
 impl Ended {
     /// Whether two reports are about the same crash. Entries report one at slightly different times.
     pub(super) fn is_same(&self, other: &Self) -> bool {
-        self.place == other.place && self.at.abs_diff(other.at) < SAME_CRASH
+        self.scope == other.scope && self.at.abs_diff(other.at) < SAME_CRASH
     }
 }
 
@@ -99,7 +99,7 @@
 
     /// Whether a single kind of the next width below was in flight at all of these crashes. If one is fatal it
     /// is that one, and others of this kind need not be. Of several nothing tells which.
-    pub(super) fn is_narrower(&self) -> bool {
+    pub(super) fn has_single_narrower(&self) -> bool {
         let Some((first, others)) = self.narrower.split_first() else { return false };
         let is_common = |one: &&Fingerprint| others.iter().all(|other| other.contains(*one));
         first.iter().filter(is_common).count() == 1
--- a/src/traffic/job.rs
+++ b/src/traffic/job.rs
@@ -178,10 +178,7 @@
     /// Hash of the request, which detects a different request with the same idempotency key. A
     /// streamed upload contributes only its declared length, if it has one.
     pub(super) fn digest(&self) -> u128 {
-        let mut hash = Xxh3::new();
-        hash.update(self.method.as_str().as_bytes());
-        hash.update(self.headers.get(http::header::HOST).map_or(&[], |host| host.as_bytes()));
-        hash.update(self.target.as_bytes());
+        let mut hash = self.hash_head(&self.target);
         if let Some(bytes) = self.payload.bytes() {
             hash.update(bytes);
         }
@@ -193,17 +190,18 @@
     /// What this request has in common with others that an upstream can't tell from it.
     pub(super) fn identity(&self) -> poison::Identity {
         let caller = self.team.as_ref().unwrap_or(&self.caller);
-        let (path, request) = (self.path_digest(), self.digest());
+        let path = self.target.split('?').next().unwrap_or_default();
+        let (path, request) = (self.hash_head(path).digest128(), self.digest());
         poison::Identity::of(&poison::Parts { caller, path, request, service: &self.service })
     }
 
-    /// Hash of method, host and path without query.
-    fn path_digest(&self) -> u128 {
+    /// Hash of method, host and a target.
+    fn hash_head(&self, target: &str) -> Xxh3 {
         let mut hash = Xxh3::new();
         hash.update(self.method.as_str().as_bytes());
         hash.update(self.headers.get(http::header::HOST).map_or(&[], |host| host.as_bytes()));
-        hash.update(self.target.split('?').next().unwrap_or_default().as_bytes());
-        hash.digest128()
+        hash.update(target.as_bytes());
+        hash
     }
 
     /// The key that admission limits the concurrency of: the idempotency key. The path of a lookup
--- a/tests/suite/feed/publisher.rs
+++ b/tests/suite/feed/publisher.rs
@@ -352,8 +352,8 @@
 fn quarantine_for_started() {
     let mut known = Publisher::default();
     for number in 0..3 {
-        let place = poison::Place::Upstream(compact_str::format_compact!("i-{number}"));
-        let crash = poison::Evidence::of_crash(place, vec![poison::Identity::new([7, 8, 9])]);
+        let scope = poison::Scope::Upstream(compact_str::format_compact!("i-{number}"));
+        let crash = poison::Evidence::of_crash(scope, vec![poison::Identity::new([7, 8, 9])]);
         known.add_tallies(secs(1), &Tallies { poison: crash, ..Tallies::default() }, true);
     }
     known.merge_quarantine(secs(3), &poison::Report::default());
--- a/tests/suite/feed/subscriber.rs
+++ b/tests/suite/feed/subscriber.rs
@@ -182,8 +182,8 @@
 #[case::usual(Some(true))]
 fn record_poison_lost(#[case] answered: Option<bool>) {
     let mut subscriber = subscriber();
-    let place = poison::Place::Upstream("i-1".into());
-    let crash = poison::Evidence::of_crash(place, vec![poison::Identity::new([1, 2, 3])]);
+    let scope = poison::Scope::Upstream("i-1".into());
+    let crash = poison::Evidence::of_crash(scope, vec![poison::Identity::new([1, 2, 3])]);
     subscriber.record_poison(ms(0), &crash);
     let outputs = subscriber.handle(ms(0), Input::Tick);
     let (to, poll) = sent_poll(&outputs).expect("a poll");
--- a/tests/suite/fleet_model/world/fatal.rs
+++ b/tests/suite/fleet_model/world/fatal.rs
@@ -10,7 +10,7 @@
 use hemlockfield::poison::Evidence;
 use hemlockfield::poison::Fingerprint;
 use hemlockfield::poison::Identity;
-use hemlockfield::poison::Place;
+use hemlockfield::poison::Scope;
 use rand::Rng;
 
 use super::Event;
@@ -150,7 +150,7 @@
             suspects.entry(entry).or_default().push(self.requests[request].identity);
         }
         for (entry, suspects) in suspects {
-            let evidence = Evidence::of_crash(Place::Upstream(upstream_name(upstream)), suspects);
+            let evidence = Evidence::of_crash(Scope::Upstream(upstream_name(upstream)), suspects);
             self.at(self.now + LATENCY + CHECK, Event::Evidence(entry, evidence));
         }
     }
--- a/tests/suite/poison.rs
+++ b/tests/suite/poison.rs
@@ -1,19 +1,21 @@
 //! Tests of `hemlockfield::poison`.
 
+mod checks;
+mod tied;
+mod widths;
+
 use std::time::Duration;
 
 use compact_str::format_compact;
 use hemlockfield::clock::Moment;
-use hemlockfield::poison::Checks;
 use hemlockfield::poison::Decision;
 use hemlockfield::poison::Evidence;
 use hemlockfield::poison::Fingerprint;
-use hemlockfield::poison::How;
 use hemlockfield::poison::Identity;
 use hemlockfield::poison::Ledger;
 use hemlockfield::poison::Parts;
-use hemlockfield::poison::Place;
 use hemlockfield::poison::Report;
+use hemlockfield::poison::Scope;
 use hemlockfield::poison::Trials;
 use rand::Rng;
 use rand::SeedableRng;
@@ -58,8 +60,8 @@
     upstream: usize,
     suspects: impl IntoIterator<Item = Identity>,
 ) {
-    let place = Place::Upstream(format_compact!("i-{upstream}"));
-    ledger.record(at(millis), &Evidence::of_crash(place, suspects.into_iter().collect()));
+    let scope = Scope::Upstream(format_compact!("i-{upstream}"));
+    ledger.record(at(millis), &Evidence::of_crash(scope, suspects.into_iter().collect()));
 }
 
 fn is_refused(ledger: &mut Ledger, millis: u64, number: Fingerprint) -> bool {
@@ -177,186 +179,6 @@
     assert!(!is_refused(&mut ledger, 2_000, HOT));
 }
 
-// Each time another caller sent the request that ended an upstream.
-#[test]
-fn decide_many_callers() {
-    let mut ledger = Ledger::default();
-    for caller in 0..3 {
-        crash_under(&mut ledger, 400 * caller, caller as usize, [from(caller, FATAL)]);
-    }
-    assert!(is_refused_from(&mut ledger, 2_000, &from(7, FATAL)));
-    assert!(!is_refused_from(&mut ledger, 2_000, &from(0, HOT)));
-}
-
-// One caller's requests end upstreams, and others ask for the same and are not answered meanwhile.
-#[test]
-fn decide_one_caller() {
-    let mut ledger = Ledger::default();
-    for number in 0..3 {
-        crash_under(&mut ledger, 400 * number, number as usize, [from(1, FATAL)]);
-    }
-    assert!(is_refused_from(&mut ledger, 2_000, &from(1, FATAL)));
-    assert!(!is_refused_from(&mut ledger, 2_000, &from(2, FATAL)));
-}
-
-// One caller's request is in quarantine, and then another caller's like it ends an upstream.
-#[test]
-fn decide_second_caller() {
-    let mut ledger = Ledger::default();
-    for number in 0..3 {
-        crash_under(&mut ledger, 400 * number, number as usize, [from(1, FATAL)]);
-    }
-    ledger.advance(at(2_000));
-    crash_under(&mut ledger, 9_000, 3, [from(2, FATAL)]);
-    assert!(is_refused_from(&mut ledger, 9_000, &from(3, FATAL)));
-}
-
-// One caller's requests end upstreams, and those of others for the same are answered.
-#[test]
-fn decide_one_caller_others_answered() {
-    let mut ledger = Ledger::default();
-    for number in 0..4 {
-        let millis = 400 * number;
-        crash_under(&mut ledger, millis, number as usize, [from(1, FATAL), from(2, FATAL)]);
-        ledger.record(at(millis + 50), &Evidence::of_answer(from(2, FATAL)));
-    }
-    assert!(is_refused_from(&mut ledger, 3_000, &from(1, FATAL)));
-    assert!(!is_refused_from(&mut ledger, 3_000, &from(2, FATAL)));
-    assert!(!is_refused_from(&mut ledger, 3_000, &from(3, FATAL)));
-}
-
-// Requests for one path end upstreams, each with another query or body; an answer to any of them shows that they
-// need not.
-#[rstest]
-#[case::unanswered(false)]
-#[case::answered(true)]
-fn decide_other_bodies(#[case] is_answered: bool) {
-    let mut ledger = Ledger::default();
-    for number in 0..3_u64 {
-        let identity = with_body(number, 1, number.into());
-        crash_under(&mut ledger, 400 * number, number as usize, [identity]);
-    }
-    if is_answered {
-        ledger.record(at(900), &Evidence::of_answer(with_body(8, 1, 8)));
-    }
-    assert_eq!(is_refused_from(&mut ledger, 2_000, &with_body(9, 1, 9)), !is_answered);
-    assert!(!is_refused_from(&mut ledger, 2_000, &with_body(9, 2, 9)));
-}
-
-// All paths to a service are lost at once, and each entry sees all of its upstreams end.
-#[test]
-fn decide_lost_path() {
-    let mut ledger = Ledger::default();
-    let mut lose = |millis: u64| {
-        let evidence = Evidence::of_crash(Place::Service("hull".into()), vec![of(HOT)]);
-        ledger.record(at(millis), &evidence);
-    };
-    (0..40).for_each(|entry| lose(10 * entry));
-    assert!(!is_refused(&mut ledger, 5_000, HOT));
-}
-
-// The only upstream of a service ends under a request each time it is back.
-#[test]
-fn decide_only_upstream() {
-    let mut ledger = Ledger::default();
-    for millis in [0, 3_000, 6_000] {
-        let evidence = Evidence::of_crash(Place::Service("hull".into()), vec![of(FATAL)]);
-        ledger.record(at(millis), &evidence);
-    }
-    assert!(is_refused(&mut ledger, 7_000, FATAL));
-}
-
-// A request whose path alone is suspected may be tried again elsewhere, one that ended two upstreams may not.
-#[test]
-fn allows_retry_path() {
-    let mut ledger = Ledger::default();
-    crash_under(&mut ledger, 0, 0, [with_body(0, 1, 0)]);
-    crash_under(&mut ledger, 0, 1, [with_body(1, 1, 1)]);
-    assert!(ledger.list().allows_retry(&with_body(0, 1, 0)));
-    crash_under(&mut ledger, 0, 2, [with_body(2, 1, 1)]);
-    assert!(!ledger.list().allows_retry(&with_body(3, 1, 1)));
-}
-
-// Two requests were in flight at the same crashes, and no answer to either is heard of.
-#[test]
-fn decide_tied() {
-    let mut ledger = Ledger::default();
-    (0..3).for_each(|number| crash(&mut ledger, 0, number, &[FATAL, HOT]));
-    assert!(!is_refused(&mut ledger, 5_000, HOT) && !is_refused(&mut ledger, 5_000, FATAL));
-    crash(&mut ledger, 5_000, 3, &[FATAL]);
-    assert!(is_refused(&mut ledger, 6_000, FATAL) && !is_refused(&mut ledger, 6_000, HOT));
-}
-
-// Two fatal requests are sent together, so that nothing tells one from the other.
-#[test]
-fn decide_tied_again() {
-    let mut ledger = Ledger::default();
-    (0..4).for_each(|number| crash(&mut ledger, 0, number, &[FATAL, HOT]));
-    assert!(is_refused(&mut ledger, 1_000, FATAL) && is_refused(&mut ledger, 1_000, HOT));
-}
-
-// Nothing tells two requests apart; each is tried before long, one after the other, and the one that is answered goes on.
-#[test]
-fn decide_tied_tried() {
-    let mut ledger = Ledger::default();
-    (0..4).for_each(|number| crash(&mut ledger, 0, number, &[FATAL, HOT]));
-    assert!(is_refused(&mut ledger, 1_000, FATAL) && is_refused(&mut ledger, 1_000, HOT));
-    let trials = |millis: u64| {
-        let list = ledger.list();
-        let is_trial = |number: Fingerprint| {
-            let decision = list.decide(at(millis), &of(number), |_, turn| turn == 0);
-            usize::from(matches!(decision, Decision::Trial { .. }))
-        };
-        is_trial(FATAL) + is_trial(HOT)
-    };
-    assert_eq!([trials(2_900), trials(3_000), trials(5_000)], [0, 1, 1]);
-    crash(&mut ledger, 3_100, 9, &[FATAL]);
-    ledger.record(at(5_200), &Evidence::of_answer(of(HOT)));
-    assert!(is_refused(&mut ledger, 60_000, FATAL) && !is_refused(&mut ledger, 5_200, HOT));
-}
-
-// The trial of a fatal request ended an upstream at which that of another one was in flight.
-#[test]
-fn decide_tied_apart() {
-    let mut ledger = Ledger::default();
-    (0..4).for_each(|number| crash(&mut ledger, 0, number, &[FATAL, HOT]));
-    ledger.advance(at(1_000));
-    let list = ledger.list();
-    let may_try = |millis: u64, number: Fingerprint| {
-        let decision = list.decide(at(millis), &of(number), |_, _| true);
-        matches!(decision, Decision::Trial { .. })
-    };
-    for millis in (3_000..20_000).step_by(100) {
-        assert!(!may_try(millis, FATAL) || !may_try(millis, HOT), "{millis}");
-    }
-    for number in [FATAL, HOT] {
-        let tried = (5_000..9_000).step_by(100).filter(|millis| may_try(*millis, number));
-        assert_eq!(tried.count(), 20);
-    }
-}
-
-// Each of many callers of a hot path had a request in flight at the same crashes as the fatal one; their trials,
-// one after the other, would have taken minutes.
-#[test]
-fn decide_tied_callers() {
-    let mut ledger = Ledger::default();
-    for number in 0..4 {
-        let hot = (0..20).map(|caller| from(caller, HOT));
-        crash_under(&mut ledger, 0, number, hot.chain([of(FATAL)]));
-    }
-    ledger.advance(at(1_000));
-    assert_eq!(ledger.list().quarantined(), 2);
-}
-
-// A trial found no upstream to be sent to; the request was refused until another entry's turn.
-#[test]
-fn give_back_unsent() {
-    let mut trials = Trials::default();
-    assert!(trials.try_take(1, at(0)) && !trials.try_take(1, at(0)));
-    trials.give_back(1);
-    assert!(trials.try_take(1, at(0)) && trials.try_take(1, at(10_000)));
-}
-
 // The quarantine of a request is over; one entry tries it, and it ends another upstream.
 #[test]
 fn decide_trial() {
@@ -446,40 +268,6 @@
     assert_eq!(refused, 0);
 }
 
-// One look serves all requests that were lost at an upstream.
-#[test]
-fn begin_twice() {
-    let (mut checks, upstream) = (Checks::default(), "i-1".into());
-    checks.record(at(0), &upstream, of(FATAL), How::Broken);
-    assert!(checks.begin(at(0), &upstream));
-    checks.record(at(10), &upstream, of(HOT), How::Broken);
-    assert!(!checks.begin(at(10), &upstream));
-    assert_eq!(checks.take(at(100), &upstream), [of(FATAL), of(HOT)]);
-    assert!(!checks.begin(at(100), &upstream));
-}
-
-// An upstream hung under a request that was given up, was found alive, and ended some time later.
-#[test]
-fn take_given_up() {
-    let (mut checks, upstream) = (Checks::default(), "i-1".into());
-    checks.record(at(0), &upstream, of(FATAL), How::GivenUp);
-    assert!(checks.begin(at(0), &upstream));
-    checks.end(&upstream);
-    assert!(checks.begin(at(2_000), &upstream));
-    assert_eq!(checks.take(at(2_100), &upstream), [of(FATAL)]);
-    checks.record(at(3_000), &upstream, of(FATAL), How::GivenUp);
-    assert_eq!(checks.take(at(9_000), &upstream), []);
-}
-
-// All paths to a service were lost without a sign, and what was given up on them was held to be lost at a crash.
-#[test]
-fn take_broken_given_up() {
-    let (mut checks, upstream) = (Checks::default(), "i-1".into());
-    checks.record(at(0), &upstream, of(HOT), How::GivenUp);
-    checks.record(at(0), &upstream, of(FATAL), How::Broken);
-    assert_eq!(checks.take_broken(at(100), &upstream), [of(FATAL)]);
-}
-
 #[test]
 fn report_unknown() {
     let ledger = Ledger::default();
