--- a/src/feed/subscriber.rs
+++ b/src/feed/subscriber.rs
@@ -1,11 +1,15 @@
 //! Entry's side of the feed: selects a control, polls it and fails over to another.
 
+mod download;
+mod suspicions;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
 
+use self::suspicions::Suspicions;
 use super::Entry;
 use super::Input;
 use super::Message;
@@ -18,10 +22,7 @@
 use super::entry;
 use super::failover::Failover;
 use super::table_load::TableLoad;
-use super::transfer::ChangeId;
 use super::transfer::Download;
-use super::transfer::Offer;
-use super::transfer::Part;
 use crate::balance::Limit;
 use crate::breaker::Counts;
 use crate::clock::Moment;
@@ -44,10 +45,6 @@
 /// Delay before the next poll after no usable control was found.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Bytes per second at which an entry with callers receives a configuration, as a multiple of the
-/// load that it is sized for. Callers keep three fifths of its link.
-const DOWNLOAD_FACTOR: u64 = 2;
-
 /// Entry's side of the feed.
 #[derive(Clone, Debug)]
 pub struct Subscriber {
@@ -78,16 +75,10 @@
     known: Index,
     me: Entry,
     named_digest: u64,
-    /// Whether the control doesn't know all quarantined requests that this entry knows.
-    is_control_behind: bool,
-    poison: poison::Ledger,
-    /// Evidence in the poll in flight, which is sent again if that stays unanswered.
-    sent_evidence: poison::Evidence,
     sequence: u64,
+    suspicions: Suspicions,
     tallies: Tallies,
     polled_at: Moment,
-    /// What traffic threads were last told of suspected and quarantined requests.
-    poison_list: poison::List,
 }
 
 impl Subscriber {
@@ -112,13 +103,10 @@
             known: 0,
             me,
             named_digest: 0,
-            is_control_behind: false,
-            poison: poison::Ledger::default(),
-            sent_evidence: poison::Evidence::default(),
             sequence: 0,
+            suspicions: Suspicions::default(),
             tallies: Tallies::default(),
             polled_at: now,
-            poison_list: poison::List::default(),
         }
     }
 
@@ -132,7 +120,7 @@
         }
         self.check_timeouts(now, &mut outputs);
         self.poll_if_due(now, &mut outputs);
-        self.update_quarantine(now, &mut outputs);
+        outputs.extend(self.suspicions.changed_list(now).map(Output::Quarantine));
         self.request_part_if_due(now, &mut outputs);
         outputs
     }
@@ -178,7 +166,7 @@
     /// Records evidence of this entry about requests under which upstreams end. It is reported at once.
     pub fn record_poison(&mut self, now: Moment, evidence: &poison::Evidence) {
         self.tallies.poison.add(evidence);
-        self.poison.record(now, evidence);
+        self.suspicions.record(now, evidence);
         self.poll_at = self.poll_at.min(now.max(self.polled_at + MIN_URGENT_INTERVAL));
     }
 
@@ -240,7 +228,7 @@
             self.fresh_at = Some(now);
             self.failover.mark_usable(from);
             if is_answer {
-                self.sent_evidence = poison::Evidence::default();
+                self.suspicions.confirm_sent();
             }
         } else if self.failover.current() == Some(from) {
             // The control may be partitioned from the others, which carry on without it. The
@@ -251,10 +239,9 @@
         if !update.controls.is_empty() {
             self.failover.set_controls(&update.controls);
         }
-        self.poison.record(now, &update.tallies.poison);
+        self.suspicions.record(now, &update.tallies.poison);
         if is_answer {
-            self.poison.merge(now, &update.quarantine);
-            self.is_control_behind = self.poison.digest() != update.quarantine.digest;
+            self.suspicions.merge(now, &update.quarantine);
         }
         if !update.tallies.is_empty() {
             outputs.push(Output::Record(update.tallies.clone()));
@@ -314,82 +301,6 @@
         self.has_upstreams = true;
     }
 
-    /// Takes an offered change, unless another one is being received. The next poll asks for what
-    /// is newer than that: if each new version started the transfer anew, frequent changes would
-    /// keep an entry from ever finishing one.
-    fn receive_offer(&mut self, now: Moment, offer: Offer, outputs: &mut Vec<Output>) {
-        let held = self.head();
-        let ChangeId { base, head, .. } = offer.change;
-        let is_newer = held.is_none_or(|held| head.number > held.number);
-        let fits = base.is_none() || base == held;
-        if is_newer {
-            self.behind_since.get_or_insert(now);
-        }
-        if self.download.is_some() || !is_newer || !fits {
-            return;
-        }
-        // An entry without a configuration has no callers to leave room for.
-        let rate = held.map(|_| self.me.room.bytes.saturating_mul(DOWNLOAD_FACTOR));
-        self.download = Some(Download::new(now, offer, rate));
-        self.finish_download(now, outputs);
-    }
-
-    fn receive_part(&mut self, now: Moment, part: &Part, outputs: &mut Vec<Output>) {
-        let Some(download) = &mut self.download else { return };
-        if !download.receive(part) {
-            self.download = None;
-            self.poll_at = self.poll_at.min(now);
-        } else if self.finish_download(now, outputs) {
-            // Newer changes were not offered meanwhile, nor will they be with the answer to a poll that
-            // is on its way.
-            self.in_flight = None;
-            self.poll_at = now;
-        }
-    }
-
-    /// Puts the received configuration in force if all of it has arrived.
-    fn finish_download(&mut self, now: Moment, outputs: &mut Vec<Output>) -> bool {
-        let Some(download) = self.download.take() else { return false };
-        let Some(bytes) = download.finished() else {
-            self.download = Some(download);
-            return false;
-        };
-        let change = *download.change();
-        let held = self.configuration.as_ref().map(|(_, version)| version);
-        match change.apply(bytes, held) {
-            Ok(version) => {
-                self.configuration = Some((change.head, version.clone()));
-                self.caught_up_after = self.behind(now);
-                self.behind_since = None;
-                self.needs_document = false;
-                if self.has_upstreams {
-                    outputs.push(Output::Configure(version));
-                } else {
-                    self.early_configuration = Some(version);
-                }
-            }
-            Err(error) => {
-                let number = change.head.number;
-                tracing::error!(target: "hemlockfield::config", number, "change can't be used: {error}");
-                self.needs_document = true;
-            }
-        }
-        true
-    }
-
-    fn request_part_if_due(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        let Some(download) = &mut self.download else { return };
-        let Some(to) = self.failover.choose(now) else { return };
-        while let Some(request) = download.request(now) {
-            outputs.push(Output::Send(to.clone(), Message::Request(request)));
-        }
-    }
-
-    /// Head of the configuration held.
-    fn head(&self) -> Option<Head> {
-        self.configuration.as_ref().map(|(head, _)| *head)
-    }
-
     /// Turns to another control if the current one leaves a poll or a request unanswered.
     fn check_timeouts(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let poll = self.in_flight.map(|(_, at)| now.saturating_sub(at));
@@ -412,7 +323,7 @@
         };
         self.sequence += 1;
         self.in_flight = Some((self.sequence, now));
-        self.sent_evidence = self.tallies.poison.clone();
+        self.suspicions.note_sent(&self.tallies.poison);
         self.answer_timer.start(now, self.sequence);
         self.polled_at = now;
         let poll = Poll {
@@ -422,7 +333,7 @@
             known: self.known,
             loading: self.load.as_ref().map(|load| load.from),
             named: self.named_digest,
-            quarantine: self.known_quarantines(now),
+            quarantine: self.suspicions.report(now),
             selection: self.selection.clone(),
             sequence: self.sequence,
             tallies: std::mem::take(&mut self.tallies),
@@ -430,29 +341,9 @@
         outputs.push(Output::Send(to, Message::Poll(Box::new(poll))));
     }
 
-    /// The quarantined requests for a poll, all of them if the control doesn't know them.
-    fn known_quarantines(&self, now: Moment) -> poison::Report {
-        let known = (!self.is_control_behind).then(|| self.poison.digest());
-        self.poison.report(now, known)
-    }
-
-    fn update_quarantine(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        self.poison.advance(now);
-        let list = self.poison.list();
-        if self.poison_list == list {
-            return;
-        }
-        let (before, after) = (self.poison_list.quarantined(), list.quarantined());
-        if before != after {
-            tracing::warn!(target: "hemlockfield::poison", before, after, "requests in quarantine");
-        }
-        self.poison_list.clone_from(&list);
-        outputs.push(Output::Quarantine(list));
-    }
-
     fn mark_failed(&mut self, now: Moment) {
         self.in_flight = None;
-        self.tallies.poison.add(&std::mem::take(&mut self.sent_evidence));
+        self.tallies.poison.add(&self.suspicions.take_unconfirmed());
         self.poll_at = now;
         self.failover.mark_failed(now);
     }
--- a/src/node/thread.rs
+++ b/src/node/thread.rs
@@ -1,5 +1,8 @@
 //! The control thread: feeds inputs to the control state and carries out its outputs.
 
+mod batch;
+mod event_log;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -16,7 +19,6 @@
 use crate::controller::Controller;
 use crate::health::Observation;
 use crate::link::Transport;
-use crate::quorum::Record;
 use crate::quota;
 use crate::runtime;
 use crate::storage::Log;
@@ -28,6 +30,8 @@
 use crate::wire::Frame;
 use crate::wire::Verdict;
 
+use self::batch::Batch;
+use self::event_log::log_event;
 use super::Error;
 use super::Input;
 use super::InputSender;
@@ -377,20 +381,6 @@
     }
 }
 
-/// Log records of a batch of inputs, which are synced together.
-#[derive(Default)]
-struct Batch {
-    number: Option<u64>,
-    records: Vec<Record>,
-}
-
-impl Batch {
-    fn persist(&mut self, number: u64, records: Vec<Record>) {
-        self.number = Some(number);
-        self.records.extend(records);
-    }
-}
-
 /// Time since the Unix epoch by the VM's clock.
 pub(super) fn wall_clock() -> Epoch {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
@@ -401,24 +391,3 @@
         sender.try_send(value).ok();
     }
 }
-
-fn log_event(event: &Event) {
-    let kind = event.kind.name();
-    let number = event.configuration;
-    let upstream = event.upstream.as_deref().unwrap_or_default();
-    let peer = event.peer.as_deref().unwrap_or_default();
-    let service = event.service.as_deref().unwrap_or_default();
-    let detail = format!("{:?}", event.detail);
-    match event.kind {
-        Kind::Ejected | Kind::MemberFailed => {
-            tracing::warn!(
-                target: "hemlockfield::node",
-                kind, number, service, upstream, peer, detail, "event"
-            );
-        }
-        _ => tracing::info!(
-            target: "hemlockfield::node",
-            kind, number, service, upstream, peer, detail, "event"
-        ),
-    }
-}
