--- a/tests/suite/process/fatal.rs
+++ b/tests/suite/process/fatal.rs
@@ -204,7 +204,8 @@
 #[case::in_long_body(Plan { ending: Ending::InLongBody, ..PLAN })]
 #[case::late(Plan { ending: Ending::Late, ..PLAN })]
 #[case::left(Plan { ending: Ending::Left, ..PLAN })]
-#[case::back_at_once(Plan { away: AWAY_BRIEFLY, is_reborn: true, ..PLAN })]
+#[case::back_at_once(Plan { away: AWAY_BRIEFLY, changes_id: true, ..PLAN })]
+#[case::hedged(Plan { ending: Ending::Slow, sender: Sender::Many, ..PLAN })]
 #[case::in_upload(Plan { ending: Ending::InUpload, line: "POST /load/fatal", ..PLAN })]
 fn fatal_request_sent_on(#[case] plan: Plan) {
     let run = run(plan);
--- a/tests/suite/process/fatal/plan.rs
+++ b/tests/suite/process/fatal/plan.rs
@@ -9,6 +9,8 @@
 pub(super) const IMPATIENCE: Duration = Duration::from_millis(500);
 /// When a caller closes its connection that leaves.
 pub(super) const LEAVES_AFTER: Duration = Duration::from_millis(100);
+/// How long a slow fatal request runs, at many times the usual work.
+pub(super) const SLOW_WORK: Duration = Duration::from_millis(300);
 /// Line of the head by which a request is fatal where its path alone is not.
 pub(super) const FATAL_LINE: &str = "X-Fatal: 1\r\n";
 /// Work that one upstream never ends before the next fatal request.
@@ -37,6 +39,8 @@
     Left,
     /// Once a part of an upload has been read.
     InUpload,
+    /// Before any byte of an answer, so late that a second copy is on its way.
+    Slow,
 }
 
 /// Who sends the fatal request.
@@ -56,7 +60,7 @@
     pub(super) disturbance: Disturbance,
     pub(super) ending: Ending,
     /// Whether an upstream that is back announces itself under a new id.
-    pub(super) is_reborn: bool,
+    pub(super) changes_id: bool,
     pub(super) line: &'static str,
     pub(super) pace: Duration,
     pub(super) sender: Sender,
@@ -83,7 +87,7 @@
     away: Duration::from_secs(2),
     disturbance: Disturbance::None,
     ending: Ending::Silent,
-    is_reborn: false,
+    changes_id: false,
     line: "GET /hull/fatal",
     pace: Duration::from_millis(400),
     sender: Sender::One,
--- a/tests/suite/process/fatal/upstream.rs
+++ b/tests/suite/process/fatal/upstream.rs
@@ -20,6 +20,7 @@
 use super::plan::IMPATIENCE;
 use super::plan::LEAVES_AFTER;
 use super::plan::Plan;
+use super::plan::SLOW_WORK;
 use super::plan::Sender;
 use super::plan::WORK;
 
@@ -53,7 +54,7 @@
             counts.ends.lock().unwrap().push(Instant::now());
             thread::sleep(plan.away);
             let listener = TcpListener::bind(&address).unwrap();
-            if plan.is_reborn {
+            if plan.changes_id {
                 announce(start, &address);
             }
             serve(listener, plan, &counts);
@@ -151,6 +152,7 @@
         Ending::InHead => "HTTP/1.1 200 OK\r\nx-begun: 1\r\n".to_owned(),
         Ending::InBody => answer_head(head, "40") + "hull",
         Ending::InLongBody => answer_head(head, "400000") + "hull",
+        Ending::Slow => return thread::sleep(SLOW_WORK),
         Ending::Late => return thread::sleep(IMPATIENCE + LATER),
         Ending::Left => return thread::sleep(LEAVES_AFTER + LATER),
     };
