Show that an entry hangs once enough servers have been replaced

Cause: the pool never drops idle connections to servers that left, so that each of them keeps a descriptor of every entry that used it.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -5,6 +5,7 @@
         "silent" => silent(is_troubled),
         "abandoned" => abandoned(is_troubled),
         "revoked" => revoked(is_troubled),
+        "leak" => leak(is_troubled),
         other => finish(2, &format!("no case `{other}`")),
     }
 }
@@ -242,3 +243,146 @@
     );
     (unknown > 0 || dropped > 0, why)
 }
+
+/// Bounds and dose of the site `dwk-gateway-fleet`.
+const FLEET_TOUCH_S: f64 = 5.0;
+const FLEET_DRAIN_S: f64 = 3.0;
+/// Servers that a release replaces at a time, a second apart, and how often: 4,272 of the site's 10,001
+/// servers, a share of 0.43.
+const RELEASED: usize = 89;
+const RELEASES: usize = 48;
+
+/// A release of servers after which a process takes no new connection any more.
+fn leak(is_troubled: bool) -> (bool, String) {
+    let site = Site::start(3, 1);
+    let controls = site.control_addresses();
+    site.configure(&document(1, &["hull"], &[route("sign", "unsafe", 2.5, "hull")]));
+    let runs = Runs::default();
+    let mut number = 0;
+    let mut start = |count: usize| -> Vec<Target> {
+        let new = (0..count).map(|_| {
+            number += 1;
+            Target::start(&site, &format!("i-{number}"), "hull", 4, &runs, fixed(0.1))
+        });
+        let new: Vec<Target> = new.collect();
+        each(&new, |target| {
+            target.announce_any(&controls, "ready");
+        });
+        new
+    };
+    let mut live = start(2 * RELEASED);
+    site.wait_ready();
+    // The infrastructure asks once a second whether the entry is ready, on a connection that it keeps.
+    let ready: Arc<Mutex<Vec<(f64, u16)>>> = Arc::default();
+    let (address, answers) = (site.ready(0), Arc::clone(&ready));
+    thread::spawn(move || {
+        let mut kept = None;
+        loop {
+            let status = ask_readiness(&mut kept, &address);
+            answers.lock().unwrap().push((at(), status));
+            sleep(1.0);
+        }
+    });
+    let clients = Clients::start(&[site.front(0)], 150, "sign", "POST", 2.5, 0.002);
+    sleep(FLEET_TOUCH_S);
+    let mut draining: Vec<(Instant, Vec<Target>)> = Vec::new();
+    for _ in 0..RELEASES {
+        let step = Instant::now();
+        if is_troubled {
+            live.extend(start(RELEASED));
+            let old: Vec<Target> = live.drain(..RELEASED).collect();
+            each(&old, |target| {
+                target.is_leaving.store(true, Ordering::Release);
+                target.announce_any(&controls, "draining");
+            });
+            draining.push((Instant::now(), old));
+            note!("platform: {RELEASED} servers replaced, {} by now", number_of(&draining));
+        }
+        let is_due = |(at, _): &(Instant, _)| at.elapsed().as_secs_f64() > FLEET_DRAIN_S + 0.5;
+        while draining.first().is_some_and(is_due) {
+            each(&draining.remove(0).1, |target| {
+                target.leave(&controls);
+                target.end();
+            });
+        }
+        thread::sleep(Duration::from_secs(1).saturating_sub(step.elapsed()));
+    }
+    note!("the release is over");
+    sleep(FLEET_TOUCH_S + 1.0);
+    let line = format!("GET /hemlockfield/resolve?name={HOST}&region=regensburg&zone=halle-nord");
+    let directory = format!("{}:{}", site.ip(0), site.port + 3);
+    let listed = call(&directory, &line, "", "", Duration::from_secs(1));
+    let listed = listed.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+    note!("platform: a consumer that asks a control gets {listed:?}; the entry is {}", site.front(0));
+    // New consumers: each allows a second, and then tries again on another connection.
+    let (begin, until) = (at(), at() + FLEET_TOUCH_S + 1.0);
+    let tries: Vec<_> = (0..10)
+        .map(|consumer| {
+            let front = site.front(0);
+            thread::spawn(move || {
+                let (mut count, mut served) = (0, 0);
+                while at() < until {
+                    count += 1;
+                    let id = format!("new-{consumer}-{count}");
+                    let path = format!("POST /sign/{id}");
+                    let one = request(&mut None, &front, &path, &id, 1.0, b"");
+                    served += usize::from(one.status.is_some());
+                    sleep(0.05);
+                }
+                (count, served)
+            })
+        })
+        .collect();
+    let tries: Vec<(usize, usize)> = tries.into_iter().map(|it| it.join().unwrap()).collect();
+    let (count, served) = tries.iter().fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+    let seen = clients.stop();
+    let late: Vec<&Seen> = seen.iter().filter(|seen| seen.sent > begin).collect();
+    let good = late.iter().filter(|seen| seen.status == Some(200)).count();
+    let ready = ready.lock().unwrap();
+    let asked: Vec<u16> = ready.iter().filter(|(at, _)| *at > begin).map(|(_, status)| *status).collect();
+    let is_ready = !asked.is_empty() && asked.iter().all(|status| *status == 200);
+    let why = format!(
+        "RECOVER: over {:.1} s, 10 new consumers opened {count} connections to an entry and got an answer on {served}; \
+         its readiness, asked {} times meanwhile, was 200 {}; of {} requests on kept connections {good} were served",
+        until - begin,
+        asked.len(),
+        if is_ready { "each time" } else { "not each time" },
+        late.len()
+    );
+    (served == 0 && is_ready, why)
+}
+
+fn number_of(draining: &[(Instant, Vec<Target>)]) -> usize {
+    draining.iter().map(|(_, targets)| targets.len()).sum()
+}
+
+/// Status of the readiness of an entry, asked on a kept connection; 0 without an answer within a second.
+fn ask_readiness(kept: &mut Option<Wire>, address: &str) -> u16 {
+    let asked = (|| -> io::Result<u16> {
+        if kept.is_none() {
+            *kept = Some(Wire::new(connect(address, Duration::from_secs(1))?));
+        }
+        let wire = kept.as_mut().unwrap();
+        wire.stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        wire.stream.write_all(b"GET /hemlockfield/readiness HTTP/1.1\r\nHost: ready\r\n\r\n")?;
+        let mut answer = wire.read_head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        wire.read_body(&mut answer)?;
+        Ok(answer.status())
+    })();
+    if asked.is_err() {
+        *kept = None;
+    }
+    let status = asked.unwrap_or(0);
+    note!("platform: readiness {status}");
+    status
+}
+
+/// Does the same with each target, some at a time.
+fn each(targets: &[Target], what: impl Fn(&Target) + Sync) {
+    thread::scope(|scope| {
+        for part in targets.chunks(targets.len().div_ceil(16).max(1)) {
+            let what = &what;
+            scope.spawn(move || part.iter().for_each(what));
+        }
+    });
+}
--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -14,6 +14,7 @@
 use std::net::Shutdown;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -36,8 +37,13 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn setrlimit(resource: i32, limits: *const [u64; 2]) -> i32;
 }
 
+const RLIMIT_NOFILE: i32 = 7;
+/// Descriptors of a process: `limits.maxFds` of the site.
+const MAX_FDS: u64 = 4_100;
+
 const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
 
@@ -334,6 +340,13 @@
         let mut command = Command::new(BINARY);
         command.arg("run").arg(&settings).stdin(Stdio::null());
         command.stdout(log.try_clone().unwrap()).stderr(log);
+        // The platform limits the descriptors of each process.
+        unsafe {
+            command.pre_exec(|| match setrlimit(RLIMIT_NOFILE, &[MAX_FDS, MAX_FDS]) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
         match command.spawn() {
             Ok(child) => {
                 PIDS.lock().unwrap().push(child.id());
@@ -461,6 +474,8 @@
     is_over: Arc<AtomicBool>,
     is_leaving: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
+    /// Its open connections.
+    streams: Arc<Mutex<Vec<TcpStream>>>,
     gate: Arc<(Mutex<usize>, Condvar)>,
     work: Work,
     zone: String,
@@ -478,6 +493,7 @@
             is_over: Arc::default(),
             is_leaving: Arc::default(),
             sequence: Arc::default(),
+            streams: Arc::default(),
             gate: Arc::new((Mutex::new(0), Condvar::new())),
             work,
             zone: ZONES[0].to_owned(),
@@ -489,6 +505,8 @@
                     return;
                 }
                 let served = served.clone();
+                let Ok(kept) = stream.try_clone() else { continue };
+                served.streams.lock().unwrap().push(kept);
                 thread::spawn(move || served.serve(Wire::new(stream)));
             }
         });
@@ -548,6 +566,9 @@
         note!("target {}: ends", self.id);
         self.is_over.store(true, Ordering::Release);
         connect(&self.address, Duration::from_millis(100)).ok();
+        for stream in self.streams.lock().unwrap().drain(..) {
+            stream.shutdown(Shutdown::Both).ok();
+        }
     }
 
     fn serve(&self, mut wire: Wire) {
@@ -702,6 +723,8 @@
     ended: f64,
     /// Status of a whole answer; `None` if none came.
     status: Option<u16>,
+    /// Seconds after which it may come back.
+    retry_after: f64,
 }
 
 /// One request of a client on a kept connection, or on a new one if there is none. An API key may follow
@@ -749,7 +772,8 @@
         Err(error) => format!("no answer: {error}"),
     };
     note!("client: {id} sent at {sent:.3}: {}", shown.trim().replace('\n', " "));
-    Seen { id: id.to_owned(), sent, ended: at(), status }
+    let after = asked.as_ref().ok().and_then(|answer| answer.header("retry-after")?.parse().ok());
+    Seen { id: id.to_owned(), sent, ended: at(), status, retry_after: after.unwrap_or(0.0) }
 }
 
 /// Clients that send requests one after the other to one entry each, until told to stop.
@@ -784,8 +808,9 @@
                         let id = format!("{name}-{entry}-{client}-{number}");
                         let first = format!("{method} /{name}/{number}");
                         let one = request(&mut kept, &front, &first, &id, deadline, b"");
+                        let after = one.retry_after.max(pause);
                         seen.lock().unwrap().push(one);
-                        sleep(pause);
+                        sleep(after);
                     }
                 }));
             }
