Show that controls killed after large changes never come back

Cause: the log is compacted by its number of entries alone, and a start holds all of it in memory twice.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -3,9 +3,9 @@
     match case {
         "departed" => departed(is_troubled),
         "silent" => silent(is_troubled),
-        "abandoned" => abandoned(is_troubled),
         "revoked" => revoked(is_troubled),
         "leak" => leak(is_troubled),
+        "heavy" => heavy(is_troubled),
         other => finish(2, &format!("no case `{other}`")),
     }
 }
@@ -117,84 +117,6 @@
     (counts > 0, why)
 }
 
-/// Uploads whose clients have left wait in a process and are sent to a server all the same.
-fn abandoned(is_troubled: bool) -> (bool, String) {
-    let site = Site::start(3, 1);
-    let controls = site.control_addresses();
-    site.configure(&document(1, &["cert"], &[route("file", "upload", 2.5, "cert")]));
-    let runs = Runs::default();
-    let target = Target::start(&site, "i-1", "cert", 4, &runs, fixed(0.9));
-    target.announce_any(&controls, "ready");
-    target.keep_announcing(controls.clone());
-    site.wait_ready();
-    sleep(TOUCH_S + 1.0);
-    let left: Arc<Mutex<BTreeMap<String, f64>>> = Arc::default();
-    let mut threads = Vec::new();
-    for round in 0..6 {
-        for client in 0..12 {
-            let (front, left) = (site.front(0), Arc::clone(&left));
-            let id = format!("file-{round}-{client}");
-            threads.push(thread::spawn(move || {
-                upload(&front, &id, is_troubled.then_some(0.15), &left)
-            }));
-            sleep(0.01);
-        }
-        sleep(2.5);
-    }
-    threads.into_iter().for_each(|thread| thread.join().unwrap());
-    let left = left.lock().unwrap();
-    let runs = runs.lock().unwrap();
-    let late: Vec<f64> = runs
-        .iter()
-        .filter_map(|run| Some(run.arrived - left.get(&run.id)?))
-        .filter(|since| *since > 0.5)
-        .collect();
-    let longest = late.iter().copied().fold(0.0, f64::max);
-    let why = format!(
-        "GONE: {} uploads reached the target over 0.5 s (up to {longest:.2} s) after their client had closed its \
-         connection, all of them whole; {} of {} clients left",
-        late.len(),
-        left.len(),
-        6 * 12
-    );
-    (late.len() > 3, why)
-}
-
-/// Bytes of one chunk of an upload, and number of chunks: 560 KiB.
-const CHUNK: usize = 16 * 1024;
-const CHUNKS: usize = 35;
-
-/// Sends an upload in chunks, and leaves some time after the last byte or reads the answer.
-fn upload(front: &str, id: &str, leaves_after: Option<f64>, left: &Mutex<BTreeMap<String, f64>>) {
-    let stream = connect(front, Duration::from_secs(1)).unwrap();
-    stream.set_nodelay(true).ok();
-    let head = format!(
-        "POST /file/{id} HTTP/1.1\r\nHost: {HOST}\r\nHemlockfield-Request-Id: {id}\r\n\
-         Hemlockfield-Deadline-Ms: 2500\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    let mut bytes = head.into_bytes();
-    for _ in 0..CHUNKS {
-        bytes.extend_from_slice(format!("{CHUNK:x}\r\n").as_bytes());
-        bytes.extend(std::iter::repeat_n(b'x', CHUNK));
-        bytes.extend_from_slice(b"\r\n");
-    }
-    bytes.extend_from_slice(b"0\r\n\r\n");
-    if (&stream).write_all(&bytes).is_err() {
-        return note!("client: {id} could not be sent");
-    }
-    let sent = at();
-    let Some(span) = leaves_after else {
-        let mut wire = Wire::new(stream);
-        wire.stream.set_read_timeout(Some(Duration::from_millis(2500))).ok();
-        let head = wire.read_head().ok().flatten();
-        return note!("client: {id} sent at {sent:.3}: {:?}", head.map(|head| head.first));
-    };
-    sleep(span);
-    drop(stream);
-    left.lock().unwrap().insert(id.to_owned(), at());
-    note!("client: {id} sent at {sent:.3}, left");
-}
-
 /// The last API key is taken away, and from then on every key is accepted.
 fn revoked(is_troubled: bool) -> (bool, String) {
     let site = Site::start_with(3, 2, true);
@@ -386,3 +308,142 @@
         }
     });
 }
+
+/// Memory of a machine of the core, in bytes: `memory_mb` of the site.
+const CORE_MEMORY: u64 = 256 << 20;
+/// Routes that the users expect within two years, and changes of the configuration: a quarter of a day's.
+const ROUTES: usize = 4_200;
+const CHANGES: u32 = 280;
+/// Pause between two changes: the shortest of the site's storms.
+const CHANGE_GAP: Duration = Duration::from_millis(60);
+
+/// The controls are killed together after some hundred changes of a large configuration, and never come back.
+fn heavy(is_troubled: bool) -> (bool, String) {
+    let site = Site::start(3, 1);
+    let controls = site.control_addresses();
+    // Each version changes the timeout of all routes.
+    let text = |version: u32| {
+        let timeout = 2.0 + f64::from(version % 2) / 10.0;
+        let routes = (0..ROUTES).map(|at| route(&format!("p{at}"), "unsafe", timeout, "hull"));
+        document(version, &["hull"], &routes.collect::<Vec<_>>())
+    };
+    site.configure(&text(1));
+    note!("operator: a configuration has {} bytes", text(1).len());
+    let platform = Platform::start(site);
+    let mut acknowledged = 1;
+    for version in 2..=CHANGES {
+        let next = Instant::now() + CHANGE_GAP;
+        let body = text(version);
+        let is_sent = |to: &String| {
+            let sent = call(to, "PUT /hemlockfield/config", "", &body, Duration::from_secs(1));
+            sent.is_ok_and(|answer| answer.status() == 200)
+        };
+        // A call without a clear response is sent again, to any node.
+        let mut nodes = controls.iter().cycle().skip(version as usize).take(9);
+        if nodes.any(is_sent) {
+            acknowledged = version;
+        }
+        if version % 50 == 0 {
+            note!("operator: version {version} sent, {acknowledged} acknowledged");
+        }
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+    }
+    sleep(TOUCH_S + 1.0);
+    let before = platform.ends();
+    note!("operator: {acknowledged} is the newest version that was acknowledged");
+    if before > 0 {
+        finish(2, "a control used more than its memory before the disruption");
+    }
+    if is_troubled {
+        platform.kill_controls();
+    }
+    // The operator asks for the configuration again and again, at every node.
+    let until = at() + 25.0;
+    let mut newest = 0;
+    while at() < until {
+        for control in &controls {
+            let answer = call(control, "GET /hemlockfield/config", "", "", Duration::from_secs(1));
+            let status = answer.as_ref().map_or(0, Message::status);
+            if let Some(body) = answer.ok().filter(|_| status == 200).map(|answer| answer.body) {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let version = text.get(12..20).and_then(|text| u32::from_str_radix(text, 16).ok());
+                newest = newest.max(version.unwrap_or(0));
+            }
+            note!("operator: read at {control}: {status}, newest {newest}");
+        }
+        sleep(0.5);
+    }
+    let ends = platform.ends();
+    let why = format!(
+        "CONFIG: version {acknowledged} was acknowledged, and read back for 25 s at all controls came {newest}; \
+         processes of the three controls used more than 256 MB {ends} times after they were killed together"
+    );
+    (newest < acknowledged, why)
+}
+
+/// The platform's part for processes: it ends those that use more than their memory, and starts again what
+/// has ended.
+struct Platform {
+    ends: Arc<AtomicU64>,
+    site: Arc<Mutex<Site>>,
+}
+
+impl Platform {
+    fn start(site: Site) -> Self {
+        let platform = Self { ends: Arc::default(), site: Arc::new(Mutex::new(site)) };
+        let (ends, site) = (Arc::clone(&platform.ends), Arc::clone(&platform.site));
+        thread::spawn(move || {
+            let mut back = [None; 3];
+            let mut shown = Instant::now();
+            loop {
+                sleep(0.03);
+                let mut site = site.lock().unwrap();
+                let mut sizes = [0; 3];
+                for index in 0..3 {
+                    sizes[index] = watch(&mut site, index, &mut back[index], &ends) >> 20;
+                }
+                if shown.elapsed() > Duration::from_secs(2) {
+                    shown = Instant::now();
+                    note!("platform: the controls use {sizes:?} MB");
+                }
+            }
+        });
+        platform
+    }
+
+    /// How often a process used more than its memory, or ended by itself.
+    fn ends(&self) -> u64 {
+        self.ends.load(Ordering::Acquire)
+    }
+
+    fn kill_controls(&self) {
+        let site = self.site.lock().unwrap();
+        (0..3).for_each(|index| site.signal(index, SIGKILL));
+    }
+}
+
+/// Looks at one process; returns the bytes that it uses.
+fn watch(site: &mut Site, index: usize, back: &mut Option<Instant>, ends: &AtomicU64) -> u64 {
+    if back.is_some_and(|at| at <= Instant::now()) {
+        *back = None;
+        site.run(index, false);
+    }
+    let Some(child) = &mut site.processes[index] else { return 0 };
+    let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    let used = kilobytes.unwrap_or(0) << 10;
+    let ended = child.try_wait().ok().flatten();
+    if used <= CORE_MEMORY && ended.is_none() {
+        return used;
+    }
+    if used > CORE_MEMORY {
+        ends.fetch_add(1, Ordering::AcqRel);
+        note!("platform: control {index} uses {} MB and is killed", used >> 20);
+    }
+    child.kill().ok();
+    child.wait().ok();
+    site.processes[index] = None;
+    *back = Some(Instant::now() + Duration::from_millis(500));
+    used
+}
