Show that a service with one server isn't served again after a crash

Cause: a lost path is taken back only by connections to two different servers, and servers that crashed for good count among those that can be had.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/release/hemlockfield ] && [ -x target/review-2/stand-ins-2 ] || exit 2
-exec target/review-2/stand-ins-2 silent "$folder"
+exec target/review-2/stand-ins-2 unreached "$folder"
--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -2,7 +2,7 @@
 fn play(case: &str, is_troubled: bool) -> (bool, String) {
     match case {
         "departed" => departed(is_troubled),
-        "silent" => silent(is_troubled),
+        "unreached" => unreached(is_troubled),
         "revoked" => revoked(is_troubled),
         "leak" => leak(is_troubled),
         "heavy" => heavy(is_troubled),
@@ -68,55 +68,6 @@
     (!late.is_empty(), why)
 }
 
-/// A process that gets SIGTERM gives up requests at which their server is at work, and answers itself.
-fn silent(is_troubled: bool) -> (bool, String) {
-    let site = Site::start(3, 2);
-    let controls = site.control_addresses();
-    site.configure(&document(1, &["hull"], &[route("sign", "unsafe", 30.0, "hull")]));
-    let runs = Runs::default();
-    let work = |request: &Message| if request.path().contains("long") { 10.5 } else { 0.1 };
-    let target = Target::start(&site, "i-1", "hull", 4, &runs, Arc::new(work));
-    target.announce_any(&controls, "ready");
-    target.keep_announcing(controls.clone());
-    site.wait_ready();
-    sleep(TOUCH_S + 1.0);
-    let senders: Vec<_> = (0..3)
-        .map(|number| {
-            let front = site.front(0);
-            let (first, id) = (format!("POST /sign/long-{number}"), format!("long-{number}"));
-            thread::spawn(move || request(&mut None, &front, &first, &id, 30.0, b""))
-        })
-        .collect();
-    sleep(6.0);
-    let term = at();
-    if is_troubled {
-        site.signal(site.controls, SIGTERM);
-    }
-    let seen: Vec<Seen> = senders.into_iter().map(|sender| sender.join().unwrap()).collect();
-    sleep(0.5);
-    let runs = runs.lock().unwrap();
-    // What counts is given up after the SIGTERM and before the last sixth of `graceS`, in which the server
-    // would have been done, too.
-    let is_lost = |seen: &&Seen| {
-        let run = runs.iter().find(|run| run.id == seen.id);
-        let was_at_work = run.is_some_and(|run| {
-            run.ended.is_none_or(|(at, is_whole)| !is_whole && at >= seen.ended - 0.5)
-        });
-        let since = seen.ended - term;
-        let is_own = seen.status != Some(200);
-        is_own && was_at_work && since > 0.0 && since < GRACE_S * 5.0 / 6.0
-    };
-    let lost: Vec<&Seen> = seen.iter().filter(is_lost).collect();
-    let statuses: Vec<Option<u16>> = seen.iter().map(|seen| seen.status).collect();
-    let since = lost.first().map_or(0.0, |seen| seen.ended - term);
-    let counts = if is_troubled { lost.len() } else { 0 };
-    let why = format!(
-        "LOST: {counts} of 3 requests were broken off {since:.2} s after the SIGTERM while their target was at work; \
-         the clients got {statuses:?}; their deadline and the route's timeout were 30 s"
-    );
-    (counts > 0, why)
-}
-
 /// The last API key is taken away, and from then on every key is accepted.
 fn revoked(is_troubled: bool) -> (bool, String) {
     let site = Site::start_with(3, 2, true);
@@ -447,3 +398,62 @@
     *back = Some(Instant::now() + Duration::from_millis(500));
     used
 }
+
+/// The only server of a service is lost for good, and another one takes its place at another address.
+fn unreached(is_troubled: bool) -> (bool, String) {
+    let site = Site::start(3, 2);
+    let controls = site.control_addresses();
+    let first = route("sign", "unsafe", 2.5, "hull");
+    site.configure(&document(1, &["hull", "cert"], &[first.clone()]));
+    let runs = Runs::default();
+    let start = |id: &str, service: &str, zone: usize| {
+        let mut target = Target::start(&site, id, service, 4, &runs, fixed(0.05));
+        target.zone = ZONES[zone].to_owned();
+        if !target.announce_any(&controls, "ready") {
+            finish(2, "a server could not announce itself");
+        }
+        target.keep_announcing(controls.clone());
+        target
+    };
+    let _hull = [start("i-hull-1", "hull", 0), start("i-hull-2", "hull", 1)];
+    let one = start("i-cert-1", "cert", 0);
+    site.wait_ready();
+    site.configure(&document(2, &["hull", "cert"], &[first, route("cert", "unsafe", 2.5, "cert")]));
+    sleep(CONFIG_APPLY_S + 1.0);
+    let fronts = [site.front(0), site.front(1)];
+    let older = Clients::start(&fronts, 2, "sign", "POST", 2.5, 0.2);
+    let later = Clients::start(&fronts, 2, "cert", "POST", 2.5, 0.2);
+    sleep(4.0);
+    let back = if is_troubled {
+        // It sends nothing any more. Another one is started for it.
+        one.is_leaving.store(true, Ordering::Release);
+        one.end();
+        sleep(3.0);
+        let mut new = Target::start_at(&format!("{}.202:0", site.net), "i-cert-2", "cert", 4, &runs, fixed(0.05));
+        new.zone = ZONES[0].to_owned();
+        if !new.announce_any(&controls, "ready") {
+            finish(2, "the server could not announce itself");
+        }
+        new.keep_announcing(controls.clone());
+        new
+    } else {
+        one
+    };
+    note!("{} is there", back.id);
+    sleep(8.0);
+    let begin = at();
+    sleep(30.0);
+    let count = |clients: Clients| {
+        let seen = clients.stop();
+        let asked: Vec<&Seen> = seen.iter().filter(|seen| seen.sent > begin).collect();
+        let served = asked.iter().filter(|seen| seen.status == Some(200)).count();
+        (served, asked.len())
+    };
+    let ((older, older_asked), (later, later_asked)) = (count(older), count(later));
+    let why = format!(
+        "CONFIG: in 30 s of calm, from 8 s after the server was back, {later} of {later_asked} requests on the route that was \
+         added later were served, and {older} of {older_asked} on the first route"
+    );
+    let share = |served: usize, asked: usize| served as f64 / asked.max(1) as f64;
+    (later_asked >= 20 && share(later, later_asked) < share(older, older_asked) / 4.0, why)
+}
--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -483,7 +483,19 @@
 
 impl Target {
     fn start(site: &Site, id: &str, service: &str, slots: usize, runs: &Runs, work: Work) -> Self {
-        let listener = TcpListener::bind(format!("{}.200:0", site.net)).unwrap();
+        Self::start_at(&format!("{}.200:0", site.net), id, service, slots, runs, work)
+    }
+
+    /// Starts at an address, which a server that has ended may have had.
+    fn start_at(
+        address: &str,
+        id: &str,
+        service: &str,
+        slots: usize,
+        runs: &Runs,
+        work: Work,
+    ) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
         let target = Self {
             address: listener.local_addr().unwrap().to_string(),
             id: id.to_owned(),
