--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -45,7 +45,6 @@
 const MAX_FDS: u64 = 4_100;
 
 const SIGKILL: i32 = 9;
-const SIGTERM: i32 = 15;
 
 static RECORD: OnceLock<Mutex<(Instant, File)>> = OnceLock::new();
 static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -730,9 +729,7 @@
 /// What a client saw of one request.
 #[derive(Clone, Debug)]
 struct Seen {
-    id: String,
     sent: f64,
-    ended: f64,
     /// Status of a whole answer; `None` if none came.
     status: Option<u16>,
     /// Seconds after which it may come back.
@@ -785,7 +782,7 @@
     };
     note!("client: {id} sent at {sent:.3}: {}", shown.trim().replace('\n', " "));
     let after = asked.as_ref().ok().and_then(|answer| answer.header("retry-after")?.parse().ok());
-    Seen { id: id.to_owned(), sent, ended: at(), status, retry_after: after.unwrap_or(0.0) }
+    Seen { sent, status, retry_after: after.unwrap_or(0.0) }
 }
 
 /// Clients that send requests one after the other to one entry each, until told to stop.
