Leave no process of the second review behind

Cause: the platform's part of a script could start a process again between the end of all others and its own exit, and the list of ids kept those of processes that had ended. Change: none is started once a script ends, and an id leaves the list with its process.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -405,6 +405,8 @@
     }
     child.kill().ok();
     child.wait().ok();
+    let ended = child.id();
+    PIDS.lock().unwrap().retain(|pid| *pid != ended);
     site.processes[index] = None;
     *back = Some(Instant::now() + Duration::from_millis(500));
     used
--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -64,10 +64,13 @@
 
 macro_rules! note { ($($arg:tt)*) => { record(&format!($($arg)*)) } }
 
+/// Ends all processes that were started, and lets none start any more.
 fn end_all() {
-    for pid in PIDS.lock().unwrap().drain(..) {
+    let mut pids = PIDS.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    for pid in pids.drain(..) {
         unsafe { kill(pid as i32, SIGKILL) };
     }
+    std::mem::forget(pids);
 }
 
 fn finish(code: i32, why: &str) -> ! {
@@ -347,11 +350,12 @@
                 _ => Err(io::Error::last_os_error()),
             });
         }
-        match command.spawn() {
-            Ok(child) => {
-                PIDS.lock().unwrap().push(child.id());
-                self.processes[index] = Some(child);
-            }
+        let mut pids = PIDS.lock().unwrap();
+        let spawned = command.spawn();
+        pids.extend(spawned.as_ref().ok().map(Child::id));
+        drop(pids);
+        match spawned {
+            Ok(child) => self.processes[index] = Some(child),
             Err(error) => finish(2, &format!("can't start {BINARY}: {error}")),
         }
     }
