Log what a path was judged by, what a log is opened and compacted with, and replays

Change: a path that is lost, restored or gets a proof is logged with its members, proofs and those that were not reached. A step that commits several configurations says how many and their bytes.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -213,6 +213,7 @@
         self.propose_claims(now, wall, &mut outputs);
         self.propose_quotas(now, wall, &mut outputs);
         self.compact_log(now, &mut outputs);
+        log_committed(&outputs);
         outputs
     }
 
@@ -382,3 +383,15 @@
         }
     }
 }
+
+/// Logs that one step committed several configurations, as a replay of the log does.
+fn log_committed(outputs: &[Output]) {
+    let documents = outputs.iter().filter_map(|output| match output {
+        Output::Committed(version) => Some(version.document.len()),
+        _ => None,
+    });
+    let (count, bytes) = documents.fold((0, 0), |(count, bytes), next| (count + 1, bytes + next));
+    if count > 1 {
+        tracing::info!(target: "hemlockfield::quorum", count, bytes, "configurations committed in one step");
+    }
+}
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -18,6 +18,7 @@
 mod monitor;
 mod path;
 mod peers;
+mod status;
 mod upstreams;
 mod verdict;
 
@@ -25,5 +26,6 @@
 pub use monitor::Monitor;
 pub use peers::Peer;
 pub use peers::Peers;
+pub use status::Status;
 pub use upstreams::Upstreams;
 pub use verdict::Verdict;
--- a/src/reach/monitor.rs
+++ b/src/reach/monitor.rs
@@ -6,6 +6,7 @@
 
 use rand_chacha::ChaCha8Rng;
 
+use super::Status;
 use super::Upstreams;
 use super::Verdict;
 use super::path::Path;
@@ -52,6 +53,11 @@
         self.paths.get(service).is_some_and(Path::is_lost)
     }
 
+    /// What is known of the path to a service, for the log.
+    pub fn status(&self, service: &ServiceId) -> Status {
+        self.paths.get(service).map(Path::status).unwrap_or_default()
+    }
+
     /// Whether upstreams of a service that can't be reached still answer on open connections.
     pub fn is_answering(&self, now: Moment, service: &ServiceId) -> bool {
         self.paths.get(service).is_some_and(|path| path.is_answering(now))
--- a/src/reach/path.rs
+++ b/src/reach/path.rs
@@ -5,6 +5,7 @@
 
 use rand_chacha::ChaCha8Rng;
 
+use super::Status;
 use super::Upstreams;
 use super::Verdict;
 use crate::clock::Moment;
@@ -69,6 +70,15 @@
         self.lost_at.is_some()
     }
 
+    /// What is known of this path.
+    pub(super) fn status(&self) -> Status {
+        Status {
+            is_lost: self.is_lost(),
+            proofs: self.proofs.len(),
+            unreached: self.unreached.len(),
+        }
+    }
+
     /// Records that an upstream answered, perhaps on a connection that was open before. Returns the
     /// broken answers that are due to their upstreams after all.
     pub(super) fn record_answer(&mut self, now: Moment) -> Vec<Observation> {
--- a/src/storage/log.rs
+++ b/src/storage/log.rs
@@ -76,6 +76,11 @@
         let mut log =
             Self { file, generation, length, next_frame, synced_length, ..Self::empty(disk) };
         log.remove_obsolete(snapshot_id)?;
+        tracing::info!(
+            target: "hemlockfield::storage",
+            file = log.file, bytes = log.length, entries = recovered.entries.len(),
+            snapshot = snapshot_id.map(|(index, _)| index), "log opened"
+        );
         Ok((log, recovered))
     }
 
@@ -180,6 +185,11 @@
             &Frame { number: 0, records, snapshot: Some(snapshot_id), synced: 0 },
         )?;
         self.write_atomically(&file, &bytes)?;
+        tracing::info!(
+            target: "hemlockfield::storage",
+            file, bytes = bytes.len(), bytes_before = self.length, snapshot = snapshot_id.0,
+            "log compacted"
+        );
         self.file = file;
         self.generation += 1;
         self.length = bytes.len() as u64;
--- a/src/traffic/reach.rs
+++ b/src/traffic/reach.rs
@@ -21,6 +21,7 @@
 use crate::reach::Monitor;
 use crate::reach::Peer;
 use crate::reach::Peers;
+use crate::reach::Status;
 
 use super::Proxy;
 
@@ -108,13 +109,20 @@
         let now = self.now();
         let view = self.view.load();
         let Some(upstreams) = view.upstreams(&check.service) else { return };
-        if is_open {
-            let mut monitor = self.reach.monitor();
-            let released = monitor.record_opened(now, started, check, upstreams);
-            drop(monitor);
-            released.into_iter().for_each(|observation| self.record_observation(observation));
-        } else {
-            self.reach.monitor().record_failed(now, started, check, upstreams);
+        let mut monitor = self.reach.monitor();
+        let before = monitor.status(&check.service);
+        let released = match is_open {
+            true => monitor.record_opened(now, started, check, upstreams),
+            false => {
+                monitor.record_failed(now, started, check, upstreams);
+                Vec::new()
+            }
+        };
+        let after = monitor.status(&check.service);
+        drop(monitor);
+        log_status(check, upstreams.members.len(), before, after);
+        released.into_iter().for_each(|observation| self.record_observation(observation));
+        if !is_open {
             self.reach.wake();
         }
     }
@@ -127,3 +135,17 @@
         }
     }
 }
+
+/// Logs an attempt that changed whether a path is lost, or what shows that a lost one is back.
+fn log_status(check: &Check, members: usize, before: Status, after: Status) {
+    if (before.is_lost, before.proofs) == (after.is_lost, after.proofs) {
+        return;
+    }
+    let Status { is_lost, proofs, .. } = after;
+    let unreached = before.unreached.max(after.unreached);
+    tracing::info!(
+        target: "hemlockfield::reach",
+        service = %check.service, upstream = %check.upstream,
+        is_lost, members, proofs, unreached, "path"
+    );
+}
