Serve a service as long as one of its upstreams can be reached

Cause: a lost path came back only by connections to two different upstreams, counted over members that are gone for good; six failures in a row lost it although three others were there; checks passed over upstreams that a breaker has out. Evidence: the log of the entry has the new upstream as a member, and "proofs 1" of 2 until the end. Ruled out: the table (two members), breakers (nothing was sent).

Change: two connections bring the path back, of different upstreams or of one, which are tried in turn; it is lost only if those that were reached last fail, too. The report to controls is held as before. This works as every upstream that is left is tried within one round, and once it was reached, no failure of others refuses requests while it can be.

Test: reach::gone, red before: all 24 cases of one new upstream, both of crashes and starts in any order, all three of one that is out. Now green, with the 88 others of reach (cut paths, flapping, lists).

--- a/src/reach/path.rs
+++ b/src/reach/path.rs
@@ -1,6 +1,7 @@
 //! Path of an entry to the upstreams of one service.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
@@ -8,13 +9,14 @@
 use super::Status;
 use super::Upstreams;
 use super::Verdict;
+use super::upstreams::Failure;
 use crate::clock::Moment;
 use crate::health::Kind;
 use crate::health::Observation;
 use crate::id::DomainId;
 use crate::id::UpstreamId;
 
-/// Connections to different upstreams that show that a lost path is back.
+/// Connections that show that a lost path is back, of different upstreams or of one alone.
 const PROOFS: usize = 2;
 /// Checks that start together when the path is first in doubt.
 const FIRST_CHECKS: usize = 3;
@@ -36,6 +38,9 @@
 /// A path that is back is reported as lost for this long after it. A flapping one would otherwise
 /// change the lists of all callers each time.
 const REPORT_HOLD: Duration = Duration::from_secs(2);
+/// Upstreams reached last that are tried before the path counts as lost, as many as are checked at
+/// once.
+const MAX_REACHED: usize = FIRST_CHECKS;
 /// Most observations that are held back. More arrive only if requests fail faster than a
 /// connection can.
 const MAX_HELD: usize = 256;
@@ -53,15 +58,19 @@
     lost_at: Option<Moment>,
     /// Start of the newest attempt that opened a connection.
     opened_at: Option<Moment>,
-    /// Upstreams that were reached since the path was lost.
-    proofs: BTreeMap<UpstreamId, DomainId>,
+    /// Upstreams of the connections that opened since the path was lost.
+    proofs: Vec<UpstreamId>,
+    /// Upstreams that were reached last, the newest first.
+    reached: VecDeque<UpstreamId>,
     /// Until when a path that is back is reported as lost.
     reported_until: Moment,
     restored_at: Option<Moment>,
     /// Until when requests that wait unusually long are a reason to check.
     suspected_until: Moment,
     /// Upstreams that could not be reached since the last connection opened.
-    unreached: BTreeMap<UpstreamId, DomainId>,
+    unreached: BTreeMap<UpstreamId, Failure>,
+    /// Upstream that was checked last.
+    checked: Option<UpstreamId>,
 }
 
 impl Path {
@@ -112,15 +121,16 @@
         upstream: &UpstreamId,
         upstreams: Upstreams<'_>,
     ) -> Vec<Observation> {
+        self.opened_at = self.opened_at.max(Some(started));
+        self.record_reached(upstream);
         if self.is_lost() {
-            let domain = upstreams.domain(upstream).cloned().unwrap_or_default();
-            self.proofs.insert(upstream.clone(), domain);
+            self.unreached.remove(upstream);
+            self.proofs.push(upstream.clone());
             if self.proofs.len() < upstreams.proofs(PROOFS) {
                 return Vec::new();
             }
             self.restore(now);
         }
-        self.opened_at = self.opened_at.max(Some(started));
         self.has_broken = false;
         self.unreached.clear();
         std::mem::take(&mut self.held)
@@ -134,15 +144,24 @@
         upstream: &UpstreamId,
         upstreams: Upstreams<'_>,
     ) {
-        if self.is_lost() || self.opened_at.is_some_and(|at| at >= started) {
+        if self.opened_at.is_some_and(|at| at >= started) {
             return;
         }
-        let Some(domain) = upstreams.domain(upstream) else { return };
-        if self.unreached.is_empty() {
+        // One that is known to be at fault raises no doubt.
+        let is_doubted = self.is_lost() || !self.unreached.is_empty();
+        let domain = match is_doubted {
+            true => upstreams.domain_of_any(upstream),
+            false => upstreams.domain(upstream),
+        };
+        let Some(domain) = domain else { return };
+        if self.unreached.is_empty() && !self.is_lost() {
             self.check_at = now;
         }
-        self.unreached.insert(upstream.clone(), domain.clone());
-        if upstreams.is_lost(&self.unreached) {
+        let failure = Failure { at: now, domain: domain.clone() };
+        self.unreached.insert(upstream.clone(), failure);
+        if self.is_lost() {
+            self.proofs.retain(|proof| proof != upstream);
+        } else if upstreams.is_lost(&self.unreached, &self.reached) {
             self.lost_at = Some(now);
             self.has_broken = false;
             self.proofs.clear();
@@ -150,6 +169,14 @@
         }
     }
 
+    /// Records that an upstream was reached. Those that were not meanwhile are forgotten.
+    fn record_reached(&mut self, upstream: &UpstreamId) {
+        let unreached = &self.unreached;
+        self.reached.retain(|other| other != upstream && !unreached.contains_key(other));
+        self.reached.push_front(upstream.clone());
+        self.reached.truncate(MAX_REACHED);
+    }
+
     /// Returns a failure if it is evidence about its upstream. One that may be due to this path is
     /// held back until that is known, or dropped.
     pub(super) fn judge(&mut self, now: Moment, failure: Observation) -> Option<Observation> {
@@ -198,26 +225,48 @@
         }
         let is_first = self.is_in_doubt() && self.unreached.len() == 1;
         self.check_at = now + self.interval();
+        if self.is_lost() {
+            return self.check_lost(upstreams, random).into_iter().collect();
+        }
         let mut tried = self.tried(upstreams);
         let mut drawn = Vec::new();
         for _ in 0..if is_first { FIRST_CHECKS } else { 1 } {
-            let Some(member) = upstreams.draw(&tried, random) else { break };
+            let mut reached = self.reached.iter().filter(|it| !tried.contains_key(*it));
+            let reached = reached.find_map(|upstream| upstreams.member(upstream));
+            let Some(member) = reached.or_else(|| upstreams.draw(&tried, random)) else { break };
             tried.insert(member.upstream.clone(), member.domain.clone());
             drawn.push(member.upstream.clone());
         }
         drawn
     }
 
-    /// Upstreams that tell nothing new. The checks of a lost path are spread over all of them again.
-    fn tried(&self, upstreams: Upstreams<'_>) -> BTreeMap<UpstreamId, DomainId> {
-        if self.is_lost() {
-            return self.proofs.clone();
+    /// Upstream to check while the path is lost. After one that was reached each time another, and
+    /// then that one again: it may be the only one that is left.
+    fn check_lost(
+        &mut self,
+        upstreams: Upstreams<'_>,
+        random: &mut ChaCha8Rng,
+    ) -> Option<UpstreamId> {
+        if self.unreached.len() > upstreams.members.len() {
+            self.unreached.retain(|upstream, _| upstreams.member(upstream).is_some());
         }
+        let is_turn = |proof: &&UpstreamId| self.checked.as_ref() != Some(*proof);
+        let proof = self.proofs.iter().find(is_turn).and_then(|proof| upstreams.member(proof));
+        let other = || upstreams.draw_unreached(&self.unreached, &self.proofs, random);
+        self.checked = proof.or_else(other).map(|member| member.upstream.clone());
+        self.checked.clone()
+    }
+
+    /// Upstreams that tell nothing new.
+    fn tried(&self, upstreams: Upstreams<'_>) -> BTreeMap<UpstreamId, DomainId> {
         let broken = self.held.iter().filter_map(|failure| {
             let domain = upstreams.domain(&failure.upstream)?;
             Some((failure.upstream.clone(), domain.clone()))
         });
-        broken.chain(self.unreached.clone()).collect()
+        let domain = |(upstream, failure): (&UpstreamId, &Failure)| {
+            (upstream.clone(), failure.domain.clone())
+        };
+        broken.chain(self.unreached.iter().map(domain)).collect()
     }
 
     /// When [`Self::checks`] or [`Self::verdict`] is next due.
