Hold one configuration in a step, and replay a log in parts

What callers saw: 1,400 (or 600) changes of one route each in 4,200 routes, all controls killed at once: no control came back, no configuration could be read (seen from outside; 300 changes here: held, with 32 to 39 MB before the kill and 199 MB after it).

Cause: whatever a replay commits became one output each with the whole document, in one vector. Evidence: "log opened" with 781,957 bytes and 602 entries, and then more than 256 MB at each start. Ruled out: the log's size, 0.8 MB.

Change: a step puts out the newest configuration alone, by construction: it compares the number in force before and after an input. A replica commits the entries of at most 4 MiB an input and goes on with the next, so that a long log is not copied at once. The log line about several configurations in a step has nothing to tell any more and goes.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -20,6 +20,7 @@
 use crate::clock::Moment;
 use crate::config::Submissions;
 use crate::config::Version;
+use crate::id::ConfigNumber;
 use crate::id::Index;
 use crate::id::NodeId;
 use crate::quorum;
@@ -110,7 +111,7 @@
 pub enum Output {
     /// Result of a membership change: its log index, or why it failed.
     Changed(u64, Result<Index, String>),
-    /// A configuration is committed and now in force.
+    /// A configuration is committed and now in force, the newest of those that the input committed.
     Committed(Version),
     /// `true` after a majority has confirmed that this replica leads, `false` after it stepped down
     /// or the confirmation was refused.
@@ -185,6 +186,7 @@
     /// Processes one input and returns the resulting effects.
     pub fn handle(&mut self, now: Moment, wall: Epoch, input: Input) -> Vec<Output> {
         let mut outputs = Vec::new();
+        let before = self.number_in_force();
         match input {
             Input::Catalog(from, ticket, actions) => {
                 let proposal = Proposal::Catalog { from, ticket };
@@ -213,7 +215,9 @@
         self.propose_claims(now, wall, &mut outputs);
         self.propose_quotas(now, wall, &mut outputs);
         self.compact_log(now, &mut outputs);
-        log_committed(&outputs);
+        if self.number_in_force() != before {
+            outputs.splice(..0, self.in_force().cloned().map(Output::Committed));
+        }
         outputs
     }
 
@@ -234,6 +238,10 @@
         self.submissions.in_force()
     }
 
+    fn number_in_force(&self) -> Option<ConfigNumber> {
+        self.in_force().map(|version| version.number)
+    }
+
     /// Number of claims in the ledger.
     pub fn remembered_claims(&self) -> usize {
         self.claim_ledger.len()
@@ -370,11 +378,8 @@
                 }
             }
             Body::Config(change) => {
-                let before = self.submissions.in_force().map(|version| version.number);
+                let before = self.number_in_force();
                 let reply = self.submissions.apply(command.at, change);
-                let now =
-                    self.submissions.in_force().filter(|version| Some(version.number) != before);
-                outputs.extend(now.cloned().map(Output::Committed));
                 if self.is_leader {
                     self.config_replies.insert(index, verdict_for(reply, before));
                     self.config_replies.retain(|at, _| index - at < REPLIES_MAX);
@@ -383,15 +388,3 @@
         }
     }
 }
-
-/// Logs that one step committed several configurations, as a replay of the log does.
-fn log_committed(outputs: &[Output]) {
-    let documents = outputs.iter().filter_map(|output| match output {
-        Output::Committed(version) => Some(version.document.len()),
-        _ => None,
-    });
-    let (count, bytes) = documents.fold((0, 0), |(count, bytes), next| (count + 1, bytes + next));
-    if count > 1 {
-        tracing::info!(target: "hemlockfield::quorum", count, bytes, "configurations committed in one step");
-    }
-}
--- a/src/controller/snapshot.rs
+++ b/src/controller/snapshot.rs
@@ -93,7 +93,6 @@
         self.quota_ledger = state.quotas;
         self.applied = snapshot.index;
         self.snapshot_index = snapshot.index;
-        outputs.extend(self.submissions.in_force().cloned().map(Output::Committed));
         outputs.push(Output::SnapshotInstalled);
     }
 
--- a/src/quorum/commit.rs
+++ b/src/quorum/commit.rs
@@ -16,15 +16,30 @@
     pub(super) fn advance(&mut self) {
         self.advance_election();
         self.advance_commit();
+        self.commit_next();
+        self.leave_if_removed();
         self.advance_reads();
     }
 
-    /// Commits every entry up to `index` and emits an output for each.
+    /// Records that all entries up to `index` can be committed.
     pub(super) fn commit_to(&mut self, index: Index) {
-        while self.commit_index < index {
+        self.committable_index = self.committable_index.max(index);
+    }
+
+    /// Whether entries are left that [`Self::commit_next`] will commit.
+    pub fn has_uncommitted(&self) -> bool {
+        self.commit_index < self.committable_index.min(self.log.last_index())
+    }
+
+    /// Commits the next entries and emits an output for each, up to the bytes of one step: a log that
+    /// is replayed at once would be in memory twice.
+    fn commit_next(&mut self) {
+        let mut bytes = 0;
+        while self.commit_index < self.committable_index && bytes < self.setup.limits.commit_bytes {
             let Some(entry) = self.log.get(self.commit_index + 1).cloned() else { return };
             self.commit_index = entry.index;
             let size = entry.size();
+            bytes += size;
             let (index, term) = (entry.index, entry.term);
             match entry.payload {
                 Payload::Blank => {}
@@ -60,13 +75,13 @@
             return;
         }
         self.commit_to(majority);
-        self.leave_if_removed();
     }
 
     /// Steps down once this leader's own removal is committed, after a last heartbeat
     /// that tells the others the commit index.
     fn leave_if_removed(&mut self) {
-        if self.is_voter() || self.log.membership_index() > self.commit_index {
+        let is_leader = matches!(self.state, State::Leader(_));
+        if !is_leader || self.is_voter() || self.log.membership_index() > self.commit_index {
             return;
         }
         self.send_heartbeats();
--- a/src/quorum/replica.rs
+++ b/src/quorum/replica.rs
@@ -59,6 +59,8 @@
 #[derive(Debug)]
 pub struct Replica {
     pub(super) commit_index: Index,
+    /// Last index that is known to be committed by a majority.
+    pub(super) committable_index: Index,
     pub(super) deadline: Option<Moment>,
     pub(super) disk: DiskId,
     /// Last index of this replica's log that is synced.
@@ -109,6 +111,7 @@
         let log = Log::new(identity.founders, recovered);
         Self {
             commit_index,
+            committable_index: commit_index,
             deadline: None,
             disk: identity.disk,
             synced_index: log.last_index(),
@@ -147,7 +150,11 @@
             Input::Propose { ticket, command } => self.propose(ticket, command),
             Input::Read { ticket } => self.read(ticket),
             Input::Receive { from, message } => self.receive(&from, message),
-            Input::Snapshot { index, bytes } => self.compact(index, bytes),
+            Input::Snapshot { index, bytes } => {
+                // The application may be in the middle of the last outputs: nothing is committed here.
+                self.compact(index, bytes);
+                return self.flush();
+            }
             Input::Synced { number } => self.handle_synced(number),
             Input::Tick => self.tick(),
         }
@@ -157,6 +164,9 @@
 
     /// When the next [`Input::Tick`] is due; `None` before the first input.
     pub fn next_at(&self) -> Option<Moment> {
+        if self.has_uncommitted() {
+            return Some(self.now);
+        }
         match &self.state {
             State::Leader(leader) => Some(leader.heartbeat_at),
             _ => self.deadline,
--- a/src/quorum/setup.rs
+++ b/src/quorum/setup.rs
@@ -24,6 +24,8 @@
     pub batch_bytes: usize,
     /// Bytes of a snapshot in one chunk.
     pub chunk_bytes: usize,
+    /// Bytes of entries that one input commits; one larger entry is committed alone.
+    pub commit_bytes: usize,
     /// Most entries kept in memory that a snapshot already covers, so that a follower that
     /// is only slightly behind gets entries instead of a whole snapshot.
     pub kept_entries: u64,
@@ -43,6 +45,7 @@
         Self {
             batch_bytes: 64 << 10,
             chunk_bytes: 64 << 10,
+            commit_bytes: 4 << 20,
             kept_entries: 1024,
             kept_bytes: 4 << 20,
             pending_bytes: 4 << 20,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod claim;
 mod config;
+mod controller;
 mod core_fleet;
 mod delivery;
 mod demo;
--- a/tests/suite/quorum/vm.rs
+++ b/tests/suite/quorum/vm.rs
@@ -25,6 +25,7 @@
 const LIMITS: Limits = Limits {
     batch_bytes: 50,
     chunk_bytes: 64,
+    commit_bytes: 300,
     kept_entries: 4,
     kept_bytes: 400,
     pending_bytes: 4096,
