Compact the log of a control by its bytes, and bound what is in flight and kept

None while more is being applied.

Tests, red before: handle_large_changes (10.9 MB for 60 changes, 43.7 MB for 240, 6 MiB allowed), handle_snapshot_disk_full (9.3 MB), quorum::window (3.6 MB in flight, red without the byte window).

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,5 +1,6 @@
 //! State that controls replicate: a replica of the quorum log, and what its committed entries produce.
 
+mod backlog;
 mod events;
 pub(crate) mod forwarder;
 mod proposals;
@@ -32,13 +33,12 @@
 use crate::wire::Frame;
 use crate::wire::Verdict;
 
+use self::backlog::Backlog;
 use self::replies::verdict_for;
 use self::replies::verdict_output;
 use self::snapshot::Body;
 use self::snapshot::Command;
 
-/// Log entries applied between two snapshots; a restart replays at most these.
-const SNAPSHOT_INTERVAL: Index = 5_000;
 /// Batches of claims proposed but not committed yet. With two, one is sent to the replicas
 /// while the other is synced to their disks.
 const CLAIM_BATCHES_MAX: usize = 2;
@@ -78,8 +78,8 @@
     config_replies: BTreeMap<Index, Verdict>,
     /// Upstreams that announce themselves although the table holds them to be gone.
     returns: Returns,
-    /// Log index of the last snapshot.
-    snapshot_index: Index,
+    /// What was applied since the last snapshot.
+    backlog: Backlog,
 }
 
 /// Input of a [`Controller`].
@@ -174,7 +174,7 @@
             catalog_replies: BTreeMap::new(),
             config_replies: BTreeMap::new(),
             returns: Returns::default(),
-            snapshot_index: 0,
+            backlog: Backlog::default(),
         }
     }
 
@@ -358,6 +358,7 @@
     /// Applies a committed command. This must be deterministic, since every replica does it.
     fn apply(&mut self, index: Index, command: &[u8], outputs: &mut Vec<Output>) {
         self.applied = index;
+        self.backlog.add(command.len());
         let Ok(command) = postcard::from_bytes::<Command>(command) else { return };
         match command.body {
             Body::Catalog(action) => self.apply_catalog(index, vec![action], outputs),
@@ -379,6 +380,7 @@
             }
             Body::Config(change) => {
                 let before = self.number_in_force();
+                self.backlog.add_change();
                 let reply = self.submissions.apply(command.at, change);
                 if self.is_leader {
                     self.config_replies.insert(index, verdict_for(reply, before));
--- a/src/controller/snapshot.rs
+++ b/src/controller/snapshot.rs
@@ -11,7 +11,6 @@
 
 use super::Controller;
 use super::Output;
-use super::SNAPSHOT_INTERVAL;
 
 /// Application command in an entry of the quorum log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -92,17 +91,16 @@
         self.claim_ledger = state.ledger;
         self.quota_ledger = state.quotas;
         self.applied = snapshot.index;
-        self.snapshot_index = snapshot.index;
+        self.backlog.restart(snapshot.bytes.len());
         outputs.push(Output::SnapshotInstalled);
     }
 
-    /// Takes a snapshot if enough entries were applied since the last, so that the log can be
-    /// truncated.
+    /// Takes a snapshot if enough was applied since the last, so that the log can be truncated. Not
+    /// while more is applied: each snapshot writes what follows it in the log again.
     pub(super) fn compact_log(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        if self.applied < self.snapshot_index + SNAPSHOT_INTERVAL {
+        if !self.backlog.is_full() || self.replica.has_uncommitted() {
             return;
         }
-        self.snapshot_index = self.applied;
         let encoded = Snapshot::encode(
             &self.submissions,
             &self.claim_ledger,
@@ -110,6 +108,7 @@
             &self.quota_ledger,
         );
         let Some(bytes) = encoded else { return };
+        self.backlog.restart(bytes.len());
         let index = self.applied;
         self.step_replica(now, quorum::Input::Snapshot { index, bytes }, outputs);
     }
--- a/src/quorum/leader.rs
+++ b/src/quorum/leader.rs
@@ -267,12 +267,17 @@
                 return self.send_chunk(leader, node);
             }
             let in_flight = (progress.next_index - 1).saturating_sub(progress.window_start);
+            let bytes_in_flight = self
+                .log
+                .bytes_from(progress.window_start + 1)
+                .saturating_sub(self.log.bytes_from(progress.next_index));
             let is_batch_full =
                 self.log.bytes_from(progress.next_index) > self.setup.limits.batch_bytes;
             let must_wait = in_flight > 0 && (progress.is_probing || !is_batch_full);
             if progress.next_index > self.log.last_index()
                 || must_wait
                 || in_flight > self.setup.limits.window_entries
+                || bytes_in_flight > self.setup.limits.window_bytes
             {
                 return;
             }
@@ -287,8 +292,9 @@
         let prev_term = self.log.term(prev_index).unwrap_or(0);
         progress.next_index += entries.len() as Index;
         let disk = progress.disk;
+        // Followers need not wait for the commits of this replica's own steps.
         let body = Body::Append {
-            commit: self.commit_index,
+            commit: self.committable_index,
             entries,
             prev_index,
             prev_term,
--- a/src/quorum/setup.rs
+++ b/src/quorum/setup.rs
@@ -33,6 +33,11 @@
     pub kept_bytes: usize,
     /// Bytes of uncommitted entries above which a leader refuses proposals.
     pub pending_bytes: usize,
+    /// Bytes of entries that a snapshot covers and that are kept for members that receive a
+    /// snapshot. A member that needs more gets the next snapshot.
+    pub transfer_bytes: usize,
+    /// Bytes in flight to one follower above which the leader sends it no more.
+    pub window_bytes: usize,
     /// Entries in flight to one follower above which the leader sends it no more.
     pub window_entries: u64,
 }
@@ -49,6 +54,8 @@
             kept_entries: 1024,
             kept_bytes: 4 << 20,
             pending_bytes: 4 << 20,
+            transfer_bytes: 16 << 20,
+            window_bytes: 1 << 20,
             window_entries: 1024,
         }
     }
--- a/src/quorum/transfer.rs
+++ b/src/quorum/transfer.rs
@@ -35,7 +35,7 @@
         let membership = self.log.membership_at(index);
         let snapshot = Arc::new(Snapshot { bytes, index, membership, term });
         let keep = self.first_kept(index);
-        let keep = self.first_transfer().map_or(keep, |first| keep.min(first));
+        let keep = self.first_transfer(index).map_or(keep, |first| keep.min(first));
         self.log.compact(Arc::clone(&snapshot), keep);
         self.record(Record::Snapshot(snapshot));
     }
@@ -52,11 +52,17 @@
         keep
     }
 
-    /// Lowest last index of the snapshots that are being sent to members that answer.
-    fn first_transfer(&self) -> Option<Index> {
+    /// Lowest last index of the snapshots that are being sent to members that answer, of those after
+    /// which few enough bytes follow up to a snapshot at `index`.
+    fn first_transfer(&self, index: Index) -> Option<Index> {
         let State::Leader(leader) = &self.state else { return None };
+        let after = self.log.bytes_from(index + 1);
+        let is_kept = |first: &Index| {
+            self.log.bytes_from(first + 1).saturating_sub(after) <= self.setup.limits.transfer_bytes
+        };
         let heard = leader.members.values().filter(|progress| self.is_heard(progress.heard));
-        heard.filter_map(|progress| Some(progress.transfer.as_ref()?.snapshot.index)).min()
+        let sent = heard.filter_map(|progress| Some(progress.transfer.as_ref()?.snapshot.index));
+        sent.filter(is_kept).min()
     }
 
     pub(super) fn send_chunk(&mut self, leader: &mut Leader, node: &NodeId) {
--- a/tests/suite/controller.rs
+++ b/tests/suite/controller.rs
@@ -11,6 +11,7 @@
 use hemlockfield::quorum;
 use hemlockfield::quorum::Membership;
 use hemlockfield::quorum::Record;
+use hemlockfield::storage;
 use hemlockfield::storage::Log;
 use rstest::rstest;
 
@@ -19,10 +20,15 @@
 /// Routes of the configuration, and bytes of one.
 const ROUTES: usize = 1_400;
 const ROUTE_BYTES: usize = 130;
+/// Most bytes of a log file beside a state of this size: what is written until a snapshot is due, and
+/// the entry that makes it due.
+const MAX_LOG_BYTES: u64 = 6 << 20;
+
 /// How much of the configuration a change concerns.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Size {
     OneRoute,
+    AllRoutes,
 }
 
 /// A control that forms the quorum alone, with its disk.
@@ -33,6 +39,8 @@
     now: Moment,
     /// Most bytes of documents that one step put out.
     largest_step: usize,
+    /// Most bytes of the log file.
+    longest_log: u64,
     ticket: u64,
 }
 
@@ -44,7 +52,7 @@
         let controller = Controller::new(setup, recovered, 7);
         let (now, ticket) = (Moment::ZERO, 0);
         let mut alone =
-            Self { controller, disk, log, now, largest_step: 0, ticket };
+            Self { controller, disk, log, now, largest_step: 0, longest_log: 0, ticket };
         for _ in 0..100 {
             alone.handle(Input::Tick);
             alone.now += TICK;
@@ -73,6 +81,7 @@
                     inputs.push(Input::Synced(number));
                 }
             }
+            self.longest_log = self.longest_log.max(self.log.length());
         }
     }
 
@@ -90,7 +99,7 @@
 
 fn document(number: u64, size: Size) -> String {
     let route = |at: usize| {
-        let is_changed = at == number as usize % ROUTES;
+        let is_changed = size == Size::AllRoutes || at == number as usize % ROUTES;
         let changed = if is_changed { number } else { 0 };
         let route = format!("{{\"name\":\"route-{at}\",\"timeout\":{changed},");
         format!("{route:x<width$}}}\n", width = ROUTE_BYTES - 2)
@@ -111,6 +120,17 @@
     assert!(control.largest_step <= one, "{} of documents in a step", control.largest_step);
 }
 
+// The log of changes that concern every route grew with their number until the control could read it
+// no more.
+#[rstest]
+fn handle_large_changes(#[values(60, 240)] changes: u64) {
+    let mut control = Alone::start(fake::Disk::new(1));
+    (1..=changes).for_each(|number| control.submit(number, Size::AllRoutes));
+    assert!(control.longest_log <= MAX_LOG_BYTES, "{} bytes", control.longest_log);
+    let control = control.restart();
+    assert_eq!(control.in_force(), Some(changes));
+}
+
 // Records of an earlier build's log that is larger than a control may become.
 fn long_log(entries: u64, size: usize) -> fake::Disk {
     let disk = fake::Disk::new(1);
@@ -158,3 +178,29 @@
     assert_eq!(committed, 400);
     assert!(largest <= 5 << 20, "{largest} bytes in a step");
 }
+
+// A snapshot that finds no room on the disk keeps what was accepted, and is taken once there is room.
+#[test]
+fn handle_snapshot_disk_full() {
+    let mut control = Alone::start(fake::Disk::new(1));
+    (1..=10).for_each(|number| control.submit(number, Size::AllRoutes));
+    control.disk.set_capacity(control.log.length() + (300 << 10));
+    let version = |number| Version::new(number, "s".into(), &document(number, Size::AllRoutes));
+    for number in 11..=40 {
+        let input = Input::Submit("c1".into(), 1, version(number));
+        let outputs = control.controller.handle(control.now, WALL, input);
+        let records = outputs.into_iter().find_map(|output| match output {
+            Output::Persist(_, records) => Some(records),
+            _ => None,
+        });
+        control.log.append(&records.expect("records"));
+        let Err(error) = control.log.sync() else { continue };
+        assert!(matches!(error, storage::Error::Full { .. }), "{error}");
+        break;
+    }
+    control.disk.set_capacity(u64::MAX);
+    let mut control = control.restart();
+    assert!(control.in_force() >= Some(10));
+    (41..=80).for_each(|number| control.submit(number, Size::AllRoutes));
+    assert!(control.longest_log <= MAX_LOG_BYTES, "{} bytes", control.longest_log);
+}
--- a/tests/suite/quorum.rs
+++ b/tests/suite/quorum.rs
@@ -10,3 +10,4 @@
 mod single;
 mod view;
 mod vm;
+mod window;
--- a/tests/suite/quorum/vm.rs
+++ b/tests/suite/quorum/vm.rs
@@ -29,6 +29,8 @@
     kept_entries: 4,
     kept_bytes: 400,
     pending_bytes: 4096,
+    transfer_bytes: 2000,
+    window_bytes: 300,
     window_entries: 8,
 };
 
