Read and rewrite a log frame by frame

Cause: a control read its whole log file beside its records, and built the whole rest of it in memory to compact it. A log of the landed code may have 200 MB where a control has 256 MB, so that the first start of a new build would end it. Evidence: peaks over 256 MB of controls that opened a log of 157 MB.

Change: a scan reads 256 KiB at a time or one larger frame; a compaction copies what is needed frame by frame into the draft, whose frames state what is before them, and ends it with a marker, so that damage is still told from a torn tail. A frame is encoded in place. The order of syncs and names is as before.

Test: controller::open_and_compact_long_log, 1 MiB at once for a log of 41 MB (its counters are new, so that it can't be built before).

--- a/src/fake/disk.rs
+++ b/src/fake/disk.rs
@@ -44,6 +44,10 @@
     name_changes: Vec<NameChange>,
     /// Identifier of the latest content.
     last_id: u64,
+    /// Most bytes that were appended at once.
+    longest_append: usize,
+    /// Most bytes that were read at once.
+    longest_read: usize,
     random: ChaCha8Rng,
     synced_names: BTreeMap<String, u64>,
     syncs: u64,
@@ -65,6 +69,8 @@
             names: BTreeMap::new(),
             name_changes: Vec::new(),
             last_id: 0,
+            longest_append: 0,
+            longest_read: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             synced_names: BTreeMap::new(),
             syncs: 0,
@@ -94,6 +100,16 @@
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
+    /// Most bytes that were appended at once so far.
+    pub fn longest_append(&self) -> usize {
+        self.lock().longest_append
+    }
+
+    /// Most bytes that were read at once so far.
+    pub fn longest_read(&self) -> usize {
+        self.lock().longest_read
+    }
+
     /// Number of successful syncs of contents so far.
     pub fn syncs(&self) -> u64 {
         self.lock().syncs
@@ -227,6 +243,7 @@
 impl storage::Disk for Disk {
     fn append(&mut self, file: &str, bytes: &[u8]) -> Result<()> {
         let mut state = self.lock();
+        state.longest_append = state.longest_append.max(bytes.len());
         let fits = state.free_bytes().min(bytes.len());
         state.content(file).cached.extend_from_slice(&bytes[..fits]);
         if fits < bytes.len() { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
@@ -236,10 +253,21 @@
         Ok(self.lock().names.keys().cloned().collect())
     }
 
-    fn read(&self, file: &str) -> Result<Vec<u8>> {
+    fn length(&self, file: &str) -> Result<u64> {
         let state = self.lock();
         let id = state.names.get(file).ok_or(ErrorKind::NotFound)?;
-        Ok(state.contents[id].cached.clone())
+        Ok(state.contents[id].cached.len() as u64)
+    }
+
+    fn read_at(&self, file: &str, offset: u64, length: usize) -> Result<Vec<u8>> {
+        let mut state = self.lock();
+        let id = state.names.get(file).ok_or(ErrorKind::NotFound)?;
+        let bytes = &state.contents[id].cached;
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(bytes.len());
+        let end = start.saturating_add(length).min(bytes.len());
+        let read = bytes[start..end].to_vec();
+        state.longest_read = state.longest_read.max(read.len());
+        Ok(read)
     }
 
     fn remove(&mut self, file: &str) -> Result<()> {
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -9,6 +9,8 @@
 mod folder;
 mod frame;
 mod log;
+mod rewrite;
+mod scan;
 
 pub use disk::Disk;
 pub use error::Error;
--- a/src/storage/disk.rs
+++ b/src/storage/disk.rs
@@ -12,8 +12,16 @@
     /// Sorted names of all files.
     fn list(&self) -> Result<Vec<String>>;
 
+    /// Size of a file in bytes.
+    fn length(&self, file: &str) -> Result<u64>;
+
     /// Reads a whole file.
-    fn read(&self, file: &str) -> Result<Vec<u8>>;
+    fn read(&self, file: &str) -> Result<Vec<u8>> {
+        self.read_at(file, 0, usize::MAX)
+    }
+
+    /// Reads `length` bytes from `offset` on, or all up to the end of the file if it is shorter.
+    fn read_at(&self, file: &str, offset: u64, length: usize) -> Result<Vec<u8>>;
 
     /// Removes a file.
     fn remove(&mut self, file: &str) -> Result<()>;
--- a/src/storage/folder.rs
+++ b/src/storage/folder.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::Result;
 use std::io::Write;
+use std::os::unix::fs::FileExt;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -68,8 +69,17 @@
         Ok(names)
     }
 
-    fn read(&self, file: &str) -> Result<Vec<u8>> {
-        fs::read(self.path.join(file))
+    fn length(&self, file: &str) -> Result<u64> {
+        Ok(fs::metadata(self.path.join(file))?.len())
+    }
+
+    fn read_at(&self, file: &str, offset: u64, length: usize) -> Result<Vec<u8>> {
+        let file = File::open(self.path.join(file))?;
+        let left = file.metadata()?.len().saturating_sub(offset);
+        let length = usize::try_from(left).unwrap_or(usize::MAX).min(length);
+        let mut bytes = vec![0; length];
+        file.read_exact_at(&mut bytes, offset)?;
+        Ok(bytes)
     }
 
     fn remove(&mut self, file: &str) -> Result<()> {
--- a/src/storage/frame.rs
+++ b/src/storage/frame.rs
@@ -18,9 +18,9 @@
 
 /// Start of each frame, by which the next frame after a broken one is found. Not valid
 /// UTF-8, so that no text contains it.
-const MAGIC: [u8; 4] = [0xF7, b'h', b'l', 0xF8];
+pub(super) const MAGIC: [u8; 4] = [0xF7, b'h', b'l', 0xF8];
 /// Size of the header: magic, length and checksum of four bytes each.
-const HEADER_BYTES: usize = 12;
+pub(super) const HEADER_BYTES: usize = 12;
 
 /// Records of one sync.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -35,28 +35,18 @@
     pub(super) synced: u64,
 }
 
-/// Result of a scan of a log file.
-#[derive(Debug)]
-pub(super) struct Scan {
-    /// Offset of the end of the last complete frame.
-    pub(super) end: u64,
-    /// Complete frames, in order.
-    pub(super) frames: Vec<Frame>,
-}
-
 /// Encodes a value with the header of a frame.
 pub(super) fn encode<T>(file: &str, value: &T) -> Result<Vec<u8>, Error>
 where
     T: Serialize,
 {
     let invalid = || Error::from_io(file, ErrorKind::InvalidData.into());
-    let payload = postcard::to_stdvec(value).map_err(|_| invalid())?;
+    let mut bytes = postcard::to_extend(value, vec![0; HEADER_BYTES]).map_err(|_| invalid())?;
+    let (header, payload) = bytes.split_at_mut(HEADER_BYTES);
     let length = u32::try_from(payload.len()).map_err(|_| invalid())?.to_le_bytes();
-    let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
-    bytes.extend_from_slice(&MAGIC);
-    bytes.extend_from_slice(&length);
-    bytes.extend_from_slice(&checksum(length, &payload).to_le_bytes());
-    bytes.extend_from_slice(&payload);
+    header[..4].copy_from_slice(&MAGIC);
+    header[4..8].copy_from_slice(&length);
+    header[8..].copy_from_slice(&checksum(length, payload).to_le_bytes());
     Ok(bytes)
 }
 
@@ -71,39 +61,16 @@
     postcard::from_bytes(payload).map_err(|_| Error::Unreadable { file: file.to_owned(), offset })
 }
 
-/// Reads the frames of a log file up to its end or torn tail.
-pub(super) fn scan(file: &str, bytes: &[u8]) -> Result<Scan, Error> {
-    let mut frames: Vec<Frame> = Vec::new();
-    let mut end = 0;
-    while end < bytes.len() {
-        let rest = &bytes[end..];
-        let Some(payload) = payload(rest) else { break };
-        let frame: Frame = decode(file, end, rest)?;
-        if frame.number != frames.len() as u64 {
-            return Err(Error::Damaged { file: file.to_owned(), offset: end as u64 });
-        }
-        frames.push(frame);
-        end += HEADER_BYTES + payload.len();
-    }
-    if was_synced(end as u64, &bytes[end..]) {
-        return Err(Error::Damaged { file: file.to_owned(), offset: end as u64 });
-    }
-    Ok(Scan { end: end as u64, frames })
-}
-
-/// Whether a frame in `rest` proves that more than `end` bytes were synced.
-fn was_synced(end: u64, rest: &[u8]) -> bool {
-    let starts = rest.windows(MAGIC.len()).enumerate();
-    let starts = starts.filter(|(_, window)| *window == MAGIC);
-    let mut payloads = starts.filter_map(|(start, _)| payload(&rest[start..]));
-    payloads.any(|payload| {
-        let frame: Result<Frame, _> = postcard::from_bytes(payload);
-        frame.map_or(true, |frame| frame.synced > end)
-    })
+/// Bytes of the frame at the start of `header`, header included; `None` if none starts there.
+pub(super) fn size(header: &[u8]) -> Option<usize> {
+    let header = header.get(..HEADER_BYTES)?;
+    let length: [u8; 4] = header[4..8].try_into().ok()?;
+    let size = HEADER_BYTES.checked_add(usize::try_from(u32::from_le_bytes(length)).ok()?);
+    size.filter(|_| header.starts_with(&MAGIC))
 }
 
 /// Payload of the frame at the start of `bytes`, if complete and undamaged.
-fn payload(bytes: &[u8]) -> Option<&[u8]> {
+pub(super) fn payload(bytes: &[u8]) -> Option<&[u8]> {
     let header = bytes.get(..HEADER_BYTES)?;
     let (magic, rest) = header.split_at(4);
     let (length, expected) = rest.split_at(4);
--- a/src/storage/log.rs
+++ b/src/storage/log.rs
@@ -6,6 +6,8 @@
 use super::error::Error;
 use super::frame;
 use super::frame::Frame;
+use super::rewrite::Draft;
+use super::scan::Scan;
 use crate::id::Index;
 use crate::id::Term;
 use crate::quorum::Record;
@@ -60,19 +62,16 @@
 
     fn reopen(mut disk: Box<dyn Disk>, generation: u64) -> Result<(Self, Recovered), Error> {
         let file = log_name(generation);
-        let bytes = disk.read(&file).map_err(|source| Error::from_io(&file, source))?;
-        let scan = frame::scan(&file, &bytes)?;
+        let mut scan = Scan::new(disk.as_ref(), &file)?;
+        let (mut recovered, snapshot_id) = replay(disk.as_ref(), &mut scan)?;
+        let (next_frame, length, is_torn) = (scan.count(), scan.end(), scan.is_torn());
         // A later log file gets its name only after its first frame is synced.
-        if generation > 0 && scan.frames.is_empty() {
+        if generation > 0 && next_frame == 0 {
             return Err(Error::Damaged { file, offset: 0 });
         }
-        let is_torn = scan.end < bytes.len() as u64;
-        sync_recovered(disk.as_mut(), &file, is_torn.then_some(scan.end))?;
-        let next_frame = scan.frames.len() as u64;
-        let snapshot_id = scan.frames.first().and_then(|frame| frame.snapshot);
-        let mut recovered = replay(scan.frames);
+        sync_recovered(disk.as_mut(), &file, is_torn.then_some(length))?;
         recovered.snapshot = snapshot_id.map(|it| read_snapshot(disk.as_ref(), it)).transpose()?;
-        let (length, synced_length) = (scan.end, scan.end);
+        let synced_length = length;
         let mut log =
             Self { file, generation, length, next_frame, synced_length, ..Self::empty(disk) };
         log.remove_obsolete(snapshot_id)?;
@@ -176,51 +175,59 @@
         let snapshot_id = (snapshot.index, snapshot.term);
         let file = snapshot_name(snapshot_id);
         self.write_atomically(&file, &frame::encode(&file, snapshot.as_ref())?)?;
-        let mut recovered = self.replay_file()?;
-        recovered.apply(Record::Snapshot(snapshot));
-        let records = records_of(recovered);
         let file = log_name(self.generation + 1);
-        let bytes = frame::encode(
-            &file,
-            &Frame { number: 0, records, snapshot: Some(snapshot_id), synced: 0 },
-        )?;
-        self.write_atomically(&file, &bytes)?;
+        let (frames, length) = self.write_log(&file, snapshot)?;
         tracing::info!(
             target: "hemlockfield::storage",
-            file, bytes = bytes.len(), bytes_before = self.length, snapshot = snapshot_id.0,
+            file, bytes = length, bytes_before = self.length, snapshot = snapshot_id.0,
             "log compacted"
         );
         self.file = file;
         self.generation += 1;
-        self.length = bytes.len() as u64;
+        self.length = length;
         self.synced_length = self.length;
-        self.next_frame = 1;
+        self.next_frame = frames;
         self.remove_obsolete(Some(snapshot_id))
     }
 
-    fn replay_file(&self) -> Result<Recovered, Error> {
-        if self.next_frame == 0 {
-            return Ok(Recovered::default());
+    /// Writes a log file that follows the snapshot; returns its frames and bytes.
+    fn write_log(&mut self, file: &str, snapshot: Arc<Snapshot>) -> Result<(u64, u64), Error> {
+        let copied = Draft::start(self.disk.as_mut(), TEMPORARY_FILE).and_then(|mut draft| {
+            draft.copy_after(&self.file, snapshot)?;
+            Ok((draft.frames, draft.length))
+        });
+        if copied.is_err() {
+            let _ = self.disk.remove(TEMPORARY_FILE);
         }
-        let bytes =
-            self.disk.read(&self.file).map_err(|source| Error::from_io(&self.file, source))?;
-        Ok(replay(frame::scan(&self.file, &bytes)?.frames))
+        let copied = copied?;
+        self.name_draft(file)?;
+        Ok(copied)
     }
 
     /// Writes a file atomically: after a crash it is complete, or as it was before.
     fn write_atomically(&mut self, file: &str, bytes: &[u8]) -> Result<(), Error> {
         let disk = &mut self.disk;
-        let written = disk
-            .truncate(TEMPORARY_FILE, 0)
-            .and_then(|()| disk.append(TEMPORARY_FILE, bytes))
-            .and_then(|()| disk.sync(TEMPORARY_FILE))
+        let written =
+            disk.truncate(TEMPORARY_FILE, 0).and_then(|()| disk.append(TEMPORARY_FILE, bytes));
+        if let Err(source) = written {
+            // Frees space on a full disk; `reopen` would remove the file too.
+            let _ = disk.remove(TEMPORARY_FILE);
+            return Err(Error::from_io(file, source));
+        }
+        self.name_draft(file)
+    }
+
+    /// Syncs the temporary file and gives it its name.
+    fn name_draft(&mut self, file: &str) -> Result<(), Error> {
+        let disk = &mut self.disk;
+        let named = disk
+            .sync(TEMPORARY_FILE)
             .and_then(|()| disk.rename(TEMPORARY_FILE, file))
             .and_then(|()| disk.sync_names());
-        if written.is_err() {
-            // Frees space on a full disk; `reopen` would remove the file too.
+        if named.is_err() {
             let _ = disk.remove(TEMPORARY_FILE);
         }
-        written.map_err(|source| Error::from_io(file, source))
+        named.map_err(|source| Error::from_io(file, source))
     }
 
     /// Removes all log, snapshot and temporary files except the current ones.
@@ -248,19 +255,20 @@
     synced.map_err(|source| Error::from_io(file, source))
 }
 
-fn replay(frames: Vec<Frame>) -> Recovered {
+/// State after all records of a log file, and the snapshot that the file follows.
+fn replay(
+    disk: &dyn Disk,
+    scan: &mut Scan<'_>,
+) -> Result<(Recovered, Option<(Index, Term)>), Error> {
     let mut recovered = Recovered::default();
-    for record in frames.into_iter().flat_map(|frame| frame.records) {
-        recovered.apply(record);
+    let mut snapshot_id = None;
+    while let Some(frame) = scan.next_frame(disk)? {
+        if frame.number == 0 {
+            snapshot_id = frame.snapshot;
+        }
+        frame.records.into_iter().for_each(|record| recovered.apply(record));
     }
-    recovered
-}
-
-fn records_of(recovered: Recovered) -> Vec<Record> {
-    let identity = recovered.identity.map(Record::Identity);
-    let ballot = Record::Ballot { term: recovered.term, vote: recovered.vote };
-    let entries = recovered.entries.into_iter().map(Record::Entry);
-    identity.into_iter().chain([ballot]).chain(entries).collect()
+    Ok((recovered, snapshot_id))
 }
 
 fn read_snapshot(disk: &dyn Disk, snapshot_id: (Index, Term)) -> Result<Arc<Snapshot>, Error> {
--- a/tests/suite/controller.rs
+++ b/tests/suite/controller.rs
@@ -1,5 +1,7 @@
 //! Bytes that a control holds, writes and reads, however many changes it has accepted.
 
+use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hemlockfield::clock::Moment;
@@ -179,6 +181,26 @@
     assert!(largest <= 5 << 20, "{largest} bytes in a step");
 }
 
+// A log of an earlier build was in memory three times while it was opened, and while the control made a
+// snapshot of a part of it.
+#[test]
+fn open_and_compact_long_log() {
+    let size = 100 << 10;
+    let disk = long_log(400, size);
+    let (mut log, recovered) = Log::open(Box::new(disk.clone())).expect("opens");
+    assert_eq!(recovered.entries.len(), 400);
+    let membership = Membership::founding(["c1".into()]);
+    let snapshot = quorum::Snapshot { bytes: vec![1; 100], index: 100, membership, term: 1 };
+    log.append(&[Record::Snapshot(Arc::new(snapshot))]);
+    log.sync().expect("syncs");
+    drop(log);
+    let (_, after) = Log::open(Box::new(disk.clone())).expect("opens");
+    let kept = recovered.entries.into_iter().skip(100).collect::<VecDeque<_>>();
+    assert_eq!((after.term, after.entries), (1, kept));
+    let largest = disk.longest_read().max(disk.longest_append());
+    assert!(largest <= 1 << 20, "{largest} bytes at once");
+}
+
 // A snapshot that finds no room on the disk keeps what was accepted, and is taken once there is room.
 #[test]
 fn handle_snapshot_disk_full() {
