Require API keys by statement, not by how many there are

Cause: Teams::has_keys derived the need of a key from their number, and the adapter took a missing list of teams for an empty one. Evidence: both entries log that version 2 is applied, and a key that never was in any version runs. Ruled out: an old version in force; a key that is still looked up.

Change: the document states it. In our own rules the field `keys` of any team, also an empty one, or `require_keys`.

Tests, red before: rule::needs_key_last_key_gone (cases 1 to 4), platform::configuration:: compile_rules_last_key_gone (4 of 4), entry::keys::configure_last_key_gone (200 in place of 401).

--- a/src/rule/explanation.rs
+++ b/src/rule/explanation.rs
@@ -82,7 +82,7 @@
             )?;
         }
         if self.needs_key {
-            let text = "teams have API keys; without a valid one the request is refused with 401";
+            let text = "API keys are required; without a known one the request is refused with 401";
             return write!(formatter, "{text}, not run");
         }
         let Some(rule) = self.decides else {
--- a/src/rule/rules.rs
+++ b/src/rule/rules.rs
@@ -24,6 +24,9 @@
 /// Name of the document in mistakes if no file name is given.
 const DEFAULT_FILE: &str = "rules";
 
+/// Fields of a document.
+const FIELDS: [&str; 6] = ["classes", "limits", "require_keys", "rules", "services", "teams"];
+
 /// A validated document of rules with its index.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -101,14 +104,14 @@
         Explanation { needs_key, ..explanation }
     }
 
-    /// Whether a request that `rule` decides needs an API key: if any team has keys and the rule
-    /// is not public.
+    /// Whether a request that `rule` decides needs an API key: if the document requires keys and the
+    /// rule is not public.
     pub fn needs_key(&self, rule: Option<&Rule>) -> bool {
         let is_public = |rule: &Rule| match &rule.then {
             Action::Refuse { .. } => false,
             Action::Route { terms, .. } => terms.public,
         };
-        self.teams.has_keys() && !rule.is_some_and(is_public)
+        self.teams.requires_key() && !rule.is_some_and(is_public)
     }
 
     /// Rules in the order of the document.
@@ -148,8 +151,7 @@
     }
 
     fn read(yaml: &Yaml, mistakes: &Mistakes) -> Option<Self> {
-        let fields =
-            Fields::open(yaml, mistakes, &["classes", "limits", "rules", "services", "teams"])?;
+        let fields = Fields::open(yaml, mistakes, &FIELDS)?;
         let limits = fields.yaml("limits").and_then(|yaml| Limits::read(yaml, mistakes));
         let classes = read_classes(&fields);
         let services = read_services(&fields);
--- a/src/rule/teams.rs
+++ b/src/rule/teams.rs
@@ -30,9 +30,13 @@
     }
 }
 
-/// Reads the `teams` field of a document.
+/// Reads the `teams` field of a document, and whether it requires keys.
 pub(super) fn read(fields: &Fields, classes: &[Class]) -> Teams {
     let mut teams = Teams::default();
+    let names_keys = fields.entries("teams").iter().any(|(_, _, team)| team.has_field("keys"));
+    if fields.or_default("require_keys", names_keys) {
+        teams.require_key();
+    }
     for (_, name, yaml) in fields.entries("teams") {
         match &yaml.content {
             Content::Map(_) => read_team(name, yaml, classes, fields.mistakes(), &mut teams),
--- a/src/settings/yaml.rs
+++ b/src/settings/yaml.rs
@@ -45,6 +45,12 @@
 }
 
 impl Yaml {
+    /// Whether this is a mapping with the field `name`, even if the field is empty.
+    pub(crate) fn has_field(&self, name: &str) -> bool {
+        let Content::Map(entries) = &self.content else { return false };
+        entries.iter().any(|(_, key, _)| key == name)
+    }
+
     /// A mapping without fields, in place of one that the file omits.
     pub(crate) fn empty() -> Self {
         Self { content: Content::Map(Vec::new()), line: 0 }
--- a/src/team/teams.rs
+++ b/src/team/teams.rs
@@ -15,6 +15,7 @@
 pub struct Teams {
     callers: Lookup<CallerId>,
     keys: Lookup<Digest>,
+    requires_key: bool,
     teams: Vec<Team>,
 }
 
@@ -66,9 +67,14 @@
         &self.teams
     }
 
-    /// Whether any team has a key, so that callers have to present one.
-    pub fn has_keys(&self) -> bool {
-        !self.keys.is_empty()
+    /// States that callers have to present a key, however many there are: without any, nobody is let in.
+    pub fn require_key(&mut self) {
+        self.requires_key = true;
+    }
+
+    /// Whether callers have to present a key.
+    pub fn requires_key(&self) -> bool {
+        self.requires_key
     }
 
     /// Identifies the sender of a request by its key.
--- a/tests/suite/entry/keys.rs
+++ b/tests/suite/entry/keys.rs
@@ -14,14 +14,14 @@
 
 /// Rules with one team that has these keys.
 fn rules(keys: &[&str]) -> String {
-    let keys: Vec<String> = keys.iter().map(|key| Digest::of(key).to_string()).collect();
+    let keys: Vec<String> = keys.iter().map(|key| format!("'{}'", Digest::of(key))).collect();
     format!(
         "
 services:
   hull-register: {{floor: 50%}}
 classes: [{{name: urgent}}, {{name: common}}]
 teams:
-  yard-linz: {{keys: ['{}'], class: urgent}}
+  yard-linz: {{keys: [{}], class: urgent}}
 rules:
   - name: open
     when: {{path: /open/*}}
@@ -33,7 +33,7 @@
     when: {{path: /gauging/*}}
     then: {{route: {{service: hull-register}}, terms: {{body: 1MiB, long: true}}}}
 ",
-        keys.join("', '")
+        keys.join(", ")
     )
 }
 
@@ -164,3 +164,24 @@
         assert_eq!(status(KEY).await, "401");
     });
 }
+
+// Once the last key was taken away, requests ran with any key, the one that was taken away included.
+#[test]
+fn configure_last_key_gone() {
+    block_on(async {
+        let fixture = fixture(&[Script::AnswerLength]).await;
+        let ask =
+            |key: &str| format!("GET /hulls/1 HTTP/1.1\r\nhost: a\r\nx-api-key: {key}\r\n\r\n");
+        let mut open = fixture.connect().await;
+        let mut status = async |key: &str| {
+            open.write_all(ask(key).as_bytes()).await.unwrap();
+            let mut answer = vec![0; 4096];
+            let length = open.read(&mut answer).await.unwrap();
+            String::from_utf8_lossy(&answer[9..length.min(12)]).into_owned()
+        };
+        assert_eq!(status(KEY).await, "200");
+        fixture.configure(2, &rules(&[])).await;
+        assert_eq!(status(KEY).await, "401");
+        assert_eq!(status(NEW_KEY).await, "401");
+    });
+}
--- a/tests/suite/platform/configuration.rs
+++ b/tests/suite/platform/configuration.rs
@@ -155,6 +155,25 @@
     assert!(!rules.needs_key(Some(&rules.rules()[1])));
 }
 
+// Once the last key was taken away, or the last team, requests with any key were let in.
+#[rstest]
+#[case::last_key(r#"{"name": "yard", "apiKeys": []}"#)]
+#[case::last_keys(r#"{"name": "port", "apiKeys": []}, {"name": "yard", "apiKeys": []}"#)]
+#[case::no_keys_field(r#"{"name": "yard"}"#)]
+#[case::last_team("")]
+fn compile_rules_last_key_gone(#[case] teams: &str) {
+    let rules = rules(&with_teams(teams));
+    assert!(rules.needs_key(None));
+    assert!(rules.needs_key(Some(&rules.rules()[1])));
+}
+
+// A list of teams that can't be read is not taken for a missing one, which requires no keys.
+#[test]
+fn compile_rules_teams_null() {
+    let document = with_teams("").replace("[],", "null,");
+    assert_eq!(submit(&document).err(), Some(400));
+}
+
 /// Routes of a host, by name and weight.
 fn with_routes(host: &str, limit: u32, services: &str, routes: &[(&str, u32)]) -> String {
     let route = |(name, weight): &(&str, u32)| {
--- a/tests/suite/rule.rs
+++ b/tests/suite/rule.rs
@@ -269,3 +269,18 @@
     let request = Request { team: team.as_ref(), ..request("GET", "a", path, "") };
     assert_eq!(rules.explain(&request, &AllHealthy).needs_key, needs);
 }
+
+// Once the last key was taken away, or the last team that had one, requests with any key were let in.
+#[rstest]
+#[case::last_key("teams: {linz: {keys: []}}", true)]
+#[case::last_key_empty("teams: {linz: {keys: }}", true)]
+#[case::last_team("require_keys: true", true)]
+#[case::said_otherwise("require_keys: false\nteams: {linz: {keys: []}}", false)]
+#[case::never_had_keys("teams: {linz: {callers: [huber]}}", false)]
+#[case::no_teams("", false)]
+fn needs_key_last_key_gone(#[case] teams: &str, #[case] needs: bool) {
+    let rules = "rules: [{name: all, then: {route: {service: hull}}}]";
+    let text = format!("services: {{hull: {{}}}}\n{teams}\n{rules}\n");
+    let rules = Rules::parse(&text).expect("valid rules");
+    assert_eq!(rules.needs_key(Some(&rules.rules()[0])), needs);
+}
