Match nothing by an empty list of a rule's condition

What an operator saw: `check` calls a rule with `when: {team: []}` sound, and it decides every request: whoever takes the last team (caller, host, path, method) from a rule opens it to all.

Cause: as with keys, an empty list was taken for a missing one. Ruled out: the platform's adapter, whose rules always have one host and one path. A missing field accepts all values, as before.

Test, red before for all five: rule::decide_last_value_gone.

--- a/src/rule/condition.rs
+++ b/src/rule/condition.rs
@@ -19,11 +19,17 @@
 /// Value of `header` in a document that matches any value of the header.
 const ANY_VALUE: &str = "*";
 
+/// Criteria that are lists of values.
+const LISTS: [Criterion; 5] =
+    [Criterion::Host, Criterion::Path, Criterion::Method, Criterion::Caller, Criterion::Team];
+
 /// Condition of a rule. Every criterion that is given must match. A list of hosts, paths,
-/// methods, callers or teams matches if one item does; all headers and all service states
-/// must match.
+/// methods, callers or teams matches if one item does, so that an empty one never does; all headers
+/// and all service states must match.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Condition {
+    /// Criterion that accepts no value, as its list is empty; nothing matches then.
+    pub unmatchable: Option<Criterion>,
     /// Names of callers.
     pub callers: Vec<CallerId>,
     /// Headers: name in lower case and the required value, or `None` for any value.
@@ -48,6 +54,9 @@
         team: Option<&TeamId>,
         state: &dyn StateSource,
     ) -> Option<Criterion> {
+        if self.unmatchable.is_some() {
+            return self.unmatchable;
+        }
         let is_listed = |list: &[CompactString], item: &str| {
             list.is_empty() || list.iter().any(|entry| entry == item)
         };
@@ -101,6 +110,7 @@
             check_method(method, &fields);
         }
         Some(Self {
+            unmatchable: LISTS.into_iter().find(|list| is_empty_list(&fields, *list)),
             callers: fields.values("caller"),
             headers: read_headers(&fields),
             hosts: fields.values("host"),
@@ -112,6 +122,12 @@
     }
 }
 
+/// Whether the list of a criterion is there and empty. A missing one accepts all values.
+fn is_empty_list(fields: &Fields, criterion: Criterion) -> bool {
+    let yaml = fields.yaml(&criterion.to_string());
+    yaml.is_some_and(|yaml| matches!(&yaml.content, Content::List(items) if items.is_empty()))
+}
+
 fn show_header((name, value): &(CompactString, Option<CompactString>)) -> String {
     format!("{name}: {}", value.as_deref().unwrap_or(ANY_VALUE))
 }
--- a/tests/suite/rule.rs
+++ b/tests/suite/rule.rs
@@ -284,3 +284,15 @@
     let rules = Rules::parse(&text).expect("valid rules");
     assert_eq!(rules.needs_key(Some(&rules.rules()[0])), needs);
 }
+
+// Once the last value of a criterion was taken away, its rule decided every request.
+#[rstest]
+fn decide_last_value_gone(#[values("team", "caller", "host", "path", "method")] field: &str) {
+    let rules = "rules: [{name: all, when: {FIELD: []}, then: {route: {service: hull}}}]";
+    let rules = rules.replace("FIELD", field);
+    let rules = Rules::parse(&format!("services: {{hull: {{}}}}\n{rules}\n")).expect("valid rules");
+    let request = request("GET", "a", "/a", "");
+    assert!(rules.decide(&request, &AllHealthy).is_none());
+    assert!(rules.scan(&request, &AllHealthy).is_none());
+    assert!(rules.explain(&request, &AllHealthy).decides.is_none());
+}
