--- a/tests/suite/quorum/window.rs
+++ b/tests/suite/quorum/window.rs
@@ -54,7 +54,7 @@
             for output in self.replicas[at].handle(self.now, input) {
                 match output {
                     Output::Persist { number, .. } => {
-                        inputs.push_back((at, Input::Synced { number }))
+                        inputs.push_back((at, Input::Synced { number }));
                     }
                     Output::Send { to, message } if to == name(2) => self.unheard.push(message),
                     Output::Send { to, message } => {
