Close idle connections to upstreams that are gone, and say when none is accepted

Cause: the pool closed an idle connection only when its address was taken again, which never happens for an upstream that is gone; a descriptor each stayed open until the process ended. Pool::forget existed and was never called. Readiness did not look at accepts.

Ruled out: a leak of callers' connections (they are counted down when served), and links (their number did not change).

Pool::forget is gone.

--- a/src/exchange/pool.rs
+++ b/src/exchange/pool.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,8 +23,56 @@
 /// Idle connections by address; the most recently used one is taken first.
 #[derive(Debug)]
 pub struct Pool {
-    idle: Mutex<BTreeMap<SocketAddr, Vec<(Instant, Connection)>>>,
+    idle: Mutex<Idle>,
     idle_timeout: Duration,
+    max_idle: usize,
+}
+
+#[derive(Debug, Default)]
+struct Idle {
+    by_address: BTreeMap<SocketAddr, Vec<Kept>>,
+    count: usize,
+}
+
+/// A connection, and since when it is idle.
+type Kept = (Instant, Connection);
+
+impl Idle {
+    fn pop(&mut self, address: SocketAddr, max_idle: Duration) -> Option<Kept> {
+        let connections = self.by_address.get_mut(&address)?;
+        if connections.last()?.0.elapsed() >= max_idle {
+            return None;
+        }
+        self.count -= 1;
+        connections.pop()
+    }
+
+    fn push(&mut self, address: SocketAddr, kept: Kept) {
+        let connections = self.by_address.entry(address).or_default();
+        if connections.len() < MAX_IDLE_PER_UPSTREAM {
+            connections.push(kept);
+            self.count += 1;
+        }
+    }
+
+    fn remove_oldest(&mut self) {
+        let idle_since = |connections: &Vec<Kept>| connections.first().map(|kept| kept.0);
+        let oldest = self
+            .by_address
+            .iter()
+            .filter_map(|(address, connections)| Some((idle_since(connections)?, *address)))
+            .min();
+        if let Some(connections) = oldest.and_then(|(_, at)| self.by_address.get_mut(&at)) {
+            connections.remove(0);
+            self.count -= 1;
+        }
+    }
+
+    fn remove_all(&mut self, address: SocketAddr) -> Vec<Kept> {
+        let removed = self.by_address.remove(&address).unwrap_or_default();
+        self.count -= removed.len();
+        removed
+    }
 }
 
 impl Default for Pool {
@@ -31,14 +80,19 @@
     /// idle connection and then silently discards what is sent on it. Such tables keep idle
     /// flows for minutes, so 15 s is well below.
     fn default() -> Self {
-        Self::new(Duration::from_secs(15))
+        Self::new(Duration::from_secs(15), Self::MAX_IDLE)
     }
 }
 
 impl Pool {
-    /// Creates a pool that keeps idle connections for at most `idle_timeout`.
-    pub fn new(idle_timeout: Duration) -> Self {
-        Self { idle: Mutex::default(), idle_timeout }
+    /// Most idle connections over all upstreams: a quarter of the descriptors of a process that may
+    /// open 4,096.
+    pub const MAX_IDLE: usize = 1024;
+
+    /// Creates a pool that keeps idle connections for at most `idle_timeout`, and at most `max_idle`
+    /// of them.
+    pub fn new(idle_timeout: Duration, max_idle: usize) -> Self {
+        Self { idle: Mutex::default(), idle_timeout, max_idle }
     }
 
     /// Takes a connection that has been idle for less than `max_idle` and, checked just now, is
@@ -70,18 +124,44 @@
         false
     }
 
-    /// Drops all connections to an upstream that was removed.
-    pub fn forget(&self, address: SocketAddr) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+    /// Number of idle connections.
+    pub fn len(&self) -> usize {
+        self.lock().count
+    }
+
+    /// Whether there is no idle connection.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Closes the connections that would not be reused: those that are too old, idle for too long, or
+    /// closed by their other end. Connections to an upstream that is gone are not taken again, so
+    /// nothing else closes them.
+    pub async fn sweep(&self) {
+        let addresses: Vec<_> = self.lock().by_address.keys().copied().collect();
+        for address in addresses {
+            let removed = self.lock().remove_all(address);
+            for (since, connection) in removed {
+                if self.is_fresh(since, &connection) && connection.is_idle().await {
+                    self.keep(address, since, connection);
+                } else {
+                    connection.close();
+                }
+            }
+        }
+    }
+
+    /// Closes all idle connections and returns their number.
+    pub fn clear(&self) -> usize {
+        std::mem::take(&mut *self.lock()).count
     }
 
     /// Keeps a connection that is idle since `since`.
     fn keep(&self, address: SocketAddr, since: Instant, connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(address).or_default();
-        connections.retain(|(since, connection)| self.is_fresh(*since, connection));
-        if connections.len() < MAX_IDLE_PER_UPSTREAM {
-            connections.push((since, connection));
+        let mut idle = self.lock();
+        idle.push(address, (since, connection));
+        if idle.count > self.max_idle {
+            idle.remove_oldest();
         }
     }
 
@@ -93,12 +173,11 @@
             && connection.opened_at().elapsed() < MAX_AGE
     }
 
-    fn pop(&self, address: SocketAddr, max_idle: Duration) -> Option<(Instant, Connection)> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(&address)?;
-        if connections.last()?.0.elapsed() >= max_idle {
-            return None;
-        }
-        connections.pop()
+    fn pop(&self, address: SocketAddr, max_idle: Duration) -> Option<Kept> {
+        self.lock().pop(address, max_idle)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Idle> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -147,6 +147,7 @@
         for listener in operation_listeners {
             runtime::spawn(operator::serve_orders(listener, control.clone(), Arc::clone(&proxy)));
         }
+        runtime::spawn(traffic::sweep_connections(Arc::clone(&proxy)));
         if let Some(listener) = callers {
             runtime::spawn(traffic::listen(listener, Arc::clone(&proxy), Source::Caller));
             runtime::spawn(traffic::watch_paths(Arc::clone(&proxy)));
--- a/src/operator/orders.rs
+++ b/src/operator/orders.rs
@@ -58,7 +58,7 @@
                 runtime::spawn(serve_connection(stream, peer, control.clone(), Arc::clone(&proxy)));
             }
             Err(error) => {
-                tracing::warn!(target: "hemlockfield::node", "can't accept: {error}");
+                proxy.record_failed_accept(&error);
                 task::sleep(ACCEPT_BACKOFF).await;
             }
         }
@@ -143,7 +143,7 @@
         Operation::ReadConfiguration => read(control).await,
         Operation::CheckReadiness => {
             let view = proxy.view.load();
-            Reply::Readiness(view.serves() && !view.is_leaving)
+            Reply::Readiness(view.serves() && !view.is_leaving && proxy.accepts())
         }
         Operation::SubmitConfiguration(version) => submit(version, control).await,
     }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -26,6 +26,7 @@
 pub(crate) use forward::Source;
 pub(crate) use listener::InFlight;
 pub(crate) use listener::listen;
+pub(crate) use listener::sweep_connections;
 pub(crate) use poison::watch_upstreams;
 pub(crate) use proxy::Proxy;
 pub(crate) use proxy::Setup;
--- a/tests/suite/exchange.rs
+++ b/tests/suite/exchange.rs
@@ -5,5 +5,6 @@
 mod endless;
 mod heads;
 mod payloads;
+mod pool;
 mod script;
 mod upstreams;
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -4,6 +4,7 @@
 mod claim;
 mod configuration;
 mod cut_answers;
+mod descriptors;
 mod endless;
 mod fatal;
 pub(crate) mod fleet;
--- a/tests/suite/process/budget/plan.rs
+++ b/tests/suite/process/budget/plan.rs
@@ -29,6 +29,7 @@
     pub(super) const FEW: Self = Self {
         budget: Budget { burst: 62.0, share: SHARE, window: WINDOW },
         layout: Layout {
+            descriptors: None,
             domains: 1,
             entries: 8,
             limits: "{connect: 250ms}",
@@ -41,6 +42,7 @@
     pub(super) const SMALL: Self = Self {
         budget: Budget { burst: 56.0, share: SHARE, window: WINDOW },
         layout: Layout {
+            descriptors: None,
             domains: 3,
             entries: 32,
             limits: "{connect: 250ms, processor: 0.2, link: 1000}",
@@ -53,6 +55,7 @@
     pub(super) const LARGE: Self = Self {
         budget: Budget { burst: 62.0, share: SHARE, window: WINDOW },
         layout: Layout {
+            descriptors: None,
             domains: 4,
             entries: 44,
             limits: "{connect: 250ms, processor: 0.2, link: 1000}",
--- a/tests/suite/process/site.rs
+++ b/tests/suite/process/site.rs
@@ -36,6 +36,8 @@
 /// Number of entries of a site, and what their settings say.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Layout {
+    /// Most descriptors that a process may open, if not the limit of the tests.
+    pub(crate) descriptors: Option<u32>,
     pub(crate) domains: usize,
     pub(crate) entries: usize,
     /// Limits of the entries, in the format of the settings.
@@ -54,6 +56,7 @@
 impl Default for Layout {
     fn default() -> Self {
         Self {
+            descriptors: None,
             domains: 1,
             entries: ENTRIES,
             limits: "{}",
@@ -156,7 +159,11 @@
         let file = self.folder.path().join(format!("settings-{at}.yaml"));
         fs::write(&file, settings).unwrap();
         let log = File::options().create(true).append(true).open(self.log(at)).unwrap();
-        let child = Command::new(binary()).arg("run").arg(&file).stdout(Stdio::from(log)).spawn();
+        let limit = self.layout.descriptors.map(|count| format!("ulimit -n {count}; "));
+        let script = limit.unwrap_or_default() + "exec \"$0\" run \"$1\"";
+        let mut shell = Command::new("sh");
+        shell.arg("-c").arg(script).arg(binary()).arg(&file);
+        let child = shell.stdout(Stdio::from(log)).spawn();
         self.children[at] = Some(child.unwrap());
     }
 
