--- a/src/exchange/pool.rs
+++ b/src/exchange/pool.rs
@@ -30,6 +30,7 @@
 
 #[derive(Debug, Default)]
 struct Idle {
+    /// The connections of an address, the most recently used one last.
     by_address: BTreeMap<SocketAddr, Vec<Kept>>,
     count: usize,
 }
--- a/src/reach.rs
+++ b/src/reach.rs
@@ -10,9 +10,10 @@
 //!
 //! **How.** A [`Monitor`] judges the path to each service by the connections that the entry opens.
 //! Upstreams that can't be reached are at fault only if a connection to another one opened
-//! meanwhile; until then failures are held back. Where none opens, the path is lost: the entry
-//! passes requests on to a peer ([`Peers`]), reports it, so that controls advertise other entries,
-//! and opens connections without a request until it is back. Controls believe it only if another
+//! meanwhile; until then failures are held back. Where none opens, at those that were reached last
+//! neither, the path is lost: the entry passes requests on to a peer ([`Peers`]), reports it, so that
+//! controls advertise other entries, and opens connections without a request until two open, of one
+//! upstream or of two, so that one upstream that is left is enough. Controls believe it only if another
 //! entry reaches the service; if all of them say the same, the upstreams are at fault.
 
 mod monitor;
--- a/src/reach/path.rs
+++ b/src/reach/path.rs
@@ -51,6 +51,8 @@
     /// When an upstream last answered.
     answered_at: Option<Moment>,
     check_at: Moment,
+    /// Upstream that was checked last.
+    checked: Option<UpstreamId>,
     /// Whether answers broke and nothing has shown since that the path is there.
     has_broken: bool,
     /// Failures that may be due to this path.
@@ -69,8 +71,6 @@
     suspected_until: Moment,
     /// Upstreams that could not be reached since the last connection opened.
     unreached: BTreeMap<UpstreamId, Failure>,
-    /// Upstream that was checked last.
-    checked: Option<UpstreamId>,
 }
 
 impl Path {
--- a/src/rule/condition.rs
+++ b/src/rule/condition.rs
@@ -28,8 +28,6 @@
 /// and all service states must match.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Condition {
-    /// Criterion that accepts no value, as its list is empty; nothing matches then.
-    pub unmatchable: Option<Criterion>,
     /// Names of callers.
     pub callers: Vec<CallerId>,
     /// Headers: name in lower case and the required value, or `None` for any value.
@@ -44,6 +42,8 @@
     pub states: Vec<(ServiceId, Vec<ServiceState>)>,
     /// Names of teams, one of which must be the caller's.
     pub teams: Vec<TeamId>,
+    /// Criterion that accepts no value, as its list is empty; nothing matches then.
+    pub unmatchable: Option<Criterion>,
 }
 
 impl Condition {
@@ -110,7 +110,6 @@
             check_method(method, &fields);
         }
         Some(Self {
-            unmatchable: LISTS.into_iter().find(|list| is_empty_list(&fields, *list)),
             callers: fields.values("caller"),
             headers: read_headers(&fields),
             hosts: fields.values("host"),
@@ -118,6 +117,7 @@
             paths: fields.values("path"),
             states: read_states(&fields),
             teams: fields.values("team"),
+            unmatchable: LISTS.into_iter().find(|list| is_empty_list(&fields, *list)),
         })
     }
 }
--- a/src/storage/scan.rs
+++ b/src/storage/scan.rs
@@ -1,4 +1,4 @@
-//! Reads a log file frame by frame: a log of an earlier build may be nearly as large as the memory.
+//! Reads a log file frame by frame: a file may be nearly as large as the memory.
 
 use super::disk::Disk;
 use super::error::Error;
@@ -13,12 +13,12 @@
 pub(super) struct Scan<'a> {
     /// Part of the file that was read last, and its offset.
     chunk: (u64, Vec<u8>),
+    /// Complete frames so far.
+    count: u64,
     /// Offset of the end of the last complete frame.
     end: u64,
     file: &'a str,
     length: u64,
-    /// Complete frames so far.
-    count: u64,
 }
 
 impl<'a> Scan<'a> {
--- a/src/traffic/proxy.rs
+++ b/src/traffic/proxy.rs
@@ -97,6 +97,7 @@
     /// Closed when the process stops serving.
     pub(crate) done: Receiver<()>,
     drain: (Sender<()>, Receiver<()>),
+    /// When accepting a connection last failed.
     failed_accept: Mutex<Option<Moment>>,
     pub(crate) in_flight: AtomicUsize,
     pub(crate) open_claims: AtomicUsize,
