--- a/src/operator/orders.rs
+++ b/src/operator/orders.rs
@@ -143,7 +143,7 @@
         Operation::ReadConfiguration => read(control).await,
         Operation::CheckReadiness => {
             let view = proxy.view.load();
-            Reply::Readiness(view.serves() && !view.is_leaving && proxy.accepts())
+            Reply::Readiness(view.serves() && !view.is_leaving && proxy.accepts_connections())
         }
         Operation::SubmitConfiguration(version) => submit(version, control).await,
     }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,6 +1,7 @@
 //! Request handling on the traffic threads: accepts callers, routes and admits their requests,
 //! and relays the answers of upstreams.
 
+mod accepts;
 mod attempt;
 mod attempts;
 mod checks;
--- a/src/traffic/proxy.rs
+++ b/src/traffic/proxy.rs
@@ -1,5 +1,4 @@
 use std::collections::BTreeMap;
-use std::io;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -44,6 +43,7 @@
 use crate::runtime;
 use crate::settings::Settings;
 
+use super::accepts::Accepts;
 use super::poison::Poison;
 use super::rate_limiter::RateLimiter;
 use super::reach::Reach;
@@ -56,10 +56,6 @@
 /// Memory for bodies of operations, in bytes: two of the largest configurations at once.
 const MAX_OPERATION_BYTES: u64 = 32 << 20;
 
-/// Time for which a failed accept says that this process takes no new connections. While descriptors
-/// are short, accepts fail many times in it.
-const FAILED_ACCEPT_SPAN: Duration = Duration::from_millis(500);
-
 /// Interval at which a process that runs records a turn. Queues are polled at least as often.
 const TURN_INTERVAL: Duration = health::Config::TICK;
 
@@ -97,8 +93,7 @@
     /// Closed when the process stops serving.
     pub(crate) done: Receiver<()>,
     drain: (Sender<()>, Receiver<()>),
-    /// When accepting a connection last failed.
-    failed_accept: Mutex<Option<Moment>>,
+    pub(super) accepts: Accepts,
     pub(crate) in_flight: AtomicUsize,
     pub(crate) open_claims: AtomicUsize,
     /// Whether each connection closes after its current request.
@@ -141,7 +136,7 @@
             directory: Mutex::new(directory),
             done,
             drain: bounded(1),
-            failed_accept: Mutex::default(),
+            accepts: Accepts::default(),
             arrivals: AtomicU32::new(0),
             bytes: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
@@ -321,24 +316,6 @@
         self.poll_signal.0.try_send(()).ok();
     }
 
-    /// Records that a connection could not be accepted, usually because no descriptor is left, and
-    /// closes the idle connections to upstreams, which hold some.
-    pub(crate) fn record_failed_accept(&self, error: &io::Error) {
-        if error.kind() == io::ErrorKind::ConnectionAborted {
-            return;
-        }
-        let closed = self.pool.clear();
-        self.metrics.count("accept.failed");
-        tracing::warn!(target: "hemlockfield::exchange", closed, "accept failed: {error}");
-        *self.failed_accept.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.now());
-    }
-
-    /// Whether this process takes new connections.
-    pub(crate) fn accepts(&self) -> bool {
-        let failed = *self.failed_accept.lock().unwrap_or_else(PoisonError::into_inner);
-        failed.is_none_or(|at| self.now().saturating_sub(at) >= FAILED_ACCEPT_SPAN)
-    }
-
     /// Waits until the queues must be polled, at most `longest`.
     pub(super) async fn wait_for_poll(&self, longest: Duration) {
         timeout(longest, self.poll_signal.1.recv()).await.ok();
