--- a/src/exchange/pool.rs
+++ b/src/exchange/pool.rs
@@ -99,30 +99,21 @@
     /// Takes a connection that has been idle for less than `max_idle` and, checked just now, is
     /// open with no unexpected bytes on it.
     pub async fn take(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
-        while let Some((since, connection)) = self.pop(address, max_idle) {
-            if self.is_fresh(since, &connection) && connection.is_idle().await {
-                return Some(connection.with_idle_time(since.elapsed()));
-            }
-            connection.close();
-        }
-        None
+        let (since, connection) = self.take_reusable(address, max_idle).await?;
+        Some(connection.with_idle_time(since.elapsed()))
     }
 
     /// Keeps a connection whose last answer was read completely.
     pub fn put(&self, address: SocketAddr, connection: Connection) {
-        self.keep(address, Instant::now(), connection);
+        self.keep(address, (Instant::now(), connection));
     }
 
     /// Whether an idle connection to an upstream is still open. It stays in the pool; closed ones are dropped.
     pub async fn has_open(&self, address: SocketAddr) -> bool {
-        while let Some((since, connection)) = self.pop(address, self.idle_timeout) {
-            if self.is_fresh(since, &connection) && connection.is_idle().await {
-                self.keep(address, since, connection);
-                return true;
-            }
-            connection.close();
-        }
-        false
+        let found = self.take_reusable(address, self.idle_timeout).await;
+        let is_open = found.is_some();
+        found.into_iter().for_each(|kept| self.keep(address, kept));
+        is_open
     }
 
     /// Number of idle connections.
@@ -142,11 +133,11 @@
         let addresses: Vec<_> = self.lock().by_address.keys().copied().collect();
         for address in addresses {
             let removed = self.lock().remove_all(address);
-            for (since, connection) in removed {
-                if self.is_fresh(since, &connection) && connection.is_idle().await {
-                    self.keep(address, since, connection);
+            for kept in removed {
+                if self.is_reusable(&kept).await {
+                    self.keep(address, kept);
                 } else {
-                    connection.close();
+                    kept.1.close();
                 }
             }
         }
@@ -157,15 +148,28 @@
         std::mem::take(&mut *self.lock()).count
     }
 
-    /// Keeps a connection that is idle since `since`.
-    fn keep(&self, address: SocketAddr, since: Instant, connection: Connection) {
+    fn keep(&self, address: SocketAddr, kept: Kept) {
         let mut idle = self.lock();
-        idle.push(address, (since, connection));
+        idle.push(address, kept);
         if idle.count > self.max_idle {
             idle.remove_oldest();
         }
     }
 
+    async fn take_reusable(&self, address: SocketAddr, max_idle: Duration) -> Option<Kept> {
+        while let Some(kept) = self.pop(address, max_idle) {
+            if self.is_reusable(&kept).await {
+                return Some(kept);
+            }
+            kept.1.close();
+        }
+        None
+    }
+
+    async fn is_reusable(&self, (since, connection): &Kept) -> bool {
+        self.is_fresh(*since, connection) && connection.is_idle().await
+    }
+
     fn is_fresh(&self, since: Instant, connection: &Connection) -> bool {
         let peer_limit = connection
             .idle_limit()
