--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,12 +1,12 @@
 //! Request handling on the traffic threads: accepts callers, routes and admits their requests,
 //! and relays the answers of upstreams.
 
-mod accepts;
 mod attempt;
 mod attempts;
 mod checks;
 mod claims;
 mod departure;
+mod descriptors;
 mod dispatch;
 mod forward;
 mod hedge;
@@ -24,10 +24,10 @@
 mod service;
 
 pub(crate) use checks::watch_paths;
+pub(crate) use descriptors::sweep_connections;
 pub(crate) use forward::Source;
 pub(crate) use listener::InFlight;
 pub(crate) use listener::listen;
-pub(crate) use listener::sweep_connections;
 pub(crate) use poison::watch_upstreams;
 pub(crate) use proxy::Proxy;
 pub(crate) use proxy::Setup;
--- a/src/traffic/accepts.rs
+++ b/src/traffic/descriptors.rs
@@ -1,10 +1,13 @@
-//! Whether this process takes new connections.
+//! Descriptors of connections: frees those of idle ones, and tells whether any is left for a new one.
 
 use std::io;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use async_std::task;
+
 use crate::clock::Moment;
 
 use super::Proxy;
@@ -12,6 +15,8 @@
 /// Time for which a failed accept says that this process takes no new connections. While descriptors
 /// are short, accepts fail many times in it.
 const FAILED_SPAN: Duration = Duration::from_millis(500);
+/// Interval between sweeps of the idle connections to upstreams.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// When accepting a connection last failed.
 #[derive(Debug, Default)]
@@ -19,6 +24,14 @@
     failed_at: Mutex<Option<Moment>>,
 }
 
+/// Closes idle connections to upstreams that would not be reused, until the process stops.
+pub(crate) async fn sweep_connections(proxy: Arc<Proxy>) {
+    while !proxy.done.is_closed() {
+        proxy.pool.sweep().await;
+        task::sleep(SWEEP_INTERVAL).await;
+    }
+}
+
 impl Proxy {
     /// Records that a connection could not be accepted, usually because no descriptor is left, and
     /// closes the idle connections to upstreams, which hold some.
--- a/src/traffic/listener.rs
+++ b/src/traffic/listener.rs
@@ -24,8 +24,6 @@
 
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Interval between sweeps of the idle connections to upstreams.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Accepts connections of callers or other entries until the process stops serving.
 pub(crate) async fn listen(listener: TcpListener, proxy: Arc<Proxy>, source: Source) {
@@ -53,14 +51,6 @@
     }
 }
 
-/// Closes idle connections to upstreams that would not be reused, until the process stops.
-pub(crate) async fn sweep_connections(proxy: Arc<Proxy>) {
-    while !proxy.done.is_closed() {
-        proxy.pool.sweep().await;
-        task::sleep(SWEEP_INTERVAL).await;
-    }
-}
-
 /// Serves one connection. A panic in it must not affect other connections.
 async fn serve_isolated(stream: TcpStream, peer: SocketAddr, proxy: Arc<Proxy>, source: Source) {
     let open = proxy.connections.fetch_add(1, Ordering::AcqRel);
--- a/src/traffic/proxy.rs
+++ b/src/traffic/proxy.rs
@@ -43,7 +43,7 @@
 use crate::runtime;
 use crate::settings::Settings;
 
-use super::accepts::Accepts;
+use super::descriptors::Accepts;
 use super::poison::Poison;
 use super::rate_limiter::RateLimiter;
 use super::reach::Reach;
@@ -75,6 +75,7 @@
 
 /// State of the proxy in one process, shared by its traffic threads.
 pub(crate) struct Proxy {
+    pub(super) accepts: Accepts,
     pub(super) poison: Poison,
     pub(super) rate_limiter: Arc<RateLimiter>,
     pub(super) reach: Reach,
@@ -93,7 +94,6 @@
     /// Closed when the process stops serving.
     pub(crate) done: Receiver<()>,
     drain: (Sender<()>, Receiver<()>),
-    pub(super) accepts: Accepts,
     pub(crate) in_flight: AtomicUsize,
     pub(crate) open_claims: AtomicUsize,
     /// Whether each connection closes after its current request.
@@ -122,6 +122,7 @@
         let directory = Directory::new(settings.node.region.clone(), settings.directory.lifetime);
         let rate_limiter = RateLimiter::new(settings.node.id.clone(), settings.quota);
         Self {
+            accepts: Accepts::default(),
             poison: Poison::new(),
             rate_limiter: Arc::new(rate_limiter),
             reach: Reach::new(crate::node::incarnation()),
@@ -136,7 +137,6 @@
             directory: Mutex::new(directory),
             done,
             drain: bounded(1),
-            accepts: Accepts::default(),
             arrivals: AtomicU32::new(0),
             bytes: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
