--- a/tests/suite/process/budget/plan.rs
+++ b/tests/suite/process/budget/plan.rs
@@ -29,12 +29,11 @@
     pub(super) const FEW: Self = Self {
         budget: Budget { burst: 62.0, share: SHARE, window: WINDOW },
         layout: Layout {
-            descriptors: None,
             domains: 1,
             entries: 8,
             limits: "{connect: 250ms}",
             retry: "{share: 0.2, burst: 62, pooled: true, window: 10s}",
-            shutdown: Layout::BRIEF_SHUTDOWN,
+            ..Layout::DEFAULT
         },
         name: "8 entries",
         slots: 64,
@@ -42,12 +41,11 @@
     pub(super) const SMALL: Self = Self {
         budget: Budget { burst: 56.0, share: SHARE, window: WINDOW },
         layout: Layout {
-            descriptors: None,
             domains: 3,
             entries: 32,
             limits: "{connect: 250ms, processor: 0.2, link: 1000}",
             retry: "{share: 0.2, burst: 56, pooled: true, window: 10s}",
-            shutdown: Layout::BRIEF_SHUTDOWN,
+            ..Layout::DEFAULT
         },
         name: "32 entries",
         slots: 20,
@@ -55,12 +53,11 @@
     pub(super) const LARGE: Self = Self {
         budget: Budget { burst: 62.0, share: SHARE, window: WINDOW },
         layout: Layout {
-            descriptors: None,
             domains: 4,
             entries: 44,
             limits: "{connect: 250ms, processor: 0.2, link: 1000}",
             retry: "{share: 0.2, burst: 62, pooled: true, window: 10s}",
-            shutdown: Layout::BRIEF_SHUTDOWN,
+            ..Layout::DEFAULT
         },
         name: "44 entries",
         slots: 20,
--- a/tests/suite/process/site.rs
+++ b/tests/suite/process/site.rs
@@ -49,20 +49,20 @@
 }
 
 impl Layout {
-    /// Graceful shutdown that leaves callers' requests no more time than tests need.
-    pub(crate) const BRIEF_SHUTDOWN: &'static str = "{limit: 5500ms, notice: 500ms}";
+    /// Leaves callers' requests no more time for a graceful shutdown than tests need.
+    pub(crate) const DEFAULT: Self = Self {
+        descriptors: None,
+        domains: 1,
+        entries: ENTRIES,
+        limits: "{}",
+        retry: "{}",
+        shutdown: "{limit: 5500ms, notice: 500ms}",
+    };
 }
 
 impl Default for Layout {
     fn default() -> Self {
-        Self {
-            descriptors: None,
-            domains: 1,
-            entries: ENTRIES,
-            limits: "{}",
-            retry: "{}",
-            shutdown: Self::BRIEF_SHUTDOWN,
-        }
+        Self::DEFAULT
     }
 }
 
